Everywhere: Lay the foundations and the design

Cause for choosing identifiers that name their issuer: the store takes several hundred writes a second, while a record per job needs up to 35,000 a second at the two-year size. Fixed owners with standbys were ruled out because a paused owner that resumes starts tasks beside its standby.

LibCore brings reasons, rings, the plug-in registry, settings, logs and metrics; the kernel's types, events, actions and scheduler interface stand as headers.

--- /dev/null
+++ b/Kernel/Action.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "Kernel/Event.h"
+#include "Kernel/Identifiers.h"
+#include "Kernel/Job.h"
+#include "Kernel/Outcome.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <variant>
+
+namespace cornellift::kernel {
+
+/// Consecutive job identifiers. They are accepted until the deadline.
+struct IdentifierBlock {
+  Incarnation Issuer;
+  std::uint64_t First = 0;
+  std::uint32_t Count = 0;
+  core::TimePoint Deadline;
+};
+
+/// Progress of a job that has not ended.
+struct JobStatus {
+  std::uint32_t Waiting = 0;
+  std::uint32_t Running = 0;
+  std::uint32_t Ended = 0;
+  std::optional<core::TimePoint> ExpectedEnd;
+  enum class Punctuality { InTime, ExpectedLate } Expectation{};
+};
+
+/// The identifier was issued by an incarnation whose state is not here.
+struct WrongIssuer {
+  Incarnation Issuer;
+};
+
+/// Answer to StartDelegated and AskDelegated.
+struct DelegatedReply {
+  std::variant<StartRefused, TaskEnded, TaskReported> Content;
+};
+
+using Response = std::variant<IdentifierBlock, JobStatus, std::shared_ptr<const Outcome>,
+                              WrongIssuer, DelegatedReply>;
+
+/// Answers a request. Each request gets one response.
+struct Respond {
+  RequestId Request{};
+  Response Content;
+};
+
+/// Sends the task to the endpoint, which has a free slot as far as this process knows.
+struct StartTask {
+  TaskId Task;
+  EndpointIndex Endpoint{};
+  ServiceIndex Service{};
+  KindIndex Kind{};
+  TeamIndex Team{};
+  TaskSpec Spec;
+  std::shared_ptr<const JobPayload> Payload;
+  std::uint32_t PayloadIndex = 0;
+  std::uint32_t TaskCount =
+      1; ///< Of the whole job, so that the endpoint's records show whether it is whole.
+};
+
+/// Asks about a running task on a connection other than its own.
+struct AskTask {
+  TaskId Task;
+  EndpointIndex Endpoint{};
+};
+
+/// Makes the endpoint refuse the task from now on, unless it has started already.
+struct FenceTask {
+  TaskId Task;
+  EndpointIndex Endpoint{};
+};
+
+/// Asks for the endpoint's status without starting a task.
+struct ProbeEndpoint {
+  EndpointIndex Endpoint{};
+};
+
+/// The job is foreseen to miss its deadline. Sent once per job.
+struct FlagLate {
+  JobId Job;
+  core::TimePoint Deadline;
+  core::TimePoint ExpectedEnd;
+};
+
+using Action = std::variant<Respond, StartTask, AskTask, FenceTask, ProbeEndpoint, FlagLate>;
+
+/// Receives the kernel's actions in order.
+class ActionSink {
+public:
+  virtual ~ActionSink() = default;
+  virtual void perform(Action Next) = 0;
+};
+
+} // namespace cornellift::kernel
--- /dev/null
+++ b/Kernel/Event.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "Kernel/Identifiers.h"
+#include "Kernel/Job.h"
+#include "Kernel/KernelConfiguration.h"
+#include "Kernel/Outcome.h"
+#include "Libraries/LibCore/Time.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <variant>
+
+namespace cornellift::kernel {
+
+/// A caller asks for a block of job identifiers.
+struct OpenSession {
+  RequestId Request{};
+};
+
+/// A caller, or a peer on its behalf, submits a job or repeats a submission.
+struct SubmitJob {
+  RequestId Request{};
+  JobId Job;
+  JobSpec Spec;
+  /// Respond with the answer once the job has ended or this moment has come, whichever is first.
+  std::optional<core::TimePoint> WaitUntil;
+};
+
+/// Asks for a job's status, or for its outcome when WaitUntil is given.
+struct AskOutcome {
+  RequestId Request{};
+  JobId Job;
+  std::optional<core::TimePoint> WaitUntil;
+};
+
+struct CancelJob {
+  RequestId Request{};
+  JobId Job;
+};
+
+/// The caller's connection is gone; no response is wanted. The job goes on.
+struct RequestAbandoned {
+  RequestId Request{};
+};
+
+/// Why a start is known not to have happened.
+enum class StartRefusal { NoSlot, Leaving, Fenced, Invalid, NotSent };
+
+/// The endpoint refused a task before starting it, or nothing was written to the connection.
+struct StartRefused {
+  TaskId Task;
+  EndpointIndex Endpoint{};
+  StartRefusal Cause{};
+};
+
+enum class TaskVerdict { Finished, Failed };
+
+/// A started task has ended, as told by the endpoint on the connection or to a status question.
+struct TaskEnded {
+  TaskId Task;
+  EndpointIndex Endpoint{};
+  TaskVerdict Verdict{};
+  TaskResult Result;         ///< The result, or the failure's message.
+  core::Duration RunTime{0}; ///< As measured by the endpoint.
+  Resources Used;            ///< Peak use as reported by the endpoint; zero when not reported.
+};
+
+/// The connection of a task was lost after its start was written.
+struct TaskUncertain {
+  TaskId Task;
+  EndpointIndex Endpoint{};
+};
+
+/// What an endpoint says of a task on another connection. Unknown means that it has no record, or a
+/// record of another boot, or cannot be asked.
+enum class TaskReport { Running, NotStartedAndFenced, Unknown };
+
+/// Answer to AskTask or FenceTask when the task has not ended; an ended task gives TaskEnded.
+struct TaskReported {
+  TaskId Task;
+  EndpointIndex Endpoint{};
+  TaskReport Report{};
+};
+
+/// What is known of an endpoint from its own status and the platform's list.
+struct EndpointObserved {
+  EndpointIndex Endpoint{};
+  enum class Reach { Reachable, Unreachable } Reachability{};
+  enum class Standing { Live, Leaving } State{};
+  Resources Used; ///< Lags behind.
+};
+
+/// The number of the endpoint's slots that this entry process may use has changed.
+struct SlotsChanged {
+  EndpointIndex Endpoint{};
+  std::uint32_t Slots = 0;
+};
+
+/// A peer in another data centre asks to start a task here at once. It is never passed on.
+struct StartDelegated {
+  RequestId Request{};
+  TaskId Task;
+  ServiceIndex Service{};
+  KindIndex Kind{};
+  TeamIndex Team{};
+  TaskSpec Spec;
+  std::shared_ptr<const JobPayload> Payload; ///< One entry, for this task.
+  std::uint32_t TaskCount = 1;               ///< Of the whole job.
+};
+
+/// A peer asks about a task that it delegated, or fences it.
+struct AskDelegated {
+  RequestId Request{};
+  TaskId Task;
+  enum class Wish { Ask, Fence } Purpose{};
+};
+
+struct ConfigurationApplied {
+  std::shared_ptr<const KernelConfiguration> Configuration;
+};
+
+/// A planned stop begins: issue no identifiers and hand over what has not started.
+struct StopRequested {};
+
+/// Time has passed. Sent at least every 10 ms.
+struct Tick {};
+
+using Event =
+    std::variant<OpenSession, SubmitJob, AskOutcome, CancelJob, RequestAbandoned, StartRefused,
+                 TaskEnded, TaskUncertain, TaskReported, EndpointObserved, SlotsChanged,
+                 StartDelegated, AskDelegated, ConfigurationApplied, StopRequested, Tick>;
+
+} // namespace cornellift::kernel
--- /dev/null
+++ b/Libraries/LibCore/Log.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace cornellift::core {
+
+enum class LogLevel { Debug, Information, Warning, Error };
+
+/// One structured field of a log line.
+using LogField = std::pair<std::string, std::string>;
+
+/// Sends JSON lines to standard error, or to the file when its path is not empty. Call once, before
+/// other threads start. Level is one of "debug", "info", "warn" and "error".
+void configureLog(std::string_view Level, std::string_view File);
+
+/// Writes one line. The component is the logger's name; fields appear under "context_map".
+void logLine(LogLevel Level, std::string_view Component, std::string_view Message,
+             std::initializer_list<LogField> Fields = {});
+
+} // namespace cornellift::core
--- /dev/null
+++ b/Libraries/LibCore/MetricsRegistry.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace cornellift::core {
+
+/// Count that only grows. Safe to use from every thread.
+class Counter {
+public:
+  void add(std::uint64_t Amount = 1) { Value_.fetch_add(Amount, std::memory_order_relaxed); }
+  std::uint64_t value() const { return Value_.load(std::memory_order_relaxed); }
+
+private:
+  std::atomic<std::uint64_t> Value_{0};
+};
+
+/// Count, mean, maximum and quantiles (0.5, 0.99, 0.999) of a measured quantity, estimated in
+/// constant memory by Boost.Accumulators. Safe to use from every thread.
+class Distribution {
+public:
+  Distribution();
+  ~Distribution();
+  Distribution(const Distribution &) = delete;
+  Distribution &operator=(const Distribution &) = delete;
+
+  void add(double Sample);
+
+  /// Prometheus text lines for this distribution under the given metric name.
+  std::string render(std::string_view Name) const;
+
+private:
+  struct Accumulators;
+  mutable std::mutex Mutex_;
+  std::unique_ptr<Accumulators> Accumulators_;
+};
+
+/// The metrics of one process, shown on its /metrics page in the Prometheus text format. References
+/// stay valid as long as the registry. Names are lower case with underscores and end in their unit.
+class MetricsRegistry {
+public:
+  Counter &counter(std::string_view Name);
+  Distribution &distribution(std::string_view Name);
+
+  /// Registers a value that is read when the page is rendered.
+  void gauge(std::string_view Name, std::function<double()> Read);
+
+  std::string renderText() const;
+
+private:
+  mutable std::mutex Mutex_;
+  std::map<std::string, std::unique_ptr<Counter>, std::less<>> Counters_;
+  std::map<std::string, std::unique_ptr<Distribution>, std::less<>> Distributions_;
+  std::map<std::string, std::function<double()>, std::less<>> Gauges_;
+};
+
+} // namespace cornellift::core
--- /dev/null
+++ b/Libraries/LibCore/Time.cpp
@@ -0,0 +1,33 @@
+#include "Libraries/LibCore/Time.h"
+
+namespace cornellift::core {
+
+MonotonicClock::time_point MonotonicClock::now() {
+  auto SinceStart = std::chrono::steady_clock::now().time_since_epoch();
+  return time_point(std::chrono::duration_cast<duration>(SinceStart));
+}
+
+double toMilliseconds(Duration Span) { return static_cast<double>(Span.count()) / 1000.0; }
+
+Duration fromMilliseconds(double Milliseconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(Milliseconds));
+}
+
+std::int64_t wallClockMilliseconds() {
+  auto SinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(SinceEpoch).count();
+}
+
+TimePoint fromWallClock(std::int64_t EpochMilliseconds) {
+  auto Remaining = std::chrono::milliseconds(EpochMilliseconds - wallClockMilliseconds());
+  return MonotonicClock::now() + Remaining;
+}
+
+std::int64_t toWallClock(TimePoint Deadline) {
+  auto Remaining = Deadline - MonotonicClock::now();
+  return wallClockMilliseconds() +
+         std::chrono::duration_cast<std::chrono::milliseconds>(Remaining).count();
+}
+
+} // namespace cornellift::core
