FaultProxy: Add a TCP proxy whose faults are triggered by events

Cause: integration tests need silent connections, swallowed replies, cuts and partitions at a stated point of a request; a fault after a sleep hits another point on every run. Rules therefore fire when a text passes for the Nth time.

--- /dev/null
+++ b/Services/FaultProxy/ProxySession.cpp
@@ -0,0 +1,119 @@
+#include "Services/FaultProxy/ProxySession.h"
+
+#include "Services/FaultProxy/Link.h"
+
+#include <chrono>
+#include <string_view>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+namespace cornellift::fault {
+
+ProxySession::ProxySession(boost::asio::io_context &Context, std::shared_ptr<Link> Owner,
+                           Tcp::socket Incoming)
+    : Owner_(std::move(Owner)), Incoming_(std::move(Incoming)), Outgoing_(Context),
+      UpDelay_(Context), DownDelay_(Context) {}
+
+void ProxySession::start() {
+  Outgoing_.async_connect(Owner_->target(),
+                          [Self = shared_from_this()](boost::system::error_code Error) {
+                            if (Error)
+                              return Self->close();
+                            boost::system::error_code Ignored;
+                            Self->Incoming_.set_option(Tcp::no_delay(true), Ignored);
+                            Self->Outgoing_.set_option(Tcp::no_delay(true), Ignored);
+                            Self->read(Self->Up_);
+                            Self->read(Self->Down_);
+                          });
+}
+
+void ProxySession::apply(FaultAction Action) {
+  switch (Action) {
+  case FaultAction::Cut:
+    return close();
+  case FaultAction::Silence:
+    Up_.Silent = true;
+    Down_.Silent = true;
+    return;
+  case FaultAction::SilenceUp:
+    Up_.Silent = true;
+    return;
+  case FaultAction::SilenceDown:
+    Down_.Silent = true;
+    return;
+  case FaultAction::SwallowReply:
+    SwallowReply_ = true;
+    return;
+  }
+}
+
+void ProxySession::read(Way &Lane) {
+  source(Lane).async_read_some(
+      boost::asio::buffer(Lane.Block),
+      [Self = shared_from_this(), &Lane](boost::system::error_code Error, std::size_t Size) {
+        // A silent connection stays open on the side that still believes in it.
+        if (Error && (Self->Up_.Silent || Self->Down_.Silent))
+          return;
+        if (Error)
+          return Self->close();
+        Lane.Size = Size;
+        Self->received(Lane);
+      });
+}
+
+void ProxySession::received(Way &Lane) {
+  auto Fired = Owner_->inspect(Lane.Heading, std::string_view(Lane.Block.data(), Lane.Size));
+  if (Fired && Fired->BeforeForwarding) {
+    apply(Fired->Action);
+    if (Fired->Action != FaultAction::Cut)
+      read(Lane);
+    return;
+  }
+  if (Lane.Heading == Direction::Down && SwallowReply_)
+    return close();
+  if (Lane.Silent)
+    return read(Lane);
+  if (!Fired)
+    return forward(Lane);
+  // The block goes through before a fault that follows it takes hold.
+  boost::system::error_code Error;
+  boost::asio::write(sink(Lane), boost::asio::buffer(Lane.Block.data(), Lane.Size), Error);
+  apply(Fired->Action);
+  if (Fired->Action != FaultAction::Cut)
+    read(Lane);
+}
+
+void ProxySession::forward(Way &Lane) {
+  auto Delay = Owner_->delayMilliseconds();
+  if (Delay == 0)
+    return write(Lane);
+  auto &Timer = Lane.Heading == Direction::Up ? UpDelay_ : DownDelay_;
+  Timer.expires_after(std::chrono::milliseconds(Delay));
+  Timer.async_wait([Self = shared_from_this(), &Lane](boost::system::error_code Error) {
+    if (!Error)
+      Self->write(Lane);
+  });
+}
+
+void ProxySession::write(Way &Lane) {
+  boost::asio::async_write(
+      sink(Lane), boost::asio::buffer(Lane.Block.data(), Lane.Size),
+      [Self = shared_from_this(), &Lane](boost::system::error_code Error, std::size_t /*Size*/) {
+        if (Error && !Self->Up_.Silent && !Self->Down_.Silent)
+          return Self->close();
+        Self->read(Lane);
+      });
+}
+
+void ProxySession::close() {
+  boost::system::error_code Ignored;
+  Incoming_.close(Ignored);
+  Outgoing_.close(Ignored);
+  UpDelay_.cancel();
+  DownDelay_.cancel();
+  Owner_->remove(shared_from_this());
+}
+
+} // namespace cornellift::fault
--- /dev/null
+++ b/Services/FaultProxy/ProxySession.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "Services/FaultProxy/Rule.h"
+
+#include <array>
+#include <cstddef>
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace cornellift::fault {
+
+class Link;
+
+/// One proxied connection. Keeps itself alive until both sides have closed.
+class ProxySession : public std::enable_shared_from_this<ProxySession> {
+public:
+  using Tcp = boost::asio::ip::tcp;
+
+  ProxySession(boost::asio::io_context &Context, std::shared_ptr<Link> Owner, Tcp::socket Incoming);
+
+  /// Connects to the target and forwards both ways.
+  void start();
+
+  void apply(FaultAction Action);
+
+private:
+  static constexpr std::size_t BlockBytes = 65536;
+
+  /// One way of the connection; a block is forwarded whole before the next one is read.
+  struct Way {
+    Direction Heading;
+    std::array<char, BlockBytes> Block;
+    std::size_t Size = 0;
+    bool Silent = false;
+  };
+
+  Tcp::socket &source(const Way &Lane) {
+    return Lane.Heading == Direction::Up ? Incoming_ : Outgoing_;
+  }
+  Tcp::socket &sink(const Way &Lane) {
+    return Lane.Heading == Direction::Up ? Outgoing_ : Incoming_;
+  }
+  void read(Way &Lane);
+  void received(Way &Lane);
+  void forward(Way &Lane);
+  void write(Way &Lane);
+  void close();
+
+  std::shared_ptr<Link> Owner_;
+  Tcp::socket Incoming_;
+  Tcp::socket Outgoing_;
+  boost::asio::steady_timer UpDelay_;
+  boost::asio::steady_timer DownDelay_;
+  Way Up_{Direction::Up, {}};
+  Way Down_{Direction::Down, {}};
+  bool SwallowReply_ = false;
+};
+
+} // namespace cornellift::fault
