--- a/Kernel/KernelConfiguration.h
+++ b/Kernel/KernelConfiguration.h
@@ -14,18 +14,21 @@
   std::string Name;
   core::Duration ExpectedRunTime{0}; ///< Used until run times are learned.
   Resources Needed;                  ///< Used until sizes are learned.
+  bool Removed = false;              ///< No longer configured; keeps its index.
 };
 
 struct ServiceConfiguration {
   std::string Name;
   double MessageCostMilliseconds = 1; ///< Response time that one wasted message is worth.
   std::vector<KindConfiguration> Kinds;
+  bool Removed = false; ///< No longer configured; keeps its index.
 };
 
 struct TeamConfiguration {
   std::string Name;
   double QuotaShare = 1;                ///< Share of the slots, relative to the other teams.
   std::uint32_t MaximumQueuedTasks = 0; ///< Zero means the default of the limits.
+  bool Removed = false;                 ///< No longer configured; keeps its index.
 };
 
 /// The endpoint process of one worker.
@@ -39,6 +42,7 @@
   std::uint32_t Connections = 64;
   Resources Capacity;
   bool Drained = false; ///< Set by an operator; no new work starts there.
+  bool Removed = false; ///< No longer configured; keeps its index and counts as drained.
 };
 
 /// Names of the plug-ins and their weights.
