--- /dev/null
+++ b/Libraries/LibHttp/BoundedPool.cpp
@@ -0,0 +1,64 @@
+#include "Libraries/LibHttp/BoundedPool.h"
+
+#include <utility>
+
+namespace cornellift::http {
+namespace {
+
+thread_local bool Refusing = false;
+
+} // namespace
+
+BoundedPool::BoundedPool(std::size_t MaximumThreads, std::size_t MaximumQueued,
+                         std::function<void()> Crowded)
+    : MaximumThreads_(MaximumThreads), MaximumQueued_(MaximumQueued),
+      Crowded_(std::move(Crowded)) {}
+
+void BoundedPool::enqueue(std::function<void()> Serve) {
+  std::unique_lock Lock(Mutex_);
+  if (Queue_.size() >= MaximumQueued_) {
+    Lock.unlock();
+    Refusing = true;
+    Serve();
+    Refusing = false;
+    return;
+  }
+  Queue_.push_back(std::move(Serve));
+  if (Idle_ < Queue_.size() && Threads_.size() < MaximumThreads_)
+    Threads_.emplace_back([this] { serveConnections(); });
+  bool Waits = Idle_ < Queue_.size() && Threads_.size() >= MaximumThreads_;
+  Lock.unlock();
+  Wake_.notify_one();
+  if (Waits)
+    Crowded_();
+}
+
+void BoundedPool::shutdown() {
+  {
+    std::lock_guard Guard(Mutex_);
+    Stopping_ = true;
+  }
+  Wake_.notify_all();
+  for (auto &Thread : Threads_)
+    Thread.join();
+}
+
+bool BoundedPool::isRefusing() { return Refusing; }
+
+void BoundedPool::serveConnections() {
+  std::unique_lock Lock(Mutex_);
+  while (true) {
+    ++Idle_;
+    Wake_.wait(Lock, [this] { return Stopping_ || !Queue_.empty(); });
+    --Idle_;
+    if (Queue_.empty())
+      return;
+    auto Serve = std::move(Queue_.front());
+    Queue_.pop_front();
+    Lock.unlock();
+    Serve();
+    Lock.lock();
+  }
+}
+
+} // namespace cornellift::http
--- /dev/null
+++ b/Libraries/LibHttp/BoundedPool.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include <httplib.h>
+
+namespace cornellift::http {
+
+/// Threads that serve connections, started on demand up to a bound. The queue of connections that
+/// wait for a thread is bounded too; what exceeds it runs on the caller's thread with isRefusing()
+/// set, so that the connection is answered with a refusal at once.
+class BoundedPool : public httplib::TaskQueue {
+public:
+  /// Crowded is called when a connection has to wait for a thread.
+  BoundedPool(std::size_t MaximumThreads, std::size_t MaximumQueued, std::function<void()> Crowded);
+
+  void enqueue(std::function<void()> Serve) override;
+  void shutdown() override;
+
+  /// True while the current thread has to refuse the connection that it was given.
+  static bool isRefusing();
+
+private:
+  void serveConnections();
+
+  const std::size_t MaximumThreads_;
+  const std::size_t MaximumQueued_;
+  std::function<void()> Crowded_;
+  std::mutex Mutex_;
+  std::condition_variable Wake_;
+  std::deque<std::function<void()>> Queue_;
+  std::vector<std::thread> Threads_;
+  std::size_t Idle_ = 0;
+  bool Stopping_ = false;
+};
+
+} // namespace cornellift::http
--- /dev/null
+++ b/Libraries/LibHttp/ConnectionStream.cpp
@@ -0,0 +1,109 @@
+#include "Libraries/LibHttp/ConnectionStream.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace cornellift::http {
+namespace {
+
+using AddressLookup = int (*)(int, sockaddr *, socklen_t *);
+
+void describeAddress(AddressLookup Lookup, socket_t Socket, std::string &Address, int &Port) {
+  sockaddr_storage Storage{};
+  socklen_t Length = sizeof(Storage);
+  if (Lookup(Socket, reinterpret_cast<sockaddr *>(&Storage), &Length) != 0 ||
+      Storage.ss_family != AF_INET)
+    return;
+  const auto *Internet = reinterpret_cast<const sockaddr_in *>(&Storage);
+  std::array<char, INET_ADDRSTRLEN> Text{};
+  if (inet_ntop(AF_INET, &Internet->sin_addr, Text.data(), Text.size()) != nullptr)
+    Address = Text.data();
+  Port = ntohs(Internet->sin_port);
+}
+
+bool mustWait() { return errno == EAGAIN || errno == EWOULDBLOCK; }
+
+} // namespace
+
+ConnectionStream::ConnectionStream(socket_t Socket, core::Duration TransferTime)
+    : Socket_(Socket), TransferTime_(TransferTime) {
+  beginRequest();
+}
+
+void ConnectionStream::beginRequest() {
+  ReadDeadline_ = core::MonotonicClock::now() + TransferTime_;
+  Writing_ = false;
+}
+
+bool ConnectionStream::waitFor(short Events, core::TimePoint Deadline) const {
+  while (true) {
+    auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        Deadline - core::MonotonicClock::now());
+    if (Left.count() <= 0)
+      return false;
+    pollfd Entry{Socket_, Events, 0};
+    int Ready = ::poll(&Entry, 1, static_cast<int>(Left.count()));
+    if (Ready > 0)
+      return true;
+    if (Ready < 0 && errno != EINTR)
+      return false;
+  }
+}
+
+bool ConnectionStream::is_readable() const {
+  return Begin_ < End_ || waitFor(POLLIN, ReadDeadline_);
+}
+
+bool ConnectionStream::is_writable() const { return true; }
+
+ssize_t ConnectionStream::read(char *Target, size_t Size) {
+  while (Begin_ == End_) {
+    auto Received = ::recv(Socket_, Buffer_.data(), Buffer_.size(), MSG_DONTWAIT);
+    if (Received > 0) {
+      Begin_ = 0;
+      End_ = static_cast<std::size_t>(Received);
+      break;
+    }
+    if (Received == 0)
+      return 0;
+    if (errno == EINTR)
+      continue;
+    if (!mustWait() || !waitFor(POLLIN, ReadDeadline_))
+      return -1;
+  }
+  auto Count = std::min(Size, End_ - Begin_);
+  std::memcpy(Target, Buffer_.data() + Begin_, Count);
+  Begin_ += Count;
+  return static_cast<ssize_t>(Count);
+}
+
+ssize_t ConnectionStream::write(const char *Source, size_t Size) {
+  if (!Writing_) {
+    Writing_ = true;
+    WriteDeadline_ = core::MonotonicClock::now() + TransferTime_;
+  }
+  while (true) {
+    auto Sent = ::send(Socket_, Source, Size, MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (Sent >= 0)
+      return Sent;
+    if (errno == EINTR)
+      continue;
+    if (!mustWait() || !waitFor(POLLOUT, WriteDeadline_))
+      return -1;
+  }
+}
+
+void ConnectionStream::get_remote_ip_and_port(std::string &Address, int &Port) const {
+  describeAddress(::getpeername, Socket_, Address, Port);
+}
+
+void ConnectionStream::get_local_ip_and_port(std::string &Address, int &Port) const {
+  describeAddress(::getsockname, Socket_, Address, Port);
+}
+
+} // namespace cornellift::http
--- /dev/null
+++ b/Libraries/LibHttp/ConnectionStream.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "Libraries/LibCore/Time.h"
+
+#include <array>
+#include <cstddef>
+#include <string>
+
+#include <httplib.h>
+
+namespace cornellift::http {
+
+/// Buffered stream over an accepted socket. A whole request has to arrive, and a whole response has
+/// to leave, within one deadline, so that a peer that sends one byte at a time cannot hold a thread.
+class ConnectionStream : public httplib::Stream {
+public:
+  ConnectionStream(socket_t Socket, core::Duration TransferTime);
+
+  /// Starts the deadline of the next request.
+  void beginRequest();
+
+  /// True when bytes of a next request are here already.
+  bool hasBufferedBytes() const { return Begin_ < End_; }
+
+  bool is_readable() const override;
+  bool is_writable() const override;
+  ssize_t read(char *Target, size_t Size) override;
+  ssize_t write(const char *Source, size_t Size) override;
+  void get_remote_ip_and_port(std::string &Address, int &Port) const override;
+  void get_local_ip_and_port(std::string &Address, int &Port) const override;
+  socket_t socket() const override { return Socket_; }
+
+private:
+  bool waitFor(short Events, core::TimePoint Deadline) const;
+
+  static constexpr std::size_t BufferBytes = 16384;
+
+  const socket_t Socket_;
+  const core::Duration TransferTime_;
+  core::TimePoint ReadDeadline_;
+  core::TimePoint WriteDeadline_; ///< Set by the first write after a request.
+  std::array<char, BufferBytes> Buffer_;
+  std::size_t Begin_ = 0;
+  std::size_t End_ = 0;
+  bool Writing_ = false;
+};
+
+} // namespace cornellift::http
--- /dev/null
+++ b/Services/EndpointStandIn/StandInEndpoint.cpp
@@ -0,0 +1,211 @@
+#include "Services/EndpointStandIn/StandInEndpoint.h"
+
+#include <algorithm>
+#include <random>
+#include <thread>
+
+namespace cornellift::standin {
+namespace {
+
+constexpr core::Duration RecordLifetime = std::chrono::minutes(15);
+
+std::string drawBoot() {
+  std::random_device Source;
+  constexpr char Digits[] = "0123456789abcdef";
+  std::string Boot;
+  for (int Index = 0; Index < 16; ++Index)
+    Boot += Digits[Source() % 16];
+  return Boot;
+}
+
+nlohmann::json noUsage() {
+  return {{"processors", 0.0}, {"memory_mb", 0.0}, {"accelerators", 0.0}};
+}
+
+double numberOr(const nlohmann::json &Object, const char *Name, double Default) {
+  auto Found = Object.find(Name);
+  return Found != Object.end() && Found->is_number() ? Found->get<double>() : Default;
+}
+
+} // namespace
+
+StandInEndpoint::StandInEndpoint(EndpointOptions Options, StandInControls &Controls,
+                                 StandInLog &Log)
+    : Options_(std::move(Options)), Boot_(drawBoot()), Controls_(Controls), Log_(Log),
+      Usage_(noUsage()) {}
+
+Answer StandInEndpoint::start(const std::string &Task, std::string_view Body) {
+  auto Began = core::MonotonicClock::now();
+  auto Period = Controls_.silencePeriod();
+  auto Request = Json::parse(Body, nullptr, false);
+  auto Wanted = readWork(Body);
+  auto MeantFor = Request.is_object() ? Request.value("boot", std::string()) : std::string();
+  {
+    std::lock_guard Guard(Mutex_);
+    forgetOldRecords(Began);
+    auto Cause = Wanted ? refusalCause(Task, MeantFor) : "invalid";
+    if (!Cause.empty()) {
+      auto Refusal = answerBody(Task, "refused");
+      Refusal["cause"] = Cause;
+      return {Cause == "invalid" ? 400 : 409, Refusal};
+    }
+    ++Running_;
+    Records_[Task] = {answerBody(Task, "running"), Wanted->TaskCount, core::TimePoint::max()};
+    noteUsage(Wanted->Used, 1);
+  }
+  Log_.write("start", Task, Options_.Name, Boot_);
+  std::this_thread::sleep_until(std::chrono::steady_clock::now() + Wanted->RunTime);
+  auto Result = finish(Task, *Wanted, core::MonotonicClock::now() - Began);
+  Log_.write("end", Task, Options_.Name, Boot_);
+  Controls_.waitWhileSilent(Period);
+  return {200, Result};
+}
+
+std::optional<StandInEndpoint::Work> StandInEndpoint::readWork(std::string_view Body) const {
+  auto Request = Json::parse(Body, nullptr, false);
+  if (!Request.is_object() || !Request.contains("payload") || !Request["payload"].is_string())
+    return std::nullopt;
+  auto Payload = Json::parse(Request["payload"].get_ref<const std::string &>(), nullptr, false);
+  if (!Payload.is_object())
+    return std::nullopt;
+  Work Result;
+  Result.TaskCount = Request.value("task_count", 1U);
+  Result.Used = {{"processors", numberOr(Payload, "processors", 1)},
+                 {"memory_mb", numberOr(Payload, "memory_mb", 0)},
+                 {"accelerators", numberOr(Payload, "accelerators", 0)}};
+  // The guards slow a task down that uses more processors than declared, and stop one that uses
+  // more memory. A declaration of zero means that none was made.
+  double Declared = numberOr(Request, "processors", 0);
+  double Throttle = Declared > 0 ? std::max(1.0, numberOr(Payload, "processors", 1) / Declared) : 1;
+  Result.RunTime =
+      core::fromMilliseconds(numberOr(Payload, "run_ms", 0) * Throttle * Controls_.slowFactor() /
+                             Options_.Speed);
+  double DeclaredMemory = numberOr(Request, "memory_mb", 0);
+  bool Stopped = DeclaredMemory > 0 && numberOr(Payload, "memory_mb", 0) > DeclaredMemory;
+  Result.Fails = Stopped || Controls_.failsEverything() || Payload.value("fail", false);
+  if (Stopped)
+    Result.Text = "stopped: memory above the declaration; declare more";
+  else if (Result.Fails)
+    Result.Text = "failed as its payload asks";
+  else if (Payload.contains("result_bytes"))
+    Result.Text = std::string(Payload.value("result_bytes", 0U), 'x');
+  else
+    Result.Text = Payload.value("result", std::string());
+  return Result;
+}
+
+std::string StandInEndpoint::refusalCause(const std::string &Task,
+                                          const std::string &MeantFor) const {
+  if (!MeantFor.empty() && MeantFor != Boot_)
+    return "other_boot";
+  if (Records_.contains(Task))
+    return "already_started";
+  if (Fenced_.contains(Task))
+    return "fenced";
+  if (Leaving_)
+    return "leaving";
+  if (Running_ >= Options_.Slots)
+    return "no_slot";
+  return {};
+}
+
+Answer StandInEndpoint::ask(const std::string &Task) const {
+  std::lock_guard Guard(Mutex_);
+  auto Found = Records_.find(Task);
+  if (Found != Records_.end())
+    return {200, Found->second.Body};
+  return {200, answerBody(Task, Fenced_.contains(Task) ? "not_started" : "unknown")};
+}
+
+Answer StandInEndpoint::fence(const std::string &Task) {
+  std::lock_guard Guard(Mutex_);
+  auto Found = Records_.find(Task);
+  if (Found != Records_.end())
+    return {200, Found->second.Body};
+  Fenced_[Task] = core::MonotonicClock::now() + RecordLifetime;
+  return {200, answerBody(Task, "not_started")};
+}
+
+Answer StandInEndpoint::jobRecords(const std::string &Job) const {
+  std::lock_guard Guard(Mutex_);
+  auto Prefix = Job + ".";
+  Json Tasks = Json::array();
+  std::uint32_t TaskCount = 0;
+  for (auto Next = Records_.lower_bound(Prefix);
+       Next != Records_.end() && Next->first.starts_with(Prefix); ++Next) {
+    auto Entry = Next->second.Body;
+    Entry["index"] = std::stoul(Next->first.substr(Prefix.size()));
+    Tasks.push_back(std::move(Entry));
+    TaskCount = Next->second.TaskCount;
+  }
+  return {200, {{"job", Job}, {"boot", Boot_}, {"task_count", TaskCount}, {"tasks", Tasks}}};
+}
+
+Answer StandInEndpoint::status() const {
+  std::lock_guard Guard(Mutex_);
+  auto Until = core::MonotonicClock::now() - Options_.UsageLag;
+  Json Used = noUsage();
+  for (const auto &[At, Usage] : UsageHistory_)
+    if (At <= Until)
+      Used = Usage;
+  return {200,
+          {{"boot", Boot_},
+           {"capabilities", {"task_fence", "job_records", "boot"}},
+           {"slots", Options_.Slots},
+           {"running", Running_},
+           {"leaving", Leaving_},
+           {"used", Used}}};
+}
+
+void StandInEndpoint::leave() {
+  std::lock_guard Guard(Mutex_);
+  Leaving_ = true;
+}
+
+void StandInEndpoint::waitUntilIdle() {
+  std::unique_lock Lock(Mutex_);
+  Idle_.wait(Lock, [this] { return Running_ == 0; });
+}
+
+nlohmann::json StandInEndpoint::answerBody(const std::string &Task, std::string_view State) const {
+  return {{"task", Task}, {"boot", Boot_}, {"state", State}};
+}
+
+nlohmann::json StandInEndpoint::finish(const std::string &Task, const Work &Done,
+                                       core::Duration RunTime) {
+  auto Body = answerBody(Task, Done.Fails ? "failed" : "finished");
+  Body["run_ms"] = core::toMilliseconds(RunTime);
+  Body["used"] = Done.Used;
+  Body[Done.Fails ? "message" : "result"] =
+      Done.Text.empty() ? Json({{"run_ms", core::toMilliseconds(RunTime)}}).dump() : Done.Text;
+  std::lock_guard Guard(Mutex_);
+  auto ForgetAt = core::MonotonicClock::now() + RecordLifetime;
+  Records_[Task] = {Body, Done.TaskCount, ForgetAt};
+  Ends_.emplace_back(ForgetAt, Task);
+  noteUsage(Done.Used, -1);
+  if (--Running_ == 0)
+    Idle_.notify_all();
+  if (!Controls_.crossesAnswers())
+    return Body;
+  std::swap(LastAnswer_, Body);
+  return Body.is_null() ? answerBody("unknown.0000000000000000.0.0", "finished") : Body;
+}
+
+void StandInEndpoint::noteUsage(const Json &Used, double Sign) {
+  for (auto &[Name, Value] : Usage_.items())
+    Value = Value.get<double>() + Sign * Used.value(Name, 0.0);
+  auto Now = core::MonotonicClock::now();
+  UsageHistory_.emplace_back(Now, Usage_);
+  while (UsageHistory_.size() > 1 && UsageHistory_[1].first <= Now - Options_.UsageLag)
+    UsageHistory_.pop_front();
+}
+
+void StandInEndpoint::forgetOldRecords(core::TimePoint Now) {
+  while (!Ends_.empty() && Ends_.front().first <= Now) {
+    Records_.erase(Ends_.front().second);
+    Ends_.pop_front();
+  }
+  std::erase_if(Fenced_, [Now](const auto &Entry) { return Entry.second <= Now; });
+}
+
+} // namespace cornellift::standin
--- /dev/null
+++ b/Services/EndpointStandIn/StandInEndpoint.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "Libraries/LibCore/Time.h"
+#include "Services/EndpointStandIn/StandInControls.h"
+#include "Services/EndpointStandIn/StandInLog.h"
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace cornellift::standin {
+
+struct EndpointOptions {
+  std::string Name;
+  std::uint32_t Slots = 8;
+  double Speed = 1;                                ///< Divides the run times.
+  core::Duration UsageLag = std::chrono::seconds(1); ///< Age of the usage in the status.
+};
+
+/// Answer to one HTTP request.
+struct Answer {
+  int Status = 200;
+  nlohmann::json Body;
+};
+
+/// The state of one endpoint: running tasks, records, fenced tasks. Its tasks sleep for the time
+/// that their payload states. Safe to use from every thread.
+class StandInEndpoint {
+public:
+  StandInEndpoint(EndpointOptions Options, StandInControls &Controls, StandInLog &Log);
+
+  /// Runs the task and returns at its end, or refuses it.
+  Answer start(const std::string &Task, std::string_view Body);
+  Answer ask(const std::string &Task) const;
+  Answer fence(const std::string &Task);
+  Answer jobRecords(const std::string &Job) const;
+  Answer status() const;
+
+  /// From now on every start is refused.
+  void leave();
+
+  /// Waits until no task runs.
+  void waitUntilIdle();
+
+private:
+  using Json = nlohmann::json;
+
+  /// What the payload asks for, with the guards applied.
+  struct Work {
+    core::Duration RunTime{0};
+    bool Fails = false;
+    std::string Text; ///< Result, or message of the failure; empty for a result with the run time.
+    Json Used;
+    std::uint32_t TaskCount = 1;
+  };
+
+  struct Record {
+    Json Body; ///< With the state.
+    std::uint32_t TaskCount = 1;
+    core::TimePoint ForgetAt;
+  };
+
+  std::optional<Work> readWork(std::string_view Body) const;
+  std::string refusalCause(const std::string &Task, const std::string &MeantFor) const;
+  Json answerBody(const std::string &Task, std::string_view State) const;
+  Json finish(const std::string &Task, const Work &Done, core::Duration RunTime);
+  void noteUsage(const Json &Used, double Sign);
+  void forgetOldRecords(core::TimePoint Now);
+
+  const EndpointOptions Options_;
+  const std::string Boot_;
+  StandInControls &Controls_;
+  StandInLog &Log_;
+  mutable std::mutex Mutex_;
+  std::condition_variable Idle_;
+  std::uint32_t Running_ = 0;
+  bool Leaving_ = false;
+  std::map<std::string, Record> Records_; ///< By task; jobs are found by prefix.
+  std::map<std::string, core::TimePoint> Fenced_;
+  std::deque<std::pair<core::TimePoint, std::string>> Ends_;
+  Json Usage_;
+  std::deque<std::pair<core::TimePoint, Json>> UsageHistory_;
+  Json LastAnswer_;
+};
+
+} // namespace cornellift::standin
