--- /dev/null
+++ b/Kernel/EndpointTable.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "Kernel/KernelConfiguration.h"
+
+#include <array>
+#include <bit>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace cornellift::kernel {
+
+/// What placement knows of one endpoint.
+struct EndpointState {
+  std::uint32_t Slots = 0;   ///< That this process may use.
+  std::uint32_t Running = 0; ///< Tasks that this process has started and that have not ended.
+  std::uint32_t Allowed = 0; ///< Bound on Running from health; zero while ejected.
+  bool Reachable = true;
+  bool Leaving = false;
+  bool Drained = false;
+  bool OnTrial = false; ///< Its next task may well fail.
+  double LogSpeed = 0;
+  Resources Capacity;
+  Resources Committed; ///< Needs of the running tasks.
+  std::uint32_t Group = 0;
+  std::uint32_t Bucket = 0;
+  bool IsFree = false;
+
+  bool usable() const { return Reachable && !Leaving && !Drained && Allowed > 0; }
+  bool fits(const Resources &Need) const;
+};
+
+/// Endpoints with indexes of the free ones by service and speed, so that a placement touches few of
+/// them however many there are.
+class EndpointTable {
+public:
+  /// Speeds from 1/16 to 8, sixteen buckets per octave: 4.4% each.
+  static constexpr std::uint32_t BucketsPerOctave = 16;
+  static constexpr std::uint32_t Buckets = 7 * BucketsPerOctave;
+  /// Speed in the middle of a bucket. Bucket 0 is the fastest.
+  static double bucketSpeed(std::uint32_t Bucket);
+
+  void configure(const KernelConfiguration &Configuration);
+
+  std::size_t size() const { return Endpoints_.size(); }
+  const EndpointState &at(EndpointIndex Endpoint) const {
+    return Endpoints_[static_cast<std::size_t>(Endpoint)];
+  }
+
+  void setSlots(EndpointIndex Endpoint, std::uint32_t Slots);
+  void setReachable(EndpointIndex Endpoint, bool Reachable);
+  void setLeaving(EndpointIndex Endpoint, bool Leaving);
+  void setAllowed(EndpointIndex Endpoint, std::uint32_t Allowed, bool OnTrial);
+  void setLogSpeed(EndpointIndex Endpoint, double LogSpeed);
+  void occupy(EndpointIndex Endpoint, const Resources &Need);
+  void vacate(EndpointIndex Endpoint, const Resources &Need);
+
+  bool offers(EndpointIndex Endpoint, ServiceIndex Service) const;
+
+  /// Whether an empty worker that offers the service has room for the task.
+  bool fitsSomeWorker(ServiceIndex Service, const Resources &Need) const;
+
+  std::uint32_t freeSlots() const { return FreeSlots_; }
+  std::uint32_t runningTasks() const { return RunningTasks_; }
+  /// Sum of speeds over all usable slots.
+  double slotSpeed() const { return SlotSpeed_; }
+
+  /// Busy slots of usable endpoints that offer the service, by speed bucket.
+  std::uint32_t busySlots(ServiceIndex Service, std::uint32_t Bucket) const;
+
+  /// Calls Visit with free endpoints of the service, fastest first, until it returns true. Returns
+  /// whether it did. Endpoints of one bucket come in rotating order, so that load spreads.
+  template <typename Visitor> bool visitFree(ServiceIndex Service, Visitor Visit) const {
+    auto Groups = groupsOf(Service);
+    for (std::uint32_t Bucket = 0; Bucket < Buckets; ++Bucket)
+      for (auto Group : Groups)
+        if (visitBucket(Groups_[Group].Free[Bucket], Visit))
+          return true;
+    return false;
+  }
+
+private:
+  struct FreeSet {
+    std::vector<std::uint64_t> Words;
+    std::uint32_t Count = 0;
+    std::uint32_t Rotation = 0;
+  };
+
+  /// Endpoints that offer the same services.
+  struct Group {
+    std::vector<ServiceIndex> Services;
+    std::vector<Resources> Capacities; ///< Distinct ones.
+    std::array<FreeSet, Buckets> Free;
+    std::array<std::uint32_t, Buckets> Busy{};
+  };
+
+  template <typename Visitor> bool visitBucket(const FreeSet &Set, Visitor &Visit) const {
+    if (Set.Count == 0)
+      return false;
+    auto WordCount = static_cast<std::uint32_t>(Set.Words.size());
+    for (std::uint32_t Step = 0; Step < WordCount; ++Step) {
+      auto Position = (Set.Rotation + Step) % WordCount;
+      for (auto Bits = Set.Words[Position]; Bits != 0; Bits &= Bits - 1) {
+        auto Bit = static_cast<std::uint32_t>(std::countr_zero(Bits));
+        if (Visit(static_cast<EndpointIndex>(Position * 64 + Bit)))
+          return true;
+      }
+    }
+    return false;
+  }
+
+  std::span<const std::uint32_t> groupsOf(ServiceIndex Service) const;
+  EndpointState &edit(EndpointIndex Endpoint);
+  /// Removes the endpoint's share from all totals; refresh() adds it again after a change.
+  void withdraw(const EndpointState &State, std::uint32_t Position);
+  void refresh(EndpointState &State, std::uint32_t Position);
+  std::uint32_t groupFor(const EndpointConfiguration &Endpoint);
+
+  std::vector<EndpointState> Endpoints_;
+  std::vector<Group> Groups_;
+  std::vector<std::vector<std::uint32_t>> GroupsOfService_;
+  std::uint32_t FreeSlots_ = 0;
+  std::uint32_t RunningTasks_ = 0;
+  double SlotSpeed_ = 0;
+};
+
+} // namespace cornellift::kernel
--- /dev/null
+++ b/Kernel/ExpectedCompletionPlacement.cpp
@@ -0,0 +1,54 @@
+#include "Kernel/PlacementPolicy.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace cornellift::kernel {
+namespace {
+
+/// Takes the fastest free endpoint that fits, unless waiting for a faster slot is expected to end
+/// sooner and the job would end later because of the slow one.
+class ExpectedCompletionPlacement final : public PlacementPolicy {
+public:
+  explicit ExpectedCompletionPlacement(std::uint64_t /*Seed*/) {}
+
+  std::optional<EndpointIndex> choose(const PlacementQuestion &Question,
+                                      const EndpointTable &Endpoints) override {
+    std::optional<EndpointIndex> Fastest;
+    Endpoints.visitFree(Question.Service, [&](EndpointIndex Endpoint) {
+      if (!Question.accepts(Endpoints.at(Endpoint)))
+        return false;
+      Fastest = Endpoint;
+      return true;
+    });
+    if (!Fastest)
+      return std::nullopt;
+    auto Bucket = Endpoints.at(*Fastest).Bucket;
+    double End = Question.RunTime / EndpointTable::bucketSpeed(Bucket);
+    if (End <= std::max(Question.Slack, endAfterWaiting(Question, Endpoints, Bucket)))
+      return Fastest;
+    return std::nullopt;
+  }
+
+private:
+  /// Earliest expected end when waiting for a slot of one of the buckets before Bucket.
+  static double endAfterWaiting(const PlacementQuestion &Question, const EndpointTable &Endpoints,
+                                std::uint32_t Bucket) {
+    double Best = std::numeric_limits<double>::infinity();
+    double EndsPerMillisecond = 0;
+    for (std::uint32_t Faster = 0; Faster < Bucket; ++Faster) {
+      auto Busy = Endpoints.busySlots(Question.Service, Faster);
+      if (Busy == 0)
+        continue;
+      double Speed = EndpointTable::bucketSpeed(Faster);
+      EndsPerMillisecond += Busy * Speed / std::max(1.0, Question.MeanRunTime);
+      Best = std::min(Best, (Question.Ahead + 1) / EndsPerMillisecond + Question.RunTime / Speed);
+    }
+    return Best;
+  }
+};
+
+const PlacementRegistration<ExpectedCompletionPlacement> Registered("expected-completion");
+
+} // namespace
+} // namespace cornellift::kernel
--- /dev/null
+++ b/Kernel/HealthTracker.cpp
@@ -0,0 +1,215 @@
+#include "Kernel/HealthTracker.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cornellift::kernel {
+namespace {
+
+/// An endpoint is ejected when its outcomes are this much likelier from a broken one: about 1,000
+/// to 1, in natural logarithms.
+constexpr double EjectionScore = 6.9;
+constexpr double BrokenFailureShare = 0.9;
+/// Failure share of a kind that has no evidence, and the samples that it is worth.
+constexpr double PriorFailureShare = 0.005;
+constexpr double PriorSamples = 100;
+constexpr double MaximumSamples = 5000;
+/// A job that failed on this many endpoints is a bad job.
+constexpr std::size_t EndpointsOfBadJob = 3;
+constexpr std::size_t RememberedFailedJobs = 1024;
+constexpr core::Duration FirstEjection = std::chrono::seconds(5);
+constexpr core::Duration FirstReconnect = std::chrono::milliseconds(100);
+constexpr std::uint32_t MaximumDoublings = 6;
+/// A setback is forgotten after this time without another one.
+constexpr core::Duration SetbackMemory = std::chrono::minutes(2);
+/// Successes at one bound before the bound doubles, and the bound at which trial ends.
+constexpr std::uint32_t SuccessesPerStep = 3;
+constexpr std::uint32_t LastTrialBound = 8;
+constexpr core::Duration StatusTimeout = std::chrono::seconds(1);
+
+} // namespace
+
+void HealthTracker::configure(const KernelConfiguration &Configuration) {
+  MaximumEjectedShare_ = Configuration.Policy.MaximumEjectedShare;
+  Records_.resize(std::max(Records_.size(), Configuration.Endpoints.size()));
+  Rates_.resize(std::max(Rates_.size(), Configuration.Services.size()));
+  for (std::size_t Service = 0; Service < Configuration.Services.size(); ++Service)
+    Rates_[Service].resize(
+        std::max(Rates_[Service].size(), Configuration.Services[Service].Kinds.size()));
+  std::fill(EndpointsIn_.begin(), EndpointsIn_.end(), 0);
+  for (std::size_t Position = 0; Position < Configuration.Endpoints.size(); ++Position) {
+    const auto &Name = Configuration.Endpoints[Position].DataCentre;
+    auto Found = std::find(DataCentres_.begin(), DataCentres_.end(), Name);
+    auto Index = static_cast<std::uint32_t>(Found - DataCentres_.begin());
+    if (Found == DataCentres_.end()) {
+      DataCentres_.push_back(Name);
+      EndpointsIn_.push_back(0);
+    }
+    Records_[Position].DataCentre = Index;
+    ++EndpointsIn_[Index];
+  }
+  EjectedIn_.assign(DataCentres_.size(), 0);
+  for (const auto &Endpoint : Records_)
+    if (Endpoint.Now == Stage::Ejected && !EjectedIn_.empty())
+      ++EjectedIn_[Endpoint.DataCentre];
+}
+
+HealthTracker::KindRate &HealthTracker::rate(ServiceIndex Service, KindIndex Kind) {
+  auto ServicePosition = static_cast<std::size_t>(Service);
+  auto KindPosition = static_cast<std::size_t>(Kind);
+  if (ServicePosition >= Rates_.size())
+    Rates_.resize(ServicePosition + 1);
+  if (KindPosition >= Rates_[ServicePosition].size())
+    Rates_[ServicePosition].resize(KindPosition + 1);
+  return Rates_[ServicePosition][KindPosition];
+}
+
+double HealthTracker::failureShare(const KindRate &Rate) const {
+  double Share =
+      (Rate.Failed + PriorSamples * PriorFailureShare) / (Rate.Ended + PriorSamples);
+  return std::clamp(Share, 0.0005, 0.8);
+}
+
+void HealthTracker::setStage(Record &Endpoint, Stage Next) {
+  auto Awaits = [](Stage Now) { return Now == Stage::Ejected || Now == Stage::Unreachable; };
+  AwaitingProbe_ += Awaits(Next) ? 1 : 0;
+  AwaitingProbe_ -= Awaits(Endpoint.Now) ? 1 : 0;
+  if (Next == Stage::Ejected)
+    ++EjectedIn_[Endpoint.DataCentre];
+  if (Endpoint.Now == Stage::Ejected)
+    --EjectedIn_[Endpoint.DataCentre];
+  Endpoint.Now = Next;
+}
+
+void HealthTracker::succeeded(EndpointIndex Endpoint, ServiceIndex Service, KindIndex Kind) {
+  auto &Rate = rate(Service, Kind);
+  Rate.Ended += 1;
+  if (Rate.Ended > MaximumSamples) {
+    Rate.Ended /= 2;
+    Rate.Failed /= 2;
+  }
+  auto &State = at(Endpoint);
+  State.Score = std::max(
+      0.0, State.Score + std::log((1 - BrokenFailureShare) / (1 - failureShare(Rate))));
+  if (State.Now != Stage::Trial || ++State.Successes < SuccessesPerStep)
+    return;
+  State.Successes = 0;
+  State.Allowed *= 2;
+  if (State.Allowed <= LastTrialBound)
+    return;
+  State.Allowed = Unbounded;
+  setStage(State, Stage::Healthy);
+}
+
+bool HealthTracker::noteFailedJob(EndpointIndex Endpoint, JobId Job, double Weight) {
+  auto [Entry, IsNew] = FailedJobs_.try_emplace(Job);
+  if (IsNew) {
+    FailedJobOrder_.push_back(Job);
+    if (FailedJobOrder_.size() > RememberedFailedJobs) {
+      FailedJobs_.erase(FailedJobOrder_.front());
+      FailedJobOrder_.pop_front();
+    }
+  }
+  auto &Counted = Entry->second.Counted;
+  for (const auto &[Known, Value] : Counted)
+    if (Known == Endpoint)
+      return false;
+  Counted.emplace_back(Endpoint, Weight);
+  if (Counted.size() < EndpointsOfBadJob)
+    return true;
+  for (auto &[Known, Value] : Counted) {
+    at(Known).Score = std::max(0.0, at(Known).Score - Value);
+    Value = 0;
+  }
+  // The weight of this failure has not been added yet, so nothing of it is left to take back.
+  return false;
+}
+
+void HealthTracker::failed(EndpointIndex Endpoint, JobId Job, ServiceIndex Service, KindIndex Kind,
+                           core::TimePoint Now) {
+  auto &Rate = rate(Service, Kind);
+  auto &State = at(Endpoint);
+  double Weight = std::log(BrokenFailureShare / failureShare(Rate));
+  if (!noteFailedJob(Endpoint, Job, Weight))
+    return;
+  // An endpoint under suspicion says nothing about the kind.
+  if (State.Score < EjectionScore / 2) {
+    Rate.Ended += 1;
+    Rate.Failed += 1;
+  }
+  State.Score += Weight;
+  State.Successes = 0;
+  if (State.Now == Stage::Trial || (State.Now == Stage::Healthy && State.Score > EjectionScore))
+    eject(State, Now);
+}
+
+bool HealthTracker::mayEject(std::uint32_t DataCentre) const {
+  return EjectedIn_[DataCentre] + 1 <= MaximumEjectedShare_ * EndpointsIn_[DataCentre];
+}
+
+void HealthTracker::noteSetback(Record &Endpoint, core::TimePoint Now) {
+  if (Now - Endpoint.LastSetback > SetbackMemory)
+    Endpoint.Setbacks = 0;
+  Endpoint.LastSetback = Now;
+  Endpoint.Setbacks = std::min(Endpoint.Setbacks + 1, MaximumDoublings);
+}
+
+void HealthTracker::eject(Record &Endpoint, core::TimePoint Now) {
+  if (!mayEject(Endpoint.DataCentre)) {
+    Endpoint.Allowed = std::min(Endpoint.Allowed, LastTrialBound);
+    return;
+  }
+  noteSetback(Endpoint, Now);
+  setStage(Endpoint, Stage::Ejected);
+  Endpoint.Allowed = 0;
+  Endpoint.ReadmitAt = Now + FirstEjection * (1U << (Endpoint.Setbacks - 1));
+  Endpoint.ProbeAt = Endpoint.ReadmitAt;
+}
+
+void HealthTracker::unreachable(EndpointIndex Endpoint, core::TimePoint Now) {
+  auto &State = at(Endpoint);
+  if (State.Now == Stage::Unreachable || State.Now == Stage::Ejected)
+    return;
+  noteSetback(State, Now);
+  setStage(State, Stage::Unreachable);
+  State.Allowed = 0;
+  State.ReadmitAt = Now + FirstReconnect * (1U << (State.Setbacks - 1));
+  State.ProbeAt = State.ReadmitAt;
+}
+
+void HealthTracker::answered(EndpointIndex Endpoint, core::TimePoint Now) {
+  auto &State = at(Endpoint);
+  if ((State.Now != Stage::Ejected && State.Now != Stage::Unreachable) ||
+      Now < State.ReadmitAt)
+    return;
+  setStage(State, Stage::Trial);
+  State.Score = 0;
+  State.Successes = 0;
+  State.Allowed = 1;
+}
+
+std::uint32_t HealthTracker::allowedTasks(EndpointIndex Endpoint) const {
+  return Records_[static_cast<std::size_t>(Endpoint)].Allowed;
+}
+
+bool HealthTracker::onTrial(EndpointIndex Endpoint) const {
+  return Records_[static_cast<std::size_t>(Endpoint)].Now == Stage::Trial;
+}
+
+std::optional<EndpointIndex> HealthTracker::nextProbe(core::TimePoint Now,
+                                                      double MessageCostMilliseconds) {
+  if (AwaitingProbe_ == 0)
+    return std::nullopt;
+  for (std::size_t Position = 0; Position < Records_.size(); ++Position) {
+    auto &State = Records_[Position];
+    if ((State.Now != Stage::Ejected && State.Now != Stage::Unreachable) || Now < State.ProbeAt)
+      continue;
+    // The gain of a faster answer is a few task starts; a costly message is sent less often.
+    State.ProbeAt = Now + std::chrono::duration_cast<core::Duration>(
+                              StatusTimeout * (1 + MessageCostMilliseconds));
+    return static_cast<EndpointIndex>(Position);
+  }
+  return std::nullopt;
+}
+
+} // namespace cornellift::kernel
--- /dev/null
+++ b/Kernel/HealthTracker.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "Kernel/KernelConfiguration.h"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cornellift::kernel {
+
+/// Tells bad workers from bad jobs and decides how many tasks an endpoint may run.
+///
+/// Each endpoint has a score, the logarithm of how much likelier its outcomes are if it is broken
+/// than if it is like the rest (a one-sided cumulative sum test). A job counts once per endpoint,
+/// and not at all once it has failed on several endpoints. An ejected endpoint is asked for its
+/// status after a while, then gets one task at a time, then more as these succeed.
+class HealthTracker {
+public:
+  /// Allowed tasks of a healthy endpoint.
+  static constexpr std::uint32_t Unbounded = 0xffffffff;
+
+  void configure(const KernelConfiguration &Configuration);
+
+  void succeeded(EndpointIndex Endpoint, ServiceIndex Service, KindIndex Kind);
+  void failed(EndpointIndex Endpoint, JobId Job, ServiceIndex Service, KindIndex Kind,
+              core::TimePoint Now);
+  /// A connection was refused, or lost with a task on it. Starts nothing there until it answers.
+  void unreachable(EndpointIndex Endpoint, core::TimePoint Now);
+  /// The endpoint answered a status query.
+  void answered(EndpointIndex Endpoint, core::TimePoint Now);
+
+  /// Zero while ejected or unreachable.
+  std::uint32_t allowedTasks(EndpointIndex Endpoint) const;
+  /// On trial: its next task may well fail.
+  bool onTrial(EndpointIndex Endpoint) const;
+
+  /// An endpoint whose status is worth a message now. The cost is what that message is worth in
+  /// milliseconds of response time; a higher one makes status queries rarer.
+  std::optional<EndpointIndex> nextProbe(core::TimePoint Now, double MessageCostMilliseconds);
+
+private:
+  enum class Stage { Healthy, Ejected, Unreachable, Trial };
+
+  struct Record {
+    Stage Now = Stage::Healthy;
+    double Score = 0;
+    std::uint32_t Allowed = Unbounded;
+    std::uint32_t Successes = 0; ///< In a row, since the last change of Allowed.
+    std::uint32_t Setbacks = 0;  ///< Ejections and losses in recent time; lengthens the next one.
+    std::uint32_t DataCentre = 0;
+    core::TimePoint ReadmitAt; ///< Earliest end of the exclusion.
+    core::TimePoint ProbeAt;   ///< Next status query.
+    core::TimePoint LastSetback;
+  };
+
+  struct KindRate {
+    double Ended = 0;
+    double Failed = 0;
+  };
+
+  /// Which endpoints a failing job has counted against, and by how much.
+  struct FailedJob {
+    std::vector<std::pair<EndpointIndex, double>> Counted;
+  };
+
+  Record &at(EndpointIndex Endpoint) { return Records_[static_cast<std::size_t>(Endpoint)]; }
+  KindRate &rate(ServiceIndex Service, KindIndex Kind);
+  double failureShare(const KindRate &Rate) const;
+  bool noteFailedJob(EndpointIndex Endpoint, JobId Job, double Weight);
+  void noteSetback(Record &Endpoint, core::TimePoint Now);
+  bool mayEject(std::uint32_t DataCentre) const;
+  void eject(Record &Endpoint, core::TimePoint Now);
+  void setStage(Record &Endpoint, Stage Next);
+
+  std::vector<Record> Records_;
+  std::vector<std::string> DataCentres_;
+  std::vector<std::uint32_t> EndpointsIn_; ///< By data centre.
+  std::vector<std::uint32_t> EjectedIn_;
+  std::vector<std::vector<KindRate>> Rates_;
+  std::unordered_map<JobId, FailedJob> FailedJobs_;
+  std::deque<JobId> FailedJobOrder_;
+  std::uint32_t AwaitingProbe_ = 0;
+  double MaximumEjectedShare_ = 0.2;
+};
+
+} // namespace cornellift::kernel
--- /dev/null
+++ b/Kernel/OrderingPolicies.cpp
@@ -0,0 +1,51 @@
+#include "Kernel/OrderingPolicy.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cornellift::kernel {
+namespace {
+
+/// Lanes per doubling of the remaining work; 64 lanes then reach from 1 ms to 1.2 hours.
+constexpr double LanesPerDoubling = 3;
+
+/// Teams by quota, then the smallest remaining work, of which a job's age forgives a share.
+class FairRemainingOrdering final : public OrderingPolicy {
+public:
+  explicit FairRemainingOrdering(double AgeingPerSecond) : AgeingPerSecond_(AgeingPerSecond) {}
+
+  TeamOrder teamOrder() const override { return TeamOrder::FairShare; }
+
+  std::uint32_t lane(const JobView &Job) const override {
+    double Lane = LanesPerDoubling * std::log2(std::max(1.0, Job.WaitingWork));
+    return static_cast<std::uint32_t>(std::min(Lane, Lanes - 1.0));
+  }
+
+  double urgency(const JobView &Job, core::TimePoint Now) const override {
+    double Seconds = core::toMilliseconds(Now - Job.Arrival) / 1000;
+    // Beyond full forgiveness the older job is the more urgent one, whatever is left of it.
+    double Left = 1 - AgeingPerSecond_ * Seconds;
+    return Left > 0 ? Job.WaitingWork * Left : Left;
+  }
+
+private:
+  double AgeingPerSecond_;
+};
+
+/// One queue in order of arrival, as the baselines have it.
+class ArrivalOrdering final : public OrderingPolicy {
+public:
+  explicit ArrivalOrdering(double /*AgeingPerSecond*/) {}
+
+  TeamOrder teamOrder() const override { return TeamOrder::None; }
+  std::uint32_t lane(const JobView & /*Job*/) const override { return 0; }
+  double urgency(const JobView &Job, core::TimePoint /*Now*/) const override {
+    return core::toMilliseconds(Job.Arrival.time_since_epoch());
+  }
+};
+
+const OrderingRegistration<FairRemainingOrdering> RegisteredFair("fair-remaining");
+const OrderingRegistration<ArrivalOrdering> RegisteredArrival("arrival");
+
+} // namespace
+} // namespace cornellift::kernel
--- /dev/null
+++ b/Kernel/PlacementPolicy.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "Kernel/EndpointTable.h"
+#include "Libraries/LibCore/PluginRegistry.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+namespace cornellift::kernel {
+
+/// A task that is to be placed. Times are in milliseconds.
+struct PlacementQuestion {
+  ServiceIndex Service{};
+  Resources Need;
+  double RunTime = 0;        ///< Expected, on a worker of typical speed.
+  double MeanRunTime = 0;    ///< Of all recent tasks, on a worker of typical speed.
+  double Slack = 0;          ///< An end within this time does not delay the job.
+  std::uint32_t Ahead = 0;   ///< Tasks that wait for a faster slot before this one.
+  bool AcceptsTrial = false; ///< The task may go to an endpoint on trial.
+
+  bool accepts(const EndpointState &Endpoint) const {
+    return Endpoint.fits(Need) && (AcceptsTrial || !Endpoint.OnTrial);
+  }
+};
+
+/// Chooses which endpoint takes a task.
+class PlacementPolicy {
+public:
+  virtual ~PlacementPolicy() = default;
+
+  /// Returns a free endpoint that fits the task, or an empty optional when waiting is better.
+  virtual std::optional<EndpointIndex> choose(const PlacementQuestion &Question,
+                                              const EndpointTable &Endpoints) = 0;
+};
+
+/// The argument is the seed of the policy's random choices.
+using PlacementRegistry = core::PluginRegistry<PlacementPolicy, std::uint64_t>;
+template <typename Implementation>
+using PlacementRegistration =
+    core::PluginRegistration<PlacementPolicy, Implementation, std::uint64_t>;
+
+} // namespace cornellift::kernel
--- a/Kernel/PolicyScheduler.cpp
+++ b/Kernel/PolicyScheduler.cpp
@@ -1,154 +1,510 @@
 #include "Kernel/PolicyScheduler.h"
 
-#include <deque>
-#include <unordered_map>
+#include <algorithm>
+#include <cmath>
 #include <utility>
-#include <vector>
 
 namespace cornellift::kernel {
 namespace {
 
-/// First come, first served on any free slot.
-class PolicyScheduler final : public Scheduler {
-public:
-  void applyConfiguration(std::shared_ptr<const KernelConfiguration> Configuration,
-                          core::TimePoint /*Now*/) override {
-    Configuration_ = std::move(Configuration);
-    Endpoints_.resize(Configuration_->Endpoints.size());
-  }
+/// Jobs that one call of next() may consider, and those of one team. They bound the decision time.
+constexpr std::size_t MaximumCandidates = 16;
+constexpr std::size_t CandidatesPerTeam = 3;
+/// Jobs up to this size may be sent to an endpoint on trial: little is lost when they fail.
+constexpr std::uint32_t SmallJobTasks = 8;
+/// Scores of the normal distribution: exceeded by 5% and by 1% of tasks.
+constexpr double Score95 = 1.645;
+constexpr double Score99 = 2.326;
+/// One task this far beyond its surprising run time shows a slow endpoint; below it, two must lag.
+constexpr double CertainLag = 4;
+constexpr std::uint32_t LaggingTasks = 2;
+constexpr core::Duration FirstPause = std::chrono::milliseconds(20);
+constexpr std::uint32_t MaximumPauseDoublings = 6;
+constexpr double RetryMilliseconds = 100;
+/// A list that lags may still call an endpoint live that has refused a start because it leaves.
+constexpr core::Duration LeavingMemory = std::chrono::seconds(10);
+constexpr core::Duration MinimumAsk = std::chrono::milliseconds(250);
+constexpr double AskFactor = 2;
+constexpr double MeanShare = 0.01;
 
-  std::optional<NotRun> admit(JobId Job, const JobSpec &Spec, core::TimePoint /*Now*/) override {
-    for (std::uint32_t Index = 0; Index < Spec.Tasks.size(); ++Index)
-      Waiting_.push_back({{Job, Index}, Spec.Service});
-    return std::nullopt;
-  }
+double millisecondsUntil(core::TimePoint Then, core::TimePoint Now) {
+  return std::max(0.0, core::toMilliseconds(Then - Now));
+}
 
-  std::optional<Placement> next(core::TimePoint /*Now*/) override {
-    for (auto Task = Waiting_.begin(); Task != Waiting_.end(); ++Task)
-      if (auto Endpoint = takeSlot(Task->Service)) {
-        Placement Chosen{Task->Id, *Endpoint};
-        Started_[Task->Id] = Task->Service;
-        Waiting_.erase(Task);
-        return Chosen;
-      }
-    return std::nullopt;
+template <typename Registry, typename... Arguments>
+auto createOr(std::string_view Name, std::string_view Fallback, Arguments... Args) {
+  auto Made = Registry::instance().create(Name, Args...);
+  if (!Made)
+    Made = Registry::instance().create(Fallback, Args...);
+  return std::move(*Made);
+}
+
+} // namespace
+
+PolicyScheduler::PolicyScheduler(std::uint64_t Seed) : Seed_(Seed), Random_(Seed) {}
+
+void PolicyScheduler::choosePolicies(const PolicyConfiguration &Policy) {
+  const PolicyConfiguration Defaults;
+  Placement_ = createOr<PlacementRegistry>(Policy.Placement, Defaults.Placement, Seed_);
+  auto Ordering =
+      createOr<OrderingRegistry>(Policy.Ordering, Defaults.Ordering, Policy.AgeingPerSecond);
+  Waiting_.setPolicy(Ordering.get());
+  Ordering_ = std::move(Ordering);
+  Admission_ = createOr<AdmissionRegistry>(Policy.Admission, Defaults.Admission);
+  Retries_.configure(Policy.RetryShare, Policy.RetriesPerSecond);
+}
+
+void PolicyScheduler::applyConfiguration(std::shared_ptr<const KernelConfiguration> Configuration,
+                                         core::TimePoint Now) {
+  Configuration_ = std::move(Configuration);
+  choosePolicies(Configuration_->Policy);
+  Endpoints_.configure(*Configuration_);
+  RunTimes_.configure(*Configuration_);
+  Speeds_.resize(Endpoints_.size());
+  Sizes_.configure(*Configuration_);
+  Health_.configure(*Configuration_);
+  Quotas_.configure(*Configuration_);
+  Notes_.resize(Endpoints_.size());
+  for (std::uint32_t Position = 0; Position < Endpoints_.size(); ++Position)
+    updateAllowed(static_cast<EndpointIndex>(Position), Now);
+}
+
+WaitingTask PolicyScheduler::describe(const JobSpec &Spec, std::uint32_t Index) const {
+  const auto &Task = Spec.Tasks[Index];
+  auto Need = Sizes_.need(Spec.Service, Spec.Kind, Task.Declared);
+  auto Estimate = RunTimes_.estimate(Spec.Service, Spec.Kind, Task.DeclaredRunTime);
+  return {Index,
+          static_cast<float>(Estimate.meanMilliseconds()),
+          static_cast<float>(Need.Processors),
+          static_cast<float>(Need.MemoryMegabytes),
+          static_cast<float>(Need.Accelerators),
+          Task.PayloadBytes,
+          Task.DeclaredRunTime};
+}
+
+std::optional<NotRun> PolicyScheduler::checkFit(const JobSpec &Spec,
+                                                const std::vector<WaitingTask> &Tasks) const {
+  for (const auto &Task : Tasks)
+    if (!Endpoints_.fitsSomeWorker(Spec.Service, Task.need()))
+      return NotRun{core::ErrorKind::Unsupported,
+                    "task " + std::to_string(Task.Index) +
+                        " fits no worker of its service; declare less or split the task",
+                    std::nullopt};
+  return std::nullopt;
+}
+
+NotRun PolicyScheduler::jitter(NotRun Refusal, core::TimePoint Now) {
+  if (!Refusal.RetryAt)
+    return Refusal;
+  std::uniform_real_distribution<double> Factor(0.75, 1.25);
+  Refusal.RetryAt =
+      Now + core::fromMilliseconds(core::toMilliseconds(*Refusal.RetryAt - Now) * Factor(Random_));
+  return Refusal;
+}
+
+double PolicyScheduler::teamSpeed(TeamIndex Team) const {
+  double Shares = Quotas_.share(Team);
+  for (std::size_t Other = 0; Other < Configuration_->Teams.size(); ++Other) {
+    auto Index = static_cast<TeamIndex>(Other);
+    if (Index != Team && (Waiting_.teamTasks(Index) > 0 || Quotas_.running(Index) > 0))
+      Shares += Quotas_.share(Index);
   }
+  return Endpoints_.slotSpeed() * Quotas_.share(Team) / Shares;
+}
+
+double PolicyScheduler::waitingEnd(const ActiveJob &Job) const {
+  if (Job.Tasks.empty())
+    return 0;
+  double Longest = Job.Tasks.back().RunTime;
+  auto Queue = Waiting_.queueOf(Job.Team);
+  bool IsQueued = Waiting_.find(Job.Id) == &Job;
+  double Work = Waiting_.workAhead(Queue, Job.view()) + (IsQueued ? 0 : Job.WaitingWork);
+  bool Contended = Endpoints_.freeSlots() == 0;
+  double Speed = Contended ? teamSpeed(Job.Team) : Endpoints_.slotSpeed();
+  return Work / std::max(1e-9, Speed) + Longest;
+}
+
+AdmissionView PolicyScheduler::admissionView(const ActiveJob &Job) const {
+  AdmissionView View;
+  View.QueuedTasks = Waiting_.waitingTasks();
+  View.QueuedBytes = Waiting_.waitingBytes();
+  View.TeamQueuedTasks = Waiting_.teamTasks(Job.Team);
+  auto Team = static_cast<std::size_t>(Job.Team);
+  if (Team < Configuration_->Teams.size())
+    View.TeamMaximumTasks = Configuration_->Teams[Team].MaximumQueuedTasks;
+  for (const auto &Task : Job.Tasks)
+    View.JobBytes += Task.PayloadBytes;
+  View.TotalWork = Waiting_.waitingWork();
+  View.TeamWork = Waiting_.queueWork(Waiting_.queueOf(Job.Team));
+  View.SlotSpeed = Endpoints_.slotSpeed();
+  View.TeamSpeed = teamSpeed(Job.Team);
+  View.ExpectedEnd = waitingEnd(Job);
+  return View;
+}
 
-  std::optional<EndpointIndex> placeDelegated(TaskId /*Task*/, ServiceIndex Service,
-                                              KindIndex /*Kind*/, TeamIndex /*Team*/,
-                                              const TaskSpec & /*Spec*/,
-                                              core::TimePoint /*Now*/) override {
-    return takeSlot(Service);
+std::optional<NotRun> PolicyScheduler::admit(JobId Job, const JobSpec &Spec, core::TimePoint Now) {
+  if (!Configuration_)
+    return NotRun{core::ErrorKind::Unavailable, "no configuration is in force yet; retry", {}};
+  auto New = std::make_unique<ActiveJob>();
+  New->Id = Job;
+  New->Team = Spec.Team;
+  New->Service = Spec.Service;
+  New->Kind = Spec.Kind;
+  New->TaskCount = static_cast<std::uint32_t>(Spec.Tasks.size());
+  New->Arrival = Now;
+  New->RunningEnd = Now;
+  New->Tasks.reserve(Spec.Tasks.size());
+  for (std::uint32_t Index = 0; Index < New->TaskCount; ++Index) {
+    New->Tasks.push_back(describe(Spec, Index));
+    New->WaitingWork += New->Tasks.back().RunTime;
   }
+  if (auto Refusal = checkFit(Spec, New->Tasks))
+    return Refusal;
+  if (auto Refusal = Admission_->check(Spec, admissionView(*New), Configuration_->Limits, Now))
+    return jitter(std::move(*Refusal), Now);
+  Waiting_.add(std::move(New));
+  return std::nullopt;
+}
 
-  void startRefused(TaskId Task, EndpointIndex Endpoint, StartRefusal Cause,
-                    core::TimePoint /*Now*/) override {
-    if (Cause == StartRefusal::Leaving)
-      at(Endpoint).Usable = false;
-    auto Started = Started_.find(Task);
-    if (Started != Started_.end())
-      Waiting_.push_front({Task, Started->second});
-    release(Task, Endpoint);
+void PolicyScheduler::retryDelayed(core::TimePoint Now) {
+  while (!Delayed_.empty() && Delayed_.begin()->first <= Now && Retries_.take(Now)) {
+    auto Delayed = Delayed_.begin()->second;
+    Delayed_.erase(Delayed_.begin());
+    auto *Job = Waiting_.find(Delayed.Id.Job);
+    if (!Job)
+      continue;
+    --Job->Delayed;
+    Waiting_.putBack(*Job, Delayed.Task);
   }
+}
 
-  void taskEnded(const TaskEnded &Ended, core::TimePoint /*Now*/) override {
-    release(Ended.Task, Ended.Endpoint);
+std::optional<std::size_t> PolicyScheduler::pickQueue() const {
+  std::optional<std::size_t> Best;
+  double BestUsed = 0;
+  for (std::size_t Queue = 0; Queue < Waiting_.queues(); ++Queue) {
+    if (QueueVisited_[Queue] != 0 || !Waiting_.hasWaiting(Queue))
+      continue;
+    double Used = Quotas_.used(static_cast<TeamIndex>(Queue));
+    if (Best && Used >= BestUsed)
+      continue;
+    Best = Queue;
+    BestUsed = Used;
   }
+  return Best;
+}
 
-  void taskLost(TaskId Task, EndpointIndex Endpoint, core::TimePoint /*Now*/) override {
-    release(Task, Endpoint);
+std::optional<Placement> PolicyScheduler::next(core::TimePoint Now) {
+  if (!Configuration_)
+    return std::nullopt;
+  endPauses(Now);
+  retryDelayed(Now);
+  if (Endpoints_.freeSlots() == 0 || Waiting_.waitingTasks() == 0)
+    return std::nullopt;
+  QueueVisited_.assign(Waiting_.queues(), 0);
+  std::uint32_t Ahead = 0;
+  while (Ahead < MaximumCandidates) {
+    auto Queue = pickQueue();
+    if (!Queue)
+      break;
+    QueueVisited_[*Queue] = 1;
+    Waiting_.candidates(*Queue, Now, CandidatesPerTeam, Candidates_);
+    for (auto *Job : Candidates_) {
+      if (auto Chosen = tryJob(*Job, Ahead, Now))
+        return Chosen;
+      ++Ahead;
+    }
   }
+  return std::nullopt;
+}
+
+PlacementQuestion PolicyScheduler::question(const ActiveJob &Job, const WaitingTask &Task,
+                                            std::uint32_t Ahead, core::TimePoint Now) const {
+  PlacementQuestion Question;
+  Question.Service = Job.Service;
+  Question.Need = Task.need();
+  Question.RunTime = Task.RunTime;
+  Question.MeanRunTime = MeanRunTime_;
+  Question.Slack = std::max(millisecondsUntil(Job.RunningEnd, Now),
+                            Job.WaitingWork / std::max(1e-9, Endpoints_.slotSpeed()));
+  Question.Ahead = Ahead;
+  Question.AcceptsTrial =
+      Job.TaskCount <= SmallJobTasks || Waiting_.waitingTasks() > Endpoints_.runningTasks();
+  return Question;
+}
 
-  void dropJob(JobId Job, core::TimePoint /*Now*/) override {
-    std::erase_if(Waiting_, [&](const WaitingTask &Task) { return Task.Id.Job == Job; });
-    std::erase_if(Started_, [&](const auto &Entry) { return Entry.first.Job == Job; });
+std::optional<EndpointIndex> PolicyScheduler::chooseEndpoint(PlacementQuestion &Question,
+                                                             core::TimePoint Now) {
+  // Each repetition has moved one endpoint to a slower bucket.
+  for (std::size_t Attempt = 0; Attempt < MaximumCandidates; ++Attempt) {
+    auto Endpoint = Placement_->choose(Question, Endpoints_);
+    if (!Endpoint || !noticeLag(*Endpoint, Now))
+      return Endpoint;
   }
+  return std::nullopt;
+}
 
-  void endpointObserved(const EndpointObserved &Observed, core::TimePoint /*Now*/) override {
-    at(Observed.Endpoint).Usable = Observed.Reachability == EndpointObserved::Reach::Reachable &&
-                                   Observed.State == EndpointObserved::Standing::Live;
+std::optional<Placement> PolicyScheduler::tryJob(ActiveJob &Job, std::uint32_t Ahead,
+                                                 core::TimePoint Now) {
+  auto Choice = TaskChoice::Longest;
+  auto Question = question(Job, Job.Tasks.back(), Ahead, Now);
+  auto Endpoint = chooseEndpoint(Question, Now);
+  if (!Endpoint && Job.Tasks.size() > 1) {
+    Choice = TaskChoice::Shortest;
+    Question = question(Job, Job.Tasks.front(), Ahead, Now);
+    Endpoint = chooseEndpoint(Question, Now);
   }
+  if (!Endpoint)
+    return std::nullopt;
+  RunningTask Task;
+  Task.Task = Waiting_.take(Job, Choice);
+  Task.Endpoint = *Endpoint;
+  Task.Team = Job.Team;
+  Task.Service = Job.Service;
+  Task.Kind = Job.Kind;
+  ++Job.Running;
+  TaskId Id{Job.Id, Task.Task.Index};
+  start(Id, Task, Now);
+  Job.RunningEnd =
+      std::max(Job.RunningEnd, Now + core::fromMilliseconds(Running_[Id].ScaledRunTime));
+  return Placement{Id, *Endpoint};
+}
+
+void PolicyScheduler::start(TaskId Id, RunningTask Task, core::TimePoint Now) {
+  Task.Start = Now;
+  Task.Estimate = RunTimes_.estimate(Task.Service, Task.Kind, Task.Task.Declared);
+  Task.LogSpeed = Endpoints_.at(Task.Endpoint).LogSpeed;
+  double Scale = std::exp(-Task.LogSpeed);
+  Task.ScaledRunTime = Task.Estimate.medianMilliseconds() * Scale;
+  Task.SurprisingRunTime = Task.Estimate.quantileMilliseconds(Score95) * Scale;
+  Endpoints_.occupy(Task.Endpoint, Task.Task.need());
+  Quotas_.started(Task.Team);
+  Retries_.started();
+  auto Stored = Running_.insert_or_assign(Id, Task).first;
+  notes(Task.Endpoint).Running.push_back(&Stored->second);
+}
 
-  void slotsChanged(EndpointIndex Endpoint, std::uint32_t Slots, core::TimePoint /*Now*/) override {
-    at(Endpoint).Slots = Slots;
+bool PolicyScheduler::noticeLag(EndpointIndex Endpoint, core::TimePoint Now) {
+  std::uint32_t Lagging = 0;
+  double WorstRatio = 1;
+  bool Certain = false;
+  for (const auto *Task : notes(Endpoint).Running) {
+    double Elapsed = core::toMilliseconds(Now - Task->Start);
+    if (Elapsed <= Task->SurprisingRunTime)
+      continue;
+    ++Lagging;
+    Certain = Certain || Elapsed > CertainLag * Task->SurprisingRunTime;
+    // The run time at the start was judged by the speed at the start.
+    double Relative = std::exp(Endpoints_.at(Endpoint).LogSpeed - Task->LogSpeed);
+    WorstRatio = std::max(WorstRatio, Elapsed / Task->ScaledRunTime * Relative);
   }
+  constexpr double SmallestStep = 1.05; // About one speed bucket; less would not move it.
+  if ((Lagging < LaggingTasks && !Certain) || WorstRatio < SmallestStep)
+    return false;
+  auto Bucket = Endpoints_.at(Endpoint).Bucket;
+  Endpoints_.setLogSpeed(Endpoint, Endpoints_.at(Endpoint).LogSpeed - std::log(WorstRatio));
+  return Endpoints_.at(Endpoint).Bucket != Bucket;
+}
 
-  std::optional<core::TimePoint> expectedEnd(JobId /*Job*/,
-                                             core::TimePoint /*Now*/) const override {
+std::optional<EndpointIndex> PolicyScheduler::placeDelegated(TaskId Task, ServiceIndex Service,
+                                                             KindIndex Kind, TeamIndex Team,
+                                                             const TaskSpec &Spec,
+                                                             core::TimePoint Now) {
+  if (!Configuration_ || Endpoints_.freeSlots() <= Waiting_.waitingTasks())
     return std::nullopt;
-  }
+  JobSpec Single{Team, Service, Kind, {Spec}, std::nullopt, nullptr};
+  RunningTask New;
+  New.Task = describe(Single, 0);
+  New.Task.Index = Task.Index;
+  ActiveJob Job;
+  Job.Service = Service;
+  Job.TaskCount = 1;
+  Job.RunningEnd = Now;
+  auto Question = question(Job, New.Task, 0, Now);
+  auto Endpoint = chooseEndpoint(Question, Now);
+  if (!Endpoint)
+    return std::nullopt;
+  New.Endpoint = *Endpoint;
+  New.Team = Team;
+  New.Service = Service;
+  New.Kind = Kind;
+  start(Task, New, Now);
+  return Endpoint;
+}
+
+std::optional<PolicyScheduler::RunningTask> PolicyScheduler::release(TaskId Id,
+                                                                     EndpointIndex Endpoint) {
+  auto Found = Running_.find(Id);
+  if (Found == Running_.end() || Found->second.Endpoint != Endpoint)
+    return std::nullopt;
+  std::erase(notes(Endpoint).Running, &Found->second);
+  auto Task = Found->second;
+  Running_.erase(Found);
+  Endpoints_.vacate(Endpoint, Task.Task.need());
+  Quotas_.ended(Task.Team);
+  if (auto *Job = Waiting_.find(Id.Job))
+    --Job->Running;
+  return Task;
+}
+
+void PolicyScheduler::forgetIfDone(JobId Job) {
+  const auto *Known = Waiting_.find(Job);
+  if (Known && Known->Running == 0 && Known->Delayed == 0 && Known->Tasks.empty())
+    Waiting_.erase(Job);
+}
 
-  core::TimePoint askAt(TaskId /*Task*/, EndpointIndex /*Endpoint*/,
-                        core::TimePoint Now) const override {
-    return Now + std::chrono::seconds(10);
+void PolicyScheduler::startRefused(TaskId Task, EndpointIndex Endpoint, StartRefusal Cause,
+                                   core::TimePoint Now) {
+  auto Refused = release(Task, Endpoint);
+  if (Cause == StartRefusal::Leaving) {
+    notes(Endpoint).LeavingRefusal = Now;
+    Endpoints_.setLeaving(Endpoint, true);
+  } else if (Cause == StartRefusal::NotSent) {
+    Health_.unreachable(Endpoint, Now);
+    updateAllowed(Endpoint, Now);
+  } else if (Cause == StartRefusal::NoSlot) {
+    pause(Endpoint, Now);
   }
+  auto *Job = Waiting_.find(Task.Job);
+  if (!Refused || !Job)
+    return;
+  if (Retries_.take(Now)) {
+    Waiting_.putBack(*Job, Refused->Task);
+    return;
+  }
+  ++Job->Delayed;
+  std::uniform_real_distribution<double> Factor(0.5, 1.5);
+  Delayed_.emplace(Now + core::fromMilliseconds(RetryMilliseconds * Factor(Random_)),
+                   DelayedTask{Task, Refused->Task});
+}
 
-  std::optional<EndpointIndex> nextProbe(core::TimePoint /*Now*/) override { return std::nullopt; }
+void PolicyScheduler::learn(const RunningTask &Task, const TaskEnded &Ended, core::TimePoint Now) {
+  auto Measured = Ended.RunTime.count() > 0 ? Ended.RunTime : Now - Task.Start;
+  double LogRunTime = std::log(std::max(0.1, core::toMilliseconds(Measured)));
+  double LogSpeed = Speeds_.logSpeed(Task.Endpoint);
+  RunTimes_.learn(Task.Service, Task.Kind, Task.Task.Declared, LogRunTime + LogSpeed, Now);
+  Speeds_.learn(Task.Endpoint, Task.Estimate.LogMean - LogRunTime, Task.Estimate.LogDeviation, Now);
+  Sizes_.learn(Task.Service, Task.Kind, Ended.Used);
+  Endpoints_.setLogSpeed(Task.Endpoint, Speeds_.logSpeed(Task.Endpoint));
+  MeanRunTime_ += MeanShare * (std::exp(LogRunTime + LogSpeed) - MeanRunTime_);
+}
 
-  SchedulerLoad load() const override {
-    SchedulerLoad Total;
-    Total.WaitingTasks = static_cast<std::uint32_t>(Waiting_.size());
-    for (const auto &Endpoint : Endpoints_) {
-      Total.RunningTasks += Endpoint.Running;
-      if (Endpoint.Usable && Endpoint.Running < Endpoint.Slots)
-        Total.FreeSlots += Endpoint.Slots - Endpoint.Running;
-    }
-    return Total;
+void PolicyScheduler::taskEnded(const TaskEnded &Ended, core::TimePoint Now) {
+  auto Task = release(Ended.Task, Ended.Endpoint);
+  if (!Task)
+    return;
+  notes(Ended.Endpoint).Refusals = 0;
+  if (Ended.Verdict == TaskVerdict::Finished) {
+    learn(*Task, Ended, Now);
+    Health_.succeeded(Ended.Endpoint, Task->Service, Task->Kind);
+  } else {
+    Health_.failed(Ended.Endpoint, Ended.Task.Job, Task->Service, Task->Kind, Now);
   }
+  updateAllowed(Ended.Endpoint, Now);
+  forgetIfDone(Ended.Task.Job);
+}
+
+void PolicyScheduler::taskLost(TaskId Task, EndpointIndex Endpoint, core::TimePoint Now) {
+  release(Task, Endpoint);
+  Health_.unreachable(Endpoint, Now);
+  updateAllowed(Endpoint, Now);
+  forgetIfDone(Task.Job);
+}
+
+void PolicyScheduler::dropJob(JobId Job, core::TimePoint /*Now*/) { Waiting_.erase(Job); }
+
+void PolicyScheduler::endpointObserved(const EndpointObserved &Observed, core::TimePoint Now) {
+  if (static_cast<std::size_t>(Observed.Endpoint) >= Endpoints_.size())
+    return;
+  bool Leaving = Observed.State == EndpointObserved::Standing::Leaving;
+  auto Refusal = notes(Observed.Endpoint).LeavingRefusal;
+  if (Leaving || Refusal == core::TimePoint{} || Now - Refusal > LeavingMemory)
+    Endpoints_.setLeaving(Observed.Endpoint, Leaving);
+  if (Observed.Reachability == EndpointObserved::Reach::Reachable)
+    Health_.answered(Observed.Endpoint, Now);
+  else
+    Health_.unreachable(Observed.Endpoint, Now);
+  updateAllowed(Observed.Endpoint, Now);
+}
 
-private:
-  struct WaitingTask {
-    TaskId Id;
-    ServiceIndex Service{};
-  };
-
-  struct EndpointState {
-    std::uint32_t Slots = 0;
-    std::uint32_t Running = 0;
-    bool Usable = true;
-  };
-
-  EndpointState &at(EndpointIndex Endpoint) {
-    auto Position = static_cast<std::size_t>(Endpoint);
-    if (Position >= Endpoints_.size())
-      Endpoints_.resize(Position + 1);
-    return Endpoints_[Position];
+void PolicyScheduler::slotsChanged(EndpointIndex Endpoint, std::uint32_t Slots,
+                                   core::TimePoint Now) {
+  if (static_cast<std::size_t>(Endpoint) >= Endpoints_.size())
+    return;
+  Endpoints_.setSlots(Endpoint, Slots);
+  updateAllowed(Endpoint, Now);
+}
+
+void PolicyScheduler::pause(EndpointIndex Endpoint, core::TimePoint Now) {
+  auto &Known = notes(Endpoint);
+  auto Doublings = std::min(Known.Refusals++, MaximumPauseDoublings);
+  Known.PausedUntil = Now + FirstPause * (1U << Doublings);
+  Pauses_.emplace(Known.PausedUntil, Endpoint);
+  updateAllowed(Endpoint, Now);
+}
+
+void PolicyScheduler::endPauses(core::TimePoint Now) {
+  while (!Pauses_.empty() && Pauses_.begin()->first <= Now) {
+    auto Endpoint = Pauses_.begin()->second;
+    Pauses_.erase(Pauses_.begin());
+    updateAllowed(Endpoint, Now);
   }
+}
 
-  std::optional<EndpointIndex> takeSlot(ServiceIndex Service) {
-    if (!Configuration_)
-      return std::nullopt;
-    for (std::size_t Position = 0; Position < Configuration_->Endpoints.size(); ++Position) {
-      auto &State = Endpoints_[Position];
-      const auto &Endpoint = Configuration_->Endpoints[Position];
-      bool Offers = false;
-      for (auto Offered : Endpoint.Services)
-        Offers = Offers || Offered == Service;
-      if (!State.Usable || !Offers || Endpoint.Drained || State.Running >= State.Slots)
-        continue;
-      ++State.Running;
-      return static_cast<EndpointIndex>(Position);
-    }
+void PolicyScheduler::updateAllowed(EndpointIndex Endpoint, core::TimePoint Now) {
+  bool Paused = Now < notes(Endpoint).PausedUntil;
+  Endpoints_.setAllowed(Endpoint, Paused ? 0 : Health_.allowedTasks(Endpoint),
+                        Health_.onTrial(Endpoint));
+}
+
+std::optional<core::TimePoint> PolicyScheduler::expectedEnd(JobId Job, core::TimePoint Now) const {
+  const auto *Known = Waiting_.find(Job);
+  if (!Known)
     return std::nullopt;
-  }
+  auto Waiting = Now + core::fromMilliseconds(waitingEnd(*Known));
+  return std::max({Now, Known->RunningEnd, Waiting});
+}
 
-  void release(TaskId Task, EndpointIndex Endpoint) {
-    auto &State = at(Endpoint);
-    if (State.Running > 0)
-      --State.Running;
-    Started_.erase(Task);
-  }
+double PolicyScheduler::messageCost(ServiceIndex Service) const {
+  auto Position = static_cast<std::size_t>(Service);
+  return Position < Configuration_->Services.size()
+             ? std::max(0.0, Configuration_->Services[Position].MessageCostMilliseconds)
+             : 1;
+}
 
-  std::shared_ptr<const KernelConfiguration> Configuration_;
-  std::vector<EndpointState> Endpoints_;
-  std::deque<WaitingTask> Waiting_;
-  std::unordered_map<TaskId, ServiceIndex> Started_;
-};
+core::TimePoint PolicyScheduler::askAt(TaskId Task, EndpointIndex /*Endpoint*/,
+                                       core::TimePoint Now) const {
+  auto Found = Running_.find(Task);
+  if (Found == Running_.end())
+    return Now + MinimumAsk;
+  const auto &Known = Found->second;
+  // At the default cost of 1 ms the factor is as given; a costly message waits longer.
+  double Factor = AskFactor * (0.75 + 0.25 * messageCost(Known.Service));
+  double Limit = Known.Estimate.quantileMilliseconds(Score99) * std::exp(-Known.LogSpeed) * Factor;
+  auto First = Known.Start + std::max(MinimumAsk, core::fromMilliseconds(Limit));
+  // Asked before and still running: half of its present age later.
+  return std::max(First, Now + (Now - Known.Start) / 2);
+}
 
-} // namespace
+std::optional<EndpointIndex> PolicyScheduler::nextProbe(core::TimePoint Now) {
+  if (!Configuration_)
+    return std::nullopt;
+  double Cost = Configuration_->Services.empty() ? 1 : 1e9;
+  for (std::size_t Service = 0; Service < Configuration_->Services.size(); ++Service)
+    Cost = std::min(Cost, messageCost(static_cast<ServiceIndex>(Service)));
+  return Health_.nextProbe(Now, Cost);
+}
+
+SchedulerLoad PolicyScheduler::load() const {
+  return {Waiting_.waitingTasks() + static_cast<std::uint32_t>(Delayed_.size()),
+          Endpoints_.runningTasks(), Endpoints_.freeSlots()};
+}
+
+PolicyScheduler::EndpointNotes &PolicyScheduler::notes(EndpointIndex Endpoint) {
+  return Notes_[static_cast<std::size_t>(Endpoint)];
+}
 
-std::unique_ptr<Scheduler> makePolicyScheduler(std::uint64_t /*Seed*/) {
-  return std::make_unique<PolicyScheduler>();
+std::unique_ptr<Scheduler> makePolicyScheduler(std::uint64_t Seed) {
+  return std::make_unique<PolicyScheduler>(Seed);
 }
 
 } // namespace cornellift::kernel
--- a/Kernel/PolicyScheduler.h
+++ b/Kernel/PolicyScheduler.h
@@ -1,15 +1,132 @@
 #pragma once
 
+#include "Kernel/AdmissionPolicy.h"
+#include "Kernel/EndpointTable.h"
+#include "Kernel/HealthTracker.h"
+#include "Kernel/OrderingPolicy.h"
+#include "Kernel/PlacementPolicy.h"
+#include "Kernel/QuotaLedger.h"
+#include "Kernel/RetryBudget.h"
+#include "Kernel/RunTimeEstimator.h"
 #include "Kernel/Scheduler.h"
+#include "Kernel/SizeEstimator.h"
+#include "Kernel/SpeedEstimator.h"
+#include "Kernel/WaitingJobs.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
+#include <random>
+#include <unordered_map>
+#include <vector>
 
 namespace cornellift::kernel {
 
-/// Makes the scheduler that the daemon and the replay use. It starts nothing before the first
-/// applyConfiguration. The seed feeds the jitter of retry times; equal seeds and equal calls give
-/// equal decisions.
+/// The scheduler that the daemon and the replay use: the policies that the configuration names,
+/// over shared estimators, queues and ledgers.
+class PolicyScheduler final : public Scheduler {
+public:
+  explicit PolicyScheduler(std::uint64_t Seed);
+
+  void applyConfiguration(std::shared_ptr<const KernelConfiguration> Configuration,
+                          core::TimePoint Now) override;
+  std::optional<NotRun> admit(JobId Job, const JobSpec &Spec, core::TimePoint Now) override;
+  std::optional<Placement> next(core::TimePoint Now) override;
+  std::optional<EndpointIndex> placeDelegated(TaskId Task, ServiceIndex Service, KindIndex Kind,
+                                              TeamIndex Team, const TaskSpec &Spec,
+                                              core::TimePoint Now) override;
+  void startRefused(TaskId Task, EndpointIndex Endpoint, StartRefusal Cause,
+                    core::TimePoint Now) override;
+  void taskEnded(const TaskEnded &Ended, core::TimePoint Now) override;
+  void taskLost(TaskId Task, EndpointIndex Endpoint, core::TimePoint Now) override;
+  void dropJob(JobId Job, core::TimePoint Now) override;
+  void endpointObserved(const EndpointObserved &Observed, core::TimePoint Now) override;
+  void slotsChanged(EndpointIndex Endpoint, std::uint32_t Slots, core::TimePoint Now) override;
+  std::optional<core::TimePoint> expectedEnd(JobId Job, core::TimePoint Now) const override;
+  core::TimePoint askAt(TaskId Task, EndpointIndex Endpoint, core::TimePoint Now) const override;
+  std::optional<EndpointIndex> nextProbe(core::TimePoint Now) override;
+  SchedulerLoad load() const override;
+
+  /// For reports and tests.
+  const EndpointTable &endpoints() const { return Endpoints_; }
+
+private:
+  struct RunningTask {
+    WaitingTask Task;
+    EndpointIndex Endpoint{};
+    TeamIndex Team{};
+    ServiceIndex Service{};
+    KindIndex Kind{};
+    core::TimePoint Start;
+    RunTimeEstimate Estimate;     ///< On a worker of typical speed.
+    double LogSpeed = 0;          ///< Of the endpoint, when the task started.
+    double ScaledRunTime = 0;     ///< Median milliseconds on this endpoint.
+    double SurprisingRunTime = 0; ///< Exceeded by few tasks, on this endpoint.
+  };
+
+  struct EndpointNotes {
+    std::vector<const RunningTask *> Running;
+    std::uint32_t Refusals = 0; ///< For want of a slot, in a row.
+    core::TimePoint PausedUntil;
+    core::TimePoint LeavingRefusal;
+  };
+
+  struct DelayedTask {
+    TaskId Id;
+    WaitingTask Task;
+  };
+
+  void choosePolicies(const PolicyConfiguration &Policy);
+  WaitingTask describe(const JobSpec &Spec, std::uint32_t Index) const;
+  std::optional<NotRun> checkFit(const JobSpec &Spec, const std::vector<WaitingTask> &Tasks) const;
+  NotRun jitter(NotRun Refusal, core::TimePoint Now);
+  AdmissionView admissionView(const ActiveJob &Job) const;
+  double teamSpeed(TeamIndex Team) const;
+  double waitingEnd(const ActiveJob &Job) const;
+
+  void retryDelayed(core::TimePoint Now);
+  std::optional<std::size_t> pickQueue() const;
+  std::optional<Placement> tryJob(ActiveJob &Job, std::uint32_t Ahead, core::TimePoint Now);
+  std::optional<EndpointIndex> chooseEndpoint(PlacementQuestion &Question, core::TimePoint Now);
+  PlacementQuestion question(const ActiveJob &Job, const WaitingTask &Task, std::uint32_t Ahead,
+                             core::TimePoint Now) const;
+  bool noticeLag(EndpointIndex Endpoint, core::TimePoint Now);
+  void start(TaskId Id, RunningTask Task, core::TimePoint Now);
+  /// Frees the slot and returns what was known of the task.
+  std::optional<RunningTask> release(TaskId Id, EndpointIndex Endpoint);
+  void learn(const RunningTask &Task, const TaskEnded &Ended, core::TimePoint Now);
+  void pause(EndpointIndex Endpoint, core::TimePoint Now);
+  void updateAllowed(EndpointIndex Endpoint, core::TimePoint Now);
+  void endPauses(core::TimePoint Now);
+  void forgetIfDone(JobId Job);
+  double messageCost(ServiceIndex Service) const;
+  EndpointNotes &notes(EndpointIndex Endpoint);
+
+  std::shared_ptr<const KernelConfiguration> Configuration_;
+  std::unique_ptr<PlacementPolicy> Placement_;
+  std::unique_ptr<OrderingPolicy> Ordering_;
+  std::unique_ptr<AdmissionPolicy> Admission_;
+  EndpointTable Endpoints_;
+  WaitingJobs Waiting_;
+  RunTimeEstimator RunTimes_;
+  SpeedEstimator Speeds_;
+  SizeEstimator Sizes_;
+  HealthTracker Health_;
+  QuotaLedger Quotas_;
+  RetryBudget Retries_;
+  std::unordered_map<TaskId, RunningTask> Running_;
+  std::vector<EndpointNotes> Notes_;
+  std::multimap<core::TimePoint, DelayedTask> Delayed_;
+  std::multimap<core::TimePoint, EndpointIndex> Pauses_;
+  double MeanRunTime_ = 300; ///< Milliseconds at typical speed, of recent tasks.
+  std::uint64_t Seed_;
+  std::mt19937_64 Random_;
+  std::vector<ActiveJob *> Candidates_;    ///< Kept between calls for its memory.
+  std::vector<std::uint8_t> QueueVisited_; ///< The same.
+};
+
+/// Makes a PolicyScheduler. It starts nothing before the first applyConfiguration. The seed feeds
+/// the jitter of retry times; equal seeds and equal calls give equal decisions.
 std::unique_ptr<Scheduler> makePolicyScheduler(std::uint64_t Seed);
 
 } // namespace cornellift::kernel
--- /dev/null
+++ b/Kernel/QuotaLedger.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "Kernel/KernelConfiguration.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace cornellift::kernel {
+
+/// Running tasks per team against its share of the slots. A free slot goes to the waiting team that
+/// uses least of its share, so that unused share is lent and taken back at the next free slot.
+class QuotaLedger {
+public:
+  void configure(const KernelConfiguration &Configuration);
+
+  void started(TeamIndex Team);
+  void ended(TeamIndex Team);
+
+  std::uint32_t running(TeamIndex Team) const;
+  double share(TeamIndex Team) const;
+
+  /// Running tasks per unit of share; the smallest goes first.
+  double used(TeamIndex Team) const;
+
+private:
+  struct Account {
+    std::uint32_t Running = 0;
+    double Share = 1;
+  };
+
+  const Account *find(TeamIndex Team) const;
+
+  std::vector<Account> Teams_;
+};
+
+} // namespace cornellift::kernel
--- /dev/null
+++ b/Kernel/SpeedEstimator.cpp
@@ -0,0 +1,57 @@
+#include "Kernel/SpeedEstimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cornellift::kernel {
+namespace {
+
+/// Speeds drift over minutes, so evidence counts half after this time.
+constexpr double HalfLifeSeconds = 20;
+/// A slow endpoint gets few tasks, so its evidence is kept longer; otherwise it would look typical
+/// again without having been tried.
+constexpr double SlowHalfLifeSeconds = 300;
+constexpr double SlowLogSpeed = -0.7;
+/// Samples of typical speed that are assumed before evidence.
+constexpr double PriorWeight = 4;
+constexpr double RecentSamples = 8;
+constexpr double LargestLogRatio = 3.5;
+/// A change is believed when the recent mean differs by this many of its standard errors, and by
+/// this much in any case.
+constexpr double ChangeErrors = 4;
+constexpr double SmallestChange = 0.3;
+
+} // namespace
+
+void SpeedEstimator::resize(std::size_t Endpoints) {
+  if (Endpoints > Endpoints_.size())
+    Endpoints_.resize(Endpoints);
+}
+
+double SpeedEstimator::logSpeed(EndpointIndex Endpoint) const {
+  const auto &Known = Endpoints_[static_cast<std::size_t>(Endpoint)];
+  return Known.Sum / (Known.Weight + PriorWeight);
+}
+
+void SpeedEstimator::learn(EndpointIndex Endpoint, double LogRatio, double Deviation,
+                           core::TimePoint Now) {
+  auto &Known = Endpoints_[static_cast<std::size_t>(Endpoint)];
+  LogRatio = std::clamp(LogRatio, -LargestLogRatio, LargestLogRatio);
+  double HalfLife = logSpeed(Endpoint) < SlowLogSpeed ? SlowHalfLifeSeconds : HalfLifeSeconds;
+  double Seconds = std::max(0.0, core::toMilliseconds(Now - Known.LastDecay) / 1000);
+  double Factor = std::exp2(-Seconds / HalfLife);
+  Known.LastDecay = Now;
+  Known.Weight = Known.Weight * Factor + 1;
+  Known.Sum = Known.Sum * Factor + LogRatio;
+  Known.RecentWeight = std::min(RecentSamples, Known.RecentWeight + 1);
+  Known.Recent += (LogRatio - Known.Recent) / Known.RecentWeight;
+  double Error = ChangeErrors * Deviation / std::sqrt(2 * Known.RecentWeight);
+  bool Changed = Known.RecentWeight >= RecentSamples / 2 &&
+                 std::abs(Known.Recent - Known.Sum / Known.Weight) > Error + SmallestChange;
+  if (!Changed)
+    return;
+  Known.Weight = Known.RecentWeight;
+  Known.Sum = Known.Recent * Known.RecentWeight;
+}
+
+} // namespace cornellift::kernel
--- /dev/null
+++ b/Kernel/WaitingJobs.cpp
@@ -0,0 +1,174 @@
+#include "Kernel/WaitingJobs.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace cornellift::kernel {
+
+void WaitingJobs::setPolicy(const OrderingPolicy *Policy) {
+  Policy_ = Policy;
+  Queues_.clear();
+  for (auto &[Id, Job] : Jobs_)
+    if (!Job->Tasks.empty())
+      link(*Job);
+}
+
+std::size_t WaitingJobs::queueOf(TeamIndex Team) const {
+  return Policy_->teamOrder() == TeamOrder::None ? 0 : static_cast<std::size_t>(Team);
+}
+
+void WaitingJobs::link(ActiveJob &Job) {
+  auto Position = queueOf(Job.Team);
+  if (Position >= Queues_.size())
+    Queues_.resize(Position + 1);
+  auto &Queue = Queues_[Position];
+  Job.Lane = Policy_->lane(Job.view());
+  Queue.Lanes[Job.Lane].emplace(Job.Sequence, &Job);
+  Queue.Work[Job.Lane] += Job.WaitingWork;
+  Queue.Occupied |= 1ULL << Job.Lane;
+}
+
+void WaitingJobs::unlink(ActiveJob &Job) {
+  auto &Queue = Queues_[queueOf(Job.Team)];
+  auto &Lane = Queue.Lanes[Job.Lane];
+  Lane.erase(Job.Sequence);
+  Queue.Work[Job.Lane] -= Job.WaitingWork;
+  if (!Lane.empty())
+    return;
+  Queue.Work[Job.Lane] = 0; // Also clears rounding errors of the sum.
+  Queue.Occupied &= ~(1ULL << Job.Lane);
+}
+
+void WaitingJobs::count(const ActiveJob &Job, const WaitingTask &Task, int Sign) {
+  auto Team = static_cast<std::size_t>(Job.Team);
+  if (Team >= TeamTasks_.size())
+    TeamTasks_.resize(Team + 1);
+  auto Step = static_cast<std::uint32_t>(Sign);
+  TeamTasks_[Team] += Step;
+  WaitingTasks_ += Step;
+  WaitingBytes_ += static_cast<std::uint64_t>(static_cast<std::int64_t>(Sign) * Task.PayloadBytes);
+  WaitingWork_ = WaitingTasks_ == 0 ? 0 : WaitingWork_ + Sign * Task.RunTime;
+}
+
+ActiveJob &WaitingJobs::add(std::unique_ptr<ActiveJob> Job) {
+  auto &Stored = *Job;
+  Stored.Sequence = NextSequence_++;
+  std::sort(Stored.Tasks.begin(), Stored.Tasks.end(),
+            [](const WaitingTask &Left, const WaitingTask &Right) {
+              return Left.RunTime < Right.RunTime;
+            });
+  Stored.WaitingWork = 0;
+  for (const auto &Task : Stored.Tasks) {
+    Stored.WaitingWork += Task.RunTime;
+    count(Stored, Task, 1);
+  }
+  Jobs_[Stored.Id] = std::move(Job);
+  if (!Stored.Tasks.empty())
+    link(Stored);
+  return Stored;
+}
+
+ActiveJob *WaitingJobs::find(JobId Job) {
+  auto Found = Jobs_.find(Job);
+  return Found == Jobs_.end() ? nullptr : Found->second.get();
+}
+
+const ActiveJob *WaitingJobs::find(JobId Job) const {
+  auto Found = Jobs_.find(Job);
+  return Found == Jobs_.end() ? nullptr : Found->second.get();
+}
+
+void WaitingJobs::erase(JobId Job) {
+  auto Found = Jobs_.find(Job);
+  if (Found == Jobs_.end())
+    return;
+  auto &Stored = *Found->second;
+  if (!Stored.Tasks.empty())
+    unlink(Stored);
+  for (const auto &Task : Stored.Tasks)
+    count(Stored, Task, -1);
+  Jobs_.erase(Found);
+}
+
+WaitingTask WaitingJobs::take(ActiveJob &Job, TaskChoice Choice) {
+  auto Position = Choice == TaskChoice::Longest ? Job.Tasks.end() - 1 : Job.Tasks.begin();
+  auto Task = *Position;
+  auto &Queue = Queues_[queueOf(Job.Team)];
+  auto Left = Job.view();
+  Left.WaitingWork -= Task.RunTime;
+  bool Moves = Job.Tasks.size() == 1 || Policy_->lane(Left) != Job.Lane;
+  if (Moves)
+    unlink(Job);
+  else
+    Queue.Work[Job.Lane] -= Task.RunTime;
+  Job.Tasks.erase(Position);
+  Job.WaitingWork = Job.Tasks.empty() ? 0 : Left.WaitingWork;
+  count(Job, Task, -1);
+  if (Moves && !Job.Tasks.empty())
+    link(Job);
+  return Task;
+}
+
+void WaitingJobs::putBack(ActiveJob &Job, const WaitingTask &Task) {
+  if (!Job.Tasks.empty())
+    unlink(Job);
+  auto Position = std::upper_bound(Job.Tasks.begin(), Job.Tasks.end(), Task,
+                                   [](const WaitingTask &Left, const WaitingTask &Right) {
+                                     return Left.RunTime < Right.RunTime;
+                                   });
+  Job.Tasks.insert(Position, Task);
+  Job.WaitingWork += Task.RunTime;
+  count(Job, Task, 1);
+  link(Job);
+}
+
+void WaitingJobs::candidates(std::size_t QueuePosition, core::TimePoint Now, std::size_t Limit,
+                             std::vector<ActiveJob *> &Result) const {
+  const auto &Queue = Queues_[QueuePosition];
+  Result.clear();
+  std::array<std::pair<double, ActiveJob *>, OrderingPolicy::Lanes> Heads;
+  std::size_t Count = 0;
+  for (auto Bits = Queue.Occupied; Bits != 0; Bits &= Bits - 1) {
+    auto *Job = Queue.Lanes[static_cast<std::size_t>(std::countr_zero(Bits))].begin()->second;
+    Heads[Count++] = {Policy_->urgency(Job->view(), Now), Job};
+  }
+  auto Chosen = std::min(Limit, Count);
+  auto *First = Heads.data();
+  std::partial_sort(First, First + Chosen, First + Count, [](const auto &Left, const auto &Right) {
+    return Left.first < Right.first;
+  });
+  for (std::size_t Position = 0; Position < Chosen; ++Position)
+    Result.push_back(Heads[Position].second);
+  if (Count <= Chosen)
+    return;
+  auto Last = static_cast<std::size_t>(63 - std::countl_zero(Queue.Occupied));
+  auto *Largest = Queue.Lanes[Last].begin()->second;
+  if (std::find(Result.begin(), Result.end(), Largest) == Result.end())
+    Result.push_back(Largest);
+}
+
+double WaitingJobs::queueWork(std::size_t Position) const {
+  if (Position >= Queues_.size())
+    return 0;
+  double Sum = 0;
+  for (double Work : Queues_[Position].Work)
+    Sum += Work;
+  return Sum;
+}
+
+double WaitingJobs::workAhead(std::size_t Position, const JobView &Job) const {
+  if (Position >= Queues_.size())
+    return 0;
+  double Sum = 0;
+  auto Last = Policy_->lane(Job);
+  for (std::uint32_t Lane = 0; Lane <= Last; ++Lane)
+    Sum += Queues_[Position].Work[Lane];
+  return Sum;
+}
+
+std::uint32_t WaitingJobs::teamTasks(TeamIndex Team) const {
+  auto Position = static_cast<std::size_t>(Team);
+  return Position < TeamTasks_.size() ? TeamTasks_[Position] : 0;
+}
+
+} // namespace cornellift::kernel
