Kernel: Add the membership and failure detector

Each process probes its two successors in the ring of names of its data centre; the relay also probes one VM of each other data centre. A death is declared 0.8 s to 1.1 s after the last reply, after a direct probe, a second one and two indirect ones failed. Records carry a revision that only their process raises, so a paused VM that resumes refutes its own death. A digest in the heartbeats reveals records that an announcement did not reach.

--- /dev/null
+++ b/Kernel/Membership.cpp
@@ -0,0 +1,250 @@
+#include "Kernel/Membership.h"
+
+#include <algorithm>
+
+namespace cornellift::kernel {
+namespace {
+
+/// Asked together, so that a helper that died with the target does not decide alone.
+constexpr std::size_t Helpers = 2;
+constexpr core::Duration ExpiryInterval = std::chrono::minutes(1);
+
+} // namespace
+
+Membership::Membership(MemberRecord Own, MembershipSettings Settings, std::uint64_t Seed)
+    : Own_(std::move(Own)), Settings_(Settings), Random_(Seed) {
+  OwnLoad_.Process = Own_.Process;
+  Own_.Revision = std::max(Own_.Revision, 1U);
+}
+
+void Membership::tick(core::TimePoint Now, MembershipActions &Out) {
+  bool Paused = LastTick_ && Now - *LastTick_ > Settings_.PauseGap;
+  if (!LastTick_)
+    publishOwn(Now, Out);
+  LastTick_ = Now;
+  if (Paused)
+    resumeAfterPause(Now);
+  if (Now >= NextExpiryAt_) {
+    Table_.dropExpired(Now);
+    std::erase_if(Loads_, [&](auto &Item) { return !Table_.find(Item.second.Load.Process); });
+    NextExpiryAt_ = Now + ExpiryInterval;
+  }
+  updateWatches(Now);
+  for (auto &[Name, Item] : Watches_)
+    runWatch(Item, Now, Out);
+  runGateways(Now, Out);
+  contact(Now, Out);
+}
+
+void Membership::resumeAfterPause(core::TimePoint Now) {
+  for (auto &[Name, Item] : Watches_)
+    Item = {.Target = Item.Target, .NextAt = Now};
+  for (auto &[Name, Item] : Gateways_)
+    Item = {.NextAt = Now, .LastReplyAt = Now};
+}
+
+void Membership::updateWatches(core::TimePoint Now) {
+  if (WatchedVersion_ == Table_.version())
+    return;
+  WatchedVersion_ = Table_.version();
+  auto Peers = localPeers();
+  auto First = std::find_if(Peers.begin(), Peers.end(),
+                            [&](const auto *Peer) { return Peer->EntryVm > Own_.EntryVm; });
+  std::rotate(Peers.begin(), First, Peers.end());
+  Peers.resize(std::min(Peers.size(), Settings_.Successors));
+  std::map<std::string, Watch> Kept;
+  for (const auto *Peer : Peers) {
+    auto Found = Watches_.find(Peer->EntryVm);
+    bool Same = Found != Watches_.end() && Found->second.Target.Process == Peer->Process;
+    auto &Item = Kept[Peer->EntryVm];
+    Item = Same ? std::move(Found->second) : Watch{.NextAt = Now};
+    Item.Target = *Peer;
+  }
+  Watches_ = std::move(Kept);
+}
+
+void Membership::runWatch(Watch &Item, core::TimePoint Now, MembershipActions &Out) {
+  switch (Item.State) {
+  case Watch::Phase::Idle:
+    if (Now < Item.NextAt)
+      return;
+    Item.State = Watch::Phase::Probing;
+    Item.Deadline = Now + Settings_.ProbeTimeout;
+    Item.NextAt = Now + Settings_.ProbeInterval;
+    probe(Item, Item.Deadline, Now, Out);
+    return;
+  case Watch::Phase::Probing:
+    if (Now >= Item.Deadline)
+      suspect(Item, Now, Out);
+    return;
+  case Watch::Phase::Suspected:
+    if (Now >= Item.Deadline)
+      return declareDead(Item.Target, Now, Out);
+    if (Item.RetryAt && Now >= *Item.RetryAt) {
+      Item.RetryAt = Now + Settings_.RetryInterval;
+      probe(Item, Item.Deadline, Now, Out);
+    }
+    return;
+  }
+}
+
+void Membership::probe(Watch &Item, core::TimePoint Deadline, core::TimePoint Now,
+                       MembershipActions &Out) {
+  auto Token = newToken();
+  Item.Tokens.insert(Token);
+  Out.emplace_back(SendProbe{Token, Item.Target.Address, Deadline, heartbeat(Now)});
+}
+
+void Membership::suspect(Watch &Item, core::TimePoint Now, MembershipActions &Out) {
+  Item.State = Watch::Phase::Suspected;
+  Item.Deadline = Now + Settings_.SuspicionTime;
+  Item.RetryAt = Now + Settings_.RetryInterval;
+  probe(Item, Item.Deadline, Now, Out);
+  askHelpers(Item, Out);
+}
+
+void Membership::askHelpers(Watch &Item, MembershipActions &Out) {
+  std::vector<const MemberRecord *> Choices;
+  for (const auto *Peer : localPeers()) {
+    auto Watched = Watches_.find(Peer->EntryVm);
+    bool Doubtful =
+        Watched != Watches_.end() && Watched->second.State == Watch::Phase::Suspected;
+    if (Peer->EntryVm != Item.Target.EntryVm && !Doubtful)
+      Choices.push_back(Peer);
+  }
+  std::shuffle(Choices.begin(), Choices.end(), Random_);
+  Choices.resize(std::min(Choices.size(), Helpers));
+  for (const auto *Helper : Choices) {
+    auto Token = newToken();
+    Item.Tokens.insert(Token);
+    Out.emplace_back(SendProbeFor{Token, Helper->Address, Item.Target.Address, Item.Target.Process,
+                                  Item.Deadline});
+  }
+}
+
+void Membership::declareDead(const MemberRecord &Target, core::TimePoint Now,
+                             MembershipActions &Out) {
+  const auto *Known = Table_.find(Target.EntryVm);
+  if (!Known || Known->Process != Target.Process)
+    return;
+  MemberRecord Dead = *Known;
+  Dead.Standing = MemberStanding::Dead;
+  Dead.ChangedAt = Now;
+  if (!Table_.merge(Dead, Now))
+    return;
+  Announcement News{.Origin = Own_.DataCentre, .Members = {Dead}};
+  broadcast(News, Out);
+  if (isRelay())
+    sendAbroad(News, Out);
+}
+
+void Membership::probeReplied(ProbeToken Token, const Heartbeat &Reply, core::TimePoint Now,
+                              MembershipActions &Out) {
+  learnLoad(Reply.Load, Now);
+  for (const auto &Load : Reply.OtherLoads)
+    learnLoad(Load, Now);
+  for (auto &[Name, Item] : Watches_)
+    if (Item.Tokens.contains(Token))
+      return confirmAlive(Item, Reply, Now, Out);
+  for (auto &[Name, Item] : Gateways_) {
+    if (Item.Token != Token)
+      continue;
+    Item.Token.reset();
+    Item.LastReplyAt = Now;
+    const auto *Sender = Table_.find(Reply.Process);
+    auto Candidates = gatewayCandidates(Name);
+    const auto *Asked =
+        Candidates.empty() ? Sender : Candidates[Item.Choice % Candidates.size()];
+    if (Asked)
+      checkDigest(Reply, Asked->Address, Item.DigestMismatches, Now, Out);
+    return;
+  }
+  auto Contact = ContactProbes_.extract(Token);
+  if (Contact.empty())
+    return;
+  Joined_ = Joined_ || Table_.find(Reply.Process);
+  if (Reply.Digest != Table_.digest(Now))
+    sync(Contact.mapped(), Now, Out);
+}
+
+void Membership::confirmAlive(Watch &Item, const Heartbeat &Reply, core::TimePoint Now,
+                              MembershipActions &Out) {
+  Item.Tokens.clear();
+  Item.State = Watch::Phase::Idle;
+  Item.NextAt = std::max(Item.NextAt, Now);
+  // A reply under another incarnation ends the old one; its record is fetched at once.
+  if (Reply.Process != Item.Target.Process)
+    return sync(Item.Target.Address, Now, Out);
+  checkDigest(Reply, Item.Target.Address, Item.DigestMismatches, Now, Out);
+}
+
+void Membership::probeFailed(ProbeToken Token, core::TimePoint Now, MembershipActions &Out) {
+  ContactProbes_.erase(Token);
+  for (auto &[Name, Item] : Gateways_)
+    if (Item.Token == Token) {
+      Item.Token.reset();
+      ++Item.Choice;
+      return;
+    }
+  for (auto &[Name, Item] : Watches_) {
+    if (Item.Tokens.erase(Token) == 0)
+      continue;
+    if (Item.State == Watch::Phase::Probing)
+      suspect(Item, Now, Out);
+    return;
+  }
+}
+
+Heartbeat Membership::heartbeat(core::TimePoint Now) {
+  Heartbeat Result{Own_.Process, Own_.Revision, Table_.digest(Now), OwnLoad_, {}};
+  constexpr std::size_t MaximumOtherLoads = 3;
+  for (auto &[Process, Item] : Loads_) {
+    if (Result.OtherLoads.size() == MaximumOtherLoads)
+      break;
+    if (Item.SendsLeft <= 0)
+      continue;
+    --Item.SendsLeft;
+    Result.OtherLoads.push_back(Item.Load);
+  }
+  return Result;
+}
+
+Heartbeat Membership::heartbeatReceived(const Heartbeat &Sender, core::TimePoint Now) {
+  learnLoad(Sender.Load, Now);
+  for (const auto &Load : Sender.OtherLoads)
+    learnLoad(Load, Now);
+  return heartbeat(Now);
+}
+
+void Membership::setLoad(std::uint32_t WaitingTasks, std::uint32_t FreeSlots,
+                         std::uint64_t Version, core::TimePoint Now) {
+  bool Same = OwnLoad_.WaitingTasks == WaitingTasks && OwnLoad_.FreeSlots == FreeSlots;
+  bool NewVersion = OwnLoad_.ConfigurationVersion != Version;
+  if (!NewVersion && (Same || Now < NextLoadAt_))
+    return;
+  OwnLoad_ = {Own_.Process, OwnLoad_.Sequence + 1, WaitingTasks, FreeSlots, Version};
+  NextLoadAt_ = Now + Settings_.LoadInterval;
+}
+
+void Membership::learnLoad(const LoadRecord &Load, core::TimePoint Now) {
+  // Twice, because one heartbeat may be lost.
+  constexpr int Sends = 2;
+  if (Load.Process == Own_.Process || !Table_.find(Load.Process))
+    return;
+  auto &Item = Loads_[Load.Process.Value];
+  Item.ReceivedAt = Now;
+  if (Load.Sequence <= Item.Load.Sequence)
+    return;
+  Item = {Load, Sends, Now};
+}
+
+std::optional<LoadRecord> Membership::loadOf(Incarnation Process) const {
+  if (Process == Own_.Process)
+    return OwnLoad_;
+  auto Found = Loads_.find(Process.Value);
+  if (Found == Loads_.end())
+    return std::nullopt;
+  return Found->second.Load;
+}
+
+} // namespace cornellift::kernel
--- /dev/null
+++ b/Kernel/Membership.h
@@ -0,0 +1,198 @@
+#pragma once
+
+#include "Kernel/MemberTable.h"
+
+#include <random>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cornellift::kernel {
+
+/// Identifies a probe until its reply, failure or deadline.
+enum class ProbeToken : std::uint64_t {};
+
+/// Probes a peer. Answer with probeReplied or probeFailed.
+struct SendProbe {
+  ProbeToken Token{};
+  std::string Address;
+  core::TimePoint Deadline;
+  Heartbeat Own;
+};
+
+/// Asks a helper to probe the target. Answer with probeReplied or probeFailed.
+struct SendProbeFor {
+  ProbeToken Token{};
+  std::string HelperAddress;
+  std::string TargetAddress;
+  Incarnation Target;
+  core::TimePoint Deadline;
+};
+
+/// Sends records. A reply to a full announcement goes to announced().
+struct SendAnnouncement {
+  std::string Address;
+  Announcement Content;
+};
+
+using MembershipAction = std::variant<SendProbe, SendProbeFor, SendAnnouncement>;
+using MembershipActions = std::vector<MembershipAction>;
+
+/// An entry VM in the platform's list, which lags behind.
+struct ListedVm {
+  std::string EntryVm;
+  std::string Address;
+  std::string DataCentre;
+  enum class Mark : std::uint8_t { Live, Leaving } State{};
+};
+
+struct MembershipSettings {
+  std::size_t Successors = 2;
+  core::Duration ProbeInterval = std::chrono::milliseconds(400);
+  core::Duration ProbeTimeout = std::chrono::milliseconds(300);
+  /// Time between the first miss and the declaration of death. With the interval and the timeout it
+  /// gives a declaration 0.8 s to 1.1 s after the last reply.
+  core::Duration SuspicionTime = std::chrono::milliseconds(400);
+  core::Duration RetryInterval = std::chrono::milliseconds(130);
+  core::Duration GatewayInterval = std::chrono::seconds(2);
+  core::Duration GatewayTimeout = std::chrono::seconds(1);
+  /// Three missed gateway probes in a row.
+  core::Duration DataCentreTimeout = std::chrono::seconds(7);
+  core::Duration ContactInterval = std::chrono::seconds(2);
+  core::Duration JoinInterval = std::chrono::milliseconds(300);
+  /// A gap between ticks that is longer than this means that this process was paused; replies that
+  /// it missed meanwhile prove nothing.
+  core::Duration PauseGap = std::chrono::milliseconds(250);
+  core::Duration LoadInterval = std::chrono::seconds(1);
+};
+
+/// Failure detector and view of the entry VMs. Inside a data centre each process probes its two
+/// successors in the ring of names; the relay also probes one VM of each other data centre. Records
+/// spread by announcements, and heartbeats carry a digest that reveals lost ones. Deterministic.
+class Membership {
+public:
+  Membership(MemberRecord Own, MembershipSettings Settings, std::uint64_t Seed);
+
+  /// Addresses that are asked for the first records.
+  void setSeeds(std::vector<std::string> Addresses) { Seeds_ = std::move(Addresses); }
+
+  /// Call at least every 50 ms.
+  void tick(core::TimePoint Now, MembershipActions &Out);
+
+  void probeReplied(ProbeToken Token, const Heartbeat &Reply, core::TimePoint Now,
+                    MembershipActions &Out);
+  void probeFailed(ProbeToken Token, core::TimePoint Now, MembershipActions &Out);
+
+  /// A peer's probe; returns the reply.
+  Heartbeat heartbeatReceived(const Heartbeat &Sender, core::TimePoint Now);
+
+  /// Records from a peer. Returns what the peer is to merge: all records when it sent all.
+  Announcement announced(const Announcement &News, core::TimePoint Now, MembershipActions &Out);
+
+  void platformList(std::vector<ListedVm> Listed, core::TimePoint Now, MembershipActions &Out);
+
+  void setStanding(MemberStanding Standing, core::TimePoint Now, MembershipActions &Out);
+  void setLoad(std::uint32_t WaitingTasks, std::uint32_t FreeSlots, std::uint64_t Version,
+               core::TimePoint Now);
+  void announceSuccession(SuccessionRecord Record, core::TimePoint Now, MembershipActions &Out);
+  void announceVersion(std::uint64_t Version, core::TimePoint Now, MembershipActions &Out);
+
+  const MemberRecord &own() const { return Own_; }
+  const MemberTable &table() const { return Table_; }
+  Heartbeat heartbeat(core::TimePoint Now);
+
+  /// Name of the VM that watches the platform for this data centre: the live ready VM with the
+  /// lowest name, or the lowest starting one while none is ready. Empty when this process has been
+  /// replaced and knows no other.
+  std::string relay() const;
+  bool isRelay() const { return relay() == Own_.EntryVm; }
+
+  /// True when the data centre's gateway does not answer the relay of this data centre.
+  bool isUnreachable(std::string_view DataCentre) const;
+
+  /// The next live VM in the ring that is ready; the choice for a transfer at shutdown.
+  std::optional<MemberRecord> nextReady() const;
+
+  /// Load that the process last reported; empty when none is known.
+  std::optional<LoadRecord> loadOf(Incarnation Process) const;
+
+  /// False until a peer has sent its records or no peer is configured.
+  bool hasJoined() const { return Joined_; }
+
+private:
+  struct Watch {
+    MemberRecord Target{};
+    enum class Phase : std::uint8_t { Idle, Probing, Suspected } State{};
+    core::TimePoint NextAt{};
+    core::TimePoint Deadline{};        ///< Of the probe, or of the suspicion.
+    std::optional<core::TimePoint> RetryAt{};
+    std::set<ProbeToken> Tokens{};
+    int DigestMismatches = 0;
+  };
+  struct Gateway {
+    core::TimePoint NextAt{};
+    core::TimePoint LastReplyAt{};
+    std::size_t Choice = 0;
+    std::optional<ProbeToken> Token{};
+    core::TimePoint Deadline{};
+    int DigestMismatches = 0;
+  };
+  struct GossipedLoad {
+    LoadRecord Load{};
+    int SendsLeft = 0;
+    core::TimePoint ReceivedAt{};
+  };
+
+  bool isPeer(const MemberRecord &Record) const;
+  std::vector<const MemberRecord *> localPeers() const;
+  void resumeAfterPause(core::TimePoint Now);
+  void updateWatches(core::TimePoint Now);
+  void runWatch(Watch &Item, core::TimePoint Now, MembershipActions &Out);
+  void probe(Watch &Item, core::TimePoint Deadline, core::TimePoint Now, MembershipActions &Out);
+  void suspect(Watch &Item, core::TimePoint Now, MembershipActions &Out);
+  void askHelpers(Watch &Item, MembershipActions &Out);
+  void declareDead(const MemberRecord &Target, core::TimePoint Now, MembershipActions &Out);
+  void confirmAlive(Watch &Item, const Heartbeat &Reply, core::TimePoint Now,
+                    MembershipActions &Out);
+  void runGateways(core::TimePoint Now, MembershipActions &Out);
+  void runGateway(const std::string &DataCentre, Gateway &Item, core::TimePoint Now,
+                  MembershipActions &Out);
+  std::vector<const MemberRecord *> gatewayCandidates(std::string_view DataCentre) const;
+  void updateUnreachable(core::TimePoint Now, MembershipActions &Out);
+  void contact(core::TimePoint Now, MembershipActions &Out);
+  void checkDigest(const Heartbeat &Reply, const std::string &Address, int &Mismatches,
+                   core::TimePoint Now, MembershipActions &Out);
+  void sync(const std::string &Address, core::TimePoint Now, MembershipActions &Out);
+  void publishOwn(core::TimePoint Now, MembershipActions &Out);
+  void broadcast(const Announcement &News, MembershipActions &Out) const;
+  void sendAbroad(const Announcement &News, MembershipActions &Out) const;
+  bool mergeMember(const MemberRecord &Record, core::TimePoint Now, MembershipActions &Out);
+  bool mergeOwn(const MemberRecord &Record, core::TimePoint Now, MembershipActions &Out);
+  void learnLoad(const LoadRecord &Load, core::TimePoint Now);
+  Announcement everything() const;
+  ProbeToken newToken() { return ProbeToken(++LastToken_); }
+
+  MemberRecord Own_;
+  MembershipSettings Settings_;
+  std::mt19937_64 Random_;
+  MemberTable Table_;
+  std::vector<std::string> Seeds_;
+  std::vector<ListedVm> Listed_;
+  std::map<std::string, Watch> Watches_;
+  std::map<std::string, Gateway> Gateways_;
+  std::map<std::uint64_t, GossipedLoad> Loads_;
+  LoadRecord OwnLoad_;
+  core::TimePoint NextLoadAt_;
+  std::optional<core::TimePoint> LastTick_;
+  core::TimePoint NextContactAt_;
+  core::TimePoint NextSyncAt_;
+  core::TimePoint NextExpiryAt_;
+  std::map<ProbeToken, std::string> ContactProbes_;
+  std::uint64_t WatchedVersion_ = 0;
+  std::uint64_t LastToken_ = 0;
+  bool Joined_ = false;
+  bool Superseded_ = false;
+};
+
+} // namespace cornellift::kernel
--- /dev/null
+++ b/Kernel/MembershipRecords.cpp
@@ -0,0 +1,295 @@
+// How records spread: announcements, syncs, gateways between data centres, and first contacts.
+#include "Kernel/Membership.h"
+
+#include <algorithm>
+
+namespace cornellift::kernel {
+namespace {
+
+/// A process that reaches no peer in this time runs alone until it does.
+constexpr core::Duration JoinPatience = std::chrono::seconds(3);
+constexpr core::Duration SyncInterval = std::chrono::seconds(1);
+/// A single difference is usual while an announcement is on its way.
+constexpr int TolerableMismatches = 1;
+
+} // namespace
+
+bool Membership::isPeer(const MemberRecord &Record) const {
+  return Record.EntryVm != Own_.EntryVm && Record.DataCentre == Own_.DataCentre &&
+         Record.Standing != MemberStanding::Dead;
+}
+
+std::vector<const MemberRecord *> Membership::localPeers() const {
+  std::vector<const MemberRecord *> Result;
+  for (const auto &[Name, Record] : Table_.members())
+    if (isPeer(Record))
+      Result.push_back(&Record);
+  return Result;
+}
+
+std::string Membership::relay() const {
+  for (auto Wanted : {MemberStanding::Ready, MemberStanding::Starting})
+    for (const auto &[Name, Record] : Table_.members())
+      if (Record.DataCentre == Own_.DataCentre && Record.Standing == Wanted &&
+          (!Superseded_ || Name != Own_.EntryVm))
+        return Name;
+  return Superseded_ ? "" : Own_.EntryVm;
+}
+
+bool Membership::isUnreachable(std::string_view DataCentre) const {
+  const auto *Relay = Table_.find(relay());
+  return Relay && std::find(Relay->Unreachable.begin(), Relay->Unreachable.end(), DataCentre) !=
+                      Relay->Unreachable.end();
+}
+
+std::optional<MemberRecord> Membership::nextReady() const {
+  std::optional<MemberRecord> First;
+  for (const auto *Peer : localPeers()) {
+    if (Peer->Standing != MemberStanding::Ready)
+      continue;
+    if (Peer->EntryVm > Own_.EntryVm)
+      return *Peer;
+    if (!First)
+      First = *Peer;
+  }
+  return First;
+}
+
+void Membership::publishOwn(core::TimePoint Now, MembershipActions &Out) {
+  if (Superseded_)
+    return;
+  Own_.ChangedAt = Now;
+  Table_.merge(Own_, Now);
+  Announcement News{.Origin = Own_.DataCentre, .Members = {Own_}};
+  broadcast(News, Out);
+  if (isRelay())
+    sendAbroad(News, Out);
+}
+
+void Membership::setStanding(MemberStanding Standing, core::TimePoint Now,
+                             MembershipActions &Out) {
+  if (Own_.Standing == Standing)
+    return;
+  Own_.Standing = Standing;
+  ++Own_.Revision;
+  publishOwn(Now, Out);
+}
+
+void Membership::announceSuccession(SuccessionRecord Record, core::TimePoint Now,
+                                    MembershipActions &Out) {
+  Record.ChangedAt = Now;
+  if (!Table_.merge(Record, Now))
+    return;
+  Announcement News{.Origin = Own_.DataCentre, .Successions = {Record}};
+  broadcast(News, Out);
+  sendAbroad(News, Out);
+}
+
+void Membership::announceVersion(std::uint64_t Version, core::TimePoint Now,
+                                 MembershipActions &Out) {
+  setLoad(OwnLoad_.WaitingTasks, OwnLoad_.FreeSlots, Version, Now);
+  broadcast({.Origin = Own_.DataCentre, .ConfigurationVersion = Version}, Out);
+}
+
+void Membership::broadcast(const Announcement &News, MembershipActions &Out) const {
+  for (const auto *Peer : localPeers())
+    Out.emplace_back(SendAnnouncement{Peer->Address, News});
+}
+
+void Membership::sendAbroad(const Announcement &News, MembershipActions &Out) const {
+  std::set<std::string> Centres;
+  for (const auto &[Name, Record] : Table_.members())
+    if (Record.DataCentre != Own_.DataCentre && Record.Standing != MemberStanding::Dead)
+      Centres.insert(Record.DataCentre);
+  for (const auto &Centre : Centres) {
+    auto Candidates = gatewayCandidates(Centre);
+    auto Known = Gateways_.find(Centre);
+    std::size_t Choice = Known == Gateways_.end() ? 0 : Known->second.Choice;
+    Out.emplace_back(SendAnnouncement{Candidates[Choice % Candidates.size()]->Address, News});
+  }
+}
+
+Announcement Membership::announced(const Announcement &News, core::TimePoint Now,
+                                   MembershipActions &Out) {
+  Announcement Local{.Origin = Own_.DataCentre};
+  Announcement Abroad{.Origin = Own_.DataCentre};
+  for (const auto &Record : News.Members) {
+    if (!mergeMember(Record, Now, Out))
+      continue;
+    // A process tells its own data centre of its news itself; what comes from abroad is spread by
+    // the receiver.
+    auto &Side = Record.DataCentre == Own_.DataCentre ? Abroad : Local;
+    Side.Members.push_back(Record);
+  }
+  for (const auto &Record : News.Successions) {
+    if (!Table_.merge(Record, Now))
+      continue;
+    Local.Successions.push_back(Record);
+  }
+  bool FromAbroad = News.Origin != Own_.DataCentre;
+  if (FromAbroad && (!Local.Members.empty() || !Local.Successions.empty()))
+    broadcast(Local, Out);
+  if (!Abroad.Members.empty() && isRelay())
+    sendAbroad(Abroad, Out);
+  if (News.Scope != Announcement::Extent::Full)
+    return {.Origin = Own_.DataCentre};
+  Joined_ = true;
+  return everything();
+}
+
+Announcement Membership::everything() const {
+  Announcement Result{.Origin = Own_.DataCentre, .Scope = Announcement::Extent::Full};
+  for (const auto &[Name, Record] : Table_.members())
+    Result.Members.push_back(Record);
+  Result.Successions = Table_.successions();
+  return Result;
+}
+
+bool Membership::mergeMember(const MemberRecord &Record, core::TimePoint Now,
+                             MembershipActions &Out) {
+  return Record.EntryVm == Own_.EntryVm ? mergeOwn(Record, Now, Out) : Table_.merge(Record, Now);
+}
+
+bool Membership::mergeOwn(const MemberRecord &Record, core::TimePoint Now,
+                          MembershipActions &Out) {
+  if (Record.Process != Own_.Process) {
+    if (Record.StartedAt < Own_.StartedAt || !Table_.merge(Record, Now))
+      return false;
+    // Before the first sync the other incarnation must be an earlier one with a faster clock;
+    // later on it has replaced this process.
+    Superseded_ = Joined_ && Record.Standing != MemberStanding::Dead;
+    if (Superseded_)
+      return true;
+    Own_.StartedAt = Record.StartedAt + 1;
+    publishOwn(Now, Out);
+    return false;
+  }
+  bool Newer = Record.Revision > Own_.Revision ||
+               (Record.Revision == Own_.Revision && Record.Standing > Own_.Standing);
+  if (!Newer)
+    return false;
+  Own_.Revision = Record.Revision + 1;
+  if (Record.Standing == MemberStanding::Stopping)
+    Own_.Standing = MemberStanding::Stopping;
+  publishOwn(Now, Out);
+  return false;
+}
+
+void Membership::platformList(std::vector<ListedVm> Listed, core::TimePoint Now,
+                              MembershipActions &Out) {
+  Listed_ = std::move(Listed);
+  for (const auto &Vm : Listed_) {
+    const auto *Known = Table_.find(Vm.EntryVm);
+    if (Vm.State != ListedVm::Mark::Leaving || !Known || Known->Address != Vm.Address)
+      continue;
+    if (Known->Standing >= MemberStanding::Stopping)
+      continue;
+    MemberRecord Leaving = *Known;
+    Leaving.Standing = MemberStanding::Stopping;
+    Leaving.ChangedAt = Now;
+    if (mergeMember(Leaving, Now, Out))
+      broadcast({.Origin = Own_.DataCentre, .Members = {Leaving}}, Out);
+  }
+}
+
+void Membership::runGateways(core::TimePoint Now, MembershipActions &Out) {
+  if (!isRelay()) {
+    Gateways_.clear();
+  } else {
+    std::set<std::string> Centres;
+    for (const auto &[Name, Record] : Table_.members())
+      if (Record.DataCentre != Own_.DataCentre)
+        Centres.insert(Record.DataCentre);
+    std::erase_if(Gateways_, [&](auto &Item) { return !Centres.contains(Item.first); });
+    for (const auto &Centre : Centres)
+      Gateways_.try_emplace(Centre, Gateway{.NextAt = Now, .LastReplyAt = Now});
+  }
+  for (auto &[Name, Item] : Gateways_)
+    runGateway(Name, Item, Now, Out);
+  updateUnreachable(Now, Out);
+}
+
+void Membership::runGateway(const std::string &DataCentre, Gateway &Item, core::TimePoint Now,
+                            MembershipActions &Out) {
+  if (Item.Token && Now >= Item.Deadline) {
+    Item.Token.reset();
+    ++Item.Choice;
+  }
+  if (Now < Item.NextAt)
+    return;
+  auto Candidates = gatewayCandidates(DataCentre);
+  Item.NextAt = Now + Settings_.GatewayInterval;
+  Item.Deadline = Now + Settings_.GatewayTimeout;
+  Item.Token = newToken();
+  Out.emplace_back(SendProbe{*Item.Token, Candidates[Item.Choice % Candidates.size()]->Address,
+                             Item.Deadline, heartbeat(Now)});
+}
+
+std::vector<const MemberRecord *>
+Membership::gatewayCandidates(std::string_view DataCentre) const {
+  std::vector<const MemberRecord *> Live;
+  std::vector<const MemberRecord *> All;
+  for (const auto &[Name, Record] : Table_.members()) {
+    if (Record.DataCentre != DataCentre)
+      continue;
+    All.push_back(&Record);
+    if (Record.Standing != MemberStanding::Dead)
+      Live.push_back(&Record);
+  }
+  return Live.empty() ? All : Live;
+}
+
+void Membership::updateUnreachable(core::TimePoint Now, MembershipActions &Out) {
+  std::vector<std::string> Unreachable;
+  for (const auto &[Name, Item] : Gateways_)
+    if (Now - Item.LastReplyAt > Settings_.DataCentreTimeout)
+      Unreachable.push_back(Name);
+  if (Unreachable == Own_.Unreachable)
+    return;
+  Own_.Unreachable = std::move(Unreachable);
+  ++Own_.Revision;
+  publishOwn(Now, Out);
+}
+
+void Membership::contact(core::TimePoint Now, MembershipActions &Out) {
+  if (!Joined_ && Now >= Own_.ChangedAt + JoinPatience)
+    Joined_ = true;
+  if (Now < NextContactAt_)
+    return;
+  std::set<std::string> Addresses(Seeds_.begin(), Seeds_.end());
+  for (const auto &Vm : Listed_)
+    if (Vm.DataCentre == Own_.DataCentre || isRelay())
+      Addresses.insert(Vm.Address);
+  for (const auto &[Name, Record] : Table_.members())
+    if (Record.DataCentre == Own_.DataCentre || isRelay())
+      Addresses.insert(Record.Address);
+  for (const auto &[Name, Record] : Table_.members())
+    if (Record.Standing != MemberStanding::Dead)
+      Addresses.erase(Record.Address);
+  Addresses.erase(Own_.Address);
+  NextContactAt_ = Now + (Joined_ ? Settings_.ContactInterval : Settings_.JoinInterval);
+  if (Addresses.empty())
+    return;
+  auto Chosen = std::next(Addresses.begin(), static_cast<long>(Random_() % Addresses.size()));
+  auto Token = newToken();
+  // At most one is outstanding, so that unanswered ones take no memory.
+  ContactProbes_.clear();
+  ContactProbes_[Token] = *Chosen;
+  Out.emplace_back(SendProbe{Token, *Chosen, NextContactAt_, heartbeat(Now)});
+}
+
+void Membership::checkDigest(const Heartbeat &Reply, const std::string &Address, int &Mismatches,
+                             core::TimePoint Now, MembershipActions &Out) {
+  Mismatches = Reply.Digest == Table_.digest(Now) ? 0 : Mismatches + 1;
+  if (Mismatches <= TolerableMismatches || Now < NextSyncAt_)
+    return;
+  Mismatches = 0;
+  sync(Address, Now, Out);
+}
+
+void Membership::sync(const std::string &Address, core::TimePoint Now, MembershipActions &Out) {
+  NextSyncAt_ = Now + SyncInterval;
+  Out.emplace_back(SendAnnouncement{Address, everything()});
+}
+
+} // namespace cornellift::kernel
--- /dev/null
+++ b/Tests/Kernel/TestMembership.cpp
@@ -0,0 +1,202 @@
+#include "Tests/Kernel/MembershipNetwork.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornellift::kernel;
+using namespace std::chrono_literals;
+using cornellift::kernel::testing::MembershipNetwork;
+
+namespace {
+
+/// Time from the last answer to the declaration in every view: one probe interval, the timeout, the
+/// suspicion, and two ticks.
+constexpr auto DetectionTime = 400ms + 300ms + 400ms + 2 * MembershipNetwork::TickInterval + 10ms;
+
+struct SevenVms {
+  SevenVms() {
+    Net.addCentre("a", 7);
+    Net.runFor(5s);
+  }
+  int deadIn(const std::string &Viewer) {
+    int Count = 0;
+    for (auto &[Name, Record] : Net.at(Viewer).table().members())
+      Count += Record.Standing == MemberStanding::Dead;
+    return Count;
+  }
+  MembershipNetwork Net;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(JoinsThroughASeed, SevenVms) {
+  for (auto &[Name, Item] : Net.Nodes) {
+    BOOST_TEST(Item.Detector->table().size() == 7);
+    BOOST_TEST(Item.Detector->relay() == "a-1");
+  }
+}
+
+// Guards against a slow or missed declaration, and against the second of two dead neighbours being
+// hidden by the first, which was its prober and the usual helper.
+BOOST_FIXTURE_TEST_CASE(TwoNeighboursDieTogether, SevenVms) {
+  Net.Nodes.at("a-3").Up = Net.Nodes.at("a-4").Up = false;
+  Net.runFor(DetectionTime);
+  for (const auto *Viewer : {"a-1", "a-2", "a-5", "a-6", "a-7"}) {
+    BOOST_TEST((Net.standing(Viewer, "a-3") == MemberStanding::Dead));
+    BOOST_TEST((Net.standing(Viewer, "a-4") == MemberStanding::Dead));
+    BOOST_TEST(deadIn(Viewer) == 2);
+  }
+}
+
+// Guards against a false alarm from a single lost message in either direction.
+BOOST_FIXTURE_TEST_CASE(OneLostMessageRaisesNoAlarm, SevenVms) {
+  for (int Round = 0; Round < 50; ++Round) {
+    int Losses = 1;
+    Net.Lost = [&](const std::string &From, const std::string &To) {
+      return (From == "a-2" || To == "a-2") && Losses-- > 0;
+    };
+    Net.runFor(1s);
+  }
+  for (auto &[Name, Item] : Net.Nodes)
+    BOOST_TEST(deadIn(Name) == 0);
+}
+
+// Guards against an alarm when only the prober's own direction to the target is lost.
+BOOST_FIXTURE_TEST_CASE(OneWayLossIsCoveredByHelpers, SevenVms) {
+  Net.Lost = [](auto &From, auto &To) { return From == "a-2" && To == "a-3"; };
+  Net.runFor(60s);
+  for (auto &[Name, Item] : Net.Nodes)
+    BOOST_TEST(deadIn(Name) == 0);
+}
+
+// Guards against a resumed process that declares its peers dead for replies that it slept through,
+// and against peers that keep it dead.
+BOOST_FIXTURE_TEST_CASE(PausedVmResumes, SevenVms) {
+  Net.Nodes.at("a-3").PausedUntil = Net.Now + 10s;
+  Net.runFor(2s);
+  BOOST_TEST((Net.standing("a-7", "a-3") == MemberStanding::Dead));
+  Net.runFor(12s);
+  for (auto &[Name, Item] : Net.Nodes)
+    BOOST_TEST(deadIn(Name) == 0, Name);
+}
+
+// Guards against a restart being taken for the same process, also when its clock runs behind.
+BOOST_FIXTURE_TEST_CASE(RestartIsAnotherIncarnation, SevenVms) {
+  auto Before = Net.at("a-3").own().Process;
+  Net.start("a-3", "a");
+  Net.runFor(3s);
+  BOOST_TEST((Net.at("a-6").table().find("a-3")->Process != Before));
+  BOOST_TEST(Net.at("a-6").table().find(Before) == nullptr);
+  MemberRecord Early = Net.at("a-4").own();
+  Early.Process = {77};
+  Early.StartedAt = 0;
+  Net.Nodes.at("a-4").Detector = std::make_unique<Membership>(Early, MembershipSettings{}, 77);
+  Net.at("a-4").setSeeds({"a-1"});
+  Net.runFor(5s);
+  BOOST_TEST((Net.at("a-6").table().find("a-4")->Process == Incarnation{77}));
+  BOOST_TEST(deadIn("a-6") == 0);
+}
+
+// Guards against a relay that stops or dies without a replacement.
+BOOST_FIXTURE_TEST_CASE(RelayFollowsReadiness, SevenVms) {
+  Net.act("a-1", [&](auto &Out) {
+    Net.at("a-1").setStanding(MemberStanding::Stopping, Net.Now, Out);
+  });
+  Net.runFor(20ms);
+  BOOST_TEST(Net.at("a-5").relay() == "a-2");
+  Net.Nodes.at("a-2").Up = false;
+  Net.runFor(DetectionTime);
+  BOOST_TEST(Net.at("a-5").relay() == "a-3");
+}
+
+// Guards against a VM that the platform has marked as leaving and that keeps its duties.
+BOOST_FIXTURE_TEST_CASE(ListedAsLeaving, SevenVms) {
+  Net.act("a-1", [&](auto &Out) {
+    Net.at("a-1").platformList({{"a-4", "a-4", "a", ListedVm::Mark::Leaving}}, Net.Now, Out);
+  });
+  Net.runFor(20ms);
+  BOOST_TEST((Net.standing("a-6", "a-4") == MemberStanding::Stopping));
+  BOOST_TEST((Net.at("a-4").own().Standing == MemberStanding::Stopping));
+}
+
+BOOST_FIXTURE_TEST_CASE(SuccessionChainsAreFollowed, SevenVms) {
+  auto Announce = [&](const char *Name, Incarnation From, Incarnation To) {
+    Net.act(Name, [&](auto &Out) {
+      Net.at(Name).announceSuccession({.From = From, .SuccessorVm = "a-9", .To = To}, Net.Now, Out);
+    });
+  };
+  Announce("a-1", {1}, {2});
+  Announce("a-2", {2}, {900});
+  Net.runFor(20ms);
+  auto Last = Net.at("a-6").table().successor({1});
+  BOOST_REQUIRE(Last);
+  BOOST_TEST((Last->To == Incarnation{900}));
+  BOOST_TEST(!Net.at("a-6").table().successor({900}));
+}
+
+// Guards against a whole data centre being mistaken for seven dead VMs, whose incarnations peers
+// would then treat as ended.
+BOOST_AUTO_TEST_CASE(LostDataCentreIsUnreachable) {
+  MembershipNetwork Net;
+  Net.addCentre("a", 4);
+  Net.addCentre("b", 4);
+  Net.runFor(8s);
+  for (auto &[Name, Item] : Net.Nodes) {
+    BOOST_TEST(Item.Detector->table().size() == 8, Name);
+    if (Name[0] == 'b')
+      Item.Up = false;
+  }
+  Net.runFor(11s);
+  for (const auto *Viewer : {"a-1", "a-4"}) {
+    BOOST_TEST(Net.at(Viewer).isUnreachable("b"));
+    BOOST_TEST((Net.standing(Viewer, "b-2") == MemberStanding::Ready));
+  }
+}
+
+// Guards against views that stay apart, or call peers dead, after regions were apart for an hour in
+// which both changed.
+BOOST_AUTO_TEST_CASE(RegionsMergeAfterAnHourApart) {
+  MembershipNetwork Net;
+  Net.addCentre("a", 3);
+  Net.addCentre("b", 3);
+  Net.addCentre("c", 3);
+  Net.runFor(8s);
+  Net.Lost = [](auto &From, auto &To) { return (From[0] == 'a') != (To[0] == 'a'); };
+  Net.runFor(1h);
+  BOOST_TEST(Net.at("a-3").isUnreachable("c"));
+  BOOST_TEST(Net.at("b-2").isUnreachable("a"));
+  BOOST_TEST(!Net.at("b-2").isUnreachable("c"));
+  Net.Nodes.at("a-1").Up = false;
+  Net.start("b-2", "b");
+  Net.runFor(5s);
+  Net.Lost = [](auto &, auto &) { return false; };
+  Net.runFor(15s);
+  auto Digest = Net.at("a-2").table().digest(Net.Now);
+  for (auto &[Name, Item] : Net.Nodes)
+    if (Item.Up) {
+      BOOST_TEST(Item.Detector->table().digest(Net.Now) == Digest, Name);
+      BOOST_TEST(!Item.Detector->isUnreachable("a"));
+      BOOST_TEST((Net.standing(Name, "a-1") == MemberStanding::Dead));
+      BOOST_TEST((Net.standing(Name, "c-3") == MemberStanding::Ready));
+    }
+}
+
+// Guards against memory that grows with every replacement: 290 a day under new names.
+BOOST_AUTO_TEST_CASE(ReplacementsAreForgotten) {
+  MemberTable Table;
+  cornellift::core::TimePoint Now{1s};
+  for (std::uint64_t Day = 0; Day < 2; ++Day)
+    for (std::uint64_t Number = 0; Number < 290; ++Number) {
+      Now += 86400s / 290;
+      MemberRecord Record{.EntryVm = "vm-" + std::to_string(Day * 290 + Number),
+                          .Process = {Day * 290 + Number + 1}};
+      Record.Standing = MemberStanding::Dead;
+      Record.ChangedAt = Now;
+      BOOST_TEST(Table.merge(Record, Now));
+      SuccessionRecord Succession{.From = Record.Process, .To = {Record.Process.Value + 1}};
+      Succession.ChangedAt = Now;
+      Table.merge(Succession, Now);
+      Table.dropExpired(Now);
+      // An hour holds 13 of each.
+      BOOST_REQUIRE(Table.size() <= 2 * 13);
+    }
+}
