PlatformStandIn: Serve keys, watches, leases and the VM list for tests

The switches under /control/ make it fail as the platform does: down, slow, replies lost after the write took effect, and a list of VMs that lags.

--- /dev/null
+++ b/Libraries/LibPlatform/HttpPlatformStore.cpp
@@ -0,0 +1,125 @@
+#include "Libraries/LibPlatform/HttpPlatformStore.h"
+
+#include "Libraries/LibCore/Reason.h"
+#include "Libraries/LibPlatform/StoreCall.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cornellift::platform {
+namespace {
+
+using detail::callStore;
+using detail::CallState;
+using detail::StoreReply;
+
+const core::PluginRegistration<PlatformStore, HttpPlatformStore, std::string> Registration("http");
+
+constexpr int StatusOk = 200;
+constexpr int StatusNoContent = 204;
+constexpr int StatusNotFound = 404;
+constexpr int StatusConflict = 409;
+constexpr int FirstServerError = 500;
+
+/// Sets the last reason for a reply that is not the expected one.
+void explain(const StoreReply &Reply) {
+  if (Reply.State != CallState::Replied)
+    return;
+  if (Reply.Status == StatusNotFound)
+    core::fail(core::ErrorKind::NotFound, "the platform's store has no such key");
+  else if (Reply.Status == StatusConflict)
+    core::fail(core::ErrorKind::Conflict, "the key has changed; read it again");
+  else if (Reply.Status >= FirstServerError)
+    core::fail(core::ErrorKind::Unavailable, "the platform's store replied with status " +
+                                                 std::to_string(Reply.Status) + "; try later");
+  else
+    core::fail(core::ErrorKind::Malformed, "the platform's store refused the request with status " +
+                                               std::to_string(Reply.Status) + ": " +
+                                               Reply.Body.substr(0, 200));
+}
+
+std::optional<StoredValue> toValue(StoreReply Reply) {
+  if (Reply.Status == StatusOk && Reply.Revision != 0)
+    return StoredValue{std::move(Reply.Body), Reply.Revision};
+  if (Reply.Status == StatusOk)
+    return core::fail(core::ErrorKind::Malformed,
+                      "the platform's store named no revision; check its version");
+  explain(Reply);
+  return std::nullopt;
+}
+
+VmRecord toVmRecord(const nlohmann::json &Value) {
+  VmRecord Record;
+  Record.Name = Value.at("name");
+  Record.Address = Value.at("address");
+  Record.DataCentre = Value.at("data_centre");
+  Record.State = Value.value("state", "live") == "leaving" ? VmState::Leaving : VmState::Live;
+  return Record;
+}
+
+} // namespace
+
+HttpPlatformStore::HttpPlatformStore(std::string Address) : Address_(std::move(Address)) {}
+
+std::optional<StoredValue> HttpPlatformStore::get(std::string_view Key, core::TimePoint Deadline) {
+  return toValue(callStore(Address_, "GET", "/v1/keys/" + detail::escapeKey(Key), {}, Deadline));
+}
+
+SwapOutcome HttpPlatformStore::compareAndSwap(std::string_view Key, std::string_view Value,
+                                              std::uint64_t Expected, core::TimePoint Deadline) {
+  auto Path = "/v1/keys/" + detail::escapeKey(Key) + "?expect=" + std::to_string(Expected);
+  auto Reply = callStore(Address_, "PUT", std::move(Path), Value, Deadline);
+  explain(Reply);
+  if (Reply.State == CallState::NotSent)
+    return SwapOutcome::Refused;
+  if (Reply.Status == StatusOk)
+    return SwapOutcome::Applied;
+  if (Reply.Status == StatusConflict)
+    return SwapOutcome::Conflict;
+  // A status from 500 on can come from something between here and the store, after the write.
+  if (Reply.State == CallState::NoReply || Reply.Status >= FirstServerError)
+    return SwapOutcome::Unknown;
+  return SwapOutcome::Refused;
+}
+
+bool HttpPlatformStore::remove(std::string_view Key, core::TimePoint Deadline) {
+  auto Reply =
+      callStore(Address_, "DELETE", "/v1/keys/" + detail::escapeKey(Key), {}, Deadline);
+  if (Reply.Status == StatusOk)
+    return true;
+  explain(Reply);
+  return false;
+}
+
+std::optional<StoredValue> HttpPlatformStore::watch(std::string_view Key,
+                                                    std::uint64_t AfterRevision,
+                                                    core::TimePoint Deadline) {
+  // The store replies at the wait's end; the reply needs the rest of the time to arrive.
+  constexpr auto ReplyTime = std::chrono::milliseconds(500);
+  auto WaitUntil = core::toWallClock(Deadline - ReplyTime);
+  auto Path = "/v1/watch/" + detail::escapeKey(Key) + "?after=" + std::to_string(AfterRevision) +
+              "&wait_until=" + std::to_string(WaitUntil);
+  auto Reply = callStore(Address_, "GET", std::move(Path), {}, Deadline);
+  if (Reply.Status == StatusNoContent)
+    return core::fail(core::ErrorKind::Timeout, "no change before the deadline; watch again");
+  return toValue(std::move(Reply));
+}
+
+std::optional<std::vector<VmRecord>> HttpPlatformStore::listVms(core::TimePoint Deadline) {
+  auto Reply = callStore(Address_, "GET", "/v1/vms", {}, Deadline);
+  if (Reply.Status != StatusOk) {
+    explain(Reply);
+    return std::nullopt;
+  }
+  try {
+    std::vector<VmRecord> Result;
+    for (const auto &Value : nlohmann::json::parse(Reply.Body).at("vms"))
+      Result.push_back(toVmRecord(Value));
+    return Result;
+  } catch (const nlohmann::json::exception &Error) {
+    return core::fail(core::ErrorKind::Malformed,
+                      "the platform's list of VMs does not parse, check its version: " +
+                          std::string(Error.what()));
+  }
+}
+
+} // namespace cornellift::platform
--- /dev/null
+++ b/Services/PlatformStandIn/LaggingVmList.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "Libraries/LibCore/Time.h"
+
+#include <deque>
+#include <mutex>
+#include <string>
+
+namespace cornellift::standin {
+
+/// The platform's list of VMs as JSON text. A new list shows up after the lag.
+class LaggingVmList {
+public:
+  void set(std::string ListText);
+  void setLag(core::Duration Lag);
+  std::string visible();
+
+private:
+  struct Change {
+    core::TimePoint When;
+    std::string ListText;
+  };
+
+  std::mutex Mutex_;
+  std::deque<Change> Pending_;
+  std::string Visible_ = R"({"vms":[]})";
+  core::Duration Lag_{0};
+};
+
+} // namespace cornellift::standin
--- /dev/null
+++ b/Tests/LibPlatform/TestHttpPlatformStore.cpp
@@ -0,0 +1,124 @@
+#include "Libraries/LibCore/Reason.h"
+#include "Libraries/LibPlatform/PlatformStore.h"
+#include "Services/PlatformStandIn/StandInServer.h"
+
+#include <future>
+#include <thread>
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace cornellift;
+using namespace cornellift::platform;
+using core::ErrorKind;
+
+namespace {
+
+core::TimePoint within(int Milliseconds) {
+  return core::MonotonicClock::now() + std::chrono::milliseconds(Milliseconds);
+}
+
+struct Fixture {
+  Fixture()
+      : Server(16), Port(Server.bind(0)), Serving([this] { Server.serve(); }),
+        Control("127.0.0.1", Port),
+        Store(*PlatformStoreRegistry::instance().create("http",
+                                                        "127.0.0.1:" + std::to_string(Port))) {}
+  ~Fixture() {
+    Server.stop();
+    Serving.join();
+  }
+
+  void set(const nlohmann::json &Faults) {
+    BOOST_TEST_REQUIRE(Control.Put("/control/faults", Faults.dump(), "application/json")->status ==
+                       200);
+  }
+
+  standin::StandInServer Server;
+  int Port;
+  std::thread Serving;
+  httplib::Client Control;
+  std::unique_ptr<PlatformStore> Store;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(WritesAreConditional, Fixture) {
+  BOOST_TEST(!Store->get("configuration/head", within(2000)));
+  BOOST_TEST((core::lastReason().Kind == ErrorKind::NotFound));
+  BOOST_TEST((Store->compareAndSwap("configuration/head", "one", 0, within(2000)) ==
+              SwapOutcome::Applied));
+  BOOST_TEST((Store->compareAndSwap("configuration/head", "two", 0, within(2000)) ==
+              SwapOutcome::Conflict));
+  auto Found = Store->get("configuration/head", within(2000));
+  BOOST_TEST_REQUIRE(Found.has_value());
+  BOOST_TEST(Found->Value == "one");
+  std::string Large(MaximumValueBytes, 'x');
+  BOOST_TEST((Store->compareAndSwap("configuration/head", Large, Found->Revision, within(5000)) ==
+              SwapOutcome::Applied));
+  BOOST_TEST((Store->get("configuration/head", within(5000))->Value == Large));
+  BOOST_TEST(Store->remove("configuration/head", within(2000)));
+  BOOST_TEST(!Store->remove("configuration/head", within(2000)));
+}
+
+// Guards against a lost reply that is reported as "not written".
+BOOST_FIXTURE_TEST_CASE(LostReplyIsUnknown, Fixture) {
+  set({{"swallow_writes", 1}});
+  BOOST_TEST((Store->compareAndSwap("key", "one", 0, within(2000)) == SwapOutcome::Unknown));
+  BOOST_TEST(Store->get("key", within(2000))->Value == "one");
+  set({{"down", true}});
+  BOOST_TEST((Store->compareAndSwap("key", "two", 1, within(2000)) == SwapOutcome::Unknown));
+  BOOST_TEST(!Store->get("key", within(2000)));
+  BOOST_TEST((core::lastReason().Kind == ErrorKind::Unavailable));
+  set({{"down", false}, {"slow_ms", 400}});
+  BOOST_TEST((Store->compareAndSwap("key", "two", 1, within(100)) == SwapOutcome::Unknown));
+}
+
+// Guards against "may have been written" when no connection was ever made.
+BOOST_AUTO_TEST_CASE(RefusedConnectionWritesNothing) {
+  int Port = 0;
+  {
+    standin::StandInServer Unused(2);
+    Port = Unused.bind(0);
+  }
+  auto Store =
+      *PlatformStoreRegistry::instance().create("http", "127.0.0.1:" + std::to_string(Port));
+  BOOST_TEST((Store->compareAndSwap("key", "one", 0, within(2000)) == SwapOutcome::Refused));
+  BOOST_TEST((Store->compareAndSwap("key", "one", 0, within(-1)) == SwapOutcome::Refused));
+}
+
+BOOST_FIXTURE_TEST_CASE(WatchReturnsTheChange, Fixture) {
+  BOOST_TEST(!Store->watch("key", 0, within(550)));
+  BOOST_TEST((core::lastReason().Kind == ErrorKind::Timeout));
+  auto Waiting = std::async(std::launch::async,
+                            [this] { return Store->watch("key", 0, within(10'000)); });
+  BOOST_TEST((Store->compareAndSwap("key", "one", 0, within(2000)) == SwapOutcome::Applied));
+  auto Seen = Waiting.get();
+  BOOST_TEST_REQUIRE(Seen.has_value());
+  BOOST_TEST(Seen->Value == "one");
+  BOOST_TEST(!Store->watch("key", Seen->Revision, within(550)));
+}
+
+BOOST_FIXTURE_TEST_CASE(VmListShowsAfterTheLag, Fixture) {
+  auto List = R"({"vms":[{"name":"a","address":"127.0.0.1:1","data_centre":"ikeja"},
+                         {"name":"b","address":"127.0.0.1:2","data_centre":"yaba","state":"leaving"}]})";
+  set({{"vm_lag_ms", 3'600'000}});
+  Control.Put("/control/vms", List, "application/json");
+  BOOST_TEST(Store->listVms(within(2000))->empty());
+  set({{"vm_lag_ms", 0}});
+  auto Vms = Store->listVms(within(2000));
+  BOOST_TEST_REQUIRE(Vms->size() == 2U);
+  BOOST_TEST((Vms->at(1).State == VmState::Leaving));
+}
+
+// Guards against entries of a paused holder that outlive its lease.
+BOOST_AUTO_TEST_CASE(EntriesGoWithTheirLease) {
+  standin::KeyValueTable Table;
+  auto Lapsed = Table.grantLease(core::Duration(0));
+  BOOST_TEST(!Table.renewLease(Lapsed));
+  BOOST_TEST(!Table.compareAndSwap("key", "one", 0, Lapsed));
+  auto Held = Table.grantLease(std::chrono::milliseconds(50));
+  BOOST_TEST(Table.compareAndSwap("key", "one", 0, Held)->Applied);
+  std::this_thread::sleep_for(std::chrono::milliseconds(60));
+  BOOST_TEST(!Table.get("key"));
+}
