--- a/Kernel/SlotLender.cpp
+++ b/Kernel/SlotLender.cpp
@@ -133,9 +133,8 @@
     return Now >= Item.second.Until && !Item.second.Request && Now >= Item.second.NotBefore;
   });
   std::erase_if(Borrowers_, [&](auto &Item) {
-    return std::none_of(Peers_.begin(), Peers_.end(), [&](auto &Peer) {
-      return Peer.second.Process.Value == Item.first;
-    });
+    return std::none_of(Peers_.begin(), Peers_.end(),
+                        [&](auto &Peer) { return Peer.second.Process.Value == Item.first; });
   });
   noteUse(Demand, Now);
   returnIdle(Demand, Now);
@@ -216,8 +215,8 @@
   const LenderPeer *Best = nullptr;
   for (const auto &[Name, Peer] : Peers_) {
     auto Known = Accounts_.find(Peer.Process.Value);
-    bool Pausing = Known != Accounts_.end() &&
-                   (Known->second.Request || Now < Known->second.NotBefore);
+    bool Pausing =
+        Known != Accounts_.end() && (Known->second.Request || Now < Known->second.NotBefore);
     if (Name == OwnName_ || Peer.WaitingTasks > 0 || Peer.FreeSlots == 0 || Pausing)
       continue;
     if (!Best || Peer.FreeSlots > Best->FreeSlots)
@@ -235,8 +234,7 @@
                       std::uint32_t Wanted, core::TimePoint Now, SlotActions &Out) {
   Item.Request = {++LastSequence_, Wanted, Now};
   Item.RenewAt = Now + Settings_.RenewInterval;
-  Out.emplace_back(
-      SendBorrow{Item.Owner, {Owner}, {Own_, LastSequence_, std::move(Kept), Wanted}});
+  Out.emplace_back(SendBorrow{Item.Owner, {Owner}, {Own_, LastSequence_, std::move(Kept), Wanted}});
 }
 
 void SlotLender::borrowReplied(Incarnation Owner, std::uint64_t Sequence, const BorrowReply &Reply,
--- a/Kernel/SlotLender.h
+++ b/Kernel/SlotLender.h
@@ -2,6 +2,7 @@
 
 #include "Kernel/Identifiers.h"
 #include "Kernel/MemberRecord.h"
+#include "Kernel/Scheduler.h"
 #include "Libraries/LibCore/Time.h"
 
 #include <cstdint>
@@ -32,11 +33,6 @@
   std::uint32_t FreeSlots = 0;
 };
 
-struct EndpointUse {
-  std::uint32_t Used = 0; ///< Slots with a task of this process.
-  std::uint32_t Free = 0; ///< Slots that may take a task now; zero while the endpoint is unhealthy.
-};
-
 /// What the local Scheduler has and wants.
 struct SlotDemand {
   std::uint32_t WaitingTasks = 0;
--- a/Kernel/SlotLending.cpp
+++ b/Kernel/SlotLending.cpp
@@ -26,8 +26,9 @@
   bool Known = std::any_of(Peers_.begin(), Peers_.end(),
                            [&](auto &Peer) { return Peer.second.Process == Request.Borrower; });
   if (!Known)
-    return core::fail(core::ErrorKind::NotFound,
-                      "the borrower is not a ready member here; ask again after the next heartbeat");
+    return core::fail(
+        core::ErrorKind::NotFound,
+        "the borrower is not a ready member here; ask again after the next heartbeat");
   auto &Borrower = Borrowers_[Request.Borrower.Value];
   if (Request.Sequence <= Borrower.LastSequence)
     return core::fail(core::ErrorKind::Expired, "the borrower has sent a later request; drop this");
@@ -45,7 +46,8 @@
     if (Item == Endpoints_.end() || !owns(Item->second, Now))
       continue;
     // What the borrower keeps beyond the record, as after an expiry here, is granted when idle.
-    auto Idle = std::max(Granted[Kept.Endpoint], lendable(Item->second, Kept.Endpoint, Demand, Now));
+    auto Idle =
+        std::max(Granted[Kept.Endpoint], lendable(Item->second, Kept.Endpoint, Demand, Now));
     auto Slots = std::min({Kept.Slots, Idle, Item->second.Total - lent(Item->second, Now)});
     if (Slots == 0)
       continue;
--- a/Tests/Kernel/SlotNetwork.h
+++ b/Tests/Kernel/SlotNetwork.h
@@ -100,8 +100,9 @@
   core::TimePoint Now{std::chrono::seconds(100)};
   std::map<std::string, Vm> Vms;
   /// True when the first VM holds the second one live and ready.
-  std::function<bool(const std::string &, const std::string &)> Sees =
-      [this](auto &, auto &Name) { return Vms.at(Name).Up; };
+  std::function<bool(const std::string &, const std::string &)> Sees = [this](auto &, auto &Name) {
+    return Vms.at(Name).Up;
+  };
   std::function<bool(const std::string &, const std::string &)> Lost = [](auto &, auto &) {
     return false;
   };
