--- a/Kernel/EndpointTable.cpp
+++ b/Kernel/EndpointTable.cpp
@@ -83,9 +83,8 @@
       State.Group = groupFor(Endpoint);
     }
     auto &Capacities = Groups_[State.Group].Capacities;
-    if (std::none_of(Capacities.begin(), Capacities.end(), [&](const Resources &Known) {
-          return sameResources(Known, State.Capacity);
-        }))
+    if (std::none_of(Capacities.begin(), Capacities.end(),
+                     [&](const Resources &Known) { return sameResources(Known, State.Capacity); }))
       Capacities.push_back(State.Capacity);
     refresh(State, Position);
   }
--- a/Kernel/HealthTracker.cpp
+++ b/Kernel/HealthTracker.cpp
@@ -65,8 +65,7 @@
 }
 
 double HealthTracker::failureShare(const KindRate &Rate) const {
-  double Share =
-      (Rate.Failed + PriorSamples * PriorFailureShare) / (Rate.Ended + PriorSamples);
+  double Share = (Rate.Failed + PriorSamples * PriorFailureShare) / (Rate.Ended + PriorSamples);
   return std::clamp(Share, 0.0005, 0.8);
 }
 
@@ -89,8 +88,8 @@
     Rate.Failed /= 2;
   }
   auto &State = at(Endpoint);
-  State.Score = std::max(
-      0.0, State.Score + std::log((1 - BrokenFailureShare) / (1 - failureShare(Rate))));
+  State.Score =
+      std::max(0.0, State.Score + std::log((1 - BrokenFailureShare) / (1 - failureShare(Rate))));
   if (State.Now != Stage::Trial || ++State.Successes < SuccessesPerStep)
     return;
   State.Successes = 0;
@@ -179,8 +178,7 @@
 
 void HealthTracker::answered(EndpointIndex Endpoint, core::TimePoint Now) {
   auto &State = at(Endpoint);
-  if ((State.Now != Stage::Ejected && State.Now != Stage::Unreachable) ||
-      Now < State.ReadmitAt)
+  if ((State.Now != Stage::Ejected && State.Now != Stage::Unreachable) || Now < State.ReadmitAt)
     return;
   setStage(State, Stage::Trial);
   State.Score = 0;
@@ -205,8 +203,8 @@
     if ((State.Now != Stage::Ejected && State.Now != Stage::Unreachable) || Now < State.ProbeAt)
       continue;
     // The gain of a faster answer is a few task starts; a costly message is sent less often.
-    State.ProbeAt = Now + std::chrono::duration_cast<core::Duration>(
-                              StatusTimeout * (1 + MessageCostMilliseconds));
+    State.ProbeAt = Now + std::chrono::duration_cast<core::Duration>(StatusTimeout *
+                                                                     (1 + MessageCostMilliseconds));
     return static_cast<EndpointIndex>(Position);
   }
   return std::nullopt;
--- a/Kernel/PolicyScheduler.cpp
+++ b/Kernel/PolicyScheduler.cpp
@@ -499,6 +499,14 @@
           Endpoints_.runningTasks(), Endpoints_.freeSlots()};
 }
 
+EndpointUse PolicyScheduler::use(EndpointIndex Endpoint) const {
+  if (static_cast<std::size_t>(Endpoint) >= Endpoints_.size())
+    return {};
+  const auto &State = Endpoints_.at(Endpoint);
+  auto Bound = State.usable() ? std::min(State.Slots, State.Allowed) : 0;
+  return {State.Running, Bound > State.Running ? Bound - State.Running : 0};
+}
+
 PolicyScheduler::EndpointNotes &PolicyScheduler::notes(EndpointIndex Endpoint) {
   return Notes_[static_cast<std::size_t>(Endpoint)];
 }
--- a/Kernel/PolicyScheduler.h
+++ b/Kernel/PolicyScheduler.h
@@ -46,6 +46,7 @@
   core::TimePoint askAt(TaskId Task, EndpointIndex Endpoint, core::TimePoint Now) const override;
   std::optional<EndpointIndex> nextProbe(core::TimePoint Now) override;
   SchedulerLoad load() const override;
+  EndpointUse use(EndpointIndex Endpoint) const override;
 
   /// For reports and tests.
   const EndpointTable &endpoints() const { return Endpoints_; }
--- a/Kernel/RunTimeEstimator.cpp
+++ b/Kernel/RunTimeEstimator.cpp
@@ -78,8 +78,7 @@
   double Seconds = core::toMilliseconds(Now - Kind.LastDecay) / 1000;
   Kind.LastDecay = Now;
   double Factor = std::exp2(-std::max(0.0, Seconds) / HalfLifeSeconds_);
-  for (double *Sum :
-       {&Kind.Weight, &Kind.SumX, &Kind.SumY, &Kind.SumXX, &Kind.SumXY, &Kind.SumYY})
+  for (double *Sum : {&Kind.Weight, &Kind.SumX, &Kind.SumY, &Kind.SumXX, &Kind.SumXY, &Kind.SumYY})
     *Sum *= Factor;
 }
 
--- a/Kernel/Scheduler.h
+++ b/Kernel/Scheduler.h
@@ -25,6 +25,12 @@
   std::uint32_t FreeSlots = 0; ///< On endpoints that are live, reachable and not ejected.
 };
 
+/// Use of one endpoint by this process.
+struct EndpointUse {
+  std::uint32_t Used = 0; ///< Slots with a task.
+  std::uint32_t Free = 0; ///< Slots that may take a task now; zero while the endpoint is unusable.
+};
+
 /// Decides which jobs are accepted, which task goes next, and where. The Dispatcher owns the rules
 /// of what may start; the Scheduler only chooses among waiting tasks and free slots.
 class Scheduler {
@@ -74,6 +80,9 @@
   virtual std::optional<EndpointIndex> nextProbe(core::TimePoint Now) = 0;
 
   virtual SchedulerLoad load() const = 0;
+
+  /// Decides which slots may be lent to peers. A scheduler that does not say lends none.
+  virtual EndpointUse use(EndpointIndex /*Endpoint*/) const { return {}; }
 };
 
 } // namespace cornellift::kernel
--- a/Kernel/SizeEstimator.cpp
+++ b/Kernel/SizeEstimator.cpp
@@ -51,11 +51,11 @@
             Declared.MemoryMegabytes > 0 ? Declared.MemoryMegabytes
                                          : Known->Configured.MemoryMegabytes,
             Declared.Accelerators > 0 ? Declared.Accelerators : Known->Configured.Accelerators};
-  return {smallerOf(Declared.Processors, upperBound(Known->Mean.Processors,
-                                                    Known->Square.Processors)),
-          smallerOf(Declared.MemoryMegabytes,
-                    upperBound(Known->Mean.MemoryMegabytes, Known->Square.MemoryMegabytes)),
-          Declared.Accelerators};
+  return {
+      smallerOf(Declared.Processors, upperBound(Known->Mean.Processors, Known->Square.Processors)),
+      smallerOf(Declared.MemoryMegabytes,
+                upperBound(Known->Mean.MemoryMegabytes, Known->Square.MemoryMegabytes)),
+      Declared.Accelerators};
 }
 
 void SizeEstimator::learn(ServiceIndex Service, KindIndex Kind, const Resources &Used) {
--- a/Kernel/WaitingJobs.cpp
+++ b/Kernel/WaitingJobs.cpp
@@ -134,9 +134,8 @@
   }
   auto Chosen = std::min(Limit, Count);
   auto *First = Heads.data();
-  std::partial_sort(First, First + Chosen, First + Count, [](const auto &Left, const auto &Right) {
-    return Left.first < Right.first;
-  });
+  std::partial_sort(First, First + Chosen, First + Count,
+                    [](const auto &Left, const auto &Right) { return Left.first < Right.first; });
   for (std::size_t Position = 0; Position < Chosen; ++Position)
     Result.push_back(Heads[Position].second);
   if (Count <= Chosen)
