LibConfiguration: Apply patches as versions with audit records

The swap of the head is the only commit point. A patch whose reply was lost is recognised by its patch id, in the head or in the audit record of its version, also under later versions. While the store does not tell, the outcome is MayHaveBeenApplied, also when the head cannot be read: an earlier attempt may have been made elsewhere.

--- /dev/null
+++ b/Libraries/LibConfiguration/VersionStore.cpp
@@ -0,0 +1,210 @@
+#include "Libraries/LibConfiguration/VersionStore.h"
+
+#include "Libraries/LibConfiguration/MergePatch.h"
+#include "Libraries/LibConfiguration/StrictJson.h"
+
+#include <utility>
+
+namespace cornellift::configuration {
+namespace {
+
+using core::ErrorKind;
+using nlohmann::json;
+using platform::SwapOutcome;
+
+/// Each attempt either ends or shows that the head has moved, after which the next one ends; the
+/// third is for a write whose reply was lost and that took effect late.
+constexpr int MaximumAttempts = 3;
+
+std::string recordKey(std::uint64_t Version) { return "audit/" + std::to_string(Version); }
+
+ChangeOutcome rejected(std::uint64_t InForce, core::Reason Why) {
+  return Rejected{InForce, std::move(Why)};
+}
+
+ChangeOutcome unknown() { return MayHaveBeenApplied{core::lastReason()}; }
+
+ChangeOutcome rejectedForVersion(std::uint64_t Base, std::uint64_t InForce) {
+  return rejected(InForce,
+                  {ErrorKind::Conflict,
+                   "the patch is against version " + std::to_string(Base) + ", but version " +
+                       std::to_string(InForce) +
+                       " is in force; read it, adapt the patch and send it with a new patch id"});
+}
+
+ChangeOutcome rejectedForPatchId(std::uint64_t Version, std::uint64_t InForce) {
+  return rejected(InForce, {ErrorKind::Conflict, "the patch id belongs to the change that made "
+                                                 "version " +
+                                                     std::to_string(Version) +
+                                                     "; send this one with a new patch id"});
+}
+
+bool isSameChange(const ChangeRequest &Request, const Change &Record) {
+  // The record of version 1 leaves out the patch, which is the document.
+  bool SamePatch = Record.Version == 1 || Record.Patch == Request.Patch;
+  return SamePatch && Record.Who == Request.Who;
+}
+
+} // namespace
+
+VersionStore::VersionStore(platform::PlatformStore &Store, ExtraCheck Check,
+                           std::uint64_t Retention)
+    : Store_(Store), Check_(std::move(Check)), Retention_(Retention) {}
+
+std::optional<VersionStore::StoredHead> VersionStore::readHead(core::TimePoint Deadline) {
+  auto Stored = Store_.get(HeadKey, Deadline);
+  if (!Stored)
+    return std::nullopt;
+  auto Content = Head::parse(Stored->Value);
+  if (!Content)
+    return std::nullopt;
+  return StoredHead{std::move(*Content), Stored->Revision};
+}
+
+ChangeOutcome VersionStore::apply(const ChangeRequest &Request, core::TimePoint Deadline) {
+  for (int Attempt = 0; Attempt < MaximumAttempts; ++Attempt) {
+    auto Stored = readHead(Deadline);
+    // An earlier attempt may have been made elsewhere, so this is not "rejected".
+    if (!Stored && core::lastReason().Kind != ErrorKind::NotFound)
+      return unknown();
+    const auto *Now = Stored ? &*Stored : nullptr;
+    if (auto Known = recognise(Request, Now, Deadline))
+      return *Known;
+    auto Next = makeNext(Request, Now);
+    if (!Next)
+      return rejected(Request.BaseVersion, core::lastReason());
+    if (Now && !keepRecord(Now->Content.Latest, Deadline))
+      return unknown();
+    auto Outcome = Store_.compareAndSwap(HeadKey, Next->text(), Now ? Now->Revision : 0, Deadline);
+    if (Outcome == SwapOutcome::Applied) {
+      dropOldRecord(Next->Version, Deadline);
+      return Applied{Next->Version};
+    }
+    // Another attempt of the same patch, whose reply was lost, can still take effect.
+    if (Outcome == SwapOutcome::Refused)
+      return unknown();
+  }
+  core::fail(ErrorKind::Timeout, "no reply from the platform's store to the write; send the same "
+                                 "patch with the same patch id again");
+  return unknown();
+}
+
+/// Returns the outcome of a request that cannot make the next version any more: it did already, or
+/// another one did.
+std::optional<ChangeOutcome> VersionStore::recognise(const ChangeRequest &Request,
+                                                     const StoredHead *Now,
+                                                     core::TimePoint Deadline) {
+  std::uint64_t InForce = Now ? Now->Content.Version : 0;
+  if (Request.BaseVersion > InForce)
+    return rejectedForVersion(Request.BaseVersion, InForce);
+  if (Request.BaseVersion == InForce) {
+    if (Now && Now->Content.Latest.PatchId == Request.PatchId)
+      return rejectedForPatchId(InForce, InForce);
+    return std::nullopt;
+  }
+  auto Made = Request.BaseVersion + 1;
+  auto Record = Made == InForce ? Now->Content.Latest : readRecord(Made, Deadline);
+  if (!Record && core::lastReason().Kind == ErrorKind::NotFound)
+    core::fail(ErrorKind::Expired, "the audit record of version " + std::to_string(Made) +
+                                       " is no longer kept; compare the configuration yourself");
+  if (!Record)
+    return unknown();
+  if (Record->PatchId != Request.PatchId)
+    return rejectedForVersion(Request.BaseVersion, InForce);
+  if (!isSameChange(Request, *Record))
+    return rejectedForPatchId(Made, InForce);
+  return Applied{Made};
+}
+
+/// Builds the head that the request leads to. Sets the last reason when the result is not valid.
+std::optional<Head> VersionStore::makeNext(const ChangeRequest &Request,
+                                           const StoredHead *Now) const {
+  auto Before = Now ? Now->Content.Content.json() : json::object();
+  auto Content = Document::fromJson(applyMergePatch(Before, Request.Patch));
+  if (!Content || (Check_ && !Check_(*Content)))
+    return std::nullopt;
+  Change Latest;
+  Latest.Version = Request.BaseVersion + 1;
+  Latest.PatchId = Request.PatchId;
+  Latest.Who = Request.Who;
+  Latest.Why = Request.Why;
+  Latest.WhenMilliseconds = core::wallClockMilliseconds();
+  if (Now) {
+    Latest.Patch = Request.Patch;
+    Latest.Inverse = mergeDifference(Content->json(), Before);
+  }
+  Head Next{Latest.Version, std::move(*Content), std::move(Latest)};
+  if (Next.text().size() > platform::MaximumValueBytes)
+    return core::fail(ErrorKind::TooLarge, "the document and the change, which is kept with its "
+                                           "inverse, exceed 1 MB; split the change");
+  return Next;
+}
+
+bool VersionStore::keepRecord(const Change &Record, core::TimePoint Deadline) {
+  auto Key = recordKey(Record.Version);
+  auto Outcome = Store_.compareAndSwap(Key, toJson(Record).dump(), 0, Deadline);
+  // Every process copies the same record, so one that exists is as good.
+  if (Outcome == SwapOutcome::Applied || Outcome == SwapOutcome::Conflict)
+    return true;
+  return Outcome == SwapOutcome::Unknown && Store_.get(Key, Deadline).has_value();
+}
+
+void VersionStore::dropOldRecord(std::uint64_t NewVersion, core::TimePoint Deadline) {
+  // A record that is left over because this fails takes room and does no harm.
+  if (NewVersion > Retention_)
+    Store_.remove(recordKey(NewVersion - Retention_), Deadline);
+}
+
+std::optional<Change> VersionStore::readRecord(std::uint64_t Version, core::TimePoint Deadline) {
+  auto Stored = Store_.get(recordKey(Version), Deadline);
+  if (!Stored)
+    return std::nullopt;
+  auto Value = parseStrictJson(Stored->Value, platform::MaximumValueBytes);
+  if (!Value)
+    return std::nullopt;
+  return changeFromJson(*Value);
+}
+
+std::optional<Change> VersionStore::readChange(std::uint64_t Version, core::TimePoint Deadline) {
+  // The record of the version in force is copied to its own key only when the next one is made.
+  auto Record = readRecord(Version, Deadline);
+  if (Record || core::lastReason().Kind != ErrorKind::NotFound)
+    return Record;
+  auto Now = readHead(Deadline);
+  if (!Now)
+    return std::nullopt;
+  if (Now->Content.Version == Version)
+    return std::move(Now->Content.Latest);
+  // The next version may have been made since the first read, and the record copied.
+  if (Now->Content.Version > Version)
+    return readRecord(Version, Deadline);
+  return core::fail(ErrorKind::NotFound, "there is no audit record of version " +
+                                             std::to_string(Version) + "; version " +
+                                             std::to_string(Now->Content.Version) + " is in force");
+}
+
+std::optional<json> VersionStore::documentAt(std::uint64_t Version, core::TimePoint Deadline) {
+  auto Now = readHead(Deadline);
+  if (!Now)
+    return std::nullopt;
+  auto InForce = Now->Content.Version;
+  if (Version == 0 || Version > InForce)
+    return core::fail(ErrorKind::NotFound, "there is no version " + std::to_string(Version) +
+                                               "; version " + std::to_string(InForce) +
+                                               " is in force");
+  if (InForce - Version > MaximumVersionsBack)
+    return core::fail(ErrorKind::TooLarge, "ask for one of the last " +
+                                               std::to_string(MaximumVersionsBack) + " versions");
+  auto Result = Now->Content.Content.json();
+  auto Record = std::optional(Now->Content.Latest);
+  for (auto Back = InForce; Back > Version; --Back) {
+    if (Back != InForce)
+      Record = readRecord(Back, Deadline);
+    if (!Record)
+      return std::nullopt;
+    Result = applyMergePatch(std::move(Result), Record->Inverse);
+  }
+  return Result;
+}
+
+} // namespace cornellift::configuration
--- /dev/null
+++ b/Tests/LibConfiguration/TestVersionStore.cpp
@@ -0,0 +1,208 @@
+#include "Libraries/LibConfiguration/VersionStore.h"
+#include "Tests/LibConfiguration/FakeStore.h"
+
+#include <thread>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornellift;
+using namespace cornellift::configuration;
+using core::ErrorKind;
+using nlohmann::json;
+using tests::FakeStore;
+
+namespace {
+
+core::TimePoint soon() { return core::MonotonicClock::now() + std::chrono::seconds(10); }
+
+/// A patch that sets the quota of a team, so that each one leaves a mark in the document.
+ChangeRequest quotaPatch(std::uint64_t Base, std::string PatchId, double Share,
+                         std::string Who = "ada", std::string Team = "counter") {
+  return {Base,
+          std::move(PatchId),
+          std::move(Who),
+          "more reprints",
+          {{"teams", {{std::move(Team), {{"quota_share", Share}}}}}}};
+}
+
+struct Fixture {
+  Fixture() {
+    ChangeRequest Seed{
+        0, "seed", "ada", "first version",
+        json::parse(R"({"services": {}, "teams": {"counter": {}}, "endpoints": {}})")};
+    BOOST_TEST_REQUIRE(appliedVersion(Versions.apply(Seed, soon())) == 1U);
+  }
+
+  static std::uint64_t appliedVersion(const ChangeOutcome &Outcome) {
+    const auto *Made = std::get_if<Applied>(&Outcome);
+    return Made ? Made->Version : 0;
+  }
+
+  std::uint64_t apply(const ChangeRequest &Request) {
+    return appliedVersion(Versions.apply(Request, soon()));
+  }
+
+  json team(const std::string &Name) {
+    return Versions.readHead(soon())->Content.Content.json()["teams"][Name];
+  }
+
+  FakeStore Store;
+  VersionStore Versions{Store};
+};
+
+bool isHead(std::string_view Key) { return Key == HeadKey; }
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(PatchMakesTheNextVersionWithItsRecord, Fixture) {
+  BOOST_TEST(apply(quotaPatch(1, "p1", 5)) == 2U);
+  BOOST_TEST(team("counter")["quota_share"] == 5);
+  auto Record = Versions.readChange(2, soon());
+  BOOST_TEST_REQUIRE(Record.has_value());
+  BOOST_TEST((Record->Who == "ada" && Record->Why == "more reprints" && Record->PatchId == "p1"));
+  BOOST_TEST(Record->WhenMilliseconds > 0);
+  BOOST_TEST(apply({2, "undo", "ada", "as before", Record->Inverse}) == 3U);
+  BOOST_TEST(team("counter") == json::object());
+  BOOST_TEST((*Versions.documentAt(2, soon()))["teams"]["counter"]["quota_share"] == 5);
+  BOOST_TEST((*Versions.documentAt(1, soon()))["teams"]["counter"] == json::object());
+  BOOST_TEST(!Versions.documentAt(4, soon()));
+}
+
+// Guards against a patch that is applied twice, or reported as rejected, after a lost reply.
+BOOST_FIXTURE_TEST_CASE(OwnPatchIsRecognisedUnderLaterVersions, Fixture) {
+  Store.LoseReply = [this](std::string_view Key) {
+    if (!isHead(Key))
+      return false;
+    Store.LoseReply = nullptr;
+    for (std::uint64_t Base = 2; Base < 5; ++Base)
+      BOOST_TEST(apply(quotaPatch(Base, "later" + std::to_string(Base), 9, "bola")) == Base + 1);
+    return true;
+  };
+  auto Patch = quotaPatch(1, "mine", 5);
+  BOOST_TEST(apply(Patch) == 2U);
+  BOOST_TEST(apply(Patch) == 2U);
+  BOOST_TEST(Versions.readHead(soon())->Content.Version == 5U);
+  BOOST_TEST(team("counter")["quota_share"] == 9);
+}
+
+// Guards against "applied" for the patch of another that happens to have the same id.
+BOOST_FIXTURE_TEST_CASE(UsedPatchIdIsRejectedForOtherPatches, Fixture) {
+  BOOST_TEST(apply(quotaPatch(1, "p", 5)) == 2U);
+  for (const auto &Other :
+       {quotaPatch(1, "p", 6), quotaPatch(1, "p", 5, "bola"), quotaPatch(2, "p", 5)}) {
+    auto Outcome = Versions.apply(Other, soon());
+    BOOST_TEST_REQUIRE(std::holds_alternative<Rejected>(Outcome));
+    BOOST_TEST(std::get<Rejected>(Outcome).VersionInForce == 2U);
+  }
+}
+
+// Guards against a stale process that writes over the versions made while it was paused.
+BOOST_FIXTURE_TEST_CASE(StaleProcessIsRejected, Fixture) {
+  Store.BeforeSwap = [this](std::string_view) {
+    BOOST_TEST(apply(quotaPatch(1, "quick1", 2, "bola")) == 2U);
+    BOOST_TEST(apply(quotaPatch(2, "quick2", 3, "bola")) == 3U);
+  };
+  auto Patch = quotaPatch(1, "paused", 7);
+  for (int Attempt = 0; Attempt < 2; ++Attempt) {
+    auto Outcome = Versions.apply(Patch, soon());
+    BOOST_TEST_REQUIRE(std::holds_alternative<Rejected>(Outcome));
+    BOOST_TEST(std::get<Rejected>(Outcome).VersionInForce == 3U);
+    BOOST_TEST((std::get<Rejected>(Outcome).Why.Kind == ErrorKind::Conflict));
+  }
+  BOOST_TEST(team("counter")["quota_share"] == 3);
+}
+
+// Guards against a lost update: of the patches against one version exactly one is applied.
+BOOST_FIXTURE_TEST_CASE(OneOfTheRacingOperatorsWins, Fixture) {
+  constexpr int Rounds = 25;
+  constexpr int Operators = 4;
+  for (std::uint64_t Base = 1; Base <= Rounds; ++Base) {
+    std::atomic<int> Wins{0};
+    std::vector<std::thread> Threads;
+    for (int Operator = 0; Operator < Operators; ++Operator)
+      Threads.emplace_back([&, Operator] {
+        auto Id = "o" + std::to_string(Operator) + "-" + std::to_string(Base);
+        if (apply(quotaPatch(Base, Id, Operator + 1)) == Base + 1)
+          ++Wins;
+      });
+    for (auto &Thread : Threads)
+      Thread.join();
+    BOOST_TEST_REQUIRE(Wins == 1);
+  }
+  for (std::uint64_t Version = 1; Version <= Rounds + 1; ++Version)
+    BOOST_TEST(Versions.readChange(Version, soon()).has_value());
+}
+
+// Guards against "rejected" when the store cannot say, and against a half-done change in the way.
+BOOST_FIXTURE_TEST_CASE(StoreFailureBeforeTheSwapIsResolvedByARetry, Fixture) {
+  Store.LoseReply = [this](std::string_view Key) {
+    Store.Down = !isHead(Key);
+    return Store.Down.load();
+  };
+  auto Patch = quotaPatch(1, "p", 5);
+  BOOST_TEST(std::holds_alternative<MayHaveBeenApplied>(Versions.apply(Patch, soon())));
+  BOOST_TEST(std::holds_alternative<MayHaveBeenApplied>(Versions.apply(Patch, soon())));
+  Store.Down = false;
+  Store.LoseReply = nullptr;
+  BOOST_TEST(Versions.readHead(soon())->Content.Version == 1U);
+  BOOST_TEST(apply(Patch) == 2U);
+}
+
+// Guards against a reply lost together with the store: the write took effect before the outage.
+BOOST_FIXTURE_TEST_CASE(StoreFailureAfterTheSwapIsResolvedByARetry, Fixture) {
+  Store.LoseReply = [this](std::string_view Key) {
+    Store.Down = isHead(Key);
+    return Store.Down.load();
+  };
+  auto Patch = quotaPatch(1, "p", 5);
+  BOOST_TEST(std::holds_alternative<MayHaveBeenApplied>(Versions.apply(Patch, soon())));
+  Store.Down = false;
+  Store.LoseReply = nullptr;
+  BOOST_TEST(apply(Patch) == 2U);
+  BOOST_TEST(Versions.readHead(soon())->Content.Version == 2U);
+}
+
+// Guards against records that pile up, and against a definite answer that nothing supports.
+BOOST_FIXTURE_TEST_CASE(OldRecordsAreDropped, Fixture) {
+  constexpr std::uint64_t Retention = 3;
+  VersionStore Short(Store, {}, Retention);
+  for (std::uint64_t Base = 1; Base < 8; ++Base)
+    BOOST_TEST_REQUIRE(Fixture::appliedVersion(Short.apply(
+                           quotaPatch(Base, "p" + std::to_string(Base), 5), soon())) == Base + 1);
+  BOOST_TEST(Short.readChange(8, soon()).has_value());
+  BOOST_TEST(Short.readChange(6, soon()).has_value());
+  BOOST_TEST(!Short.readChange(5, soon()));
+  BOOST_TEST(
+      std::holds_alternative<MayHaveBeenApplied>(Short.apply(quotaPatch(1, "p1", 5), soon())));
+}
+
+// Guards against a version in force that no process can load, or that the store cannot take.
+BOOST_FIXTURE_TEST_CASE(InvalidResultIsRejected, Fixture) {
+  json Huge = json::object();
+  for (int Index = 0; Index < 1400; ++Index)
+    Huge["team-" + std::string(40, 'x') + std::to_string(Index)] = json::object();
+  for (const json &Patch : {json{{"teams", {{"counter", {{"quota_share", -1}}}}}},
+                            json{{"services", nullptr}}, json{{"teams", Huge}}}) {
+    auto Outcome = Versions.apply({1, "p", "ada", "wrong", Patch}, soon());
+    BOOST_TEST_REQUIRE(std::holds_alternative<Rejected>(Outcome));
+    BOOST_TEST(std::get<Rejected>(Outcome).VersionInForce == 1U);
+  }
+  BOOST_TEST(Versions.readHead(soon())->Content.Version == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(RequestBoundsHold) {
+  auto Text = [](const json &Change) {
+    json Request = {
+        {"base_version", 1}, {"patch_id", "p"}, {"why", "w"}, {"patch", json::object()}};
+    Request.update(Change);
+    return Request.dump();
+  };
+  BOOST_TEST(ChangeRequest::parse(Text(json::object()), "ada").has_value());
+  for (const json &Bad :
+       {json{{"base_version", -1}}, json{{"patch_id", "a b"}}, json{{"patch_id", 5}},
+        json{{"why", ""}}, json{{"why", std::string(1001, 'w')}}, json{{"patch", 1}},
+        json{{"colour", 1}}, json{{"patch", {{"teams", std::string(70'000, 'x')}}}}})
+    BOOST_TEST(!ChangeRequest::parse(Text(Bad), "ada"), Bad.dump().substr(0, 60));
+  BOOST_TEST((core::lastReason().Kind == ErrorKind::TooLarge));
+}
