Kernel: Dispatch jobs through a scheduler

The Dispatcher opens sessions, accepts jobs, starts their tasks where the scheduler says and answers with the complete outcome.

Events and actions about a started task carry the number of the attempt. Without it, a late refusal of an earlier attempt on the same endpoint would be taken for the refusal of a running one, and the task would start twice.

--- a/Kernel/Action.h
+++ b/Kernel/Action.h
@@ -39,8 +39,11 @@
   std::variant<StartRefused, TaskEnded, TaskReported> Content;
 };
 
+/// Answer to TransferReceived and TransferSealed.
+enum class TransferReply { Accepted, Rejected };
+
 using Response = std::variant<IdentifierBlock, JobStatus, std::shared_ptr<const Outcome>,
-                              WrongIssuer, DelegatedReply>;
+                              WrongIssuer, DelegatedReply, TransferReply>;
 
 /// Answers a request. Each request gets one response.
 struct Respond {
@@ -60,18 +63,22 @@
   std::uint32_t PayloadIndex = 0;
   std::uint32_t TaskCount =
       1; ///< Of the whole job, so that the endpoint's records show whether it is whole.
+  /// Number of this start, unique in the process. The events that answer the start carry it.
+  std::uint32_t Attempt = 0;
 };
 
 /// Asks about a running task on a connection other than its own.
 struct AskTask {
   TaskId Task;
   EndpointIndex Endpoint{};
+  std::uint32_t Attempt = 0; ///< Of the start that is meant; the answer carries it.
 };
 
 /// Makes the endpoint refuse the task from now on, unless it has started already.
 struct FenceTask {
   TaskId Task;
   EndpointIndex Endpoint{};
+  std::uint32_t Attempt = 0; ///< Of the start that is meant; the answer carries it.
 };
 
 /// Asks for the endpoint's status without starting a task.
@@ -86,7 +93,26 @@
   core::TimePoint ExpectedEnd;
 };
 
-using Action = std::variant<Respond, StartTask, AskTask, FenceTask, ProbeEndpoint, FlagLate>;
+/// Sends one part to its receiver. Parts that come before SealTransfer are staged there; parts that
+/// come after TransferConfirmed hold outcomes of jobs that this process finished itself.
+struct SendTransferPart {
+  std::shared_ptr<const TransferPart> Part;
+};
+
+/// Sends the seal call, which puts the staged parts in force at the receiver. The call may be
+/// repeated with the same receiver until a reply comes.
+struct SealTransfer {
+  Incarnation Receiver;
+  std::uint32_t Transfer = 0;
+  std::uint32_t PartCount = 0;
+};
+
+/// After StopRequested: no job, request or delegated task is left here. Sent again when that is
+/// the case once more.
+struct Drained {};
+
+using Action = std::variant<Respond, StartTask, AskTask, FenceTask, ProbeEndpoint, FlagLate,
+                            SendTransferPart, SealTransfer, Drained>;
 
 /// Receives the kernel's actions in order.
 class ActionSink {
--- /dev/null
+++ b/Kernel/DelegatedRules.cpp
@@ -0,0 +1,113 @@
+#include "Kernel/DispatcherState.h"
+
+namespace cornellift::kernel {
+namespace {
+
+/// Time until the first status question about a delegated task, of which the scheduler may have no
+/// estimate yet.
+constexpr core::Duration AskInterval = std::chrono::milliseconds(250);
+
+} // namespace
+
+auto Dispatcher::State::on(StartDelegated &Next) -> Starts {
+  if (const auto *Known = Delegated_.find(Next.Task)) {
+    if (Known->Now == DelegatedTask::State::Running)
+      Delegated_.attach(Next.Request, Next.Task);
+    else
+      respondDelegated(Next.Request, Next.Task, *Known, DelegatedCall::Start);
+    return Starts::Unchanged;
+  }
+  if (Delegated_.mayHaveForgotten(Next.Task) || Running_.contains(Next.Task)) {
+    respond(Next.Request, DelegatedReply{StartRefused{Next.Task, {}, StartRefusal::Fenced}});
+    return Starts::Unchanged;
+  }
+  if (Delegated_.full()) {
+    // Without a record the refusal could not be kept up, so the sequence counts as forgotten.
+    Delegated_.forget(Next.Task);
+    respond(Next.Request, DelegatedReply{StartRefused{Next.Task, {}, StartRefusal::NoSlot}});
+    return Starts::Unchanged;
+  }
+  if (Life_ == Life::Stopping)
+    return refuseDelegated(Next, StartRefusal::Leaving);
+  auto Endpoint =
+      Policy_->placeDelegated(Next.Task, Next.Service, Next.Kind, Next.Team, Next.Spec, Now_);
+  if (!Endpoint)
+    return refuseDelegated(Next, StartRefusal::NoSlot);
+  Delegated_.add(Next.Task, {});
+  Delegated_.attach(Next.Request, Next.Task);
+  ++Counters_.StartedTasks;
+  RunningTask Started;
+  Started.Endpoint = *Endpoint;
+  Started.Attempt = ++LastAttempt_;
+  Started.For = RunningTask::Owner::Delegated;
+  Started.AskInterval = AskInterval;
+  Started.DueAt = Policy_->askAt(Next.Task, *Endpoint, Now_);
+  Running_.add(Next.Task, Started);
+  emit(StartTask{Next.Task, *Endpoint, Next.Service, Next.Kind, Next.Team, Next.Spec,
+                 std::move(Next.Payload), 0, Next.TaskCount, Started.Attempt});
+  return Starts::Unchanged;
+}
+
+auto Dispatcher::State::refuseDelegated(const StartDelegated &Next, StartRefusal Cause) -> Starts {
+  DelegatedTask Record;
+  Record.Now = DelegatedTask::State::Refused;
+  Record.Cause = Cause;
+  Delegated_.add(Next.Task, std::move(Record));
+  Delegated_.noteEnd(Next.Task, Now_);
+  respond(Next.Request, DelegatedReply{StartRefused{Next.Task, {}, Cause}});
+  return Starts::Unchanged;
+}
+
+auto Dispatcher::State::on(AskDelegated &Next) -> Starts {
+  if (const auto *Known = Delegated_.find(Next.Task)) {
+    respondDelegated(Next.Request, Next.Task, *Known, DelegatedCall::Ask);
+    return Starts::Unchanged;
+  }
+  // Without a record a fence holds only when none can have been dropped.
+  bool Fenceable = Next.Purpose == AskDelegated::Wish::Fence && !Delegated_.full() &&
+                   !Delegated_.mayHaveForgotten(Next.Task) && !Running_.contains(Next.Task);
+  if (!Fenceable) {
+    respond(Next.Request, DelegatedReply{TaskReported{Next.Task, {}, TaskReport::Unknown}});
+    return Starts::Unchanged;
+  }
+  DelegatedTask Record;
+  Record.Now = DelegatedTask::State::Refused;
+  Record.Cause = StartRefusal::Fenced;
+  respondDelegated(Next.Request, Next.Task, Delegated_.add(Next.Task, std::move(Record)),
+                   DelegatedCall::Ask);
+  Delegated_.noteEnd(Next.Task, Now_);
+  return Starts::Unchanged;
+}
+
+void Dispatcher::State::respondDelegated(RequestId Request, TaskId Task,
+                                         const DelegatedTask &Record, DelegatedCall Call) {
+  switch (Record.Now) {
+  case DelegatedTask::State::Running:
+    respond(Request, DelegatedReply{TaskReported{Task, {}, TaskReport::Running}});
+    return;
+  case DelegatedTask::State::Ended:
+    respond(Request, DelegatedReply{*Record.Ended});
+    return;
+  case DelegatedTask::State::Lost:
+    respond(Request, DelegatedReply{TaskReported{Task, {}, TaskReport::Unknown}});
+    return;
+  case DelegatedTask::State::Refused:
+    if (Call == DelegatedCall::Start)
+      respond(Request, DelegatedReply{StartRefused{Task, {}, Record.Cause}});
+    else
+      respond(Request, DelegatedReply{TaskReported{Task, {}, TaskReport::NotStartedAndFenced}});
+  }
+}
+
+void Dispatcher::State::endDelegated(TaskId Task, DelegatedTask::State End,
+                                     std::shared_ptr<const TaskEnded> Ended, StartRefusal Cause) {
+  auto &Record = *Delegated_.find(Task);
+  Record.Now = End;
+  Record.Ended = std::move(Ended);
+  Record.Cause = Cause;
+  Delegated_.noteEnd(Task, Now_);
+  for (auto Request : Delegated_.takeWaiters(Task))
+    respondDelegated(Request, Task, Record, DelegatedCall::Start);
+}
+
+} // namespace cornellift::kernel
--- /dev/null
+++ b/Kernel/DelegatedTable.cpp
@@ -0,0 +1,70 @@
+#include "Kernel/DelegatedTable.h"
+
+#include <algorithm>
+
+namespace cornellift::kernel {
+namespace {
+
+std::uint64_t resultBytes(const DelegatedTask &Record) {
+  return Record.Ended && Record.Ended->Result ? Record.Ended->Result->size() : 0;
+}
+
+} // namespace
+
+DelegatedTask *DelegatedTable::find(TaskId Task) {
+  auto Found = Tasks_.find(Task);
+  return Found == Tasks_.end() ? nullptr : &Found->second;
+}
+
+bool DelegatedTable::mayHaveForgotten(TaskId Task) const {
+  auto Found = HighestForgotten_.find(Task.Job.Issuer);
+  return Found != HighestForgotten_.end() && Task.Job.Sequence <= Found->second;
+}
+
+void DelegatedTable::forget(TaskId Task) {
+  auto &Highest = HighestForgotten_[Task.Job.Issuer];
+  Highest = std::max(Highest, Task.Job.Sequence);
+}
+
+DelegatedTask &DelegatedTable::add(TaskId Task, DelegatedTask Record) {
+  return Tasks_.insert_or_assign(Task, std::move(Record)).first->second;
+}
+
+void DelegatedTable::noteEnd(TaskId Task, core::TimePoint Now) {
+  ResultBytes_ += resultBytes(Tasks_.at(Task));
+  EndOrder_.emplace_back(Now, Task);
+}
+
+void DelegatedTable::attach(RequestId Request, TaskId Task) {
+  Requests_.emplace(Request, Task);
+  Tasks_.at(Task).Waiters.push_back(Request);
+}
+
+void DelegatedTable::abandon(RequestId Request) {
+  auto Found = Requests_.find(Request);
+  if (Found == Requests_.end())
+    return;
+  std::erase(Tasks_.at(Found->second).Waiters, Request);
+  Requests_.erase(Found);
+}
+
+std::vector<RequestId> DelegatedTable::takeWaiters(TaskId Task) {
+  auto Waiters = std::exchange(Tasks_.at(Task).Waiters, {});
+  for (auto Request : Waiters)
+    Requests_.erase(Request);
+  return Waiters;
+}
+
+void DelegatedTable::evict(core::TimePoint Now) {
+  while (!EndOrder_.empty() &&
+         (EndOrder_.front().first + Retention < Now || Tasks_.size() > MaximumRecords ||
+          ResultBytes_ > MaximumResultBytes)) {
+    auto Task = EndOrder_.front().second;
+    ResultBytes_ -= resultBytes(Tasks_.at(Task));
+    forget(Task);
+    Tasks_.erase(Task);
+    EndOrder_.pop_front();
+  }
+}
+
+} // namespace cornellift::kernel
--- a/Kernel/Dispatcher.h
+++ b/Kernel/Dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Kernel/Action.h"
+#include "Kernel/DispatcherCounters.h"
 #include "Kernel/Event.h"
 #include "Kernel/Scheduler.h"
 
@@ -16,11 +17,14 @@
   /// Own is drawn at random by the process when it starts.
   Dispatcher(Incarnation Own, std::unique_ptr<Scheduler> Policy);
   ~Dispatcher();
+  Dispatcher(const Dispatcher &) = delete;
+  Dispatcher &operator=(const Dispatcher &) = delete;
 
   /// Handles one event and emits the actions that follow from it.
   void handle(Event Next, core::TimePoint Now, ActionSink &Sink);
 
   const Scheduler &scheduler() const;
+  DispatcherCounters counters() const;
 
 private:
   class State;
--- /dev/null
+++ b/Kernel/DispatcherState.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include "Kernel/DelegatedTable.h"
+#include "Kernel/Dispatcher.h"
+#include "Kernel/IdentifierIssuer.h"
+#include "Kernel/JobTable.h"
+#include "Kernel/OutcomeStore.h"
+#include "Kernel/RequestTable.h"
+#include "Kernel/RunningTasks.h"
+#include "Kernel/TransferStaging.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cornellift::kernel {
+
+/// The rules. The members are split over JobRules.cpp (submissions, requests, ends of jobs),
+/// TaskRules.cpp (starts and what is learned of them), DelegatedRules.cpp and TransferRules.cpp.
+class Dispatcher::State {
+public:
+  State(Incarnation Own, std::unique_ptr<Scheduler> Policy);
+
+  void handle(Event &Next, core::TimePoint Now, ActionSink &Sink);
+
+  const Scheduler &scheduler() const { return *Policy_; }
+  DispatcherCounters counters() const;
+
+private:
+  /// Where this process stands as the sender of a transfer.
+  enum class Handover {
+    None,
+    Staging,   ///< Parts are being sent; nothing that is in them starts.
+    SealSent,  ///< The successor may own the parts.
+    Confirmed, ///< The successor owns the parts.
+    Unanswered ///< Nobody knows who owns the parts; nothing of them starts here.
+  };
+  enum class Starts { Possible, Unchanged };
+
+  // JobRules.cpp
+  Starts on(OpenSession &Next);
+  Starts on(SubmitJob &Next);
+  Starts on(AskOutcome &Next);
+  Starts on(CancelJob &Next);
+  Starts on(RequestAbandoned &Next);
+  // TaskRules.cpp
+  Starts on(StartRefused &Next);
+  Starts on(TaskEnded &Next);
+  Starts on(TaskUncertain &Next);
+  Starts on(TaskReported &Next);
+  Starts on(EndpointObserved &Next);
+  Starts on(SlotsChanged &Next);
+  // DelegatedRules.cpp
+  Starts on(StartDelegated &Next);
+  Starts on(AskDelegated &Next);
+  // Dispatcher.cpp
+  Starts on(ConfigurationApplied &Next);
+  Starts on(StopRequested &Next);
+  Starts on(Tick &Next);
+  // TransferRules.cpp
+  Starts on(BeginTransfer &Next);
+  Starts on(AbortTransfer &Next);
+  Starts on(TransferSealSent &Next);
+  Starts on(TransferConfirmed &Next);
+  Starts on(TransferUnanswered &Next);
+  Starts on(TransferReceived &Next);
+  Starts on(TransferSealed &Next);
+  Starts on(PredecessorEnded &Next);
+
+  void emit(Action Next) { Sink_->perform(std::move(Next)); }
+  void respond(RequestId Request, Response Content) { emit(Respond{Request, std::move(Content)}); }
+  void respondOutcome(RequestId Request, Outcome Content);
+  void respondNotRun(RequestId Request, core::ErrorKind Kind, std::string Reason);
+  void respondMayHaveRun(RequestId Request, core::ErrorKind Kind, std::string Reason);
+  void respondStatus(RequestId Request, const JobRecord &Job);
+  const LimitsConfiguration &limits() const;
+
+  // Identifiers and submissions.
+  IdentifierIssuer *issuerOf(JobId Job);
+  void markNeverRun(JobId Job);
+  void submitNew(SubmitJob &Next, IdentifierIssuer &Issuer, std::uint64_t Fingerprint);
+  std::optional<NotRun> refusal(const SubmitJob &Next) const;
+  std::optional<NotRun> overload() const;
+  void answerUnknown(RequestId Request, JobId Job);
+  /// Answers from a kept outcome. Returns false when none is kept.
+  bool answerKept(RequestId Request, JobId Job);
+  void attach(RequestId Request, JobRecord &Job, std::optional<core::TimePoint> WaitUntil);
+
+  // Jobs.
+  void accept(JobId Id, JobSpec Spec, std::uint64_t Fingerprint);
+  void endEarly(JobRecord &Job, core::ErrorKind Kind, std::string Reason);
+  void finishIfDone(JobRecord &Job);
+  void finish(JobRecord &Job, Outcome Content);
+  void finishWith(JobRecord &Job, TransferredOutcome Ended);
+  Outcome outcomeOf(JobRecord &Job) const;
+  void foresee(JobRecord &Job);
+  void endIfDeadlinePassed(JobRecord &Job);
+
+  // Tasks.
+  void startTasks();
+  /// Returns false when the scheduler's choice breaks a rule; nothing is started then.
+  bool start(const Placement &Choice);
+  RunningTask *runningTask(TaskId Task, EndpointIndex Endpoint, std::uint32_t Attempt);
+  void notStarted(TaskId Task, EndpointIndex Endpoint, StartRefusal Cause);
+  void fence(TaskId Task, RunningTask &Started);
+  void lose(TaskId Task, EndpointIndex Endpoint);
+  void ask(TaskId Task, RunningTask &Started);
+  void checkDueTasks();
+  void checkDueRequests();
+  void checkDeadlines();
+
+  // Delegated tasks.
+  Starts refuseDelegated(const StartDelegated &Next, StartRefusal Cause);
+  enum class DelegatedCall { Start, Ask };
+  void respondDelegated(RequestId Request, TaskId Task, const DelegatedTask &Record,
+                        DelegatedCall Call);
+  void endDelegated(TaskId Task, DelegatedTask::State End, std::shared_ptr<const TaskEnded> Ended,
+                    StartRefusal Cause);
+
+  // Transfer.
+  bool frozen() const { return Handover_ != Handover::None; }
+  void holdForTransfer(SubmitJob &Next);
+  void resume(JobRecord &Job);
+  void addRemote(const TransferredRunning &Running, Incarnation Sender);
+  void sendParts();
+  void sendOutcome(const TransferredOutcome &Ended);
+  void takeOver(const StagedTransfer &Staged);
+  void addOutcomesOf(const TransferPart &Part);
+  void checkDrained();
+
+  Incarnation Own_;
+  std::unique_ptr<Scheduler> Policy_;
+  std::shared_ptr<const KernelConfiguration> Configuration_;
+  core::TimePoint Now_;
+  ActionSink *Sink_ = nullptr;
+
+  /// The own incarnation and those that this process succeeded.
+  std::map<Incarnation, IdentifierIssuer> Issuers_;
+  JobTable Jobs_;
+  OutcomeStore Outcomes_;
+  RequestTable Requests_;
+  RunningTasks Running_;
+  DelegatedTable Delegated_;
+  std::uint32_t LastAttempt_ = 0;
+  DispatcherCounters Counters_;
+
+  enum class Life { Serving, Stopping } Life_{};
+  enum class Drain { Reported, Pending } Drain_{Drain::Pending};
+  Handover Handover_ = Handover::None;
+  Incarnation Receiver_;
+  std::uint32_t Transfer_ = 0; ///< Counts the attempts.
+  std::uint32_t PartCount_ = 0;
+  std::vector<TransferredOutcome> FinishedDuringTransfer_;
+  std::vector<SubmitJob> HeldSubmissions_;
+  TransferStaging Staging_;
+};
+
+} // namespace cornellift::kernel
--- a/Kernel/Event.h
+++ b/Kernel/Event.h
@@ -4,6 +4,7 @@
 #include "Kernel/Job.h"
 #include "Kernel/KernelConfiguration.h"
 #include "Kernel/Outcome.h"
+#include "Kernel/Transfer.h"
 #include "Libraries/LibCore/Time.h"
 
 #include <cstdint>
@@ -16,6 +17,8 @@
 /// A caller asks for a block of job identifiers.
 struct OpenSession {
   RequestId Request{};
+  /// When given, only this team may use the block's identifiers.
+  std::optional<TeamIndex> Team{};
 };
 
 /// A caller, or a peer on its behalf, submits a job or repeats a submission.
@@ -32,11 +35,15 @@
   RequestId Request{};
   JobId Job;
   std::optional<core::TimePoint> WaitUntil;
+  std::optional<TeamIndex> Team{}; ///< When given, the job is shown to this team only.
 };
 
+/// Drops the job's waiting tasks. The response is the outcome when the job has ended with that, and
+/// its status when started tasks are still awaited.
 struct CancelJob {
   RequestId Request{};
   JobId Job;
+  std::optional<TeamIndex> Team{}; ///< When given, only a job of this team is cancelled.
 };
 
 /// The caller's connection is gone; no response is wanted. The job goes on.
@@ -52,6 +59,9 @@
   TaskId Task;
   EndpointIndex Endpoint{};
   StartRefusal Cause{};
+  /// Of the StartTask that this answers. An event of an earlier attempt is ignored. Zero when not
+  /// told: then any attempt on that endpoint matches.
+  std::uint32_t Attempt = 0;
 };
 
 enum class TaskVerdict { Finished, Failed };
@@ -64,12 +74,14 @@
   TaskResult Result;         ///< The result, or the failure's message.
   core::Duration RunTime{0}; ///< As measured by the endpoint.
   Resources Used;            ///< Peak use as reported by the endpoint; zero when not reported.
+  std::uint32_t Attempt = 0; ///< As in StartRefused.
 };
 
 /// The connection of a task was lost after its start was written.
 struct TaskUncertain {
   TaskId Task;
   EndpointIndex Endpoint{};
+  std::uint32_t Attempt = 0; ///< As in StartRefused.
 };
 
 /// What an endpoint says of a task on another connection. Unknown means that it has no record, or a
@@ -81,6 +93,7 @@
   TaskId Task;
   EndpointIndex Endpoint{};
   TaskReport Report{};
+  std::uint32_t Attempt = 0; ///< Of the AskTask or FenceTask that this answers.
 };
 
 /// What is known of an endpoint from its own status and the platform's list.
@@ -129,6 +142,8 @@
 using Event =
     std::variant<OpenSession, SubmitJob, AskOutcome, CancelJob, RequestAbandoned, StartRefused,
                  TaskEnded, TaskUncertain, TaskReported, EndpointObserved, SlotsChanged,
-                 StartDelegated, AskDelegated, ConfigurationApplied, StopRequested, Tick>;
+                 StartDelegated, AskDelegated, ConfigurationApplied, StopRequested, BeginTransfer,
+                 AbortTransfer, TransferSealSent, TransferConfirmed, TransferUnanswered,
+                 TransferReceived, TransferSealed, PredecessorEnded, Tick>;
 
 } // namespace cornellift::kernel
--- /dev/null
+++ b/Kernel/Fingerprint.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "Kernel/Job.h"
+#include "Kernel/KernelConfiguration.h"
+
+#include <cstdint>
+
+namespace cornellift::kernel {
+
+/// Hash of a job's specification and payload, by which a repeated submission is told from another
+/// job under the same identifier. Uses names instead of indexes, so that it holds in every process.
+/// The deadline is left out: its conversion from wall-clock time differs between processes.
+std::uint64_t fingerprint(const JobSpec &Spec, const KernelConfiguration &Configuration);
+
+} // namespace cornellift::kernel
--- /dev/null
+++ b/Kernel/TaskRules.cpp
@@ -0,0 +1,221 @@
+#include "Kernel/DispatcherState.h"
+
+#include <algorithm>
+
+namespace cornellift::kernel {
+namespace {
+
+/// Bounds of the time between status questions about one task. It doubles from one to the next.
+constexpr core::Duration FirstAskInterval = std::chrono::milliseconds(250);
+constexpr core::Duration LongestAskInterval = std::chrono::seconds(10);
+
+/// A fence without an answer after this time leaves its task lost, so that its job can end.
+constexpr core::Duration FenceTimeout = std::chrono::seconds(5);
+
+/// Refusals as invalid after which a job is given up. More than one, because a single endpoint may
+/// be at fault.
+constexpr std::uint8_t MaximumInvalidRefusals = 3;
+
+/// Failure messages of endpoints are cut to this length in the outcome's reason.
+constexpr std::size_t MaximumFailureLength = 512;
+
+} // namespace
+
+auto Dispatcher::State::on(StartRefused &Next) -> Starts {
+  if (!runningTask(Next.Task, Next.Endpoint, Next.Attempt))
+    return Starts::Unchanged;
+  notStarted(Next.Task, Next.Endpoint, Next.Cause);
+  return Starts::Possible;
+}
+
+auto Dispatcher::State::on(TaskEnded &Next) -> Starts {
+  const auto *Found = runningTask(Next.Task, Next.Endpoint, Next.Attempt);
+  if (!Found)
+    return Starts::Unchanged;
+  auto Owner = Found->For;
+  Running_.remove(Next.Task);
+  Policy_->taskEnded(Next, Now_);
+  if (Owner == RunningTask::Owner::Delegated) {
+    auto Task = Next.Task;
+    endDelegated(Task, DelegatedTask::State::Ended,
+                 std::make_shared<const TaskEnded>(std::move(Next)), {});
+    return Starts::Possible;
+  }
+  auto &Job = *Jobs_.find(Next.Task.Job);
+  auto &Task = Job.Tasks[Next.Task.Index];
+  --Job.Running;
+  if (Next.Verdict == TaskVerdict::Finished) {
+    ++Job.Finished;
+    Task.State = TaskState::Finished;
+    Task.Result = std::move(Next.Result);
+    finishIfDone(Job);
+    return Starts::Possible;
+  }
+  ++Job.Failed;
+  Task.State = TaskState::Failed;
+  if (Job.Phase == JobPhase::Ending) {
+    finishIfDone(Job);
+    return Starts::Possible;
+  }
+  auto Message = Next.Result ? Next.Result->substr(0, MaximumFailureLength) : std::string();
+  endEarly(Job, core::ErrorKind::Unavailable,
+           "task " + std::to_string(Next.Task.Index) + " failed: " + Message);
+  return Starts::Possible;
+}
+
+auto Dispatcher::State::on(TaskUncertain &Next) -> Starts {
+  auto *Found = runningTask(Next.Task, Next.Endpoint, Next.Attempt);
+  if (Found && Found->State == RunningTask::Phase::Running)
+    fence(Next.Task, *Found);
+  return Starts::Unchanged;
+}
+
+auto Dispatcher::State::on(TaskReported &Next) -> Starts {
+  auto *Found = runningTask(Next.Task, Next.Endpoint, Next.Attempt);
+  if (!Found)
+    return Starts::Unchanged;
+  if (Next.Report == TaskReport::NotStartedAndFenced) {
+    notStarted(Next.Task, Next.Endpoint, StartRefusal::Fenced);
+    return Starts::Possible;
+  }
+  bool WasAsked = Found->Ask == RunningTask::Question::Asked;
+  Found->Ask = RunningTask::Question::NotAsked;
+  if (Next.Report == TaskReport::Running) {
+    Found->State = RunningTask::Phase::Running;
+    Running_.setDue(Next.Task, *Found, Now_ + Found->AskInterval);
+    return Starts::Unchanged;
+  }
+  if (Found->State == RunningTask::Phase::Running) {
+    fence(Next.Task, *Found);
+    return Starts::Unchanged;
+  }
+  // While a status question was open, "unknown" may be its answer; the fence's is still to come.
+  if (WasAsked)
+    return Starts::Unchanged;
+  lose(Next.Task, Next.Endpoint);
+  return Starts::Possible;
+}
+
+auto Dispatcher::State::on(EndpointObserved &Next) -> Starts {
+  Policy_->endpointObserved(Next, Now_);
+  return Starts::Possible;
+}
+
+auto Dispatcher::State::on(SlotsChanged &Next) -> Starts {
+  Policy_->slotsChanged(Next.Endpoint, Next.Slots, Now_);
+  return Starts::Possible;
+}
+
+void Dispatcher::State::startTasks() {
+  while (auto Choice = Policy_->next(Now_)) {
+    if (start(*Choice))
+      continue;
+    ++Counters_.RefusedPlacements;
+    Policy_->dropJob(Choice->Task.Job, Now_);
+    Policy_->startRefused(Choice->Task, Choice->Endpoint, StartRefusal::NotSent, Now_);
+    return;
+  }
+}
+
+bool Dispatcher::State::start(const Placement &Choice) {
+  auto *Job = Jobs_.find(Choice.Task.Job);
+  auto Index = Choice.Task.Index;
+  if (!Job || Job->Phase != JobPhase::Open || Index >= Job->Tasks.size() ||
+      Job->Tasks[Index].State != TaskState::Waiting || Running_.contains(Choice.Task))
+    return false;
+  Job->Tasks[Index].State = TaskState::Running;
+  ++Job->Running;
+  ++Counters_.StartedTasks;
+  RunningTask Started;
+  Started.Endpoint = Choice.Endpoint;
+  Started.Attempt = ++LastAttempt_;
+  Started.For = RunningTask::Owner::OwnJob;
+  Started.AskInterval = FirstAskInterval;
+  Started.DueAt = Policy_->askAt(Choice.Task, Choice.Endpoint, Now_);
+  Running_.add(Choice.Task, Started);
+  const auto &Spec = Job->Spec;
+  emit(StartTask{Choice.Task, Choice.Endpoint, Spec.Service, Spec.Kind, Spec.Team,
+                 Spec.Tasks[Index], Spec.Payload, Index,
+                 static_cast<std::uint32_t>(Spec.Tasks.size()), Started.Attempt});
+  return true;
+}
+
+RunningTask *Dispatcher::State::runningTask(TaskId Task, EndpointIndex Endpoint,
+                                            std::uint32_t Attempt) {
+  auto *Found = Running_.find(Task, Endpoint, Attempt);
+  if (!Found)
+    ++Counters_.IgnoredEvents;
+  return Found;
+}
+
+void Dispatcher::State::notStarted(TaskId Task, EndpointIndex Endpoint, StartRefusal Cause) {
+  auto Owner = Running_.find(Task, Endpoint, 0)->For;
+  Running_.remove(Task);
+  if (Owner == RunningTask::Owner::Delegated) {
+    Policy_->startRefused(Task, Endpoint, Cause, Now_);
+    endDelegated(Task, DelegatedTask::State::Refused, nullptr, Cause);
+    return;
+  }
+  auto &Job = *Jobs_.find(Task.Job);
+  Job.Tasks[Task.Index].State = TaskState::Waiting;
+  --Job.Running;
+  Policy_->startRefused(Task, Endpoint, Cause, Now_);
+  if (Job.Phase == JobPhase::Ending) {
+    finishIfDone(Job);
+    return;
+  }
+  if (Cause == StartRefusal::Invalid && ++Job.InvalidRefusals >= MaximumInvalidRefusals) {
+    endEarly(Job, core::ErrorKind::Malformed,
+             "endpoints refused task " + std::to_string(Task.Index) +
+                 " as invalid; check its payload and declaration");
+    return;
+  }
+  endIfDeadlinePassed(Job);
+}
+
+void Dispatcher::State::fence(TaskId Task, RunningTask &Started) {
+  ++Counters_.FencedTasks;
+  Started.State = RunningTask::Phase::Fencing;
+  Running_.setDue(Task, Started, Now_ + FenceTimeout);
+  emit(FenceTask{Task, Started.Endpoint, Started.Attempt});
+}
+
+void Dispatcher::State::lose(TaskId Task, EndpointIndex Endpoint) {
+  ++Counters_.LostTasks;
+  auto Owner = Running_.find(Task, Endpoint, 0)->For;
+  Running_.remove(Task);
+  Policy_->taskLost(Task, Endpoint, Now_);
+  if (Owner == RunningTask::Owner::Delegated) {
+    endDelegated(Task, DelegatedTask::State::Lost, nullptr, {});
+    return;
+  }
+  auto &Job = *Jobs_.find(Task.Job);
+  Job.Tasks[Task.Index].State = TaskState::Lost;
+  --Job.Running;
+  ++Job.Lost;
+  if (Job.Phase == JobPhase::Ending)
+    finishIfDone(Job);
+  else
+    endEarly(Job, core::ErrorKind::Unavailable,
+             "the endpoint of task " + std::to_string(Task.Index) +
+                 " was lost while the task may have been running");
+}
+
+void Dispatcher::State::ask(TaskId Task, RunningTask &Started) {
+  Started.Ask = RunningTask::Question::Asked;
+  Running_.setDue(Task, Started, Now_ + Started.AskInterval);
+  Started.AskInterval = std::min(2 * Started.AskInterval, LongestAskInterval);
+  emit(AskTask{Task, Started.Endpoint, Started.Attempt});
+}
+
+void Dispatcher::State::checkDueTasks() {
+  while (auto Due = Running_.nextDue(Now_)) {
+    auto [Task, Started] = *Due;
+    if (Started->State == RunningTask::Phase::Fencing)
+      lose(Task, Started->Endpoint);
+    else
+      ask(Task, *Started);
+  }
+}
+
+} // namespace cornellift::kernel
--- /dev/null
+++ b/Kernel/TransferRules.cpp
@@ -0,0 +1,241 @@
+#include "Kernel/DispatcherState.h"
+#include "Kernel/TransferPartWriter.h"
+
+#include <algorithm>
+
+namespace cornellift::kernel {
+namespace {
+
+/// Submissions that wait for the decision of a transfer, which takes a few round trips.
+constexpr std::size_t MaximumHeldSubmissions = 1024;
+
+/// A transfer may fill the receiver's bounds on queued work and outcomes once more.
+constexpr std::uint64_t TransferShare = 1;
+
+constexpr const char *UnansweredText =
+    "the successor of the stopping entry process did not confirm the hand-over, so it may run the "
+    "job; ask again later at another entry process";
+
+} // namespace
+
+auto Dispatcher::State::on(BeginTransfer &Next) -> Starts {
+  if (Handover_ != Handover::None)
+    return Starts::Unchanged;
+  Life_ = Life::Stopping;
+  Handover_ = Handover::Staging;
+  Receiver_ = Next.Receiver;
+  ++Transfer_;
+  sendParts();
+  return Starts::Unchanged;
+}
+
+auto Dispatcher::State::on(AbortTransfer &) -> Starts {
+  if (Handover_ != Handover::Staging)
+    return Starts::Unchanged;
+  Handover_ = Handover::None;
+  FinishedDuringTransfer_.clear();
+  for (auto Id : Jobs_.sortedIds()) {
+    auto &Job = *Jobs_.find(Id);
+    if (Job.Phase == JobPhase::Held)
+      resume(Job);
+  }
+  for (auto &Held : std::exchange(HeldSubmissions_, {}))
+    on(Held);
+  return Starts::Possible;
+}
+
+auto Dispatcher::State::on(TransferSealSent &) -> Starts {
+  if (Handover_ != Handover::Staging)
+    return Starts::Unchanged;
+  Handover_ = Handover::SealSent;
+  emit(SealTransfer{Receiver_, Transfer_, PartCount_});
+  return Starts::Unchanged;
+}
+
+auto Dispatcher::State::on(TransferConfirmed &) -> Starts {
+  if (Handover_ != Handover::SealSent && Handover_ != Handover::Unanswered)
+    return Starts::Unchanged;
+  Handover_ = Handover::Confirmed;
+  for (auto Id : Jobs_.sortedIds()) {
+    auto &Job = *Jobs_.find(Id);
+    if (Job.Phase != JobPhase::Held)
+      continue;
+    for (auto Request : Job.Waiters) {
+      Requests_.remove(Request);
+      respond(Request, WrongIssuer{Id.Issuer});
+    }
+    Jobs_.remove(Id);
+  }
+  Issuers_.clear();
+  for (auto &Held : std::exchange(HeldSubmissions_, {}))
+    respond(Held.Request, WrongIssuer{Held.Job.Issuer});
+  for (const auto &Ended : std::exchange(FinishedDuringTransfer_, {}))
+    sendOutcome(Ended);
+  return Starts::Unchanged;
+}
+
+auto Dispatcher::State::on(TransferUnanswered &) -> Starts {
+  if (Handover_ != Handover::SealSent)
+    return Starts::Unchanged;
+  Handover_ = Handover::Unanswered;
+  for (auto Id : Jobs_.sortedIds()) {
+    auto &Job = *Jobs_.find(Id);
+    if (Job.Phase == JobPhase::Held)
+      finish(Job, MayHaveRun{core::ErrorKind::Unavailable, UnansweredText, {}});
+  }
+  for (auto &Held : std::exchange(HeldSubmissions_, {}))
+    respondMayHaveRun(Held.Request, core::ErrorKind::Unavailable, UnansweredText);
+  return Starts::Unchanged;
+}
+
+auto Dispatcher::State::on(TransferReceived &Next) -> Starts {
+  const auto &Part = *Next.Part;
+  if (Part.Receiver != Own_) {
+    respond(Next.Request, TransferReply::Rejected);
+    return Starts::Unchanged;
+  }
+  if (Staging_.sealed(Part.Sender)) {
+    addOutcomesOf(Part);
+    respond(Next.Request, TransferReply::Accepted);
+    return Starts::Unchanged;
+  }
+  auto Maximum = TransferShare * (limits().MaximumQueuedBytes + limits().MaximumOutcomeBytes);
+  bool Staged = Configuration_ && Life_ == Life::Serving && !Issuers_.contains(Part.Sender) &&
+                Outcomes_.bytes() <= limits().MaximumOutcomeBytes &&
+                Staging_.stage(Next.Part, Maximum, Now_);
+  respond(Next.Request, Staged ? TransferReply::Accepted : TransferReply::Rejected);
+  return Starts::Unchanged;
+}
+
+auto Dispatcher::State::on(TransferSealed &Next) -> Starts {
+  if (Next.Receiver == Own_ && Staging_.sealed(Next.Sender)) {
+    respond(Next.Request, TransferReply::Accepted);
+    return Starts::Unchanged;
+  }
+  std::optional<StagedTransfer> Staged;
+  // The parts of an own transfer that has begun would lack this state.
+  if (Next.Receiver == Own_ && !frozen())
+    Staged = Staging_.seal(Next);
+  if (!Staged) {
+    respond(Next.Request, TransferReply::Rejected);
+    return Starts::Unchanged;
+  }
+  takeOver(*Staged);
+  respond(Next.Request, TransferReply::Accepted);
+  return Starts::Possible;
+}
+
+auto Dispatcher::State::on(PredecessorEnded &Next) -> Starts {
+  for (auto Id : Jobs_.sortedIds()) {
+    auto &Job = *Jobs_.find(Id);
+    if (Job.Phase == JobPhase::Remote && Job.Predecessor == Next.Sender)
+      finish(Job, MayHaveRun{core::ErrorKind::Unavailable,
+                             "the entry process that ran the job ended before it sent the outcome",
+                             {}});
+  }
+  return Starts::Unchanged;
+}
+
+void Dispatcher::State::holdForTransfer(SubmitJob &Next) {
+  if (Handover_ == Handover::Unanswered || HeldSubmissions_.size() >= MaximumHeldSubmissions) {
+    respondMayHaveRun(Next.Request, core::ErrorKind::Unavailable, UnansweredText);
+    return;
+  }
+  HeldSubmissions_.push_back(std::move(Next));
+}
+
+void Dispatcher::State::resume(JobRecord &Job) {
+  Job.Phase = JobPhase::Open;
+  if (auto Refusal = Policy_->admit(Job.Id, Job.Spec, Now_)) {
+    finish(Job, std::move(*Refusal));
+    return;
+  }
+  endIfDeadlinePassed(Job);
+}
+
+void Dispatcher::State::sendParts() {
+  TransferPartWriter Writer(Own_, Receiver_, Transfer_);
+  for (const auto &[Issuer, Identifiers] : Issuers_)
+    Writer.add(Identifiers);
+  for (auto Id : Jobs_.sortedIds()) {
+    auto &Job = *Jobs_.find(Id);
+    if (Job.Phase == JobPhase::Open && Job.neverStarted()) {
+      Job.Phase = JobPhase::Held;
+      Policy_->dropJob(Id, Now_);
+      Writer.add(TransferredJob{Id, Job.Fingerprint, Job.Spec});
+    } else {
+      Writer.add(TransferredRunning{Id, Job.Fingerprint, Job.Spec.Team});
+    }
+  }
+  for (const auto &Kept : Outcomes_.sorted())
+    Writer.add(Kept);
+  auto Parts = Writer.take();
+  PartCount_ = static_cast<std::uint32_t>(Parts.size());
+  for (auto &Part : Parts)
+    emit(SendTransferPart{std::move(Part)});
+}
+
+void Dispatcher::State::sendOutcome(const TransferredOutcome &Ended) {
+  if (Handover_ == Handover::None)
+    return;
+  if (Handover_ != Handover::Confirmed) {
+    FinishedDuringTransfer_.push_back(Ended);
+    return;
+  }
+  TransferPartWriter Writer(Own_, Receiver_, Transfer_);
+  Writer.add(Ended);
+  for (auto &Part : Writer.take())
+    emit(SendTransferPart{std::move(Part)});
+}
+
+void Dispatcher::State::takeOver(const StagedTransfer &Staged) {
+  std::map<Incarnation, TransferredIssuer> Issuers;
+  std::map<Incarnation, std::vector<TransferredBlock>> Blocks;
+  for (const auto &[Number, Part] : Staged.Parts) {
+    for (const auto &Issuer : Part->Issuers)
+      Issuers.insert_or_assign(Issuer.Issuer, Issuer);
+    for (const auto &Block : Part->Blocks)
+      Blocks[Block.Issuer].push_back(Block);
+  }
+  for (const auto &[Id, Issuer] : Issuers)
+    Issuers_.emplace(Id, IdentifierIssuer(Issuer, Blocks[Id]));
+  for (const auto &[Number, Part] : Staged.Parts) {
+    for (const auto &Running : Part->Running)
+      addRemote(Running, Part->Sender);
+    for (const auto &Ended : Part->Outcomes)
+      Outcomes_.keep(Ended);
+    for (const auto &Moved : Part->Jobs) {
+      accept(Moved.Job, Moved.Spec, Moved.Fingerprint);
+      resume(*Jobs_.find(Moved.Job));
+    }
+  }
+}
+
+void Dispatcher::State::addRemote(const TransferredRunning &Running, Incarnation Sender) {
+  JobRecord Job;
+  Job.Id = Running.Job;
+  Job.Phase = JobPhase::Remote;
+  Job.Fingerprint = Running.Fingerprint;
+  Job.Spec.Team = Running.Team;
+  Job.Predecessor = Sender;
+  Jobs_.add(std::move(Job));
+}
+
+void Dispatcher::State::addOutcomesOf(const TransferPart &Part) {
+  for (const auto &Ended : Part.Outcomes) {
+    auto *Job = Jobs_.find(Ended.Job);
+    if (Job && Job->Phase == JobPhase::Remote && Job->Predecessor == Part.Sender)
+      finishWith(*Job, Ended);
+  }
+}
+
+void Dispatcher::State::checkDrained() {
+  bool Undecided = Handover_ == Handover::Staging || Handover_ == Handover::SealSent;
+  bool Empty = Life_ == Life::Stopping && !Undecided && Jobs_.size() == 0 &&
+               Requests_.size() == 0 && Running_.size() == 0;
+  if (Empty && Drain_ == Drain::Pending)
+    emit(Drained{});
+  Drain_ = Empty ? Drain::Reported : Drain::Pending;
+}
+
+} // namespace cornellift::kernel
--- /dev/null
+++ b/Tests/Kernel/FirstFreeScheduler.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "Kernel/Scheduler.h"
+
+#include <deque>
+#include <map>
+
+namespace cornellift::kernel {
+
+/// Starts waiting tasks in order of arrival on the first endpoint with a free slot.
+class FirstFreeScheduler : public Scheduler {
+public:
+  static constexpr core::Duration AskAfter = std::chrono::milliseconds(500);
+
+  void applyConfiguration(std::shared_ptr<const KernelConfiguration> Configuration,
+                          core::TimePoint) override {
+    for (std::uint32_t Index = 0; Index < Configuration->Endpoints.size(); ++Index)
+      Slots_.emplace(EndpointIndex{Index}, Configuration->Endpoints[Index].Slots);
+  }
+
+  std::optional<NotRun> admit(JobId Job, const JobSpec &Spec, core::TimePoint) override {
+    if (AdmissionLimit && Waiting_.size() + Spec.Tasks.size() > *AdmissionLimit)
+      return NotRun{core::ErrorKind::Overloaded, "the test's queue is full", std::nullopt};
+    for (std::uint32_t Index = 0; Index < Spec.Tasks.size(); ++Index)
+      Waiting_.push_back({Job, Index});
+    return std::nullopt;
+  }
+
+  std::optional<Placement> next(core::TimePoint) override {
+    auto Free = freeEndpoint();
+    if (Waiting_.empty() || !Free)
+      return std::nullopt;
+    auto Task = Waiting_.front();
+    Waiting_.pop_front();
+    occupy(Task, *Free, AfterRefusal::WaitAgain);
+    return Placement{Task, *Free};
+  }
+
+  std::optional<EndpointIndex> placeDelegated(TaskId Task, ServiceIndex, KindIndex, TeamIndex,
+                                              const TaskSpec &, core::TimePoint) override {
+    auto Free = freeEndpoint();
+    if (Free)
+      occupy(Task, *Free, AfterRefusal::Drop);
+    return Free;
+  }
+
+  void startRefused(TaskId Task, EndpointIndex Endpoint, StartRefusal, core::TimePoint) override {
+    if (release(Task, Endpoint) == AfterRefusal::WaitAgain)
+      Waiting_.push_back(Task);
+  }
+
+  void taskEnded(const TaskEnded &Ended, core::TimePoint) override {
+    release(Ended.Task, Ended.Endpoint);
+  }
+
+  void taskLost(TaskId Task, EndpointIndex Endpoint, core::TimePoint) override {
+    release(Task, Endpoint);
+  }
+
+  void dropJob(JobId Job, core::TimePoint) override {
+    std::erase_if(Waiting_, [Job](TaskId Task) { return Task.Job == Job; });
+    for (auto &[Task, Refusal] : Running_)
+      if (Task.Job == Job)
+        Refusal = AfterRefusal::Drop;
+  }
+
+  void endpointObserved(const EndpointObserved &, core::TimePoint) override {}
+
+  void slotsChanged(EndpointIndex Endpoint, std::uint32_t Slots, core::TimePoint) override {
+    Slots_[Endpoint] = Slots;
+  }
+
+  std::optional<core::TimePoint> expectedEnd(JobId, core::TimePoint) const override {
+    return ExpectedEnd;
+  }
+
+  core::TimePoint askAt(TaskId, EndpointIndex, core::TimePoint Now) const override {
+    return Now + AskAfter;
+  }
+
+  std::optional<EndpointIndex> nextProbe(core::TimePoint) override { return std::nullopt; }
+
+  SchedulerLoad load() const override {
+    return {static_cast<std::uint32_t>(Waiting_.size()),
+            static_cast<std::uint32_t>(Running_.size()), 0};
+  }
+
+  std::optional<std::size_t> AdmissionLimit;
+  std::optional<core::TimePoint> ExpectedEnd;
+
+private:
+  enum class AfterRefusal { WaitAgain, Drop };
+
+  std::optional<EndpointIndex> freeEndpoint() const {
+    for (const auto &[Endpoint, Slots] : Slots_) {
+      auto Used = Used_.find(Endpoint);
+      if (Slots > (Used == Used_.end() ? 0 : Used->second))
+        return Endpoint;
+    }
+    return std::nullopt;
+  }
+
+  void occupy(TaskId Task, EndpointIndex Endpoint, AfterRefusal Refusal) {
+    ++Used_[Endpoint];
+    Running_[Task] = Refusal;
+  }
+
+  AfterRefusal release(TaskId Task, EndpointIndex Endpoint) {
+    --Used_[Endpoint];
+    auto Refusal = Running_.at(Task);
+    Running_.erase(Task);
+    return Refusal;
+  }
+
+  std::map<EndpointIndex, std::uint32_t> Slots_;
+  std::map<EndpointIndex, std::uint32_t> Used_;
+  std::map<TaskId, AfterRefusal> Running_;
+  std::deque<TaskId> Waiting_;
+};
+
+} // namespace cornellift::kernel
