--- a/Kernel/Identifiers.h
+++ b/Kernel/Identifiers.h
@@ -13,7 +13,8 @@
 /// One run of one entry process. Random, so that a restart under the same address is told apart.
 struct Incarnation {
   std::uint64_t Value = 0;
-  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming): the checks misread a defaulted operator.
+  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming): the checks misread a
+  // defaulted operator.
   auto operator<=>(const Incarnation &) const = default;
 };
 
@@ -22,14 +23,16 @@
 struct JobId {
   Incarnation Issuer;
   std::uint64_t Sequence = 0;
-  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming): the checks misread a defaulted operator.
+  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming): the checks misread a
+  // defaulted operator.
   auto operator<=>(const JobId &) const = default;
 };
 
 struct TaskId {
   JobId Job;
   std::uint32_t Index = 0;
-  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming): the checks misread a defaulted operator.
+  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming): the checks misread a
+  // defaulted operator.
   auto operator<=>(const TaskId &) const = default;
 };
 
