LibPlatform: Tell a watch without a reply from one without a change

Cause: a watch that got no reply and one that saw no change both gave Timeout, so an outage of the store looked like a quiet key. The first is Unavailable now, and two seconds of the wait are kept for a slow reply.

--- a/Libraries/LibPlatform/HttpPlatformStore.cpp
+++ b/Libraries/LibPlatform/HttpPlatformStore.cpp
@@ -92,14 +92,16 @@
 std::optional<StoredValue> HttpPlatformStore::watch(std::string_view Key,
                                                     std::uint64_t AfterRevision,
                                                     core::TimePoint Deadline) {
-  // The store replies at the wait's end; the reply needs the rest of the time to arrive.
-  constexpr auto ReplyTime = std::chrono::milliseconds(500);
+  // The store replies at the wait's end; a slow one needs the rest of the time.
+  constexpr auto ReplyTime = std::chrono::seconds(2);
   auto WaitUntil = core::toWallClock(Deadline - ReplyTime);
   auto Path = "/v1/watch/" + detail::escapeKey(Key) + "?after=" + std::to_string(AfterRevision) +
               "&wait_until=" + std::to_string(WaitUntil);
   auto Reply = callStore(Address_, "GET", std::move(Path), {}, Deadline);
   if (Reply.Status == StatusNoContent)
     return core::fail(core::ErrorKind::Timeout, "no change before the deadline; watch again");
+  if (Reply.State != CallState::Replied)
+    return core::fail(core::ErrorKind::Unavailable, core::Reason(core::lastReason()).Message);
   return toValue(std::move(Reply));
 }
 
--- a/Libraries/LibPlatform/PlatformStore.h
+++ b/Libraries/LibPlatform/PlatformStore.h
@@ -55,8 +55,9 @@
   /// NotFound when there is no such key.
   virtual bool remove(std::string_view Key, core::TimePoint Deadline) = 0;
 
-  /// Waits until the key's revision is above AfterRevision. Timeout when that did not happen before
-  /// the deadline.
+  /// Waits until the key's revision is above AfterRevision. Timeout when the store says that this
+  /// did not happen; Unavailable when it does not reply. The last two seconds before the deadline
+  /// are kept for a slow reply.
   virtual std::optional<StoredValue> watch(std::string_view Key, std::uint64_t AfterRevision,
                                            core::TimePoint Deadline) = 0;
 
--- a/Tests/LibConfiguration/TestVersionStore.cpp
+++ b/Tests/LibConfiguration/TestVersionStore.cpp
@@ -120,6 +120,7 @@
   for (std::uint64_t Base = 1; Base <= Rounds; ++Base) {
     std::atomic<int> Wins{0};
     std::vector<std::thread> Threads;
+    Threads.reserve(Operators);
     for (int Operator = 0; Operator < Operators; ++Operator)
       Threads.emplace_back([&, Operator] {
         auto Id = "o" + std::to_string(Operator) + "-" + std::to_string(Base);
--- a/Tests/LibPlatform/TestHttpPlatformStore.cpp
+++ b/Tests/LibPlatform/TestHttpPlatformStore.cpp
@@ -82,7 +82,7 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(WatchReturnsTheChange, Fixture) {
-  BOOST_TEST(!Store->watch("key", 0, within(550)));
+  BOOST_TEST(!Store->watch("key", 0, within(2050)));
   BOOST_TEST((core::lastReason().Kind == ErrorKind::Timeout));
   auto Waiting =
       std::async(std::launch::async, [this] { return Store->watch("key", 0, within(10'000)); });
@@ -90,7 +90,11 @@
   auto Seen = Waiting.get();
   BOOST_TEST_REQUIRE(Seen.has_value());
   BOOST_TEST(Seen->Value == "one");
-  BOOST_TEST(!Store->watch("key", Seen->Revision, within(550)));
+  BOOST_TEST(!Store->watch("key", Seen->Revision, within(2050)));
+  BOOST_TEST((core::lastReason().Kind == ErrorKind::Timeout));
+  set({{"slow_ms", 3000}});
+  BOOST_TEST(!Store->watch("key", Seen->Revision, within(100)));
+  BOOST_TEST((core::lastReason().Kind == ErrorKind::Unavailable));
 }
 
 BOOST_FIXTURE_TEST_CASE(VmListShowsAfterTheLag, Fixture) {
