EntryDaemon: Join kernel, endpoints and callers in one process

Cause: the parts had no process to run in. The daemon joins the HTTP server, the thread of the kernel and the connections to endpoints by rings; other duties attach to it.

--- a/Libraries/LibEndpoint/EndpointProtocol.cpp
+++ b/Libraries/LibEndpoint/EndpointProtocol.cpp
@@ -13,8 +13,7 @@
   int Port = 0;
   const char *End = Address.data() + Address.size();
   if (Colon == std::string_view::npos || Colon == 0 ||
-      std::from_chars(Address.data() + Colon + 1, End, Port).ptr != End || Port < 1 ||
-      Port > 65535)
+      std::from_chars(Address.data() + Colon + 1, End, Port).ptr != End || Port < 1 || Port > 65535)
     return core::fail(core::ErrorKind::Malformed,
                       "endpoint address \"" + std::string(Address) +
                           "\" is not an address and port; give one such as 10.0.0.7:9000");
--- a/Libraries/LibEndpoint/HttpEndpointProtocol.cpp
+++ b/Libraries/LibEndpoint/HttpEndpointProtocol.cpp
@@ -38,9 +38,9 @@
 }
 
 std::nullopt_t failUnavailable(httplib::Error Error) {
-  return core::fail(core::ErrorKind::Unavailable,
-                    "the endpoint gave no whole answer (" + httplib::to_string(Error) +
-                        "); ask again later");
+  return core::fail(core::ErrorKind::Unavailable, "the endpoint gave no whole answer (" +
+                                                      httplib::to_string(Error) +
+                                                      "); ask again later");
 }
 
 std::nullopt_t failMismatch() {
@@ -61,8 +61,7 @@
 }
 
 StartAnswer HttpEndpointProtocol::start(const StartRequest &Request, core::TimePoint Deadline) {
-  auto Result =
-      send("POST", "/v1/tasks/" + Request.Task, detail::renderStart(Request), Deadline);
+  auto Result = send("POST", "/v1/tasks/" + Request.Task, detail::renderStart(Request), Deadline);
   if (!Result && isBeforeFirstByte(Result.error()))
     return NeverWritten{httplib::to_string(Result.error())};
   if (!Result)
--- a/Libraries/LibEndpoint/HttpEndpointProtocol.h
+++ b/Libraries/LibEndpoint/HttpEndpointProtocol.h
@@ -13,8 +13,8 @@
 /// The HTTP client of the library reports a failed connect before it writes anything; any failure
 /// after that may have reached the endpoint. The library sends a request once: it repeats one only
 /// for redirects and digest authentication, which are off here. Before it uses a kept connection it
-/// looks for an end of the stream, and opens another one if it finds it, so nothing is lost then; an
-/// end that arrives after this look makes the start uncertain.
+/// looks for an end of the stream, and opens another one if it finds it, so nothing is lost then;
+/// an end that arrives after this look makes the start uncertain.
 class HttpEndpointProtocol : public EndpointProtocol {
 public:
   HttpEndpointProtocol(const std::string &Host, int Port);
--- a/Libraries/LibHttp/BoundedPool.cpp
+++ b/Libraries/LibHttp/BoundedPool.cpp
@@ -11,8 +11,8 @@
 
 BoundedPool::BoundedPool(std::size_t MaximumThreads, std::size_t MaximumQueued,
                          std::function<void()> Crowded)
-    : MaximumThreads_(MaximumThreads), MaximumQueued_(MaximumQueued),
-      Crowded_(std::move(Crowded)) {}
+    : MaximumThreads_(MaximumThreads), MaximumQueued_(MaximumQueued), Crowded_(std::move(Crowded)) {
+}
 
 void BoundedPool::enqueue(std::function<void()> Serve) {
   std::unique_lock Lock(Mutex_);
--- a/Libraries/LibHttp/ConnectionStream.cpp
+++ b/Libraries/LibHttp/ConnectionStream.cpp
@@ -42,8 +42,8 @@
 
 bool ConnectionStream::waitFor(short Events, core::TimePoint Deadline) const {
   while (true) {
-    auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        Deadline - core::MonotonicClock::now());
+    auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(Deadline -
+                                                                      core::MonotonicClock::now());
     if (Left.count() <= 0)
       return false;
     pollfd Entry{Socket_, Events, 0};
--- a/Libraries/LibHttp/ConnectionStream.h
+++ b/Libraries/LibHttp/ConnectionStream.h
@@ -11,7 +11,8 @@
 namespace cornellift::http {
 
 /// Buffered stream over an accepted socket. A whole request has to arrive, and a whole response has
-/// to leave, within one deadline, so that a peer that sends one byte at a time cannot hold a thread.
+/// to leave, within one deadline, so that a peer that sends one byte at a time cannot hold a
+/// thread.
 class ConnectionStream : public httplib::Stream {
 public:
   ConnectionStream(socket_t Socket, core::Duration TransferTime);
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -23,8 +23,9 @@
 
 constexpr std::string_view RefusalText =
     "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: "
-    "1\r\nConnection: close\r\nContent-Length: 95\r\n\r\n"
-    R"({"outcome":"not_run","kind":"overloaded","message":"too many connections; retry in a second"}  )";
+    "1\r\nConnection: close\r\nContent-Length: 116\r\n\r\n"
+    R"({"outcome":"not_run","applies_to":"request","kind":"overloaded",)"
+    R"("message":"too many connections; retry in a second"})";
 
 /// Allows a restart while old connections linger, but not two servers on one port.
 void setReuseOption(socket_t Socket) {
@@ -50,9 +51,10 @@
   /// A request that has arrived in full is still served after the shutdown for reading.
   void closeOldest() {
     std::lock_guard Guard(Mutex_);
-    auto Oldest = std::min_element(
-        Since_.begin(), Since_.end(),
-        [](const auto &Left, const auto &Right) { return Left.second < Right.second; });
+    auto Oldest =
+        std::min_element(Since_.begin(), Since_.end(), [](const auto &Left, const auto &Right) {
+          return Left.second < Right.second;
+        });
     if (Oldest == Since_.end())
       return;
     ::shutdown(Oldest->first, SHUT_RD);
@@ -145,8 +147,11 @@
       bool Closed = false;
       bool Served =
           process_request(Stream, Closing.load(), Closed, [&Unread](httplib::Request &Request) {
-            Unread = Request.has_header("Transfer-Encoding") ||
-                     Request.has_header("Content-Encoding");
+            Unread =
+                Request.has_header("Transfer-Encoding") || Request.has_header("Content-Encoding");
+            // The library would read a body without a length until the connection ends.
+            if (!Request.has_header("Content-Length"))
+              Request.set_header("Content-Length", "0");
           });
       Close = !Served || Closed || Unread || Closing.load();
     }
@@ -188,13 +193,12 @@
   Server.set_tcp_nodelay(true);
   Server.set_socket_options(setReuseOption);
   Server.set_payload_max_length(Limits.BodyBytes);
-  Server.set_pre_routing_handler(
-      [](const httplib::Request &Request, httplib::Response &Response) {
-        if (!Request.has_header("Transfer-Encoding") && !Request.has_header("Content-Encoding"))
-          return httplib::Server::HandlerResponse::Unhandled;
-        Response.status = 411;
-        return httplib::Server::HandlerResponse::Handled;
-      });
+  Server.set_pre_routing_handler([](const httplib::Request &Request, httplib::Response &Response) {
+    if (!Request.has_header("Transfer-Encoding") && !Request.has_header("Content-Encoding"))
+      return httplib::Server::HandlerResponse::Unhandled;
+    Response.status = 411;
+    return httplib::Server::HandlerResponse::Handled;
+  });
   auto Dispatch = [this](const httplib::Request &Request, httplib::Response &Response) {
     dispatch(Request, Response);
   };
@@ -224,18 +228,16 @@
   bool Bound = Port == 0 ? (Port = Server.bind_to_any_port(Address)) > 0
                          : Server.bind_to_port(Address, Port);
   if (!Bound)
-    return core::failFalse(core::ErrorKind::Unavailable,
-                           "cannot listen on " + Address + ":" + std::to_string(Port) +
-                               "; free the port or give another");
+    return core::failFalse(core::ErrorKind::Unavailable, "cannot listen on " + Address + ":" +
+                                                             std::to_string(Port) +
+                                                             "; free the port or give another");
   Port_ = Port;
   Listener_->deepenBacklog();
   Thread_ = std::thread([&Server] { Server.listen_after_bind(); });
   return true;
 }
 
-void HttpServer::beginClosing() {
-  Listener_->Closing.store(true);
-}
+void HttpServer::beginClosing() { Listener_->Closing.store(true); }
 
 void HttpServer::stop() {
   if (!Thread_.joinable())
--- a/Services/EndpointStandIn/StandInApi.cpp
+++ b/Services/EndpointStandIn/StandInApi.cpp
@@ -54,9 +54,8 @@
   Server_.route("GET", JobPrefix, [this](const auto &Request, auto &Response) {
     answer(Response, Endpoint_.jobRecords(between(Request.path, JobPrefix, RecordsSuffix)));
   });
-  Server_.route("GET", "/v1/status", [this](const auto &, auto &Response) {
-    answer(Response, Endpoint_.status());
-  });
+  Server_.route("GET", "/v1/status",
+                [this](const auto &, auto &Response) { answer(Response, Endpoint_.status()); });
   Server_.route("POST", "/control/", [this](const auto &Request, auto &Response) {
     bool Applied = Controls_.apply(Request.body);
     Response.status = Applied ? 200 : 400;
--- a/Services/EndpointStandIn/StandInEndpoint.cpp
+++ b/Services/EndpointStandIn/StandInEndpoint.cpp
@@ -77,9 +77,8 @@
   // more memory. A declaration of zero means that none was made.
   double Declared = numberOr(Request, "processors", 0);
   double Throttle = Declared > 0 ? std::max(1.0, numberOr(Payload, "processors", 1) / Declared) : 1;
-  Result.RunTime =
-      core::fromMilliseconds(numberOr(Payload, "run_ms", 0) * Throttle * Controls_.slowFactor() /
-                             Options_.Speed);
+  Result.RunTime = core::fromMilliseconds(numberOr(Payload, "run_ms", 0) * Throttle *
+                                          Controls_.slowFactor() / Options_.Speed);
   double DeclaredMemory = numberOr(Request, "memory_mb", 0);
   bool Stopped = DeclaredMemory > 0 && numberOr(Payload, "memory_mb", 0) > DeclaredMemory;
   Result.Fails = Stopped || Controls_.failsEverything() || Payload.value("fail", false);
--- a/Services/EndpointStandIn/StandInEndpoint.h
+++ b/Services/EndpointStandIn/StandInEndpoint.h
@@ -21,7 +21,7 @@
 struct EndpointOptions {
   std::string Name;
   std::uint32_t Slots = 8;
-  double Speed = 1;                                ///< Divides the run times.
+  double Speed = 1;                                  ///< Divides the run times.
   core::Duration UsageLag = std::chrono::seconds(1); ///< Age of the usage in the status.
 };
 
--- /dev/null
+++ b/Services/EntryDaemon/ActionRouter.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "Kernel/Action.h"
+#include "Libraries/LibCore/MetricsRegistry.h"
+#include "Services/EntryDaemon/EndpointDuty.h"
+#include "Services/EntryDaemon/IssuerNames.h"
+#include "Services/EntryDaemon/KernelThread.h"
+#include "Services/EntryDaemon/RequestTable.h"
+
+#include <atomic>
+#include <functional>
+
+namespace cornellift::entry {
+
+/// Hands the kernel's actions to the duties that carry them out. Runs on the kernel's thread.
+class ActionRouter : public kernel::ActionSink {
+public:
+  ActionRouter(KernelThread &Kernel, RequestTable &Requests, EndpointDuty &Endpoints,
+               const IssuerNames &Names, core::MetricsRegistry &Metrics);
+
+  /// Receives the actions that hand state over to a successor. Set before the kernel starts; must
+  /// not block.
+  void setTransferHandler(std::function<void(kernel::Action)> Handler) {
+    TransferHandler_ = std::move(Handler);
+  }
+
+  /// True once the kernel has reported, after StopRequested, that nothing is left to do.
+  bool isDrained() const { return Drained_.load(); }
+
+  void perform(kernel::Action Next) override;
+
+private:
+  void carryOut(kernel::Respond Action);
+  void carryOut(kernel::StartTask Action);
+  void carryOut(const kernel::AskTask &Action);
+  void carryOut(const kernel::FenceTask &Action);
+  void carryOut(const kernel::ProbeEndpoint &Action);
+  void carryOut(const kernel::FlagLate &Action);
+  void carryOut(const kernel::SendTransferPart &Action);
+  void carryOut(const kernel::SealTransfer &Action);
+  void carryOut(const kernel::Drained &Action);
+
+  KernelThread &Kernel_;
+  RequestTable &Requests_;
+  EndpointDuty &Endpoints_;
+  const IssuerNames &Names_;
+  core::Counter &LateJobs_;
+  std::function<void(kernel::Action)> TransferHandler_;
+  std::atomic<bool> Drained_{false};
+};
+
+} // namespace cornellift::entry
--- /dev/null
+++ b/Services/EntryDaemon/CallerApi.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "Kernel/Action.h"
+#include "Libraries/LibCore/MetricsRegistry.h"
+#include "Libraries/LibHttp/HttpServer.h"
+#include "Services/EntryDaemon/ConfigurationBoard.h"
+#include "Services/EntryDaemon/IssuerNames.h"
+#include "Services/EntryDaemon/JobParser.h"
+#include "Services/EntryDaemon/KeyTable.h"
+#include "Services/EntryDaemon/PeerNetwork.h"
+#include "Services/EntryDaemon/RequestTable.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cornellift::entry {
+
+/// The caller interface of docs/API.md: sessions and jobs. Safe to use from every thread.
+class CallerApi {
+public:
+  /// Where a request came from. A request from a peer is not forwarded again.
+  enum class Origin { Caller, Peer };
+
+  CallerApi(std::string EntryVm, RequestTable &Requests, const ConfigurationBoard &Board,
+            const KeyTable &TeamKeys, core::MetricsRegistry &Metrics);
+
+  /// Peers that jobs of other issuers are forwarded to. Call before the server starts.
+  void setPeers(PeerNetwork *Peers) { Peers_ = Peers; }
+
+  void addRoutes(http::HttpServer &Server);
+
+  /// Answers a request whose team has been authenticated.
+  ForwardedResponse handle(const ForwardedRequest &Request, Origin From);
+
+private:
+  struct JobTarget {
+    kernel::NamedJobId Id;
+    std::string Text;
+    std::optional<core::TimePoint> WaitUntil;
+  };
+
+  void answer(const httplib::Request &Request, httplib::Response &Response);
+  ForwardedResponse openSession(kernel::TeamIndex Team);
+  ForwardedResponse submit(const ForwardedRequest &Request, kernel::TeamIndex Team, Origin From);
+  ForwardedResponse ask(const ForwardedRequest &Request, kernel::TeamIndex Team, Origin From);
+  ForwardedResponse cancel(const ForwardedRequest &Request, kernel::TeamIndex Team, Origin From);
+  std::optional<kernel::JobSpec> makeSpec(ParsedJob &Job, kernel::TeamIndex Team) const;
+  std::optional<JobTarget> parseTarget(std::string_view Id, std::string_view Path) const;
+  ForwardedResponse finish(const ForwardedRequest &Request, const JobTarget &Target,
+                           const std::optional<kernel::Response> &Content, Origin From);
+  ForwardedResponse forward(const ForwardedRequest &Request, const JobTarget &Target, Origin From);
+  ForwardedResponse recover(const JobTarget &Target) const;
+  void addNextIdentifiers(const JobTarget &Target, kernel::TeamIndex Team, std::string &Body);
+  std::optional<kernel::IdentifierBlock> fetchBlock(kernel::TeamIndex Team);
+
+  const std::string EntryVm_;
+  RequestTable &Requests_;
+  const ConfigurationBoard &Board_;
+  const KeyTable &TeamKeys_;
+  PeerNetwork *Peers_ = nullptr;
+  core::Counter &Submissions_;
+  core::Counter &Refusals_;
+  core::Counter &Forwards_;
+  core::Counter &Recoveries_;
+  core::Distribution &SubmitMilliseconds_;
+};
+
+} // namespace cornellift::entry
--- /dev/null
+++ b/Services/EntryDaemon/Daemon.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "Kernel/KernelConfiguration.h"
+#include "Libraries/LibCore/MetricsRegistry.h"
+#include "Libraries/LibHttp/HttpServer.h"
+#include "Services/EntryDaemon/ActionRouter.h"
+#include "Services/EntryDaemon/CallerApi.h"
+#include "Services/EntryDaemon/ConfigurationBoard.h"
+#include "Services/EntryDaemon/DaemonSettings.h"
+#include "Services/EntryDaemon/Duty.h"
+#include "Services/EntryDaemon/EndpointDuty.h"
+#include "Services/EntryDaemon/IssuerNames.h"
+#include "Services/EntryDaemon/KernelThread.h"
+#include "Services/EntryDaemon/RequestTable.h"
+
+#include <atomic>
+#include <memory>
+#include <vector>
+
+namespace cornellift::entry {
+
+/// One entry process: owns the kernel's thread, the HTTP server and the duties, and starts and
+/// stops them.
+///
+/// A further duty is added with addDuty() before start(). It takes what it needs from the
+/// accessors: it posts events to kernel(), waits for responses with requests(), adds routes to
+/// http(), and passes new configurations to applyConfiguration().
+class Daemon {
+public:
+  explicit Daemon(DaemonSettings Settings);
+  ~Daemon();
+  Daemon(const Daemon &) = delete;
+  Daemon &operator=(const Daemon &) = delete;
+
+  void addDuty(std::unique_ptr<Duty> Added) { Duties_.push_back(std::move(Added)); }
+
+  /// Makes jobs of other issuers go to their owners. Without peers this process uses all slots of
+  /// its data centre's endpoints; with them, the peer duty posts SlotsChanged.
+  void setPeers(PeerNetwork &Peers);
+
+  /// Returns false and sets the last reason when something cannot start.
+  bool start();
+
+  /// Planned stop: refuses new sessions, lets accepted jobs end, and returns when all threads have
+  /// ended.
+  void stop();
+
+  /// Puts a configuration in force. Versions must not decrease; the caller sees to that. Safe to
+  /// use from every thread.
+  void applyConfiguration(std::shared_ptr<const kernel::KernelConfiguration> Next);
+
+  const DaemonSettings &settings() const { return Settings_; }
+  kernel::Incarnation incarnation() const { return Incarnation_; }
+  KernelThread &kernel() { return Kernel_; }
+  RequestTable &requests() { return Requests_; }
+  ActionRouter &router() { return Router_; }
+  IssuerNames &issuerNames() { return Names_; }
+  http::HttpServer &http() { return Http_; }
+  CallerApi &callerApi() { return CallerApi_; }
+  core::MetricsRegistry &metrics() { return Metrics_; }
+  ConfigurationBoard &configuration() { return Board_; }
+
+  bool isStopping() const { return Stopping_.load(); }
+
+  /// True when callers can be served.
+  bool isReady() const { return !isStopping() && Board_.current() != nullptr; }
+
+private:
+  void addRoutes();
+  bool loadConfigurationFile();
+  void grantAllSlots(const kernel::KernelConfiguration &Configuration);
+  void awaitDrained();
+
+  DaemonSettings Settings_;
+  const kernel::Incarnation Incarnation_;
+  core::MetricsRegistry Metrics_;
+  ConfigurationBoard Board_;
+  IssuerNames Names_;
+  KernelThread Kernel_;
+  RequestTable Requests_;
+  EndpointDuty Endpoints_;
+  ActionRouter Router_;
+  CallerApi CallerApi_;
+  http::HttpServer Http_;
+  std::vector<std::unique_ptr<Duty>> Duties_;
+  PeerNetwork *Peers_ = nullptr;
+  std::atomic<bool> Stopping_{false};
+  bool Started_ = false;
+};
+
+} // namespace cornellift::entry
--- /dev/null
+++ b/Services/EntryDaemon/EndpointDuty.cpp
@@ -0,0 +1,75 @@
+#include "Services/EntryDaemon/EndpointDuty.h"
+
+#include <utility>
+
+namespace cornellift::entry {
+
+EndpointDuty::EndpointDuty(const IssuerNames &Names, EventPoster &Kernel,
+                           const ConfigurationBoard &Board, core::MetricsRegistry &Metrics)
+    : Names_(Names), Kernel_(Kernel), Board_(Board), Metrics_(Metrics) {}
+
+void EndpointDuty::stop() {
+  std::vector<std::shared_ptr<EndpointLink>> Links;
+  {
+    std::lock_guard Guard(Mutex_);
+    Links.swap(Links_);
+    Links.insert(Links.end(), Replaced_.begin(), Replaced_.end());
+    Replaced_.clear();
+  }
+  for (auto &Link : Links)
+    Link->stop();
+}
+
+void EndpointDuty::applyConfiguration(const kernel::KernelConfiguration &Configuration) {
+  std::lock_guard Guard(Mutex_);
+  Links_.resize(Configuration.Endpoints.size());
+  for (std::size_t Number = 0; Number < Links_.size(); ++Number) {
+    const auto &Endpoint = Configuration.Endpoints[Number];
+    auto &Link = Links_[Number];
+    if (Link && (Endpoint.Removed || Link->address() == Endpoint.Address))
+      continue;
+    if (Link)
+      Replaced_.push_back(Link);
+    Link = std::make_shared<EndpointLink>(LinkContext{Names_, Kernel_, Board_, Metrics_},
+                                          kernel::EndpointIndex(static_cast<std::uint32_t>(Number)),
+                                          Endpoint);
+  }
+}
+
+std::optional<kernel::Event> EndpointDuty::perform(kernel::StartTask Action) {
+  auto Link = linkOf(Action.Endpoint);
+  kernel::StartRefused Refused{Action.Task, Action.Endpoint, kernel::StartRefusal::NotSent,
+                               Action.Attempt};
+  if (Link && Link->start(std::move(Action)))
+    return std::nullopt;
+  return Refused;
+}
+
+std::optional<kernel::Event> EndpointDuty::perform(const kernel::AskTask &Action) {
+  auto Link = linkOf(Action.Endpoint);
+  if (Link && Link->ask(Action))
+    return std::nullopt;
+  return kernel::TaskReported{Action.Task, Action.Endpoint, kernel::TaskReport::Unknown,
+                              Action.Attempt};
+}
+
+std::optional<kernel::Event> EndpointDuty::perform(const kernel::FenceTask &Action) {
+  auto Link = linkOf(Action.Endpoint);
+  if (Link && Link->fence(Action))
+    return std::nullopt;
+  return kernel::TaskReported{Action.Task, Action.Endpoint, kernel::TaskReport::Unknown,
+                              Action.Attempt};
+}
+
+void EndpointDuty::perform(const kernel::ProbeEndpoint &Action) {
+  if (auto Link = linkOf(Action.Endpoint))
+    Link->probe();
+}
+
+std::shared_ptr<EndpointLink> EndpointDuty::linkOf(kernel::EndpointIndex Endpoint) const {
+  std::lock_guard Guard(Mutex_);
+  auto Number = static_cast<std::size_t>(Endpoint);
+  return Number < Links_.size() ? Links_[Number] : nullptr;
+}
+
+} // namespace cornellift::entry
--- /dev/null
+++ b/Services/EntryDaemon/EndpointDuty.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "Kernel/Action.h"
+#include "Libraries/LibEndpoint/EndpointProtocol.h"
+#include "Services/EntryDaemon/Duty.h"
+#include "Services/EntryDaemon/EndpointLink.h"
+#include "Services/EntryDaemon/EndpointMetrics.h"
+
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cornellift::entry {
+
+/// Passes the kernel's actions to the links of the endpoints.
+class EndpointDuty : public Duty {
+public:
+  EndpointDuty(const IssuerNames &Names, EventPoster &Kernel, const ConfigurationBoard &Board,
+               core::MetricsRegistry &Metrics);
+
+  bool start() override { return true; }
+  void stop() override;
+
+  /// Takes over the endpoints of a configuration. Links to endpoints whose address has not changed
+  /// stay; those of removed endpoints finish what they run.
+  void applyConfiguration(const kernel::KernelConfiguration &Configuration);
+
+  /// These do not block. An action that cannot be passed on is answered with the returned event.
+  std::optional<kernel::Event> perform(kernel::StartTask Action);
+  std::optional<kernel::Event> perform(const kernel::AskTask &Action);
+  std::optional<kernel::Event> perform(const kernel::FenceTask &Action);
+  void perform(const kernel::ProbeEndpoint &Action);
+
+private:
+  std::shared_ptr<EndpointLink> linkOf(kernel::EndpointIndex Endpoint) const;
+
+  const IssuerNames &Names_;
+  EventPoster &Kernel_;
+  const ConfigurationBoard &Board_;
+  EndpointMetrics Metrics_;
+  mutable std::mutex Mutex_;
+  std::vector<std::shared_ptr<EndpointLink>> Links_; ///< By EndpointIndex.
+  std::vector<std::shared_ptr<EndpointLink>> Replaced_;
+};
+
+} // namespace cornellift::entry
--- /dev/null
+++ b/Services/EntryDaemon/EndpointLink.cpp
@@ -0,0 +1,238 @@
+#include "Services/EntryDaemon/EndpointLink.h"
+
+#if defined(__GNUC__) && !defined(__clang__)
+// g++ 12 reports an optional shared_ptr that is moved through the ring at -O2.
+#pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
+#endif
+
+#include "Libraries/LibCore/Log.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace cornellift::entry {
+namespace {
+
+/// Tasks last seconds at most; the kernel asks about a silent one long before this.
+constexpr core::Duration LongestStart = std::chrono::minutes(15);
+
+constexpr std::size_t QuestionEntries = 1024;
+
+} // namespace
+
+EndpointLink::EndpointLink(LinkContext Context, kernel::EndpointIndex Index,
+                           const kernel::EndpointConfiguration &Configuration)
+    : Context_(std::move(Context)), Index_(Index), Address_(Configuration.Address),
+      MaximumThreads_(
+          std::max<std::size_t>(1, std::min(Configuration.Slots, Configuration.Connections))),
+      // A slot that the kernel counts as free again may still be on its way out of the ring.
+      Starts_(2 * MaximumThreads_), Questions_(QuestionEntries) {}
+
+EndpointLink::~EndpointLink() { stop(); }
+
+bool EndpointLink::start(kernel::StartTask Action) {
+  auto Attempt = Action.Attempt;
+  auto Next = std::make_shared<StartSession>(std::move(Action));
+  {
+    std::lock_guard Guard(Mutex_);
+    Sessions_[Attempt] = Next;
+    auto Needed = InFlight_.fetch_add(1) + 1;
+    if (Needed > Threads_.size() && Threads_.size() < MaximumThreads_)
+      Threads_.emplace_back([this] { serveStarts(); });
+  }
+  if (Starts_.tryPush(std::move(Next)))
+    return true;
+  InFlight_.fetch_sub(1);
+  forget(Attempt);
+  return false;
+}
+
+void EndpointLink::stop() {
+  if (Stopping_.exchange(true))
+    return;
+  Starts_.close();
+  Questions_.close();
+  {
+    std::lock_guard Guard(Mutex_);
+    for (const auto &[Attempt, Running] : Sessions_)
+      if (Running->Connection != nullptr)
+        Running->Connection->abort();
+  }
+  for (auto &Thread : Threads_)
+    Thread.join();
+  if (QuestionThread_.joinable())
+    QuestionThread_.join();
+}
+
+void EndpointLink::serveStarts() {
+  auto Connection = connect();
+  while (auto Next = Starts_.pop()) {
+    if (Connection)
+      run(*Connection, **Next);
+    else
+      reportRefused(**Next, kernel::StartRefusal::NotSent);
+    InFlight_.fetch_sub(1);
+  }
+}
+
+void EndpointLink::run(endpoint::EndpointProtocol &Connection, StartSession &Session) {
+  // A fence gave the task up while its start waited here.
+  if (Session.isSettled())
+    return;
+  auto Request = makeRequest(Session);
+  if (!Request)
+    return reportRefused(Session, kernel::StartRefusal::Invalid);
+  if (!learnBoot(Connection, Session)) {
+    observe(kernel::EndpointObserved::Reach::Unreachable, {}, {});
+    return reportRefused(Session, kernel::StartRefusal::NotSent);
+  }
+  Request->Boot = Session.Boot;
+  Context_.Metrics.Starts.add();
+  auto Answer = Connection.start(*Request, core::MonotonicClock::now() + LongestStart);
+  {
+    std::lock_guard Guard(Mutex_);
+    Session.Connection = nullptr;
+  }
+  report(Session, std::move(Answer));
+}
+
+/// A fence proves that a task did not start only in the run of the endpoint that the start was sent
+/// to, so the run has to be known before the start.
+bool EndpointLink::learnBoot(endpoint::EndpointProtocol &Connection, StartSession &Session) {
+  {
+    std::lock_guard Guard(Mutex_);
+    Session.Connection = &Connection;
+    if (Boot_) {
+      Session.Boot = *Boot_;
+      return true;
+    }
+  }
+  Context_.Metrics.Probes.add();
+  auto Status = Connection.status(core::MonotonicClock::now() + QuestionTime);
+  if (Status)
+    noteStatus(*Status);
+  std::lock_guard Guard(Mutex_);
+  if (Status)
+    Session.Boot = Status->Boot;
+  else
+    Session.Connection = nullptr;
+  return Status.has_value();
+}
+
+std::optional<endpoint::StartRequest> EndpointLink::makeRequest(const StartSession &Session) const {
+  const auto &Action = Session.Action;
+  auto Configuration = Context_.Board.current();
+  auto ServiceNumber = static_cast<std::size_t>(Action.Service);
+  auto KindNumber = static_cast<std::size_t>(Action.Kind);
+  auto TeamNumber = static_cast<std::size_t>(Action.Team);
+  if (!Configuration || ServiceNumber >= Configuration->Services.size() ||
+      KindNumber >= Configuration->Services[ServiceNumber].Kinds.size() ||
+      TeamNumber >= Configuration->Teams.size() || !Action.Payload ||
+      Action.PayloadIndex >= Action.Payload->Tasks.size())
+    return std::nullopt;
+  endpoint::StartRequest Request;
+  Request.Task = taskName(Action.Task);
+  Request.Service = Configuration->Services[ServiceNumber].Name;
+  Request.Kind = Configuration->Services[ServiceNumber].Kinds[KindNumber].Name;
+  Request.Team = Configuration->Teams[TeamNumber].Name;
+  Request.Declared = Action.Spec.Declared;
+  Request.TaskCount = Action.TaskCount;
+  Request.Payload = Action.Payload->Tasks[Action.PayloadIndex];
+  return Request;
+}
+
+void EndpointLink::report(StartSession &Session, endpoint::StartAnswer Answer) {
+  if (auto *Result = std::get_if<endpoint::Ended>(&Answer))
+    return reportEnded(Session, std::move(*Result));
+  if (const auto *Refusal = std::get_if<endpoint::Refused>(&Answer)) {
+    Context_.Metrics.Refusals.add();
+    if (Refusal->Cause == kernel::StartRefusal::NotSent)
+      forgetBoot();
+    return reportRefused(Session, Refusal->Cause);
+  }
+  forgetBoot();
+  if (std::holds_alternative<endpoint::NeverWritten>(Answer)) {
+    Context_.Metrics.Unwritten.add();
+    observe(kernel::EndpointObserved::Reach::Unreachable, {}, {});
+    return reportRefused(Session, kernel::StartRefusal::NotSent);
+  }
+  Context_.Metrics.Uncertain.add();
+  core::logLine(core::LogLevel::Warning, "endpoint", "start without an answer",
+                {{"task", taskName(Session.Action.Task)},
+                 {"endpoint", Address_},
+                 {"cause", std::get<endpoint::Uncertain>(Answer).Cause}});
+  if (!Session.isSettled())
+    Context_.Kernel.post(
+        kernel::TaskUncertain{Session.Action.Task, Index_, Session.Action.Attempt});
+}
+
+void EndpointLink::reportEnded(StartSession &Session, endpoint::Ended Result) {
+  if (!Session.settle())
+    return;
+  bool Finished = Result.Verdict == kernel::TaskVerdict::Finished;
+  (Finished ? Context_.Metrics.Finished : Context_.Metrics.Failed).add();
+  auto Task = Session.Action.Task;
+  forget(Session.Action.Attempt);
+  Context_.Kernel.post(kernel::TaskEnded{Task, Index_, Result.Verdict, std::move(Result.Result),
+                                         Result.RunTime, Result.Used});
+}
+
+void EndpointLink::reportRefused(StartSession &Session, kernel::StartRefusal Cause) {
+  if (!Session.settle())
+    return;
+  auto Task = Session.Action.Task;
+  auto Attempt = Session.Action.Attempt;
+  forget(Attempt);
+  Context_.Kernel.post(kernel::StartRefused{Task, Index_, Cause, Attempt});
+}
+
+std::string EndpointLink::taskName(kernel::TaskId Task) const {
+  return kernel::formatTaskId(Context_.Names.nameOf(Task.Job.Issuer), Task);
+}
+
+std::unique_ptr<endpoint::EndpointProtocol> EndpointLink::connect() const {
+  auto Connection = endpoint::connectEndpoint("http", Address_);
+  return Connection ? std::move(*Connection) : nullptr;
+}
+
+EndpointLink::Session EndpointLink::findSession(std::uint32_t Attempt) const {
+  std::lock_guard Guard(Mutex_);
+  auto Found = Sessions_.find(Attempt);
+  return Found == Sessions_.end() ? nullptr : Found->second;
+}
+
+void EndpointLink::forget(std::uint32_t Attempt) {
+  std::lock_guard Guard(Mutex_);
+  Sessions_.erase(Attempt);
+}
+
+void EndpointLink::abortConnection(StartSession &Session) {
+  std::lock_guard Guard(Mutex_);
+  if (Session.Connection != nullptr)
+    Session.Connection->abort();
+}
+
+void EndpointLink::forgetBoot() {
+  std::lock_guard Guard(Mutex_);
+  Boot_.reset();
+}
+
+void EndpointLink::noteStatus(const endpoint::EndpointStatus &Status) {
+  {
+    std::lock_guard Guard(Mutex_);
+    Boot_ = Status.Boot;
+  }
+  observe(kernel::EndpointObserved::Reach::Reachable,
+          Status.State == endpoint::EndpointStatus::Standing::Leaving
+              ? kernel::EndpointObserved::Standing::Leaving
+              : kernel::EndpointObserved::Standing::Live,
+          Status.Used);
+}
+
+void EndpointLink::observe(kernel::EndpointObserved::Reach Reachability,
+                           kernel::EndpointObserved::Standing State, kernel::Resources Used) {
+  Context_.Kernel.post(kernel::EndpointObserved{Index_, Reachability, State, Used});
+}
+
+} // namespace cornellift::entry
--- /dev/null
+++ b/Services/EntryDaemon/EndpointMetrics.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "Libraries/LibCore/MetricsRegistry.h"
+
+namespace cornellift::entry {
+
+/// Messages to endpoints. A wasted message is any that did not run a task: a refused or unwritten
+/// start, a question, a fence, a status probe.
+struct EndpointMetrics {
+  explicit EndpointMetrics(core::MetricsRegistry &Registry)
+      : Starts(Registry.counter("cornellift_starts_total")),
+        Refusals(Registry.counter("cornellift_starts_refused_total")),
+        Unwritten(Registry.counter("cornellift_starts_unwritten_total")),
+        Uncertain(Registry.counter("cornellift_starts_uncertain_total")),
+        Questions(Registry.counter("cornellift_task_questions_total")),
+        Fences(Registry.counter("cornellift_task_fences_total")),
+        Probes(Registry.counter("cornellift_endpoint_probes_total")),
+        Finished(Registry.counter("cornellift_tasks_finished_total")),
+        Failed(Registry.counter("cornellift_tasks_failed_total")) {}
+
+  core::Counter &Starts;
+  core::Counter &Refusals;
+  core::Counter &Unwritten;
+  core::Counter &Uncertain;
+  core::Counter &Questions;
+  core::Counter &Fences;
+  core::Counter &Probes;
+  core::Counter &Finished;
+  core::Counter &Failed;
+};
+
+} // namespace cornellift::entry
--- /dev/null
+++ b/Services/EntryDaemon/KernelThread.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "Kernel/Action.h"
+#include "Kernel/Dispatcher.h"
+#include "Kernel/DispatcherCounters.h"
+#include "Kernel/Scheduler.h"
+#include "Libraries/LibCore/MetricsRegistry.h"
+#include "Libraries/LibCore/Ring.h"
+#include "Services/EntryDaemon/EventPoster.h"
+
+#include <atomic>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+namespace cornellift::entry {
+
+/// Runs the kernel on its own thread: takes events from a ring, and a tick every 10 ms, and hands
+/// the actions to a sink on the same thread.
+class KernelThread : public EventPoster {
+public:
+  KernelThread(kernel::Incarnation Own, std::unique_ptr<kernel::Scheduler> Policy,
+               core::MetricsRegistry &Metrics);
+  ~KernelThread() override;
+
+  /// The sink must not block.
+  void start(kernel::ActionSink &Sink);
+
+  /// Handles the events that were posted, then ends. Nothing may be posted afterwards.
+  void stop();
+
+  bool tryPost(kernel::Event Next) override;
+  void post(kernel::Event Next) override;
+
+  /// Adds an event from within the sink; handled right after the present one.
+  void postFromSink(kernel::Event Next) { FromSink_.push_back(std::move(Next)); }
+
+  /// As of the last tick.
+  kernel::SchedulerLoad load() const;
+  kernel::DispatcherCounters counters() const;
+
+private:
+  void handleEvents(kernel::ActionSink &Sink);
+  void handle(kernel::Event Next, kernel::ActionSink &Sink);
+  void sendTicks();
+  void publish();
+  void addGauges(core::MetricsRegistry &Metrics);
+
+  core::Ring<kernel::Event> Ring_;
+  kernel::Dispatcher Dispatcher_;
+  std::deque<kernel::Event> FromSink_;
+  core::Counter &DroppedTicks_;
+  mutable std::mutex PublishedMutex_;
+  kernel::SchedulerLoad PublishedLoad_;
+  kernel::DispatcherCounters PublishedCounters_;
+  std::atomic<bool> TickPending_{false};
+  std::atomic<bool> Stopping_{false};
+  std::thread KernelDuty_;
+  std::thread TimerDuty_;
+};
+
+} // namespace cornellift::entry
--- /dev/null
+++ b/Services/EntryDaemon/Main.cpp
@@ -0,0 +1,35 @@
+#include "Libraries/LibCore/Log.h"
+#include "Libraries/LibCore/Settings.h"
+#include "Services/EntryDaemon/Daemon.h"
+#include "Services/EntryDaemon/DaemonSettings.h"
+
+#include <csignal>
+#include <iostream>
+#include <span>
+
+using namespace cornellift;
+
+int main(int Count, char **Arguments) {
+  constexpr std::string_view Program = "cornellift-entryd";
+  // Threads inherit the mask, so that only sigwait() below sees these signals.
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+
+  auto Settings = entry::DaemonSettings::parse(
+      std::span<const char *const>(Arguments, static_cast<std::size_t>(Count)));
+  if (!Settings)
+    return core::reportBadUsage(Program);
+  core::configureLog(Settings->LogLevel, Settings->LogFile);
+  entry::Daemon Daemon(std::move(*Settings));
+  if (!Daemon.start())
+    return core::reportBadUsage(Program);
+  std::cout << "listening on " << Daemon.settings().HttpAddress << ':' << Daemon.http().port()
+            << std::endl;
+  int Signal = 0;
+  sigwait(&Signals, &Signal);
+  Daemon.stop();
+  return 0;
+}
--- /dev/null
+++ b/Services/EntryDaemon/RequestTable.cpp
@@ -0,0 +1,59 @@
+#include "Services/EntryDaemon/RequestTable.h"
+
+#include "Libraries/LibCore/Reason.h"
+
+#include <chrono>
+#include <utility>
+
+namespace cornellift::entry {
+
+std::optional<kernel::Response>
+RequestTable::call(const std::function<kernel::Event(kernel::RequestId)> &Make,
+                   core::TimePoint Deadline) {
+  auto Waiting = std::make_shared<Waiter>();
+  kernel::RequestId Request{};
+  {
+    std::lock_guard Guard(Mutex_);
+    Request = kernel::RequestId(++Last_);
+    Waiters_.emplace(Last_, Waiting);
+  }
+  if (!Kernel_.tryPost(Make(Request))) {
+    take(Request);
+    return std::nullopt;
+  }
+  std::unique_lock Lock(Waiting->Mutex);
+  auto Left = Deadline - core::MonotonicClock::now();
+  if (Waiting->Arrived.wait_for(Lock, Left, [&] { return Waiting->Content.has_value(); }))
+    return std::move(Waiting->Content);
+  Lock.unlock();
+  take(Request);
+  Kernel_.tryPost(kernel::RequestAbandoned{Request});
+  return core::fail(core::ErrorKind::Timeout,
+                    "no response in time; ask for the job's outcome under the same identifier");
+}
+
+void RequestTable::respond(kernel::RequestId Request, kernel::Response Content) {
+  auto Waiting = take(Request);
+  if (!Waiting)
+    return;
+  std::lock_guard Guard(Waiting->Mutex);
+  Waiting->Content = std::move(Content);
+  Waiting->Arrived.notify_one();
+}
+
+std::size_t RequestTable::size() const {
+  std::lock_guard Guard(Mutex_);
+  return Waiters_.size();
+}
+
+std::shared_ptr<RequestTable::Waiter> RequestTable::take(kernel::RequestId Request) {
+  std::lock_guard Guard(Mutex_);
+  auto Found = Waiters_.find(static_cast<std::uint64_t>(Request));
+  if (Found == Waiters_.end())
+    return nullptr;
+  auto Waiting = std::move(Found->second);
+  Waiters_.erase(Found);
+  return Waiting;
+}
+
+} // namespace cornellift::entry
