Replay: Replay traces through the Dispatcher on a virtual clock

cornellift-replay generates or reads traces, drives one Dispatcher per entry VM against small fakes, and compares the response times with a clairvoyant schedule and with baselines.

--- a/Kernel/BaselinePlacements.cpp
+++ b/Kernel/BaselinePlacements.cpp
@@ -42,6 +42,18 @@
   std::vector<EndpointIndex> Free_;
 };
 
+/// The first one in the configuration's order, as the first version of the scheduler had it.
+class FirstFreePlacement final : public BaselinePlacement {
+public:
+  using BaselinePlacement::BaselinePlacement;
+
+protected:
+  EndpointIndex pick(std::span<const EndpointIndex> Free,
+                     const EndpointTable & /*Endpoints*/) override {
+    return *std::min_element(Free.begin(), Free.end());
+  }
+};
+
 class RandomPlacement final : public BaselinePlacement {
 public:
   using BaselinePlacement::BaselinePlacement;
@@ -100,6 +112,7 @@
   }
 };
 
+const PlacementRegistration<FirstFreePlacement> RegisteredFirst("first-free");
 const PlacementRegistration<RandomPlacement> RegisteredRandom("random");
 const PlacementRegistration<RoundRobinPlacement> RegisteredRoundRobin("round-robin");
 const PlacementRegistration<TwoChoicesPlacement> RegisteredTwoChoices("two-choices");
--- a/Kernel/HealthTracker.cpp
+++ b/Kernel/HealthTracker.cpp
@@ -36,17 +36,17 @@
   for (std::size_t Service = 0; Service < Configuration.Services.size(); ++Service)
     Rates_[Service].resize(
         std::max(Rates_[Service].size(), Configuration.Services[Service].Kinds.size()));
-  std::fill(EndpointsIn_.begin(), EndpointsIn_.end(), 0);
+  std::fill(HeldIn_.begin(), HeldIn_.end(), 0);
   for (std::size_t Position = 0; Position < Configuration.Endpoints.size(); ++Position) {
     const auto &Name = Configuration.Endpoints[Position].DataCentre;
     auto Found = std::find(DataCentres_.begin(), DataCentres_.end(), Name);
     auto Index = static_cast<std::uint32_t>(Found - DataCentres_.begin());
     if (Found == DataCentres_.end()) {
       DataCentres_.push_back(Name);
-      EndpointsIn_.push_back(0);
+      HeldIn_.push_back(0);
     }
     Records_[Position].DataCentre = Index;
-    ++EndpointsIn_[Index];
+    HeldIn_[Index] += Records_[Position].IsHeld ? 1 : 0;
   }
   EjectedIn_.assign(DataCentres_.size(), 0);
   for (const auto &Endpoint : Records_)
@@ -54,6 +54,15 @@
       ++EjectedIn_[Endpoint.DataCentre];
 }
 
+void HealthTracker::setHeld(EndpointIndex Endpoint, bool Held) {
+  auto &State = at(Endpoint);
+  if (State.IsHeld == Held)
+    return;
+  State.IsHeld = Held;
+  HeldIn_[State.DataCentre] += Held ? 1 : 0;
+  HeldIn_[State.DataCentre] -= Held ? 0 : 1;
+}
+
 HealthTracker::KindRate &HealthTracker::rate(ServiceIndex Service, KindIndex Kind) {
   auto ServicePosition = static_cast<std::size_t>(Service);
   auto KindPosition = static_cast<std::size_t>(Kind);
@@ -143,7 +152,7 @@
 }
 
 bool HealthTracker::mayEject(std::uint32_t DataCentre) const {
-  return EjectedIn_[DataCentre] + 1 <= MaximumEjectedShare_ * EndpointsIn_[DataCentre];
+  return EjectedIn_[DataCentre] + 1 <= MaximumEjectedShare_ * HeldIn_[DataCentre];
 }
 
 void HealthTracker::noteSetback(Record &Endpoint, core::TimePoint Now) {
@@ -190,6 +199,10 @@
   return Records_[static_cast<std::size_t>(Endpoint)].Allowed;
 }
 
+bool HealthTracker::isEjected(EndpointIndex Endpoint) const {
+  return Records_[static_cast<std::size_t>(Endpoint)].Now == Stage::Ejected;
+}
+
 bool HealthTracker::onTrial(EndpointIndex Endpoint) const {
   return Records_[static_cast<std::size_t>(Endpoint)].Now == Stage::Trial;
 }
--- a/Kernel/HealthTracker.h
+++ b/Kernel/HealthTracker.h
@@ -24,6 +24,9 @@
 
   void configure(const KernelConfiguration &Configuration);
 
+  /// Whether this process holds slots of the endpoint. The bound on ejections counts those only.
+  void setHeld(EndpointIndex Endpoint, bool Held);
+
   void succeeded(EndpointIndex Endpoint, ServiceIndex Service, KindIndex Kind);
   void failed(EndpointIndex Endpoint, JobId Job, ServiceIndex Service, KindIndex Kind,
               core::TimePoint Now);
@@ -34,6 +37,7 @@
 
   /// Zero while ejected or unreachable.
   std::uint32_t allowedTasks(EndpointIndex Endpoint) const;
+  bool isEjected(EndpointIndex Endpoint) const;
   /// On trial: its next task may well fail.
   bool onTrial(EndpointIndex Endpoint) const;
 
@@ -51,6 +55,7 @@
     std::uint32_t Successes = 0; ///< In a row, since the last change of Allowed.
     std::uint32_t Setbacks = 0;  ///< Ejections and losses in recent time; lengthens the next one.
     std::uint32_t DataCentre = 0;
+    bool IsHeld = false;
     core::TimePoint ReadmitAt; ///< Earliest end of the exclusion.
     core::TimePoint ProbeAt;   ///< Next status query.
     core::TimePoint LastSetback;
@@ -77,7 +82,7 @@
 
   std::vector<Record> Records_;
   std::vector<std::string> DataCentres_;
-  std::vector<std::uint32_t> EndpointsIn_; ///< By data centre.
+  std::vector<std::uint32_t> HeldIn_; ///< Endpoints by data centre.
   std::vector<std::uint32_t> EjectedIn_;
   std::vector<std::vector<KindRate>> Rates_;
   std::unordered_map<JobId, FailedJob> FailedJobs_;
--- a/Kernel/PolicyScheduler.cpp
+++ b/Kernel/PolicyScheduler.cpp
@@ -431,6 +431,7 @@
   if (static_cast<std::size_t>(Endpoint) >= Endpoints_.size())
     return;
   Endpoints_.setSlots(Endpoint, Slots);
+  Health_.setHeld(Endpoint, Slots > 0);
   updateAllowed(Endpoint, Now);
 }
 
--- a/Kernel/PolicyScheduler.h
+++ b/Kernel/PolicyScheduler.h
@@ -50,6 +50,7 @@
 
   /// For reports and tests.
   const EndpointTable &endpoints() const { return Endpoints_; }
+  const HealthTracker &health() const { return Health_; }
 
 private:
   struct RunningTask {
--- a/Kernel/WaitingJobs.cpp
+++ b/Kernel/WaitingJobs.cpp
@@ -47,7 +47,7 @@
   TeamTasks_[Team] += Step;
   WaitingTasks_ += Step;
   WaitingBytes_ += static_cast<std::uint64_t>(static_cast<std::int64_t>(Sign) * Task.PayloadBytes);
-  WaitingWork_ = WaitingTasks_ == 0 ? 0 : WaitingWork_ + Sign * Task.RunTime;
+  WaitingWork_ = WaitingTasks_ == 0 ? 0 : WaitingWork_ + Sign * static_cast<double>(Task.RunTime);
 }
 
 ActiveJob &WaitingJobs::add(std::unique_ptr<ActiveJob> Job) {
--- /dev/null
+++ b/Utilities/Replay/CostMeasurement.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <cstdint>
+#include <iosfwd>
+
+namespace cornellift::replay {
+
+/// Prints decision times at 50, 350, 700 and 1,400 workers and the memory of a waiting task.
+void measureCost(std::uint64_t Seed, double Load, std::ostream &Output);
+
+} // namespace cornellift::replay
--- /dev/null
+++ b/Utilities/Replay/FakeWorker.cpp
@@ -0,0 +1,83 @@
+#include "Utilities/Replay/FakeWorker.h"
+
+#include <utility>
+
+namespace cornellift::replay {
+namespace {
+
+/// A worker that fails everything does so after this time.
+constexpr double QuickFailure = 3;
+/// A task that fails does so after this share of its run time.
+constexpr double FailurePoint = 0.3;
+
+bool exceeds(const kernel::Resources &Used, const kernel::Resources &Declared) {
+  return Used.Processors > Declared.Processors || Used.MemoryMegabytes > Declared.MemoryMegabytes ||
+         Used.Accelerators > Declared.Accelerators;
+}
+
+} // namespace
+
+FakeWorker::FakeWorker(EventQueue &Clock, const TraceWorker &Spec, kernel::EndpointIndex Index)
+    : Clock_(Clock), Index_(Index), Slots_(Spec.Slots), Speed_(Spec.Speed) {}
+
+void FakeWorker::setState(WorkerChange::State Next) {
+  State_ = Next;
+  if (isUp())
+    return;
+  // The tasks are lost with the process, and so are its records.
+  auto Lost = std::exchange(Running_, {});
+  Known_.clear();
+  for (auto &[Task, Entry] : Lost)
+    Entry.Reply(kernel::TaskUncertain{Task, Index_, Entry.Attempt});
+}
+
+bool FakeWorker::start(const FakeTask &Task, Tell Reply) {
+  auto Refuse = [&](kernel::StartRefusal Cause) {
+    Reply(kernel::StartRefused{Task.Id, Index_, Cause, Task.Attempt});
+    return false;
+  };
+  if (!isUp())
+    return Refuse(kernel::StartRefusal::NotSent);
+  if (Running_.size() >= Slots_)
+    return Refuse(kernel::StartRefusal::NoSlot);
+  if (!Known_.insert(Task.Id).second)
+    ++DoubleStarts_;
+  auto RunTime = Task.Truth.True / Speed_;
+  auto Verdict = kernel::TaskVerdict::Finished;
+  if (Task.Nature == JobNature::Failing || exceeds(Task.Truth.TrueSize, Task.Truth.DeclaredSize)) {
+    Verdict = kernel::TaskVerdict::Failed;
+    RunTime *= FailurePoint;
+  }
+  if (State_ == WorkerChange::State::FailsAll) {
+    Verdict = kernel::TaskVerdict::Failed;
+    RunTime = QuickFailure;
+  }
+  auto Token = ++NextToken_;
+  Running_[Task.Id] = {Task.Attempt, Token, std::move(Reply)};
+  auto Span = core::fromMilliseconds(RunTime);
+  Clock_.after(Span, [this, Task, Token, Span, Verdict] { end(Task, Token, Span, Verdict); });
+  return true;
+}
+
+void FakeWorker::end(const FakeTask &Task, std::uint64_t Token, core::Duration RunTime,
+                     kernel::TaskVerdict Verdict) {
+  auto Found = Running_.find(Task.Id);
+  if (Found == Running_.end() || Found->second.Token != Token)
+    return;
+  auto Reply = std::move(Found->second.Reply);
+  Running_.erase(Found);
+  Reply(kernel::TaskEnded{Task.Id, Index_, Verdict, nullptr, RunTime, Task.Truth.TrueSize,
+                          Task.Attempt});
+}
+
+kernel::TaskReport FakeWorker::report(kernel::TaskId Task) const {
+  return isUp() && Running_.contains(Task) ? kernel::TaskReport::Running
+                                           : kernel::TaskReport::Unknown;
+}
+
+kernel::TaskReport FakeWorker::fence(kernel::TaskId Task) {
+  // A restarted process cannot know whether the one before it started the task.
+  return report(Task);
+}
+
+} // namespace cornellift::replay
--- /dev/null
+++ b/Utilities/Replay/Generators.cpp
@@ -0,0 +1,390 @@
+#include "Utilities/Replay/Generators.h"
+
+#include "Libraries/LibCore/Reason.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <random>
+
+namespace cornellift::replay {
+namespace {
+
+constexpr double MillisecondsPerSecond = 1000;
+constexpr double CapacityOfBurst = 5;
+/// Tasks above a second are a few in a hundred.
+constexpr double LongTaskShare = 0.02;
+/// Spread of the logarithm of declared over true run times, and the share that is off by ten.
+constexpr double DeclarationDeviation = 0.7;
+constexpr double TenfoldShare = 0.05;
+constexpr double SpeedDeviation = 0.25;
+constexpr double DriftDeviation = 0.02;
+constexpr double DriftInterval = 5000;
+constexpr std::uint32_t WorkersPerRack = 6;
+
+/// A kind of job and how its jobs look.
+struct JobShape {
+  TraceKind Kind;
+  double Weight = 1;       ///< Share of the jobs.
+  double SmallestJob = 1;  ///< Tasks.
+  double LargestJob = 1;   ///< Tasks; log-uniform in between.
+  double Median = 300;     ///< Milliseconds of a task.
+  double Deviation = 0.5;  ///< Of the logarithm.
+  std::string Label;
+};
+
+struct Workload {
+  std::string Service;
+  double MessageCost = 1;
+  double OneWay = 0.5;
+  std::array<const char *, 4> DataCentres;
+  kernel::Resources Capacity;
+  std::vector<std::string> Teams;
+  std::vector<JobShape> Shapes;
+};
+
+Workload slipworks() {
+  return {"print",
+          20,
+          0.5,
+          {"ikeja", "yaba", "apapa", "lekki"},
+          {16, 65536, 0},
+          {"surulere", "agege", "mushin", "epe", "badagry", "counter"},
+          {{{"payslip", 350, {1, 2048, 0}}, 0.9, 20, 1400, 300, 0.5, "batch"},
+           {{"reprint", 300, {1, 2048, 0}}, 0.1, 1, 1, 250, 0.4, "reprint"}}};
+}
+
+Workload alarcon() {
+  return {"fans",
+          1,
+          1.4,
+          {"leon", "celaya", "irapuato", "queretaro"},
+          {64, 131072, 0},
+          {"retail", "projects", "service"},
+          {{{"slot_confirmation", 120, {2, 1024, 0}}, 0.5, 1, 4, 100, 0.4, "confirmation"},
+           {{"ceiling_check", 250, {4, 4096, 0}}, 0.3, 4, 32, 220, 0.5, "check"},
+           {{"price_quote", 450, {4, 8192, 0}}, 0.2, 10, 200, 400, 0.6, "quote"}}};
+}
+
+class Generator {
+public:
+  explicit Generator(const GeneratorOptions &Options, Workload Users)
+      : Options_(Options), Users_(std::move(Users)), Random_(Options.Seed) {}
+
+  Trace make() {
+    makeFrame();
+    makeWorkers();
+    makeDrift();
+    makeJobs();
+    applyScenario();
+    auto ByTime = [](const auto &Left, const auto &Right) { return Left.At < Right.At; };
+    std::stable_sort(Result_.Changes.begin(), Result_.Changes.end(), ByTime);
+    std::stable_sort(Result_.Jobs.begin(), Result_.Jobs.end(), ByTime);
+    return std::move(Result_);
+  }
+
+private:
+  double uniform(double Low, double High) {
+    return std::uniform_real_distribution<double>(Low, High)(Random_);
+  }
+  double normal(double Deviation) {
+    return std::normal_distribution<double>(0, Deviation)(Random_);
+  }
+  std::uint32_t below(std::size_t Count) { return static_cast<std::uint32_t>(Random_() % Count); }
+  double end() const { return Options_.Seconds * MillisecondsPerSecond; }
+
+  void makeFrame() {
+    Result_.Name = Options_.Workload + "-" + Options_.Scenario;
+    Result_.Seed = Options_.Seed;
+    Result_.OneWay = Users_.OneWay;
+    Result_.WarmUp = end() / 4;
+    Result_.EntryVms = Options_.EntryVms;
+    TraceService Service{Users_.Service, Users_.MessageCost, {}};
+    for (const auto &Shape : Users_.Shapes)
+      Service.Kinds.push_back(Shape.Kind);
+    Result_.Services.push_back(std::move(Service));
+    for (const auto &Team : Users_.Teams)
+      Result_.Teams.push_back({Team, 1});
+  }
+
+  void makeWorkers() {
+    for (std::uint32_t Index = 0; Index < Options_.Workers; ++Index) {
+      TraceWorker Worker;
+      Worker.Name = "w" + std::to_string(Index);
+      Worker.DataCentre = Users_.DataCentres[Index / WorkersPerRack % Users_.DataCentres.size()];
+      Worker.Capacity = Users_.Capacity;
+      Worker.Speed = std::clamp(std::exp(normal(SpeedDeviation)), 0.5, 1.8);
+      Capacity_ += Worker.Slots * Worker.Speed;
+      Result_.Workers.push_back(std::move(Worker));
+    }
+  }
+
+  void makeDrift() {
+    std::vector<double> Speeds;
+    for (const auto &Worker : Result_.Workers)
+      Speeds.push_back(Worker.Speed);
+    for (double At = DriftInterval; At < end(); At += DriftInterval)
+      for (std::uint32_t Index = 0; Index < Speeds.size(); ++Index) {
+        Speeds[Index] = std::clamp(Speeds[Index] * std::exp(normal(DriftDeviation)), 0.5, 1.8);
+        Result_.Changes.push_back({At, SpeedChange{Index, Speeds[Index]}});
+      }
+  }
+
+  TraceTask makeTask(const JobShape &Shape) {
+    TraceTask Task;
+    bool IsLong = uniform(0, 1) < LongTaskShare;
+    Task.True = IsLong ? uniform(1500, 5000)
+                       : std::clamp(Shape.Median * std::exp(normal(Shape.Deviation)), 50.0, 1000.0);
+    double Error = std::exp(normal(DeclarationDeviation));
+    if (uniform(0, 1) < TenfoldShare)
+      Error *= uniform(0, 1) < 0.5 ? 10 : 0.1;
+    Task.Declared = Task.True * Error;
+    const auto &Needed = Shape.Kind.Needed;
+    double Use = uniform(0.3, 1);
+    Task.TrueSize = {Needed.Processors * Use, Needed.MemoryMegabytes * Use, 0};
+    Task.DeclaredSize = {Needed.Processors * uniform(1, 1.5), Needed.MemoryMegabytes * uniform(1, 2),
+                         0};
+    return Task;
+  }
+
+  std::uint32_t drawShape() {
+    double Draw = uniform(0, 1);
+    for (std::uint32_t Kind = 0; Kind + 1 < Users_.Shapes.size(); ++Kind) {
+      if (Draw < Users_.Shapes[Kind].Weight)
+        return Kind;
+      Draw -= Users_.Shapes[Kind].Weight;
+    }
+    return static_cast<std::uint32_t>(Users_.Shapes.size() - 1);
+  }
+
+  TraceJob makeJob(double At) {
+    TraceJob Job;
+    Job.At = At;
+    Job.Kind = drawShape();
+    const auto &Shape = Users_.Shapes[Job.Kind];
+    Job.Label = Shape.Label;
+    // Reprints come from the counter, which sends nothing else.
+    bool IsCounter = Shape.Label == "reprint";
+    auto Teams = Users_.Teams.size();
+    if (Users_.Teams.back() == "counter")
+      Job.Team = static_cast<std::uint32_t>(IsCounter ? Teams - 1 : below(Teams - 1));
+    else
+      Job.Team = below(Teams);
+    double Size = Shape.SmallestJob * std::pow(Shape.LargestJob / Shape.SmallestJob, uniform(0, 1));
+    // A job is a small part of the fleet's work even on a small fleet.
+    double Largest = std::max(1.0, 3.5 * Options_.Workers * 8);
+    auto Count = static_cast<std::uint32_t>(std::lround(std::min(Size, Largest)));
+    for (std::uint32_t Index = 0; Index < Count; ++Index)
+      Job.Tasks.push_back(makeTask(Shape));
+    return Job;
+  }
+
+  static double workOf(const TraceJob &Job) {
+    double Work = 0;
+    for (const auto &Task : Job.Tasks)
+      Work += Task.True;
+    return Work;
+  }
+
+  double meanWork() {
+    constexpr int Samples = 2000;
+    double Sum = 0;
+    for (int Sample = 0; Sample < Samples; ++Sample)
+      Sum += workOf(makeJob(0));
+    return Sum / Samples;
+  }
+
+  /// Poisson arrivals of jobs at a share of the capacity.
+  void makeArrivals(double From, double Until, double Load, std::string_view LabelPrefix) {
+    std::exponential_distribution<double> Gap(Load * Capacity_ / MeanWork_);
+    for (double At = From + Gap(Random_); At < Until; At += Gap(Random_)) {
+      auto Job = makeJob(At);
+      Job.Label = std::string(LabelPrefix) + Job.Label;
+      Result_.Jobs.push_back(std::move(Job));
+    }
+  }
+
+  void makeJobs() {
+    MeanWork_ = meanWork();
+    makeArrivals(0, end(), Options_.Load, "");
+  }
+
+  void expectAtMost(const char *Metric, double Bound) {
+    Result_.Expectations.push_back({Metric, Bound, std::nullopt});
+  }
+  void expectAtLeast(const char *Metric, double Bound) {
+    Result_.Expectations.push_back({Metric, std::nullopt, Bound});
+  }
+  void change(double At, decltype(TimedChange::Content) Content) {
+    Result_.Changes.push_back({At, std::move(Content)});
+  }
+
+  void applyScenario();
+  void applyBurst();
+  void applyWorkerFaults();
+  void applyOutages();
+  void applyFlapping();
+  void applyWrongDeclarations();
+  void applyImpossibleJobs();
+  void applyStragglers(std::uint32_t Count);
+
+  GeneratorOptions Options_;
+  Workload Users_;
+  std::mt19937_64 Random_;
+  Trace Result_;
+  double Capacity_ = 0;
+  double MeanWork_ = 1;
+};
+
+constexpr std::array<std::string_view, 13> Scenarios{
+    "calm",         "burst",        "black-hole",        "straggler",        "stragglers",
+    "cancel-wave",  "declarations", "data-centre-lost",  "entry-vm-lost",    "store-away",
+    "flapping",     "impossible",   "impossible-and-bad"};
+
+void Generator::applyBurst() {
+  double From = end() * 0.3;
+  // The burst is a twentieth of the trace, so that a trace of 700 s has 10 minutes after it.
+  double Until = std::min(From + end() * 0.05, From + 20000);
+  makeArrivals(From, Until, CapacityOfBurst, "burst-");
+  Result_.BurstEnd = Until;
+  expectAtMost("wasted_per_task", 0.02);
+  expectAtLeast("goodput_in_overload", 0.97);
+  expectAtMost("burst_backlog_after_10_minutes", 0);
+  if (Options_.Workload == "slipworks")
+    expectAtMost("reprint_p99_over_idle", 1.5);
+}
+
+void Generator::applyStragglers(std::uint32_t Count) {
+  constexpr double SpeedOfStraggler = 0.1;
+  for (std::uint32_t Index = 0; Index < Count; ++Index) {
+    auto Worker = (Index * 7 + 3) % Options_.Workers;
+    std::erase_if(Result_.Changes, [&](const TimedChange &Change) {
+      const auto *Drift = std::get_if<SpeedChange>(&Change.Content);
+      return Drift && Drift->Worker == Worker && Change.At >= end() / 4;
+    });
+    change(end() / 4, SpeedChange{Worker, SpeedOfStraggler});
+  }
+}
+
+void Generator::applyWorkerFaults() {
+  if (Options_.Scenario == "black-hole") {
+    change(end() / 4, WorkerChange{5 % Options_.Workers, WorkerChange::State::FailsAll});
+    expectAtLeast("p99_gain", 2);
+    expectAtMost("ejected_share", 0.2);
+  } else if (Options_.Scenario == "straggler") {
+    applyStragglers(1);
+    expectAtLeast("p99_gain", 2);
+  } else if (Options_.Scenario == "stragglers") {
+    applyStragglers(std::max(1U, Options_.Workers / 10));
+    expectAtLeast("p99_gain", 2);
+  }
+}
+
+void Generator::applyOutages() {
+  double Half = end() / 2;
+  if (Options_.Scenario == "cancel-wave") {
+    makeArrivals(end() * 0.4, Half, CapacityOfBurst, "burst-");
+    change(Half, CancelWave{0.9});
+    expectAtMost("wasted_per_task", 0.02);
+    expectAtMost("unanswered_jobs", 0);
+  } else if (Options_.Scenario == "data-centre-lost") {
+    change(Half, DataCentreChange{Users_.DataCentres[1], WorkerChange::State::Down});
+    change(end() * 0.8, DataCentreChange{Users_.DataCentres[1], WorkerChange::State::Normal});
+    expectAtMost("unanswered_jobs", 0);
+    expectAtMost("wasted_per_task", 0.1);
+  } else if (Options_.Scenario == "entry-vm-lost") {
+    Result_.EntryVms = std::max(3U, Options_.EntryVms);
+    change(Half, EntryVmLost{1});
+    expectAtMost("unanswered_jobs", 0);
+    expectAtMost("double_starts", 0);
+  } else if (Options_.Scenario == "store-away") {
+    change(end() / 4, StoreChange{false});
+    expectAtMost("failed_share", 0);
+    expectAtMost("store_calls", 0);
+  }
+}
+
+void Generator::applyFlapping() {
+  constexpr double MeanUp = 4000;
+  constexpr double MeanDown = 1500;
+  auto Count = std::max(1U, Options_.Workers / 10);
+  for (std::uint32_t Index = 0; Index < Count; ++Index) {
+    auto Worker = (Index * 9 + 1) % Options_.Workers;
+    double At = end() / 4;
+    while (At < end()) {
+      At += uniform(0.5, 1.5) * MeanUp;
+      change(At, WorkerChange{Worker, WorkerChange::State::Down});
+      At += uniform(0.5, 1.5) * MeanDown;
+      change(At, WorkerChange{Worker, WorkerChange::State::Normal});
+    }
+  }
+  expectAtMost("wasted_per_task", 0.1);
+  expectAtMost("unanswered_jobs", 0);
+}
+
+void Generator::applyWrongDeclarations() {
+  for (auto &Job : Result_.Jobs) {
+    double Factor = uniform(0, 1) < 0.5 ? 10 : 0.1;
+    for (auto &Task : Job.Tasks)
+      Task.Declared = Task.True * Factor * std::exp(normal(0.2));
+  }
+  expectAtMost("failed_share", 0);
+  if (Options_.Load <= 0.7)
+    expectAtMost("mean_ratio", 1.25);
+}
+
+void Generator::applyImpossibleJobs() {
+  bool WithBad = Options_.Scenario == "impossible-and-bad";
+  for (std::size_t Index = 0; Index < Result_.Jobs.size(); Index += 20) {
+    auto &Job = Result_.Jobs[Index];
+    Job.Label = "impossible";
+    Job.Tasks.back().DeclaredSize.MemoryMegabytes = Users_.Capacity.MemoryMegabytes * 4;
+    Job.Tasks.back().TrueSize.MemoryMegabytes = Users_.Capacity.MemoryMegabytes * 3;
+  }
+  for (std::size_t Index = 10; WithBad && Index < Result_.Jobs.size(); Index += 20) {
+    Result_.Jobs[Index].Label = "bad";
+    Result_.Jobs[Index].Nature = JobNature::Failing;
+  }
+  expectAtMost("untrue_refusals", 0);
+  expectAtMost("impossible_started", 0);
+  expectAtMost("ejected_share", 0);
+}
+
+void Generator::applyScenario() {
+  if (Options_.Scenario == "calm") {
+    expectAtMost("failed_share", 0);
+    if (Options_.Workload == "alarcon" && Options_.Load <= 0.9) {
+      expectAtMost("mean_ratio", Options_.Load <= 0.7 ? 1.10 : 1.25);
+      expectAtMost("p99_ratio", Options_.Load <= 0.7 ? 1.30 : 1.75);
+    }
+  } else if (Options_.Scenario == "burst") {
+    applyBurst();
+  } else if (Options_.Scenario == "flapping") {
+    applyFlapping();
+  } else if (Options_.Scenario == "declarations") {
+    applyWrongDeclarations();
+  } else if (Options_.Scenario.starts_with("impossible")) {
+    applyImpossibleJobs();
+  } else {
+    applyWorkerFaults();
+    applyOutages();
+  }
+}
+
+} // namespace
+
+std::span<const std::string_view> scenarioNames() { return Scenarios; }
+
+std::optional<Trace> generateTrace(const GeneratorOptions &Options) {
+  if (std::find(Scenarios.begin(), Scenarios.end(), Options.Scenario) == Scenarios.end())
+    return core::fail(core::ErrorKind::Malformed,
+                      "there is no scenario \"" + Options.Scenario + "\"; see docs/TRACES.md");
+  if (Options.Workload == "slipworks")
+    return Generator(Options, slipworks()).make();
+  if (Options.Workload == "alarcon")
+    return Generator(Options, alarcon()).make();
+  return core::fail(core::ErrorKind::Malformed, "there is no workload \"" + Options.Workload +
+                                                    "\"; use slipworks or alarcon");
+}
+
+} // namespace cornellift::replay
--- /dev/null
+++ b/Utilities/Replay/Main.cpp
@@ -0,0 +1,133 @@
+#include "Libraries/LibCore/Reason.h"
+#include "Libraries/LibCore/Settings.h"
+#include "Utilities/Replay/Comparison.h"
+#include "Utilities/Replay/CostMeasurement.h"
+#include "Utilities/Replay/Generators.h"
+#include "Utilities/Replay/Plots.h"
+
+#include <charconv>
+#include <fstream>
+#include <iostream>
+#include <span>
+
+namespace {
+
+using namespace cornellift;
+using core::ExitStatus;
+using core::SettingType;
+
+constexpr const char *Program = "cornellift-replay";
+
+const core::SettingSpec Specs[] = {
+    {"trace", "File of JSON lines to replay; empty to generate", SettingType::Text, ""},
+    {"workload", "Generated workload: slipworks or alarcon", SettingType::Text, "slipworks"},
+    {"scenario", "Generated scenario; docs/TRACES.md lists them", SettingType::Text, "calm"},
+    {"load", "Offered work over capacity", SettingType::Real, "0.7", 0.01, 10},
+    {"seconds", "Length of the arrivals in seconds", SettingType::Real, "40", 1, 100000},
+    {"workers", "Number of workers", SettingType::Integer, "50", 1, 10000},
+    {"entry-vms", "Number of entry VMs", SettingType::Integer, "1", 1, 1000},
+    {"seed", "Seed of the trace and of the policies", SettingType::Integer, "1"},
+    {"write-trace", "Write the trace to this file and exit", SettingType::Text, ""},
+    {"policies", "Comma-separated policies, the checked one first; all for every one",
+     SettingType::Text, "all"},
+    {"message-costs", "Comma-separated milliseconds: replay the first policy with each",
+     SettingType::Text, ""},
+    {"format", "text, csv or json", SettingType::Text, "text"},
+    {"plots", "Directory for plot data and gnuplot scripts; empty for none", SettingType::Text,
+     ""},
+    {"check", "Exit with 1 unless the trace's expectations hold", SettingType::Flag, "false"},
+    {"cost", "Measure decision time and memory instead", SettingType::Flag, "false"},
+};
+
+std::optional<replay::Trace> makeTrace(const core::Settings &Settings) {
+  if (const auto &File = Settings.text("trace"); !File.empty()) {
+    std::ifstream Input(File);
+    if (!Input)
+      return core::fail(core::ErrorKind::NotFound, "cannot read " + File + "; check the path");
+    return replay::readTrace(Input);
+  }
+  replay::GeneratorOptions Options;
+  Options.Workload = Settings.text("workload");
+  Options.Scenario = Settings.text("scenario");
+  Options.Load = Settings.real("load");
+  Options.Seconds = Settings.real("seconds");
+  Options.Workers = static_cast<std::uint32_t>(Settings.integer("workers"));
+  Options.EntryVms = static_cast<std::uint32_t>(Settings.integer("entry-vms"));
+  Options.Seed = static_cast<std::uint64_t>(Settings.integer("seed"));
+  return replay::generateTrace(Options);
+}
+
+std::optional<std::vector<std::string>> choosePresets(const core::Settings &Settings) {
+  if (Settings.text("policies") == "all")
+    return replay::presetNames();
+  auto Names = Settings.list("policies");
+  for (const auto &Name : Names)
+    if (!replay::findPreset(Name))
+      return std::nullopt;
+  return Names;
+}
+
+int replayCurve(const replay::Trace &Input, const core::Settings &Settings,
+                std::span<const std::string> Presets) {
+  std::vector<replay::CurvePoint> Points;
+  std::cout << "message_cost_ms  wasted_per_task  mean_ratio  p99_ratio\n";
+  for (const auto &Text : Settings.list("message-costs")) {
+    double Cost = 0;
+    if (std::from_chars(Text.data(), Text.data() + Text.size(), Cost).ec != std::errc())
+      return core::reportBadUsage(Program);
+    auto Runs = replay::compare(Input, Presets.first(1), Cost);
+    auto &Values = Runs.front().Figures.Values;
+    Points.push_back(
+        {Cost, Values["wasted_per_task"], Values["mean_ratio"], Values["p99_ratio"]});
+    std::cout << Cost << "  " << Points.back().WastedPerTask << "  " << Points.back().MeanRatio
+              << "  " << Points.back().P99Ratio << std::endl;
+  }
+  const auto &Plots = Settings.text("plots");
+  if (!Plots.empty() && !replay::writeCurvePlot(Plots, Points))
+    return core::reportBadUsage(Program);
+  return static_cast<int>(ExitStatus::Success);
+}
+
+int replayAll(const replay::Trace &Input, const core::Settings &Settings,
+              std::span<const std::string> Presets, replay::ReportFormat Format) {
+  auto Runs = replay::compare(Input, Presets, std::nullopt);
+  std::vector<replay::PolicyFigures> Figures;
+  for (const auto &Run : Runs)
+    Figures.push_back(Run.Figures);
+  replay::writeReport(Input.Name, Figures, Format, std::cout);
+  const auto &Plots = Settings.text("plots");
+  if (!Plots.empty() && !replay::writePlots(Plots, Runs))
+    return core::reportBadUsage(Program);
+  auto &CheckOutput = Format == replay::ReportFormat::Text ? std::cout : std::cerr;
+  bool Holds = replay::checkExpectations(Input.Expectations, Figures.front(), CheckOutput);
+  bool Fails = Settings.flag("check") && !Holds;
+  return static_cast<int>(Fails ? ExitStatus::RequestFailed : ExitStatus::Success);
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  auto Settings = core::Settings::parse(
+      Program, "Replays traces through the kernel on a virtual clock", Specs,
+      std::span<const char *const>(Arguments, static_cast<std::size_t>(Count)));
+  if (!Settings)
+    return core::reportBadUsage(Program);
+  if (Settings->flag("cost")) {
+    replay::measureCost(static_cast<std::uint64_t>(Settings->integer("seed")),
+                        Settings->real("load"), std::cout);
+    return static_cast<int>(ExitStatus::Success);
+  }
+  auto Format = replay::parseFormat(Settings->text("format"));
+  auto Presets = choosePresets(*Settings);
+  auto Input = Format && Presets && !Presets->empty() ? makeTrace(*Settings) : std::nullopt;
+  if (!Input)
+    return core::reportBadUsage(Program);
+  if (const auto &File = Settings->text("write-trace"); !File.empty()) {
+    std::ofstream Output(File);
+    replay::writeTrace(*Input, Output);
+    return static_cast<int>(Output ? ExitStatus::Success : ExitStatus::RequestFailed);
+  }
+  if (!Settings->text("message-costs").empty())
+    return replayCurve(*Input, *Settings, *Presets);
+  return replayAll(*Input, *Settings, *Presets, *Format);
+}
--- /dev/null
+++ b/Utilities/Replay/Plots.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "Utilities/Replay/Comparison.h"
+
+#include <span>
+#include <string>
+
+namespace cornellift::replay {
+
+/// Wasted messages and response time at one weight.
+struct CurvePoint {
+  double MessageCost = 0; ///< Milliseconds.
+  double WastedPerTask = 0;
+  double MeanRatio = 0;
+  double P99Ratio = 0;
+};
+
+/// Writes data files and gnuplot scripts that draw SVG: response times and slots in use over time.
+/// Returns false with Unavailable when the directory cannot be written.
+bool writePlots(const std::string &Directory, std::span<const ComparedRun> Runs);
+
+/// Writes the data and the script of wasted messages over response time.
+bool writeCurvePlot(const std::string &Directory, std::span<const CurvePoint> Points);
+
+} // namespace cornellift::replay
--- /dev/null
+++ b/Utilities/Replay/ReplayRun.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "Kernel/KernelConfiguration.h"
+#include "Utilities/Replay/FakeWorker.h"
+#include "Utilities/Replay/ReplayResult.h"
+#include "Utilities/Replay/SlotExchange.h"
+#include "Utilities/Replay/Trace.h"
+
+#include <memory>
+#include <optional>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace cornellift::replay {
+
+/// Drives one Dispatcher per entry VM through a trace on a virtual clock.
+class ReplayRun {
+public:
+  /// MessageCost replaces that of every service when given, in milliseconds.
+  ReplayRun(const Trace &Input, const kernel::PolicyConfiguration &Policy,
+            std::optional<double> MessageCost);
+
+  ReplayResult run();
+
+private:
+  /// One submission of a job of the trace.
+  struct Submission {
+    std::uint32_t Job = 0; ///< In the trace.
+    std::uint32_t Vm = 0;
+    std::uint32_t Unstarted = 0;
+    bool IsOpen = true;
+    bool Started = false;
+    double Work = 0; ///< Slot milliseconds of its ended tasks.
+  };
+
+  struct TeamState {
+    std::uint32_t Running = 0;
+    std::uint32_t Waiting = 0;
+    double OverSince = -1; ///< Milliseconds; negative when not over.
+    double WaitsSince = -1;
+  };
+
+  std::shared_ptr<const kernel::KernelConfiguration> makeConfiguration() const;
+  void scheduleTrace();
+  void every(core::Duration Interval, std::function<void()> Run);
+  bool isOver() const;
+  double nowInTrace() const { return Clock_.nowMilliseconds() - Start_; }
+
+  void submit(std::uint32_t Job);
+  void resubmitLater(std::uint32_t Job);
+  void perform(SimulatedVm &Vm, kernel::Action &Next);
+  void onAction(SimulatedVm &Vm, kernel::Respond &Next);
+  void onAction(SimulatedVm &Vm, kernel::StartTask &Next);
+  void onAction(SimulatedVm &Vm, kernel::AskTask &Next);
+  void onAction(SimulatedVm &Vm, kernel::FenceTask &Next);
+  void onAction(SimulatedVm &Vm, kernel::ProbeEndpoint &Next);
+  template <typename Other> void onAction(SimulatedVm & /*Vm*/, Other & /*Next*/) {}
+
+  void deliver(std::uint32_t Vm, kernel::Event Next);
+  void account(SimulatedVm &Vm, const kernel::Event &Next);
+  void endSubmission(kernel::JobId Id, JobEnd End);
+  void answer(std::uint32_t Job, JobEnd End);
+
+  void apply(const SpeedChange &Change) { Workers_[Change.Worker].setSpeed(Change.Speed); }
+  void apply(const WorkerChange &Change) { Workers_[Change.Worker].setState(Change.Next); }
+  void apply(const DataCentreChange &Change);
+  void apply(const EntryVmLost &Change);
+  void apply(const StoreChange & /*Change*/) {}
+  void apply(const CancelWave &Change);
+
+  void sample();
+  void sampleQuotas(std::uint32_t Slots);
+  void sampleEjections(Sample &Now);
+  std::uint32_t aliveVm();
+
+  const Trace &Input_;
+  EventQueue Clock_;
+  double Start_ = 0;
+  std::mt19937_64 Random_;
+  ReplayResult Result_;
+  std::shared_ptr<const kernel::KernelConfiguration> Configuration_;
+  std::vector<FakeWorker> Workers_;
+  std::vector<std::unique_ptr<SimulatedVm>> Vms_;
+  std::unique_ptr<SlotExchange> Exchange_;
+  std::unordered_map<kernel::JobId, Submission> Submissions_;
+  std::vector<kernel::JobId> Current_; ///< Latest submission of each job.
+  std::vector<std::uint8_t> CancelAsked_;
+  std::vector<TeamState> Teams_;
+  std::uint32_t Unanswered_ = 0;
+};
+
+} // namespace cornellift::replay
--- /dev/null
+++ b/Utilities/Replay/SimulatedVm.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "Kernel/Dispatcher.h"
+#include "Utilities/Replay/EventQueue.h"
+#include "Utilities/Replay/TimedScheduler.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace cornellift::replay {
+
+/// One entry VM: a Dispatcher, its job identifiers, and the slots that it may use.
+class SimulatedVm final : public kernel::ActionSink {
+public:
+  using Perform = std::function<void(SimulatedVm &, kernel::Action &)>;
+
+  /// Do is called with each action but the answers to sessions.
+  SimulatedVm(EventQueue &Clock, std::uint32_t Index, std::uint64_t Seed, DecisionTimes &Times,
+              std::shared_ptr<const kernel::KernelConfiguration> Configuration, Perform Do);
+
+  void handle(kernel::Event Next);
+  void perform(kernel::Action Next) override;
+
+  kernel::JobId takeIdentifier(kernel::TeamIndex Team);
+  void setSlots(std::uint32_t Worker, std::uint32_t Slots);
+
+  std::uint32_t index() const { return Index_; }
+  std::uint32_t slots(std::uint32_t Worker) const { return Slots_[Worker]; }
+  std::uint32_t inUse(std::uint32_t Worker) const { return InUse_[Worker]; }
+  void addInUse(std::uint32_t Worker, int Change) {
+    InUse_[Worker] += static_cast<std::uint32_t>(Change);
+  }
+  kernel::SchedulerLoad load() const { return Scheduler_->load(); }
+  const kernel::PolicyScheduler &policy() const { return Scheduler_->inner(); }
+
+  bool IsAlive = true;
+
+private:
+  EventQueue &Clock_;
+  std::uint32_t Index_;
+  Perform Do_;
+  const TimedScheduler *Scheduler_ = nullptr; ///< Owned by the dispatcher.
+  std::unique_ptr<kernel::Dispatcher> Dispatcher_;
+  std::unordered_map<std::uint32_t, kernel::IdentifierBlock> Blocks_; ///< By team.
+  std::vector<std::uint32_t> Slots_;
+  std::vector<std::uint32_t> InUse_;
+};
+
+} // namespace cornellift::replay
