LibPeer: Add the gRPC client and server between entry processes

A connection on which a call ran into its deadline while it still counted as established is replaced for new calls.

--- /dev/null
+++ b/Libraries/LibPeer/PeerClient.cpp
@@ -0,0 +1,54 @@
+#include "Libraries/LibPeer/PeerClient.h"
+
+namespace cornellift::peer {
+
+PeerClient::~PeerClient() { close(); }
+
+std::shared_ptr<PeerChannel> PeerClient::channel(const std::string &Address) {
+  std::lock_guard Guard(Mutex_);
+  auto &Found = Channels_[Address];
+  if (!Found)
+    Found = std::make_shared<PeerChannel>(Address);
+  return Found;
+}
+
+void PeerClient::forget(const std::string &Address) {
+  std::lock_guard Guard(Mutex_);
+  Channels_.erase(Address);
+}
+
+bool PeerClient::enter(grpc::ClientContext *Context) {
+  std::lock_guard Guard(Mutex_);
+  if (Closed_)
+    return false;
+  Open_.emplace(Context, 0);
+  return true;
+}
+
+void PeerClient::leave(grpc::ClientContext *Context) {
+  std::lock_guard Guard(Mutex_);
+  Open_.erase(Context);
+  Left_.notify_all();
+}
+
+void PeerClient::close() {
+  std::unique_lock Lock(Mutex_);
+  Closed_ = true;
+  for (auto &[Context, Unused] : Open_)
+    Context->TryCancel();
+  Left_.wait(Lock, [this] { return Open_.empty(); });
+}
+
+CallFailure PeerClient::failureOf(const grpc::Status &Status) {
+  switch (Status.error_code()) {
+  // Sent by the handlers of the peer only. gRPC itself uses other codes for lost calls.
+  case grpc::StatusCode::FAILED_PRECONDITION:
+  case grpc::StatusCode::INVALID_ARGUMENT:
+  case grpc::StatusCode::NOT_FOUND:
+    return CallFailure::Refused;
+  default:
+    return CallFailure::Lost;
+  }
+}
+
+} // namespace cornellift::peer
