--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -23,8 +23,9 @@
 
 constexpr std::string_view RefusalText =
     "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: "
-    "1\r\nConnection: close\r\nContent-Length: 95\r\n\r\n"
-    R"({"outcome":"not_run","kind":"overloaded","message":"too many connections; retry in a second"}  )";
+    "1\r\nConnection: close\r\nContent-Length: 116\r\n\r\n"
+    R"({"outcome":"not_run","applies_to":"request","kind":"overloaded",)"
+    R"("message":"too many connections; retry in a second"})";
 
 /// Allows a restart while old connections linger, but not two servers on one port.
 void setReuseOption(socket_t Socket) {
@@ -148,6 +149,9 @@
           process_request(Stream, Closing.load(), Closed, [&Unread](httplib::Request &Request) {
             Unread =
                 Request.has_header("Transfer-Encoding") || Request.has_header("Content-Encoding");
+            // The library would read a body without a length until the connection ends.
+            if (!Request.has_header("Content-Length"))
+              Request.set_header("Content-Length", "0");
           });
       Close = !Served || Closed || Unread || Closing.load();
     }
