--- a/Libraries/LibPeer/MembershipCoding.cpp
+++ b/Libraries/LibPeer/MembershipCoding.cpp
@@ -81,7 +81,7 @@
   Result.Origin = From.origin();
   for (const auto &Record : From.members())
     if (!Record.entry_vm().empty() && Record.incarnation() != 0)
-      Result.Members.push_back(peer::decode(Record, Now));
+      Result.Members.push_back(decode(Record, Now));
   for (const auto &Record : From.successions())
     Result.Successions.push_back(peer::decode(Record, Now));
   return Result;
