--- a/Services/EntryDaemon/CallerApi.cpp
+++ b/Services/EntryDaemon/CallerApi.cpp
@@ -239,8 +239,10 @@
 
 ForwardedResponse CallerApi::recover(const JobTarget &Target) const {
   Recoveries_.add();
-  auto Records = collectRecords(*Board_.current(), Target.Text);
-  return renderOutcome(Target.Text, judgeRecords(Records));
+  auto Configuration = Board_.current();
+  auto Records = collectRecords(*Configuration, Target.Text);
+  return renderOutcome(Target.Text,
+                       kernel::recoverOutcome(Records, Configuration->Limits.MaximumTasksPerJob));
 }
 
 void CallerApi::addNextIdentifiers(const JobTarget &Target, kernel::TeamIndex Team,
--- a/Tests/EntryDaemon/TestDaemon.cpp
+++ b/Tests/EntryDaemon/TestDaemon.cpp
@@ -41,11 +41,16 @@
         {"endpoints", Endpoints}};
     auto File = (Directory_ / "document.json").string();
     std::ofstream(File) << Document.dump();
-    std::vector<const char *> Arguments = {"entryd",          "--vm-name",
-                                           "ikeja-1",         "--data-centre",
-                                           "ikeja",           "--http-port",
-                                           "0",               "--configuration-file",
-                                           File.c_str(),      "--team-keys",
+    std::vector<const char *> Arguments = {"entryd",
+                                           "--vm-name",
+                                           "ikeja-1",
+                                           "--data-centre",
+                                           "ikeja",
+                                           "--http-port",
+                                           "0",
+                                           "--configuration-file",
+                                           File.c_str(),
+                                           "--team-keys",
                                            "counter=c,office=o"};
     auto Settings = entry::DaemonSettings::parse(Arguments);
     BOOST_REQUIRE_MESSAGE(Settings, core::lastReason().Message);
@@ -61,6 +66,7 @@
   }
 
   entry::Daemon &daemon() { return *Daemon_; }
+  std::string endpointAddress() const { return "127.0.0.1:" + std::to_string(First_.port()); }
 
   Json send(const char *Method, const std::string &Path, const std::string &Body = "",
             const char *Key = "c") {
@@ -182,6 +188,24 @@
   BOOST_TEST(Site.countStarts() == 0);
 }
 
+// Guards against losing the answer of a job whose issuer died after every task had finished.
+BOOST_AUTO_TEST_CASE(WholeRecordsOfADeadIssuerGiveTheAnswer) {
+  Site Site;
+  auto Connection = endpoint::connectEndpoint("http", Site.endpointAddress());
+  BOOST_REQUIRE(Connection);
+  for (int Index = 0; Index < 2; ++Index) {
+    endpoint::StartRequest Start;
+    Start.Task = "ikeja-1.00000000000000ab.1." + std::to_string(Index);
+    Start.TaskCount = 2;
+    Start.Payload = Index == 0 ? R"({"result":"first"})" : R"({"result":"second"})";
+    (*Connection)->start(Start, core::MonotonicClock::now() + std::chrono::seconds(20));
+    auto Answer = Site.send("GET", "/v1/jobs/ikeja-1.00000000000000ab.1");
+    BOOST_TEST(Answer["outcome"] == (Index == 0 ? "may_have_run" : "complete"));
+    if (Index == 1)
+      BOOST_TEST(Answer["results"] == Json({"first", "second"}));
+  }
+}
+
 // Guards against a planned stop that cuts a running request.
 BOOST_AUTO_TEST_CASE(PlannedStopLetsRunningRequestsEnd) {
   Site Site;
