EntryDaemon: Learn configuration versions and serve operators

The relay of a data centre watches the store; the others fetch from peers when a heartbeat tells of a higher version. A process that starts takes the highest version of the store and its peers, and never goes to a lower one.

Keys are compared by digest in constant time, so that the time of a refusal does not tell how much of a guess is right.

--- /dev/null
+++ b/Services/EntryDaemon/Backoff.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "Libraries/LibCore/Time.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <random>
+
+namespace cornellift::entry {
+
+/// Waiting times between attempts: random up to a bound that doubles with each failure. Processes
+/// that lost the same service at the same time come back to it one by one.
+class Backoff {
+public:
+  Backoff(core::Duration First, core::Duration Longest, std::uint64_t Seed)
+      : First_(First), Longest_(Longest), Bound_(First), Random_(Seed) {}
+
+  core::Duration next() {
+    std::uniform_int_distribution<core::Duration::rep> Draw(1, Bound_.count());
+    Bound_ = std::min(Bound_ * 2, Longest_);
+    return core::Duration(Draw(Random_));
+  }
+
+  void reset() { Bound_ = First_; }
+
+private:
+  core::Duration First_;
+  core::Duration Longest_;
+  core::Duration Bound_;
+  std::mt19937_64 Random_;
+};
+
+} // namespace cornellift::entry
--- a/Services/EntryDaemon/KeyTable.cpp
+++ b/Services/EntryDaemon/KeyTable.cpp
@@ -2,6 +2,9 @@
 
 #include "Libraries/LibCore/Reason.h"
 
+#include <openssl/crypto.h>
+#include <openssl/sha.h>
+
 namespace cornellift::entry {
 
 std::optional<KeyTable> KeyTable::parse(std::span<const std::string> Entries) {
@@ -12,19 +15,35 @@
       return core::fail(core::ErrorKind::Malformed,
                         "a key entry is not of the form name=key; give entries such as "
                         "branches=secret, separated by commas");
-    if (!Result.Names_.emplace(Entry.substr(Equals + 1), Entry.substr(0, Equals)).second)
+    auto KeyDigest = digestOf(std::string_view(Entry).substr(Equals + 1));
+    if (Result.find(KeyDigest) != nullptr)
       return core::fail(core::ErrorKind::Malformed,
                         "two entries have the same key; give each name its own key");
+    Result.Entries_.push_back({KeyDigest, Entry.substr(0, Equals)});
   }
   return Result;
 }
 
 std::optional<std::string> KeyTable::nameOf(std::string_view Key) const {
-  auto Found = Names_.find(Key);
-  if (Found == Names_.end())
+  const auto *Found = find(digestOf(Key));
+  if (!Found)
     return core::fail(core::ErrorKind::Unauthorized,
                       "the key is missing or unknown; send the team's key as X-Cornellift-Key");
-  return Found->second;
+  return Found->Name;
+}
+
+KeyTable::Digest KeyTable::digestOf(std::string_view Key) {
+  Digest Result{};
+  SHA256(reinterpret_cast<const unsigned char *>(Key.data()), Key.size(), Result.data());
+  return Result;
+}
+
+const KeyTable::Entry *KeyTable::find(const Digest &Wanted) const {
+  const Entry *Found = nullptr;
+  for (const auto &Candidate : Entries_)
+    if (CRYPTO_memcmp(Candidate.KeyDigest.data(), Wanted.data(), Wanted.size()) == 0)
+      Found = &Candidate;
+  return Found;
 }
 
 } // namespace cornellift::entry
--- a/Services/EntryDaemon/Main.cpp
+++ b/Services/EntryDaemon/Main.cpp
@@ -1,5 +1,6 @@
 #include "Libraries/LibCore/Log.h"
 #include "Libraries/LibCore/Settings.h"
+#include "Services/EntryDaemon/ConfigurationService.h"
 #include "Services/EntryDaemon/Daemon.h"
 #include "Services/EntryDaemon/DaemonSettings.h"
 
@@ -24,6 +25,12 @@
     return core::reportBadUsage(Program);
   core::configureLog(Settings->LogLevel, Settings->LogFile);
   entry::Daemon Daemon(std::move(*Settings));
+  if (Daemon.settings().ConfigurationFile.empty()) {
+    auto Configuration = entry::ConfigurationService::make(Daemon);
+    if (!Configuration)
+      return core::reportBadUsage(Program);
+    Daemon.addDuty(std::move(Configuration));
+  }
   if (!Daemon.start())
     return core::reportBadUsage(Program);
   std::cout << "listening on " << Daemon.settings().HttpAddress << ':' << Daemon.http().port()
--- /dev/null
+++ b/Services/EntryDaemon/StatusReport.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "Services/EntryDaemon/PeerNetwork.h"
+
+#include <span>
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+
+namespace cornellift::entry {
+
+/// The members with the version that each has in force, and the data centres that are cut off from
+/// this one: those of which no member can be reached.
+nlohmann::json statusReport(std::string_view OwnDataCentre, std::span<const MemberStatus> Members);
+
+} // namespace cornellift::entry
--- /dev/null
+++ b/Tests/EntryDaemon/TestConfigurationDuty.cpp
@@ -0,0 +1,187 @@
+#include "Libraries/LibConfiguration/VersionStore.h"
+#include "Services/EntryDaemon/ConfigurationDuty.h"
+#include "Services/EntryDaemon/StatusReport.h"
+#include "Tests/LibConfiguration/FakeStore.h"
+
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornellift;
+using namespace cornellift::configuration;
+using namespace cornellift::entry;
+using nlohmann::json;
+
+namespace {
+
+core::TimePoint soon() { return core::MonotonicClock::now() + std::chrono::seconds(20); }
+
+/// Peers that all have the same head.
+class FakePeers : public PeerNetwork {
+public:
+  std::atomic<bool> Relay{false};
+
+  void set(std::string Text, std::uint64_t Version) {
+    std::lock_guard Guard(Mutex_);
+    Text_ = std::move(Text);
+    Version_ = Version;
+  }
+
+  bool isRelay() const override { return Relay; }
+  std::optional<std::string> fetchConfiguration(std::uint64_t HaveVersion) override {
+    std::lock_guard Guard(Mutex_);
+    if (Version_ > HaveVersion)
+      return Text_;
+    return core::fail(core::ErrorKind::NotFound, "nothing newer");
+  }
+  void announceVersion(std::uint64_t Version) override { Announced = Version; }
+  std::vector<MemberStatus> members() const override { return {}; }
+  std::optional<ForwardedResponse> forward(std::string_view, kernel::Incarnation,
+                                           const ForwardedRequest &, ForwardFailure &) override {
+    return std::nullopt;
+  }
+
+  std::atomic<std::uint64_t> Announced{0};
+
+private:
+  std::mutex Mutex_;
+  std::string Text_;
+  std::uint64_t Version_ = 0;
+};
+
+struct Fixture {
+  Fixture()
+      : Duty(Store, [this](std::shared_ptr<const kernel::KernelConfiguration> Next) {
+          std::lock_guard Guard(Mutex);
+          Seen.push_back(Next->Version);
+          Changed.notify_all();
+        }) {
+    Duty.setPeers(Peers);
+    patch(0, json::parse(R"({"services": {}, "teams": {}, "endpoints": {}})"));
+  }
+  ~Fixture() {
+    // Ends a pending watch.
+    Store.setDown(true);
+    Duty.stop();
+  }
+
+  /// Makes the next version in the store and returns its head.
+  std::string patch(std::uint64_t Base, const json &Patch) {
+    auto Outcome = Versions.apply({Base, "p" + std::to_string(Base), "ada", "test", Patch}, soon());
+    BOOST_TEST_REQUIRE(std::holds_alternative<Applied>(Outcome));
+    return Versions.readHead(soon())->Content.text();
+  }
+
+  bool awaitVersion(std::uint64_t Version) {
+    std::unique_lock Guard(Mutex);
+    std::chrono::steady_clock::time_point Until(soon().time_since_epoch());
+    return Changed.wait_until(Guard, Until,
+                              [&] { return !Seen.empty() && Seen.back() == Version; });
+  }
+
+  tests::FakeStore Store;
+  VersionStore Versions{Store};
+  FakePeers Peers;
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  std::vector<std::uint64_t> Seen;
+  ConfigurationDuty Duty;
+};
+
+const json OneTeam = {{"teams", {{"counter", json::object()}}}};
+
+} // namespace
+
+// Guards against an old version that comes back into force.
+BOOST_FIXTURE_TEST_CASE(LowerVersionsAreRefused, Fixture) {
+  auto First = Store.get(HeadKey, soon())->Value;
+  auto Second = patch(1, OneTeam);
+  BOOST_TEST(Duty.offer(Second));
+  BOOST_TEST(!Duty.offer(First));
+  BOOST_TEST(!Duty.offer(Second));
+  BOOST_TEST(!Duty.offer("{}"));
+  BOOST_TEST(Duty.version() == 2U);
+  BOOST_TEST(Duty.headText() == Second);
+  BOOST_TEST((Seen == std::vector<std::uint64_t>{2}));
+}
+
+// Guards against a new process that serves with less than the highest version it can learn.
+BOOST_FIXTURE_TEST_CASE(StartTakesTheHighestOfStoreAndPeers, Fixture) {
+  auto First = Store.get(HeadKey, soon())->Value;
+  json Newer = json::parse(First);
+  Newer["version"] = Newer["change"]["version"] = 7;
+  Peers.set(Newer.dump(), 7);
+  BOOST_TEST(!Duty.isReady());
+  BOOST_TEST(Duty.start());
+  BOOST_TEST(awaitVersion(7));
+  BOOST_TEST((Seen == std::vector<std::uint64_t>{7}));
+}
+
+// Guards against a process that cannot start, or never learns of a change, while the store is down.
+BOOST_FIXTURE_TEST_CASE(PeersReplaceAStoreThatIsDown, Fixture) {
+  auto First = Store.get(HeadKey, soon())->Value;
+  auto Second = patch(1, OneTeam);
+  Store.setDown(true);
+  Peers.Relay = true;
+  BOOST_TEST(Duty.start());
+  Peers.set(First, 1);
+  BOOST_TEST(awaitVersion(1));
+  Peers.set(Second, 2);
+  Duty.notifyNewer(2);
+  BOOST_TEST(awaitVersion(2));
+  BOOST_TEST(!Duty.isStoreReachable());
+}
+
+BOOST_FIXTURE_TEST_CASE(RelayWatchesTheStoreAndTellsThePeers, Fixture) {
+  Peers.Relay = true;
+  BOOST_TEST(Duty.start());
+  BOOST_TEST(awaitVersion(1));
+  patch(1, OneTeam);
+  BOOST_TEST(awaitVersion(2));
+  Store.setDown(true);
+  Store.setDown(false);
+  patch(2, {{"teams", {{"counter", nullptr}}}});
+  BOOST_TEST(awaitVersion(3));
+  auto GiveUp = soon();
+  while (Peers.Announced != 3U && core::MonotonicClock::now() < GiveUp)
+    std::this_thread::yield();
+  BOOST_TEST(Peers.Announced == 3U);
+}
+
+// Guards against every process reading the store for each change, or watching it.
+BOOST_FIXTURE_TEST_CASE(OtherProcessesFetchFromPeersOnly, Fixture) {
+  BOOST_TEST(Duty.start());
+  BOOST_TEST(awaitVersion(1));
+  auto Second = patch(1, OneTeam);
+  Store.Calls = 0;
+  Peers.set(Second, 2);
+  Duty.notifyNewer(2);
+  BOOST_TEST(awaitVersion(2));
+  BOOST_TEST(Store.Calls == 0);
+}
+
+// Guards against all processes coming back to the store at the same moment.
+BOOST_AUTO_TEST_CASE(WaitsAreBoundedAndSpread) {
+  Backoff One(std::chrono::milliseconds(100), std::chrono::seconds(2), 1);
+  Backoff Other(std::chrono::milliseconds(100), std::chrono::seconds(2), 2);
+  int Equal = 0;
+  for (int Attempt = 0; Attempt < 50; ++Attempt) {
+    auto Wait = One.next();
+    BOOST_TEST((Wait > core::Duration::zero() && Wait <= std::chrono::seconds(2)));
+    Equal += Wait == Other.next() ? 1 : 0;
+  }
+  BOOST_TEST(Equal < 5);
+}
+
+// Guards against a partition that the status does not show, and one it shows by mistake.
+BOOST_AUTO_TEST_CASE(StatusNamesDataCentresThatAreCutOff) {
+  std::vector<MemberStatus> Members = {{"ikeja-1", "ikeja", {1}, MemberState::Alive, 4},
+                                       {"yaba-1", "yaba", {2}, MemberState::Unreachable, 3},
+                                       {"yaba-2", "yaba", {3}, MemberState::Alive, 4},
+                                       {"lekki-1", "lekki", {4}, MemberState::Unreachable, 3}};
+  auto Status = statusReport("ikeja", Members);
+  BOOST_TEST((Status["cut_off_data_centres"] == json{"lekki"}));
+  BOOST_TEST(Status["members"].size() == 4U);
+  BOOST_TEST(Status["members"][1]["version"] == 3);
+}
