Kernel: Count all waiting tasks before holding one for a faster slot

Cause: a held task reckoned with at most 15 tasks ahead of it, so every head of a long queue expected a faster slot within milliseconds and slots stood idle. Change: the tasks of the jobs before it, and its own job's longer ones, count.

--- a/Kernel/EndpointTable.cpp
+++ b/Kernel/EndpointTable.cpp
@@ -104,12 +104,13 @@
     return;
   SlotSpeed_ -= State.Slots * std::exp(State.LogSpeed);
   Group.Busy[State.Bucket] -= State.Running;
-  if (!State.IsFree)
-    return;
-  auto &Set = Group.Free[State.Bucket];
-  Set.Words[Position / 64] &= ~(1ULL << (Position % 64));
-  --Set.Count;
-  FreeSlots_ -= std::min(State.Slots, State.Allowed) - State.Running;
+  if (State.IsFree) {
+    auto &Set = Group.Free[State.Bucket];
+    Set.Words[Position / 64] &= ~(1ULL << (Position % 64));
+    --Set.Count;
+    FreeSlots_ -= std::min(State.Slots, State.Allowed) - State.Running;
+  }
+  markBucket(Group, State.Bucket);
 }
 
 void EndpointTable::refresh(EndpointState &State, std::uint32_t Position) {
@@ -122,15 +123,16 @@
   SlotSpeed_ += State.Slots * std::exp(State.LogSpeed);
   Group.Busy[State.Bucket] += State.Running;
   auto Usable = std::min(State.Slots, State.Allowed);
-  if (State.Running >= Usable)
-    return;
-  State.IsFree = true;
-  auto &Set = Group.Free[State.Bucket];
-  if (Set.Words.size() <= Position / 64)
-    Set.Words.resize(Endpoints_.size() / 64 + 1);
-  Set.Words[Position / 64] |= 1ULL << (Position % 64);
-  ++Set.Count;
-  FreeSlots_ += Usable - State.Running;
+  State.IsFree = State.Running < Usable;
+  if (State.IsFree) {
+    auto &Set = Group.Free[State.Bucket];
+    if (Set.Words.size() <= Position / 64)
+      Set.Words.resize(Endpoints_.size() / 64 + 1);
+    Set.Words[Position / 64] |= 1ULL << (Position % 64);
+    ++Set.Count;
+    FreeSlots_ += Usable - State.Running;
+  }
+  markBucket(Group, State.Bucket);
 }
 
 void EndpointTable::setSlots(EndpointIndex Endpoint, std::uint32_t Slots) {
@@ -213,11 +215,13 @@
   return false;
 }
 
-std::uint32_t EndpointTable::busySlots(ServiceIndex Service, std::uint32_t Bucket) const {
-  std::uint32_t Busy = 0;
-  for (auto Group : groupsOf(Service))
-    Busy += Groups_[Group].Busy[Bucket];
-  return Busy;
+void EndpointTable::markBucket(Group &Changed, std::uint32_t Bucket) {
+  auto Mark = [Bucket](std::uint64_t &Word, bool Holds) {
+    auto Bit = 1ULL << (Bucket % 64);
+    Word = Holds ? Word | Bit : Word & ~Bit;
+  };
+  Mark(Changed.FreeBuckets[Bucket / 64], Changed.Free[Bucket].Count > 0);
+  Mark(Changed.BusyBuckets[Bucket / 64], Changed.Busy[Bucket] > 0);
 }
 
 } // namespace cornellift::kernel
--- a/Kernel/EndpointTable.h
+++ b/Kernel/EndpointTable.h
@@ -39,6 +39,7 @@
   /// Speeds from 1/16 to 8, sixteen buckets per octave: 4.4% each.
   static constexpr std::uint32_t BucketsPerOctave = 16;
   static constexpr std::uint32_t Buckets = 7 * BucketsPerOctave;
+  static constexpr std::size_t BucketWords = (Buckets + 63) / 64;
   /// Speed in the middle of a bucket. Bucket 0 is the fastest.
   static double bucketSpeed(std::uint32_t Bucket);
 
@@ -67,17 +68,43 @@
   /// Sum of speeds over all usable slots.
   double slotSpeed() const { return SlotSpeed_; }
 
-  /// Busy slots of usable endpoints that offer the service, by speed bucket.
-  std::uint32_t busySlots(ServiceIndex Service, std::uint32_t Bucket) const;
+  /// Calls Visit with each bucket before Last, fastest first, in which usable endpoints that offer
+  /// the service have busy slots, and their number.
+  template <typename Visitor>
+  void visitBusy(ServiceIndex Service, std::uint32_t Last, Visitor Visit) const {
+    auto Groups = groupsOf(Service);
+    for (std::size_t Word = 0; Word < BucketWords; ++Word) {
+      std::uint64_t Occupied = 0;
+      for (auto Group : Groups)
+        Occupied |= Groups_[Group].BusyBuckets[Word];
+      for (; Occupied != 0; Occupied &= Occupied - 1) {
+        auto Bucket = static_cast<std::uint32_t>(
+            Word * 64 + static_cast<std::size_t>(std::countr_zero(Occupied)));
+        if (Bucket >= Last)
+          return;
+        std::uint32_t Busy = 0;
+        for (auto Group : Groups)
+          Busy += Groups_[Group].Busy[Bucket];
+        Visit(Bucket, Busy);
+      }
+    }
+  }
 
   /// Calls Visit with free endpoints of the service, fastest first, until it returns true. Returns
   /// whether it did. Endpoints of one bucket come in rotating order, so that load spreads.
   template <typename Visitor> bool visitFree(ServiceIndex Service, Visitor Visit) const {
     auto Groups = groupsOf(Service);
-    for (std::uint32_t Bucket = 0; Bucket < Buckets; ++Bucket)
+    for (std::size_t Word = 0; Word < BucketWords; ++Word) {
+      std::uint64_t Occupied = 0;
       for (auto Group : Groups)
-        if (visitBucket(Groups_[Group].Free[Bucket], Visit))
-          return true;
+        Occupied |= Groups_[Group].FreeBuckets[Word];
+      for (; Occupied != 0; Occupied &= Occupied - 1) {
+        auto Bucket = Word * 64 + static_cast<std::size_t>(std::countr_zero(Occupied));
+        for (auto Group : Groups)
+          if (visitBucket(Groups_[Group].Free[Bucket], Visit))
+            return true;
+      }
+    }
     return false;
   }
 
@@ -94,6 +121,8 @@
     std::vector<Resources> Capacities; ///< Distinct ones.
     std::array<FreeSet, Buckets> Free;
     std::array<std::uint32_t, Buckets> Busy{};
+    std::array<std::uint64_t, BucketWords> FreeBuckets{}; ///< Bit per bucket with free endpoints.
+    std::array<std::uint64_t, BucketWords> BusyBuckets{}; ///< Bit per bucket with busy slots.
   };
 
   template <typename Visitor> bool visitBucket(const FreeSet &Set, Visitor &Visit) const {
@@ -117,6 +146,7 @@
   void withdraw(const EndpointState &State, std::uint32_t Position);
   void refresh(EndpointState &State, std::uint32_t Position);
   std::uint32_t groupFor(const EndpointConfiguration &Endpoint);
+  static void markBucket(Group &Changed, std::uint32_t Bucket);
 
   std::vector<EndpointState> Endpoints_;
   std::vector<Group> Groups_;
--- a/Kernel/ExpectedCompletionPlacement.cpp
+++ b/Kernel/ExpectedCompletionPlacement.cpp
@@ -36,14 +36,11 @@
                                 std::uint32_t Bucket) {
     double Best = std::numeric_limits<double>::infinity();
     double EndsPerMillisecond = 0;
-    for (std::uint32_t Faster = 0; Faster < Bucket; ++Faster) {
-      auto Busy = Endpoints.busySlots(Question.Service, Faster);
-      if (Busy == 0)
-        continue;
+    Endpoints.visitBusy(Question.Service, Bucket, [&](std::uint32_t Faster, std::uint32_t Busy) {
       double Speed = EndpointTable::bucketSpeed(Faster);
       EndsPerMillisecond += Busy * Speed / std::max(1.0, Question.MeanRunTime);
       Best = std::min(Best, (Question.Ahead + 1) / EndsPerMillisecond + Question.RunTime / Speed);
-    }
+    });
     return Best;
   }
 };
--- a/Kernel/PolicyScheduler.cpp
+++ b/Kernel/PolicyScheduler.cpp
@@ -202,7 +202,8 @@
     return std::nullopt;
   QueueVisited_.assign(Waiting_.queues(), 0);
   std::uint32_t Ahead = 0;
-  while (Ahead < MaximumCandidates) {
+  std::size_t Tried = 0;
+  while (Tried < MaximumCandidates) {
     auto Queue = pickQueue();
     if (!Queue)
       break;
@@ -211,7 +212,8 @@
     for (auto *Job : Candidates_) {
       if (auto Chosen = tryJob(*Job, Ahead, Now))
         return Chosen;
-      ++Ahead;
+      Ahead += static_cast<std::uint32_t>(Job->Tasks.size());
+      ++Tried;
     }
   }
   return std::nullopt;
@@ -250,7 +252,9 @@
   auto Endpoint = chooseEndpoint(Question, Now);
   if (!Endpoint && Job.Tasks.size() > 1) {
     Choice = TaskChoice::Shortest;
-    Question = question(Job, Job.Tasks.front(), Ahead, Now);
+    // The shortest task is the job's last one, so the others wait for a faster slot before it.
+    auto Before = static_cast<std::uint32_t>(Job.Tasks.size() - 1);
+    Question = question(Job, Job.Tasks.front(), Ahead + Before, Now);
     Endpoint = chooseEndpoint(Question, Now);
   }
   if (!Endpoint)
--- a/Utilities/Replay/Clairvoyant.cpp
+++ b/Utilities/Replay/Clairvoyant.cpp
@@ -218,11 +218,27 @@
   double Now_ = 0;
 };
 
-double sumOf(const std::vector<double> &Responses) {
-  double Sum = 0;
-  for (double Response : Responses)
-    Sum += std::max(0.0, Response);
-  return Sum;
+/// Responses of the jobs that the figures are about.
+std::vector<double> counted(const Trace &Input, const std::vector<double> &Responses) {
+  std::vector<double> Result;
+  for (std::size_t Job = 0; Job < Responses.size(); ++Job)
+    if (Responses[Job] > 0 && Input.Jobs[Job].At >= Input.WarmUp)
+      Result.push_back(Responses[Job]);
+  return Result;
+}
+
+double sumOf(const Trace &Input, const std::vector<double> &Responses) {
+  auto Counted = counted(Input, Responses);
+  return std::accumulate(Counted.begin(), Counted.end(), 0.0);
+}
+
+double tailOf(const Trace &Input, const std::vector<double> &Responses) {
+  auto Counted = counted(Input, Responses);
+  if (Counted.empty())
+    return 0;
+  auto Position = Counted.begin() + static_cast<std::ptrdiff_t>(Counted.size() * 99 / 100);
+  std::nth_element(Counted.begin(), Position, Counted.end());
+  return *Position;
 }
 
 std::vector<double> lowerBound(const Trace &Input, const std::vector<std::uint8_t> &Included) {
@@ -247,10 +263,16 @@
   IdealSchedule Result;
   Result.LowerBound = lowerBound(Input, Included);
   double Best = Never;
+  double BestTail = Never;
   for (auto Order : {PlanOrder::SmallestRemaining, PlanOrder::Arrival})
     for (auto Hold : {PlanHold::Hold, PlanHold::Greedy}) {
       auto Responses = Planner(Input, Included, Order, Hold).run();
-      double Sum = sumOf(Responses);
+      double Tail = tailOf(Input, Responses);
+      if (Tail < BestTail) {
+        BestTail = Tail;
+        Result.Tail = Responses;
+      }
+      double Sum = sumOf(Input, Responses);
       if (Sum >= Best)
         continue;
       Best = Sum;
--- a/Utilities/Replay/Clairvoyant.h
+++ b/Utilities/Replay/Clairvoyant.h
@@ -9,7 +9,8 @@
 
 /// Response times in milliseconds, one per job of the trace; negative for jobs left out.
 struct IdealSchedule {
-  std::vector<double> Planned;    ///< Of the planner.
+  std::vector<double> Planned;    ///< Of the plan with the lowest mean.
+  std::vector<double> Tail;       ///< Of the plan with the lowest 0.99 quantile.
   std::vector<double> LowerBound; ///< No schedule can be faster for this job.
 };
 
--- a/Utilities/Replay/Report.cpp
+++ b/Utilities/Replay/Report.cpp
@@ -50,6 +50,7 @@
   const auto &Ideal = planOnce(Input, Completed, Cache);
   std::vector<double> Responses;
   std::vector<double> Planned;
+  std::vector<double> Tail;
   std::vector<double> Bounds;
   std::vector<double> Ratios;
   for (std::size_t Job = 0; Job < Completed.size(); ++Job) {
@@ -57,6 +58,7 @@
       continue;
     Responses.push_back(Result.Jobs[Job].Response);
     Planned.push_back(Ideal.Planned[Job]);
+    Tail.push_back(Ideal.Tail[Job]);
     Bounds.push_back(Ideal.LowerBound[Job]);
     Ratios.push_back(Responses.back() / Planned.back());
   }
@@ -64,6 +66,10 @@
   addDistribution(Figures, "ideal_ms", Planned);
   addDistribution(Figures, "bound_ms", Bounds);
   addDistribution(Figures, "job_ratio", Ratios);
+  // The tail is compared with the plan that has the shortest one, which is not the one with the
+  // lowest mean.
+  for (const auto &[Name, Share] : {std::pair{"p99", 0.99}, std::pair{"p999", 0.999}})
+    Figures[std::string("ideal_ms_") + Name] = quantile(Tail, Share);
   for (const char *Name : {"mean", "p50", "p99", "p999"})
     Figures[std::string(Name) + "_ratio"] = ratio(Figures["response_ms_" + std::string(Name)],
                                                   Figures["ideal_ms_" + std::string(Name)]);
