Kernel, Replay: Clear workers of a bad job's failures; recall lent slots

Causes: two bad jobs that failed first on the same healthy worker ejected it, and it stayed ejected after the jobs were known to be bad. In the replay, an entry VM could not recall slots that it had lent, so a reprint waited at a VM whose slots were all lent out.

--- a/Kernel/HealthTracker.cpp
+++ b/Kernel/HealthTracker.cpp
@@ -109,7 +109,18 @@
   setStage(State, Stage::Healthy);
 }
 
-bool HealthTracker::noteFailedJob(EndpointIndex Endpoint, JobId Job, double Weight) {
+bool HealthTracker::clear(EndpointIndex Endpoint, double Weight) {
+  auto &State = at(Endpoint);
+  State.Score = std::max(0.0, State.Score - Weight);
+  if (Weight <= 0 || State.Now != Stage::Ejected || State.Score > EjectionScore)
+    return false;
+  setStage(State, Stage::Healthy);
+  State.Allowed = Unbounded;
+  return true;
+}
+
+bool HealthTracker::noteFailedJob(EndpointIndex Endpoint, JobId Job, double Weight,
+                                  std::vector<EndpointIndex> &Cleared) {
   auto [Entry, IsNew] = FailedJobs_.try_emplace(Job);
   if (IsNew) {
     FailedJobOrder_.push_back(Job);
@@ -126,20 +137,23 @@
   if (Counted.size() < EndpointsOfBadJob)
     return true;
   for (auto &[Known, Value] : Counted) {
-    at(Known).Score = std::max(0.0, at(Known).Score - Value);
+    // The weight of this failure has not been added yet, so nothing of it is taken back.
+    if (Known != Endpoint && clear(Known, Value))
+      Cleared.push_back(Known);
     Value = 0;
   }
-  // The weight of this failure has not been added yet, so nothing of it is left to take back.
   return false;
 }
 
-void HealthTracker::failed(EndpointIndex Endpoint, JobId Job, ServiceIndex Service, KindIndex Kind,
-                           core::TimePoint Now) {
+std::vector<EndpointIndex> HealthTracker::failed(EndpointIndex Endpoint, JobId Job,
+                                                 ServiceIndex Service, KindIndex Kind,
+                                                 core::TimePoint Now) {
+  std::vector<EndpointIndex> Cleared;
   auto &Rate = rate(Service, Kind);
   auto &State = at(Endpoint);
   double Weight = std::log(BrokenFailureShare / failureShare(Rate));
-  if (!noteFailedJob(Endpoint, Job, Weight))
-    return;
+  if (!noteFailedJob(Endpoint, Job, Weight, Cleared))
+    return Cleared;
   // An endpoint under suspicion says nothing about the kind.
   if (State.Score < EjectionScore / 2) {
     Rate.Ended += 1;
@@ -149,6 +163,7 @@
   State.Successes = 0;
   if (State.Now == Stage::Trial || (State.Now == Stage::Healthy && State.Score > EjectionScore))
     eject(State, Now);
+  return Cleared;
 }
 
 bool HealthTracker::mayEject(std::uint32_t DataCentre) const {
--- a/Kernel/HealthTracker.h
+++ b/Kernel/HealthTracker.h
@@ -28,8 +28,9 @@
   void setHeld(EndpointIndex Endpoint, bool Held);
 
   void succeeded(EndpointIndex Endpoint, ServiceIndex Service, KindIndex Kind);
-  void failed(EndpointIndex Endpoint, JobId Job, ServiceIndex Service, KindIndex Kind,
-              core::TimePoint Now);
+  /// Returns the other endpoints that are no longer ejected, because the job is a bad one.
+  std::vector<EndpointIndex> failed(EndpointIndex Endpoint, JobId Job, ServiceIndex Service,
+                                    KindIndex Kind, core::TimePoint Now);
   /// A connection was refused, or lost with a task on it. Starts nothing there until it answers.
   void unreachable(EndpointIndex Endpoint, core::TimePoint Now);
   /// The endpoint answered a status query.
@@ -74,7 +75,10 @@
   Record &at(EndpointIndex Endpoint) { return Records_[static_cast<std::size_t>(Endpoint)]; }
   KindRate &rate(ServiceIndex Service, KindIndex Kind);
   double failureShare(const KindRate &Rate) const;
-  bool noteFailedJob(EndpointIndex Endpoint, JobId Job, double Weight);
+  /// Whether the failure counts against the endpoint.
+  bool noteFailedJob(EndpointIndex Endpoint, JobId Job, double Weight,
+                     std::vector<EndpointIndex> &Cleared);
+  bool clear(EndpointIndex Endpoint, double Weight);
   void noteSetback(Record &Endpoint, core::TimePoint Now);
   bool mayEject(std::uint32_t DataCentre) const;
   void eject(Record &Endpoint, core::TimePoint Now);
--- a/Kernel/PolicyScheduler.cpp
+++ b/Kernel/PolicyScheduler.cpp
@@ -401,7 +401,9 @@
     learn(*Task, Ended, Now);
     Health_.succeeded(Ended.Endpoint, Task->Service, Task->Kind);
   } else {
-    Health_.failed(Ended.Endpoint, Ended.Task.Job, Task->Service, Task->Kind, Now);
+    for (auto Cleared :
+         Health_.failed(Ended.Endpoint, Ended.Task.Job, Task->Service, Task->Kind, Now))
+      updateAllowed(Cleared, Now);
   }
   updateAllowed(Ended.Endpoint, Now);
   forgetIfDone(Ended.Task.Job);
--- a/Utilities/Replay/ReplayRun.cpp
+++ b/Utilities/Replay/ReplayRun.cpp
@@ -332,8 +332,10 @@
                    Vm->policy().health().isEjected(static_cast<kernel::EndpointIndex>(Worker)));
     Ejected += IsEjected ? 1 : 0;
     Now.Ejected += IsEjected ? 1 : 0;
-    Result_.EjectedShare = std::max(Result_.EjectedShare, static_cast<double>(Ejected) / All);
   }
+  for (const auto &[Name, Counts] : DataCentres)
+    Result_.EjectedShare =
+        std::max(Result_.EjectedShare, static_cast<double>(Counts.first) / Counts.second);
 }
 
 void ReplayRun::sampleQuotas(std::uint32_t Slots) {
--- a/Utilities/Replay/SlotExchange.cpp
+++ b/Utilities/Replay/SlotExchange.cpp
@@ -15,34 +15,31 @@
 SlotExchange::SlotExchange(EventQueue &Clock, const Trace &Input,
                            std::span<std::unique_ptr<SimulatedVm>> Vms, MessageCounts &Messages)
     : Clock_(Clock), Input_(Input), Vms_(Vms), Messages_(Messages), Homes_(Input.Workers.size()),
-      Asking_(Vms.size()), IdleSince_(Vms.size()) {}
-
-SimulatedVm &SlotExchange::home(std::uint32_t Worker) { return *Vms_[Homes_[Worker]]; }
+      InFlight_(Input.Workers.size()), Asking_(Vms.size()), IdleSince_(Vms.size()) {}
 
 void SlotExchange::assignHomes() {
   std::vector<std::uint32_t> Alive;
   for (const auto &Vm : Vms_)
     if (Vm->IsAlive)
       Alive.push_back(Vm->index());
-  for (std::uint32_t Worker = 0; Worker < Homes_.size(); ++Worker) {
+  for (std::uint32_t Worker = 0; Worker < Homes_.size(); ++Worker)
     if (!HasHomes_ || !home(Worker).IsAlive)
       Homes_[Worker] = Alive[Worker % Alive.size()];
-    auto Slots = Input_.Workers[Worker].Slots;
-    std::uint32_t Lent = 0;
-    for (auto Other : Alive)
-      Lent += Other == Homes_[Worker] ? 0 : Vms_[Other]->slots(Worker);
-    home(Worker).setSlots(Worker, Slots - std::min(Slots, Lent));
-  }
   HasHomes_ = true;
+  settle();
 }
 
-void SlotExchange::move(std::uint32_t Worker, SimulatedVm &From, SimulatedVm &To,
-                        std::uint32_t Count) {
-  From.setSlots(Worker, From.slots(Worker) - Count);
-  Clock_.after(core::fromMilliseconds(Input_.OneWay), [Worker, &To, Count] {
-    if (To.IsAlive)
-      To.setSlots(Worker, To.slots(Worker) + Count);
-  });
+void SlotExchange::settle() {
+  for (std::uint32_t Worker = 0; Worker < Homes_.size(); ++Worker) {
+    if (!home(Worker).IsAlive)
+      continue;
+    auto Taken = InFlight_[Worker];
+    for (const auto &Vm : Vms_)
+      if (Vm->IsAlive && Vm.get() != &home(Worker))
+        Taken += std::max(Vm->slots(Worker), Vm->inUse(Worker));
+    auto Slots = Input_.Workers[Worker].Slots;
+    home(Worker).setSlots(Worker, Slots - std::min(Slots, Taken));
+  }
 }
 
 SimulatedVm *SlotExchange::lenderFor(const SimulatedVm &Borrower) {
@@ -68,50 +65,75 @@
   Messages_.SlotExchange += 2;
   Clock_.after(core::fromMilliseconds(Input_.OneWay), [this, Lender, &Borrower, Wanted] {
     --Asking_[Borrower.index()];
-    if (!Lender->IsAlive)
-      return;
-    auto Left = std::min({Wanted, LargestLoan, (Lender->load().FreeSlots + 1) / 2});
-    auto Count = static_cast<std::uint32_t>(Homes_.size());
-    ++Rotation_;
-    for (std::uint32_t Step = 0; Step < Count && Left > 0; ++Step) {
-      auto Worker = (Rotation_ + Step) % Count;
-      const auto &State =
-          Lender->policy().endpoints().at(static_cast<kernel::EndpointIndex>(Worker));
-      if (!State.IsFree || State.OnTrial)
-        continue;
-      auto Free = std::min(Left, State.Slots - State.Running);
-      move(Worker, *Lender, Borrower, Free);
-      Left -= Free;
-    }
+    if (Lender->IsAlive)
+      lend(*Lender, Borrower, Wanted);
   });
 }
 
-void SlotExchange::giveBack(SimulatedVm &Borrower) {
+void SlotExchange::lend(SimulatedVm &Lender, SimulatedVm &Borrower, std::uint32_t Wanted) {
+  auto Left = std::min({Wanted, LargestLoan, (Lender.load().FreeSlots + 1) / 2});
+  auto Count = static_cast<std::uint32_t>(Homes_.size());
+  ++Rotation_;
+  for (std::uint32_t Step = 0; Step < Count && Left > 0; ++Step) {
+    auto Worker = (Rotation_ + Step) % Count;
+    auto Endpoint = static_cast<kernel::EndpointIndex>(Worker);
+    const auto &State = Lender.policy().endpoints().at(Endpoint);
+    if (&home(Worker) != &Lender || !State.IsFree || State.OnTrial)
+      continue;
+    auto Free = std::min(Left, State.Slots - State.Running);
+    Left -= Free;
+    Lender.setSlots(Worker, Lender.slots(Worker) - Free);
+    InFlight_[Worker] += Free;
+    Clock_.after(core::fromMilliseconds(Input_.OneWay), [this, Worker, &Borrower, Free] {
+      InFlight_[Worker] -= Free;
+      if (Borrower.IsAlive)
+        Borrower.setSlots(Worker, Borrower.slots(Worker) + Free);
+    });
+  }
+}
+
+void SlotExchange::giveBackIdle(SimulatedVm &Borrower) {
   bool Any = false;
   for (std::uint32_t Worker = 0; Worker < Homes_.size(); ++Worker) {
-    if (&home(Worker) == &Borrower || !home(Worker).IsAlive)
+    if (&home(Worker) == &Borrower || Borrower.slots(Worker) <= Borrower.inUse(Worker))
       continue;
-    auto Idle = Borrower.slots(Worker) - std::min(Borrower.slots(Worker), Borrower.inUse(Worker));
-    if (Idle == 0)
-      continue;
-    move(Worker, Borrower, home(Worker), Idle);
+    Borrower.setSlots(Worker, Borrower.inUse(Worker));
     Any = true;
   }
   Messages_.SlotExchange += Any ? 1 : 0;
 }
 
+void SlotExchange::recall(SimulatedVm &Lender) {
+  for (auto &Vm : Vms_) {
+    if (!Vm->IsAlive || Vm.get() == &Lender)
+      continue;
+    bool Any = false;
+    for (std::uint32_t Worker = 0; Worker < Homes_.size(); ++Worker) {
+      if (&home(Worker) != &Lender || Vm->slots(Worker) == 0)
+        continue;
+      Vm->setSlots(Worker, 0);
+      Any = true;
+    }
+    Messages_.SlotExchange += Any ? 2 : 0;
+  }
+}
+
 void SlotExchange::exchange() {
+  settle();
   for (auto &Vm : Vms_) {
     if (!Vm->IsAlive)
       continue;
     auto Load = Vm->load();
     auto Index = Vm->index();
-    if (Load.WaitingTasks > 0 && Load.FreeSlots == 0 && Asking_[Index] == 0)
-      borrow(*Vm, Load.WaitingTasks);
+    if (Load.WaitingTasks > 0 && Load.FreeSlots == 0) {
+      recall(*Vm);
+      if (Asking_[Index] == 0)
+        borrow(*Vm, Load.WaitingTasks);
+    }
     if (Load.FreeSlots == 0)
       IdleSince_[Index] = Clock_.now();
     else if (Clock_.now() - IdleSince_[Index] >= IdleBeforeReturn)
-      giveBack(*Vm);
+      giveBackIdle(*Vm);
   }
 }
 
