--- a/Utilities/Replay/SlotExchange.cpp
+++ b/Utilities/Replay/SlotExchange.cpp
@@ -65,26 +65,8 @@
   Messages_.SlotExchange += 2;
   Clock_.after(core::fromMilliseconds(Input_.OneWay), [this, Lender, &Borrower, Wanted] {
     --Asking_[Borrower.index()];
-<<<<<<< HEAD
-    if (!Lender->IsAlive)
-      return;
-    auto Left = std::min({Wanted, LargestLoan, (Lender->load().FreeSlots + 1) / 2});
-    auto Count = static_cast<std::uint32_t>(Homes_.size());
-    ++Rotation_;
-    for (std::uint32_t Step = 0; Step < Count && Left > 0; ++Step) {
-      auto Worker = (Rotation_ + Step) % Count;
-      const auto &State =
-          Lender->policy().endpoints().at(static_cast<kernel::EndpointIndex>(Worker));
-      if (!State.IsFree || State.OnTrial)
-        continue;
-      auto Free = std::min(Left, State.Slots - State.Running);
-      move(Worker, *Lender, Borrower, Free);
-      Left -= Free;
-    }
-=======
     if (Lender->IsAlive)
       lend(*Lender, Borrower, Wanted);
->>>>>>> main
   });
 }
 
