LibHttp: Close idle connections when others wait for a thread

The oldest idle connection was closed only when a new one was queued; if none was idle yet at that moment, the queued one waited until the idle time.

--- a/Libraries/LibHttp/BoundedPool.cpp
+++ b/Libraries/LibHttp/BoundedPool.cpp
@@ -43,6 +43,11 @@
     Thread.join();
 }
 
+bool BoundedPool::hasWaiting() const {
+  std::lock_guard Guard(Mutex_);
+  return Queue_.size() > Idle_;
+}
+
 bool BoundedPool::isRefusing() { return Refusing; }
 
 void BoundedPool::serveConnections() {
--- a/Libraries/LibHttp/BoundedPool.h
+++ b/Libraries/LibHttp/BoundedPool.h
@@ -23,6 +23,9 @@
   void enqueue(std::function<void()> Serve) override;
   void shutdown() override;
 
+  /// True while a connection waits for a thread.
+  bool hasWaiting() const;
+
   /// True while the current thread has to refuse the connection that it was given.
   static bool isRefusing();
 
@@ -32,7 +35,7 @@
   const std::size_t MaximumThreads_;
   const std::size_t MaximumQueued_;
   std::function<void()> Crowded_;
-  std::mutex Mutex_;
+  mutable std::mutex Mutex_;
   std::condition_variable Wake_;
   std::deque<std::function<void()>> Queue_;
   std::vector<std::thread> Threads_;
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -74,6 +74,10 @@
   bool Closing_ = false;
 };
 
+/// A connection is not closed for others within this time: a caller's first request follows its
+/// connect, or its last answer, at once.
+constexpr core::Duration IdleGrace = std::chrono::milliseconds(100);
+
 bool waitForRequest(socket_t Socket, core::Duration IdleTime) {
   auto Limit = std::chrono::duration_cast<std::chrono::milliseconds>(IdleTime);
   pollfd Entry{Socket, POLLIN, 0};
@@ -103,6 +107,7 @@
   const ServerLimits Limits;
   IdleConnections Idle;
   std::atomic<bool> Closing{false};
+  std::atomic<BoundedPool *> Pool{nullptr};
 };
 
 namespace {
@@ -160,7 +165,11 @@
   bool awaitRequest(socket_t Socket, const ConnectionStream &Stream) {
     if (Stream.hasBufferedBytes())
       return true;
+    if (waitForRequest(Socket, IdleGrace))
+      return true;
     Idle.add(Socket);
+    if (Pool.load()->hasWaiting())
+      Idle.closeOldest();
     bool Readable = waitForRequest(Socket, Limits.IdleTime);
     Idle.remove(Socket);
     return Readable;
@@ -187,8 +196,10 @@
     Listener_ = std::make_unique<TlsListener>(Limits, Tls);
   auto &Server = Listener_->server();
   Server.new_task_queue = [this] {
-    return new BoundedPool(Listener_->Limits.Connections, Listener_->Limits.QueuedConnections,
-                           [this] { Listener_->Idle.closeOldest(); });
+    auto *Pool = new BoundedPool(Listener_->Limits.Connections, Listener_->Limits.QueuedConnections,
+                                 [this] { Listener_->Idle.closeOldest(); });
+    Listener_->Pool.store(Pool);
+    return Pool;
   };
   Server.set_tcp_nodelay(true);
   Server.set_socket_options(setReuseOption);
--- a/Services/EntryDaemon/RequestTable.cpp
+++ b/Services/EntryDaemon/RequestTable.cpp
@@ -36,8 +36,11 @@
   auto Waiting = take(Request);
   if (!Waiting)
     return;
-  std::lock_guard Guard(Waiting->Mutex);
-  Waiting->Content = std::move(Content);
+  {
+    std::lock_guard Guard(Waiting->Mutex);
+    Waiting->Content = std::move(Content);
+  }
+  // Notified without the lock: the woken thread would wait for it at once otherwise.
   Waiting->Arrived.notify_one();
 }
 
--- a/Tests/EntryDaemon/TestDaemon.cpp
+++ b/Tests/EntryDaemon/TestDaemon.cpp
@@ -85,6 +85,14 @@
     return Parsed;
   }
 
+  void control(const Json &Switches) {
+    for (auto *Endpoint : {&First_, &Second_})
+      BOOST_REQUIRE(httplib::Client("127.0.0.1", Endpoint->port())
+                        .Post("/control/", Switches.dump(), "application/json"));
+  }
+
+  void leaveFirst() { First_.leave(); }
+
   std::string newIdentifier(const char *Key = "c") {
     auto Block = send("POST", "/v1/sessions", "", Key)["identifiers"];
     return Block["issuer"].get<std::string>() + "." + Block["first"].dump();
@@ -180,6 +188,45 @@
   BOOST_TEST(Site.countStarts() == 0);
 }
 
+// Guards against handing out another task's result, and against starting a task again whose answer
+// was not its own.
+BOOST_AUTO_TEST_CASE(CrossedAnswersAreReplacedByTheRightOnes) {
+  Site Site;
+  Site.control({{"crossed_answers", true}});
+  auto Body = job(Site.newIdentifier(), 10, {{"run_ms", 2}});
+  auto Answer = Site.send("POST", "/v1/jobs" + Site::waiting(), Body);
+  BOOST_TEST(Answer["outcome"] == "complete");
+  for (std::size_t Index = 0; Index < Answer["results"].size(); ++Index)
+    BOOST_TEST(Answer["results"][Index] == "r" + std::to_string(Index));
+  BOOST_TEST(Site.countStarts() == 10);
+}
+
+// Guards against a job that hangs on a connection that has gone silent, and against its second
+// start.
+BOOST_AUTO_TEST_CASE(SilentConnectionsAreAskedAbout) {
+  Site Site;
+  auto Body = job(Site.newIdentifier(), 8, {{"run_ms", 300}});
+  Json Answer;
+  std::thread Caller([&] { Answer = Site.send("POST", "/v1/jobs" + Site::waiting(), Body); });
+  while (Site.countStarts() < 8)
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  Site.control({{"silent", "open_starts"}});
+  Caller.join();
+  BOOST_TEST(Answer["outcome"] == "complete");
+  BOOST_TEST(Site.countStarts() == 8);
+  Site.control({{"silent", "none"}});
+}
+
+// Guards against a job that fails because an endpoint refuses starts while it leaves.
+BOOST_AUTO_TEST_CASE(WorkOfALeavingEndpointGoesElsewhere) {
+  Site Site;
+  Site.leaveFirst();
+  auto Body = job(Site.newIdentifier(), 20, {{"run_ms", 2}});
+  auto Answer = Site.send("POST", "/v1/jobs" + Site::waiting(), Body);
+  BOOST_TEST(Answer["outcome"] == "complete");
+  BOOST_TEST(Site.countStarts() == 20);
+}
+
 // Guards against starting a job of a dead incarnation, and against calling it "not run".
 BOOST_AUTO_TEST_CASE(JobOfAnEarlierIncarnationIsNeverStarted) {
   Site Site;
--- /dev/null
+++ b/Tests/LibHttp/TestHttpServer.cpp
@@ -0,0 +1,101 @@
+#include "Libraries/LibHttp/HttpServer.h"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <boost/test/unit_test.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace cornellift;
+
+namespace {
+
+/// A connection that the test writes to byte by byte.
+class RawConnection {
+public:
+  explicit RawConnection(int Port) : Socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_port = htons(static_cast<std::uint16_t>(Port));
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    BOOST_REQUIRE(::connect(Socket_, reinterpret_cast<sockaddr *>(&Address), sizeof(Address)) == 0);
+  }
+  RawConnection(RawConnection &&Other) noexcept : Socket_(std::exchange(Other.Socket_, -1)) {}
+  ~RawConnection() {
+    if (Socket_ >= 0)
+      ::close(Socket_);
+  }
+
+  void send(const std::string &Text) { ::send(Socket_, Text.data(), Text.size(), MSG_NOSIGNAL); }
+
+  std::string readToEnd() {
+    std::string Text;
+    char Part[4096];
+    for (ssize_t Count = 0; (Count = ::recv(Socket_, Part, sizeof(Part), 0)) > 0;)
+      Text.append(Part, static_cast<std::size_t>(Count));
+    return Text;
+  }
+
+private:
+  int Socket_;
+};
+
+void addEcho(http::HttpServer &Server) {
+  Server.route("POST", "/", [](const auto &Request, auto &Response) {
+    Response.set_content(Request.body, "text/plain");
+  });
+}
+
+} // namespace
+
+// Guards against idle connections that keep callers out: here they would for an hour.
+BOOST_AUTO_TEST_CASE(IdleConnectionsGiveWay) {
+  http::ServerLimits Limits;
+  Limits.Connections = 4;
+  Limits.IdleTime = std::chrono::hours(1);
+  http::HttpServer Server(Limits);
+  addEcho(Server);
+  BOOST_REQUIRE(Server.start("127.0.0.1", 0));
+  std::vector<RawConnection> Idle;
+  for (int Count = 0; Count < 20; ++Count)
+    Idle.emplace_back(Server.port());
+  httplib::Client Client("127.0.0.1", Server.port());
+  auto Answer = Client.Post("/", "text", "text/plain");
+  BOOST_REQUIRE(Answer);
+  BOOST_TEST(Answer->body == "text");
+  Server.stop();
+}
+
+// Guards against a sender of one byte at a time that holds a thread for good.
+BOOST_AUTO_TEST_CASE(SlowRequestIsCut) {
+  http::ServerLimits Limits;
+  Limits.TransferTime = std::chrono::milliseconds(200);
+  http::HttpServer Server(Limits);
+  addEcho(Server);
+  BOOST_REQUIRE(Server.start("127.0.0.1", 0));
+  RawConnection Slow(Server.port());
+  Slow.send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
+  Slow.readToEnd();
+  Server.stop();
+}
+
+// Guards against bodies that get around the limit of their length, and against reading their rest
+// as another request.
+BOOST_AUTO_TEST_CASE(BodiesWithoutPlainLengthAreRefused) {
+  http::HttpServer Server;
+  addEcho(Server);
+  Server.setErrorBody([](int Status) { return "error " + std::to_string(Status); });
+  BOOST_REQUIRE(Server.start("127.0.0.1", 0));
+  for (const char *Header : {"Transfer-Encoding: chunked", "Content-Encoding: gzip"}) {
+    RawConnection Connection(Server.port());
+    Connection.send(std::string("POST / HTTP/1.1\r\n") + Header +
+                    "\r\n\r\n3\r\nabc\r\n0\r\n\r\nPOST / HTTP/1.1\r\n\r\n");
+    auto Answer = Connection.readToEnd();
+    BOOST_TEST(Answer.starts_with("HTTP/1.1 411"));
+    BOOST_TEST(Answer.find("HTTP/1.1", 1) == std::string::npos);
+  }
+  Server.stop();
+}
