--- a/Tests/EntryDaemon/TestConfigurationDuty.cpp
+++ b/Tests/EntryDaemon/TestConfigurationDuty.cpp
@@ -52,7 +52,7 @@
 
 struct Fixture {
   Fixture()
-      : Duty(Store, [this](std::shared_ptr<const kernel::KernelConfiguration> Next) {
+      : Duty(Store, [this](const std::shared_ptr<const kernel::KernelConfiguration> &Next) {
           std::lock_guard Guard(Mutex);
           Seen.push_back(Next->Version);
           Changed.notify_all();
--- /dev/null
+++ b/Utilities/Operator/Tables.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <iosfwd>
+
+#include <nlohmann/json.hpp>
+
+namespace cornellift::operators {
+
+/// Prints the answers of an entry VM as plain tables.
+void printStatus(std::ostream &Out, const nlohmann::json &Status);
+void printAudit(std::ostream &Out, const nlohmann::json &Audit);
+
+} // namespace cornellift::operators
