--- a/Kernel/HealthTracker.cpp
+++ b/Kernel/HealthTracker.cpp
@@ -36,17 +36,17 @@
   for (std::size_t Service = 0; Service < Configuration.Services.size(); ++Service)
     Rates_[Service].resize(
         std::max(Rates_[Service].size(), Configuration.Services[Service].Kinds.size()));
-  std::fill(EndpointsIn_.begin(), EndpointsIn_.end(), 0);
+  std::fill(HeldIn_.begin(), HeldIn_.end(), 0);
   for (std::size_t Position = 0; Position < Configuration.Endpoints.size(); ++Position) {
     const auto &Name = Configuration.Endpoints[Position].DataCentre;
     auto Found = std::find(DataCentres_.begin(), DataCentres_.end(), Name);
     auto Index = static_cast<std::uint32_t>(Found - DataCentres_.begin());
     if (Found == DataCentres_.end()) {
       DataCentres_.push_back(Name);
-      EndpointsIn_.push_back(0);
+      HeldIn_.push_back(0);
     }
     Records_[Position].DataCentre = Index;
-    ++EndpointsIn_[Index];
+    HeldIn_[Index] += Records_[Position].IsHeld ? 1 : 0;
   }
   EjectedIn_.assign(DataCentres_.size(), 0);
   for (const auto &Endpoint : Records_)
@@ -54,6 +54,15 @@
       ++EjectedIn_[Endpoint.DataCentre];
 }
 
+void HealthTracker::setHeld(EndpointIndex Endpoint, bool Held) {
+  auto &State = at(Endpoint);
+  if (State.IsHeld == Held)
+    return;
+  State.IsHeld = Held;
+  HeldIn_[State.DataCentre] += Held ? 1 : 0;
+  HeldIn_[State.DataCentre] -= Held ? 0 : 1;
+}
+
 HealthTracker::KindRate &HealthTracker::rate(ServiceIndex Service, KindIndex Kind) {
   auto ServicePosition = static_cast<std::size_t>(Service);
   auto KindPosition = static_cast<std::size_t>(Kind);
@@ -100,7 +109,18 @@
   setStage(State, Stage::Healthy);
 }
 
-bool HealthTracker::noteFailedJob(EndpointIndex Endpoint, JobId Job, double Weight) {
+bool HealthTracker::clear(EndpointIndex Endpoint, double Weight) {
+  auto &State = at(Endpoint);
+  State.Score = std::max(0.0, State.Score - Weight);
+  if (Weight <= 0 || State.Now != Stage::Ejected || State.Score > EjectionScore)
+    return false;
+  setStage(State, Stage::Healthy);
+  State.Allowed = Unbounded;
+  return true;
+}
+
+bool HealthTracker::noteFailedJob(EndpointIndex Endpoint, JobId Job, double Weight,
+                                  std::vector<EndpointIndex> &Cleared) {
   auto [Entry, IsNew] = FailedJobs_.try_emplace(Job);
   if (IsNew) {
     FailedJobOrder_.push_back(Job);
@@ -117,20 +137,23 @@
   if (Counted.size() < EndpointsOfBadJob)
     return true;
   for (auto &[Known, Value] : Counted) {
-    at(Known).Score = std::max(0.0, at(Known).Score - Value);
+    // The weight of this failure has not been added yet, so nothing of it is taken back.
+    if (Known != Endpoint && clear(Known, Value))
+      Cleared.push_back(Known);
     Value = 0;
   }
-  // The weight of this failure has not been added yet, so nothing of it is left to take back.
   return false;
 }
 
-void HealthTracker::failed(EndpointIndex Endpoint, JobId Job, ServiceIndex Service, KindIndex Kind,
-                           core::TimePoint Now) {
+std::vector<EndpointIndex> HealthTracker::failed(EndpointIndex Endpoint, JobId Job,
+                                                 ServiceIndex Service, KindIndex Kind,
+                                                 core::TimePoint Now) {
+  std::vector<EndpointIndex> Cleared;
   auto &Rate = rate(Service, Kind);
   auto &State = at(Endpoint);
   double Weight = std::log(BrokenFailureShare / failureShare(Rate));
-  if (!noteFailedJob(Endpoint, Job, Weight))
-    return;
+  if (!noteFailedJob(Endpoint, Job, Weight, Cleared))
+    return Cleared;
   // An endpoint under suspicion says nothing about the kind.
   if (State.Score < EjectionScore / 2) {
     Rate.Ended += 1;
@@ -140,10 +163,11 @@
   State.Successes = 0;
   if (State.Now == Stage::Trial || (State.Now == Stage::Healthy && State.Score > EjectionScore))
     eject(State, Now);
+  return Cleared;
 }
 
 bool HealthTracker::mayEject(std::uint32_t DataCentre) const {
-  return EjectedIn_[DataCentre] + 1 <= MaximumEjectedShare_ * EndpointsIn_[DataCentre];
+  return EjectedIn_[DataCentre] + 1 <= MaximumEjectedShare_ * HeldIn_[DataCentre];
 }
 
 void HealthTracker::noteSetback(Record &Endpoint, core::TimePoint Now) {
@@ -190,6 +214,10 @@
   return Records_[static_cast<std::size_t>(Endpoint)].Allowed;
 }
 
+bool HealthTracker::isEjected(EndpointIndex Endpoint) const {
+  return Records_[static_cast<std::size_t>(Endpoint)].Now == Stage::Ejected;
+}
+
 bool HealthTracker::onTrial(EndpointIndex Endpoint) const {
   return Records_[static_cast<std::size_t>(Endpoint)].Now == Stage::Trial;
 }
