--- a/Libraries/LibHttp/ConnectionStream.cpp
+++ b/Libraries/LibHttp/ConnectionStream.cpp
@@ -69,12 +69,12 @@
       End_ = static_cast<std::size_t>(Received);
       break;
     }
-    if (Received == 0)
-      return 0;
-    if (errno == EINTR)
+    if (Received < 0 && errno == EINTR)
+      continue;
+    if (Received < 0 && mustWait() && waitFor(POLLIN, ReadDeadline_))
       continue;
-    if (!mustWait() || !waitFor(POLLIN, ReadDeadline_))
-      return -1;
+    Broken_ = true;
+    return Received == 0 ? 0 : -1;
   }
   auto Count = std::min(Size, End_ - Begin_);
   std::memcpy(Target, Buffer_.data() + Begin_, Count);
@@ -93,8 +93,10 @@
       return Sent;
     if (errno == EINTR)
       continue;
-    if (!mustWait() || !waitFor(POLLOUT, WriteDeadline_))
-      return -1;
+    if (mustWait() && waitFor(POLLOUT, WriteDeadline_))
+      continue;
+    Broken_ = true;
+    return -1;
   }
 }
 
--- a/Libraries/LibHttp/ConnectionStream.h
+++ b/Libraries/LibHttp/ConnectionStream.h
@@ -23,6 +23,10 @@
   /// True when bytes of a next request are here already.
   bool hasBufferedBytes() const { return Begin_ < End_; }
 
+  /// True once a read or write has failed. What follows cannot be told apart from the rest of the
+  /// failed message.
+  bool isBroken() const { return Broken_; }
+
   bool is_readable() const override;
   bool is_writable() const override;
   ssize_t read(char *Target, size_t Size) override;
@@ -44,6 +48,7 @@
   std::size_t Begin_ = 0;
   std::size_t End_ = 0;
   bool Writing_ = false;
+  bool Broken_ = false;
 };
 
 } // namespace cornellift::http
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -158,7 +158,7 @@
             if (!Request.has_header("Content-Length"))
               Request.set_header("Content-Length", "0");
           });
-      Close = !Served || Closed || Unread || Closing.load();
+      Close = !Served || Closed || Unread || Stream.isBroken() || Closing.load();
     }
   }
 
--- a/Services/EndpointStandIn/Main.cpp
+++ b/Services/EndpointStandIn/Main.cpp
@@ -44,7 +44,8 @@
     if (!Port)
       return false;
     standin::EndpointOptions Options;
-    Options.Name = Address + ":" + Text;
+    Options.Name = Address;
+    Options.Name.append(":").append(Text);
     Options.Slots = static_cast<std::uint32_t>(Settings.integer("slots"));
     Options.Speed = Settings.real("speed");
     Options.UsageLag = std::chrono::milliseconds(Settings.integer("usage-lag-ms"));
--- a/Tests/LibHttp/TestHttpServer.cpp
+++ b/Tests/LibHttp/TestHttpServer.cpp
@@ -69,16 +69,18 @@
   Server.stop();
 }
 
-// Guards against a sender of one byte at a time that holds a thread for good.
+// Guards against a sender of one byte at a time that holds a thread for good, and against reading
+// the rest of its body as another request.
 BOOST_AUTO_TEST_CASE(SlowRequestIsCut) {
   http::ServerLimits Limits;
   Limits.TransferTime = std::chrono::milliseconds(200);
+  Limits.IdleTime = std::chrono::hours(1);
   http::HttpServer Server(Limits);
   addEcho(Server);
   BOOST_REQUIRE(Server.start("127.0.0.1", 0));
   RawConnection Slow(Server.port());
   Slow.send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
-  Slow.readToEnd();
+  Slow.readToEnd(); // Returns when the server closes.
   Server.stop();
 }
 
