EntryDaemon: Add the peer duties

Membership, lending, forwarding and the peer server over gRPC. The lender runs on the kernel's thread.

--- a/Kernel/KernelConfiguration.h
+++ b/Kernel/KernelConfiguration.h
@@ -41,6 +41,7 @@
   std::uint32_t Slots = 8;
   std::uint32_t Connections = 64;
   Resources Capacity;
+  bool Remote = false;  ///< An entry VM of another data centre, to which tasks are delegated.
   bool Drained = false; ///< Set by an operator; no new work starts there.
   bool Removed = false; ///< No longer configured; keeps its index and counts as drained.
 };
--- /dev/null
+++ b/Services/EntryDaemon/GrpcPeerNetwork.cpp
@@ -0,0 +1,203 @@
+#include "Services/EntryDaemon/GrpcPeerNetwork.h"
+
+#include "Libraries/LibCore/Reason.h"
+#include "Libraries/LibPeer/MembershipCoding.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <utility>
+
+namespace cornellift::entry {
+namespace {
+
+using core::MonotonicClock;
+using peer::CallResult;
+
+constexpr core::Duration FetchTime = std::chrono::seconds(2);
+constexpr core::Duration StatusTime = std::chrono::milliseconds(500);
+/// A caller may wait this long for its response. A connection that goes silent meanwhile is found
+/// by keep-alive.
+constexpr core::Duration ForwardTime = std::chrono::minutes(10);
+/// Successions that one request follows.
+constexpr int MaximumHops = 4;
+
+/// Calls all addresses at once and waits for the replies.
+template <typename Request, typename Reply>
+std::vector<Reply> callAll(peer::PeerClient &Client, const std::vector<std::string> &Addresses,
+                           peer::PeerClient::Method<Request, Reply> Call, const Request &Content,
+                           core::TimePoint Deadline) {
+  struct Gathered {
+    std::mutex Mutex;
+    std::condition_variable Done;
+    std::size_t Left = 0;
+    std::vector<Reply> Replies;
+  };
+  auto Shared = std::make_shared<Gathered>();
+  Shared->Left = Addresses.size();
+  for (const auto &Address : Addresses)
+    Client.start<Request, Reply>(Address, Call, Content, Deadline, [Shared](auto Result) {
+      std::lock_guard Guard(Shared->Mutex);
+      if (Result.Content)
+        Shared->Replies.push_back(std::move(*Result.Content));
+      --Shared->Left;
+      Shared->Done.notify_one();
+    });
+  std::unique_lock Lock(Shared->Mutex);
+  Shared->Done.wait(Lock, [&] { return Shared->Left == 0; });
+  return std::move(Shared->Replies);
+}
+
+MemberState stateOf(const kernel::Membership &View, const kernel::MemberRecord &Record) {
+  if (View.isUnreachable(Record.DataCentre))
+    return MemberState::Unreachable;
+  if (Record.Standing == kernel::MemberStanding::Dead)
+    return MemberState::Dead;
+  if (Record.Standing == kernel::MemberStanding::Stopping)
+    return MemberState::Stopping;
+  return MemberState::Alive;
+}
+
+} // namespace
+
+bool GrpcPeerNetwork::isRelay() const {
+  return Members_.read([](const auto &View) { return View.isRelay(); });
+}
+
+void GrpcPeerNetwork::announceVersion(std::uint64_t Version) {
+  Members_.change([&](auto &View, auto Now, auto &Out) {
+    View.announceVersion(Version, Now, Out);
+  });
+}
+
+std::optional<std::string> GrpcPeerNetwork::fetchConfiguration(std::uint64_t HaveVersion) {
+  std::vector<std::string> Addresses;
+  std::string Best;
+  Members_.read([&](const kernel::Membership &View) {
+    std::uint64_t BestVersion = HaveVersion;
+    for (const auto &[Name, Record] : View.table().members()) {
+      if (Name == View.own().EntryVm || Record.Standing == kernel::MemberStanding::Dead)
+        continue;
+      Addresses.push_back(Record.Address);
+      auto Load = View.loadOf(Record.Process);
+      if (!Load || Load->ConfigurationVersion <= BestVersion)
+        continue;
+      BestVersion = Load->ConfigurationVersion;
+      Best = Record.Address;
+    }
+    return 0;
+  });
+  peer::FetchConfigurationRequest Request;
+  Request.set_have_version(HaveVersion);
+  auto Deadline = MonotonicClock::now() + FetchTime;
+  // The document is large, so one peer that is known to have a newer one is asked first.
+  if (!Best.empty()) {
+    auto Result = Client_.call<peer::FetchConfigurationRequest, peer::FetchConfigurationReply>(
+        Best, &peer::Peer::Stub::async::FetchConfiguration, Request, Deadline);
+    if (Result.Content && Result.Content->version() > HaveVersion)
+      return Result.Content->head();
+  }
+  auto Replies = callAll<peer::FetchConfigurationRequest, peer::FetchConfigurationReply>(
+      Client_, Addresses, &peer::Peer::Stub::async::FetchConfiguration, Request, Deadline);
+  if (Replies.empty())
+    return core::fail(core::ErrorKind::Unavailable, "no peer answers; retry when one is up");
+  auto Newest = std::max_element(Replies.begin(), Replies.end(), [](auto &Left, auto &Right) {
+    return Left.version() < Right.version();
+  });
+  if (Newest->version() <= HaveVersion || Newest->head().empty())
+    return core::fail(core::ErrorKind::NotFound, "no peer has a newer configuration");
+  return Newest->head();
+}
+
+std::vector<MemberStatus> GrpcPeerNetwork::members() const {
+  std::vector<MemberStatus> Result;
+  Members_.read([&](const kernel::Membership &View) {
+    for (const auto &[Name, Record] : View.table().members()) {
+      auto Load = View.loadOf(Record.Process);
+      Result.push_back({Name, Record.DataCentre, Record.Process, stateOf(View, Record),
+                        Load ? Load->ConfigurationVersion : 0});
+    }
+    return 0;
+  });
+  addVersionsAbroad(Result);
+  return Result;
+}
+
+void GrpcPeerNetwork::addVersionsAbroad(std::vector<MemberStatus> &Members) const {
+  auto Addresses = Members_.read([](const kernel::Membership &View) {
+    std::map<std::string, std::string> ByCentre;
+    for (const auto &[Name, Record] : View.table().members())
+      if (Record.DataCentre != View.own().DataCentre &&
+          Record.Standing == kernel::MemberStanding::Ready)
+        ByCentre.emplace(Record.DataCentre, Record.Address);
+    std::vector<std::string> Result;
+    for (auto &[Centre, Address] : ByCentre)
+      Result.push_back(Address);
+    return Result;
+  });
+  auto Replies = callAll<peer::StatusRequest, peer::StatusReply>(
+      Client_, Addresses, &peer::Peer::Stub::async::Status, {}, MonotonicClock::now() + StatusTime);
+  for (const auto &Reply : Replies)
+    for (const auto &Entry : Reply.members())
+      for (auto &Member : Members)
+        if (Member.EntryVm == Entry.entry_vm() && Member.Incarnation.Value == Entry.incarnation())
+          Member.ConfigurationVersion = Entry.configuration_version();
+}
+
+GrpcPeerNetwork::Owner GrpcPeerNetwork::findOwner(std::string_view EntryVm,
+                                                  kernel::Incarnation Issuer) const {
+  return Members_.read([&](const kernel::Membership &View) -> Owner {
+    std::string Vm(EntryVm);
+    auto Process = Issuer;
+    if (auto Succession = View.table().successor(Issuer)) {
+      Vm = Succession->SuccessorVm;
+      Process = Succession->To;
+    }
+    const auto *Record = View.table().find(Vm);
+    bool IsOwnName = Vm == View.own().EntryVm;
+    if (IsOwnName || !Record ||
+        (Record->Process == Process && Record->Standing == kernel::MemberStanding::Dead))
+      return {};
+    return {Record->Address, Process};
+  });
+}
+
+std::optional<ForwardedResponse> GrpcPeerNetwork::forward(std::string_view EntryVm,
+                                                          kernel::Incarnation Issuer,
+                                                          const ForwardedRequest &Request,
+                                                          ForwardFailure &Failure) {
+  peer::ForwardRequest Message;
+  Message.set_method(Request.Method);
+  Message.set_path(Request.Path);
+  Message.set_team(Request.Team);
+  Message.set_body(Request.Body);
+  Message.set_incarnation(Issuer.Value);
+  for (int Hop = 0; Hop < MaximumHops; ++Hop) {
+    auto Target = findOwner(EntryVm, Issuer);
+    Failure = ForwardFailure::IssuerDead;
+    if (Target.Address.empty())
+      return std::nullopt;
+    auto Result = Client_.call<peer::ForwardRequest, peer::ForwardReply>(
+        Target.Address, &peer::Peer::Stub::async::Forward, Message,
+        MonotonicClock::now() + ForwardTime);
+    Failure = ForwardFailure::Unreachable;
+    if (!Result.Content)
+      return std::nullopt;
+    if (!Result.Content->not_owned())
+      return ForwardedResponse{Result.Content->status(), Result.Content->body()};
+    bool Replaced = Result.Content->receiver_incarnation() != Target.Process.Value;
+    if (!Result.Content->has_succession()) {
+      // The VM answers under another incarnation, so the asked one has ended.
+      if (Replaced)
+        Failure = ForwardFailure::IssuerDead;
+      return std::nullopt;
+    }
+    Members_.announced({.Origin = "",
+                        .Successions = {peer::decode(Result.Content->succession(),
+                                                     MonotonicClock::now())}});
+  }
+  return std::nullopt;
+}
+
+} // namespace cornellift::entry
--- /dev/null
+++ b/Services/EntryDaemon/GrpcPeerNetwork.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Libraries/LibPeer/PeerClient.h"
+#include "Services/EntryDaemon/MembershipDuty.h"
+#include "Services/EntryDaemon/PeerNetwork.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cornellift::entry {
+
+/// The other entry processes, reached over gRPC. Safe to use from every thread.
+class GrpcPeerNetwork : public PeerNetwork {
+public:
+  GrpcPeerNetwork(MembershipDuty &Members, peer::PeerClient &Client)
+      : Members_(Members), Client_(Client) {}
+
+  bool isRelay() const override;
+  std::optional<std::string> fetchConfiguration(std::uint64_t HaveVersion) override;
+  void announceVersion(std::uint64_t Version) override;
+  std::vector<MemberStatus> members() const override;
+  std::optional<ForwardedResponse> forward(std::string_view EntryVm, kernel::Incarnation Issuer,
+                                           const ForwardedRequest &Request,
+                                           ForwardFailure &Failure) override;
+
+private:
+  /// Where the state of an incarnation is. Address is empty when it is known to have ended.
+  struct Owner {
+    std::string Address;
+    kernel::Incarnation Process;
+  };
+
+  Owner findOwner(std::string_view EntryVm, kernel::Incarnation Issuer) const;
+  void addVersionsAbroad(std::vector<MemberStatus> &Members) const;
+
+  MembershipDuty &Members_;
+  peer::PeerClient &Client_;
+};
+
+} // namespace cornellift::entry
--- a/Services/EntryDaemon/KernelThread.cpp
+++ b/Services/EntryDaemon/KernelThread.cpp
@@ -64,15 +64,41 @@
 void KernelThread::handle(kernel::Event Next, kernel::ActionSink &Sink) {
   bool IsTick = std::holds_alternative<kernel::Tick>(Next);
   Dispatcher_.handle(std::move(Next), core::MonotonicClock::now(), Sink);
+  doWork();
+  if (IsTick && TickHook_)
+    TickHook_(Dispatcher_.scheduler(), core::MonotonicClock::now());
+  handleFromSink(Sink);
+  if (!IsTick)
+    return;
+  TickPending_.store(false);
+  publish();
+}
+
+void KernelThread::handleFromSink(kernel::ActionSink &Sink) {
   while (!FromSink_.empty()) {
     auto Added = std::move(FromSink_.front());
     FromSink_.pop_front();
     Dispatcher_.handle(std::move(Added), core::MonotonicClock::now(), Sink);
   }
-  if (!IsTick)
-    return;
-  TickPending_.store(false);
-  publish();
+}
+
+void KernelThread::run(Work Next) {
+  {
+    std::lock_guard Guard(WorkMutex_);
+    Work_.push_back(std::move(Next));
+  }
+  // Wakes the kernel. When its ring is full, the next event will do.
+  Ring_.tryPush(kernel::Tick{});
+}
+
+void KernelThread::doWork() {
+  std::deque<Work> Taken;
+  {
+    std::lock_guard Guard(WorkMutex_);
+    Taken.swap(Work_);
+  }
+  for (auto &Next : Taken)
+    Next(Dispatcher_.scheduler(), core::MonotonicClock::now());
 }
 
 void KernelThread::sendTicks() {
--- a/Services/EntryDaemon/KernelThread.h
+++ b/Services/EntryDaemon/KernelThread.h
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -24,6 +25,15 @@
                core::MetricsRegistry &Metrics);
   ~KernelThread() override;
 
+  /// Work of another duty on the kernel's thread. Must not block.
+  using Work = std::function<void(const kernel::Scheduler &, core::TimePoint)>;
+
+  /// Runs after each tick. Set before start().
+  void setTickHook(Work Hook) { TickHook_ = std::move(Hook); }
+
+  /// Runs the work soon, on the kernel's thread. Dropped when the kernel has stopped.
+  void run(Work Next);
+
   /// The sink must not block.
   void start(kernel::ActionSink &Sink);
 
@@ -43,6 +53,8 @@
 private:
   void handleEvents(kernel::ActionSink &Sink);
   void handle(kernel::Event Next, kernel::ActionSink &Sink);
+  void handleFromSink(kernel::ActionSink &Sink);
+  void doWork();
   void sendTicks();
   void publish();
   void addGauges(core::MetricsRegistry &Metrics);
@@ -50,6 +62,9 @@
   core::Ring<kernel::Event> Ring_;
   kernel::Dispatcher Dispatcher_;
   std::deque<kernel::Event> FromSink_;
+  Work TickHook_;
+  std::mutex WorkMutex_;
+  std::deque<Work> Work_;
   core::Counter &DroppedTicks_;
   mutable std::mutex PublishedMutex_;
   kernel::SchedulerLoad PublishedLoad_;
--- /dev/null
+++ b/Services/EntryDaemon/MembershipDuty.cpp
@@ -0,0 +1,177 @@
+#include "Services/EntryDaemon/MembershipDuty.h"
+
+#include "Libraries/LibCore/Log.h"
+#include "Libraries/LibPeer/MembershipCoding.h"
+
+#include <random>
+#include <utility>
+
+namespace cornellift::entry {
+namespace {
+
+using core::MonotonicClock;
+
+constexpr core::Duration TickInterval = std::chrono::milliseconds(40);
+constexpr core::Duration AnnounceTime = std::chrono::seconds(1);
+/// The target of a leaving mark is 3 s; the list itself may lag by 1 s.
+constexpr core::Duration ListInterval = std::chrono::seconds(1);
+
+} // namespace
+
+MembershipDuty::MembershipDuty(peer::PeerClient &Client, std::function<SelfReport()> Report,
+                               platform::PlatformStore *Store)
+    : Client_(Client), Report_(std::move(Report)), Store_(Store) {}
+
+void MembershipDuty::setOwn(kernel::MemberRecord Own, std::vector<std::string> Seeds) {
+  Own.StartedAt = core::wallClockMilliseconds();
+  std::lock_guard Guard(Mutex_);
+  View_ = std::make_unique<kernel::Membership>(std::move(Own), kernel::MembershipSettings{},
+                                               std::random_device()());
+  View_->setSeeds(std::move(Seeds));
+}
+
+bool MembershipDuty::start() {
+  TickThread_ = std::thread([this] { runTicks(); });
+  if (Store_ != nullptr)
+    ListThread_ = std::thread([this] { pollList(); });
+  return true;
+}
+
+void MembershipDuty::stop() {
+  {
+    std::lock_guard Guard(StopMutex_);
+    Stopping_ = true;
+  }
+  StopSignal_.notify_all();
+  for (auto *Thread : {&TickThread_, &ListThread_})
+    if (Thread->joinable())
+      Thread->join();
+}
+
+bool MembershipDuty::sleepFor(core::Duration Span) {
+  std::unique_lock Lock(StopMutex_);
+  return !StopSignal_.wait_for(Lock, Span, [this] { return Stopping_; });
+}
+
+void MembershipDuty::runTicks() {
+  do {
+    auto Report = Report_();
+    change([&](kernel::Membership &View, core::TimePoint Now, kernel::MembershipActions &Out) {
+      // The platform's list may have marked this VM as leaving; that is not taken back.
+      if (View.own().Standing < Report.Standing)
+        View.setStanding(Report.Standing, Now, Out);
+      View.setLoad(Report.WaitingTasks, Report.FreeSlots, Report.ConfigurationVersion, Now);
+      View.tick(Now, Out);
+    });
+  } while (sleepFor(TickInterval));
+}
+
+void MembershipDuty::pollList() {
+  // Every process reads the list once, to find its peers; later only the relay does.
+  bool HasList = false;
+  do {
+    if (HasList && !read([](const auto &View) { return View.isRelay(); }))
+      continue;
+    auto Listed = Store_->listVms(MonotonicClock::now() + ListInterval);
+    if (!Listed)
+      continue;
+    HasList = true;
+    std::vector<kernel::ListedVm> Vms;
+    for (auto &Vm : *Listed)
+      Vms.push_back({std::move(Vm.Name), std::move(Vm.Address), std::move(Vm.DataCentre),
+                     Vm.State == platform::VmState::Leaving ? kernel::ListedVm::Mark::Leaving
+                                                            : kernel::ListedVm::Mark::Live});
+    change([&](kernel::Membership &View, core::TimePoint Now, kernel::MembershipActions &Out) {
+      View.platformList(std::move(Vms), Now, Out);
+    });
+  } while (sleepFor(ListInterval));
+}
+
+void MembershipDuty::change(
+    const std::function<void(kernel::Membership &, core::TimePoint, kernel::MembershipActions &)>
+        &Change) {
+  kernel::MembershipActions Actions;
+  {
+    std::lock_guard Guard(Mutex_);
+    Change(*View_, MonotonicClock::now(), Actions);
+  }
+  perform(Actions);
+}
+
+void MembershipDuty::perform(const kernel::MembershipActions &Actions) {
+  for (const auto &Action : Actions)
+    std::visit([this](const auto &Next) { send(Next); }, Action);
+}
+
+void MembershipDuty::send(const kernel::SendProbe &Action) {
+  peer::ProbeRequest Request;
+  *Request.mutable_sender() = peer::encode(Action.Own);
+  Client_.start<peer::ProbeRequest, peer::ProbeReply>(
+      Action.Address, &peer::Peer::Stub::async::Probe, std::move(Request), Action.Deadline,
+      [this, Token = Action.Token](auto Result) {
+        std::optional<kernel::Heartbeat> Reply;
+        if (Result.Content)
+          Reply = peer::decode(Result.Content->receiver());
+        finishProbe(Token, Reply);
+      });
+}
+
+void MembershipDuty::send(const kernel::SendProbeFor &Action) {
+  peer::ProbeForRequest Request;
+  Request.set_target_address(Action.TargetAddress);
+  Request.set_target_incarnation(Action.Target.Value);
+  Client_.start<peer::ProbeForRequest, peer::ProbeForReply>(
+      Action.HelperAddress, &peer::Peer::Stub::async::ProbeFor, std::move(Request), Action.Deadline,
+      [this, Token = Action.Token](auto Result) {
+        std::optional<kernel::Heartbeat> Reply;
+        if (Result.Content && Result.Content->reached())
+          Reply = peer::decode(Result.Content->target());
+        finishProbe(Token, Reply);
+      });
+}
+
+void MembershipDuty::finishProbe(kernel::ProbeToken Token,
+                                 const std::optional<kernel::Heartbeat> &Reply) {
+  change([&](kernel::Membership &View, core::TimePoint Now, kernel::MembershipActions &Out) {
+    if (Reply)
+      View.probeReplied(Token, *Reply, Now, Out);
+    else
+      View.probeFailed(Token, Now, Out);
+  });
+  if (Reply)
+    noteVersion(Reply->Load.ConfigurationVersion);
+}
+
+void MembershipDuty::send(const kernel::SendAnnouncement &Action) {
+  bool IsFull = Action.Content.Scope == kernel::Announcement::Extent::Full;
+  Client_.start<peer::AnnounceRequest, peer::AnnounceReply>(
+      Action.Address, &peer::Peer::Stub::async::Announce,
+      peer::encode(Action.Content, MonotonicClock::now()), MonotonicClock::now() + AnnounceTime,
+      [this, IsFull](auto Result) {
+        if (!Result.Content || !IsFull)
+          return;
+        announced(peer::decode(*Result.Content, MonotonicClock::now()));
+      });
+}
+
+kernel::Heartbeat MembershipDuty::heartbeatReceived(const kernel::Heartbeat &Sender) {
+  noteVersion(Sender.Load.ConfigurationVersion);
+  std::lock_guard Guard(Mutex_);
+  return View_->heartbeatReceived(Sender, MonotonicClock::now());
+}
+
+kernel::Announcement MembershipDuty::announced(const kernel::Announcement &News) {
+  kernel::Announcement Answer;
+  change([&](kernel::Membership &View, core::TimePoint Now, kernel::MembershipActions &Out) {
+    Answer = View.announced(News, Now, Out);
+  });
+  noteVersion(News.ConfigurationVersion);
+  return Answer;
+}
+
+void MembershipDuty::noteVersion(std::uint64_t Version) {
+  if (Configuration_ != nullptr && Version > Configuration_->version())
+    Configuration_->notifyNewer(Version);
+}
+
+} // namespace cornellift::entry
--- /dev/null
+++ b/Services/EntryDaemon/PeerDuty.cpp
@@ -0,0 +1,89 @@
+#include "Services/EntryDaemon/PeerDuty.h"
+
+#include "Libraries/LibCore/Log.h"
+#include "Libraries/LibCore/Reason.h"
+
+#include <utility>
+
+namespace cornellift::entry {
+namespace {
+
+/// Addresses of a list of name=address:port.
+std::vector<std::string> seedAddresses(const core::Settings &Settings) {
+  std::vector<std::string> Result;
+  for (const auto &Seed : Settings.list("seed-peers"))
+    Result.push_back(Seed.substr(Seed.find('=') + 1));
+  return Result;
+}
+
+} // namespace
+
+PeerDuty::PeerDuty(Daemon &Owner, platform::PlatformStore *Store)
+    : Owner_(Owner), Seeds_(seedAddresses(Owner.settings().All)),
+      Members_(Client_, [this] { return report(); }, Store),
+      Slots_(Owner.kernel(), Owner.configuration(), Members_, Client_,
+             Seeds_.empty() && Store == nullptr ? SlotDuty::Company::Alone
+                                                : SlotDuty::Company::WithPeers),
+      Network_(Members_, Client_),
+      Service_({Members_, Slots_, Client_, Owner.callerApi(), Owner.requests(),
+                Owner.issuerNames(), Owner.configuration()}) {
+  Owner.setPeers(Network_);
+  Owner.metrics().gauge("cornellift_peer_calls_total",
+                        [this] { return static_cast<double>(Client_.callsSent()); });
+}
+
+PeerDuty::~PeerDuty() { stop(); }
+
+void PeerDuty::setConfiguration(ConfigurationSource *Source) {
+  Members_.setConfiguration(Source);
+  Service_.setConfiguration(Source);
+}
+
+bool PeerDuty::start() {
+  const auto &Settings = Owner_.settings();
+  auto Address = Settings.All.text("peer-address");
+  auto Colon = Address.rfind(':');
+  if (Colon == std::string::npos)
+    return core::failFalse(core::ErrorKind::Malformed,
+                           "--peer-address: give an IP address and a port, as 10.0.0.1:7070");
+  kernel::MemberRecord Own;
+  Own.EntryVm = Settings.EntryVm;
+  Own.DataCentre = Settings.DataCentre;
+  Own.Process = Owner_.incarnation();
+  Own.Address = Address;
+  // Port 0 takes a free port, which is known only when the server runs. Calls that come before the
+  // record has it only see the wrong port for a moment.
+  Members_.setOwn(Own, Seeds_);
+  if (!Server_.start(Address, Service_))
+    return false;
+  Own.Address = Address.substr(0, Colon + 1) + std::to_string(Server_.port());
+  Members_.setOwn(Own, Seeds_);
+  Slots_.attach();
+  core::logLine(core::LogLevel::Information, "peer", "listening", {{"address", Own.Address}});
+  return Members_.start();
+}
+
+MembershipDuty::SelfReport PeerDuty::report() const {
+  using kernel::MemberStanding;
+  auto Load = Owner_.kernel().load();
+  auto Current = Owner_.configuration().current();
+  auto Standing = Owner_.isStopping() ? MemberStanding::Stopping
+                  : Owner_.isReady()  ? MemberStanding::Ready
+                                      : MemberStanding::Starting;
+  return {Standing, Load.WaitingTasks, Load.FreeSlots, Current ? Current->Version : 0};
+}
+
+void PeerDuty::beginStop() {
+  Members_.change([](kernel::Membership &View, core::TimePoint Now, auto &Out) {
+    if (View.own().Standing < kernel::MemberStanding::Stopping)
+      View.setStanding(kernel::MemberStanding::Stopping, Now, Out);
+  });
+}
+
+void PeerDuty::stop() {
+  Members_.stop();
+  Server_.stop();
+  Client_.close();
+}
+
+} // namespace cornellift::entry
--- /dev/null
+++ b/Services/EntryDaemon/PeerDuty.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "Libraries/LibPeer/PeerClient.h"
+#include "Libraries/LibPeer/PeerServer.h"
+#include "Services/EntryDaemon/ConfigurationSource.h"
+#include "Services/EntryDaemon/Daemon.h"
+#include "Services/EntryDaemon/GrpcPeerNetwork.h"
+#include "Services/EntryDaemon/MembershipDuty.h"
+#include "Services/EntryDaemon/PeerService.h"
+#include "Services/EntryDaemon/SlotDuty.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cornellift::entry {
+
+/// The peer side of one entry process: server, failure detector and lending.
+class PeerDuty : public Duty {
+public:
+  /// Store may be null. Makes the daemon use this network; add it before the duties that need peers.
+  PeerDuty(Daemon &Owner, platform::PlatformStore *Store);
+  ~PeerDuty() override;
+
+  /// Set before start(); without it, peers get no configuration from this process.
+  void setConfiguration(ConfigurationSource *Source);
+
+  PeerNetwork &network() { return Network_; }
+  MembershipDuty &members() { return Members_; }
+
+  /// Returns false with Malformed or Unavailable when the peer address cannot be used.
+  bool start() override;
+  void beginStop() override;
+  void stop() override;
+
+  /// Port of the peer server.
+  int port() const { return Server_.port(); }
+
+private:
+  MembershipDuty::SelfReport report() const;
+
+  Daemon &Owner_;
+  std::vector<std::string> Seeds_;
+  peer::PeerClient Client_;
+  MembershipDuty Members_;
+  SlotDuty Slots_;
+  GrpcPeerNetwork Network_;
+  PeerService Service_;
+  peer::PeerServer Server_;
+};
+
+} // namespace cornellift::entry
--- /dev/null
+++ b/Services/EntryDaemon/SlotDuty.cpp
@@ -0,0 +1,206 @@
+#include "Services/EntryDaemon/SlotDuty.h"
+
+#include "Libraries/LibCore/Reason.h"
+
+#include <future>
+#include <utility>
+
+namespace cornellift::entry {
+namespace {
+
+using core::MonotonicClock;
+
+constexpr core::Duration CallTime = std::chrono::milliseconds(300);
+constexpr core::Duration PeerInterval = std::chrono::milliseconds(50);
+
+kernel::SlotDemand demandOf(const kernel::Scheduler &Scheduler) {
+  auto Load = Scheduler.load();
+  return {Load.WaitingTasks, Load.FreeSlots,
+          [&Scheduler](kernel::EndpointIndex Endpoint) { return Scheduler.use(Endpoint); }};
+}
+
+} // namespace
+
+SlotDuty::SlotDuty(KernelThread &Kernel, const ConfigurationBoard &Board, MembershipDuty &Members,
+                   peer::PeerClient &Client, Company Expected)
+    : Kernel_(Kernel), Board_(Board), Members_(Members), Client_(Client), Expected_(Expected) {}
+
+void SlotDuty::attach() {
+  auto Own = Members_.read([](const auto &View) { return View.own(); });
+  DataCentre_ = Own.DataCentre;
+  kernel::SlotLenderSettings Settings;
+  // Nobody else can own slots then.
+  if (Expected_ == Company::Alone)
+    Settings.InitialDelay = core::Duration(0);
+  Lender_ = std::make_unique<kernel::SlotLender>(Own.EntryVm, Own.Process, Settings);
+  Kernel_.run([this](const auto &, auto) {
+    Kernel_.setTickHook([this](const auto &Scheduler, auto Now) { tick(Scheduler, Now); });
+  });
+}
+
+void SlotDuty::tick(const kernel::Scheduler &Scheduler, core::TimePoint Now) {
+  kernel::SlotActions Out;
+  updateEndpoints(Now, Out);
+  updatePeers(Now, Out);
+  Lender_->tick(demandOf(Scheduler), Now, Out);
+  perform(Out);
+}
+
+void SlotDuty::updateEndpoints(core::TimePoint Now, kernel::SlotActions &Out) {
+  auto Current = Board_.current();
+  if (!Current || Current == Configuration_)
+    return;
+  Configuration_ = Current;
+  Indexes_.clear();
+  std::vector<kernel::LenderEndpoint> Local;
+  for (std::size_t Number = 0; Number < Current->Endpoints.size(); ++Number) {
+    const auto &Endpoint = Current->Endpoints[Number];
+    if (Endpoint.DataCentre != DataCentre_ || Endpoint.Removed || Endpoint.Remote)
+      continue;
+    auto Index = kernel::EndpointIndex(static_cast<std::uint32_t>(Number));
+    Indexes_[Endpoint.Name] = Index;
+    Local.push_back({Index, Endpoint.Name, Endpoint.Slots});
+  }
+  Lender_->setEndpoints(std::move(Local), Now, Out);
+}
+
+void SlotDuty::updatePeers(core::TimePoint Now, kernel::SlotActions &Out) {
+  if (Now < NextPeers_)
+    return;
+  NextPeers_ = Now + PeerInterval;
+  std::vector<kernel::LenderPeer> Ready;
+  Members_.read([&](const kernel::Membership &View) {
+    for (const auto &[Name, Record] : View.table().members()) {
+      if (Record.DataCentre != DataCentre_ || Record.Standing != kernel::MemberStanding::Ready)
+        continue;
+      auto Load = View.loadOf(Record.Process).value_or(kernel::LoadRecord{});
+      Ready.push_back({Name, Record.Process, Load.WaitingTasks, Load.FreeSlots});
+    }
+    return 0;
+  });
+  Lender_->setPeers(std::move(Ready), Now, Out);
+}
+
+void SlotDuty::perform(const kernel::SlotActions &Actions) {
+  for (const auto &Action : Actions) {
+    if (const auto *Set = std::get_if<kernel::SetSlots>(&Action))
+      Kernel_.postFromSink(kernel::SlotsChanged{Set->Endpoint, Set->Slots});
+    else if (const auto *Borrow = std::get_if<kernel::SendBorrow>(&Action))
+      sendBorrow(*Borrow);
+    else if (const auto *Recall = std::get_if<kernel::SendRecall>(&Action))
+      sendRecall(*Recall);
+  }
+}
+
+std::string SlotDuty::addressOf(kernel::Incarnation Process) const {
+  return Members_.read([&](const kernel::Membership &View) {
+    const auto *Record = View.table().find(Process);
+    return Record ? Record->Address : std::string();
+  });
+}
+
+std::string SlotDuty::nameOf(kernel::EndpointIndex Endpoint) const {
+  return Configuration_->Endpoints[static_cast<std::size_t>(Endpoint)].Name;
+}
+
+template <typename Message>
+std::vector<kernel::SlotGrant> SlotDuty::decodeGrants(const Message &Grants) const {
+  std::vector<kernel::SlotGrant> Result;
+  for (const auto &Grant : Grants)
+    // A peer may have a newer configuration with endpoints that are unknown here.
+    if (auto Index = Indexes_.find(Grant.endpoint()); Index != Indexes_.end())
+      Result.push_back({Index->second, Grant.slots()});
+  return Result;
+}
+
+void SlotDuty::sendBorrow(const kernel::SendBorrow &Action) {
+  peer::BorrowSlotsRequest Request;
+  Request.set_borrower(Action.Request.Borrower.Value);
+  Request.set_sequence(Action.Request.Sequence);
+  Request.set_wanted(Action.Request.Wanted);
+  for (const auto &Kept : Action.Request.Kept) {
+    auto *Grant = Request.add_kept();
+    Grant->set_endpoint(nameOf(Kept.Endpoint));
+    Grant->set_slots(Kept.Slots);
+  }
+  auto Owner = Action.Process;
+  auto Sequence = Action.Request.Sequence;
+  Client_.start<peer::BorrowSlotsRequest, peer::BorrowSlotsReply>(
+      addressOf(Owner), &peer::Peer::Stub::async::BorrowSlots, std::move(Request),
+      MonotonicClock::now() + CallTime, [this, Owner, Sequence](auto Result) {
+        Kernel_.run([this, Owner, Sequence, Result = std::move(Result)](const auto &, auto Now) {
+          kernel::SlotActions Out;
+          if (Result.Content)
+            Lender_->borrowReplied(
+                Owner, Sequence,
+                {.Grants = decodeGrants(Result.Content->grants()),
+                 .Lease = std::chrono::milliseconds(Result.Content->lease_ms())},
+                Now, Out);
+          else
+            Lender_->borrowFailed(Owner, Sequence, Now);
+          perform(Out);
+        });
+      });
+}
+
+void SlotDuty::sendRecall(const kernel::SendRecall &Action) {
+  peer::ReturnSlotsRequest Request;
+  Request.set_owner(Members_.read([](const auto &View) { return View.own().Process.Value; }));
+  for (const auto &Wanted : Action.Wanted) {
+    auto *Grant = Request.add_wanted();
+    Grant->set_endpoint(nameOf(Wanted.Endpoint));
+    Grant->set_slots(Wanted.Slots);
+  }
+  Client_.start<peer::ReturnSlotsRequest, peer::ReturnSlotsReply>(
+      addressOf(Action.Process), &peer::Peer::Stub::async::ReturnSlots, std::move(Request),
+      MonotonicClock::now() + CallTime, [](const auto &) {});
+}
+
+std::optional<peer::BorrowSlotsReply> SlotDuty::lend(const peer::BorrowSlotsRequest &Request) {
+  struct Answer {
+    std::optional<kernel::BorrowReply> Reply{};
+    core::Reason Failure{};
+    std::vector<std::string> Names{};
+  };
+  auto Promised = std::make_shared<std::promise<Answer>>();
+  auto Arrived = Promised->get_future();
+  Kernel_.run([this, Request, Promised](const auto &Scheduler, auto Now) {
+    kernel::SlotActions Out;
+    Answer Result;
+    Result.Reply = Lender_->lend({{Request.borrower()},
+                                  Request.sequence(),
+                                  decodeGrants(Request.kept()),
+                                  Request.wanted()},
+                                 demandOf(Scheduler), Now, Out);
+    perform(Out);
+    if (!Result.Reply)
+      Result.Failure = core::lastReason();
+    else
+      for (const auto &Grant : Result.Reply->Grants)
+        Result.Names.push_back(nameOf(Grant.Endpoint));
+    Promised->set_value(std::move(Result));
+  });
+  if (Arrived.wait_for(CallTime) != std::future_status::ready)
+    return core::fail(core::ErrorKind::Unavailable, "the kernel is busy; ask again");
+  auto Result = Arrived.get();
+  if (!Result.Reply)
+    return core::fail(Result.Failure.Kind, Result.Failure.Message);
+  peer::BorrowSlotsReply Reply;
+  for (std::size_t Number = 0; Number < Result.Names.size(); ++Number) {
+    auto *Grant = Reply.add_grants();
+    Grant->set_endpoint(Result.Names[Number]);
+    Grant->set_slots(Result.Reply->Grants[Number].Slots);
+  }
+  Reply.set_lease_ms(static_cast<std::uint32_t>(core::toMilliseconds(Result.Reply->Lease)));
+  return Reply;
+}
+
+void SlotDuty::recalled(const peer::ReturnSlotsRequest &Request) {
+  Kernel_.run([this, Request](const auto &, auto Now) {
+    kernel::SlotActions Out;
+    Lender_->recalled({Request.owner()}, decodeGrants(Request.wanted()), Now, Out);
+    perform(Out);
+  });
+}
+
+} // namespace cornellift::entry
--- /dev/null
+++ b/Services/EntryDaemon/SlotDuty.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "Kernel/SlotLender.h"
+#include "Libraries/LibPeer/PeerClient.h"
+#include "Services/EntryDaemon/ConfigurationBoard.h"
+#include "Services/EntryDaemon/KernelThread.h"
+#include "Services/EntryDaemon/MembershipDuty.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cornellift::entry {
+
+/// Runs the SlotLender on the kernel's thread, so that grants and task starts exclude each other.
+class SlotDuty {
+public:
+  enum class Company { Alone, WithPeers };
+
+  SlotDuty(KernelThread &Kernel, const ConfigurationBoard &Board, MembershipDuty &Members,
+           peer::PeerClient &Client, Company Expected);
+
+  /// Call before the kernel starts, after the members' own record is set.
+  void attach();
+
+  /// Answers a peer. Empty with Unavailable when the kernel does not answer in time, or with the
+  /// lender's reason.
+  std::optional<peer::BorrowSlotsReply> lend(const peer::BorrowSlotsRequest &Request);
+
+  void recalled(const peer::ReturnSlotsRequest &Request);
+
+private:
+  void tick(const kernel::Scheduler &Scheduler, core::TimePoint Now);
+  void updateEndpoints(core::TimePoint Now, kernel::SlotActions &Out);
+  void updatePeers(core::TimePoint Now, kernel::SlotActions &Out);
+  void perform(const kernel::SlotActions &Actions);
+  void sendBorrow(const kernel::SendBorrow &Action);
+  void sendRecall(const kernel::SendRecall &Action);
+  std::string addressOf(kernel::Incarnation Process) const;
+  template <typename Message>
+  std::vector<kernel::SlotGrant> decodeGrants(const Message &Grants) const;
+  std::string nameOf(kernel::EndpointIndex Endpoint) const;
+
+  KernelThread &Kernel_;
+  const ConfigurationBoard &Board_;
+  MembershipDuty &Members_;
+  peer::PeerClient &Client_;
+  Company Expected_;
+  // Used on the kernel's thread only.
+  std::unique_ptr<kernel::SlotLender> Lender_;
+  std::shared_ptr<const kernel::KernelConfiguration> Configuration_;
+  std::map<std::string, kernel::EndpointIndex, std::less<>> Indexes_;
+  std::string DataCentre_;
+  core::TimePoint NextPeers_;
+};
+
+} // namespace cornellift::entry
