--- a/Services/EntryDaemon/GrpcPeerNetwork.cpp
+++ b/Services/EntryDaemon/GrpcPeerNetwork.cpp
@@ -66,9 +66,8 @@
 }
 
 void GrpcPeerNetwork::announceVersion(std::uint64_t Version) {
-  Members_.change([&](auto &View, auto Now, auto &Out) {
-    View.announceVersion(Version, Now, Out);
-  });
+  Members_.change(
+      [&](auto &View, auto Now, auto &Out) { View.announceVersion(Version, Now, Out); });
 }
 
 std::optional<std::string> GrpcPeerNetwork::fetchConfiguration(std::uint64_t HaveVersion) {
@@ -193,9 +192,9 @@
         Failure = ForwardFailure::IssuerDead;
       return std::nullopt;
     }
-    Members_.announced({.Origin = "",
-                        .Successions = {peer::decode(Result.Content->succession(),
-                                                     MonotonicClock::now())}});
+    Members_.announced(
+        {.Origin = "",
+         .Successions = {peer::decode(Result.Content->succession(), MonotonicClock::now())}});
   }
   return std::nullopt;
 }
--- a/Services/EntryDaemon/Main.cpp
+++ b/Services/EntryDaemon/Main.cpp
@@ -3,13 +3,30 @@
 #include "Services/EntryDaemon/ConfigurationService.h"
 #include "Services/EntryDaemon/Daemon.h"
 #include "Services/EntryDaemon/DaemonSettings.h"
+#include "Services/EntryDaemon/PeerDuty.h"
 
 #include <csignal>
 #include <iostream>
+#include <memory>
 #include <span>
 
 using namespace cornellift;
 
+namespace {
+
+/// The peers come before the configuration, which may be learned from them.
+void addPeers(entry::Daemon &Daemon, entry::ConfigurationService *Configuration) {
+  auto Peers = std::make_unique<entry::PeerDuty>(
+      Daemon, Configuration != nullptr ? &Configuration->store() : nullptr);
+  if (Configuration != nullptr) {
+    Configuration->setPeers(Peers->network());
+    Peers->setConfiguration(&Configuration->source());
+  }
+  Daemon.addDuty(std::move(Peers));
+}
+
+} // namespace
+
 int main(int Count, char **Arguments) {
   constexpr std::string_view Program = "cornellift-entryd";
   // Threads inherit the mask, so that only sigwait() below sees these signals.
@@ -25,12 +42,16 @@
     return core::reportBadUsage(Program);
   core::configureLog(Settings->LogLevel, Settings->LogFile);
   entry::Daemon Daemon(std::move(*Settings));
+  std::unique_ptr<entry::ConfigurationService> Configuration;
   if (Daemon.settings().ConfigurationFile.empty()) {
-    auto Configuration = entry::ConfigurationService::make(Daemon);
+    Configuration = entry::ConfigurationService::make(Daemon);
     if (!Configuration)
       return core::reportBadUsage(Program);
-    Daemon.addDuty(std::move(Configuration));
   }
+  if (!Daemon.settings().All.text("peer-address").empty())
+    addPeers(Daemon, Configuration.get());
+  if (Configuration)
+    Daemon.addDuty(std::move(Configuration));
   if (!Daemon.start())
     return core::reportBadUsage(Program);
   std::cout << "listening on " << Daemon.settings().HttpAddress << ':' << Daemon.http().port()
--- a/Services/EntryDaemon/MembershipDuty.cpp
+++ b/Services/EntryDaemon/MembershipDuty.cpp
@@ -87,9 +87,8 @@
   } while (sleepFor(ListInterval));
 }
 
-void MembershipDuty::change(
-    const std::function<void(kernel::Membership &, core::TimePoint, kernel::MembershipActions &)>
-        &Change) {
+void MembershipDuty::change(const std::function<void(kernel::Membership &, core::TimePoint,
+                                                     kernel::MembershipActions &)> &Change) {
   kernel::MembershipActions Actions;
   {
     std::lock_guard Guard(Mutex_);
--- a/Services/EntryDaemon/PeerDuty.cpp
+++ b/Services/EntryDaemon/PeerDuty.cpp
@@ -20,13 +20,14 @@
 
 PeerDuty::PeerDuty(Daemon &Owner, platform::PlatformStore *Store)
     : Owner_(Owner), Seeds_(seedAddresses(Owner.settings().All)),
-      Members_(Client_, [this] { return report(); }, Store),
+      Members_(
+          Client_, [this] { return report(); }, Store),
       Slots_(Owner.kernel(), Owner.configuration(), Members_, Client_,
              Seeds_.empty() && Store == nullptr ? SlotDuty::Company::Alone
                                                 : SlotDuty::Company::WithPeers),
       Network_(Members_, Client_),
-      Service_({Members_, Slots_, Client_, Owner.callerApi(), Owner.requests(),
-                Owner.issuerNames(), Owner.configuration()}) {
+      Service_({Members_, Slots_, Client_, Owner.callerApi(), Owner.requests(), Owner.issuerNames(),
+                Owner.configuration()}) {
   Owner.setPeers(Network_);
   Owner.metrics().gauge("cornellift_peer_calls_total",
                         [this] { return static_cast<double>(Client_.callsSent()); });
--- a/Services/EntryDaemon/PeerDuty.h
+++ b/Services/EntryDaemon/PeerDuty.h
@@ -18,7 +18,8 @@
 /// The peer side of one entry process: server, failure detector and lending.
 class PeerDuty : public Duty {
 public:
-  /// Store may be null. Makes the daemon use this network; add it before the duties that need peers.
+  /// Store may be null. Makes the daemon use this network; add it before the duties that need
+  /// peers.
   PeerDuty(Daemon &Owner, platform::PlatformStore *Store);
   ~PeerDuty() override;
 
--- a/Services/EntryDaemon/PeerService.cpp
+++ b/Services/EntryDaemon/PeerService.cpp
@@ -100,9 +100,9 @@
       *Reply->mutable_succession() = peer::encode(*Successor, MonotonicClock::now());
     return grpc::Status::OK;
   }
-  auto Answer = Daemon_.Callers.handle(
-      {Request->method(), Request->path(), Request->team(), Request->body()},
-      CallerApi::Origin::Peer);
+  auto Answer =
+      Daemon_.Callers.handle({Request->method(), Request->path(), Request->team(), Request->body()},
+                             CallerApi::Origin::Peer);
   Reply->set_status(Answer.Status);
   Reply->set_body(std::move(Answer.Body));
   return grpc::Status::OK;
@@ -159,8 +159,8 @@
   if (Request->receiver() != own().Value)
     return grpc::Status::OK;
   kernel::TaskId Task{{{Request->incarnation()}, Request->sequence()}, Request->index()};
-  auto Purpose = Request->fence() ? kernel::AskDelegated::Wish::Fence
-                                  : kernel::AskDelegated::Wish::Ask;
+  auto Purpose =
+      Request->fence() ? kernel::AskDelegated::Wish::Fence : kernel::AskDelegated::Wish::Ask;
   auto Answer = Daemon_.Requests.call(
       [&](kernel::RequestId Id) {
         return kernel::Event(kernel::AskDelegated{Id, Task, Purpose});
--- a/Services/EntryDaemon/SlotDuty.cpp
+++ b/Services/EntryDaemon/SlotDuty.cpp
@@ -131,11 +131,10 @@
         Kernel_.run([this, Owner, Sequence, Result = std::move(Result)](const auto &, auto Now) {
           kernel::SlotActions Out;
           if (Result.Content)
-            Lender_->borrowReplied(
-                Owner, Sequence,
-                {.Grants = decodeGrants(Result.Content->grants()),
-                 .Lease = std::chrono::milliseconds(Result.Content->lease_ms())},
-                Now, Out);
+            Lender_->borrowReplied(Owner, Sequence,
+                                   {.Grants = decodeGrants(Result.Content->grants()),
+                                    .Lease = std::chrono::milliseconds(Result.Content->lease_ms())},
+                                   Now, Out);
           else
             Lender_->borrowFailed(Owner, Sequence, Now);
           perform(Out);
@@ -167,11 +166,9 @@
   Kernel_.run([this, Request, Promised](const auto &Scheduler, auto Now) {
     kernel::SlotActions Out;
     Answer Result;
-    Result.Reply = Lender_->lend({{Request.borrower()},
-                                  Request.sequence(),
-                                  decodeGrants(Request.kept()),
-                                  Request.wanted()},
-                                 demandOf(Scheduler), Now, Out);
+    Result.Reply = Lender_->lend(
+        {{Request.borrower()}, Request.sequence(), decodeGrants(Request.kept()), Request.wanted()},
+        demandOf(Scheduler), Now, Out);
     perform(Out);
     if (!Result.Reply)
       Result.Failure = core::lastReason();
--- a/Services/EntryDaemon/TaskCoding.cpp
+++ b/Services/EntryDaemon/TaskCoding.cpp
@@ -30,9 +30,9 @@
                  const kernel::KernelConfiguration &Configuration) {
   auto Service = findService(Configuration, Request.service());
   auto Team = findTeam(Configuration, Request.team());
-  auto Kind = Service ? findKind(Configuration.Services[static_cast<std::size_t>(*Service)],
-                                 Request.kind())
-                      : std::nullopt;
+  auto Kind =
+      Service ? findKind(Configuration.Services[static_cast<std::size_t>(*Service)], Request.kind())
+              : std::nullopt;
   if (!Service || !Team || !Kind)
     return core::fail(core::ErrorKind::NotFound,
                       "the service, kind or team is not configured here; retry elsewhere");
--- a/Services/EntryDaemon/TransferCoding.cpp
+++ b/Services/EntryDaemon/TransferCoding.cpp
@@ -57,9 +57,9 @@
                                                 const KernelConfiguration &Configuration) {
   auto Service = findService(Configuration, From.service());
   auto Team = findTeam(Configuration, From.job().team());
-  auto Kind = Service ? findKind(Configuration.Services[static_cast<std::size_t>(*Service)],
-                                 From.kind())
-                      : std::nullopt;
+  auto Kind =
+      Service ? findKind(Configuration.Services[static_cast<std::size_t>(*Service)], From.kind())
+              : std::nullopt;
   if (!Service || !Team || !Kind)
     return std::nullopt;
   kernel::TransferredJob Result;
@@ -218,9 +218,9 @@
   return Result;
 }
 
-std::shared_ptr<const kernel::TransferPart>
-decodeTransfer(const peer::TransferRequest &Request, const KernelConfiguration &Configuration,
-               IssuerNames &Names) {
+std::shared_ptr<const kernel::TransferPart> decodeTransfer(const peer::TransferRequest &Request,
+                                                           const KernelConfiguration &Configuration,
+                                                           IssuerNames &Names) {
   auto Part = std::make_shared<kernel::TransferPart>();
   const auto &From = Request.part();
   Part->Sender = {Request.sender()};
@@ -238,13 +238,13 @@
       return std::nullopt;
     return kernel::TransferredRunning{decodeId(Job), Job.fingerprint(), *Team};
   };
-  bool Known =
-      decodeAll(From.blocks(), Part->Blocks,
-                [&](auto &Block) { return decodeBlock(Block, Configuration); }) &&
-      decodeAll(From.jobs(), Part->Jobs, [&](auto &Job) { return decodeJob(Job, Configuration); }) &&
-      decodeAll(From.running(), Part->Running, DecodeRunning) &&
-      decodeAll(From.outcomes(), Part->Outcomes,
-                [&](auto &Kept) { return decodeOutcome(Kept, Configuration); });
+  bool Known = decodeAll(From.blocks(), Part->Blocks,
+                         [&](auto &Block) { return decodeBlock(Block, Configuration); }) &&
+               decodeAll(From.jobs(), Part->Jobs,
+                         [&](auto &Job) { return decodeJob(Job, Configuration); }) &&
+               decodeAll(From.running(), Part->Running, DecodeRunning) &&
+               decodeAll(From.outcomes(), Part->Outcomes,
+                         [&](auto &Kept) { return decodeOutcome(Kept, Configuration); });
   if (Known)
     return Part;
   core::fail(core::ErrorKind::NotFound,
