EntryDaemon: Follow the linter

Cause: findings of clang-tidy on copied parameters, moves without effect and a vector without reserved room. Behaviour is unchanged; nothing was measured.

--- a/Services/EntryDaemon/Daemon.cpp
+++ b/Services/EntryDaemon/Daemon.cpp
@@ -99,7 +99,7 @@
   core::logLine(core::LogLevel::Information, "daemon", "stopped");
 }
 
-void Daemon::applyConfiguration(std::shared_ptr<const kernel::KernelConfiguration> Next) {
+void Daemon::applyConfiguration(const std::shared_ptr<const kernel::KernelConfiguration> &Next) {
   // The endpoints come first: the kernel may start tasks as soon as it has the event.
   Endpoints_.applyConfiguration(*Next);
   Board_.set(Next);
--- a/Services/EntryDaemon/Daemon.h
+++ b/Services/EntryDaemon/Daemon.h
@@ -47,7 +47,7 @@
 
   /// Puts a configuration in force. Versions must not decrease; the caller sees to that. Safe to
   /// use from every thread.
-  void applyConfiguration(std::shared_ptr<const kernel::KernelConfiguration> Next);
+  void applyConfiguration(const std::shared_ptr<const kernel::KernelConfiguration> &Next);
 
   const DaemonSettings &settings() const { return Settings_; }
   kernel::Incarnation incarnation() const { return Incarnation_; }
--- a/Services/EntryDaemon/EndpointLink.cpp
+++ b/Services/EntryDaemon/EndpointLink.cpp
@@ -23,7 +23,7 @@
 
 EndpointLink::EndpointLink(LinkContext Context, kernel::EndpointIndex Index,
                            const kernel::EndpointConfiguration &Configuration)
-    : Context_(std::move(Context)), Index_(Index), Address_(Configuration.Address),
+    : Context_(Context), Index_(Index), Address_(Configuration.Address),
       MaximumThreads_(
           std::max<std::size_t>(1, std::min(Configuration.Slots, Configuration.Connections))),
       // A slot that the kernel counts as free again may still be on its way out of the ring.
--- a/Services/EntryDaemon/EndpointQuestions.cpp
+++ b/Services/EntryDaemon/EndpointQuestions.cpp
@@ -19,7 +19,7 @@
     if (!QuestionThread_.joinable())
       QuestionThread_ = std::thread([this] { serveQuestions(); });
   }
-  return Questions_.tryPush(std::move(Next));
+  return Questions_.tryPush(Next);
 }
 
 void EndpointLink::serveQuestions() {
--- a/Services/EntryDaemon/IssuerNames.h
+++ b/Services/EntryDaemon/IssuerNames.h
@@ -2,6 +2,7 @@
 
 #include "Kernel/Identifiers.h"
 
+#include <cstdint>
 #include <map>
 #include <mutex>
 #include <string>
@@ -18,20 +19,20 @@
   /// a transferred state.
   void add(kernel::Incarnation Issuer, std::string EntryVm) {
     std::lock_guard Guard(Mutex_);
-    Others_[Issuer] = std::move(EntryVm);
+    Others_[Issuer.Value] = std::move(EntryVm);
   }
 
   /// The own name for an incarnation that was not added.
   std::string nameOf(kernel::Incarnation Issuer) const {
     std::lock_guard Guard(Mutex_);
-    auto Found = Others_.find(Issuer);
+    auto Found = Others_.find(Issuer.Value);
     return Found == Others_.end() ? OwnName_ : Found->second;
   }
 
 private:
   const std::string OwnName_;
   mutable std::mutex Mutex_;
-  std::map<kernel::Incarnation, std::string> Others_;
+  std::map<std::uint64_t, std::string> Others_; ///< By the incarnation's value.
 };
 
 } // namespace cornellift::entry
--- a/Tests/LibHttp/TestHttpServer.cpp
+++ b/Tests/LibHttp/TestHttpServer.cpp
@@ -60,6 +60,7 @@
   addEcho(Server);
   BOOST_REQUIRE(Server.start("127.0.0.1", 0));
   std::vector<RawConnection> Idle;
+  Idle.reserve(20);
   for (int Count = 0; Count < 20; ++Count)
     Idle.emplace_back(Server.port());
   httplib::Client Client("127.0.0.1", Server.port());
