Kernel: Try the longest critical task before the smallest job

Cause: jobs with a task of several seconds set the tail; small jobs took the fast slots as these became free. Change: within a team, the candidate whose longest task is more than twice the mean is tried first.

--- a/Kernel/PolicyScheduler.cpp
+++ b/Kernel/PolicyScheduler.cpp
@@ -10,6 +10,9 @@
 /// Jobs that one call of next() may consider, and those of one team. They bound the decision time.
 constexpr std::size_t MaximumCandidates = 16;
 constexpr std::size_t CandidatesPerTeam = 3;
+/// A task this much longer than the mean decides when its job ends, and goes first, so that it gets
+/// the fastest slot.
+constexpr double LongTaskFactor = 2;
 /// Jobs up to this size may be sent to an endpoint on trial: little is lost when they fail.
 constexpr std::uint32_t SmallJobTasks = 8;
 /// Scores of the normal distribution: exceeded by 5% and by 1% of tasks.
@@ -193,6 +196,17 @@
   return Best;
 }
 
+ActiveJob *PolicyScheduler::longTaskJob() const {
+  auto Longest = std::max_element(Candidates_.begin(), Candidates_.end(),
+                                  [](const ActiveJob *Left, const ActiveJob *Right) {
+                                    return Left->Tasks.back().RunTime < Right->Tasks.back().RunTime;
+                                  });
+  if (Longest == Candidates_.end() ||
+      (*Longest)->Tasks.back().RunTime < LongTaskFactor * MeanRunTime_)
+    return nullptr;
+  return *Longest;
+}
+
 std::optional<Placement> PolicyScheduler::next(core::TimePoint Now) {
   if (!Configuration_)
     return std::nullopt;
@@ -209,6 +223,11 @@
       break;
     QueueVisited_[*Queue] = 1;
     Waiting_.candidates(*Queue, Now, CandidatesPerTeam, Candidates_);
+    if (auto *Job = longTaskJob()) {
+      if (auto Chosen = tryTask(*Job, TaskChoice::Longest, Ahead, Now))
+        return Chosen;
+      ++Ahead;
+    }
     for (auto *Job : Candidates_) {
       if (auto Chosen = tryJob(*Job, Ahead, Now))
         return Chosen;
@@ -247,16 +266,20 @@
 
 std::optional<Placement> PolicyScheduler::tryJob(ActiveJob &Job, std::uint32_t Ahead,
                                                  core::TimePoint Now) {
-  auto Choice = TaskChoice::Longest;
-  auto Question = question(Job, Job.Tasks.back(), Ahead, Now);
+  if (auto Chosen = tryTask(Job, TaskChoice::Longest, Ahead, Now))
+    return Chosen;
+  if (Job.Tasks.size() < 2)
+    return std::nullopt;
+  // The shortest task is the job's last one, so the others wait for a faster slot before it.
+  auto Before = static_cast<std::uint32_t>(Job.Tasks.size() - 1);
+  return tryTask(Job, TaskChoice::Shortest, Ahead + Before, Now);
+}
+
+std::optional<Placement> PolicyScheduler::tryTask(ActiveJob &Job, TaskChoice Choice,
+                                                  std::uint32_t Ahead, core::TimePoint Now) {
+  const auto &Waiting = Choice == TaskChoice::Longest ? Job.Tasks.back() : Job.Tasks.front();
+  auto Question = question(Job, Waiting, Ahead, Now);
   auto Endpoint = chooseEndpoint(Question, Now);
-  if (!Endpoint && Job.Tasks.size() > 1) {
-    Choice = TaskChoice::Shortest;
-    // The shortest task is the job's last one, so the others wait for a faster slot before it.
-    auto Before = static_cast<std::uint32_t>(Job.Tasks.size() - 1);
-    Question = question(Job, Job.Tasks.front(), Ahead + Before, Now);
-    Endpoint = chooseEndpoint(Question, Now);
-  }
   if (!Endpoint)
     return std::nullopt;
   RunningTask Task;
--- a/Kernel/PolicyScheduler.h
+++ b/Kernel/PolicyScheduler.h
@@ -88,7 +88,11 @@
 
   void retryDelayed(core::TimePoint Now);
   std::optional<std::size_t> pickQueue() const;
+  /// The candidate with the longest task, if that is much longer than usual.
+  ActiveJob *longTaskJob() const;
   std::optional<Placement> tryJob(ActiveJob &Job, std::uint32_t Ahead, core::TimePoint Now);
+  std::optional<Placement> tryTask(ActiveJob &Job, TaskChoice Choice, std::uint32_t Ahead,
+                                   core::TimePoint Now);
   std::optional<EndpointIndex> chooseEndpoint(PlacementQuestion &Question, core::TimePoint Now);
   PlacementQuestion question(const ActiveJob &Job, const WaitingTask &Task, std::uint32_t Ahead,
                              core::TimePoint Now) const;
