Kernel: Let ageing grow without turning the order around

Cause: after 10 s the whole remaining work was forgiven, so a backlog of that age was served in order of arrival and small jobs waited behind large ones. Change: the remaining work is divided by the square of 1 + ageing x age.

--- a/Kernel/OrderingPolicies.cpp
+++ b/Kernel/OrderingPolicies.cpp
@@ -23,9 +23,10 @@
 
   double urgency(const JobView &Job, core::TimePoint Now) const override {
     double Seconds = core::toMilliseconds(Now - Job.Arrival) / 1000;
-    // Beyond full forgiveness the older job is the more urgent one, whatever is left of it.
-    double Left = 1 - AgeingPerSecond_ * Seconds;
-    return Left > 0 ? Job.WaitingWork * Left : Left;
+    // The forgiven share grows without bound but never turns the order around at once: in a backlog
+    // that is older than the ageing time, small jobs still go before large ones of the same age.
+    double Age = 1 + AgeingPerSecond_ * Seconds;
+    return Job.WaitingWork / (Age * Age);
   }
 
 private:
