Kernel: Use slow slots when the queue is long

Cause: with hundreds of tasks waiting, 5% of the slots idled, because the few candidates that were tried preferred to wait for a faster slot.

--- a/Kernel/PolicyScheduler.cpp
+++ b/Kernel/PolicyScheduler.cpp
@@ -217,12 +217,15 @@
   QueueVisited_.assign(Waiting_.queues(), 0);
   std::uint32_t Ahead = 0;
   std::size_t Tried = 0;
+  ActiveJob *Patient = nullptr;
   while (Tried < MaximumCandidates) {
     auto Queue = pickQueue();
     if (!Queue)
       break;
     QueueVisited_[*Queue] = 1;
     Waiting_.candidates(*Queue, Now, CandidatesPerTeam, Candidates_);
+    if (!Patient)
+      Patient = Candidates_.back();
     if (auto *Job = longTaskJob()) {
       if (auto Chosen = tryTask(*Job, TaskChoice::Longest, Ahead, Now))
         return Chosen;
@@ -235,7 +238,10 @@
       ++Tried;
     }
   }
-  return std::nullopt;
+  // Not all waiting tasks were tried. The last one of the queue is better off on a slow slot when
+  // the queue is long, and no slot idles in overload.
+  return Patient ? tryTask(*Patient, TaskChoice::Shortest, Waiting_.waitingTasks() - 1, Now)
+                 : std::nullopt;
 }
 
 PlacementQuestion PolicyScheduler::question(const ActiveJob &Job, const WaitingTask &Task,
