LibHttp: Send head and body of a response as one

Jobs of one task at 400 a second, medians of three alternating runs on a busy machine: 375 to 308 us of CPU per task, 0.77 to 0.69 ms added median.

--- a/Libraries/LibHttp/ConnectionStream.cpp
+++ b/Libraries/LibHttp/ConnectionStream.cpp
@@ -37,7 +37,6 @@
 
 void ConnectionStream::beginRequest() {
   ReadDeadline_ = core::MonotonicClock::now() + TransferTime_;
-  Writing_ = false;
 }
 
 bool ConnectionStream::waitFor(short Events, core::TimePoint Deadline) const {
@@ -83,20 +82,28 @@
 }
 
 ssize_t ConnectionStream::write(const char *Source, size_t Size) {
-  if (!Writing_) {
-    Writing_ = true;
-    WriteDeadline_ = core::MonotonicClock::now() + TransferTime_;
-  }
-  while (true) {
-    auto Sent = ::send(Socket_, Source, Size, MSG_DONTWAIT | MSG_NOSIGNAL);
+  if (Kept_.size() + Size > KeptBytes)
+    flush();
+  if (Size > KeptBytes)
+    sendAll(Source, Size);
+  else
+    Kept_.append(Source, Size);
+  return Broken_ ? -1 : static_cast<ssize_t>(Size);
+}
+
+void ConnectionStream::flush() {
+  sendAll(Kept_.data(), Kept_.size());
+  Kept_.clear();
+}
+
+void ConnectionStream::sendAll(const char *Source, size_t Size) {
+  auto Deadline = core::MonotonicClock::now() + TransferTime_;
+  for (size_t Done = 0; Done < Size && !Broken_;) {
+    auto Sent = ::send(Socket_, Source + Done, Size - Done, MSG_DONTWAIT | MSG_NOSIGNAL);
     if (Sent >= 0)
-      return Sent;
-    if (errno == EINTR)
-      continue;
-    if (mustWait() && waitFor(POLLOUT, WriteDeadline_))
-      continue;
-    Broken_ = true;
-    return -1;
+      Done += static_cast<size_t>(Sent);
+    else if (errno != EINTR && (!mustWait() || !waitFor(POLLOUT, Deadline)))
+      Broken_ = true;
   }
 }
 
--- a/Libraries/LibHttp/ConnectionStream.h
+++ b/Libraries/LibHttp/ConnectionStream.h
@@ -20,6 +20,10 @@
   /// Starts the deadline of the next request.
   void beginRequest();
 
+  /// Sends what write() has kept back. The library writes the head and the body of a response
+  /// apart; sent as one, they cost the system and the peer half as much.
+  void flush();
+
   /// True when bytes of a next request are here already.
   bool hasBufferedBytes() const { return Begin_ < End_; }
 
@@ -36,18 +40,21 @@
   socket_t socket() const override { return Socket_; }
 
 private:
+  void sendAll(const char *Source, size_t Size);
   bool waitFor(short Events, core::TimePoint Deadline) const;
 
   static constexpr std::size_t BufferBytes = 16384;
 
+  /// Larger parts are sent as they come.
+  static constexpr std::size_t KeptBytes = 65536;
+
   const socket_t Socket_;
   const core::Duration TransferTime_;
   core::TimePoint ReadDeadline_;
-  core::TimePoint WriteDeadline_; ///< Set by the first write after a request.
   std::array<char, BufferBytes> Buffer_;
   std::size_t Begin_ = 0;
   std::size_t End_ = 0;
-  bool Writing_ = false;
+  std::string Kept_; ///< Written and not sent yet.
   bool Broken_ = false;
 };
 
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -158,6 +158,7 @@
             if (!Request.has_header("Content-Length"))
               Request.set_header("Content-Length", "0");
           });
+      Stream.flush();
       Close = !Served || Closed || Unread || Stream.isBroken() || Closing.load();
     }
   }
