Tests: Check the operators' routes with a wrong key, lost replies and an outage

Cause: the routes had no test against a refused key, a reply lost after the swap, or a store that is down. The other tests of the folder are only reformatted.

--- a/Tests/EntryDaemon/TestDaemon.cpp
+++ b/Tests/EntryDaemon/TestDaemon.cpp
@@ -41,11 +41,16 @@
         {"endpoints", Endpoints}};
     auto File = (Directory_ / "document.json").string();
     std::ofstream(File) << Document.dump();
-    std::vector<const char *> Arguments = {"entryd",          "--vm-name",
-                                           "ikeja-1",         "--data-centre",
-                                           "ikeja",           "--http-port",
-                                           "0",               "--configuration-file",
-                                           File.c_str(),      "--team-keys",
+    std::vector<const char *> Arguments = {"entryd",
+                                           "--vm-name",
+                                           "ikeja-1",
+                                           "--data-centre",
+                                           "ikeja",
+                                           "--http-port",
+                                           "0",
+                                           "--configuration-file",
+                                           File.c_str(),
+                                           "--team-keys",
                                            "counter=c,office=o"};
     auto Settings = entry::DaemonSettings::parse(Arguments);
     BOOST_REQUIRE_MESSAGE(Settings, core::lastReason().Message);
--- a/Tests/EntryDaemon/TestJobParser.cpp
+++ b/Tests/EntryDaemon/TestJobParser.cpp
@@ -31,8 +31,8 @@
         withTasks(R"([{"payload":"a","color":1}])"), withTasks(R"([{"run_ms":-1}])"),
         withTasks(R"([{"run_ms":1e300}])"), withTasks(R"([{"processors":"4"}])"),
         withTasks("[{}],\"extra\":1"), withTasks("[{}],\"deadline_ms\":1.5"),
-        withTasks("[{}],\"deadline_ms\":9223372036854775807"),
-        withTasks("[{}],\"tasks\":[{}]"), withTasks("[{\"payload\":\"\xff\"}]"),
+        withTasks("[{}],\"deadline_ms\":9223372036854775807"), withTasks("[{}],\"tasks\":[{}]"),
+        withTasks("[{\"payload\":\"\xff\"}]"),
         withTasks("[{\"payload\":" + std::string(40, '[') + std::string(40, ']') + "}]")}) {
     BOOST_TEST_CONTEXT(Bad) {
       BOOST_TEST(!entry::parseJob(Bad, 10));
--- a/Tests/EntryDaemon/TestJobRecovery.cpp
+++ b/Tests/EntryDaemon/TestJobRecovery.cpp
@@ -16,10 +16,9 @@
 } // namespace
 
 BOOST_AUTO_TEST_CASE(AllRecordsMakeAWholeAnswerInTaskOrder) {
-  auto Result =
-      entry::judgeRecords({{2, {ended(1, kernel::TaskVerdict::Finished)}},
-                           {0, {}},
-                           {2, {ended(0, kernel::TaskVerdict::Finished)}}});
+  auto Result = entry::judgeRecords({{2, {ended(1, kernel::TaskVerdict::Finished)}},
+                                     {0, {}},
+                                     {2, {ended(0, kernel::TaskVerdict::Finished)}}});
   const auto *Whole = std::get_if<kernel::Complete>(&Result);
   BOOST_REQUIRE(Whole);
   BOOST_TEST(*Whole->Results[0] == "0");
@@ -28,10 +27,10 @@
 
 // Guards against a partial answer, and against "not run" for tasks that only have no record.
 BOOST_AUTO_TEST_CASE(MissingRecordsMeanMayHaveRun) {
-  auto Result = entry::judgeRecords({{3,
-                                      {ended(0, kernel::TaskVerdict::Finished),
-                                       ended(2, kernel::TaskVerdict::Failed),
-                                       ended(9, kernel::TaskVerdict::Finished)}}});
+  auto Result = entry::judgeRecords(
+      {{3,
+        {ended(0, kernel::TaskVerdict::Finished), ended(2, kernel::TaskVerdict::Failed),
+         ended(9, kernel::TaskVerdict::Finished)}}});
   const auto *Partial = std::get_if<kernel::MayHaveRun>(&Result);
   BOOST_REQUIRE(Partial);
   BOOST_REQUIRE(Partial->Tasks.size() == 3);
--- /dev/null
+++ b/Tests/EntryDaemon/TestOperatorApi.cpp
@@ -0,0 +1,124 @@
+#include "Services/EntryDaemon/LonePeerNetwork.h"
+#include "Services/EntryDaemon/OperatorApi.h"
+#include "Tests/LibConfiguration/FakeStore.h"
+#include "Utilities/Operator/ChangeSender.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornellift;
+using namespace cornellift::entry;
+using namespace cornellift::operators;
+using core::ExitStatus;
+using nlohmann::json;
+
+namespace {
+
+core::TimePoint soon() { return core::MonotonicClock::now() + std::chrono::seconds(20); }
+
+const std::string Keys[] = {"ada=ada-secret", "bola=bola-secret"};
+
+struct Fixture {
+  Fixture()
+      : Duty(Store, [](const auto &) {}), Peers({"ikeja-1", "ikeja", {1}, {}, 0}, &Duty),
+        Table(*KeyTable::parse(Keys)),
+        Api("ikeja-1", "ikeja", Store, Duty, Table, [this] { ++Drains; }) {
+    Duty.setPeers(Peers);
+    Api.setPeers(Peers);
+    Api.addRoutes(Server);
+    BOOST_TEST_REQUIRE(Server.start("127.0.0.1", 0));
+    Address = "127.0.0.1:" + std::to_string(Server.port());
+    BOOST_TEST_REQUIRE((send(0, Empty).Status == ExitStatus::Success));
+  }
+
+  OperatorClient client(const std::string &Key = "ada-secret") const {
+    return OperatorClient({{"127.0.0.1:1", Address}, Key, {}});
+  }
+
+  SentChange send(std::uint64_t Base, const json &Patch, const std::string &Key = "ada-secret") {
+    auto Client = client(Key);
+    return ChangeSender(Client, soon()).send({Base, "p" + std::to_string(Base), "test", Patch});
+  }
+
+  json read(const std::string &Path) const { return client().read(Path, soon())->Body; }
+
+  const json Empty = json::parse(R"({"services": {}, "teams": {}, "endpoints": {}})");
+  const json OneTeam = {{"teams", {{"counter", json::object()}}}};
+  tests::FakeStore Store;
+  ConfigurationDuty Duty;
+  LonePeerNetwork Peers;
+  KeyTable Table;
+  int Drains = 0;
+  OperatorApi Api;
+  http::HttpServer Server;
+  std::string Address;
+};
+
+} // namespace
+
+// Guards against a wrong key that reads or changes anything.
+BOOST_FIXTURE_TEST_CASE(WrongKeyChangesNothing, Fixture) {
+  for (const char *Key : {"", "ada", "ada-secres", "ada=ada-secret"}) {
+    auto Sent = send(1, OneTeam, Key);
+    BOOST_TEST((Sent.Status == ExitStatus::RequestFailed));
+    BOOST_TEST(Sent.Answer["outcome"] == "not_applied");
+    for (const char *Path : {"/v1/configuration", "/v1/audit", "/v1/status", "/v1/diff"})
+      BOOST_TEST(client(Key).read(Path, soon())->Status == 401);
+    Delivery Failure{};
+    BOOST_TEST(client(Key)
+                   .send(1, "POST", "/v1/drain", R"({"entry_vm":"ikeja-1"})", soon(), Failure)
+                   ->Status == 401);
+  }
+  BOOST_TEST(Drains == 0);
+  BOOST_TEST(Duty.version() == 1U);
+}
+
+// Guards against an operator whose own change is not in the next answer, or not under their name.
+BOOST_FIXTURE_TEST_CASE(ChangeIsInForceWithItsRecord, Fixture) {
+  BOOST_TEST((send(1, OneTeam, "bola-secret").Status == ExitStatus::Success));
+  BOOST_TEST(read("/v1/configuration")["version"] == 2);
+  BOOST_TEST(read("/v1/audit?from=2&to=2")["records"][0]["who"] == "bola");
+  BOOST_TEST(read("/v1/diff?from=1&to=2")["patch"] == OneTeam);
+  BOOST_TEST(read("/v1/status")["members"][0]["version"] == 2);
+  BOOST_TEST(client().read("/v1/audit?from=1&to=101", soon())->Status == 400);
+  BOOST_TEST(client().read("/v1/diff?from=1&to=9", soon())->Status == 404);
+}
+
+// Guards against "not applied" for a change that was, and against applying it twice.
+BOOST_FIXTURE_TEST_CASE(LostReplyEndsAsApplied, Fixture) {
+  Store.LoseReply = [this](std::string_view Key) {
+    Store.LoseReply = nullptr;
+    return Key.starts_with("audit/");
+  };
+  BOOST_TEST((send(1, OneTeam).Status == ExitStatus::Success));
+  BOOST_TEST((send(1, OneTeam).Status == ExitStatus::Success));
+  BOOST_TEST(Duty.version() == 2U);
+  auto Other = send(1, Empty);
+  BOOST_TEST((Other.Status == ExitStatus::RequestFailed));
+  BOOST_TEST(Other.Answer["version_in_force"] == 2);
+}
+
+// Guards against a definite answer while the store does not tell, and when nobody was reached.
+BOOST_FIXTURE_TEST_CASE(OpenOutcomesAreSaidToBeOpen, Fixture) {
+  Store.setDown(true);
+  OperatorClient Client({{Address}, "ada-secret", {}});
+  auto Brief = core::MonotonicClock::now() + std::chrono::milliseconds(500);
+  auto Sent = ChangeSender(Client, Brief).send({1, "p", "test", OneTeam});
+  BOOST_TEST((Sent.Status == ExitStatus::OutcomeUnknown));
+  OperatorClient Nobody({{"127.0.0.1:1"}, "ada-secret", {}});
+  Brief = core::MonotonicClock::now() + std::chrono::milliseconds(500);
+  BOOST_TEST((ChangeSender(Nobody, Brief).send({1, "p", "test", OneTeam}).Status ==
+              ExitStatus::Unreachable));
+}
+
+// Guards against draining the VM that a load balancer happened to choose.
+BOOST_FIXTURE_TEST_CASE(DrainNamesItsVm, Fixture) {
+  Delivery Failure{};
+  auto Ask = [&](const char *Body) {
+    return client().send(1, "POST", "/v1/drain", Body, soon(), Failure)->Status;
+  };
+  BOOST_TEST(Ask(R"({"entry_vm":"ikeja-2"})") == 400);
+  BOOST_TEST(Ask("") == 400);
+  BOOST_TEST(Drains == 0);
+  BOOST_TEST(Ask(R"({"entry_vm":"ikeja-1"})") == 200);
+  BOOST_TEST(Drains == 1);
+}
