--- a/Tests/LibEndpoint/TestHttpEndpointProtocol.cpp
+++ b/Tests/LibEndpoint/TestHttpEndpointProtocol.cpp
@@ -65,7 +65,8 @@
 }
 
 void sendAnswer(int Socket, const std::string &Body) {
-  auto Text = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  auto Text =
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
   ::send(Socket, Text.data(), Text.size(), MSG_NOSIGNAL);
 }
 
@@ -149,8 +150,9 @@
 // Guards against taking the result of another task, of another run, or half of one.
 BOOST_AUTO_TEST_CASE(CrossedAndCutAnswersAreUncertain) {
   for (const std::string &Body :
-       {finished("v.1.1.7"), std::string(R"({"task":"v.1.1.0","boot":"c","state":"finished",)"
-                                         R"("result":"ok"})"),
+       {finished("v.1.1.7"),
+        std::string(R"({"task":"v.1.1.0","boot":"c","state":"finished",)"
+                    R"("result":"ok"})"),
         std::string(R"({"task":"v.1.1.0","boot":"b","state":"finished"})"),
         std::string(R"({"task":"v.1.1.0","boot":"b","state":"refused","cause":"already_started"})"),
         std::string(R"({"task":"v.1.1.0","boot":"b","state":"fini)"), std::string("[]")}) {
@@ -159,8 +161,8 @@
         if (readStart(Socket))
           sendAnswer(Socket, Body);
       });
-      BOOST_TEST(holds<Uncertain>(
-          connectTo(Server.address())->start(makeStart("v.1.1.0"), soon())));
+      BOOST_TEST(
+          holds<Uncertain>(connectTo(Server.address())->start(makeStart("v.1.1.0"), soon())));
     }
   }
 }
