--- a/Kernel/EndpointTable.cpp
+++ b/Kernel/EndpointTable.cpp
@@ -33,7 +33,9 @@
 
 } // namespace
 
-bool EndpointState::fits(const Resources &Need) const { return fitsIn(Capacity, Committed, Need); }
+bool EndpointState::fits(const Resources &Need) const {
+  return fitsIn(Capacity, Remote ? Resources{} : Committed, Need);
+}
 
 double EndpointTable::bucketSpeed(std::uint32_t Bucket) {
   static const auto Speeds = [] {
@@ -80,6 +82,7 @@
       const auto &Endpoint = Configuration.Endpoints[Position];
       State.Capacity = Endpoint.Capacity;
       State.Drained = Endpoint.Drained;
+      State.Remote = Endpoint.Remote;
       State.Group = groupFor(Endpoint);
     }
     auto &Capacities = Groups_[State.Group].Capacities;
--- a/Kernel/EndpointTable.h
+++ b/Kernel/EndpointTable.h
@@ -20,6 +20,7 @@
   bool Reachable = true;
   bool Leaving = false;
   bool Drained = false;
+  bool Remote = false;  ///< Stands for many workers; their sum is not known here.
   bool OnTrial = false; ///< Its next task may well fail.
   double LogSpeed = 0;
   Resources Capacity;
--- a/Libraries/LibConfiguration/Document.h
+++ b/Libraries/LibConfiguration/Document.h
@@ -40,4 +40,8 @@
   nlohmann::json Value_;
 };
 
+/// Adds one endpoint per data centre that stands for its entry VMs, to which tasks are delegated.
+/// It has no slots of its own; the delegation duty grants them.
+void addDelegates(kernel::KernelConfiguration &Configuration);
+
 } // namespace cornellift::configuration
--- a/Libraries/LibConfiguration/KernelConversion.cpp
+++ b/Libraries/LibConfiguration/KernelConversion.cpp
@@ -1,5 +1,6 @@
 #include "Libraries/LibConfiguration/Document.h"
 
+#include <algorithm>
 #include <map>
 
 namespace cornellift::configuration {
@@ -136,4 +137,35 @@
   return Result;
 }
 
+void addDelegates(KernelConfiguration &Configuration) {
+  std::map<std::string, EndpointConfiguration> ByCentre;
+  for (const auto &Endpoint : Configuration.Endpoints) {
+    if (Endpoint.Remote || Endpoint.Removed || Endpoint.Drained)
+      continue;
+    auto &Delegate = ByCentre[Endpoint.DataCentre];
+    auto &Capacity = Delegate.Capacity;
+    Capacity.Processors = std::max(Capacity.Processors, Endpoint.Capacity.Processors);
+    Capacity.MemoryMegabytes =
+        std::max(Capacity.MemoryMegabytes, Endpoint.Capacity.MemoryMegabytes);
+    Capacity.Accelerators = std::max(Capacity.Accelerators, Endpoint.Capacity.Accelerators);
+    for (auto Service : Endpoint.Services)
+      if (std::find(Delegate.Services.begin(), Delegate.Services.end(), Service) ==
+          Delegate.Services.end())
+        Delegate.Services.push_back(Service);
+  }
+  for (auto &[Centre, Delegate] : ByCentre) {
+    // The dot keeps the name apart from configured ones.
+    Delegate.Name = "delegate." + Centre;
+    Delegate.DataCentre = Centre;
+    Delegate.Remote = true;
+    Delegate.Slots = 0;
+    auto Known = std::find_if(Configuration.Endpoints.begin(), Configuration.Endpoints.end(),
+                              [&](auto &Other) { return Other.Name == Delegate.Name; });
+    if (Known != Configuration.Endpoints.end())
+      *Known = std::move(Delegate);
+    else
+      Configuration.Endpoints.push_back(std::move(Delegate));
+  }
+}
+
 } // namespace cornellift::configuration
--- a/Services/EntryDaemon/ActionRouter.cpp
+++ b/Services/EntryDaemon/ActionRouter.cpp
@@ -12,6 +12,8 @@
       LateJobs_(Metrics.counter("cornellift_late_jobs_total")) {}
 
 void ActionRouter::perform(kernel::Action Next) {
+  if (DelegationHandler_ && DelegationHandler_(Next))
+    return;
   std::visit([this](auto &Action) { carryOut(std::move(Action)); }, Next);
 }
 
--- a/Services/EntryDaemon/ActionRouter.h
+++ b/Services/EntryDaemon/ActionRouter.h
@@ -24,6 +24,12 @@
     TransferHandler_ = std::move(Handler);
   }
 
+  /// Receives the actions for endpoints and returns whether it has carried them out; those for
+  /// entry VMs of other data centres are its. Set before the kernel starts; must not block.
+  void setDelegationHandler(std::function<bool(const kernel::Action &)> Handler) {
+    DelegationHandler_ = std::move(Handler);
+  }
+
   /// True once the kernel has reported, after StopRequested, that nothing is left to do.
   bool isDrained() const { return Drained_.load(); }
 
@@ -46,6 +52,7 @@
   const IssuerNames &Names_;
   core::Counter &LateJobs_;
   std::function<void(kernel::Action)> TransferHandler_;
+  std::function<bool(const kernel::Action &)> DelegationHandler_;
   std::atomic<bool> Drained_{false};
 };
 
--- a/Services/EntryDaemon/ConfigurationDuty.cpp
+++ b/Services/EntryDaemon/ConfigurationDuty.cpp
@@ -80,8 +80,9 @@
   if (Previous && Head->Version <= Previous->Version)
     return core::failFalse(ErrorKind::Conflict,
                            "version " + std::to_string(Previous->Version) + " is in force");
-  auto Next = std::make_shared<const kernel::KernelConfiguration>(
-      Head->Content.toKernelConfiguration(Head->Version, Previous.get()));
+  auto Converted = Head->Content.toKernelConfiguration(Head->Version, Previous.get());
+  configuration::addDelegates(Converted);
+  auto Next = std::make_shared<const kernel::KernelConfiguration>(std::move(Converted));
   {
     std::lock_guard Guard(Mutex_);
     Current_ = Next;
--- a/Services/EntryDaemon/Daemon.cpp
+++ b/Services/EntryDaemon/Daemon.cpp
@@ -136,15 +136,17 @@
   if (!Document)
     return core::failFalse(core::lastReason().Kind,
                            Settings_.ConfigurationFile + ": " + core::lastReason().Message);
-  applyConfiguration(
-      std::make_shared<const kernel::KernelConfiguration>(Document->toKernelConfiguration(1)));
+  auto Converted = Document->toKernelConfiguration(1);
+  configuration::addDelegates(Converted);
+  applyConfiguration(std::make_shared<const kernel::KernelConfiguration>(std::move(Converted)));
   return true;
 }
 
 void Daemon::grantAllSlots(const kernel::KernelConfiguration &Configuration) {
   for (std::size_t Number = 0; Number < Configuration.Endpoints.size(); ++Number) {
     const auto &Endpoint = Configuration.Endpoints[Number];
-    bool IsLocal = Endpoint.DataCentre == Settings_.DataCentre && !Endpoint.Removed;
+    bool IsLocal =
+        Endpoint.DataCentre == Settings_.DataCentre && !Endpoint.Removed && !Endpoint.Remote;
     Kernel_.post(kernel::SlotsChanged{kernel::EndpointIndex(static_cast<std::uint32_t>(Number)),
                                       IsLocal ? Endpoint.Slots : 0});
   }
--- a/Services/EntryDaemon/EndpointDuty.cpp
+++ b/Services/EntryDaemon/EndpointDuty.cpp
@@ -26,6 +26,8 @@
   for (std::size_t Number = 0; Number < Links_.size(); ++Number) {
     const auto &Endpoint = Configuration.Endpoints[Number];
     auto &Link = Links_[Number];
+    if (Endpoint.Remote)
+      continue;
     if (Link && (Endpoint.Removed || Link->address() == Endpoint.Address))
       continue;
     if (Link)
--- a/Services/EntryDaemon/JobRecovery.cpp
+++ b/Services/EntryDaemon/JobRecovery.cpp
@@ -61,7 +61,7 @@
                                                  std::string_view Job) {
   std::vector<std::string> Addresses;
   for (const auto &Endpoint : Configuration.Endpoints)
-    if (!Endpoint.Removed)
+    if (!Endpoint.Removed && !Endpoint.Remote)
       Addresses.push_back(Endpoint.Address);
   std::vector<endpoint::JobRecords> Records;
   std::mutex Mutex;
--- a/Services/EntryDaemon/PeerDuty.cpp
+++ b/Services/EntryDaemon/PeerDuty.cpp
@@ -25,10 +25,14 @@
       Slots_(Owner.kernel(), Owner.configuration(), Members_, Client_,
              Seeds_.empty() && Store == nullptr ? SlotDuty::Company::Alone
                                                 : SlotDuty::Company::WithPeers),
+      Delegation_(Owner.kernel(), Owner.configuration(), Members_, Client_, Owner.issuerNames(),
+                  Owner.incarnation()),
       Network_(Members_, Client_),
       Service_({Members_, Slots_, Client_, Owner.callerApi(), Owner.requests(), Owner.issuerNames(),
                 Owner.configuration()}) {
   Owner.setPeers(Network_);
+  Owner.router().setDelegationHandler(
+      [this](const kernel::Action &Next) { return Delegation_.perform(Next); });
   Owner.metrics().gauge("cornellift_peer_calls_total",
                         [this] { return static_cast<double>(Client_.callsSent()); });
 }
@@ -59,7 +63,13 @@
     return false;
   Own.Address = Address.substr(0, Colon + 1) + std::to_string(Server_.port());
   Members_.setOwn(Own, Seeds_);
-  Slots_.attach();
+  Slots_.prepare();
+  Owner_.kernel().run([this](const auto &, auto) {
+    Owner_.kernel().setTickHook([this](const auto &Scheduler, auto Now) {
+      Slots_.tick(Scheduler, Now);
+      Delegation_.tick(Scheduler, Now);
+    });
+  });
   core::logLine(core::LogLevel::Information, "peer", "listening", {{"address", Own.Address}});
   return Members_.start();
 }
--- a/Services/EntryDaemon/PeerDuty.h
+++ b/Services/EntryDaemon/PeerDuty.h
@@ -4,6 +4,7 @@
 #include "Libraries/LibPeer/PeerServer.h"
 #include "Services/EntryDaemon/ConfigurationSource.h"
 #include "Services/EntryDaemon/Daemon.h"
+#include "Services/EntryDaemon/DelegationDuty.h"
 #include "Services/EntryDaemon/GrpcPeerNetwork.h"
 #include "Services/EntryDaemon/MembershipDuty.h"
 #include "Services/EntryDaemon/PeerService.h"
@@ -45,6 +46,7 @@
   peer::PeerClient Client_;
   MembershipDuty Members_;
   SlotDuty Slots_;
+  DelegationDuty Delegation_;
   GrpcPeerNetwork Network_;
   PeerService Service_;
   peer::PeerServer Server_;
--- a/Services/EntryDaemon/SlotDuty.cpp
+++ b/Services/EntryDaemon/SlotDuty.cpp
@@ -25,7 +25,7 @@
                    peer::PeerClient &Client, Company Expected)
     : Kernel_(Kernel), Board_(Board), Members_(Members), Client_(Client), Expected_(Expected) {}
 
-void SlotDuty::attach() {
+void SlotDuty::prepare() {
   auto Own = Members_.read([](const auto &View) { return View.own(); });
   DataCentre_ = Own.DataCentre;
   kernel::SlotLenderSettings Settings;
@@ -33,9 +33,6 @@
   if (Expected_ == Company::Alone)
     Settings.InitialDelay = core::Duration(0);
   Lender_ = std::make_unique<kernel::SlotLender>(Own.EntryVm, Own.Process, Settings);
-  Kernel_.run([this](const auto &, auto) {
-    Kernel_.setTickHook([this](const auto &Scheduler, auto Now) { tick(Scheduler, Now); });
-  });
 }
 
 void SlotDuty::tick(const kernel::Scheduler &Scheduler, core::TimePoint Now) {
--- a/Services/EntryDaemon/SlotDuty.h
+++ b/Services/EntryDaemon/SlotDuty.h
@@ -22,8 +22,11 @@
   SlotDuty(KernelThread &Kernel, const ConfigurationBoard &Board, MembershipDuty &Members,
            peer::PeerClient &Client, Company Expected);
 
-  /// Call before the kernel starts, after the members' own record is set.
-  void attach();
+  /// Call when the members' own record is set, before the first tick().
+  void prepare();
+
+  /// On the kernel's thread, after each tick.
+  void tick(const kernel::Scheduler &Scheduler, core::TimePoint Now);
 
   /// Answers a peer. Empty with Unavailable when the kernel does not answer in time, or with the
   /// lender's reason.
@@ -32,7 +35,6 @@
   void recalled(const peer::ReturnSlotsRequest &Request);
 
 private:
-  void tick(const kernel::Scheduler &Scheduler, core::TimePoint Now);
   void updateEndpoints(core::TimePoint Now, kernel::SlotActions &Out);
   void updatePeers(core::TimePoint Now, kernel::SlotActions &Out);
   void perform(const kernel::SlotActions &Actions);
