EntryDaemon: Hand over the state at a planned stop

Parts are staged at the next ready VM of the ring, then sealed. The succession is announced by both sides, and requests for the old incarnation go to the successor. A process that ends announces its own death, which spares its peers the time to detect it.

--- a/Libraries/LibPeer/PeerClient.cpp
+++ b/Libraries/LibPeer/PeerClient.cpp
@@ -31,6 +31,11 @@
   Left_.notify_all();
 }
 
+void PeerClient::awaitIdle(core::TimePoint Deadline) {
+  std::unique_lock Lock(Mutex_);
+  Left_.wait_for(Lock, Deadline - core::MonotonicClock::now(), [this] { return Open_.empty(); });
+}
+
 void PeerClient::close() {
   std::unique_lock Lock(Mutex_);
   Closed_ = true;
--- a/Libraries/LibPeer/PeerClient.h
+++ b/Libraries/LibPeer/PeerClient.h
@@ -59,6 +59,9 @@
   /// Drops the connections to peers that are not in use. Calls in progress go on.
   void forget(const std::string &Address);
 
+  /// Waits until no call is in progress, or for the deadline.
+  void awaitIdle(core::TimePoint Deadline);
+
   /// Cancels the calls in progress and waits for their ends. Later calls are not sent.
   void close();
 
--- a/Services/EntryDaemon/Daemon.cpp
+++ b/Services/EntryDaemon/Daemon.cpp
@@ -6,6 +6,7 @@
 #include "Libraries/LibCore/Reason.h"
 #include "Services/EntryDaemon/CallerMessages.h"
 
+#include <algorithm>
 #include <chrono>
 #include <fstream>
 #include <iterator>
@@ -154,7 +155,11 @@
 
 void Daemon::awaitDrained() {
   auto Deadline = core::MonotonicClock::now() + Settings_.StopTime;
-  while (!Router_.isDrained() && core::MonotonicClock::now() < Deadline)
+  auto IsDrained = [this] {
+    return Router_.isDrained() && std::all_of(Duties_.begin(), Duties_.end(),
+                                              [](const auto &Next) { return Next->isDrained(); });
+  };
+  while (!IsDrained() && core::MonotonicClock::now() < Deadline)
     std::this_thread::sleep_for(DrainCheckInterval);
 }
 
--- a/Services/EntryDaemon/DelegationDuty.cpp
+++ b/Services/EntryDaemon/DelegationDuty.cpp
@@ -20,8 +20,8 @@
 DelegationDuty::DelegationDuty(KernelThread &Kernel, const ConfigurationBoard &Board,
                                MembershipDuty &Members, peer::PeerClient &Client,
                                const IssuerNames &Names, kernel::Incarnation Own)
-    : Kernel_(Kernel), Board_(Board), Members_(Members), Client_(Client), Names_(Names),
-      Own_(Own) {}
+    : Kernel_(Kernel), Board_(Board), Members_(Members), Client_(Client), Names_(Names), Own_(Own) {
+}
 
 void DelegationDuty::updateConfiguration() {
   auto Current = Board_.current();
@@ -93,8 +93,8 @@
   kernel::LoadRecord BestLoad;
   for (const auto &[Name, Record] : View.table().members()) {
     auto Load = View.loadOf(Record.Process);
-    if (Record.DataCentre != Item.Name || Record.Standing != kernel::MemberStanding::Ready || !Load ||
-        Load->WaitingTasks > 0 || Load->FreeSlots <= BestLoad.FreeSlots)
+    if (Record.DataCentre != Item.Name || Record.Standing != kernel::MemberStanding::Ready ||
+        !Load || Load->WaitingTasks > 0 || Load->FreeSlots <= BestLoad.FreeSlots)
       continue;
     Best = &Record;
     BestLoad = *Load;
--- a/Services/EntryDaemon/Duty.h
+++ b/Services/EntryDaemon/Duty.h
@@ -14,6 +14,9 @@
   /// A planned stop has begun. Must not block; requests are still served.
   virtual void beginStop() {}
 
+  /// False while a planned stop still waits for this duty, at most for the daemon's stop time.
+  virtual bool isDrained() const { return true; }
+
   /// Ends the duty's threads.
   virtual void stop() = 0;
 };
--- a/Services/EntryDaemon/PeerDuty.cpp
+++ b/Services/EntryDaemon/PeerDuty.cpp
@@ -8,6 +8,9 @@
 namespace cornellift::entry {
 namespace {
 
+/// The last announcement is not waited for longer than this.
+constexpr core::Duration FarewellTime = std::chrono::milliseconds(300);
+
 /// Addresses of a list of name=address:port.
 std::vector<std::string> seedAddresses(const core::Settings &Settings) {
   std::vector<std::string> Result;
@@ -27,12 +30,15 @@
                                                 : SlotDuty::Company::WithPeers),
       Delegation_(Owner.kernel(), Owner.configuration(), Members_, Client_, Owner.issuerNames(),
                   Owner.incarnation()),
+      Transfer_(Owner.kernel(), Owner.configuration(), Members_, Client_, Owner.issuerNames()),
       Network_(Members_, Client_),
-      Service_({Members_, Slots_, Client_, Owner.callerApi(), Owner.requests(), Owner.issuerNames(),
-                Owner.configuration()}) {
+      Service_({Members_, Slots_, Transfer_, Client_, Owner.callerApi(), Owner.requests(),
+                Owner.issuerNames(), Owner.configuration()}) {
   Owner.setPeers(Network_);
   Owner.router().setDelegationHandler(
       [this](const kernel::Action &Next) { return Delegation_.perform(Next); });
+  Owner.router().setTransferHandler(
+      [this](const kernel::Action &Next) { Transfer_.perform(Next); });
   Owner.metrics().gauge("cornellift_peer_calls_total",
                         [this] { return static_cast<double>(Client_.callsSent()); });
 }
@@ -64,12 +70,7 @@
   Own.Address = Address.substr(0, Colon + 1) + std::to_string(Server_.port());
   Members_.setOwn(Own, Seeds_);
   Slots_.prepare();
-  Owner_.kernel().run([this](const auto &, auto) {
-    Owner_.kernel().setTickHook([this](const auto &Scheduler, auto Now) {
-      Slots_.tick(Scheduler, Now);
-      Delegation_.tick(Scheduler, Now);
-    });
-  });
+  attachToKernel();
   core::logLine(core::LogLevel::Information, "peer", "listening", {{"address", Own.Address}});
   return Members_.start();
 }
@@ -84,15 +85,37 @@
   return {Standing, Load.WaitingTasks, Load.FreeSlots, Current ? Current->Version : 0};
 }
 
+void PeerDuty::attachToKernel() {
+  Owner_.kernel().run([this](const auto &, auto) {
+    Owner_.kernel().setTickHook([this](const auto &Scheduler, auto Now) {
+      Slots_.tick(Scheduler, Now);
+      Delegation_.tick(Scheduler, Now);
+      Transfer_.tick(Now);
+    });
+  });
+}
+
 void PeerDuty::beginStop() {
   Members_.change([](kernel::Membership &View, core::TimePoint Now, auto &Out) {
     if (View.own().Standing < kernel::MemberStanding::Stopping)
       View.setStanding(kernel::MemberStanding::Stopping, Now, Out);
   });
+  Transfer_.begin();
+  TransferBegun_.store(true);
 }
 
+bool PeerDuty::isDrained() const { return !TransferBegun_.load() || Transfer_.isDone(); }
+
 void PeerDuty::stop() {
+  Transfer_.stop();
   Members_.stop();
+  if (Server_.port() != 0)
+    Members_.change([](kernel::Membership &View, core::TimePoint Now, auto &Out) {
+      // Spares the peers the time to find out.
+      if (View.own().Standing < kernel::MemberStanding::Dead)
+        View.setStanding(kernel::MemberStanding::Dead, Now, Out);
+    });
+  Client_.awaitIdle(core::MonotonicClock::now() + FarewellTime);
   Server_.stop();
   Client_.close();
 }
--- a/Services/EntryDaemon/PeerDuty.h
+++ b/Services/EntryDaemon/PeerDuty.h
@@ -9,7 +9,9 @@
 #include "Services/EntryDaemon/MembershipDuty.h"
 #include "Services/EntryDaemon/PeerService.h"
 #include "Services/EntryDaemon/SlotDuty.h"
+#include "Services/EntryDaemon/TransferDuty.h"
 
+#include <atomic>
 #include <memory>
 #include <string>
 #include <vector>
@@ -33,6 +35,7 @@
   /// Returns false with Malformed or Unavailable when the peer address cannot be used.
   bool start() override;
   void beginStop() override;
+  bool isDrained() const override;
   void stop() override;
 
   /// Port of the peer server.
@@ -40,6 +43,7 @@
 
 private:
   MembershipDuty::SelfReport report() const;
+  void attachToKernel();
 
   Daemon &Owner_;
   std::vector<std::string> Seeds_;
@@ -47,9 +51,11 @@
   MembershipDuty Members_;
   SlotDuty Slots_;
   DelegationDuty Delegation_;
+  TransferDuty Transfer_;
   GrpcPeerNetwork Network_;
   PeerService Service_;
   peer::PeerServer Server_;
+  std::atomic<bool> TransferBegun_{false};
 };
 
 } // namespace cornellift::entry
--- a/Services/EntryDaemon/PeerService.cpp
+++ b/Services/EntryDaemon/PeerService.cpp
@@ -194,8 +194,17 @@
     return {grpc::StatusCode::UNAVAILABLE, "the kernel is busy; send the call again"};
   const auto *Verdict = std::get_if<kernel::TransferReply>(&*Answer);
   Reply->set_accepted(Verdict != nullptr && *Verdict == kernel::TransferReply::Accepted);
+  if (Reply->accepted() && !Request->has_part())
+    noteSuccession({Request->sender()});
   return grpc::Status::OK;
 }
 
+void PeerService::noteSuccession(kernel::Incarnation Sender) {
+  Daemon_.Transfers.addPredecessor(Sender);
+  Daemon_.Members.change([&](kernel::Membership &View, core::TimePoint Now, auto &Out) {
+    View.announceSuccession({Sender, View.own().EntryVm, View.own().Process, Now}, Now, Out);
+  });
+}
+
 } // namespace cornellift::entry
 // NOLINTEND(readability-identifier-naming)
--- a/Services/EntryDaemon/PeerService.h
+++ b/Services/EntryDaemon/PeerService.h
@@ -9,6 +9,7 @@
 #include "Services/EntryDaemon/MembershipDuty.h"
 #include "Services/EntryDaemon/RequestTable.h"
 #include "Services/EntryDaemon/SlotDuty.h"
+#include "Services/EntryDaemon/TransferDuty.h"
 
 namespace cornellift::entry {
 
@@ -19,6 +20,7 @@
   struct Parts {
     MembershipDuty &Members;
     SlotDuty &Slots;
+    TransferDuty &Transfers;
     peer::PeerClient &Client;
     CallerApi &Callers;
     RequestTable &Requests;
@@ -57,6 +59,7 @@
 
 private:
   kernel::Incarnation own() const;
+  void noteSuccession(kernel::Incarnation Sender);
 
   Parts Daemon_;
   ConfigurationSource *Configuration_ = nullptr;
--- /dev/null
+++ b/Services/EntryDaemon/TransferDuty.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "Kernel/Action.h"
+#include "Libraries/LibPeer/PeerClient.h"
+#include "Services/EntryDaemon/ConfigurationBoard.h"
+#include "Services/EntryDaemon/IssuerNames.h"
+#include "Services/EntryDaemon/KernelThread.h"
+#include "Services/EntryDaemon/MembershipDuty.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <thread>
+#include <vector>
+
+namespace cornellift::entry {
+
+/// Hands the state of this process to one successor at a planned shutdown, and watches the
+/// processes whose state was handed to this one.
+class TransferDuty {
+public:
+  TransferDuty(KernelThread &Kernel, const ConfigurationBoard &Board, MembershipDuty &Members,
+               peer::PeerClient &Client, const IssuerNames &Names);
+  ~TransferDuty() { stop(); }
+
+  /// Starts the transfer. Must not be called twice.
+  void begin();
+
+  /// Ends the transfer; what was not handed over by now stays here.
+  void stop();
+
+  /// True when the transfer has ended, well or not, and no outcome waits to be sent.
+  bool isDone() const;
+
+  /// On the kernel's thread: receives SendTransferPart and SealTransfer.
+  void perform(const kernel::Action &Next);
+
+  /// A sender's seal was accepted here.
+  void addPredecessor(kernel::Incarnation Sender);
+
+  /// On the kernel's thread, after each tick: reports predecessors that have ended.
+  void tick(core::TimePoint Now);
+
+private:
+  enum class Reply { Accepted, Refused, Lost };
+
+  void run();
+  std::optional<kernel::MemberRecord> chooseSuccessor(const std::set<std::uint64_t> &Failed) const;
+  bool stage(const kernel::MemberRecord &Successor);
+  void seal(const kernel::MemberRecord &Successor);
+  void sendOutcomes(const kernel::MemberRecord &Successor);
+  Reply send(const kernel::MemberRecord &Successor, const peer::TransferRequest &Request,
+             core::TimePoint GiveUpAt);
+  void handleInKernel(kernel::Event Next);
+  void waitForKernel();
+  std::deque<std::shared_ptr<const kernel::TransferPart>> takeParts();
+  bool isStopping() const;
+
+  KernelThread &Kernel_;
+  const ConfigurationBoard &Board_;
+  MembershipDuty &Members_;
+  peer::PeerClient &Client_;
+  const IssuerNames &Names_;
+
+  mutable std::mutex Mutex_;
+  std::condition_variable Changed_;
+  std::deque<std::shared_ptr<const kernel::TransferPart>> Parts_;
+  std::optional<kernel::SealTransfer> Seal_;
+  std::vector<kernel::Incarnation> Predecessors_;
+  bool Stopping_ = false;
+  bool Sending_ = false; ///< An outcome is on its way.
+  bool Done_ = false;    ///< The transfer itself has ended.
+  core::TimePoint NextCheck_;
+  std::thread Thread_;
+};
+
+} // namespace cornellift::entry
