--- a/Services/EntryDaemon/PeerDuty.h
+++ b/Services/EntryDaemon/PeerDuty.h
@@ -4,11 +4,14 @@
 #include "Libraries/LibPeer/PeerServer.h"
 #include "Services/EntryDaemon/ConfigurationSource.h"
 #include "Services/EntryDaemon/Daemon.h"
+#include "Services/EntryDaemon/DelegationDuty.h"
 #include "Services/EntryDaemon/GrpcPeerNetwork.h"
 #include "Services/EntryDaemon/MembershipDuty.h"
 #include "Services/EntryDaemon/PeerService.h"
 #include "Services/EntryDaemon/SlotDuty.h"
+#include "Services/EntryDaemon/TransferDuty.h"
 
+#include <atomic>
 #include <memory>
 #include <string>
 #include <vector>
@@ -32,6 +35,7 @@
   /// Returns false with Malformed or Unavailable when the peer address cannot be used.
   bool start() override;
   void beginStop() override;
+  bool isDrained() const override;
   void stop() override;
 
   /// Port of the peer server.
@@ -39,15 +43,19 @@
 
 private:
   MembershipDuty::SelfReport report() const;
+  void attachToKernel();
 
   Daemon &Owner_;
   std::vector<std::string> Seeds_;
   peer::PeerClient Client_;
   MembershipDuty Members_;
   SlotDuty Slots_;
+  DelegationDuty Delegation_;
+  TransferDuty Transfer_;
   GrpcPeerNetwork Network_;
   PeerService Service_;
   peer::PeerServer Server_;
+  std::atomic<bool> TransferBegun_{false};
 };
 
 } // namespace cornellift::entry
