--- /dev/null
+++ b/Tests/Integration/TestProcess.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <sys/types.h>
+
+namespace cornellift::integration {
+
+/// A child process of a test. Killed and reaped when the object ends.
+class TestProcess {
+public:
+  /// Starts a program of the build tree with its output in the given file. Returns an empty optional
+  /// with Unavailable when it cannot be started.
+  static std::optional<TestProcess> start(std::string Program, std::vector<std::string> Arguments,
+                                          const std::string &OutputFile);
+
+  TestProcess(TestProcess &&Other) noexcept;
+  TestProcess &operator=(TestProcess &&Other) noexcept;
+  TestProcess(const TestProcess &) = delete;
+  TestProcess &operator=(const TestProcess &) = delete;
+  ~TestProcess();
+
+  pid_t id() const { return Id_; }
+  bool isRunning();
+
+  void kill();     ///< Ends it as a crash would, and waits until it has ended.
+  void pause();    ///< Stops it until resume(); waits until it has stopped.
+  void resume();
+  void terminate(); ///< Asks for a graceful stop and returns at once.
+
+  /// Waits for the end and returns the exit status; 128 plus the signal when a signal ended it. Empty
+  /// with Timeout after the given seconds.
+  std::optional<int> waitForExit(int Seconds);
+
+private:
+  explicit TestProcess(pid_t Id) : Id_(Id) {}
+
+  pid_t Id_ = 0;
+  std::optional<int> Status_;
+};
+
+} // namespace cornellift::integration
