Tests: Start whole deployments behind the fault proxy

Cause: the promises have to be checked on real processes, from the log of the endpoints and the answers of the callers.

--- /dev/null
+++ b/Tests/Integration/TestConfigurationFaults.cpp
@@ -0,0 +1,149 @@
+#include "Tests/Integration/Deployment.h"
+
+#include <future>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornellift::integration;
+
+namespace {
+
+constexpr int InForceSeconds = 5; // The promised time until a patch is in force everywhere.
+
+nlohmann::json shareOf(double Share) {
+  return {{"teams", {{"counter", {{"quota_share", Share}}}}}};
+}
+
+bool isInForceOn(Deployment &Running, const std::vector<std::string> &Vms, std::uint64_t Version) {
+  for (const auto &Vm : Vms)
+    if (Running.versionOf(Vm) < Version)
+      return false;
+  return true;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(PatchIsInForceEverywhere) {
+  Deployment Running("patch");
+  auto Before = Running.versionOf("ikeja-1");
+  auto Reply = Running.patch("ikeja-1", Before, "patch-1", shareOf(31));
+  BOOST_REQUIRE_EQUAL(Reply.Status, 200);
+  BOOST_CHECK(waitUntil([&] { return isInForceOn(Running, Running.entryVms(), Before + 1); },
+                        InForceSeconds));
+  Running.checkPromises();
+}
+
+// Guards against a patch that is applied twice, or reported as refused, when its reply is lost.
+BOOST_AUTO_TEST_CASE(LostReplyOfTheStoreIsRecognised) {
+  Deployment Running("lost-store-reply");
+  auto Before = Running.versionOf("ikeja-1");
+  Running.fault("platform-ikeja-1", "rule",
+                {{"text", "PUT /v1/keys/configuration/head"}, {"action", "swallow_reply"}});
+  auto Reply = Running.patch("ikeja-1", Before, "patch-lost", shareOf(32));
+  BOOST_CHECK_EQUAL(Reply.Status, 200);
+  BOOST_CHECK(Running.hasFired("platform-ikeja-1"));
+  auto Again = Running.patch("yaba-1", Before, "patch-lost", shareOf(32));
+  BOOST_CHECK_EQUAL(Again.Status, 200);
+  BOOST_CHECK(waitUntil([&] { return isInForceOn(Running, Running.entryVms(), Before + 1); },
+                        InForceSeconds));
+  BOOST_CHECK_EQUAL(Running.versionOf("ikeja-1"), Before + 1);
+  Running.checkPromises();
+}
+
+// Guards against two operators who both believe that their conflicting patch became version N+1.
+BOOST_AUTO_TEST_CASE(RacingOperatorsOneWins) {
+  Deployment Running("racing-operators");
+  auto Before = Running.versionOf("ikeja-1");
+  std::vector<std::future<HttpReply>> Replies;
+  for (unsigned Number = 0; Number < 4; ++Number)
+    Replies.push_back(std::async(std::launch::async, [&, Number] {
+      return Running.patch(Running.entryVms()[Number], Before, "race-" + std::to_string(Number),
+                           shareOf(40 + Number));
+    }));
+  unsigned Applied = 0;
+  for (auto &Reply : Replies) {
+    auto Answer = Reply.get();
+    Applied += Answer.Status == 200 ? 1 : 0;
+    BOOST_CHECK_MESSAGE(Answer.Status == 200 || Answer.Status == 409, Answer.Body.dump());
+  }
+  BOOST_CHECK_EQUAL(Applied, 1);
+  BOOST_CHECK(waitUntil([&] { return isInForceOn(Running, Running.entryVms(), Before + 1); },
+                        InForceSeconds));
+  BOOST_CHECK_EQUAL(Running.versionOf("ikeja-1"), Before + 1);
+  Running.checkPromises();
+}
+
+// Guards against jobs that need the store, and against a replacement that learns an old version.
+BOOST_AUTO_TEST_CASE(StoreDownServingGoesOnAndReplacementLearnsFromPeers) {
+  Deployment Running("store-down", {{"ikeja"}, 3, 3});
+  auto Before = Running.versionOf("ikeja-1");
+  BOOST_REQUIRE_EQUAL(Running.patch("ikeja-1", Before, "patch-2", shareOf(33)).Status, 200);
+  BOOST_REQUIRE(waitUntil([&] { return isInForceOn(Running, Running.entryVms(), Before + 1); },
+                          InForceSeconds));
+  Running.platformFault({{"down", true}});
+  auto Refused = Running.patch("ikeja-1", Before + 1, "patch-3", shareOf(34));
+  BOOST_CHECK_NE(Refused.Status, 200);
+  Running.entry("ikeja-3").kill();
+  Running.startEntry("ikeja-3");
+  Running.waitReady("ikeja-3");
+  BOOST_CHECK_EQUAL(Running.versionOf("ikeja-3"), Before + 1);
+  for (const auto &Vm : Running.entryVms()) {
+    auto Job = Deployment::job(Running.newIdentifier(Vm), 20, 30);
+    auto Answer = Running.submit(Vm, Job);
+    BOOST_CHECK_EQUAL(Answer.Body.value("outcome", ""), "complete");
+    checkAnswer(Running, Job, Answer);
+  }
+  Running.platformFault({{"down", false}});
+  BOOST_CHECK(waitUntil(
+      [&] { return Running.patch("ikeja-2", Before + 1, "patch-4", shareOf(35)).Status == 200; }));
+  BOOST_CHECK(waitUntil([&] { return isInForceOn(Running, Running.entryVms(), Before + 2); }));
+  Running.checkPromises();
+}
+
+// Guards against a data centre that stops serving, or that reverts, when it is cut off and back.
+BOOST_AUTO_TEST_CASE(DataCentreCutOffServesAndCatchesUp) {
+  Deployment Running("cut-off");
+  auto Before = Running.versionOf("ikeja-1");
+  Running.separate("ikeja", "yaba");
+  Running.separateFromPlatform("yaba");
+  auto Reply = Running.patch("ikeja-1", Before, "patch-5", shareOf(36));
+  BOOST_REQUIRE_EQUAL(Reply.Status, 200);
+  BOOST_CHECK(waitUntil(
+      [&] {
+        return isInForceOn(Running, {"ikeja-1", "ikeja-2"}, Before + 1);
+      },
+      InForceSeconds));
+  for (const auto &Vm : Running.entryVms()) {
+    auto Job = Deployment::job(Running.newIdentifier(Vm), 20, 30);
+    auto Answer = Running.submit(Vm, Job);
+    BOOST_CHECK_EQUAL(Answer.Body.value("outcome", ""), "complete");
+    checkAnswer(Running, Job, Answer);
+  }
+  BOOST_CHECK_EQUAL(Running.versionOf("yaba-1"), Before);
+  Running.reconnect();
+  BOOST_CHECK(waitUntil([&] { return isInForceOn(Running, Running.entryVms(), Before + 1); }));
+  Running.checkPromises();
+}
+
+// Guards against a data centre that misses changes although other data centres could tell it.
+BOOST_AUTO_TEST_CASE(DataCentreCutOffFromThePlatformLearnsFromOthers) {
+  Deployment Running("cut-off-platform");
+  auto Before = Running.versionOf("ikeja-1");
+  Running.separateFromPlatform("yaba");
+  BOOST_REQUIRE_EQUAL(Running.patch("ikeja-1", Before, "patch-6", shareOf(37)).Status, 200);
+  BOOST_CHECK(waitUntil([&] { return isInForceOn(Running, Running.entryVms(), Before + 1); },
+                        InForceSeconds));
+  Running.checkPromises();
+}
+
+// Guards against a wrong key that changes something.
+BOOST_AUTO_TEST_CASE(WrongKeysChangeNothing) {
+  Deployment Running("wrong-keys", {{"ikeja"}, 1, 1});
+  auto Before = Running.versionOf("ikeja-1");
+  auto Body = nlohmann::json{
+      {"base_version", Before}, {"patch_id", "x"}, {"why", "y"}, {"patch", shareOf(1)}};
+  BOOST_CHECK_EQUAL(Running.call("ikeja-1", "PATCH", "/v1/configuration", Body).Status, 401);
+  BOOST_CHECK_EQUAL(Running.operate("ikeja-1", "POST", "/v1/sessions").Status, 401);
+  BOOST_CHECK_EQUAL(Running.versionOf("ikeja-1"), Before);
+  Running.checkPromises();
+}
--- a/Tests/Integration/TestProcess.cpp
+++ b/Tests/Integration/TestProcess.cpp
@@ -24,7 +24,8 @@
 
 } // namespace
 
-std::optional<TestProcess> TestProcess::start(std::string Program, std::vector<std::string> Arguments,
+std::optional<TestProcess> TestProcess::start(std::string Program,
+                                              std::vector<std::string> Arguments,
                                               const std::string &OutputFile) {
   posix_spawn_file_actions_t Files;
   posix_spawn_file_actions_init(&Files);
--- a/Tests/Integration/TestProcess.h
+++ b/Tests/Integration/TestProcess.h
@@ -11,8 +11,8 @@
 /// A child process of a test. Killed and reaped when the object ends.
 class TestProcess {
 public:
-  /// Starts a program of the build tree with its output in the given file. Returns an empty optional
-  /// with Unavailable when it cannot be started.
+  /// Starts a program of the build tree with its output in the given file. Returns an empty
+  /// optional with Unavailable when it cannot be started.
   static std::optional<TestProcess> start(std::string Program, std::vector<std::string> Arguments,
                                           const std::string &OutputFile);
 
@@ -25,13 +25,13 @@
   pid_t id() const { return Id_; }
   bool isRunning();
 
-  void kill();     ///< Ends it as a crash would, and waits until it has ended.
-  void pause();    ///< Stops it until resume(); waits until it has stopped.
+  void kill();  ///< Ends it as a crash would, and waits until it has ended.
+  void pause(); ///< Stops it until resume(); waits until it has stopped.
   void resume();
   void terminate(); ///< Asks for a graceful stop and returns at once.
 
-  /// Waits for the end and returns the exit status; 128 plus the signal when a signal ended it. Empty
-  /// with Timeout after the given seconds.
+  /// Waits for the end and returns the exit status; 128 plus the signal when a signal ended it.
+  /// Empty with Timeout after the given seconds.
   std::optional<int> waitForExit(int Seconds);
 
 private:
--- a/Utilities/Replay/Comparison.cpp
+++ b/Utilities/Replay/Comparison.cpp
@@ -80,8 +80,8 @@
   std::string Known;
   for (const auto &Preset : presets())
     Known += std::string(Known.empty() ? "" : ", ") + Preset.Name;
-  return core::fail(core::ErrorKind::NotFound, "there is no policy \"" + std::string(Name) +
-                                                   "\"; use some of " + Known);
+  return core::fail(core::ErrorKind::NotFound,
+                    "there is no policy \"" + std::string(Name) + "\"; use some of " + Known);
 }
 
 std::vector<ComparedRun> compare(const Trace &Input, std::span<const std::string> Presets,
--- a/Utilities/Replay/CostMeasurement.cpp
+++ b/Utilities/Replay/CostMeasurement.cpp
@@ -21,7 +21,8 @@
   constexpr std::uint32_t Jobs = 200;
   constexpr std::uint32_t TasksPerJob = 500;
   auto Configuration = std::make_shared<kernel::KernelConfiguration>();
-  Configuration->Services.push_back({"print", 1, {{"payslip", std::chrono::milliseconds(300), {}}}});
+  Configuration->Services.push_back(
+      {"print", 1, {{"payslip", std::chrono::milliseconds(300), {}}}});
   Configuration->Teams.push_back({"team", 1, 0});
   kernel::EndpointConfiguration Endpoint;
   Endpoint.Name = "w0";
--- a/Utilities/Replay/Generators.cpp
+++ b/Utilities/Replay/Generators.cpp
@@ -25,11 +25,11 @@
 /// A kind of job and how its jobs look.
 struct JobShape {
   TraceKind Kind;
-  double Weight = 1;       ///< Share of the jobs.
-  double SmallestJob = 1;  ///< Tasks.
-  double LargestJob = 1;   ///< Tasks; log-uniform in between.
-  double Median = 300;     ///< Milliseconds of a task.
-  double Deviation = 0.5;  ///< Of the logarithm.
+  double Weight = 1;      ///< Share of the jobs.
+  double SmallestJob = 1; ///< Tasks.
+  double LargestJob = 1;  ///< Tasks; log-uniform in between.
+  double Median = 300;    ///< Milliseconds of a task.
+  double Deviation = 0.5; ///< Of the logarithm.
   std::string Label;
 };
 
@@ -142,8 +142,8 @@
     const auto &Needed = Shape.Kind.Needed;
     double Use = uniform(0.3, 1);
     Task.TrueSize = {Needed.Processors * Use, Needed.MemoryMegabytes * Use, 0};
-    Task.DeclaredSize = {Needed.Processors * uniform(1, 1.5), Needed.MemoryMegabytes * uniform(1, 2),
-                         0};
+    Task.DeclaredSize = {Needed.Processors * uniform(1, 1.5),
+                         Needed.MemoryMegabytes * uniform(1, 2), 0};
     return Task;
   }
 
@@ -237,9 +237,9 @@
 };
 
 constexpr std::array<std::string_view, 13> Scenarios{
-    "calm",         "burst",        "black-hole",        "straggler",        "stragglers",
-    "cancel-wave",  "declarations", "data-centre-lost",  "entry-vm-lost",    "store-away",
-    "flapping",     "impossible",   "impossible-and-bad"};
+    "calm",        "burst",        "black-hole",        "straggler",     "stragglers",
+    "cancel-wave", "declarations", "data-centre-lost",  "entry-vm-lost", "store-away",
+    "flapping",    "impossible",   "impossible-and-bad"};
 
 void Generator::applyBurst() {
   double From = end() * 0.3;
@@ -383,8 +383,8 @@
     return Generator(Options, slipworks()).make();
   if (Options.Workload == "alarcon")
     return Generator(Options, alarcon()).make();
-  return core::fail(core::ErrorKind::Malformed, "there is no workload \"" + Options.Workload +
-                                                    "\"; use slipworks or alarcon");
+  return core::fail(core::ErrorKind::Malformed,
+                    "there is no workload \"" + Options.Workload + "\"; use slipworks or alarcon");
 }
 
 } // namespace cornellift::replay
--- a/Utilities/Replay/Main.cpp
+++ b/Utilities/Replay/Main.cpp
@@ -33,8 +33,7 @@
     {"message-costs", "Comma-separated milliseconds: replay the first policy with each",
      SettingType::Text, ""},
     {"format", "text, csv or json", SettingType::Text, "text"},
-    {"plots", "Directory for plot data and gnuplot scripts; empty for none", SettingType::Text,
-     ""},
+    {"plots", "Directory for plot data and gnuplot scripts; empty for none", SettingType::Text, ""},
     {"check", "Exit with 1 unless the trace's expectations hold", SettingType::Flag, "false"},
     {"cost", "Measure decision time and memory instead", SettingType::Flag, "false"},
 };
@@ -77,8 +76,7 @@
       return core::reportBadUsage(Program);
     auto Runs = replay::compare(Input, Presets.first(1), Cost);
     auto &Values = Runs.front().Figures.Values;
-    Points.push_back(
-        {Cost, Values["wasted_per_task"], Values["mean_ratio"], Values["p99_ratio"]});
+    Points.push_back({Cost, Values["wasted_per_task"], Values["mean_ratio"], Values["p99_ratio"]});
     std::cout << Cost << "  " << Points.back().WastedPerTask << "  " << Points.back().MeanRatio
               << "  " << Points.back().P99Ratio << std::endl;
   }
--- a/Utilities/Replay/Plots.cpp
+++ b/Utilities/Replay/Plots.cpp
@@ -69,8 +69,7 @@
 bool writeCurvePlot(const std::string &Directory, std::span<const CurvePoint> Points) {
   std::ofstream Data;
   std::ofstream Script;
-  if (!openIn(Directory, "message-cost.dat", Data) ||
-      !openIn(Directory, "message-cost.gp", Script))
+  if (!openIn(Directory, "message-cost.dat", Data) || !openIn(Directory, "message-cost.gp", Script))
     return false;
   for (const auto &Point : Points)
     Data << Point.MessageCost << ' ' << Point.WastedPerTask << ' ' << Point.MeanRatio << ' '
--- a/Utilities/Replay/ReplayRun.cpp
+++ b/Utilities/Replay/ReplayRun.cpp
@@ -263,12 +263,11 @@
   ++Result_.Messages.Probes;
   Clock_.after(core::fromMilliseconds(Input_.OneWay), [this, Next, Index = Vm.index()] {
     bool Up = Workers_[static_cast<std::size_t>(Next.Endpoint)].isUp();
-    deliver(Index, kernel::EndpointObserved{
-                       Next.Endpoint,
-                       Up ? kernel::EndpointObserved::Reach::Reachable
-                          : kernel::EndpointObserved::Reach::Unreachable,
-                       kernel::EndpointObserved::Standing::Live,
-                       {}});
+    deliver(Index, kernel::EndpointObserved{Next.Endpoint,
+                                            Up ? kernel::EndpointObserved::Reach::Reachable
+                                               : kernel::EndpointObserved::Reach::Unreachable,
+                                            kernel::EndpointObserved::Standing::Live,
+                                            {}});
   });
 }
 
@@ -328,9 +327,9 @@
     ++All;
     bool IsEjected = false;
     for (const auto &Vm : Vms_)
-      IsEjected = IsEjected || (Vm->IsAlive && Vm->slots(Worker) > 0 &&
-                                Vm->policy().health().isEjected(
-                                    static_cast<kernel::EndpointIndex>(Worker)));
+      IsEjected = IsEjected ||
+                  (Vm->IsAlive && Vm->slots(Worker) > 0 &&
+                   Vm->policy().health().isEjected(static_cast<kernel::EndpointIndex>(Worker)));
     Ejected += IsEjected ? 1 : 0;
     Now.Ejected += IsEjected ? 1 : 0;
     Result_.EjectedShare = std::max(Result_.EjectedShare, static_cast<double>(Ejected) / All);
@@ -345,7 +344,8 @@
   bool AnyStarved = false;
   bool AnyOver = false;
   for (std::size_t Team = 0; Team < Teams_.size(); ++Team) {
-    AnyStarved = AnyStarved || (Teams_[Team].Waiting > 0 && Teams_[Team].Running + 1 < Entitled(Team));
+    AnyStarved =
+        AnyStarved || (Teams_[Team].Waiting > 0 && Teams_[Team].Running + 1 < Entitled(Team));
     AnyOver = AnyOver || Teams_[Team].Running > QuotaTolerance * Entitled(Team) + 1;
   }
   auto Track = [&](double &Since, bool Holds, double &Longest) {
--- a/Utilities/Replay/SimulatedVm.cpp
+++ b/Utilities/Replay/SimulatedVm.cpp
@@ -14,12 +14,12 @@
                          DecisionTimes &Times,
                          std::shared_ptr<const kernel::KernelConfiguration> Configuration,
                          Perform Do)
-    : Clock_(Clock), Index_(Index), Do_(std::move(Do)),
-      Slots_(Configuration->Endpoints.size()), InUse_(Configuration->Endpoints.size()) {
+    : Clock_(Clock), Index_(Index), Do_(std::move(Do)), Slots_(Configuration->Endpoints.size()),
+      InUse_(Configuration->Endpoints.size()) {
   auto Scheduler = std::make_unique<TimedScheduler>(Seed + Index, Times);
   Scheduler_ = Scheduler.get();
-  Dispatcher_ = std::make_unique<kernel::Dispatcher>(kernel::Incarnation{Index + 1},
-                                                     std::move(Scheduler));
+  Dispatcher_ =
+      std::make_unique<kernel::Dispatcher>(kernel::Incarnation{Index + 1}, std::move(Scheduler));
   handle(kernel::ConfigurationApplied{std::move(Configuration)});
 }
 
@@ -31,8 +31,8 @@
 void SimulatedVm::perform(kernel::Action Next) {
   auto *Answer = std::get_if<kernel::Respond>(&Next);
   if (Answer && static_cast<std::uint64_t>(Answer->Request) >= SessionRequests) {
-    auto Team = static_cast<std::uint32_t>(static_cast<std::uint64_t>(Answer->Request) -
-                                           SessionRequests);
+    auto Team =
+        static_cast<std::uint32_t>(static_cast<std::uint64_t>(Answer->Request) - SessionRequests);
     if (const auto *Block = std::get_if<kernel::IdentifierBlock>(&Answer->Content))
       Blocks_[Team] = *Block;
     return;
--- a/Utilities/Replay/SlotExchange.cpp
+++ b/Utilities/Replay/SlotExchange.cpp
@@ -75,7 +75,8 @@
     ++Rotation_;
     for (std::uint32_t Step = 0; Step < Count && Left > 0; ++Step) {
       auto Worker = (Rotation_ + Step) % Count;
-      const auto &State = Lender->policy().endpoints().at(static_cast<kernel::EndpointIndex>(Worker));
+      const auto &State =
+          Lender->policy().endpoints().at(static_cast<kernel::EndpointIndex>(Worker));
       if (!State.IsFree || State.OnTrial)
         continue;
       auto Free = std::min(Left, State.Slots - State.Running);
--- a/Utilities/Replay/SlotExchange.h
+++ b/Utilities/Replay/SlotExchange.h
@@ -36,7 +36,7 @@
   const Trace &Input_;
   std::span<std::unique_ptr<SimulatedVm>> Vms_;
   MessageCounts &Messages_;
-  std::vector<std::uint32_t> Homes_; ///< By worker.
+  std::vector<std::uint32_t> Homes_;  ///< By worker.
   std::vector<std::uint32_t> Asking_; ///< By VM: exchanges in flight.
   std::vector<core::TimePoint> IdleSince_;
   std::uint32_t Rotation_ = 0;
--- a/Utilities/Replay/Trace.cpp
+++ b/Utilities/Replay/Trace.cpp
@@ -112,9 +112,9 @@
 }
 
 void readWorkerChange(const Json &Line, Trace &Result) {
-  Result.Changes.push_back({Line.at("at_ms").get<double>(),
-                            WorkerChange{workerOf(Line, Result),
-                                         stateOf(Line.at("state").get<std::string>())}});
+  Result.Changes.push_back(
+      {Line.at("at_ms").get<double>(),
+       WorkerChange{workerOf(Line, Result), stateOf(Line.at("state").get<std::string>())}});
 }
 
 void readDataCentreChange(const Json &Line, Trace &Result) {
@@ -194,9 +194,8 @@
 Json serviceJson(const TraceService &Service) {
   Json Kinds = Json::array();
   for (const auto &Kind : Service.Kinds)
-    Kinds.push_back({{"name", Kind.Name},
-                     {"expected_ms", Kind.Expected},
-                     {"needed", sizeJson(Kind.Needed)}});
+    Kinds.push_back(
+        {{"name", Kind.Name}, {"expected_ms", Kind.Expected}, {"needed", sizeJson(Kind.Needed)}});
   return {{"type", "service"},
           {"name", Service.Name},
           {"message_cost_ms", Service.MessageCost},
@@ -204,8 +203,8 @@
 }
 
 Json jobJson(const TraceJob &Job) {
-  Json Line{{"type", "job"},       {"at_ms", Job.At},          {"label", Job.Label},
-            {"team", Job.Team},    {"service", Job.Service},   {"kind", Job.Kind},
+  Json Line{{"type", "job"},         {"at_ms", Job.At},        {"label", Job.Label},
+            {"team", Job.Team},      {"service", Job.Service}, {"kind", Job.Kind},
             {"tasks", Json::array()}};
   if (Job.Nature == JobNature::Failing)
     Line["failing"] = true;
@@ -240,8 +239,8 @@
         throw std::invalid_argument("unknown type; see docs/TRACES.md");
       Reader->second(Line, Result);
     } catch (const std::exception &Error) {
-      return core::fail(core::ErrorKind::Malformed, "line " + std::to_string(Number) +
-                                                        " of the trace: " + Error.what());
+      return core::fail(core::ErrorKind::Malformed,
+                        "line " + std::to_string(Number) + " of the trace: " + Error.what());
     }
   }
   if (Result.Name.empty() || Result.Workers.empty() || Result.EntryVms == 0)
