EndpointDuty: Skip places without a link at a stop

Cause: entry VMs of other data centres take places among the endpoints but have no link, so every planned stop ended with a memory fault (exit status 139 in RollingRestartUnderLoadCutsNothing, and TestDaemon).

--- a/Services/EntryDaemon/EndpointDuty.cpp
+++ b/Services/EntryDaemon/EndpointDuty.cpp
@@ -16,8 +16,10 @@
     Links.insert(Links.end(), Replaced_.begin(), Replaced_.end());
     Replaced_.clear();
   }
+  // Places of remote endpoints hold no link.
   for (auto &Link : Links)
-    Link->stop();
+    if (Link)
+      Link->stop();
 }
 
 void EndpointDuty::applyConfiguration(const kernel::KernelConfiguration &Configuration) {
