--- a/Services/EntryDaemon/Daemon.cpp
+++ b/Services/EntryDaemon/Daemon.cpp
@@ -6,6 +6,7 @@
 #include "Libraries/LibCore/Reason.h"
 #include "Services/EntryDaemon/CallerMessages.h"
 
+#include <algorithm>
 #include <chrono>
 #include <fstream>
 #include <iterator>
@@ -136,15 +137,17 @@
   if (!Document)
     return core::failFalse(core::lastReason().Kind,
                            Settings_.ConfigurationFile + ": " + core::lastReason().Message);
-  applyConfiguration(
-      std::make_shared<const kernel::KernelConfiguration>(Document->toKernelConfiguration(1)));
+  auto Converted = Document->toKernelConfiguration(1);
+  configuration::addDelegates(Converted);
+  applyConfiguration(std::make_shared<const kernel::KernelConfiguration>(std::move(Converted)));
   return true;
 }
 
 void Daemon::grantAllSlots(const kernel::KernelConfiguration &Configuration) {
   for (std::size_t Number = 0; Number < Configuration.Endpoints.size(); ++Number) {
     const auto &Endpoint = Configuration.Endpoints[Number];
-    bool IsLocal = Endpoint.DataCentre == Settings_.DataCentre && !Endpoint.Removed;
+    bool IsLocal =
+        Endpoint.DataCentre == Settings_.DataCentre && !Endpoint.Removed && !Endpoint.Remote;
     Kernel_.post(kernel::SlotsChanged{kernel::EndpointIndex(static_cast<std::uint32_t>(Number)),
                                       IsLocal ? Endpoint.Slots : 0});
   }
@@ -152,7 +155,11 @@
 
 void Daemon::awaitDrained() {
   auto Deadline = core::MonotonicClock::now() + Settings_.StopTime;
-  while (!Router_.isDrained() && core::MonotonicClock::now() < Deadline)
+  auto IsDrained = [this] {
+    return Router_.isDrained() && std::all_of(Duties_.begin(), Duties_.end(),
+                                              [](const auto &Next) { return Next->isDrained(); });
+  };
+  while (!IsDrained() && core::MonotonicClock::now() < Deadline)
     std::this_thread::sleep_for(DrainCheckInterval);
 }
 
--- a/Services/EntryDaemon/EndpointDuty.cpp
+++ b/Services/EntryDaemon/EndpointDuty.cpp
@@ -16,8 +16,10 @@
     Links.insert(Links.end(), Replaced_.begin(), Replaced_.end());
     Replaced_.clear();
   }
+  // Places of remote endpoints hold no link.
   for (auto &Link : Links)
-    Link->stop();
+    if (Link)
+      Link->stop();
 }
 
 void EndpointDuty::applyConfiguration(const kernel::KernelConfiguration &Configuration) {
@@ -26,6 +28,8 @@
   for (std::size_t Number = 0; Number < Links_.size(); ++Number) {
     const auto &Endpoint = Configuration.Endpoints[Number];
     auto &Link = Links_[Number];
+    if (Endpoint.Remote)
+      continue;
     if (Link && (Endpoint.Removed || Link->address() == Endpoint.Address))
       continue;
     if (Link)
