Kernel: Check the ownership rules over random orders of events

TestOwnershipRules runs three entry processes and three endpoints through deaths, pauses, restarts, lost, late and duplicate messages, resubmissions, cancellations, delegations and hand-overs, in an order given by a seed, and checks the promises after each step. A failing trace is shrunk and printed.

Faults found by it and corrected: a sender whose seal call got no reply kept the outcomes of its running jobs to itself, so that jobs at the successor never ended; a refused delegation of an own task could start later; submissions held by a transfer outlived their wait.

--- a/Kernel/Action.h
+++ b/Kernel/Action.h
@@ -93,8 +93,9 @@
   core::TimePoint ExpectedEnd;
 };
 
-/// Sends one part to its receiver. Parts that come before SealTransfer are staged there; parts that
-/// come after TransferConfirmed hold outcomes of jobs that this process finished itself.
+/// Sends one part to its receiver. A part of kind State is staged there; when the receiver rejects
+/// it or cannot be reached, the daemon sends AbortTransfer. A part of kind Outcomes is repeated
+/// until the receiver answers.
 struct SendTransferPart {
   std::shared_ptr<const TransferPart> Part;
 };
--- a/Kernel/DelegatedRules.cpp
+++ b/Kernel/DelegatedRules.cpp
@@ -17,7 +17,7 @@
       respondDelegated(Next.Request, Next.Task, *Known, DelegatedCall::Start);
     return Starts::Unchanged;
   }
-  if (Delegated_.mayHaveForgotten(Next.Task) || Running_.contains(Next.Task)) {
+  if (Delegated_.mayHaveForgotten(Next.Task)) {
     respond(Next.Request, DelegatedReply{StartRefused{Next.Task, {}, StartRefusal::Fenced}});
     return Starts::Unchanged;
   }
@@ -27,6 +27,9 @@
     respond(Next.Request, DelegatedReply{StartRefused{Next.Task, {}, StartRefusal::NoSlot}});
     return Starts::Unchanged;
   }
+  // An own job, or one that was taken over: its tasks start through the job or not at all.
+  if (issuerOf(Next.Task.Job))
+    return refuseDelegated(Next, StartRefusal::NoSlot);
   if (Life_ == Life::Stopping)
     return refuseDelegated(Next, StartRefusal::Leaving);
   auto Endpoint =
--- a/Kernel/DispatcherState.h
+++ b/Kernel/DispatcherState.h
@@ -125,6 +125,7 @@
   void addRemote(const TransferredRunning &Running, Incarnation Sender);
   void sendParts();
   void sendOutcome(const TransferredOutcome &Ended);
+  void sendFinished();
   void takeOver(const StagedTransfer &Staged);
   void addOutcomesOf(const TransferPart &Part);
   void checkDrained();
--- a/Kernel/JobRules.cpp
+++ b/Kernel/JobRules.cpp
@@ -369,6 +369,12 @@
 }
 
 void Dispatcher::State::checkDueRequests() {
+  std::erase_if(HeldSubmissions_, [this](const SubmitJob &Held) {
+    if (!Held.WaitUntil || *Held.WaitUntil > Now_)
+      return false;
+    respondMayHaveRun(Held.Request, core::ErrorKind::Unavailable, TransferText);
+    return true;
+  });
   while (auto Request = Requests_.nextDue(Now_)) {
     auto Job = Requests_.remove(*Request);
     auto *Active = Jobs_.find(*Job);
--- a/Kernel/Transfer.h
+++ b/Kernel/Transfer.h
@@ -14,9 +14,10 @@
 ///
 /// Sender: StopRequested; BeginTransfer -> SendTransferPart actions; when the receiver has accepted
 /// all parts, TransferSealSent -> SealTransfer action; TransferConfirmed when the seal call was
-/// accepted -> SendTransferPart actions with the outcomes of the jobs that the sender finishes
-/// itself. AbortTransfer is possible until TransferSealSent; afterwards the sender starts nothing
-/// that it handed over, whatever the reply.
+/// accepted, TransferUnanswered when it was not; both -> SendTransferPart actions with the outcomes
+/// of the jobs that the sender finishes itself, because the receiver may have sealed without its
+/// reply being seen. AbortTransfer is possible until TransferSealSent; afterwards the sender starts
+/// nothing that it handed over, whatever the reply.
 ///
 /// Receiver: TransferReceived stages a part; TransferSealed puts the parts in force. Both are
 /// answered with a TransferReply.
@@ -71,7 +72,9 @@
   Incarnation Sender;
   Incarnation Receiver; ///< A receiver with another incarnation rejects the part.
   std::uint32_t Transfer =
-      0;                    ///< Which of the sender's attempts; a later one replaces earlier ones.
+      0; ///< Which of the sender's attempts; a later one replaces earlier ones.
+  /// Outcomes are sent after the seal call; a receiver that has not sealed rejects them.
+  enum class Content { State, Outcomes } Kind{};
   std::uint32_t Number = 0; ///< From zero on. Parts may arrive in any order and more than once.
   std::vector<TransferredIssuer> Issuers;
   std::vector<TransferredBlock> Blocks;
@@ -97,7 +100,7 @@
 struct TransferConfirmed {};
 
 /// Sender: no reply to the seal call will come, or it was rejected. Requests for what was handed
-/// over end as MayHaveRun.
+/// over end as MayHaveRun. A reply that comes later still gives TransferConfirmed.
 struct TransferUnanswered {};
 
 /// Receiver: a part has come. Before the seal it is only staged; after it, it may add outcomes.
--- a/Kernel/TransferPartWriter.cpp
+++ b/Kernel/TransferPartWriter.cpp
@@ -7,10 +7,11 @@
 namespace cornellift::kernel {
 
 TransferPartWriter::TransferPartWriter(Incarnation Sender, Incarnation Receiver,
-                                       std::uint32_t Transfer) {
+                                       std::uint32_t Transfer, TransferPart::Content Kind) {
   Open_.Sender = Sender;
   Open_.Receiver = Receiver;
   Open_.Transfer = Transfer;
+  Open_.Kind = Kind;
 }
 
 void TransferPartWriter::add(const IdentifierIssuer &Identifiers) {
@@ -54,6 +55,7 @@
   Next.Sender = Open_.Sender;
   Next.Receiver = Open_.Receiver;
   Next.Transfer = Open_.Transfer;
+  Next.Kind = Open_.Kind;
   Next.Number = Open_.Number + 1;
   Closed_.push_back(std::make_shared<const TransferPart>(std::exchange(Open_, std::move(Next))));
   OpenItems_ = 0;
--- a/Kernel/TransferPartWriter.h
+++ b/Kernel/TransferPartWriter.h
@@ -17,7 +17,8 @@
   /// Half of the default limit of a gRPC message; a single larger job makes a part of its own.
   static constexpr std::uint64_t MaximumBytes = 2ULL << 20;
 
-  TransferPartWriter(Incarnation Sender, Incarnation Receiver, std::uint32_t Transfer);
+  TransferPartWriter(Incarnation Sender, Incarnation Receiver, std::uint32_t Transfer,
+                     TransferPart::Content Kind);
 
   void add(const IdentifierIssuer &Identifiers);
   void add(TransferredJob Job);
--- a/Kernel/TransferRules.cpp
+++ b/Kernel/TransferRules.cpp
@@ -69,8 +69,7 @@
   Issuers_.clear();
   for (auto &Held : std::exchange(HeldSubmissions_, {}))
     respond(Held.Request, WrongIssuer{Held.Job.Issuer});
-  for (const auto &Ended : std::exchange(FinishedDuringTransfer_, {}))
-    sendOutcome(Ended);
+  sendFinished();
   return Starts::Unchanged;
 }
 
@@ -78,6 +77,8 @@
   if (Handover_ != Handover::SealSent)
     return Starts::Unchanged;
   Handover_ = Handover::Unanswered;
+  // The receiver may have sealed and wait for these.
+  sendFinished();
   for (auto Id : Jobs_.sortedIds()) {
     auto &Job = *Jobs_.find(Id);
     if (Job.Phase == JobPhase::Held)
@@ -99,6 +100,10 @@
     respond(Next.Request, TransferReply::Accepted);
     return Starts::Unchanged;
   }
+  if (Part.Kind == TransferPart::Content::Outcomes) {
+    respond(Next.Request, TransferReply::Rejected);
+    return Starts::Unchanged;
+  }
   auto Maximum = TransferShare * (limits().MaximumQueuedBytes + limits().MaximumOutcomeBytes);
   bool Staged = Configuration_ && Life_ == Life::Serving && !Issuers_.contains(Part.Sender) &&
                 Outcomes_.bytes() <= limits().MaximumOutcomeBytes &&
@@ -154,7 +159,7 @@
 }
 
 void Dispatcher::State::sendParts() {
-  TransferPartWriter Writer(Own_, Receiver_, Transfer_);
+  TransferPartWriter Writer(Own_, Receiver_, Transfer_, TransferPart::Content::State);
   for (const auto &[Issuer, Identifiers] : Issuers_)
     Writer.add(Identifiers);
   for (auto Id : Jobs_.sortedIds()) {
@@ -178,16 +183,21 @@
 void Dispatcher::State::sendOutcome(const TransferredOutcome &Ended) {
   if (Handover_ == Handover::None)
     return;
-  if (Handover_ != Handover::Confirmed) {
+  if (Handover_ == Handover::Staging || Handover_ == Handover::SealSent) {
     FinishedDuringTransfer_.push_back(Ended);
     return;
   }
-  TransferPartWriter Writer(Own_, Receiver_, Transfer_);
+  TransferPartWriter Writer(Own_, Receiver_, Transfer_, TransferPart::Content::Outcomes);
   Writer.add(Ended);
   for (auto &Part : Writer.take())
     emit(SendTransferPart{std::move(Part)});
 }
 
+void Dispatcher::State::sendFinished() {
+  for (const auto &Ended : std::exchange(FinishedDuringTransfer_, {}))
+    sendOutcome(Ended);
+}
+
 void Dispatcher::State::takeOver(const StagedTransfer &Staged) {
   std::map<Incarnation, TransferredIssuer> Issuers;
   std::map<Incarnation, std::vector<TransferredBlock>> Blocks;
--- /dev/null
+++ b/Tests/Kernel/OwnershipProcess.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include "OwnershipWorld.h"
+
+#include <utility>
+
+namespace cornellift::kernel {
+
+/// One incarnation of an entry process: a Dispatcher and what its daemon does with the actions.
+class OwnershipWorld::Process : public ActionSink {
+public:
+  Process(OwnershipWorld &Surroundings, Incarnation Own, core::Duration ClockError)
+      : Name(Own), World_(Surroundings), ClockError_(ClockError) {
+    auto Policy = std::make_unique<RotatingScheduler>();
+    Policy->LocalEndpoints = EndpointIndex{Endpoints};
+    Kernel_ = std::make_unique<Dispatcher>(Own, std::move(Policy));
+    handle(ConfigurationApplied{World_.Configuration_});
+  }
+
+  void handle(Event Next) { Kernel_->handle(std::move(Next), now(), *this); }
+  void perform(Action Next) override {
+    std::visit([this](auto &Content) { on(Content); }, Next);
+  }
+
+  core::TimePoint now() const { return World_.Now_ + ClockError_; }
+  DispatcherCounters counters() const { return Kernel_->counters(); }
+
+  void stop(Incarnation Successor) {
+    handle(StopRequested{});
+    handle(AbortTransfer{}); // Of an earlier attempt, if there is one.
+    PartsLeft_ = 0;
+    Accepted_.clear();
+    Receiver = Successor;
+    handle(BeginTransfer{Successor});
+  }
+
+  void onReply(const PeerCall &Call, TransferReply Reply) {
+    const auto *Part = std::get_if<TransferReceived>(&Call.Content);
+    if (!Part) {
+      if (Reply == TransferReply::Accepted)
+        World_.Successors_[Name] = Call.To;
+      handle(Reply == TransferReply::Accepted ? Event(TransferConfirmed{})
+                                              : Event(TransferUnanswered{}));
+      return;
+    }
+    // The outcomes that follow the seal are repeated until they are accepted.
+    if (Sealing && Reply == TransferReply::Rejected && World_.find(Call.To))
+      World_.send(Call);
+    if (Part->Part->Transfer != Attempt_ || Sealing)
+      return;
+    if (Reply == TransferReply::Rejected) {
+      handle(AbortTransfer{});
+      return;
+    }
+    Accepted_.insert(Part->Part->Number);
+    if (Accepted_.size() == PartsLeft_)
+      handle(TransferSealSent{});
+  }
+
+  Incarnation Name;
+  Incarnation Receiver;
+  enum class Condition { Running, Paused } State{};
+  std::optional<SealTransfer> Sealing;
+  std::uint32_t Boots[Endpoints] = {1, 1, 1}; ///< As last seen.
+
+private:
+  void on(Respond &Answer) { World_.onResponse(*this, Answer); }
+
+  void on(StartTask &Start) {
+    if (World_.SaidNotRun_.contains(Start.Task.Job))
+      throw Violation("a start was sent for a job that was said not to run");
+    auto Number = static_cast<std::uint32_t>(Start.Endpoint);
+    auto Payload = Start.Payload->Tasks.at(Start.PayloadIndex);
+    if (Number < Endpoints) {
+      StartBoots_[Start.Attempt] = Boots[Number];
+      World_.send(EndpointCall{EndpointCall::Kind::Start, Start.Task, Number, Start.Attempt, Name,
+                               World_.Endpoints_[Number].Boot, Start.TaskCount, Payload});
+      return;
+    }
+    StartPeers_[Start.Attempt] = World_.Current_[Number - Endpoints];
+    JobPayload Single{{Payload}};
+    callPeer(Number, Start.Attempt,
+             StartDelegated{{},
+                            Start.Task,
+                            Start.Service,
+                            Start.Kind,
+                            Start.Team,
+                            Start.Spec,
+                            std::make_shared<const JobPayload>(std::move(Single)),
+                            Start.TaskCount});
+  }
+
+  void on(AskTask &Question) {
+    inquire(Question.Task, Question.Endpoint, Question.Attempt, EndpointCall::Kind::Ask);
+  }
+  void on(FenceTask &Fence) {
+    inquire(Fence.Task, Fence.Endpoint, Fence.Attempt, EndpointCall::Kind::Fence);
+  }
+
+  void on(SendTransferPart &Next) {
+    if (Next.Part->Transfer != Attempt_)
+      PartsLeft_ = 0;
+    Attempt_ = Next.Part->Transfer;
+    ++PartsLeft_;
+    World_.send(PeerCall{Name, Next.Part->Receiver, 0, 0, TransferReceived{{}, Next.Part}});
+  }
+
+  void on(SealTransfer &Next) {
+    Sealing = Next;
+    World_.send(PeerCall{Name, Next.Receiver, 0, 0,
+                         TransferSealed{{}, Name, Next.Receiver, Next.Transfer, Next.PartCount}});
+  }
+
+  void on(ProbeEndpoint &) {}
+  void on(FlagLate &) {}
+  void on(Drained &) {}
+
+  void inquire(TaskId Task, EndpointIndex Endpoint, std::uint32_t Attempt,
+               EndpointCall::Kind Wish) {
+    auto Number = static_cast<std::uint32_t>(Endpoint);
+    if (Number < Endpoints) {
+      World_.send(EndpointCall{Wish, Task, Number, Attempt, Name, StartBoots_.at(Attempt), 0, {}});
+      return;
+    }
+    auto Purpose =
+        Wish == EndpointCall::Kind::Ask ? AskDelegated::Wish::Ask : AskDelegated::Wish::Fence;
+    callPeer(Number, Attempt, AskDelegated{{}, Task, Purpose});
+  }
+
+  template <typename T> void callPeer(std::uint32_t Number, std::uint32_t Attempt, T Content) {
+    World_.send(PeerCall{Name, StartPeers_.at(Attempt), Number, Attempt, std::move(Content)});
+  }
+
+  OwnershipWorld &World_;
+  core::Duration ClockError_;
+  std::unique_ptr<Dispatcher> Kernel_;
+  std::map<std::uint32_t, std::uint32_t> StartBoots_;
+  std::map<std::uint32_t, Incarnation> StartPeers_;
+  std::uint32_t Attempt_ = 0;
+  std::size_t PartsLeft_ = 0;
+  std::set<std::uint32_t> Accepted_;
+};
+
+} // namespace cornellift::kernel
--- a/Tests/Kernel/FirstFreeScheduler.h
+++ b/Tests/Kernel/RotatingScheduler.h
@@ -7,8 +7,8 @@
 
 namespace cornellift::kernel {
 
-/// Starts waiting tasks in order of arrival on the first endpoint with a free slot.
-class FirstFreeScheduler : public Scheduler {
+/// Starts waiting tasks in order of arrival on the next endpoint with a free slot, in rotation.
+class RotatingScheduler : public Scheduler {
 public:
   static constexpr core::Duration AskAfter = std::chrono::milliseconds(500);
 
@@ -27,8 +27,8 @@
   }
 
   std::optional<Placement> next(core::TimePoint) override {
-    auto Free = freeEndpoint();
-    if (Waiting_.empty() || !Free)
+    auto Free = Waiting_.empty() ? std::nullopt : freeEndpoint(EndpointIndex{~0U});
+    if (!Free)
       return std::nullopt;
     auto Task = Waiting_.front();
     Waiting_.pop_front();
@@ -38,7 +38,7 @@
 
   std::optional<EndpointIndex> placeDelegated(TaskId Task, ServiceIndex, KindIndex, TeamIndex,
                                               const TaskSpec &, core::TimePoint) override {
-    auto Free = freeEndpoint();
+    auto Free = freeEndpoint(LocalEndpoints);
     if (Free)
       occupy(Task, *Free, AfterRefusal::Drop);
     return Free;
@@ -87,15 +87,18 @@
 
   std::optional<std::size_t> AdmissionLimit;
   std::optional<core::TimePoint> ExpectedEnd;
+  EndpointIndex LocalEndpoints{~0U}; ///< Delegated tasks go to endpoints below this one.
 
 private:
   enum class AfterRefusal { WaitAgain, Drop };
 
-  std::optional<EndpointIndex> freeEndpoint() const {
-    for (const auto &[Endpoint, Slots] : Slots_) {
-      auto Used = Used_.find(Endpoint);
-      if (Slots > (Used == Used_.end() ? 0 : Used->second))
-        return Endpoint;
+  std::optional<EndpointIndex> freeEndpoint(EndpointIndex Bound) {
+    auto Next = Slots_.upper_bound(Last_);
+    for (std::size_t Left = Slots_.size(); Left > 0; --Left, ++Next) {
+      if (Next == Slots_.end())
+        Next = Slots_.begin();
+      if (Next->first < Bound && Next->second > Used_[Next->first])
+        return Last_ = Next->first;
     }
     return std::nullopt;
   }
@@ -112,6 +115,7 @@
     return Refusal;
   }
 
+  EndpointIndex Last_{~0U};
   std::map<EndpointIndex, std::uint32_t> Slots_;
   std::map<EndpointIndex, std::uint32_t> Used_;
   std::map<TaskId, AfterRefusal> Running_;
