--- a/Kernel/DispatcherState.h
+++ b/Kernel/DispatcherState.h
@@ -103,6 +103,7 @@
   bool start(const Placement &Choice);
   RunningTask *runningTask(TaskId Task, EndpointIndex Endpoint, std::uint32_t Attempt);
   void notStarted(TaskId Task, EndpointIndex Endpoint, StartRefusal Cause);
+  void countRefusal(JobRecord &Job, std::uint32_t Index, StartRefusal Cause);
   void fence(TaskId Task, RunningTask &Started);
   void lose(TaskId Task, EndpointIndex Endpoint);
   void ask(TaskId Task, RunningTask &Started);
--- a/Kernel/JobRecord.h
+++ b/Kernel/JobRecord.h
@@ -21,6 +21,8 @@
 
 struct TaskRecord {
   TaskState State = TaskState::Waiting;
+  std::uint8_t InvalidRefusals = 0;
+  std::uint8_t FencedRefusals = 0;
   TaskResult Result;
 };
 
@@ -36,7 +38,6 @@
   JobId Id;
   JobPhase Phase = JobPhase::Open;
   enum class Flag : std::uint8_t { NotFlagged, FlaggedLate } Lateness{};
-  std::uint8_t InvalidRefusals = 0;
   std::uint64_t Fingerprint = 0;
   JobSpec Spec;
   std::vector<TaskRecord> Tasks;
--- a/Kernel/TaskRules.cpp
+++ b/Kernel/TaskRules.cpp
@@ -12,10 +12,14 @@
 /// A fence without an answer after this time leaves its task lost, so that its job can end.
 constexpr core::Duration FenceTimeout = std::chrono::seconds(5);
 
-/// Refusals as invalid after which a job is given up. More than one, because a single endpoint may
-/// be at fault.
+/// Refusals of one task as invalid after which its job is given up. More than one, because a single
+/// endpoint may be at fault.
 constexpr std::uint8_t MaximumInvalidRefusals = 3;
 
+/// Likewise for fenced. An endpoint that has fenced a task refuses it for ever, so that a task that
+/// is fenced everywhere would be sent round without end.
+constexpr std::uint8_t MaximumFencedRefusals = 16;
+
 /// Failure messages of endpoints are cut to this length in the outcome's reason.
 constexpr std::size_t MaximumFailureLength = 512;
 
@@ -164,12 +168,23 @@
     finishIfDone(Job);
     return;
   }
-  if (Cause == StartRefusal::Invalid && ++Job.InvalidRefusals >= MaximumInvalidRefusals) {
+  countRefusal(Job, Task.Index, Cause);
+}
+
+void Dispatcher::State::countRefusal(JobRecord &Job, std::uint32_t Index, StartRefusal Cause) {
+  auto &Task = Job.Tasks[Index];
+  if (Cause == StartRefusal::Invalid && ++Task.InvalidRefusals >= MaximumInvalidRefusals) {
     endEarly(Job, core::ErrorKind::Malformed,
-             "endpoints refused task " + std::to_string(Task.Index) +
+             "endpoints refused task " + std::to_string(Index) +
                  " as invalid; check its payload and declaration");
     return;
   }
+  if (Cause == StartRefusal::Fenced && ++Task.FencedRefusals >= MaximumFencedRefusals) {
+    endEarly(Job, core::ErrorKind::Unavailable,
+             "too many starts of task " + std::to_string(Index) +
+                 " were lost on the way to the endpoints; submit the job with a new identifier");
+    return;
+  }
   endIfDeadlinePassed(Job);
 }
 
--- /dev/null
+++ b/Tests/Kernel/TestDelegation.cpp
@@ -0,0 +1,94 @@
+#include "DispatcherFixture.h"
+
+#include "Kernel/DelegatedTable.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornellift;
+using namespace cornellift::kernel;
+
+namespace {
+
+constexpr Incarnation Peer{0xB0B};
+
+TaskId taskOf(std::uint64_t Sequence) { return {{Peer, Sequence}, 0}; }
+
+RequestId delegate(DispatcherFixture &Test, TaskId Task) {
+  auto Request = Test.newRequest();
+  Test.handle(StartDelegated{Request, Task, {}, {}, {}, {}, DispatcherFixture::spec(1).Payload, 1});
+  return Request;
+}
+
+RequestId inquire(DispatcherFixture &Test, TaskId Task, AskDelegated::Wish Purpose) {
+  auto Request = Test.newRequest();
+  Test.handle(AskDelegated{Request, Task, Purpose});
+  return Request;
+}
+
+/// Returns the reply's content, or an empty optional when it is of another type.
+template <typename T> std::optional<T> reply(DispatcherFixture &Test, RequestId Request) {
+  auto Answer = Test.response(Request);
+  const auto *Reply = Answer ? std::get_if<DelegatedReply>(Answer.get()) : nullptr;
+  const auto *Wanted = Reply ? std::get_if<T>(&Reply->Content) : nullptr;
+  return Wanted ? std::optional(*Wanted) : std::nullopt;
+}
+
+} // namespace
+
+// Guards against a second start of a delegated task whose request or reply was lost.
+BOOST_AUTO_TEST_CASE(RepeatedDelegationAttaches) {
+  DispatcherFixture Test;
+  auto First = delegate(Test, taskOf(1));
+  auto Second = delegate(Test, taskOf(1));
+  auto Started = Test.take<StartTask>();
+  BOOST_REQUIRE(Started.size() == 1);
+  auto Running = reply<TaskReported>(Test, inquire(Test, taskOf(1), AskDelegated::Wish::Fence));
+  BOOST_REQUIRE(Running);
+  BOOST_TEST((Running->Report == TaskReport::Running));
+  Test.finish(Started[0]);
+  BOOST_TEST(reply<TaskEnded>(Test, First).has_value());
+  BOOST_TEST(reply<TaskEnded>(Test, Second).has_value());
+  BOOST_TEST(reply<TaskEnded>(Test, delegate(Test, taskOf(1))).has_value());
+  BOOST_TEST(reply<TaskEnded>(Test, inquire(Test, taskOf(1), AskDelegated::Wish::Ask)).has_value());
+  BOOST_TEST(Test.take<StartTask>().empty());
+}
+
+// Guards against a start after the issuer was told that there will be none.
+BOOST_AUTO_TEST_CASE(RefusedOrFencedDelegationNeverStarts) {
+  DispatcherFixture Test;
+  for (std::uint64_t Sequence : {1, 2, 3, 4})
+    delegate(Test, taskOf(Sequence));
+  auto Started = Test.take<StartTask>();
+  BOOST_REQUIRE(Started.size() == 4);
+  auto Full = reply<StartRefused>(Test, delegate(Test, taskOf(5)));
+  BOOST_REQUIRE(Full);
+  BOOST_TEST((Full->Cause == StartRefusal::NoSlot));
+  auto Fenced = reply<TaskReported>(Test, inquire(Test, taskOf(6), AskDelegated::Wish::Fence));
+  BOOST_REQUIRE(Fenced);
+  BOOST_TEST((Fenced->Report == TaskReport::NotStartedAndFenced));
+  for (const auto &Each : Started)
+    Test.finish(Each);
+  BOOST_TEST(reply<StartRefused>(Test, delegate(Test, taskOf(5))).has_value());
+  BOOST_TEST(reply<StartRefused>(Test, delegate(Test, taskOf(6))).has_value());
+  // Own jobs start through the job only.
+  BOOST_TEST(reply<StartRefused>(Test, delegate(Test, {Test.newId(), 0})).has_value());
+  BOOST_TEST(Test.take<StartTask>().empty());
+}
+
+// Guards against statements about delegated tasks whose records were dropped to bound the memory.
+BOOST_AUTO_TEST_CASE(ForgottenDelegationIsUnknown) {
+  DispatcherFixture Test;
+  delegate(Test, taskOf(7));
+  Test.finish(Test.take<StartTask>().at(0));
+  Test.tickAt(DelegatedTable::Retention + std::chrono::seconds(1));
+  for (std::uint64_t Sequence : {3, 7}) {
+    auto Told =
+        reply<TaskReported>(Test, inquire(Test, taskOf(Sequence), AskDelegated::Wish::Fence));
+    BOOST_REQUIRE(Told);
+    BOOST_TEST((Told->Report == TaskReport::Unknown));
+    BOOST_TEST(reply<StartRefused>(Test, delegate(Test, taskOf(Sequence))).has_value());
+  }
+  BOOST_TEST(Test.take<StartTask>().empty());
+  delegate(Test, taskOf(8));
+  BOOST_TEST(Test.take<StartTask>().size() == 1);
+}
