Kernel: State the deadline that delegated calls must have

The refusal of the copy was taken for the answer to the first call, and the task started twice. A reply past the deadline is not used, so the check drops it.

--- a/Kernel/DelegatedTable.h
+++ b/Kernel/DelegatedTable.h
@@ -38,7 +38,9 @@
   static constexpr std::size_t MaximumRecords = 120000;
   /// Bound on the results that are kept for repeated questions.
   static constexpr std::uint64_t MaximumResultBytes = 32ULL << 20;
-  /// Longer than any deadline of a DelegateTask or AskTask call.
+  /// Longer than any deadline of a DelegateTask or AskTask call. The caller must not use a reply
+  /// that comes later: a repeated call for a task whose record was dropped is refused, although the
+  /// first one may have started it.
   static constexpr core::Duration Retention = std::chrono::minutes(2);
 
   DelegatedTask *find(TaskId Task);
--- a/Tests/Kernel/OwnershipProcess.h
+++ b/Tests/Kernel/OwnershipProcess.h
@@ -128,7 +128,8 @@
   }
 
   template <typename T> void callPeer(std::uint32_t Number, std::uint32_t Attempt, T Content) {
-    World_.send(PeerCall{Name, StartPeers_.at(Attempt), Number, Attempt, std::move(Content)});
+    World_.send(
+        PeerCall{Name, StartPeers_.at(Attempt), Number, Attempt, std::move(Content), World_.Now_});
   }
 
   OwnershipWorld &World_;
--- a/Tests/Kernel/OwnershipWorld.cpp
+++ b/Tests/Kernel/OwnershipWorld.cpp
@@ -1,5 +1,6 @@
 #include "OwnershipWorld.h"
 
+#include "Kernel/DelegatedTable.h"
 #include "OwnershipProcess.h"
 
 #include <algorithm>
@@ -328,6 +329,9 @@
 }
 
 void OwnershipWorld::answerCaller(const PeerCall &Call, const DelegatedReply &Reply) {
+  // The caller gave up at the call's deadline, which DelegatedTable requires.
+  if (Now_ - Call.SentAt >= DelegatedTable::Retention)
+    return lose(Call);
   auto addressed = [&](auto Told) {
     Told.Endpoint = EndpointIndex{Call.Endpoint};
     Told.Attempt = Call.Attempt;
--- a/Tests/Kernel/OwnershipWorld.h
+++ b/Tests/Kernel/OwnershipWorld.h
@@ -103,6 +103,7 @@
     std::uint32_t Endpoint = 0; ///< By which the caller knows the receiver, for delegated tasks.
     std::uint32_t Attempt = 0;
     std::variant<StartDelegated, AskDelegated, TransferReceived, TransferSealed> Content;
+    core::TimePoint SentAt{};
   };
   struct PeerReply {
     PeerCall Call;
