--- a/Kernel/PolicyScheduler.h
+++ b/Kernel/PolicyScheduler.h
@@ -50,6 +50,7 @@
 
   /// For reports and tests.
   const EndpointTable &endpoints() const { return Endpoints_; }
+  const HealthTracker &health() const { return Health_; }
 
 private:
   struct RunningTask {
@@ -87,7 +88,11 @@
 
   void retryDelayed(core::TimePoint Now);
   std::optional<std::size_t> pickQueue() const;
+  /// The candidate with the longest task, if that is much longer than usual.
+  ActiveJob *longTaskJob() const;
   std::optional<Placement> tryJob(ActiveJob &Job, std::uint32_t Ahead, core::TimePoint Now);
+  std::optional<Placement> tryTask(ActiveJob &Job, TaskChoice Choice, std::uint32_t Ahead,
+                                   core::TimePoint Now);
   std::optional<EndpointIndex> chooseEndpoint(PlacementQuestion &Question, core::TimePoint Now);
   PlacementQuestion question(const ActiveJob &Job, const WaitingTask &Task, std::uint32_t Ahead,
                              core::TimePoint Now) const;
--- /dev/null
+++ b/Services/EntryDaemon/JobRecovery.cpp
@@ -0,0 +1,66 @@
+#include "Services/EntryDaemon/JobRecovery.h"
+
+#include "Libraries/LibEndpoint/EndpointProtocol.h"
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <optional>
+#include <string>
+#include <thread>
+
+namespace cornellift::entry {
+namespace {
+
+constexpr std::size_t ParallelQuestions = 32;
+constexpr core::Duration QuestionTime = std::chrono::seconds(1);
+
+kernel::RecordedTask convert(const endpoint::JobRecord &Record, std::uint32_t TaskCount) {
+  kernel::RecordedTask Result{Record.Index, TaskCount, kernel::RecordedState::Running, nullptr};
+  const auto *End = std::get_if<endpoint::Ended>(&Record.State);
+  if (End == nullptr)
+    return Result;
+  bool Finished = End->Verdict == kernel::TaskVerdict::Finished;
+  Result.State = Finished ? kernel::RecordedState::Finished : kernel::RecordedState::Failed;
+  if (Finished)
+    Result.Result = End->Result;
+  return Result;
+}
+
+kernel::EndpointRecords askEndpoint(kernel::EndpointIndex Endpoint, const std::string &Address,
+                                    std::string_view Job) {
+  kernel::EndpointRecords Result{Endpoint, kernel::EndpointRecords::Reply::NoAnswer, {}};
+  auto Connection = endpoint::connectEndpoint("http", Address);
+  auto Records = Connection
+                     ? (*Connection)->jobRecords(Job, core::MonotonicClock::now() + QuestionTime)
+                     : std::nullopt;
+  if (!Records)
+    return Result;
+  Result.Given = kernel::EndpointRecords::Reply::Answered;
+  for (const auto &Record : Records->Tasks)
+    Result.Tasks.push_back(convert(Record, Records->TaskCount));
+  return Result;
+}
+
+} // namespace
+
+std::vector<kernel::EndpointRecords>
+collectRecords(const kernel::KernelConfiguration &Configuration, std::string_view Job) {
+  const auto &Endpoints = Configuration.Endpoints;
+  std::vector<kernel::EndpointRecords> Records(Endpoints.size());
+  std::atomic<std::size_t> Next{0};
+  auto AskNext = [&] {
+    for (auto Number = Next++; Number < Endpoints.size(); Number = Next++)
+      if (!Endpoints[Number].Removed)
+        Records[Number] = askEndpoint(kernel::EndpointIndex(static_cast<std::uint32_t>(Number)),
+                                      Endpoints[Number].Address, Job);
+  };
+  std::vector<std::thread> Threads;
+  for (std::size_t Count = 0; Count < std::min(ParallelQuestions, Endpoints.size()); ++Count)
+    Threads.emplace_back(AskNext);
+  for (auto &Thread : Threads)
+    Thread.join();
+  return Records;
+}
+
+} // namespace cornellift::entry
