--- a/Kernel/Identifiers.h
+++ b/Kernel/Identifiers.h
@@ -10,11 +10,12 @@
 
 namespace cornellift::kernel {
 
+// The linter misreads the defaulted comparisons below as own code with a variable and a zero.
+
 /// One run of one entry process. Random, so that a restart under the same address is told apart.
 struct Incarnation {
   std::uint64_t Value = 0;
-  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming): the checks misread a
-  // defaulted operator.
+  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   auto operator<=>(const Incarnation &) const = default;
 };
 
@@ -23,16 +24,14 @@
 struct JobId {
   Incarnation Issuer;
   std::uint64_t Sequence = 0;
-  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming): the checks misread a
-  // defaulted operator.
+  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   auto operator<=>(const JobId &) const = default;
 };
 
 struct TaskId {
   JobId Job;
   std::uint32_t Index = 0;
-  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming): the checks misread a
-  // defaulted operator.
+  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   auto operator<=>(const TaskId &) const = default;
 };
 
--- a/Tests/Benchmarks/BenchmarkDispatcher.cpp
+++ b/Tests/Benchmarks/BenchmarkDispatcher.cpp
@@ -40,7 +40,7 @@
 
   void perform(Action Next) override {
     if (auto *Start = std::get_if<StartTask>(&Next))
-      Started.emplace_back(Start->Task, Start->Endpoint, Start->Attempt);
+      Started.push_back({Start->Task, Start->Endpoint, Start->Attempt});
     else if (const auto *Answer = std::get_if<Respond>(&Next))
       note(*Answer);
   }
--- a/Tests/Kernel/OwnershipWorld.cpp
+++ b/Tests/Kernel/OwnershipWorld.cpp
@@ -62,19 +62,19 @@
   auto Vm = Next.First % Vms;
   auto *At = serving(Vm);
   auto Chosen = Messages_.empty() ? 0 : Next.First % Messages_.size();
-  auto takeMessage = [&] {
+  auto TakeMessage = [&] {
     auto Taken = std::move(Messages_[Chosen]);
     Messages_.erase(Messages_.begin() + static_cast<std::ptrdiff_t>(Chosen));
     return Taken;
   };
-  auto earlier = [&] { return Submitted_[Next.Second % Submitted_.size()]; };
+  auto Earlier = [&] { return Submitted_[Next.Second % Submitted_.size()]; };
   switch (Next.Kind) {
   case StepKind::Deliver:
-    return Messages_.empty() ? void() : deliver(takeMessage());
+    return Messages_.empty() ? void() : deliver(TakeMessage());
   case StepKind::Duplicate:
     return Messages_.empty() || once(Messages_[Chosen]) ? void() : deliver(Messages_[Chosen]);
   case StepKind::Lose:
-    return Messages_.empty() ? void() : lose(takeMessage());
+    return Messages_.empty() ? void() : lose(TakeMessage());
   case StepKind::CutConnection:
     // The sender sees the connection end, but the message arrives later all the same.
     return Messages_.empty() || forwarded(Messages_[Chosen]) ? void() : lose(Messages_[Chosen]);
@@ -95,13 +95,13 @@
     Unused_.pop_back();
     return submit(Vm, Submitted_.back().Job, Next.Second);
   case StepKind::Resubmit:
-    return Submitted_.empty() ? void() : submit(Vm, earlier().Job, earlier().Tag);
+    return Submitted_.empty() ? void() : submit(Vm, Earlier().Job, Earlier().Tag);
   case StepKind::SubmitOther:
-    return Submitted_.empty() ? void() : submit(Vm, earlier().Job, earlier().Tag + 1);
+    return Submitted_.empty() ? void() : submit(Vm, Earlier().Job, Earlier().Tag + 1);
   case StepKind::Ask:
-    return Submitted_.empty() ? void() : ask(Vm, earlier().Job, Request::Kind::Ask);
+    return Submitted_.empty() ? void() : ask(Vm, Earlier().Job, Request::Kind::Ask);
   case StepKind::Cancel:
-    return Submitted_.empty() ? void() : ask(Vm, earlier().Job, Request::Kind::Cancel);
+    return Submitted_.empty() ? void() : ask(Vm, Earlier().Job, Request::Kind::Cancel);
   case StepKind::Abandon:
     return abandon(Next.First);
   case StepKind::Kill:
@@ -208,7 +208,7 @@
   auto &Target = Endpoints_[Call.Endpoint];
   if (Call.Wish == EndpointCall::Kind::Start)
     return deliverStart(Target, Call);
-  auto reply = [&](TaskReport Report) {
+  auto Reply = [&](TaskReport Report) {
     send(Delivery{Call.From,
                   TaskReported{Call.Task, EndpointIndex{Call.Endpoint}, Report, Call.Attempt}});
   };
@@ -217,13 +217,13 @@
     if (Call.Wish == EndpointCall::Kind::Fence)
       Target.Records[Call.Task] = {EndpointRecord::State::Fenced, {}, 0, 0, {}};
     bool Proved = Call.Wish == EndpointCall::Kind::Fence && Call.Boot == Target.Boot;
-    return reply(Proved ? TaskReport::NotStartedAndFenced : TaskReport::Unknown);
+    return Reply(Proved ? TaskReport::NotStartedAndFenced : TaskReport::Unknown);
   }
   const auto &Record = Found->second;
   if (Record.Now == EndpointRecord::State::Running)
-    return reply(TaskReport::Running);
+    return Reply(TaskReport::Running);
   if (Record.Now == EndpointRecord::State::Fenced)
-    return reply(Call.Boot == Target.Boot ? TaskReport::NotStartedAndFenced : TaskReport::Unknown);
+    return Reply(Call.Boot == Target.Boot ? TaskReport::NotStartedAndFenced : TaskReport::Unknown);
   auto Verdict =
       Record.Now == EndpointRecord::State::Finished ? TaskVerdict::Finished : TaskVerdict::Failed;
   send(Delivery{Call.From, TaskEnded{Call.Task,
@@ -241,22 +241,22 @@
     send(Delivery{Call.From, TaskUncertain{Call.Task, Index, Call.Attempt}});
     return;
   }
-  auto refuse = [&](StartRefusal Cause) {
+  auto Refuse = [&](StartRefusal Cause) {
     send(Delivery{Call.From, StartRefused{Call.Task, Index, Cause, Call.Attempt}});
   };
   auto Found = Target.Records.find(Call.Task);
   if (Found != Target.Records.end()) {
     if (Found->second.Now == EndpointRecord::State::Fenced)
-      refuse(StartRefusal::Fenced);
+      Refuse(StartRefusal::Fenced);
     return;
   }
   if (Target.State == Endpoint::Standing::Leaving)
-    return refuse(StartRefusal::Leaving);
+    return Refuse(StartRefusal::Leaving);
   auto Busy = std::ranges::count_if(Target.Records, [](const auto &Entry) {
     return Entry.second.Now == EndpointRecord::State::Running;
   });
   if (static_cast<std::size_t>(Busy) >= EndpointCapacity)
-    return refuse(StartRefusal::NoSlot);
+    return Refuse(StartRefusal::NoSlot);
   noteStart(Call.Task);
   Target.Records[Call.Task] = {EndpointRecord::State::Running, Call.From, Call.Attempt,
                                Call.TaskCount, resultOf(Call.Payload)};
@@ -332,12 +332,12 @@
   // The caller gave up at the call's deadline, which DelegatedTable requires.
   if (Now_ - Call.SentAt >= DelegatedTable::Retention)
     return lose(Call);
-  auto addressed = [&](auto Told) {
+  auto Addressed = [&](auto Told) {
     Told.Endpoint = EndpointIndex{Call.Endpoint};
     Told.Attempt = Call.Attempt;
     send(Delivery{Call.From, std::move(Told)});
   };
-  std::visit(addressed, Reply.Content);
+  std::visit(Addressed, Reply.Content);
 }
 
 void OwnershipWorld::endTask(std::uint32_t First, std::uint32_t Second) {
--- a/Tests/Kernel/TestTransfer.cpp
+++ b/Tests/Kernel/TestTransfer.cpp
@@ -86,7 +86,7 @@
 // Guards against a caller of the successor that never learns the outcome of a job that the sender
 // finished, also when the reply to the seal call was lost.
 BOOST_AUTO_TEST_CASE(OutcomesFollow) {
-  for (Event Decision : {Event(TransferConfirmed{}), Event(TransferUnanswered{})}) {
+  for (const auto &Decision : {Event(TransferConfirmed{}), Event(TransferUnanswered{})}) {
     Handover Test;
     Test.send(Test.Parts);
     Test.seal();
