LibHttp: Ignore the stated type of request bodies

The library refuses bodies above 8 KB when their type is a form, which is curl's default, with a message about 8 MB. Found with a configuration of 318 KB.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -157,6 +157,9 @@
             // The library would read a body without a length until the connection ends.
             if (!Request.has_header("Content-Length"))
               Request.set_header("Content-Length", "0");
+            // Bodies are JSON whatever their stated type. The library would parse a form, curl's
+            // default type, into the query's parameters and refuse more than 8 KB of it.
+            Request.headers.erase("Content-Type");
           });
       Close = !Served || Closed || Unread || Stream.isBroken() || Closing.load();
     }
--- a/Tests/EntryDaemon/TestOperatorApi.cpp
+++ b/Tests/EntryDaemon/TestOperatorApi.cpp
@@ -110,6 +110,20 @@
               ExitStatus::Unreachable));
 }
 
+// Guards against bodies that are refused, or read as a query, because curl calls them a form.
+BOOST_FIXTURE_TEST_CASE(StatedTypeOfABodyDoesNotMatter, Fixture) {
+  json Teams = json::object();
+  for (int Index = 0; Index < 900; ++Index)
+    Teams["team-" + std::to_string(Index)] = json::object();
+  json Request = {
+      {"base_version", 1}, {"patch_id", "p"}, {"why", "w"}, {"patch", {{"teams", Teams}}}};
+  httplib::Client Form("http://" + Address);
+  Form.set_default_headers({{"X-Cornellift-Key", "ada-secret"}});
+  auto Answer =
+      Form.Patch("/v1/configuration", Request.dump(), "application/x-www-form-urlencoded");
+  BOOST_TEST(Answer->status == 200, Answer->body);
+}
+
 // Guards against draining the VM that a load balancer happened to choose.
 BOOST_FIXTURE_TEST_CASE(DrainNamesItsVm, Fixture) {
   Delivery Failure{};
