--- a/Services/EntryDaemon/JobRecovery.cpp
+++ b/Services/EntryDaemon/JobRecovery.cpp
@@ -51,7 +51,7 @@
   std::atomic<std::size_t> Next{0};
   auto AskNext = [&] {
     for (auto Number = Next++; Number < Endpoints.size(); Number = Next++)
-      if (!Endpoints[Number].Removed)
+      if (!Endpoints[Number].Removed && !Endpoints[Number].Remote)
         Records[Number] = askEndpoint(kernel::EndpointIndex(static_cast<std::uint32_t>(Number)),
                                       Endpoints[Number].Address, Job);
   };
