--- a/Kernel/SlotLender.h
+++ b/Kernel/SlotLender.h
@@ -25,12 +25,14 @@
   std::uint32_t Slots = 0;
 };
 
-/// A ready entry VM of the own data centre, this one included, with its last reported load.
+/// An entry VM of the own data centre, this one included, with its last reported load.
 struct LenderPeer {
   std::string EntryVm;
   Incarnation Process;
   std::uint32_t WaitingTasks = 0;
   std::uint32_t FreeSlots = 0;
+  /// A stopping VM owns nothing, but borrows to finish the jobs that it has begun.
+  enum class Role : std::uint8_t { Owner, Stopping } Part{};
 };
 
 /// What the local Scheduler has and wants.
@@ -114,13 +116,13 @@
   SlotLender(std::string OwnName, Incarnation Own, SlotLenderSettings Settings);
 
   void setEndpoints(std::vector<LenderEndpoint> Endpoints, core::TimePoint Now, SlotActions &Out);
-  void setPeers(std::vector<LenderPeer> Ready, core::TimePoint Now, SlotActions &Out);
+  void setPeers(std::vector<LenderPeer> Peers, core::TimePoint Now, SlotActions &Out);
 
   /// Call after changes of the demand and at least every 50 ms.
   void tick(const SlotDemand &Demand, core::TimePoint Now, SlotActions &Out);
 
-  /// A peer's request. Empty with NotFound when the borrower is not ready as far as is known here,
-  /// or with Expired when it has sent a later request.
+  /// A peer's request. Empty with NotFound when the borrower is not a live member as far as is
+  /// known here, or with Expired when it has sent a later request.
   std::optional<BorrowReply> lend(const BorrowRequest &Request, const SlotDemand &Demand,
                                   core::TimePoint Now, SlotActions &Out);
 
--- a/Kernel/SlotLending.cpp
+++ b/Kernel/SlotLending.cpp
@@ -26,9 +26,8 @@
   bool Known = std::any_of(Peers_.begin(), Peers_.end(),
                            [&](auto &Peer) { return Peer.second.Process == Request.Borrower; });
   if (!Known)
-    return core::fail(
-        core::ErrorKind::NotFound,
-        "the borrower is not a ready member here; ask again after the next heartbeat");
+    return core::fail(core::ErrorKind::NotFound,
+                      "the borrower is not a live member here; ask again after the next heartbeat");
   auto &Borrower = Borrowers_[Request.Borrower.Value];
   if (Request.Sequence <= Borrower.LastSequence)
     return core::fail(core::ErrorKind::Expired, "the borrower has sent a later request; drop this");
--- a/Tests/Kernel/TestSlotLender.cpp
+++ b/Tests/Kernel/TestSlotLender.cpp
@@ -125,6 +125,19 @@
   BOOST_TEST(Net.allowedInAll() == AllSlots);
 }
 
+// Guards against a planned stop that waits for ever: the jobs that have begun need slots after the
+// VM has given up its own.
+BOOST_FIXTURE_TEST_CASE(StoppingVmBorrows, SevenVms) {
+  Net.Vms.at("vm-3").Stopping = true;
+  Net.runFor(3s);
+  BOOST_TEST(Net.allowed("vm-3") == 0);
+  BOOST_TEST(Net.allowedInAll() == AllSlots);
+  Net.Vms.at("vm-3").Waiting = 500;
+  Net.runFor(1s);
+  BOOST_TEST(Net.Started == 500);
+  BOOST_TEST((Net.OverlapTime == 0ms));
+}
+
 // Guards against idle or doubly owned slots while VMs restart one after the other.
 BOOST_FIXTURE_TEST_CASE(RollingRestart, SevenVms) {
   for (const auto *Name : {"vm-1", "vm-2", "vm-3"}) {
