--- /dev/null
+++ b/Meta/measure-control.sh
@@ -0,0 +1,107 @@
+#!/usr/bin/env bash
+# Runs idle entry processes on loopback and measures what their control plane costs:
+#   Meta/measure-control.sh CENTRES VMS_PER_CENTRE SECONDS
+# Prints one line of JSON. Bytes come from the kernel's TCP counters of each process's peer sockets
+# (payload and segments, both directions); platform calls from the stand-in's counters.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+centres=${1:?centres} per_centre=${2:?VMs per centre} seconds=${3:?seconds}
+work=$(mktemp -d)
+touch "$work/platform.out"
+declare -A pid_of
+platform_pid=
+cleanup() {
+  for name in "${!pid_of[@]}"; do kill "${pid_of[$name]}" 2>/dev/null || true; done
+  for name in "${!pid_of[@]}"; do wait "${pid_of[$name]}" 2>/dev/null || true; done
+  [ -z "$platform_pid" ] || kill "$platform_pid" 2>/dev/null || true
+  rm -rf "$work"
+}
+trap cleanup EXIT
+
+build/Services/PlatformStandIn/cornellift-platform-stand-in --threads 96 >"$work/platform.out" &
+platform_pid=$!
+until grep -q '[0-9]$' "$work/platform.out"; do sleep 0.05; done
+platform=127.0.0.1:$(grep -o '[0-9]*$' "$work/platform.out" | head -1)
+
+vms= seeds= endpoints=
+for ((c = 0; c < centres; ++c)); do
+  endpoints+="${endpoints:+,}\"c$c-w1\":{\"address\":\"127.0.0.1:9\",\"data_centre\":\"c$c\",\"rack\":\"r1\",
+    \"services\":[\"slips\"],\"slots\":8,\"connections\":64,\"capacity\":{\"processors\":16,\"memory_mb\":65536}}"
+  for ((v = 1; v <= per_centre; ++v)); do
+    vms+="${vms:+,}{\"name\":\"c$c-$v\",\"address\":\"127.0.0.1:$((20000 + c * 100 + v))\",\"data_centre\":\"c$c\",\"state\":\"live\"}"
+  done
+  seeds+="${seeds:+,}c$c-1=127.0.0.1:$((20000 + c * 100 + 1))"
+done
+document="{\"services\":{\"slips\":{\"kinds\":{\"batch\":{\"expected_run_time_ms\":5}}}},
+  \"teams\":{\"counter\":{\"quota_share\":1}},\"endpoints\":{$endpoints}}"
+curl -sf -X PUT --data "{\"version\":1,\"document\":$document,\"change\":{\"version\":1,\"patch_id\":\"p\",
+  \"who\":\"op\",\"when_ms\":1,\"why\":\"start\",\"patch\":{},\"inverse\":{}}}" \
+  "http://$platform/v1/keys/configuration/head?expect=0" >/dev/null
+curl -sf -X PUT --data "{\"vms\":[$vms]}" "http://$platform/control/vms" >/dev/null
+
+for ((c = 0; c < centres; ++c)); do
+  for ((v = 1; v <= per_centre; ++v)); do
+    build/Services/EntryDaemon/cornellift-entryd --vm-name "c$c-$v" --data-centre "c$c" \
+      --http-port $((30000 + c * 100 + v)) --peer-address "127.0.0.1:$((20000 + c * 100 + v))" \
+      --seed-peers "$seeds" --platform-address "$platform" --log-level warn \
+      >/dev/null 2>>"$work/log" &
+    pid_of["c$c-$v"]=$!
+  done
+done
+for name in "${!pid_of[@]}"; do
+  c=${name%-*} v=${name#*-}
+  for ((try = 0; try < 150; ++try)); do
+    curl -sf "http://127.0.0.1:$((30000 + ${c#c} * 100 + v))/ready" >/dev/null && break
+    sleep 0.1
+  done
+done
+sleep 15 # First contacts and syncs are not the steady state.
+
+# Prints "pid local remote sent received segments_out segments_in" for each peer socket.
+sockets() {
+  ss -Htnpi state established 2>/dev/null | awk -v own=" ${pid_of[*]} " '
+    /users:/ { local_ = $3; remote = $4; match($0, /pid=[0-9]+/); pid = substr($0, RSTART + 4, RLENGTH - 4); next }
+    { sent = got = out = into = 0
+      for (i = 1; i <= NF; ++i) {
+        split($i, p, ":")
+        if (p[1] == "bytes_sent") sent = p[2]
+        if (p[1] == "bytes_received") got = p[2]
+        if (p[1] == "segs_out") out = p[2]
+        if (p[1] == "segs_in") into = p[2]
+      }
+      if (!index(own, " " pid " ")) next
+      if (local_ ~ /:2[0-9][0-9][0-9][0-9]$/ || remote ~ /:2[0-9][0-9][0-9][0-9]$/) print pid, local_, remote, sent, got, out, into }'
+}
+processor() { for pid in "${pid_of[@]}"; do awk -v pid="$pid" '{ print pid, $14 + $15 }' "/proc/$pid/stat"; done; }
+calls() { curl -sf "http://$platform/control/counters"; }
+sockets >"$work/before"; processor >"$work/cpu-before"; calls >"$work/calls-before"
+sleep "$seconds"
+sockets >"$work/after"; processor >"$work/cpu-after"; calls >"$work/calls-after"
+for pid in "${pid_of[@]}"; do awk -v pid="$pid" '/VmRSS/ { rss = $2 } /RssAnon/ { anon = $2 } END { print pid, rss, anon }' \
+  "/proc/$pid/status"; done >"$work/memory"
+list_bytes=$(curl -si -H "Accept-Encoding: br, gzip" "http://$platform/v1/vms" | wc -c)
+relay=${pid_of[c0-1]}
+awk -v seconds="$seconds" -v centres="$centres" -v per="$per_centre" -v relay="$relay" -v list="$list_bytes" '
+  FILENAME ~ /before$/ && NF == 7 { for (i = 4; i <= 7; ++i) was[$1 $2 $3, i] = $i; next }
+  FILENAME ~ /after$/ && NF == 7 { for (i = 4; i <= 7; ++i) sum[$1, i] += $i - was[$1 $2 $3, i]; pids[$1]; next }
+  FILENAME ~ /cpu-before$/ { cpu[$1] -= $2; next }
+  FILENAME ~ /cpu-after$/ { cpu[$1] += $2; next }
+  FILENAME ~ /memory$/ { rss[$1] = $2; anon[$1] = $3; next }
+  END {
+    for (p in pids) {
+      payload = (sum[p, 4] + sum[p, 5]) / seconds; segments = (sum[p, 6] + sum[p, 7]) / seconds
+      wire = payload + 52 * segments; core = cpu[p] / seconds
+      total += payload; wires += wire; seg += segments; cores += core; memory += rss[p]; n++
+      anons += anon[p]
+      if (p != relay && payload > most) most = payload
+      if (core > most_core) most_core = core
+      if (rss[p] > most_rss) most_rss = rss[p]
+    }
+    printf "{\"centres\":%d,\"vms\":%d,\"payload_bytes_per_s\":%.0f,\"sent_bytes_per_s\":%.0f,\"wire_bytes_per_s\":%.0f,\"segments_per_s\":%.1f,", \
+      centres, n, total / n, total / n / 2, wires / n, seg / n
+    printf "\"relay_payload_bytes_per_s\":%.0f,\"relay_wire_bytes_per_s\":%.0f,\"most_payload_not_relay\":%.0f,", \
+      (sum[relay, 4] + sum[relay, 5]) / seconds, (sum[relay, 4] + sum[relay, 5] + 52 * (sum[relay, 6] + sum[relay, 7])) / seconds, most
+    printf "\"list_reply_bytes\":%d,\"core_percent\":%.2f,\"most_core_percent\":%.2f,\"rss_mb\":%.1f,\"anonymous_mb\":%.1f,\"most_rss_mb\":%.1f,", \
+      list, cores / n, most_core, memory / n / 1024, anons / n / 1024, most_rss / 1024
+  }' "$work/before" "$work/after" "$work/cpu-before" "$work/cpu-after" "$work/memory"
+echo "\"calls_before\":$(cat "$work/calls-before"),\"calls_after\":$(cat "$work/calls-after"),\"seconds\":$seconds}"
