--- a/Kernel/PolicyScheduler.cpp
+++ b/Kernel/PolicyScheduler.cpp
@@ -10,6 +10,9 @@
 /// Jobs that one call of next() may consider, and those of one team. They bound the decision time.
 constexpr std::size_t MaximumCandidates = 16;
 constexpr std::size_t CandidatesPerTeam = 3;
+/// A task this much longer than the mean decides when its job ends, and goes first, so that it gets
+/// the fastest slot.
+constexpr double LongTaskFactor = 2;
 /// Jobs up to this size may be sent to an endpoint on trial: little is lost when they fail.
 constexpr std::uint32_t SmallJobTasks = 8;
 /// Scores of the normal distribution: exceeded by 5% and by 1% of tasks.
@@ -25,6 +28,7 @@
 constexpr core::Duration LeavingMemory = std::chrono::seconds(10);
 constexpr core::Duration MinimumAsk = std::chrono::milliseconds(250);
 constexpr double AskFactor = 2;
+constexpr double MaximumCostFactor = 2; ///< Of the time until a status query, for costly messages.
 constexpr double MeanShare = 0.01;
 
 double millisecondsUntil(core::TimePoint Then, core::TimePoint Now) {
@@ -193,6 +197,17 @@
   return Best;
 }
 
+ActiveJob *PolicyScheduler::longTaskJob() const {
+  auto Longest = std::max_element(Candidates_.begin(), Candidates_.end(),
+                                  [](const ActiveJob *Left, const ActiveJob *Right) {
+                                    return Left->Tasks.back().RunTime < Right->Tasks.back().RunTime;
+                                  });
+  if (Longest == Candidates_.end() ||
+      (*Longest)->Tasks.back().RunTime < LongTaskFactor * MeanRunTime_)
+    return nullptr;
+  return *Longest;
+}
+
 std::optional<Placement> PolicyScheduler::next(core::TimePoint Now) {
   if (!Configuration_)
     return std::nullopt;
@@ -203,12 +218,20 @@
   QueueVisited_.assign(Waiting_.queues(), 0);
   std::uint32_t Ahead = 0;
   std::size_t Tried = 0;
+  ActiveJob *Patient = nullptr;
   while (Tried < MaximumCandidates) {
     auto Queue = pickQueue();
     if (!Queue)
       break;
     QueueVisited_[*Queue] = 1;
     Waiting_.candidates(*Queue, Now, CandidatesPerTeam, Candidates_);
+    if (!Patient)
+      Patient = Candidates_.back();
+    if (auto *Job = longTaskJob()) {
+      if (auto Chosen = tryTask(*Job, TaskChoice::Longest, Ahead, Now))
+        return Chosen;
+      ++Ahead;
+    }
     for (auto *Job : Candidates_) {
       if (auto Chosen = tryJob(*Job, Ahead, Now))
         return Chosen;
@@ -216,7 +239,10 @@
       ++Tried;
     }
   }
-  return std::nullopt;
+  // Not all waiting tasks were tried. The last one of the queue is better off on a slow slot when
+  // the queue is long, and no slot idles in overload.
+  return Patient ? tryTask(*Patient, TaskChoice::Shortest, Waiting_.waitingTasks() - 1, Now)
+                 : std::nullopt;
 }
 
 PlacementQuestion PolicyScheduler::question(const ActiveJob &Job, const WaitingTask &Task,
@@ -247,16 +273,20 @@
 
 std::optional<Placement> PolicyScheduler::tryJob(ActiveJob &Job, std::uint32_t Ahead,
                                                  core::TimePoint Now) {
-  auto Choice = TaskChoice::Longest;
-  auto Question = question(Job, Job.Tasks.back(), Ahead, Now);
+  if (auto Chosen = tryTask(Job, TaskChoice::Longest, Ahead, Now))
+    return Chosen;
+  if (Job.Tasks.size() < 2)
+    return std::nullopt;
+  // The shortest task is the job's last one, so the others wait for a faster slot before it.
+  auto Before = static_cast<std::uint32_t>(Job.Tasks.size() - 1);
+  return tryTask(Job, TaskChoice::Shortest, Ahead + Before, Now);
+}
+
+std::optional<Placement> PolicyScheduler::tryTask(ActiveJob &Job, TaskChoice Choice,
+                                                  std::uint32_t Ahead, core::TimePoint Now) {
+  const auto &Waiting = Choice == TaskChoice::Longest ? Job.Tasks.back() : Job.Tasks.front();
+  auto Question = question(Job, Waiting, Ahead, Now);
   auto Endpoint = chooseEndpoint(Question, Now);
-  if (!Endpoint && Job.Tasks.size() > 1) {
-    Choice = TaskChoice::Shortest;
-    // The shortest task is the job's last one, so the others wait for a faster slot before it.
-    auto Before = static_cast<std::uint32_t>(Job.Tasks.size() - 1);
-    Question = question(Job, Job.Tasks.front(), Ahead + Before, Now);
-    Endpoint = chooseEndpoint(Question, Now);
-  }
   if (!Endpoint)
     return std::nullopt;
   RunningTask Task;
@@ -485,7 +515,10 @@
     return Now + MinimumAsk;
   const auto &Known = Found->second;
   // At the default cost of 1 ms the factor is as given; a costly message waits longer.
-  double Factor = AskFactor * (0.75 + 0.25 * messageCost(Known.Service));
+  // The factor is bounded: at 40 ms a message, an unbounded one waited 29 s for a silent
+  // connection.
+  double CostFactor = std::min(MaximumCostFactor, 0.75 + 0.25 * messageCost(Known.Service));
+  double Factor = AskFactor * CostFactor;
   double Limit = Known.Estimate.quantileMilliseconds(Score99) * std::exp(-Known.LogSpeed) * Factor;
   auto First = Known.Start + std::max(MinimumAsk, core::fromMilliseconds(Limit));
   // Asked before and still running: half of its present age later.
--- a/Services/EntryDaemon/EndpointDuty.cpp
+++ b/Services/EntryDaemon/EndpointDuty.cpp
@@ -16,7 +16,7 @@
     Links.insert(Links.end(), Replaced_.begin(), Replaced_.end());
     Replaced_.clear();
   }
-  // A remote endpoint has no link.
+  // Places of remote endpoints hold no link.
   for (auto &Link : Links)
     if (Link)
       Link->stop();
--- a/Tests/EntryDaemon/TestPeers.cpp
+++ b/Tests/EntryDaemon/TestPeers.cpp
@@ -58,12 +58,23 @@
   void start(const std::string &Name) {
     auto Centre = Name.substr(0, Name.find('-'));
     auto File = (Directory_ / "document.json").string();
-    std::vector<const char *> Arguments = {
-        "entryd",          "--vm-name",     Name.c_str(),           "--data-centre",
-        Centre.c_str(),    "--http-port",   "0",                    "--configuration-file",
-        File.c_str(),      "--team-keys",   "counter=c",            "--peer-address",
-        "127.0.0.1:0",     "--seed-peers",  Seeds_.c_str(),         "--stop-time-ms",
-        "20000"};
+    std::vector<const char *> Arguments = {"entryd",
+                                           "--vm-name",
+                                           Name.c_str(),
+                                           "--data-centre",
+                                           Centre.c_str(),
+                                           "--http-port",
+                                           "0",
+                                           "--configuration-file",
+                                           File.c_str(),
+                                           "--team-keys",
+                                           "counter=c",
+                                           "--peer-address",
+                                           "127.0.0.1:0",
+                                           "--seed-peers",
+                                           Seeds_.c_str(),
+                                           "--stop-time-ms",
+                                           "20000"};
     auto Settings = entry::DaemonSettings::parse(Arguments);
     BOOST_REQUIRE_MESSAGE(Settings, core::lastReason().Message);
     auto &Item = Vms_[Name];
