DelegationDuty: Count only running tasks against reported idle slots

When the load over there was the same at two reports, its sequence did not rise, and tasks that had long ended were still subtracted: delegation stopped for good. TestEndpointFaults/LeavingEndpointsCutNothing found it (a job of 12 tasks waited for ever); it passes now.

--- a/Meta/measure-control.sh
+++ b/Meta/measure-control.sh
@@ -25,7 +25,7 @@
 
 vms= seeds= endpoints=
 for ((c = 0; c < centres; ++c)); do
-  endpoints+="${endpoints:+,}\"c$c-w1\":{\"address\":\"127.0.0.1:9\",\"data_centre\":\"c$c\",\"rack\":\"r1\",
+  endpoints+="${endpoints:+,}\"c$c-w1\":{\"address\":\"127.0.0.1:$((9000 + c))\",\"data_centre\":\"c$c\",\"rack\":\"r1\",
     \"services\":[\"slips\"],\"slots\":8,\"connections\":64,\"capacity\":{\"processors\":16,\"memory_mb\":65536}}"
   for ((v = 1; v <= per_centre; ++v)); do
     vms+="${vms:+,}{\"name\":\"c$c-$v\",\"address\":\"127.0.0.1:$((20000 + c * 100 + v))\",\"data_centre\":\"c$c\",\"state\":\"live\"}"
--- a/Services/EntryDaemon/DelegationDuty.cpp
+++ b/Services/EntryDaemon/DelegationDuty.cpp
@@ -58,7 +58,7 @@
     Members_.read([&](const kernel::Membership &View) {
       if (!hasIdleNeighbour(View))
         for (auto &[Index, Item] : Centres_)
-          Idle[Index] = idleSlots(View, Item);
+          Idle[Index] = idleSlots(View, Item, Scheduler.use(Index).Used);
       return 0;
     });
   // More slots than waiting tasks would let a delegated task of another data centre go on there.
@@ -86,7 +86,8 @@
   return false;
 }
 
-std::uint32_t DelegationDuty::idleSlots(const kernel::Membership &View, Centre &Item) const {
+std::uint32_t DelegationDuty::idleSlots(const kernel::Membership &View, Centre &Item,
+                                        std::uint32_t Running) const {
   if (View.isUnreachable(Item.Name))
     return 0;
   const kernel::MemberRecord *Best = nullptr;
@@ -106,7 +107,9 @@
     Item.LoadSequence = BestLoad.Sequence;
     Item.StartedSince = 0;
   }
-  return BestLoad.FreeSlots - std::min(BestLoad.FreeSlots, Item.StartedSince);
+  // The sequence stays when the load was the same at both reports, so ended tasks do not count.
+  auto Taken = std::min(Item.StartedSince, Running);
+  return BestLoad.FreeSlots - std::min(BestLoad.FreeSlots, Taken);
 }
 
 bool DelegationDuty::perform(const kernel::Action &Next) {
--- a/Services/EntryDaemon/DelegationDuty.h
+++ b/Services/EntryDaemon/DelegationDuty.h
@@ -47,7 +47,9 @@
 
   void updateConfiguration();
   bool hasIdleNeighbour(const kernel::Membership &View) const;
-  std::uint32_t idleSlots(const kernel::Membership &View, Centre &Item) const;
+  /// Running counts the tasks that this process has there now.
+  std::uint32_t idleSlots(const kernel::Membership &View, Centre &Item,
+                          std::uint32_t Running) const;
   bool carryOut(const kernel::StartTask &Action);
   bool carryOut(const kernel::AskTask &Action);
   bool carryOut(const kernel::FenceTask &Action);
