--- a/Meta/measure-control.sh
+++ b/Meta/measure-control.sh
@@ -11,6 +11,7 @@
 declare -A pid_of
 platform_pid=
 cleanup() {
+  grep -h -e ERROR -e "^cornellift" "$work/log" 2>/dev/null | sort | uniq -c | sort -rn | head -5 >&2 || true
   for name in "${!pid_of[@]}"; do kill "${pid_of[$name]}" 2>/dev/null || true; done
   for name in "${!pid_of[@]}"; do wait "${pid_of[$name]}" 2>/dev/null || true; done
   [ -z "$platform_pid" ] || kill "$platform_pid" 2>/dev/null || true
