--- a/Kernel/PolicyScheduler.cpp
+++ b/Kernel/PolicyScheduler.cpp
@@ -515,7 +515,8 @@
     return Now + MinimumAsk;
   const auto &Known = Found->second;
   // At the default cost of 1 ms the factor is as given; a costly message waits longer.
-  // The factor is bounded: at 40 ms a message, an unbounded one waited 29 s for a silent connection.
+  // The factor is bounded: at 40 ms a message, an unbounded one waited 29 s for a silent
+  // connection.
   double CostFactor = std::min(MaximumCostFactor, 0.75 + 0.25 * messageCost(Known.Service));
   double Factor = AskFactor * CostFactor;
   double Limit = Known.Estimate.quantileMilliseconds(Score99) * std::exp(-Known.LogSpeed) * Factor;
--- a/Kernel/SlotLender.cpp
+++ b/Kernel/SlotLender.cpp
@@ -17,6 +17,8 @@
   std::uint64_t BestHash = 0;
   auto Seed = XXH3_64bits(EndpointName.data(), EndpointName.size());
   for (const auto &[Name, Peer] : Peers_) {
+    if (Peer.Part == LenderPeer::Role::Stopping)
+      continue;
     auto Hash = XXH3_64bits_withSeed(Name.data(), Name.size(), Seed);
     if (!Best.empty() && Hash <= BestHash)
       continue;
@@ -47,12 +49,13 @@
   publish(Now, Out);
 }
 
-void SlotLender::setPeers(std::vector<LenderPeer> Ready, core::TimePoint Now, SlotActions &Out) {
-  bool Changed = Ready.size() != Peers_.size();
+void SlotLender::setPeers(std::vector<LenderPeer> Peers, core::TimePoint Now, SlotActions &Out) {
+  bool Changed = Peers.size() != Peers_.size();
   std::map<std::string, LenderPeer> Next;
-  for (auto &Peer : Ready) {
+  for (auto &Peer : Peers) {
     auto Known = Peers_.find(Peer.EntryVm);
-    Changed |= Known == Peers_.end() || Known->second.Process != Peer.Process;
+    Changed |= Known == Peers_.end() || Known->second.Process != Peer.Process ||
+               Known->second.Part != Peer.Part;
     auto Name = Peer.EntryVm;
     Next[Name] = std::move(Peer);
   }
@@ -217,7 +220,8 @@
     auto Known = Accounts_.find(Peer.Process.Value);
     bool Pausing =
         Known != Accounts_.end() && (Known->second.Request || Now < Known->second.NotBefore);
-    if (Name == OwnName_ || Peer.WaitingTasks > 0 || Peer.FreeSlots == 0 || Pausing)
+    if (Name == OwnName_ || Peer.Part == LenderPeer::Role::Stopping || Peer.WaitingTasks > 0 ||
+        Peer.FreeSlots == 0 || Pausing)
       continue;
     if (!Best || Peer.FreeSlots > Best->FreeSlots)
       Best = &Peer;
--- a/Services/EntryDaemon/SlotDuty.cpp
+++ b/Services/EntryDaemon/SlotDuty.cpp
@@ -65,17 +65,21 @@
   if (Now < NextPeers_)
     return;
   NextPeers_ = Now + PeerInterval;
-  std::vector<kernel::LenderPeer> Ready;
+  using kernel::MemberStanding;
+  std::vector<kernel::LenderPeer> Peers;
   Members_.read([&](const kernel::Membership &View) {
     for (const auto &[Name, Record] : View.table().members()) {
-      if (Record.DataCentre != DataCentre_ || Record.Standing != kernel::MemberStanding::Ready)
+      if (Record.DataCentre != DataCentre_ ||
+          (Record.Standing != MemberStanding::Ready && Record.Standing != MemberStanding::Stopping))
         continue;
       auto Load = View.loadOf(Record.Process).value_or(kernel::LoadRecord{});
-      Ready.push_back({Name, Record.Process, Load.WaitingTasks, Load.FreeSlots});
+      auto Role = Record.Standing == MemberStanding::Ready ? kernel::LenderPeer::Role::Owner
+                                                           : kernel::LenderPeer::Role::Stopping;
+      Peers.push_back({Name, Record.Process, Load.WaitingTasks, Load.FreeSlots, Role});
     }
     return 0;
   });
-  Lender_->setPeers(std::move(Ready), Now, Out);
+  Lender_->setPeers(std::move(Peers), Now, Out);
 }
 
 void SlotDuty::perform(const kernel::SlotActions &Actions) {
--- a/Services/EntryDaemon/TransferDuty.cpp
+++ b/Services/EntryDaemon/TransferDuty.cpp
@@ -150,9 +150,9 @@
     Request.set_seal(Seal->PartCount);
     Answer = send(Successor, Request, MonotonicClock::now() + SealTime);
   }
-  core::logLine(core::LogLevel::Information, "transfer", "state sealed",
-                {{"successor", Successor.EntryVm},
-                 {"accepted", Answer == Reply::Accepted ? "yes" : "no"}});
+  core::logLine(
+      core::LogLevel::Information, "transfer", "state sealed",
+      {{"successor", Successor.EntryVm}, {"accepted", Answer == Reply::Accepted ? "yes" : "no"}});
   if (Answer == Reply::Accepted) {
     Members_.change([&](kernel::Membership &View, core::TimePoint Now, auto &Out) {
       View.announceSuccession({Own.Process, Successor.EntryVm, Successor.Process, Now}, Now, Out);
--- /dev/null
+++ b/Tests/EntryDaemon/TestPeers.cpp
@@ -0,0 +1,241 @@
+#include "Libraries/LibCore/Log.h"
+#include "Services/EndpointStandIn/StandInApi.h"
+#include "Services/EntryDaemon/Daemon.h"
+#include "Services/EntryDaemon/PeerDuty.h"
+
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace cornellift;
+using Json = nlohmann::json;
+
+namespace {
+
+/// Entry processes and endpoints of several data centres inside the test. Names start with the data
+/// centre, as in ikeja-1.
+class Sites {
+public:
+  /// Endpoints by data centre, with that many slots each.
+  explicit Sites(std::map<std::string, std::uint32_t> SlotsByCentre)
+      : Directory_(std::filesystem::temp_directory_path() /
+                   ("cornellift-peers-" + std::to_string(::getpid()))),
+        Log_((std::filesystem::create_directories(Directory_), Directory_ / "tasks.log").string()) {
+    core::configureLog("error", "");
+    Json Endpoints;
+    for (const auto &[Centre, Slots] : SlotsByCentre) {
+      auto Endpoint = std::make_unique<standin::StandInApi>(
+          standin::EndpointOptions{Centre + "-w1", Slots, 1, {}}, 64, Log_);
+      BOOST_REQUIRE(Endpoint->start("127.0.0.1", 0));
+      Endpoints[Centre + "-w1"] = {{"address", "127.0.0.1:" + std::to_string(Endpoint->port())},
+                                   {"data_centre", Centre},
+                                   {"rack", "r1"},
+                                   {"services", {"slips"}},
+                                   {"slots", Slots},
+                                   {"connections", 64},
+                                   {"capacity", {{"processors", 64}, {"memory_mb", 65536}}}};
+      Endpoints_.push_back(std::move(Endpoint));
+    }
+    Json Document = {
+        {"services", {{"slips", {{"kinds", {{"batch", {{"expected_run_time_ms", 5}}}}}}}}},
+        {"teams", {{"counter", {{"quota_share", 1}}}}},
+        {"endpoints", Endpoints}};
+    std::ofstream(Directory_ / "document.json") << Document.dump();
+  }
+
+  ~Sites() {
+    for (auto &[Name, Item] : Vms_)
+      Item.Daemon->stop();
+    Vms_.clear();
+    for (auto &Endpoint : Endpoints_)
+      Endpoint->stop();
+    std::filesystem::remove_all(Directory_);
+  }
+
+  void start(const std::string &Name) {
+    auto Centre = Name.substr(0, Name.find('-'));
+    auto File = (Directory_ / "document.json").string();
+    std::vector<const char *> Arguments = {"entryd",
+                                           "--vm-name",
+                                           Name.c_str(),
+                                           "--data-centre",
+                                           Centre.c_str(),
+                                           "--http-port",
+                                           "0",
+                                           "--configuration-file",
+                                           File.c_str(),
+                                           "--team-keys",
+                                           "counter=c",
+                                           "--peer-address",
+                                           "127.0.0.1:0",
+                                           "--seed-peers",
+                                           Seeds_.c_str(),
+                                           "--stop-time-ms",
+                                           "20000"};
+    auto Settings = entry::DaemonSettings::parse(Arguments);
+    BOOST_REQUIRE_MESSAGE(Settings, core::lastReason().Message);
+    auto &Item = Vms_[Name];
+    Item.Daemon = std::make_unique<entry::Daemon>(std::move(*Settings));
+    auto Peers = std::make_unique<entry::PeerDuty>(*Item.Daemon, nullptr);
+    Item.Peers = Peers.get();
+    Item.Daemon->addDuty(std::move(Peers));
+    BOOST_REQUIRE_MESSAGE(Item.Daemon->start(), core::lastReason().Message);
+    if (Seeds_.empty())
+      Seeds_ = Name + "=127.0.0.1:" + std::to_string(Item.Peers->port());
+  }
+
+  void stop(const std::string &Name) { Vms_.at(Name).Daemon->stop(); }
+
+  /// Waits for an event; the bound only ends a test that has failed.
+  static void await(const char *What, const std::function<bool()> &Holds) {
+    auto GiveUp = core::MonotonicClock::now() + std::chrono::seconds(60);
+    while (!Holds() && core::MonotonicClock::now() < GiveUp)
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    BOOST_REQUIRE_MESSAGE(Holds(), What);
+  }
+
+  void awaitReady(std::size_t Count) {
+    for (auto &[Name, Item] : Vms_)
+      await("all VMs see each other ready", [&Item = Item, Count] {
+        return Item.Peers->members().read([&](const kernel::Membership &View) {
+          std::size_t Ready = 0;
+          for (const auto &[Name, Record] : View.table().members())
+            Ready += Record.Standing == kernel::MemberStanding::Ready ? 1 : 0;
+          return Ready == Count;
+        });
+      });
+  }
+
+  entry::PeerDuty &peers(const std::string &Name) { return *Vms_.at(Name).Peers; }
+  entry::Daemon &daemon(const std::string &Name) { return *Vms_.at(Name).Daemon; }
+
+  Json send(const std::string &Name, const char *Method, const std::string &Path,
+            const std::string &Body = "") {
+    httplib::Client Client("127.0.0.1", Vms_.at(Name).Daemon->http().port());
+    Client.set_read_timeout(std::chrono::seconds(60));
+    httplib::Request Request;
+    Request.method = Method;
+    Request.path = Path;
+    Request.body = Body;
+    Request.set_header("X-Cornellift-Key", "c");
+    auto Result = Client.send(Request);
+    BOOST_REQUIRE(Result);
+    auto Parsed = Json::parse(Result->body, nullptr, false);
+    BOOST_REQUIRE_MESSAGE(Parsed.is_object(), Result->body);
+    Parsed["status"] = Result->status;
+    return Parsed;
+  }
+
+  /// An unused identifier; the block's other ones follow it.
+  std::string newIdentifier(const std::string &Name) {
+    auto Block = send(Name, "POST", "/v1/sessions")["identifiers"];
+    return Block["issuer"].get<std::string>() + "." + Block["first"].dump();
+  }
+
+  std::size_t countStarts(const std::string &Endpoint = "") const {
+    std::ifstream File(Directory_ / "tasks.log");
+    std::size_t Count = 0;
+    for (std::string Line; std::getline(File, Line);) {
+      auto Entry = Json::parse(Line, nullptr, false);
+      bool IsStart = Entry.is_object() && Entry["event"] == "start";
+      Count += IsStart && (Endpoint.empty() || Line.find(Endpoint) != Line.npos) ? 1 : 0;
+    }
+    return Count;
+  }
+
+private:
+  struct Vm {
+    std::unique_ptr<entry::Daemon> Daemon;
+    entry::PeerDuty *Peers = nullptr;
+  };
+
+  const std::filesystem::path Directory_;
+  standin::StandInLog Log_;
+  std::vector<std::unique_ptr<standin::StandInApi>> Endpoints_;
+  std::map<std::string, Vm> Vms_;
+  std::string Seeds_;
+};
+
+std::string waiting() {
+  return "?wait_until=" + std::to_string(core::wallClockMilliseconds() + 30000);
+}
+
+std::string job(const std::string &Id, std::size_t Tasks, int RunMilliseconds) {
+  Json Entries = Json::array();
+  for (std::size_t Index = 0; Index < Tasks; ++Index)
+    Entries.push_back(
+        {{"payload", {{"run_ms", RunMilliseconds}, {"result", "r" + std::to_string(Index)}}}});
+  return Json({{"id", Id}, {"service", "slips"}, {"kind", "batch"}, {"tasks", Entries}}).dump();
+}
+
+} // namespace
+
+// Guards against a second start when a job is submitted through another VM than its issuer, and
+// against answers that differ by VM.
+BOOST_AUTO_TEST_CASE(SubmissionGoesToItsIssuer) {
+  Sites Net({{"ikeja", 8}});
+  Net.start("ikeja-1");
+  Net.start("ikeja-2");
+  Net.awaitReady(2);
+  auto Body = job(Net.newIdentifier("ikeja-1"), 20, 2);
+  auto First = Net.send("ikeja-2", "POST", "/v1/jobs" + waiting(), Body);
+  BOOST_TEST(First["status"] == 200, First.dump());
+  auto Again = Net.send("ikeja-1", "POST", "/v1/jobs" + waiting(), Body);
+  BOOST_TEST(First["results"] == Again["results"]);
+  BOOST_TEST(Net.countStarts() == 20);
+}
+
+// Guards against outcomes, waiting jobs and identifiers that a planned stop loses, and against a
+// stop that interrupts a waiting caller.
+BOOST_AUTO_TEST_CASE(PlannedStopHandsOver) {
+  Sites Net({{"ikeja", 4}});
+  Net.start("ikeja-1");
+  Net.start("ikeja-2");
+  Net.awaitReady(2);
+  auto Id = Net.newIdentifier("ikeja-2");
+  auto Done = job(Id, 3, 2);
+  auto Unused = job(Net.newIdentifier("ikeja-2"), 3, 2);
+  auto Long = job(Net.newIdentifier("ikeja-2"), 12, 100);
+  auto Queued = job(Net.newIdentifier("ikeja-2"), 4, 2);
+  auto First = Net.send("ikeja-2", "POST", "/v1/jobs" + waiting(), Done);
+  BOOST_TEST(First["status"] == 200, First.dump());
+  Json LongAnswer;
+  std::thread Caller(
+      [&] { LongAnswer = Net.send("ikeja-2", "POST", "/v1/jobs" + waiting(), Long); });
+  Net.await("the long job has started", [&] { return Net.countStarts() > 3; });
+  BOOST_TEST(Net.send("ikeja-2", "POST", "/v1/jobs", Queued)["status"] == 202);
+  Net.stop("ikeja-2");
+  Caller.join();
+  BOOST_TEST(LongAnswer["status"] == 200, LongAnswer.dump());
+  auto Kept = Net.send("ikeja-1", "POST", "/v1/jobs" + waiting(), Done);
+  BOOST_TEST(Kept["results"] == First["results"], Kept.dump());
+  for (const auto *Body : {&Unused, &Long, &Queued}) {
+    auto Answer = Net.send("ikeja-1", "POST", "/v1/jobs" + waiting(), *Body);
+    BOOST_TEST(Answer["status"] == 200, Answer.dump());
+  }
+  BOOST_TEST(Net.countStarts() == 3 + 3 + 12 + 4);
+}
+
+// Guards against delegated tasks that start twice or not at all, and against jobs that wait at home
+// while another data centre is idle.
+BOOST_AUTO_TEST_CASE(FullDataCentreDelegates) {
+  Sites Net({{"ikeja", 1}, {"yaba", 8}});
+  Net.start("ikeja-1");
+  Net.start("yaba-1");
+  Net.awaitReady(2);
+  Net.await("the idle slots of the other data centre are known", [&] {
+    return Net.peers("ikeja-1").members().read([](const kernel::Membership &View) {
+      const auto *Other = View.table().find("yaba-1");
+      auto Load = Other ? View.loadOf(Other->Process) : std::nullopt;
+      return Load && Load->FreeSlots == 8;
+    });
+  });
+  auto Body = job(Net.newIdentifier("ikeja-1"), 40, 50);
+  auto Answer = Net.send("ikeja-1", "POST", "/v1/jobs" + waiting(), Body);
+  BOOST_TEST(Answer["status"] == 200, Answer.dump());
+  BOOST_TEST(Net.countStarts() == 40);
+  BOOST_TEST(Net.countStarts("yaba-w1") > 0);
+}
--- a/Tests/Kernel/SlotNetwork.h
+++ b/Tests/Kernel/SlotNetwork.h
@@ -20,6 +20,7 @@
     std::map<EndpointIndex, std::vector<core::TimePoint>> Running{};
     std::uint32_t Waiting = 0;
     bool Up = true;
+    bool Stopping = false;
 
     std::uint32_t free() const {
       std::uint32_t Sum = 0;
@@ -116,7 +117,8 @@
     std::vector<LenderPeer> Peers;
     for (auto &[Other, Peer] : Vms)
       if (Sees(Name, Other))
-        Peers.push_back({Other, process(Other), Peer.Waiting, Peer.free()});
+        Peers.push_back({Other, process(Other), Peer.Waiting, Peer.free(),
+                         Peer.Stopping ? LenderPeer::Role::Stopping : LenderPeer::Role::Owner});
     SlotActions Out;
     Item.Lender->setPeers(Peers, Now, Out);
     perform(Name, Out);
