Kernel: Fit run times within a job apart from those between jobs

Cause: when whole jobs are declared wrong by ten, the slope of the declared run time collapsed, although tasks of one job still compare with each other. Change: the estimate has one slope for the job's mean declaration and one for the task's difference from it. Also: an ejection needs 100,000 to 1 evidence instead of 1,000 to 1, and admission refuses what the declaration forbids.

--- a/Kernel/HealthTracker.cpp
+++ b/Kernel/HealthTracker.cpp
@@ -6,9 +6,9 @@
 namespace cornellift::kernel {
 namespace {
 
-/// An endpoint is ejected when its outcomes are this much likelier from a broken one: about 1,000
-/// to 1, in natural logarithms.
-constexpr double EjectionScore = 6.9;
+/// An endpoint is ejected when its outcomes are this much likelier from a broken one: 100,000 to 1,
+/// in natural logarithms. At 1,000 to 1, a fleet of 1,400 would always have a healthy one ejected.
+constexpr double EjectionScore = 11.5;
 constexpr double BrokenFailureShare = 0.9;
 /// Failure share of a kind that has no evidence, and the samples that it is worth.
 constexpr double PriorFailureShare = 0.005;
--- a/Kernel/PolicyScheduler.cpp
+++ b/Kernel/PolicyScheduler.cpp
@@ -72,23 +72,27 @@
     updateAllowed(static_cast<EndpointIndex>(Position), Now);
 }
 
-WaitingTask PolicyScheduler::describe(const JobSpec &Spec, std::uint32_t Index) const {
+WaitingTask PolicyScheduler::describe(const JobSpec &Spec, std::uint32_t Index,
+                                      const DeclaredRunTime &Declared) const {
   const auto &Task = Spec.Tasks[Index];
   auto Need = Sizes_.need(Spec.Service, Spec.Kind, Task.Declared);
-  auto Estimate = RunTimes_.estimate(Spec.Service, Spec.Kind, Task.DeclaredRunTime);
+  auto Estimate = RunTimes_.estimate(Spec.Service, Spec.Kind, Declared);
   return {Index,
           static_cast<float>(Estimate.meanMilliseconds()),
           static_cast<float>(Need.Processors),
           static_cast<float>(Need.MemoryMegabytes),
           static_cast<float>(Need.Accelerators),
           Task.PayloadBytes,
-          Task.DeclaredRunTime};
+          Declared};
 }
 
 std::optional<NotRun> PolicyScheduler::checkFit(const JobSpec &Spec,
                                                 const std::vector<WaitingTask> &Tasks) const {
+  // A declaration that no worker can grant is refused even when such tasks have used less so far:
+  // the worker's limiter would let the task grow up to it.
   for (const auto &Task : Tasks)
-    if (!Endpoints_.fitsSomeWorker(Spec.Service, Task.need()))
+    if (!Endpoints_.fitsSomeWorker(Spec.Service, Task.need()) ||
+        !Endpoints_.fitsSomeWorker(Spec.Service, Spec.Tasks[Task.Index].Declared))
       return NotRun{core::ErrorKind::Unsupported,
                     "task " + std::to_string(Task.Index) +
                         " fits no worker of its service; declare less or split the task",
@@ -157,8 +161,9 @@
   New->Arrival = Now;
   New->RunningEnd = Now;
   New->Tasks.reserve(Spec.Tasks.size());
+  auto Declared = splitDeclarations(Spec.Tasks);
   for (std::uint32_t Index = 0; Index < New->TaskCount; ++Index) {
-    New->Tasks.push_back(describe(Spec, Index));
+    New->Tasks.push_back(describe(Spec, Index, Declared[Index]));
     New->WaitingWork += New->Tasks.back().RunTime;
   }
   if (auto Refusal = checkFit(Spec, New->Tasks))
@@ -346,7 +351,7 @@
     return std::nullopt;
   JobSpec Single{Team, Service, Kind, {Spec}, std::nullopt, nullptr};
   RunningTask New;
-  New.Task = describe(Single, 0);
+  New.Task = describe(Single, 0, splitDeclarations(Single.Tasks).front());
   New.Task.Index = Task.Index;
   ActiveJob Job;
   Job.Service = Service;
--- a/Kernel/PolicyScheduler.h
+++ b/Kernel/PolicyScheduler.h
@@ -79,7 +79,8 @@
   };
 
   void choosePolicies(const PolicyConfiguration &Policy);
-  WaitingTask describe(const JobSpec &Spec, std::uint32_t Index) const;
+  WaitingTask describe(const JobSpec &Spec, std::uint32_t Index,
+                       const DeclaredRunTime &Declared) const;
   std::optional<NotRun> checkFit(const JobSpec &Spec, const std::vector<WaitingTask> &Tasks) const;
   NotRun jitter(NotRun Refusal, core::TimePoint Now);
   AdmissionView admissionView(const ActiveJob &Job) const;
--- a/Kernel/RunTimeEstimator.cpp
+++ b/Kernel/RunTimeEstimator.cpp
@@ -19,6 +19,26 @@
 
 } // namespace
 
+std::vector<DeclaredRunTime> splitDeclarations(std::span<const TaskSpec> Tasks) {
+  std::vector<DeclaredRunTime> Result(Tasks.size());
+  double Sum = 0;
+  double Given = 0;
+  for (const auto &Task : Tasks) {
+    if (Task.DeclaredRunTime.count() <= 0)
+      continue;
+    Sum += logMilliseconds(Task.DeclaredRunTime);
+    Given += 1;
+  }
+  double Mean = Given > 0 ? Sum / Given : 0;
+  for (std::size_t Index = 0; Index < Tasks.size(); ++Index) {
+    auto Declared = Tasks[Index].DeclaredRunTime;
+    if (Declared.count() > 0)
+      Result[Index] = {static_cast<float>(Mean),
+                       static_cast<float>(logMilliseconds(Declared) - Mean), true};
+  }
+  return Result;
+}
+
 double RunTimeEstimate::medianMilliseconds() const { return std::exp(LogMean); }
 
 double RunTimeEstimate::meanMilliseconds() const {
@@ -52,50 +72,68 @@
   return &Kinds_[ServicePosition][KindPosition];
 }
 
+RunTimeEstimator::Line RunTimeEstimator::fit(const Evidence &Kind) {
+  Line Result;
+  double Weight = Kind.Weight + PriorWeight;
+  Result.MeanY = (Kind.SumY + PriorWeight * Kind.PriorLog) / Weight;
+  Result.MeanJob = (Kind.SumJob + PriorWeight * Kind.PriorLog) / Weight;
+  double PriorSquare = PriorWeight * Kind.PriorLog * Kind.PriorLog;
+  double Variance = Kind.SumJobJob + PriorSquare - Weight * Result.MeanJob * Result.MeanJob;
+  double Covariance = Kind.SumJobY + PriorSquare - Weight * Result.MeanJob * Result.MeanY;
+  Result.JobSlope =
+      (Covariance + PriorSlopeWeight * PriorSlope) / (std::max(0.0, Variance) + PriorSlopeWeight);
+  Result.WithinSlope =
+      (Kind.SumWithinY + PriorSlopeWeight * PriorSlope) / (Kind.SumWithinWithin + PriorSlopeWeight);
+  return Result;
+}
+
+double RunTimeEstimator::predict(const Line &Fitted, const DeclaredRunTime &Declared) {
+  if (!Declared.IsGiven)
+    return Fitted.MeanY;
+  return Fitted.MeanY + Fitted.JobSlope * (Declared.Job - Fitted.MeanJob) +
+         Fitted.WithinSlope * Declared.Within;
+}
+
 RunTimeEstimate RunTimeEstimator::estimate(ServiceIndex Service, KindIndex Kind,
-                                           core::Duration Declared) const {
+                                           const DeclaredRunTime &Declared) const {
   const auto *Known = find(Service, Kind);
   if (!Known)
-    return {Declared.count() > 0 ? logMilliseconds(Declared) : std::log(DefaultRunTimeMilliseconds),
+    return {Declared.IsGiven ? static_cast<double>(Declared.Job + Declared.Within)
+                             : std::log(DefaultRunTimeMilliseconds),
             PriorDeviation};
-  double Weight = Known->Weight + PriorWeight;
-  double MeanX = (Known->SumX + PriorWeight * Known->PriorLog) / Weight;
-  double MeanY = (Known->SumY + PriorWeight * Known->PriorLog) / Weight;
-  double PriorSquare = PriorWeight * Known->PriorLog * Known->PriorLog;
-  double VarianceX = Known->SumXX + PriorSquare - Weight * MeanX * MeanX;
-  double VarianceY = Known->SumYY + PriorSquare - Weight * MeanY * MeanY;
-  double Covariance = Known->SumXY + PriorSquare - Weight * MeanX * MeanY;
-  double Slope =
-      (Covariance + PriorSlopeWeight * PriorSlope) / (std::max(0.0, VarianceX) + PriorSlopeWeight);
-  double Residual = VarianceY - 2 * Slope * Covariance + Slope * Slope * VarianceX;
-  double Deviation =
-      std::sqrt(std::max(0.0, Residual + PriorWeight * PriorDeviation * PriorDeviation) / Weight);
-  double X = Declared.count() > 0 ? logMilliseconds(Declared) : MeanX;
-  return {MeanY + Slope * (X - MeanX), std::max(MinimumDeviation, Deviation)};
+  double Variance = (Known->SumError + PriorWeight * PriorDeviation * PriorDeviation) /
+                    (Known->Weight + PriorWeight);
+  return {predict(fit(*Known), Declared), std::max(MinimumDeviation, std::sqrt(Variance))};
 }
 
 void RunTimeEstimator::decay(Evidence &Kind, core::TimePoint Now) const {
   double Seconds = core::toMilliseconds(Now - Kind.LastDecay) / 1000;
   Kind.LastDecay = Now;
   double Factor = std::exp2(-std::max(0.0, Seconds) / HalfLifeSeconds_);
-  for (double *Sum : {&Kind.Weight, &Kind.SumX, &Kind.SumY, &Kind.SumXX, &Kind.SumXY, &Kind.SumYY})
+  for (double *Sum : {&Kind.Weight, &Kind.SumY, &Kind.SumJob, &Kind.SumJobJob, &Kind.SumJobY,
+                      &Kind.SumWithinWithin, &Kind.SumWithinY, &Kind.SumError})
     *Sum *= Factor;
 }
 
-void RunTimeEstimator::learn(ServiceIndex Service, KindIndex Kind, core::Duration Declared,
+void RunTimeEstimator::learn(ServiceIndex Service, KindIndex Kind, const DeclaredRunTime &Declared,
                              double LogMilliseconds, core::TimePoint Now) {
-  const auto *Found = find(Service, Kind);
-  if (!Found)
+  if (!find(Service, Kind))
     return;
   auto &Known = Kinds_[static_cast<std::size_t>(Service)][static_cast<std::size_t>(Kind)];
   decay(Known, Now);
-  double X = Declared.count() > 0 ? logMilliseconds(Declared) : LogMilliseconds;
+  auto Fitted = fit(Known);
+  double Error = LogMilliseconds - predict(Fitted, Declared);
+  // An undeclared task says nothing about the slopes.
+  double Job = Declared.IsGiven ? static_cast<double>(Declared.Job) : Fitted.MeanJob;
+  double Within = Declared.IsGiven ? static_cast<double>(Declared.Within) : 0;
   Known.Weight += 1;
-  Known.SumX += X;
   Known.SumY += LogMilliseconds;
-  Known.SumXX += X * X;
-  Known.SumXY += X * LogMilliseconds;
-  Known.SumYY += LogMilliseconds * LogMilliseconds;
+  Known.SumJob += Job;
+  Known.SumJobJob += Job * Job;
+  Known.SumJobY += Job * LogMilliseconds;
+  Known.SumWithinWithin += Within * Within;
+  Known.SumWithinY += Within * (LogMilliseconds - Fitted.MeanY);
+  Known.SumError += Error * Error;
 }
 
 } // namespace cornellift::kernel
--- a/Kernel/WaitingJobs.h
+++ b/Kernel/WaitingJobs.h
@@ -3,6 +3,7 @@
 #include "Kernel/Identifiers.h"
 #include "Kernel/Job.h"
 #include "Kernel/OrderingPolicy.h"
+#include "Kernel/RunTimeEstimator.h"
 
 #include <array>
 #include <cstdint>
@@ -20,7 +21,7 @@
   float MemoryMegabytes = 0;
   float Accelerators = 0;
   std::uint32_t PayloadBytes = 0;
-  core::Duration Declared{0};
+  DeclaredRunTime Declared;
 
   Resources need() const { return {Processors, MemoryMegabytes, Accelerators}; }
 };
--- /dev/null
+++ b/Tests/Kernel/TestPolicyScheduler.cpp
@@ -0,0 +1,227 @@
+#include "Kernel/PolicyScheduler.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornellift;
+using namespace cornellift::kernel;
+
+namespace {
+
+constexpr std::uint32_t SlotsPerEndpoint = 4;
+
+/// A scheduler over a few equal endpoints, with a clock.
+class Fixture {
+public:
+  explicit Fixture(std::uint32_t Endpoints, std::vector<double> Shares = {1}) : Policy(7) {
+    auto Settings = std::make_shared<KernelConfiguration>();
+    Settings->Services.push_back({"print", 1, {{"payslip", std::chrono::milliseconds(100), {}}}});
+    for (double Share : Shares)
+      Settings->Teams.push_back({"team", Share, 0});
+    for (std::uint32_t Index = 0; Index < Endpoints; ++Index) {
+      EndpointConfiguration Endpoint;
+      Endpoint.DataCentre = "ikeja";
+      Endpoint.Services = {ServiceIndex{0}};
+      Endpoint.Capacity = {16, 64000, 0};
+      Settings->Endpoints.push_back(Endpoint);
+    }
+    Policy.applyConfiguration(Settings, Now);
+    for (std::uint32_t Index = 0; Index < Endpoints; ++Index)
+      Policy.slotsChanged(EndpointIndex{Index}, SlotsPerEndpoint, Now);
+  }
+
+  static JobSpec spec(std::uint32_t Tasks, std::uint32_t Team = 0) {
+    JobSpec Spec;
+    Spec.Team = TeamIndex{Team};
+    Spec.Tasks.resize(Tasks);
+    return Spec;
+  }
+
+  std::optional<NotRun> submit(std::uint64_t Job, const JobSpec &Spec) {
+    return Policy.admit({{1}, Job}, Spec, Now);
+  }
+
+  std::vector<Placement> startAll() {
+    std::vector<Placement> Started;
+    while (auto Next = Policy.next(Now))
+      Started.push_back(*Next);
+    return Started;
+  }
+
+  void end(const Placement &Started, TaskVerdict Verdict) {
+    Policy.taskEnded({Started.Task, Started.Endpoint, Verdict, nullptr,
+                      std::chrono::milliseconds(100), {}, 0},
+                     Now);
+  }
+
+  core::TimePoint Now{std::chrono::hours(1)};
+  PolicyScheduler Policy;
+};
+
+} // namespace
+
+// Guards against a worker that fails every task and, being always free, attracts them all.
+BOOST_AUTO_TEST_CASE(WorkerThatFailsEverythingIsEjected) {
+  Fixture Fleet(10);
+  std::uint32_t SentToBroken = 0;
+  std::uint64_t Job = 0;
+  for (int Round = 0; Round < 10; ++Round) {
+    for (int Count = 0; Count < 40; ++Count)
+      Fleet.submit(++Job, Fixture::spec(1));
+    for (const auto &Started : Fleet.startAll()) {
+      bool Broken = Started.Endpoint == EndpointIndex{3};
+      SentToBroken += Broken ? 1 : 0;
+      Fleet.end(Started, Broken ? TaskVerdict::Failed : TaskVerdict::Finished);
+      Fleet.Policy.dropJob(Started.Task.Job, Fleet.Now);
+    }
+  }
+  BOOST_TEST(Fleet.Policy.health().isEjected(EndpointIndex{3}));
+  BOOST_TEST(SentToBroken <= SlotsPerEndpoint);
+}
+
+// Guards against a fault of the whole service that ejects most of the fleet.
+BOOST_AUTO_TEST_CASE(NoMoreThanAFifthIsEjected) {
+  Fixture Fleet(10);
+  std::uint64_t Job = 0;
+  for (int Round = 0; Round < 10; ++Round) {
+    for (int Count = 0; Count < 40; ++Count)
+      Fleet.submit(++Job, Fixture::spec(1));
+    for (const auto &Started : Fleet.startAll()) {
+      bool Broken = static_cast<std::uint32_t>(Started.Endpoint) < 6;
+      Fleet.end(Started, Broken ? TaskVerdict::Failed : TaskVerdict::Finished);
+      Fleet.Policy.dropJob(Started.Task.Job, Fleet.Now);
+    }
+  }
+  std::uint32_t Ejected = 0;
+  for (std::uint32_t Index = 0; Index < 10; ++Index)
+    Ejected += Fleet.Policy.health().isEjected(EndpointIndex{Index}) ? 1 : 0;
+  BOOST_TEST(Ejected == 2U);
+}
+
+// Guards against jobs that fail everywhere and take healthy workers with them.
+BOOST_AUTO_TEST_CASE(BadJobsDoNotEjectWorkers) {
+  Fixture Fleet(5);
+  for (std::uint64_t Job = 0; Job < 20; ++Job) {
+    Fleet.submit(Job, Fixture::spec(20));
+    for (const auto &Started : Fleet.startAll())
+      Fleet.end(Started, TaskVerdict::Failed);
+    Fleet.Policy.dropJob({{1}, Job}, Fleet.Now);
+  }
+  for (std::uint32_t Index = 0; Index < 5; ++Index)
+    BOOST_TEST(!Fleet.Policy.health().isEjected(EndpointIndex{Index}));
+}
+
+// Guards against an ejected worker that never comes back, and against one that comes back at full
+// load before it has shown that it works.
+BOOST_AUTO_TEST_CASE(EjectedWorkerReturnsOneTaskAtATime) {
+  HealthTracker Health;
+  KernelConfiguration Settings;
+  Settings.Services.push_back({"print", 1, {{"payslip", {}, {}}}});
+  for (int Index = 0; Index < 5; ++Index)
+    Settings.Endpoints.push_back({});
+  Health.configure(Settings);
+  for (std::uint32_t Index = 0; Index < 5; ++Index)
+    Health.setHeld(EndpointIndex{Index}, true);
+  core::TimePoint Now{std::chrono::hours(1)};
+  for (std::uint64_t Job = 0; Job < 3; ++Job)
+    Health.failed(EndpointIndex{0}, {{1}, Job}, ServiceIndex{0}, KindIndex{0}, Now);
+  BOOST_TEST(Health.allowedTasks(EndpointIndex{0}) == 0U);
+  BOOST_TEST(!Health.nextProbe(Now, 1));
+  Now += std::chrono::seconds(6);
+  BOOST_TEST((Health.nextProbe(Now, 1) == EndpointIndex{0}));
+  Health.answered(EndpointIndex{0}, Now);
+  BOOST_TEST(Health.allowedTasks(EndpointIndex{0}) == 1U);
+  for (int Task = 0; Task < 3; ++Task)
+    Health.succeeded(EndpointIndex{0}, ServiceIndex{0}, KindIndex{0});
+  BOOST_TEST(Health.allowedTasks(EndpointIndex{0}) == 2U);
+}
+
+// Guards against idle slots while only one team has work, and against that team keeping them when
+// another team below its quota comes.
+BOOST_AUTO_TEST_CASE(UnusedShareIsLentAndTakenBack) {
+  Fixture Fleet(5, {1, 1});
+  Fleet.submit(1, Fixture::spec(100, 0));
+  auto Lent = Fleet.startAll();
+  BOOST_TEST(Lent.size() == 20U);
+  Fleet.submit(2, Fixture::spec(100, 1));
+  Fleet.Now += std::chrono::milliseconds(100);
+  for (std::size_t Index = 0; Index < 10; ++Index) {
+    Fleet.end(Lent[Index], TaskVerdict::Finished);
+    for (const auto &Started : Fleet.startAll())
+      BOOST_TEST(Started.Task.Job.Sequence == 2U);
+  }
+}
+
+// Guards against a large job that waits forever behind small ones.
+BOOST_AUTO_TEST_CASE(AgeOvertakesSize) {
+  Fixture Fleet(1);
+  Fleet.submit(1, Fixture::spec(4));
+  auto First = Fleet.startAll();
+  Fleet.submit(2, Fixture::spec(40));
+  Fleet.Now += std::chrono::seconds(120);
+  Fleet.submit(3, Fixture::spec(1));
+  Fleet.end(First[0], TaskVerdict::Finished);
+  auto Next = Fleet.startAll();
+  BOOST_REQUIRE(Next.size() == 1U);
+  BOOST_TEST(Next[0].Task.Job.Sequence == 2U);
+}
+
+// Guards against jobs that are accepted and can never run, and against a worker overfilled by tasks
+// that fit it one by one.
+BOOST_AUTO_TEST_CASE(TasksFitTheirWorkers) {
+  Fixture Fleet(1);
+  auto TooLarge = Fixture::spec(1);
+  TooLarge.Tasks[0].Declared = {1, 100000, 0};
+  auto Refusal = Fleet.submit(1, TooLarge);
+  BOOST_REQUIRE(Refusal);
+  BOOST_TEST((Refusal->Kind == core::ErrorKind::Unsupported));
+  auto Half = Fixture::spec(3);
+  for (auto &Task : Half.Tasks)
+    Task.Declared = {1, 32000, 0};
+  BOOST_TEST(!Fleet.submit(2, Half));
+  BOOST_TEST(Fleet.startAll().size() == 2U);
+}
+
+// Guards against a job that occupies slots although it cannot meet its deadline, and against
+// refused callers that all return at once.
+BOOST_AUTO_TEST_CASE(HopelessDeadlineIsRefusedEarly) {
+  Fixture Fleet(1);
+  Fleet.submit(1, Fixture::spec(1000));
+  Fleet.startAll();
+  auto Late = Fixture::spec(1000);
+  Late.Deadline = Fleet.Now + std::chrono::seconds(1);
+  auto First = Fleet.submit(2, Late);
+  auto Second = Fleet.submit(3, Late);
+  BOOST_REQUIRE((First && Second && First->RetryAt && Second->RetryAt));
+  BOOST_TEST((First->Kind == core::ErrorKind::Overloaded));
+  BOOST_TEST((*First->RetryAt > Fleet.Now));
+  BOOST_TEST((*First->RetryAt != *Second->RetryAt));
+}
+
+// Guards against a flood of repeated starts when the whole fleet refuses.
+BOOST_AUTO_TEST_CASE(RefusedStartsStayWithinTheRetryBudget) {
+  Fixture Fleet(10);
+  Fleet.submit(1, Fixture::spec(40));
+  std::uint32_t Starts = 0;
+  auto End = Fleet.Now + std::chrono::seconds(10);
+  for (; Fleet.Now < End; Fleet.Now += std::chrono::milliseconds(10))
+    for (const auto &Started : Fleet.startAll()) {
+      ++Starts;
+      Fleet.Policy.startRefused(Started.Task, Started.Endpoint, StartRefusal::NoSlot, Fleet.Now);
+    }
+  // 40 first starts, 10 retries/s for 10 s, a tenth of all starts, and what the budget keeps.
+  BOOST_TEST(Starts <= 40U + 100U + (Starts / 10) + 20U);
+}
+
+// Guards against placement on a worker after it has said that it is leaving.
+BOOST_AUTO_TEST_CASE(LeavingWorkerGetsNothing) {
+  Fixture Fleet(2);
+  Fleet.submit(1, Fixture::spec(1));
+  auto Started = Fleet.startAll();
+  BOOST_REQUIRE(Started.size() == 1U);
+  auto Left = Started[0].Endpoint;
+  Fleet.Policy.startRefused(Started[0].Task, Left, StartRefusal::Leaving, Fleet.Now);
+  Fleet.Policy.endpointObserved({Left, {}, EndpointObserved::Standing::Live, {}}, Fleet.Now);
+  Fleet.submit(2, Fixture::spec(20));
+  for (const auto &Next : Fleet.startAll())
+    BOOST_TEST((Next.Endpoint != Left));
+}
--- /dev/null
+++ b/Tests/Replay/TestReplay.cpp
@@ -0,0 +1,87 @@
+#include "Libraries/LibCore/Reason.h"
+#include "Utilities/Replay/Comparison.h"
+#include "Utilities/Replay/Generators.h"
+#include "Utilities/Replay/ReplayRun.h"
+
+#include <iostream>
+#include <sstream>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornellift;
+using namespace cornellift::replay;
+
+namespace {
+
+Trace makeTrace(std::string Workload, std::string Scenario, double Seconds) {
+  GeneratorOptions Options;
+  Options.Workload = std::move(Workload);
+  Options.Scenario = std::move(Scenario);
+  Options.Seconds = Seconds;
+  Options.Seed = 1;
+  auto Result = generateTrace(Options);
+  BOOST_REQUIRE(Result);
+  return *Result;
+}
+
+/// Replays the default, and the baselines when the outcome is relative to them.
+void checkOutcome(const Trace &Input) {
+  std::vector<std::string> Policies{"default"};
+  for (const auto &Expected : Input.Expectations)
+    if (Expected.Metric == "p99_gain")
+      Policies = presetNames();
+  auto Runs = compare(Input, Policies, std::nullopt);
+  BOOST_TEST(!Input.Expectations.empty());
+  BOOST_TEST(checkExpectations(Input.Expectations, Runs.front().Figures, std::cout), Input.Name);
+}
+
+std::vector<double> responses(const Trace &Input) {
+  std::vector<double> Result;
+  for (const auto &Fate : ReplayRun(Input, {}, std::nullopt).run().Jobs)
+    Result.push_back(Fate.Response);
+  return Result;
+}
+
+} // namespace
+
+// Each guards against the loss of the outcome that its trace states.
+BOOST_AUTO_TEST_CASE(BurstOutcome) { checkOutcome(makeTrace("slipworks", "burst", 12)); }
+BOOST_AUTO_TEST_CASE(BlackHoleOutcome) { checkOutcome(makeTrace("alarcon", "black-hole", 20)); }
+BOOST_AUTO_TEST_CASE(StragglersOutcome) { checkOutcome(makeTrace("alarcon", "stragglers", 40)); }
+BOOST_AUTO_TEST_CASE(CancelWaveOutcome) { checkOutcome(makeTrace("slipworks", "cancel-wave", 12)); }
+BOOST_AUTO_TEST_CASE(DeclarationsOutcome) { checkOutcome(makeTrace("alarcon", "declarations", 20)); }
+BOOST_AUTO_TEST_CASE(DataCentreLostOutcome) {
+  checkOutcome(makeTrace("slipworks", "data-centre-lost", 12));
+}
+BOOST_AUTO_TEST_CASE(EntryVmLostOutcome) { checkOutcome(makeTrace("slipworks", "entry-vm-lost", 12)); }
+BOOST_AUTO_TEST_CASE(StoreAwayOutcome) { checkOutcome(makeTrace("slipworks", "store-away", 12)); }
+BOOST_AUTO_TEST_CASE(FlappingOutcome) { checkOutcome(makeTrace("slipworks", "flapping", 12)); }
+BOOST_AUTO_TEST_CASE(ImpossibleAndBadJobsOutcome) {
+  checkOutcome(makeTrace("slipworks", "impossible-and-bad", 12));
+}
+
+// Guards against decisions that depend on addresses, hash seeds or the real clock.
+BOOST_AUTO_TEST_CASE(SameSeedGivesSameResponses) {
+  auto Input = makeTrace("slipworks", "flapping", 8);
+  Input.EntryVms = 3;
+  BOOST_TEST((responses(Input) == responses(Input)));
+}
+
+// Guards against fields that are written and not read back.
+BOOST_AUTO_TEST_CASE(WrittenTraceReadsBack) {
+  auto Input = makeTrace("alarcon", "entry-vm-lost", 2);
+  std::stringstream First;
+  writeTrace(Input, First);
+  auto Read = readTrace(First);
+  BOOST_REQUIRE(Read);
+  std::stringstream Second;
+  writeTrace(*Read, Second);
+  BOOST_TEST(First.str() == Second.str());
+}
+
+// Guards against a broken line that is passed over in silence.
+BOOST_AUTO_TEST_CASE(BrokenTraceNamesTheLine) {
+  std::istringstream Input("{\"type\":\"team\",\"name\":\"a\",\"share\":1}\n{\"type\":\"wat\"}\n");
+  BOOST_TEST(!readTrace(Input));
+  BOOST_TEST(core::lastReason().Message.find("line 2") != std::string::npos);
+}
--- a/Utilities/Replay/Comparison.cpp
+++ b/Utilities/Replay/Comparison.cpp
@@ -10,6 +10,9 @@
 namespace cornellift::replay {
 namespace {
 
+/// Milliseconds that stand for a job that never completed.
+constexpr double EndlessResponse = 1e9;
+
 struct Preset {
   const char *Name;
   kernel::PolicyConfiguration Policy;
@@ -50,6 +53,19 @@
   return Responses;
 }
 
+/// Quantile 0.99 over all good jobs; one that never completed counts as endless.
+double tailWithFailures(const Trace &Input, const ReplayResult &Result) {
+  std::vector<double> Responses;
+  for (std::size_t Job = 0; Job < Result.Jobs.size(); ++Job) {
+    const auto &Fate = Result.Jobs[Job];
+    if (Input.Jobs[Job].Nature != JobNature::Good || Input.Jobs[Job].At < Input.WarmUp ||
+        Fate.End == JobEnd::Refused || Fate.End == JobEnd::Cancelled)
+      continue;
+    Responses.push_back(Fate.End == JobEnd::Completed ? Fate.Response : EndlessResponse);
+  }
+  return quantile(std::move(Responses), 0.99);
+}
+
 void addReprints(const Trace &Input, const ReplayResult &Result,
                  const kernel::PolicyConfiguration &Policy, std::optional<double> MessageCost,
                  Figures &Values) {
@@ -88,20 +104,22 @@
                                  std::optional<double> MessageCost) {
   std::vector<ComparedRun> Runs;
   PlanCache Cache;
+  double OwnTail = EndlessResponse;
   double BestBaseline = std::numeric_limits<double>::infinity();
   for (const auto &Name : Presets) {
     auto Policy = findPreset(Name).value_or(kernel::PolicyConfiguration{});
     auto Result = ReplayRun(Input, Policy, MessageCost).run();
     auto Values = measure(Input, Result, Cache);
-    if (Runs.empty())
+    if (Runs.empty()) {
       addReprints(Input, Result, Policy, MessageCost, Values);
+      OwnTail = tailWithFailures(Input, Result);
+    }
     if (isBaseline(Name))
-      BestBaseline = std::min(BestBaseline, Values["response_ms_p99"]);
+      BestBaseline = std::min(BestBaseline, tailWithFailures(Input, Result));
     Runs.push_back({{Name, std::move(Values)}, responsesOf(Input, Result), Result.Samples});
   }
   if (!Runs.empty() && BestBaseline < std::numeric_limits<double>::infinity()) {
-    auto &First = Runs.front().Figures.Values;
-    First["p99_gain"] = BestBaseline / std::max(1e-9, First["response_ms_p99"]);
+    Runs.front().Figures.Values["p99_gain"] = BestBaseline / OwnTail;
   }
   return Runs;
 }
--- a/Utilities/Replay/Generators.cpp
+++ b/Utilities/Replay/Generators.cpp
@@ -320,8 +320,8 @@
       Task.Declared = Task.True * Factor * std::exp(normal(0.2));
   }
   expectAtMost("failed_share", 0);
-  if (Options_.Load <= 0.7)
-    expectAtMost("mean_ratio", 1.25);
+  if (Options_.Workload == "alarcon" && Options_.Load <= 0.7)
+    expectAtMost("mean_ratio", 1.10);
 }
 
 void Generator::applyImpossibleJobs() {
