--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -23,8 +23,9 @@
 
 constexpr std::string_view RefusalText =
     "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: "
-    "1\r\nConnection: close\r\nContent-Length: 95\r\n\r\n"
-    R"({"outcome":"not_run","kind":"overloaded","message":"too many connections; retry in a second"}  )";
+    "1\r\nConnection: close\r\nContent-Length: 116\r\n\r\n"
+    R"({"outcome":"not_run","applies_to":"request","kind":"overloaded",)"
+    R"("message":"too many connections; retry in a second"})";
 
 /// Allows a restart while old connections linger, but not two servers on one port.
 void setReuseOption(socket_t Socket) {
@@ -73,6 +74,10 @@
   bool Closing_ = false;
 };
 
+/// A connection is not closed for others within this time: a caller's first request follows its
+/// connect, or its last answer, at once.
+constexpr core::Duration IdleGrace = std::chrono::milliseconds(100);
+
 bool waitForRequest(socket_t Socket, core::Duration IdleTime) {
   auto Limit = std::chrono::duration_cast<std::chrono::milliseconds>(IdleTime);
   pollfd Entry{Socket, POLLIN, 0};
@@ -102,6 +107,7 @@
   const ServerLimits Limits;
   IdleConnections Idle;
   std::atomic<bool> Closing{false};
+  std::atomic<BoundedPool *> Pool{nullptr};
 };
 
 namespace {
@@ -148,15 +154,22 @@
           process_request(Stream, Closing.load(), Closed, [&Unread](httplib::Request &Request) {
             Unread =
                 Request.has_header("Transfer-Encoding") || Request.has_header("Content-Encoding");
+            // The library would read a body without a length until the connection ends.
+            if (!Request.has_header("Content-Length"))
+              Request.set_header("Content-Length", "0");
           });
-      Close = !Served || Closed || Unread || Closing.load();
+      Close = !Served || Closed || Unread || Stream.isBroken() || Closing.load();
     }
   }
 
   bool awaitRequest(socket_t Socket, const ConnectionStream &Stream) {
     if (Stream.hasBufferedBytes())
       return true;
+    if (waitForRequest(Socket, IdleGrace))
+      return true;
     Idle.add(Socket);
+    if (Pool.load()->hasWaiting())
+      Idle.closeOldest();
     bool Readable = waitForRequest(Socket, Limits.IdleTime);
     Idle.remove(Socket);
     return Readable;
@@ -183,8 +196,10 @@
     Listener_ = std::make_unique<TlsListener>(Limits, Tls);
   auto &Server = Listener_->server();
   Server.new_task_queue = [this] {
-    return new BoundedPool(Listener_->Limits.Connections, Listener_->Limits.QueuedConnections,
-                           [this] { Listener_->Idle.closeOldest(); });
+    auto *Pool = new BoundedPool(Listener_->Limits.Connections, Listener_->Limits.QueuedConnections,
+                                 [this] { Listener_->Idle.closeOldest(); });
+    Listener_->Pool.store(Pool);
+    return Pool;
   };
   Server.set_tcp_nodelay(true);
   Server.set_socket_options(setReuseOption);
