--- /dev/null
+++ b/Kernel/PolicySchedulerEvents.cpp
@@ -0,0 +1,148 @@
+// What the scheduler learns from ends, refusals and observations.
+
+#include "Kernel/PolicyScheduler.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cornellift::kernel {
+namespace {
+
+constexpr core::Duration FirstPause = std::chrono::milliseconds(20);
+constexpr std::uint32_t MaximumPauseDoublings = 6;
+constexpr double RetryMilliseconds = 100;
+/// A list that lags may still call an endpoint live that has refused a start because it leaves.
+constexpr core::Duration LeavingMemory = std::chrono::seconds(10);
+constexpr double MeanShare = 0.01;
+
+} // namespace
+
+std::optional<PolicyScheduler::RunningTask> PolicyScheduler::release(TaskId Id,
+                                                                     EndpointIndex Endpoint) {
+  auto Found = Running_.find(Id);
+  if (Found == Running_.end() || Found->second.Endpoint != Endpoint)
+    return std::nullopt;
+  std::erase(notes(Endpoint).Running, &Found->second);
+  auto Task = Found->second;
+  Running_.erase(Found);
+  Endpoints_.vacate(Endpoint, Task.Task.need());
+  Quotas_.ended(Task.Team);
+  if (auto *Job = Waiting_.find(Id.Job))
+    --Job->Running;
+  return Task;
+}
+
+void PolicyScheduler::forgetIfDone(JobId Job) {
+  const auto *Known = Waiting_.find(Job);
+  if (Known && Known->Running == 0 && Known->Delayed == 0 && Known->Tasks.empty())
+    Waiting_.erase(Job);
+}
+
+void PolicyScheduler::startRefused(TaskId Task, EndpointIndex Endpoint, StartRefusal Cause,
+                                   core::TimePoint Now) {
+  auto Refused = release(Task, Endpoint);
+  if (Cause == StartRefusal::Leaving) {
+    notes(Endpoint).LeavingRefusal = Now;
+    Endpoints_.setLeaving(Endpoint, true);
+  } else if (Cause == StartRefusal::NotSent) {
+    Health_.unreachable(Endpoint, Now);
+    updateAllowed(Endpoint, Now);
+  } else if (Cause == StartRefusal::NoSlot) {
+    pause(Endpoint, Now);
+  }
+  auto *Job = Waiting_.find(Task.Job);
+  if (!Refused || !Job)
+    return;
+  if (Retries_.take(Now)) {
+    Waiting_.putBack(*Job, Refused->Task);
+    return;
+  }
+  ++Job->Delayed;
+  std::uniform_real_distribution<double> Factor(0.5, 1.5);
+  Delayed_.emplace(Now + core::fromMilliseconds(RetryMilliseconds * Factor(Random_)),
+                   DelayedTask{Task, Refused->Task});
+}
+
+void PolicyScheduler::learn(const RunningTask &Task, const TaskEnded &Ended, core::TimePoint Now) {
+  auto Measured = Ended.RunTime.count() > 0 ? Ended.RunTime : Now - Task.Start;
+  double LogRunTime = std::log(std::max(0.1, core::toMilliseconds(Measured)));
+  double LogSpeed = Speeds_.logSpeed(Task.Endpoint);
+  RunTimes_.learn(Task.Service, Task.Kind, Task.Task.Declared, LogRunTime + LogSpeed, Now);
+  Speeds_.learn(Task.Endpoint, Task.Estimate.LogMean - LogRunTime, Task.Estimate.LogDeviation, Now);
+  Sizes_.learn(Task.Service, Task.Kind, Ended.Used);
+  Endpoints_.setLogSpeed(Task.Endpoint, Speeds_.logSpeed(Task.Endpoint));
+  MeanRunTime_ += MeanShare * (std::exp(LogRunTime + LogSpeed) - MeanRunTime_);
+}
+
+void PolicyScheduler::taskEnded(const TaskEnded &Ended, core::TimePoint Now) {
+  auto Task = release(Ended.Task, Ended.Endpoint);
+  if (!Task)
+    return;
+  notes(Ended.Endpoint).Refusals = 0;
+  if (Ended.Verdict == TaskVerdict::Finished) {
+    learn(*Task, Ended, Now);
+    Health_.succeeded(Ended.Endpoint, Task->Service, Task->Kind);
+  } else {
+    for (auto Cleared :
+         Health_.failed(Ended.Endpoint, Ended.Task.Job, Task->Service, Task->Kind, Now))
+      updateAllowed(Cleared, Now);
+  }
+  updateAllowed(Ended.Endpoint, Now);
+  forgetIfDone(Ended.Task.Job);
+}
+
+void PolicyScheduler::taskLost(TaskId Task, EndpointIndex Endpoint, core::TimePoint Now) {
+  release(Task, Endpoint);
+  Health_.unreachable(Endpoint, Now);
+  updateAllowed(Endpoint, Now);
+  forgetIfDone(Task.Job);
+}
+
+void PolicyScheduler::dropJob(JobId Job, core::TimePoint /*Now*/) { Waiting_.erase(Job); }
+
+void PolicyScheduler::endpointObserved(const EndpointObserved &Observed, core::TimePoint Now) {
+  if (static_cast<std::size_t>(Observed.Endpoint) >= Endpoints_.size())
+    return;
+  bool Leaving = Observed.State == EndpointObserved::Standing::Leaving;
+  auto Refusal = notes(Observed.Endpoint).LeavingRefusal;
+  if (Leaving || Refusal == core::TimePoint{} || Now - Refusal > LeavingMemory)
+    Endpoints_.setLeaving(Observed.Endpoint, Leaving);
+  if (Observed.Reachability == EndpointObserved::Reach::Reachable)
+    Health_.answered(Observed.Endpoint, Now);
+  else
+    Health_.unreachable(Observed.Endpoint, Now);
+  updateAllowed(Observed.Endpoint, Now);
+}
+
+void PolicyScheduler::slotsChanged(EndpointIndex Endpoint, std::uint32_t Slots,
+                                   core::TimePoint Now) {
+  if (static_cast<std::size_t>(Endpoint) >= Endpoints_.size())
+    return;
+  Endpoints_.setSlots(Endpoint, Slots);
+  Health_.setHeld(Endpoint, Slots > 0);
+  updateAllowed(Endpoint, Now);
+}
+
+void PolicyScheduler::pause(EndpointIndex Endpoint, core::TimePoint Now) {
+  auto &Known = notes(Endpoint);
+  auto Doublings = std::min(Known.Refusals++, MaximumPauseDoublings);
+  Known.PausedUntil = Now + FirstPause * (1U << Doublings);
+  Pauses_.emplace(Known.PausedUntil, Endpoint);
+  updateAllowed(Endpoint, Now);
+}
+
+void PolicyScheduler::endPauses(core::TimePoint Now) {
+  while (!Pauses_.empty() && Pauses_.begin()->first <= Now) {
+    auto Endpoint = Pauses_.begin()->second;
+    Pauses_.erase(Pauses_.begin());
+    updateAllowed(Endpoint, Now);
+  }
+}
+
+void PolicyScheduler::updateAllowed(EndpointIndex Endpoint, core::TimePoint Now) {
+  bool Paused = Now < notes(Endpoint).PausedUntil;
+  Endpoints_.setAllowed(Endpoint, Paused ? 0 : Health_.allowedTasks(Endpoint),
+                        Health_.onTrial(Endpoint));
+}
+
+} // namespace cornellift::kernel
--- a/Tests/Kernel/TestPolicyScheduler.cpp
+++ b/Tests/Kernel/TestPolicyScheduler.cpp
@@ -12,7 +12,7 @@
 /// A scheduler over a few equal endpoints, with a clock.
 class Fixture {
 public:
-  explicit Fixture(std::uint32_t Endpoints, std::vector<double> Shares = {1}) : Policy(7) {
+  explicit Fixture(std::uint32_t Endpoints, const std::vector<double> &Shares = {1}) : Policy(7) {
     auto Settings = std::make_shared<KernelConfiguration>();
     Settings->Services.push_back({"print", 1, {{"payslip", std::chrono::milliseconds(100), {}}}});
     for (double Share : Shares)
@@ -48,9 +48,9 @@
   }
 
   void end(const Placement &Started, TaskVerdict Verdict) {
-    Policy.taskEnded({Started.Task, Started.Endpoint, Verdict, nullptr,
-                      std::chrono::milliseconds(100), {}, 0},
-                     Now);
+    Policy.taskEnded(
+        {Started.Task, Started.Endpoint, Verdict, nullptr, std::chrono::milliseconds(100), {}, 0},
+        Now);
   }
 
   core::TimePoint Now{std::chrono::hours(1)};
--- a/Tests/Replay/TestReplay.cpp
+++ b/Tests/Replay/TestReplay.cpp
@@ -49,11 +49,15 @@
 BOOST_AUTO_TEST_CASE(BlackHoleOutcome) { checkOutcome(makeTrace("alarcon", "black-hole", 20)); }
 BOOST_AUTO_TEST_CASE(StragglersOutcome) { checkOutcome(makeTrace("alarcon", "stragglers", 40)); }
 BOOST_AUTO_TEST_CASE(CancelWaveOutcome) { checkOutcome(makeTrace("slipworks", "cancel-wave", 12)); }
-BOOST_AUTO_TEST_CASE(DeclarationsOutcome) { checkOutcome(makeTrace("alarcon", "declarations", 20)); }
+BOOST_AUTO_TEST_CASE(DeclarationsOutcome) {
+  checkOutcome(makeTrace("alarcon", "declarations", 20));
+}
 BOOST_AUTO_TEST_CASE(DataCentreLostOutcome) {
   checkOutcome(makeTrace("slipworks", "data-centre-lost", 12));
 }
-BOOST_AUTO_TEST_CASE(EntryVmLostOutcome) { checkOutcome(makeTrace("slipworks", "entry-vm-lost", 12)); }
+BOOST_AUTO_TEST_CASE(EntryVmLostOutcome) {
+  checkOutcome(makeTrace("slipworks", "entry-vm-lost", 12));
+}
 BOOST_AUTO_TEST_CASE(StoreAwayOutcome) { checkOutcome(makeTrace("slipworks", "store-away", 12)); }
 BOOST_AUTO_TEST_CASE(FlappingOutcome) { checkOutcome(makeTrace("slipworks", "flapping", 12)); }
 BOOST_AUTO_TEST_CASE(ImpossibleAndBadJobsOutcome) {
--- a/Utilities/Caller/CallerCommand.cpp
+++ b/Utilities/Caller/CallerCommand.cpp
@@ -68,7 +68,8 @@
     return Result ? *Result : reportUnknown(Settings_.text("id"));
   }
   while (hasTime()) {
-    auto Id = Client_.takeIdentifier(Entry, std::min(Deadline_, core::MonotonicClock::now() + AnswerTime));
+    auto Id = Client_.takeIdentifier(Entry,
+                                     std::min(Deadline_, core::MonotonicClock::now() + AnswerTime));
     if (Id) {
       if (auto Result = submitUnder(*Id, Entry, *Job))
         return *Result;
@@ -91,9 +92,9 @@
   bool MayHaveArrived = !Settings_.text("id").empty();
   while (hasTime()) {
     Delivery Failure{};
-    auto Answer = Client_.send(Entry, "POST", "/v1/jobs" + waitQuery(), Text,
-                               std::min(Deadline_, core::MonotonicClock::now() + AnswerTime),
-                               Failure);
+    auto Answer =
+        Client_.send(Entry, "POST", "/v1/jobs" + waitQuery(), Text,
+                     std::min(Deadline_, core::MonotonicClock::now() + AnswerTime), Failure);
     if (!Answer && Failure == Delivery::NeverSent && !MayHaveArrived)
       return std::nullopt;
     MayHaveArrived = true;
@@ -117,9 +118,9 @@
 ExitStatus CallerCommand::follow(const std::string &Id, std::size_t Entry) {
   while (hasTime()) {
     Delivery Failure{};
-    auto Answer = Client_.send(Entry, "GET", "/v1/jobs/" + Id + waitQuery(), "",
-                               std::min(Deadline_, core::MonotonicClock::now() + AnswerTime),
-                               Failure);
+    auto Answer =
+        Client_.send(Entry, "GET", "/v1/jobs/" + Id + waitQuery(), "",
+                     std::min(Deadline_, core::MonotonicClock::now() + AnswerTime), Failure);
     auto Outcome = Answer ? Answer->Body.value("outcome", std::string()) : std::string();
     if (Outcome == "pending") {
       showProgress(Answer->Body);
@@ -138,9 +139,9 @@
     return follow(Id, 0);
   for (std::size_t Entry = 0; Entry < Client_.count(); ++Entry) {
     Delivery Failure{};
-    auto Answer = Client_.send(Entry, Method, "/v1/jobs/" + Id, "",
-                               std::min(Deadline_, core::MonotonicClock::now() + AnswerTime),
-                               Failure);
+    auto Answer =
+        Client_.send(Entry, Method, "/v1/jobs/" + Id, "",
+                     std::min(Deadline_, core::MonotonicClock::now() + AnswerTime), Failure);
     if (Answer)
       return conclude(Answer->Body);
   }
@@ -166,7 +167,8 @@
   Json Tasks = Json::array();
   for (std::int64_t Count = 0; Count < Settings_.integer("tasks"); ++Count)
     Tasks.push_back(Task);
-  return {{"service", Settings_.text("service")}, {"kind", Settings_.text("kind")}, {"tasks", Tasks}};
+  return {
+      {"service", Settings_.text("service")}, {"kind", Settings_.text("kind")}, {"tasks", Tasks}};
 }
 
 ExitStatus CallerCommand::conclude(const Json &Body) const {
@@ -178,8 +180,8 @@
       std::cout << (Result.is_string() ? Result.get<std::string>() : Result.dump()) << '\n';
     std::cout << std::flush;
   } else {
-    std::cerr << "cornellift-caller: " << Outcome << ": "
-              << Body.value("message", Body.dump()) << std::endl;
+    std::cerr << "cornellift-caller: " << Outcome << ": " << Body.value("message", Body.dump())
+              << std::endl;
   }
   if (Outcome == "complete" || Outcome == "pending")
     return ExitStatus::Success;
@@ -194,7 +196,8 @@
 
 ExitStatus CallerCommand::reportFailure(ExitStatus Status, const std::string &Message) const {
   if (Settings_.flag("json"))
-    std::cout << Json({{"outcome", Status == ExitStatus::OutcomeUnknown ? "may_have_run" : "not_run"},
+    std::cout << Json({{"outcome",
+                        Status == ExitStatus::OutcomeUnknown ? "may_have_run" : "not_run"},
                        {"message", Message}})
                      .dump()
               << std::endl;
--- a/Utilities/Caller/Main.cpp
+++ b/Utilities/Caller/Main.cpp
@@ -18,7 +18,8 @@
     {"kind", "Kind of a generated job", SettingType::Text, "branch-batch"},
     {"tasks", "Tasks of a generated job", SettingType::Integer, "10", 1, 10000},
     {"run-ms", "Run time of a generated task in milliseconds", SettingType::Real, "100", 0, 60000},
-    {"timeout-ms", "Give up after this many milliseconds", SettingType::Integer, "60000", 1, 3600000},
+    {"timeout-ms", "Give up after this many milliseconds", SettingType::Integer, "60000", 1,
+     3600000},
     {"json", "Print the answer as JSON", SettingType::Flag, {}},
     {"quiet", "Print neither identifier nor progress", SettingType::Flag, {}},
 };
--- a/Utilities/Load/LoadReport.cpp
+++ b/Utilities/Load/LoadReport.cpp
@@ -14,8 +14,7 @@
 double quantile(const std::vector<double> &Sorted, double Probability) {
   if (Sorted.empty())
     return 0;
-  auto Rank = static_cast<std::size_t>(
-      std::ceil(Probability * static_cast<double>(Sorted.size())));
+  auto Rank = static_cast<std::size_t>(std::ceil(Probability * static_cast<double>(Sorted.size())));
   return Sorted[std::clamp<std::size_t>(Rank, 1, Sorted.size()) - 1];
 }
 
@@ -32,8 +31,8 @@
           {"added_p999_ms", quantile(Added, 0.999)},
           {"added_max_ms", quantile(Added, 1)},
           {"wasted_per_task", Report.WastedPerTask},
-          {"entry_cpu_us_per_task", Report.ProcessorMeasured ? Report.MicrosecondsOfProcessor
-                                                              : std::nan("")}};
+          {"entry_cpu_us_per_task",
+           Report.ProcessorMeasured ? Report.MicrosecondsOfProcessor : std::nan("")}};
 }
 
 } // namespace
--- a/Utilities/Load/LoadRun.cpp
+++ b/Utilities/Load/LoadRun.cpp
@@ -70,8 +70,8 @@
   auto Id = Client.takeIdentifier(Entry, Deadline_);
   caller::Delivery Failure{};
   auto Path = "/v1/jobs?wait_until=" + std::to_string(core::toWallClock(Deadline_));
-  auto Answer = Id ? Client.send(Entry, "POST", Path, jobText(*Id), Deadline_, Failure)
-                   : std::nullopt;
+  auto Answer =
+      Id ? Client.send(Entry, "POST", Path, jobText(*Id), Deadline_, Failure) : std::nullopt;
   auto Response = core::toMilliseconds(core::MonotonicClock::now() - Planned);
   if (Answer)
     Client.keepBlock(Entry, Answer->Body.value("next_identifiers", Json()));
--- a/Utilities/Replay/Clairvoyant.cpp
+++ b/Utilities/Replay/Clairvoyant.cpp
@@ -10,7 +10,7 @@
 namespace cornellift::replay {
 namespace {
 
-constexpr double Never = std::numeric_limits<double>::infinity();
+constexpr double Never = std::numeric_limits<double>::max();
 /// Tasks that one pass may hold back for a slot that is still busy.
 constexpr std::size_t MaximumHeld = 64;
 
--- a/Utilities/Replay/Main.cpp
+++ b/Utilities/Replay/Main.cpp
@@ -90,6 +90,7 @@
               std::span<const std::string> Presets, replay::ReportFormat Format) {
   auto Runs = replay::compare(Input, Presets, std::nullopt);
   std::vector<replay::PolicyFigures> Figures;
+  Figures.reserve(Runs.size());
   for (const auto &Run : Runs)
     Figures.push_back(Run.Figures);
   replay::writeReport(Input.Name, Figures, Format, std::cout);
--- a/Utilities/Replay/ReplayRun.cpp
+++ b/Utilities/Replay/ReplayRun.cpp
@@ -131,7 +131,7 @@
       kernel::JobPayload{std::vector<std::string>(Content.Tasks.size())});
   auto Id = Vm.takeIdentifier(Spec.Team);
   auto Count = static_cast<std::uint32_t>(Content.Tasks.size());
-  Submissions_[Id] = {Job, Vm.index(), Count, true, false, 0};
+  Submissions_[Id] = {Job, Vm.index(), Count, true, false, false, 0};
   Current_[Job] = Id;
   ++Result_.Jobs[Job].Submissions;
   Teams_[Content.Team].Waiting += Count;
@@ -161,6 +161,12 @@
     endSubmission(Id, JobEnd::Failed);
 }
 
+void ReplayRun::stopWaiting(Submission &Ending) {
+  Teams_[Input_.Jobs[Ending.Job].Team].Waiting -= Ending.Unstarted;
+  Ending.Unstarted = 0;
+  Ending.IsEnding = true;
+}
+
 void ReplayRun::endSubmission(kernel::JobId Id, JobEnd End) {
   auto &Ended = Submissions_[Id];
   if (!Ended.IsOpen)
@@ -168,7 +174,7 @@
   Ended.IsOpen = false;
   auto Job = Ended.Job;
   auto &Fate = Result_.Jobs[Job];
-  Teams_[Input_.Jobs[Job].Team].Waiting -= Ended.Unstarted;
+  stopWaiting(Ended);
   Fate.Started = Fate.Started || Ended.Started;
   if (End == JobEnd::Refused && Ended.Started)
     Fate.RefusalWasUntrue = true;
@@ -231,15 +237,20 @@
     double Work = core::toMilliseconds(Ended->RunTime);
     Result_.TotalWork += Work;
     From->Work += Work;
+    if (Ended->Verdict == kernel::TaskVerdict::Failed)
+      stopWaiting(*From);
   } else if (const auto *Refused = std::get_if<kernel::StartRefused>(&Next)) {
     ++Result_.Messages.Refused;
     auto *From = Release(*Refused);
-    if (!From->IsOpen)
+    if (From->IsEnding)
       return;
     ++From->Unstarted;
     ++Teams_[Input_.Jobs[From->Job].Team].Waiting;
   } else if (const auto *Lost = std::get_if<kernel::TaskUncertain>(&Next)) {
     Release(*Lost);
+  } else if (const auto *Report = std::get_if<kernel::TaskReported>(&Next)) {
+    if (Report->Report == kernel::TaskReport::Unknown)
+      stopWaiting(Submissions_[Report->Task.Job]);
   }
 }
 
@@ -299,6 +310,7 @@
     if (Found == Submissions_.end() || !Found->second.IsOpen || Draw(Random_) >= Change.Share)
       continue;
     CancelAsked_[Job] = 1;
+    stopWaiting(Found->second);
     auto Request = static_cast<kernel::RequestId>(Input_.Jobs.size() + Job);
     Vms_[Found->second.Vm]->handle(kernel::CancelJob{Request, Current_[Job]});
   }
--- a/Utilities/Replay/ReplayRun.h
+++ b/Utilities/Replay/ReplayRun.h
@@ -28,8 +28,9 @@
   struct Submission {
     std::uint32_t Job = 0; ///< In the trace.
     std::uint32_t Vm = 0;
-    std::uint32_t Unstarted = 0;
+    std::uint32_t Unstarted = 0; ///< Tasks that still wait.
     bool IsOpen = true;
+    bool IsEnding = false; ///< No further task starts; running ones are awaited.
     bool Started = false;
     double Work = 0; ///< Slot milliseconds of its ended tasks.
   };
@@ -59,6 +60,8 @@
 
   void deliver(std::uint32_t Vm, kernel::Event Next);
   void account(SimulatedVm &Vm, const kernel::Event &Next);
+  /// The tasks that have not started do not wait any more.
+  void stopWaiting(Submission &Ending);
   void endSubmission(kernel::JobId Id, JobEnd End);
   void answer(std::uint32_t Job, JobEnd End);
 
