Replay: Measure idle reprints over the same time as those in the burst

Cause: the idle run took the start of the burst from its own first job of it, and so left out the slowest reprint.

--- a/Utilities/Replay/Comparison.cpp
+++ b/Utilities/Replay/Comparison.cpp
@@ -69,12 +69,14 @@
 void addReprints(const Trace &Input, const ReplayResult &Result,
                  const kernel::PolicyConfiguration &Policy, std::optional<double> MessageCost,
                  Figures &Values) {
-  double InBurst = reprintQuantile(Input, Result, Result.EndOfBurst);
+  // The idle trace has other first jobs, so the time is taken from the whole one.
+  double From = firstOfBurst(Input);
+  double InBurst = reprintQuantile(Input, Result, From, Result.EndOfBurst);
   if (Result.EndOfBurst < 0 || InBurst < 0)
     return;
   auto Idle = onlyReprints(Input);
   auto IdleResult = ReplayRun(Idle, Policy, MessageCost).run();
-  double OnIdle = reprintQuantile(Idle, IdleResult, Result.EndOfBurst);
+  double OnIdle = reprintQuantile(Idle, IdleResult, From, Result.EndOfBurst);
   Values["reprint_p99_ms"] = InBurst;
   Values["reprint_idle_p99_ms"] = OnIdle;
   Values["reprint_p99_over_idle"] = OnIdle > 0 ? InBurst / OnIdle : 0;
--- a/Utilities/Replay/Report.cpp
+++ b/Utilities/Replay/Report.cpp
@@ -237,15 +237,18 @@
   return Values;
 }
 
-double reprintQuantile(const Trace &Input, const ReplayResult &Result, double BurstAnswered) {
-  double From = -1;
+double firstOfBurst(const Trace &Input) {
   for (const auto &Job : Input.Jobs)
-    if (Job.Label.starts_with("burst-") && From < 0)
-      From = Job.At;
+    if (Job.Label.starts_with("burst-"))
+      return Job.At;
+  return -1;
+}
+
+double reprintQuantile(const Trace &Input, const ReplayResult &Result, double From, double Until) {
   std::vector<double> Responses;
   for (std::size_t Job = 0; Job < Input.Jobs.size(); ++Job) {
     const auto &Content = Input.Jobs[Job];
-    if (Content.Label.ends_with("reprint") && Content.At >= From && Content.At <= BurstAnswered &&
+    if (Content.Label.ends_with("reprint") && Content.At >= From && Content.At <= Until &&
         Result.Jobs[Job].End == JobEnd::Completed)
       Responses.push_back(Result.Jobs[Job].Response);
   }
--- a/Utilities/Replay/Report.h
+++ b/Utilities/Replay/Report.h
@@ -29,9 +29,12 @@
 /// Figures of a run against the clairvoyant schedule of the jobs that it completed.
 Figures measure(const Trace &Input, const ReplayResult &Result, PlanCache &Cache);
 
-/// Quantile 0.99 of the response times of the single reprints that arrived while the burst was in
-/// the system; negative when there are none.
-double reprintQuantile(const Trace &Input, const ReplayResult &Result, double BurstAnswered);
+/// When the first job of the burst arrives; negative without a burst.
+double firstOfBurst(const Trace &Input);
+
+/// Quantile 0.99 of the response times of the single reprints that arrived in the given time;
+/// negative when there are none.
+double reprintQuantile(const Trace &Input, const ReplayResult &Result, double From, double Until);
 
 /// The trace with nothing but its single reprints.
 Trace onlyReprints(const Trace &Input);
