--- a/Kernel/Action.h
+++ b/Kernel/Action.h
@@ -65,6 +65,7 @@
       1; ///< Of the whole job, so that the endpoint's records show whether it is whole.
   /// Number of this start, unique in the process. The events that answer the start carry it.
   std::uint32_t Attempt = 0;
+  std::uint64_t Fingerprint = 0; ///< Of the job's specification; endpoints record it.
 };
 
 /// Asks about a running task on a connection other than its own.
--- a/Kernel/DelegatedRules.cpp
+++ b/Kernel/DelegatedRules.cpp
@@ -47,7 +47,7 @@
   Started.DueAt = Policy_->askAt(Next.Task, *Endpoint, Now_);
   Running_.add(Next.Task, Started);
   emit(StartTask{Next.Task, *Endpoint, Next.Service, Next.Kind, Next.Team, Next.Spec,
-                 std::move(Next.Payload), 0, Next.TaskCount, Started.Attempt});
+                 std::move(Next.Payload), 0, Next.TaskCount, Started.Attempt, Next.Fingerprint});
   return Starts::Unchanged;
 }
 
--- a/Kernel/Event.h
+++ b/Kernel/Event.h
@@ -120,6 +120,7 @@
   TaskSpec Spec;
   std::shared_ptr<const JobPayload> Payload; ///< One entry, for this task.
   std::uint32_t TaskCount = 1;               ///< Of the whole job.
+  std::uint64_t Fingerprint = 0;             ///< Of the job's specification; endpoints record it.
 };
 
 /// A peer asks about a task that it delegated, or fences it.
--- a/Kernel/HealthTracker.cpp
+++ b/Kernel/HealthTracker.cpp
@@ -167,6 +167,8 @@
 }
 
 bool HealthTracker::mayEject(std::uint32_t DataCentre) const {
+  if (MaximumEjectedShare_ <= 0)
+    return false;
   // One may always go: a process that holds fewer than five would otherwise keep a worker that
   // fails everything. Slots borrowed from peers replace it.
   double Bound = std::max(1.0, MaximumEjectedShare_ * HeldIn_[DataCentre]);
--- a/Kernel/TaskRules.cpp
+++ b/Kernel/TaskRules.cpp
@@ -140,7 +140,7 @@
   const auto &Spec = Job->Spec;
   emit(StartTask{Choice.Task, Choice.Endpoint, Spec.Service, Spec.Kind, Spec.Team,
                  Spec.Tasks[Index], Spec.Payload, Index,
-                 static_cast<std::uint32_t>(Spec.Tasks.size()), Started.Attempt});
+                 static_cast<std::uint32_t>(Spec.Tasks.size()), Started.Attempt, Job->Fingerprint});
   return true;
 }
 
--- a/Libraries/LibEndpoint/EndpointProtocol.h
+++ b/Libraries/LibEndpoint/EndpointProtocol.h
@@ -17,14 +17,16 @@
 
 /// What one start carries.
 struct StartRequest {
-  std::string Task; ///< Text form of the task identifier.
+  std::string Task;          ///< Text form of the task identifier.
+  std::uint32_t Attempt = 0; ///< Grows with each start of the task that is tried.
   std::string Boot; ///< The endpoint's run that the start is meant for; another run refuses it.
   std::string Service;
   std::string Kind;
   std::string Team;
   kernel::Resources Declared;
-  std::uint32_t TaskCount = 1; ///< Of the whole job.
-  std::string_view Payload;    ///< UTF-8.
+  std::uint32_t TaskCount = 1;   ///< Of the whole job.
+  std::uint64_t Fingerprint = 0; ///< Of the job's specification.
+  std::string_view Payload;      ///< UTF-8.
 };
 
 /// The endpoint refused the task before starting it.
@@ -87,7 +89,9 @@
 
 /// An endpoint's records of a job.
 struct JobRecords {
-  std::uint32_t TaskCount = 0; ///< Of the whole job; zero when there is no record.
+  std::uint32_t TaskCount = 0;   ///< Of the whole job; zero when there is no record.
+  std::string Team;              ///< Whose job it is; empty when the endpoint does not tell.
+  std::uint64_t Fingerprint = 0; ///< As in the starts; zero when the endpoint does not tell.
   std::vector<JobRecord> Tasks;
 };
 
@@ -106,10 +110,11 @@
   virtual std::optional<TaskAnswer> ask(std::string_view Task, std::string_view Boot,
                                         core::TimePoint Deadline) = 0;
 
-  /// Makes the endpoint refuse the task from now on and reports its state. NotStartedAndFenced is
-  /// returned only by the given run of the endpoint.
-  virtual std::optional<TaskAnswer> fence(std::string_view Task, std::string_view Boot,
-                                          core::TimePoint Deadline) = 0;
+  /// Makes the endpoint refuse the task's starts up to that attempt and reports its state. A later
+  /// attempt may start there: a process that holds slots of one endpoint only has no other.
+  /// NotStartedAndFenced is returned only by the given run of the endpoint.
+  virtual std::optional<TaskAnswer> fence(std::string_view Task, std::uint32_t Attempt,
+                                          std::string_view Boot, core::TimePoint Deadline) = 0;
 
   virtual std::optional<EndpointStatus> status(core::TimePoint Deadline) = 0;
 
--- a/Libraries/LibEndpoint/HttpEndpointMessages.cpp
+++ b/Libraries/LibEndpoint/HttpEndpointMessages.cpp
@@ -69,7 +69,10 @@
 } // namespace
 
 std::string renderStart(const StartRequest &Request) {
-  Json Object = {{"task_count", Request.TaskCount}, {"payload", Request.Payload}};
+  Json Object = {{"task_count", Request.TaskCount},
+                 {"attempt", Request.Attempt},
+                 {"job_fingerprint", Request.Fingerprint},
+                 {"payload", Request.Payload}};
   if (!Request.Boot.empty())
     Object["boot"] = Request.Boot;
   Object["service"] = Request.Service;
@@ -125,7 +128,10 @@
   if (!Object || textField(*Object, "job") != Job || !Object->contains("tasks") ||
       !(*Object)["tasks"].is_array())
     return std::nullopt;
-  JobRecords Result{countField(*Object, "task_count"), {}};
+  JobRecords Result{countField(*Object, "task_count"),
+                    textField(*Object, "team"),
+                    Object->value("job_fingerprint", std::uint64_t{0}),
+                    {}};
   for (auto &Entry : (*Object)["tasks"]) {
     if (!Entry.is_object() || !Entry.contains("index"))
       return std::nullopt;
--- a/Libraries/LibEndpoint/HttpEndpointProtocol.cpp
+++ b/Libraries/LibEndpoint/HttpEndpointProtocol.cpp
@@ -84,9 +84,11 @@
   return Answer ? std::move(Answer) : failMismatch();
 }
 
-std::optional<TaskAnswer> HttpEndpointProtocol::fence(std::string_view Task, std::string_view Boot,
+std::optional<TaskAnswer> HttpEndpointProtocol::fence(std::string_view Task, std::uint32_t Attempt,
+                                                      std::string_view Boot,
                                                       core::TimePoint Deadline) {
-  auto Result = send("POST", "/v1/tasks/" + std::string(Task) + "/fence", "{}", Deadline);
+  auto Result = send("POST", "/v1/tasks/" + std::string(Task) + "/fence",
+                     R"({"attempt":)" + std::to_string(Attempt) + "}", Deadline);
   if (!Result)
     return failUnavailable(Result.error());
   auto Answer = detail::parseTaskAnswer(Result->body, Task, Boot);
--- a/Libraries/LibEndpoint/HttpEndpointProtocol.h
+++ b/Libraries/LibEndpoint/HttpEndpointProtocol.h
@@ -22,8 +22,8 @@
   StartAnswer start(const StartRequest &Request, core::TimePoint Deadline) override;
   std::optional<TaskAnswer> ask(std::string_view Task, std::string_view Boot,
                                 core::TimePoint Deadline) override;
-  std::optional<TaskAnswer> fence(std::string_view Task, std::string_view Boot,
-                                  core::TimePoint Deadline) override;
+  std::optional<TaskAnswer> fence(std::string_view Task, std::uint32_t Attempt,
+                                  std::string_view Boot, core::TimePoint Deadline) override;
   std::optional<EndpointStatus> status(core::TimePoint Deadline) override;
   std::optional<JobRecords> jobRecords(std::string_view Job, core::TimePoint Deadline) override;
   void abort() override;
--- a/Services/EndpointStandIn/StandInApi.cpp
+++ b/Services/EndpointStandIn/StandInApi.cpp
@@ -44,7 +44,8 @@
 void StandInApi::addRoutes() {
   Server_.route("POST", TaskPrefix, [this](const auto &Request, auto &Response) {
     if (Request.path.ends_with(FenceSuffix))
-      answer(Response, Endpoint_.fence(between(Request.path, TaskPrefix, FenceSuffix)));
+      answer(Response,
+             Endpoint_.fence(between(Request.path, TaskPrefix, FenceSuffix), Request.body));
     else
       answer(Response, Endpoint_.start(between(Request.path, TaskPrefix, ""), Request.body));
   });
--- a/Services/EndpointStandIn/StandInEndpoint.cpp
+++ b/Services/EndpointStandIn/StandInEndpoint.cpp
@@ -27,6 +27,12 @@
   return Found != Object.end() && Found->is_number() ? Found->get<double>() : Default;
 }
 
+std::uint32_t attemptOf(const nlohmann::json &Request, std::uint32_t Default) {
+  auto Found = Request.is_object() ? Request.find("attempt") : Request.end();
+  return Found != Request.end() && Found->is_number_unsigned() ? Found->get<std::uint32_t>()
+                                                               : Default;
+}
+
 } // namespace
 
 StandInEndpoint::StandInEndpoint(EndpointOptions Options, StandInControls &Controls,
@@ -43,14 +49,14 @@
   {
     std::lock_guard Guard(Mutex_);
     forgetOldRecords(Began);
-    auto Cause = Wanted ? refusalCause(Task, MeantFor) : "invalid";
+    auto Cause = Wanted ? refusalCause(Task, attemptOf(Request, 0), MeantFor) : "invalid";
     if (!Cause.empty()) {
       auto Refusal = answerBody(Task, "refused");
       Refusal["cause"] = Cause;
       return {Cause == "invalid" ? 400 : 409, Refusal};
     }
     ++Running_;
-    Records_[Task] = {answerBody(Task, "running"), Wanted->TaskCount, core::TimePoint::max()};
+    Records_[Task] = {answerBody(Task, "running"), *Wanted, core::TimePoint::max()};
     noteUsage(Wanted->Used, 1);
   }
   Log_.write("start", Task, Options_.Name, Boot_);
@@ -70,6 +76,8 @@
     return std::nullopt;
   Work Result;
   Result.TaskCount = Request.value("task_count", 1U);
+  Result.Team = Request.value("team", std::string());
+  Result.JobFingerprint = Request.value("job_fingerprint", std::uint64_t{0});
   Result.Used = {{"processors", numberOr(Payload, "processors", 1)},
                  {"memory_mb", numberOr(Payload, "memory_mb", 0)},
                  {"accelerators", numberOr(Payload, "accelerators", 0)}};
@@ -93,13 +101,14 @@
   return Result;
 }
 
-std::string StandInEndpoint::refusalCause(const std::string &Task,
+std::string StandInEndpoint::refusalCause(const std::string &Task, std::uint32_t Attempt,
                                           const std::string &MeantFor) const {
   if (!MeantFor.empty() && MeantFor != Boot_)
     return "other_boot";
   if (Records_.contains(Task))
     return "already_started";
-  if (Fenced_.contains(Task))
+  auto Fenced = Fenced_.find(Task);
+  if (Fenced != Fenced_.end() && Attempt <= Fenced->second.Attempt)
     return "fenced";
   if (Leaving_)
     return "leaving";
@@ -116,12 +125,15 @@
   return {200, answerBody(Task, Fenced_.contains(Task) ? "not_started" : "unknown")};
 }
 
-Answer StandInEndpoint::fence(const std::string &Task) {
+Answer StandInEndpoint::fence(const std::string &Task, std::string_view Body) {
+  auto Request = Json::parse(Body, nullptr, false);
+  auto Attempt = attemptOf(Request, std::numeric_limits<std::uint32_t>::max());
   std::lock_guard Guard(Mutex_);
   auto Found = Records_.find(Task);
   if (Found != Records_.end())
     return {200, Found->second.Body};
-  Fenced_[Task] = core::MonotonicClock::now() + RecordLifetime;
+  auto &Known = Fenced_[Task];
+  Known = {std::max(Known.Attempt, Attempt), core::MonotonicClock::now() + RecordLifetime};
   return {200, answerBody(Task, "not_started")};
 }
 
@@ -129,15 +141,18 @@
   std::lock_guard Guard(Mutex_);
   auto Prefix = Job + ".";
   Json Tasks = Json::array();
-  std::uint32_t TaskCount = 0;
+  Json Answered = {{"job", Job}, {"boot", Boot_}, {"task_count", 0}};
   for (auto Next = Records_.lower_bound(Prefix);
        Next != Records_.end() && Next->first.starts_with(Prefix); ++Next) {
     auto Entry = Next->second.Body;
     Entry["index"] = std::stoul(Next->first.substr(Prefix.size()));
     Tasks.push_back(std::move(Entry));
-    TaskCount = Next->second.TaskCount;
+    Answered["task_count"] = Next->second.Wanted.TaskCount;
+    Answered["team"] = Next->second.Wanted.Team;
+    Answered["job_fingerprint"] = Next->second.Wanted.JobFingerprint;
   }
-  return {200, {{"job", Job}, {"boot", Boot_}, {"task_count", TaskCount}, {"tasks", Tasks}}};
+  Answered["tasks"] = std::move(Tasks);
+  return {200, Answered};
 }
 
 Answer StandInEndpoint::status() const {
@@ -179,7 +194,9 @@
       Done.Text.empty() ? Json({{"run_ms", core::toMilliseconds(RunTime)}}).dump() : Done.Text;
   std::lock_guard Guard(Mutex_);
   auto ForgetAt = core::MonotonicClock::now() + RecordLifetime;
-  Records_[Task] = {Body, Done.TaskCount, ForgetAt};
+  auto &Kept = Records_[Task];
+  Kept.Body = Body;
+  Kept.ForgetAt = ForgetAt;
   Ends_.emplace_back(ForgetAt, Task);
   noteUsage(Done.Used, -1);
   if (--Running_ == 0)
@@ -204,7 +221,7 @@
     Records_.erase(Ends_.front().second);
     Ends_.pop_front();
   }
-  std::erase_if(Fenced_, [Now](const auto &Entry) { return Entry.second <= Now; });
+  std::erase_if(Fenced_, [Now](const auto &Entry) { return Entry.second.ForgetAt <= Now; });
 }
 
 } // namespace cornellift::standin
--- a/Services/EndpointStandIn/StandInEndpoint.h
+++ b/Services/EndpointStandIn/StandInEndpoint.h
@@ -40,7 +40,8 @@
   /// Runs the task and returns at its end, or refuses it.
   Answer start(const std::string &Task, std::string_view Body);
   Answer ask(const std::string &Task) const;
-  Answer fence(const std::string &Task);
+  /// Refuses the task's starts up to the attempt in the body, or all of them without one.
+  Answer fence(const std::string &Task, std::string_view Body);
   Answer jobRecords(const std::string &Job) const;
   Answer status() const;
 
@@ -60,16 +61,19 @@
     std::string Text; ///< Result, or message of the failure; empty for a result with the run time.
     Json Used;
     std::uint32_t TaskCount = 1;
+    std::string Team;
+    std::uint64_t JobFingerprint = 0;
   };
 
   struct Record {
     Json Body; ///< With the state.
-    std::uint32_t TaskCount = 1;
+    Work Wanted;
     core::TimePoint ForgetAt;
   };
 
   std::optional<Work> readWork(std::string_view Body) const;
-  std::string refusalCause(const std::string &Task, const std::string &MeantFor) const;
+  std::string refusalCause(const std::string &Task, std::uint32_t Attempt,
+                           const std::string &MeantFor) const;
   Json answerBody(const std::string &Task, std::string_view State) const;
   Json finish(const std::string &Task, const Work &Done, core::Duration RunTime);
   void noteUsage(const Json &Used, double Sign);
@@ -84,7 +88,12 @@
   std::uint32_t Running_ = 0;
   bool Leaving_ = false;
   std::map<std::string, Record> Records_; ///< By task; jobs are found by prefix.
-  std::map<std::string, core::TimePoint> Fenced_;
+  struct Fence {
+    std::uint32_t Attempt = 0; ///< The highest one that is refused.
+    core::TimePoint ForgetAt;
+  };
+
+  std::map<std::string, Fence> Fenced_;
   std::deque<std::pair<core::TimePoint, std::string>> Ends_;
   Json Usage_;
   std::deque<std::pair<core::TimePoint, Json>> UsageHistory_;
--- a/Services/EntryDaemon/CallerApi.cpp
+++ b/Services/EntryDaemon/CallerApi.cpp
@@ -1,5 +1,6 @@
 #include "Services/EntryDaemon/CallerApi.h"
 
+#include "Kernel/Fingerprint.h"
 #include "Libraries/LibCore/Log.h"
 #include "Libraries/LibCore/Reason.h"
 #include "Services/EntryDaemon/CallerMessages.h"
@@ -128,6 +129,7 @@
   auto Spec = Target ? makeSpec(*Job, Team) : std::nullopt;
   if (!Spec)
     return refuse();
+  Target->Fingerprint = kernel::fingerprint(*Spec, *Board_.current());
   auto Wait = Target->WaitUntil;
   auto Content = Requests_.call(
       [&](kernel::RequestId Id) {
@@ -233,14 +235,14 @@
       return std::move(*Answer);
   }
   if (Failure == ForwardFailure::IssuerDead)
-    return recover(Target);
+    return recover(Target, Request.Team);
   return {409, renderUnknown(core::ErrorKind::Unavailable, AskLater).Body};
 }
 
-ForwardedResponse CallerApi::recover(const JobTarget &Target) const {
+ForwardedResponse CallerApi::recover(const JobTarget &Target, std::string_view Team) const {
   Recoveries_.add();
   auto Configuration = Board_.current();
-  auto Records = collectRecords(*Configuration, Target.Text);
+  auto Records = collectRecords(*Configuration, {Target.Text, Team, Target.Fingerprint});
   return renderOutcome(Target.Text,
                        kernel::recoverOutcome(Records, Configuration->Limits.MaximumTasksPerJob));
 }
--- a/Services/EntryDaemon/CallerApi.h
+++ b/Services/EntryDaemon/CallerApi.h
@@ -38,6 +38,7 @@
     kernel::NamedJobId Id;
     std::string Text;
     std::optional<core::TimePoint> WaitUntil;
+    std::uint64_t Fingerprint = 0; ///< Of a submission; zero for a question.
   };
 
   void answer(const httplib::Request &Request, httplib::Response &Response);
@@ -50,7 +51,7 @@
   ForwardedResponse finish(const ForwardedRequest &Request, const JobTarget &Target,
                            const std::optional<kernel::Response> &Content, Origin From);
   ForwardedResponse forward(const ForwardedRequest &Request, const JobTarget &Target, Origin From);
-  ForwardedResponse recover(const JobTarget &Target) const;
+  ForwardedResponse recover(const JobTarget &Target, std::string_view Team) const;
   void addNextIdentifiers(const JobTarget &Target, kernel::TeamIndex Team, std::string &Body);
   std::optional<kernel::IdentifierBlock> fetchBlock(kernel::TeamIndex Team);
 
--- a/Services/EntryDaemon/DelegationDuty.cpp
+++ b/Services/EntryDaemon/DelegationDuty.cpp
@@ -217,6 +217,7 @@
   if (Action.Payload && Action.PayloadIndex < Action.Payload->Tasks.size())
     Request.set_payload(Action.Payload->Tasks[Action.PayloadIndex]);
   Request.set_task_count(Action.TaskCount);
+  Request.set_fingerprint(Action.Fingerprint);
   Request.set_receiver(Receiver.Process.Value);
   return Request;
 }
--- a/Services/EntryDaemon/EndpointLink.cpp
+++ b/Services/EntryDaemon/EndpointLink.cpp
@@ -133,11 +133,13 @@
     return std::nullopt;
   endpoint::StartRequest Request;
   Request.Task = taskName(Action.Task);
+  Request.Attempt = Action.Attempt;
   Request.Service = Configuration->Services[ServiceNumber].Name;
   Request.Kind = Configuration->Services[ServiceNumber].Kinds[KindNumber].Name;
   Request.Team = Configuration->Teams[TeamNumber].Name;
   Request.Declared = Action.Spec.Declared;
   Request.TaskCount = Action.TaskCount;
+  Request.Fingerprint = Action.Fingerprint;
   Request.Payload = Action.Payload->Tasks[Action.PayloadIndex];
   return Request;
 }
--- a/Services/EntryDaemon/EndpointQuestions.cpp
+++ b/Services/EntryDaemon/EndpointQuestions.cpp
@@ -83,7 +83,8 @@
     auto Connection = connect();
     if (!Connection)
       return std::nullopt;
-    auto Answer = Connection->fence(Task, Boot, core::MonotonicClock::now() + QuestionTime);
+    auto Answer = Connection->fence(Task, Session.Action.Attempt, Boot,
+                                    core::MonotonicClock::now() + QuestionTime);
     if (Answer)
       return Answer;
   }
--- a/Services/EntryDaemon/JobRecovery.cpp
+++ b/Services/EntryDaemon/JobRecovery.cpp
@@ -28,15 +28,20 @@
 }
 
 kernel::EndpointRecords askEndpoint(kernel::EndpointIndex Endpoint, const std::string &Address,
-                                    std::string_view Job) {
+                                    const RecoveryRequest &Request) {
   kernel::EndpointRecords Result{Endpoint, kernel::EndpointRecords::Reply::NoAnswer, {}};
   auto Connection = endpoint::connectEndpoint("http", Address);
-  auto Records = Connection
-                     ? (*Connection)->jobRecords(Job, core::MonotonicClock::now() + QuestionTime)
-                     : std::nullopt;
+  auto Records =
+      Connection
+          ? (*Connection)->jobRecords(Request.Job, core::MonotonicClock::now() + QuestionTime)
+          : std::nullopt;
   if (!Records)
     return Result;
   Result.Given = kernel::EndpointRecords::Reply::Answered;
+  bool OtherTeam = !Records->Team.empty() && Records->Team != Request.Team;
+  bool OtherJob = Request.Fingerprint != 0 && Records->Fingerprint != Request.Fingerprint;
+  if (OtherTeam || OtherJob)
+    return Result;
   for (const auto &Record : Records->Tasks)
     Result.Tasks.push_back(convert(Record, Records->TaskCount));
   return Result;
@@ -45,7 +50,7 @@
 } // namespace
 
 std::vector<kernel::EndpointRecords>
-collectRecords(const kernel::KernelConfiguration &Configuration, std::string_view Job) {
+collectRecords(const kernel::KernelConfiguration &Configuration, const RecoveryRequest &Request) {
   const auto &Endpoints = Configuration.Endpoints;
   std::vector<kernel::EndpointRecords> Records(Endpoints.size());
   std::atomic<std::size_t> Next{0};
@@ -53,7 +58,7 @@
     for (auto Number = Next++; Number < Endpoints.size(); Number = Next++)
       if (!Endpoints[Number].Removed && !Endpoints[Number].Remote)
         Records[Number] = askEndpoint(kernel::EndpointIndex(static_cast<std::uint32_t>(Number)),
-                                      Endpoints[Number].Address, Job);
+                                      Endpoints[Number].Address, Request);
   };
   std::vector<std::thread> Threads;
   for (std::size_t Count = 0; Count < std::min(ParallelQuestions, Endpoints.size()); ++Count)
--- a/Services/EntryDaemon/JobRecovery.h
+++ b/Services/EntryDaemon/JobRecovery.h
@@ -3,14 +3,22 @@
 #include "Kernel/KernelConfiguration.h"
 #include "Kernel/Recovery.h"
 
+#include <cstdint>
 #include <string_view>
 #include <vector>
 
 namespace cornellift::entry {
 
-/// Asks every configured endpoint for its records of the job, several at a time.
+/// The job whose records are wanted. Records of another team, or of another specification under the
+/// same identifier, do not count.
+struct RecoveryRequest {
+  std::string_view Job;          ///< Text form of the identifier.
+  std::string_view Team;         ///< Name of the team that asks.
+  std::uint64_t Fingerprint = 0; ///< Of the submission; zero when there is none.
+};
 
+/// Asks every configured endpoint for its records of the job, several at a time.
 std::vector<kernel::EndpointRecords>
-collectRecords(const kernel::KernelConfiguration &Configuration, std::string_view Job);
+collectRecords(const kernel::KernelConfiguration &Configuration, const RecoveryRequest &Request);
 
 } // namespace cornellift::entry
--- a/Services/EntryDaemon/TaskCoding.cpp
+++ b/Services/EntryDaemon/TaskCoding.cpp
@@ -46,6 +46,7 @@
   Result.Payload = std::make_shared<const kernel::JobPayload>(
       kernel::JobPayload{{std::string(Request.payload())}});
   Result.TaskCount = Request.task_count();
+  Result.Fingerprint = Request.fingerprint();
   return Result;
 }
 
--- a/Tests/LibEndpoint/TestHttpEndpointProtocol.cpp
+++ b/Tests/LibEndpoint/TestHttpEndpointProtocol.cpp
@@ -194,13 +194,16 @@
   BOOST_REQUIRE(holds<Ended>(First));
   BOOST_TEST(std::get<Ended>(First).Result->size() == 1000000);
   BOOST_TEST(holds<Uncertain>(Connection->start(Start, soon())));
-  auto Fenced = Connection->fence("v.1.1.1", Status->Boot, soon());
+  auto Fenced = Connection->fence("v.1.1.1", 2, Status->Boot, soon());
   BOOST_TEST((Fenced && std::holds_alternative<NotStartedAndFenced>(*Fenced)));
   Start.Task = "v.1.1.1";
+  Start.Attempt = 2;
   auto Refusal = Connection->start(Start, soon());
   BOOST_REQUIRE(holds<Refused>(Refusal));
   BOOST_TEST((std::get<Refused>(Refusal).Cause == kernel::StartRefusal::Fenced));
+  Start.Attempt = 3;
+  BOOST_TEST(holds<Ended>(Connection->start(Start, soon())));
   auto Records = Connection->jobRecords("v.1.1", soon());
-  BOOST_TEST((Records && Records->Tasks.size() == 1));
+  BOOST_TEST((Records && Records->Tasks.size() == 2));
   StandIn.stop();
 }
