--- a/Libraries/LibConfiguration/KernelConversion.cpp
+++ b/Libraries/LibConfiguration/KernelConversion.cpp
@@ -160,7 +160,7 @@
     Delegate.Remote = true;
     Delegate.Slots = 0;
     auto Known = std::find_if(Configuration.Endpoints.begin(), Configuration.Endpoints.end(),
-                              [&](auto &Other) { return Other.Name == Delegate.Name; });
+                              [&Name = Delegate.Name](auto &Other) { return Other.Name == Name; });
     if (Known != Configuration.Endpoints.end())
       *Known = std::move(Delegate);
     else
--- a/Services/EntryDaemon/ConfigurationService.cpp
+++ b/Services/EntryDaemon/ConfigurationService.cpp
@@ -11,8 +11,8 @@
                                            std::unique_ptr<platform::PlatformStore> Store)
     : Store_(std::move(Store)),
       Configuration_(*Store_,
-                     [&Owner](std::shared_ptr<const kernel::KernelConfiguration> Next) {
-                       Owner.applyConfiguration(std::move(Next));
+                     [&Owner](const std::shared_ptr<const kernel::KernelConfiguration> &Next) {
+                       Owner.applyConfiguration(Next);
                      }),
       NoPeers_({Owner.settings().EntryVm, Owner.settings().DataCentre, Owner.incarnation(),
                 MemberState::Alive, 0},
--- a/Services/EntryDaemon/GrpcPeerNetwork.cpp
+++ b/Services/EntryDaemon/GrpcPeerNetwork.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 using core::MonotonicClock;
-using peer::CallResult;
 
 constexpr core::Duration FetchTime = std::chrono::seconds(2);
 constexpr core::Duration StatusTime = std::chrono::milliseconds(500);
@@ -131,6 +130,7 @@
           Record.Standing == kernel::MemberStanding::Ready)
         ByCentre.emplace(Record.DataCentre, Record.Address);
     std::vector<std::string> Result;
+    Result.reserve(ByCentre.size());
     for (auto &[Centre, Address] : ByCentre)
       Result.push_back(Address);
     return Result;
--- a/Tests/EntryDaemon/TestPeers.cpp
+++ b/Tests/EntryDaemon/TestPeers.cpp
@@ -20,7 +20,7 @@
 class Sites {
 public:
   /// Endpoints by data centre, with that many slots each.
-  explicit Sites(std::map<std::string, std::uint32_t> SlotsByCentre)
+  explicit Sites(const std::map<std::string, std::uint32_t> &SlotsByCentre)
       : Directory_(std::filesystem::temp_directory_path() /
                    ("cornellift-peers-" + std::to_string(::getpid()))),
         Log_((std::filesystem::create_directories(Directory_), Directory_ / "tasks.log").string()) {
--- a/Tests/Integration/Deployment.h
+++ b/Tests/Integration/Deployment.h
@@ -28,7 +28,7 @@
 public:
   /// Starts everything and waits until every entry VM is ready. Throws std::runtime_error with the
   /// log directory in the message when that fails.
-  explicit Deployment(std::string Name, DeploymentOptions Options = {});
+  explicit Deployment(const std::string &Name, DeploymentOptions Options = {});
   ~Deployment();
   Deployment(const Deployment &) = delete;
   Deployment &operator=(const Deployment &) = delete;
