--- a/Tests/Integration/Deployment.cpp
+++ b/Tests/Integration/Deployment.cpp
@@ -61,7 +61,8 @@
   return true;
 }
 
-Deployment::Deployment(const std::string &Name, DeploymentOptions Options) : Options_(std::move(Options)) {
+Deployment::Deployment(const std::string &Name, DeploymentOptions Options)
+    : Options_(std::move(Options)) {
   Directory_ = std::filesystem::current_path() / "integration-logs" / Name;
   std::filesystem::remove_all(Directory_);
   std::filesystem::create_directories(Directory_);
@@ -264,7 +265,8 @@
 
 HttpReply Deployment::submit(const std::string &Vm, const Json &Job, int Seconds) {
   auto Now = std::chrono::system_clock::now().time_since_epoch();
-  auto Until = std::chrono::duration_cast<std::chrono::milliseconds>(Now).count() + std::int64_t{Seconds} * 900;
+  auto Until = std::chrono::duration_cast<std::chrono::milliseconds>(Now).count() +
+               std::int64_t{Seconds} * 900;
   return call(Vm, "POST", "/v1/jobs?wait_until=" + std::to_string(Until), Job, Seconds);
 }
 
--- a/Tests/Integration/TestFaultPairs.cpp
+++ b/Tests/Integration/TestFaultPairs.cpp
@@ -129,17 +129,20 @@
     }));
   }
 
-  static constexpr const char *Names[] = {"killEntry",        "pauseEntry",
-                                          "stopEntry",        "loseStore",
-                                          "slowStore",        "silenceEndpoints",
-                                          "cutEndpoints",     "separateDataCentres",
-                                          "separatePlatform", "crossAnswers",
-                                          "patch"};
-  static constexpr Fault Faults[] = {&FaultPair::killEntry,        &FaultPair::pauseEntry,
-                                     &FaultPair::stopEntry,        &FaultPair::loseStore,
-                                     &FaultPair::slowStore,        &FaultPair::silenceEndpoints,
-                                     &FaultPair::cutEndpoints,     &FaultPair::separateDataCentres,
-                                     &FaultPair::separatePlatform, &FaultPair::crossAnswers,
+  static constexpr const char *Names[] = {
+      "killEntry",        "pauseEntry",       "stopEntry",    "loseStore",
+      "slowStore",        "silenceEndpoints", "cutEndpoints", "separateDataCentres",
+      "separatePlatform", "crossAnswers",     "patch"};
+  static constexpr Fault Faults[] = {&FaultPair::killEntry,
+                                     &FaultPair::pauseEntry,
+                                     &FaultPair::stopEntry,
+                                     &FaultPair::loseStore,
+                                     &FaultPair::slowStore,
+                                     &FaultPair::silenceEndpoints,
+                                     &FaultPair::cutEndpoints,
+                                     &FaultPair::separateDataCentres,
+                                     &FaultPair::separatePlatform,
+                                     &FaultPair::crossAnswers,
                                      &FaultPair::patch};
 
   std::mt19937 Random_;
