EntryDaemon: Heed the platform's list of leaving endpoints

Cause: the relay read the list of VMs and used it for entry VMs only, and an endpoint's entry in it was taken for an entry VM.

The relay now tells its data centre each second which endpoints are leaving, and the scheduler keeps the mark for 10 s against the endpoint's own status.

LibPeer: a transferred part says whether it holds state or outcomes. Without it a successor took the outcomes that follow an unanswered seal call for state.

--- a/Kernel/Event.h
+++ b/Kernel/Event.h
@@ -99,7 +99,7 @@
 /// What is known of an endpoint from its own status and the platform's list.
 struct EndpointObserved {
   EndpointIndex Endpoint{};
-  enum class Reach { Reachable, Unreachable } Reachability{};
+  enum class Reach { Reachable, Unreachable, Unknown } Reachability{}; ///< Unknown from the list.
   enum class Standing { Live, Leaving } State{};
   Resources Used; ///< Lags behind.
 };
--- a/Kernel/PolicyScheduler.h
+++ b/Kernel/PolicyScheduler.h
@@ -70,7 +70,7 @@
     std::vector<const RunningTask *> Running;
     std::uint32_t Refusals = 0; ///< For want of a slot, in a row.
     core::TimePoint PausedUntil;
-    core::TimePoint LeavingRefusal;
+    core::TimePoint LeavingMark;
   };
 
   struct DelayedTask {
--- a/Kernel/PolicySchedulerEvents.cpp
+++ b/Kernel/PolicySchedulerEvents.cpp
@@ -11,7 +11,8 @@
 constexpr core::Duration FirstPause = std::chrono::milliseconds(20);
 constexpr std::uint32_t MaximumPauseDoublings = 6;
 constexpr double RetryMilliseconds = 100;
-/// A list that lags may still call an endpoint live that has refused a start because it leaves.
+/// An endpoint that was marked as leaving, by its own refusal or by the platform's list, may still
+/// call itself live, as may a list that lags.
 constexpr core::Duration LeavingMemory = std::chrono::seconds(10);
 constexpr double MeanShare = 0.01;
 
@@ -42,7 +43,7 @@
                                    core::TimePoint Now) {
   auto Refused = release(Task, Endpoint);
   if (Cause == StartRefusal::Leaving) {
-    notes(Endpoint).LeavingRefusal = Now;
+    notes(Endpoint).LeavingMark = Now;
     Endpoints_.setLeaving(Endpoint, true);
   } else if (Cause == StartRefusal::NotSent) {
     Health_.unreachable(Endpoint, Now);
@@ -104,12 +105,14 @@
   if (static_cast<std::size_t>(Observed.Endpoint) >= Endpoints_.size())
     return;
   bool Leaving = Observed.State == EndpointObserved::Standing::Leaving;
-  auto Refusal = notes(Observed.Endpoint).LeavingRefusal;
-  if (Leaving || Refusal == core::TimePoint{} || Now - Refusal > LeavingMemory)
+  auto &Mark = notes(Observed.Endpoint).LeavingMark;
+  if (Leaving)
+    Mark = Now;
+  if (Leaving || Mark == core::TimePoint{} || Now - Mark > LeavingMemory)
     Endpoints_.setLeaving(Observed.Endpoint, Leaving);
   if (Observed.Reachability == EndpointObserved::Reach::Reachable)
     Health_.answered(Observed.Endpoint, Now);
-  else
+  else if (Observed.Reachability == EndpointObserved::Reach::Unreachable)
     Health_.unreachable(Observed.Endpoint, Now);
   updateAllowed(Observed.Endpoint, Now);
 }
--- /dev/null
+++ b/Services/EntryDaemon/LeavingEndpoints.cpp
@@ -0,0 +1,39 @@
+#include "Services/EntryDaemon/LeavingEndpoints.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace cornellift::entry {
+namespace {
+
+std::optional<kernel::EndpointIndex> findEndpoint(const ConfigurationBoard &Board,
+                                                  std::string_view Name) {
+  auto Configuration = Board.current();
+  if (!Configuration)
+    return std::nullopt;
+  const auto &Endpoints = Configuration->Endpoints;
+  auto Found = std::find_if(Endpoints.begin(), Endpoints.end(), [Name](const auto &Endpoint) {
+    return Endpoint.Name == Name && !Endpoint.Removed && !Endpoint.Remote;
+  });
+  if (Found == Endpoints.end())
+    return std::nullopt;
+  return kernel::EndpointIndex(static_cast<std::uint32_t>(Found - Endpoints.begin()));
+}
+
+} // namespace
+
+bool LeavingEndpoints::isEndpoint(std::string_view Name) const {
+  return findEndpoint(Board_, Name).has_value();
+}
+
+void LeavingEndpoints::note(std::string_view Name) {
+  auto Endpoint = findEndpoint(Board_, Name);
+  if (!Endpoint)
+    return;
+  // The list repeats the mark each second, so an event that finds no room may be dropped.
+  Kernel_.tryPost(kernel::EndpointObserved{*Endpoint, kernel::EndpointObserved::Reach::Unknown,
+                                           kernel::EndpointObserved::Standing::Leaving,
+                                           kernel::Resources{}});
+}
+
+} // namespace cornellift::entry
--- a/Services/EntryDaemon/MembershipDuty.cpp
+++ b/Services/EntryDaemon/MembershipDuty.cpp
@@ -76,17 +76,53 @@
     if (!Listed)
       continue;
     HasList = true;
-    std::vector<kernel::ListedVm> Vms;
-    for (auto &Vm : *Listed)
-      Vms.push_back({std::move(Vm.Name), std::move(Vm.Address), std::move(Vm.DataCentre),
-                     Vm.State == platform::VmState::Leaving ? kernel::ListedVm::Mark::Leaving
-                                                            : kernel::ListedVm::Mark::Live});
-    change([&](kernel::Membership &View, core::TimePoint Now, kernel::MembershipActions &Out) {
-      View.platformList(std::move(Vms), Now, Out);
-    });
+    takeList(std::move(*Listed));
   } while (sleepFor(ListInterval));
 }
 
+void MembershipDuty::takeList(std::vector<platform::VmRecord> Listed) {
+  std::vector<kernel::ListedVm> Vms;
+  std::vector<std::string> Leaving;
+  for (auto &Vm : Listed) {
+    bool IsLeaving = Vm.State == platform::VmState::Leaving;
+    if (Endpoints_ == nullptr || !Endpoints_->isEndpoint(Vm.Name))
+      Vms.push_back({std::move(Vm.Name), std::move(Vm.Address), std::move(Vm.DataCentre),
+                     IsLeaving ? kernel::ListedVm::Mark::Leaving : kernel::ListedVm::Mark::Live});
+    else if (IsLeaving)
+      Leaving.push_back(std::move(Vm.Name));
+  }
+  change([&](kernel::Membership &View, core::TimePoint Now, kernel::MembershipActions &Out) {
+    View.platformList(std::move(Vms), Now, Out);
+  });
+  if (!Leaving.empty())
+    announceLeaving(Leaving);
+}
+
+void MembershipDuty::noteLeaving(const std::string &Endpoint) {
+  if (Endpoints_ != nullptr)
+    Endpoints_->note(Endpoint);
+}
+
+void MembershipDuty::announceLeaving(const std::vector<std::string> &Names) {
+  peer::AnnounceRequest Request;
+  for (const auto &Name : Names) {
+    noteLeaving(Name);
+    Request.add_leaving_endpoints(Name);
+  }
+  std::vector<std::string> Addresses;
+  read([&](const kernel::Membership &View) {
+    Request.set_origin(View.own().DataCentre);
+    for (const auto &[Name, Record] : View.table().members())
+      if (Record.DataCentre == View.own().DataCentre && Name != View.own().EntryVm)
+        Addresses.push_back(Record.Address);
+    return 0;
+  });
+  for (const auto &Address : Addresses)
+    Client_.start<peer::AnnounceRequest, peer::AnnounceReply>(
+        Address, &peer::Peer::Stub::async::Announce, Request, MonotonicClock::now() + AnnounceTime,
+        [](const auto &) {});
+}
+
 void MembershipDuty::change(const std::function<void(kernel::Membership &, core::TimePoint,
                                                      kernel::MembershipActions &)> &Change) {
   kernel::MembershipActions Actions;
--- a/Services/EntryDaemon/MembershipDuty.h
+++ b/Services/EntryDaemon/MembershipDuty.h
@@ -5,6 +5,7 @@
 #include "Libraries/LibPlatform/PlatformStore.h"
 #include "Services/EntryDaemon/ConfigurationSource.h"
 #include "Services/EntryDaemon/Duty.h"
+#include "Services/EntryDaemon/LeavingEndpoints.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -37,6 +38,9 @@
   /// Called with a version above the own one. Set before start().
   void setConfiguration(ConfigurationSource *Source) { Configuration_ = Source; }
 
+  /// Endpoints in the platform's list are passed on to this. Set before start().
+  void setLeavingEndpoints(LeavingEndpoints &Endpoints) { Endpoints_ = &Endpoints; }
+
   /// Sets this process's record, with the address that peers use, and the seeds' addresses. Call
   /// before start().
   void setOwn(kernel::MemberRecord Own, std::vector<std::string> Seeds);
@@ -55,11 +59,14 @@
                                        kernel::MembershipActions &)> &Change);
 
   kernel::Heartbeat heartbeatReceived(const kernel::Heartbeat &Sender);
+  void noteLeaving(const std::string &Endpoint);
   kernel::Announcement announced(const kernel::Announcement &News);
 
 private:
   void runTicks();
   void pollList();
+  void takeList(std::vector<platform::VmRecord> Listed);
+  void announceLeaving(const std::vector<std::string> &Names);
   void perform(const kernel::MembershipActions &Actions);
   void send(const kernel::SendProbe &Action);
   void send(const kernel::SendProbeFor &Action);
@@ -72,6 +79,7 @@
   std::function<SelfReport()> Report_;
   platform::PlatformStore *Store_;
   ConfigurationSource *Configuration_ = nullptr;
+  LeavingEndpoints *Endpoints_ = nullptr;
   mutable std::mutex Mutex_;
   std::unique_ptr<kernel::Membership> View_;
   std::mutex StopMutex_;
--- a/Services/EntryDaemon/PeerDuty.cpp
+++ b/Services/EntryDaemon/PeerDuty.cpp
@@ -23,6 +23,7 @@
 
 PeerDuty::PeerDuty(Daemon &Owner, platform::PlatformStore *Store)
     : Owner_(Owner), Seeds_(seedAddresses(Owner.settings().All)),
+      LeavingEndpoints_(Owner.kernel(), Owner.configuration()),
       Members_(
           Client_, [this] { return report(); }, Store),
       Slots_(Owner.kernel(), Owner.configuration(), Members_, Client_,
@@ -34,6 +35,7 @@
       Network_(Members_, Client_),
       Service_({Members_, Slots_, Transfer_, Client_, Owner.callerApi(), Owner.requests(),
                 Owner.issuerNames(), Owner.configuration()}) {
+  Members_.setLeavingEndpoints(LeavingEndpoints_);
   Owner.setPeers(Network_);
   Owner.router().setDelegationHandler(
       [this](const kernel::Action &Next) { return Delegation_.perform(Next); });
--- a/Services/EntryDaemon/PeerDuty.h
+++ b/Services/EntryDaemon/PeerDuty.h
@@ -48,6 +48,7 @@
   Daemon &Owner_;
   std::vector<std::string> Seeds_;
   peer::PeerClient Client_;
+  LeavingEndpoints LeavingEndpoints_;
   MembershipDuty Members_;
   SlotDuty Slots_;
   DelegationDuty Delegation_;
--- a/Services/EntryDaemon/PeerService.cpp
+++ b/Services/EntryDaemon/PeerService.cpp
@@ -53,6 +53,8 @@
 
 grpc::Status PeerService::Announce(grpc::ServerContext *, const peer::AnnounceRequest *Request,
                                    peer::AnnounceReply *Reply) {
+  for (const auto &Endpoint : Request->leaving_endpoints())
+    Daemon_.Members.noteLeaving(Endpoint);
   auto Answer = Daemon_.Members.announced(peer::decode(*Request, MonotonicClock::now()));
   *Reply = peer::encodeReply(Answer, MonotonicClock::now());
   return grpc::Status::OK;
--- a/Services/EntryDaemon/TransferCoding.cpp
+++ b/Services/EntryDaemon/TransferCoding.cpp
@@ -201,6 +201,7 @@
   Result.set_transfer(Part.Transfer);
   auto &To = *Result.mutable_part();
   To.set_number(Part.Number);
+  To.set_outcomes_only(Part.Kind == kernel::TransferPart::Content::Outcomes);
   for (const auto &Issuer : Part.Issuers) {
     auto *Sent = To.add_issuers();
     Sent->set_incarnation(Issuer.Issuer.Value);
@@ -227,6 +228,8 @@
   Part->Receiver = {Request.receiver()};
   Part->Transfer = Request.transfer();
   Part->Number = From.number();
+  Part->Kind = From.outcomes_only() ? kernel::TransferPart::Content::Outcomes
+                                    : kernel::TransferPart::Content::State;
   for (const auto &Issuer : From.issuers()) {
     Part->Issuers.push_back(
         {{Issuer.incarnation()}, Issuer.first_sequence(), Issuer.next_sequence()});
--- /dev/null
+++ b/Tests/EntryDaemon/TestTransferCoding.cpp
@@ -0,0 +1,24 @@
+#include "Services/EntryDaemon/TransferCoding.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornellift;
+
+// Guards against outcomes that the successor takes for state after a seal call without an answer.
+BOOST_AUTO_TEST_CASE(KindOfAPartSurvivesTheWire) {
+  kernel::KernelConfiguration Configuration;
+  entry::IssuerNames Names("ikeja-1");
+  for (auto Kind :
+       {kernel::TransferPart::Content::State, kernel::TransferPart::Content::Outcomes}) {
+    kernel::TransferPart Part;
+    Part.Sender = {7};
+    Part.Receiver = {8};
+    Part.Transfer = 3;
+    Part.Kind = Kind;
+    auto Received = entry::decodeTransfer(entry::encodeTransfer(Part, Configuration, Names),
+                                          Configuration, Names);
+    BOOST_REQUIRE(Received);
+    BOOST_TEST((Received->Kind == Kind));
+    BOOST_TEST(Received->Transfer == 3U);
+  }
+}
--- a/Tests/Integration/Deployment.cpp
+++ b/Tests/Integration/Deployment.cpp
@@ -138,13 +138,28 @@
   if (!waitUntil(
           [Port] { return callHttp(Port, "GET", "/control/counters", "", "").Status == 200; }))
     throw std::runtime_error("the platform stand-in does not start; see " + Directory_);
+  publishList("");
+}
+
+void Deployment::publishList(const std::string &LeavingName) {
   Json Vms = Json::array();
+  auto Add = [&](const std::string &Name, std::uint16_t Port, const std::string &DataCentre) {
+    Vms.push_back({{"name", Name},
+                   {"address", loopback(Port)},
+                   {"data_centre", DataCentre},
+                   {"state", Name == LeavingName ? "leaving" : "live"}});
+  };
   for (const auto &Vm : EntryVms_)
-    Vms.push_back({{"name", Vm},
-                   {"address", loopback(Ports_.at("peer-" + Vm))},
-                   {"data_centre", DataCentreOf_.at(Vm)},
-                   {"state", "live"}});
-  callHttp(Port, "PUT", "/control/vms", Json{{"vms", Vms}}.dump(), "");
+    Add(Vm, Ports_.at("peer-" + Vm), DataCentreOf_.at(Vm));
+  for (const auto &DataCentre : Options_.DataCentres)
+    for (unsigned Number = 1; Number <= Options_.EndpointsPerDataCentre; ++Number)
+      Add(DataCentre + "-w" + std::to_string(Number), endpointPort(DataCentre, Number), DataCentre);
+  callHttp(Ports_.at("platform"), "PUT", "/control/vms", Json{{"vms", Vms}}.dump(), "");
+}
+
+void Deployment::markLeaving(const std::string &Name) {
+  platformFault({{"vm_lag_ms", 1000}});
+  publishList(Name);
 }
 
 void Deployment::startEndpoints() {
@@ -344,6 +359,19 @@
   return Count;
 }
 
+unsigned Deployment::startsAt(const std::string &DataCentre, unsigned Number) const {
+  unsigned Count = 0;
+  auto Name = loopback(endpointPort(DataCentre, Number));
+  std::ifstream File(logPath("tasks-" + DataCentre + ".jsonl"));
+  for (std::string Line; std::getline(File, Line);) {
+    auto Entry = Json::parse(Line, nullptr, false);
+    if (Entry.is_object() && Entry.value("event", "") == "start" &&
+        Entry.value("endpoint", "") == Name)
+      ++Count;
+  }
+  return Count;
+}
+
 void Deployment::checkPromises() const {
   for (const auto &[Task, Count] : starts())
     BOOST_CHECK_MESSAGE(Count == 1,
--- a/Tests/Integration/Deployment.h
+++ b/Tests/Integration/Deployment.h
@@ -70,11 +70,14 @@
   void separateFromPlatform(const std::string &DataCentre);
   void reconnect();
   void platformFault(const nlohmann::json &Switches);
+  /// Marks the entry VM or endpoint as leaving in the platform's list, which lags by a second.
+  void markLeaving(const std::string &Name);
   std::uint16_t endpointPort(const std::string &DataCentre, unsigned Number) const;
 
   /// Number of starts by task id, from the endpoints' own log.
   std::map<std::string, unsigned> starts() const;
   unsigned startsOfJob(const std::string &Id) const;
+  unsigned startsAt(const std::string &DataCentre, unsigned Number) const;
 
   /// Checks what must hold after every case: no task id started twice, and no process applied a
   /// lower configuration version after a higher one.
@@ -84,6 +87,7 @@
   void pickPorts();
   void startProxy();
   void startPlatform();
+  void publishList(const std::string &LeavingName);
   void startEndpoints();
   void seedConfiguration();
   nlohmann::json configuration() const;
--- a/Tests/Integration/TestEndpointFaults.cpp
+++ b/Tests/Integration/TestEndpointFaults.cpp
@@ -1,6 +1,8 @@
 #include "Tests/Integration/Deployment.h"
 
+#include <chrono>
 #include <future>
+#include <thread>
 
 #include <boost/test/unit_test.hpp>
 
@@ -112,3 +114,19 @@
     checkAnswer(Running, Job, Running.submit("ikeja-1", Job, 60));
   Running.checkPromises();
 }
+
+// Guards against new work for an endpoint that only the platform's lagging list shows as leaving.
+BOOST_AUTO_TEST_CASE(ListedAsLeavingGetsNoNewWork) {
+  constexpr auto Promised = std::chrono::seconds(3);
+  Deployment Running("listed-as-leaving", OneDataCentre);
+  Running.markLeaving("ikeja-w1");
+  std::this_thread::sleep_for(Promised);
+  for (const auto &Vm : Running.entryVms()) {
+    auto Job = Deployment::job(Running.newIdentifier(Vm), 60, 30);
+    auto Answer = Running.submit(Vm, Job);
+    BOOST_CHECK_EQUAL(Answer.Body.value("outcome", ""), "complete");
+    checkAnswer(Running, Job, Answer);
+  }
+  BOOST_CHECK_EQUAL(Running.startsAt("ikeja", 1), 0);
+  Running.checkPromises();
+}
