--- a/Tests/Integration/TestFaultPairs.cpp
+++ b/Tests/Integration/TestFaultPairs.cpp
@@ -31,7 +31,7 @@
     submitJobs();
     for (unsigned Number = 0; Number < 2; ++Number) {
       // Faults begin at a number of starts, not at a time.
-      auto Wanted = 4 + draw(12) + 16 * Number;
+      auto Wanted = 4 + draw(12) + std::size_t{16} * Number;
       waitUntil([&] { return Running_.starts().size() >= Wanted; }, 5);
       inject(draw(std::size(Faults)));
     }
