--- a/Kernel/DelegatedTable.cpp
+++ b/Kernel/Delegation/DelegatedTable.cpp
@@ -1,4 +1,4 @@
-#include "Kernel/DelegatedTable.h"
+#include "Kernel/Delegation/DelegatedTable.h"
 
 #include <algorithm>
 
--- a/Kernel/DispatcherState.h
+++ b/Kernel/DispatcherState.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "Kernel/DelegatedTable.h"
+#include "Kernel/Delegation/DelegatedTable.h"
 #include "Kernel/Dispatcher.h"
-#include "Kernel/IdentifierIssuer.h"
-#include "Kernel/JobTable.h"
-#include "Kernel/OutcomeStore.h"
-#include "Kernel/RequestTable.h"
-#include "Kernel/RunningTasks.h"
-#include "Kernel/TransferStaging.h"
+#include "Kernel/Jobs/IdentifierIssuer.h"
+#include "Kernel/Jobs/JobTable.h"
+#include "Kernel/Jobs/OutcomeStore.h"
+#include "Kernel/Jobs/RequestTable.h"
+#include "Kernel/Jobs/RunningTasks.h"
+#include "Kernel/Transfer/TransferStaging.h"
 
 #include <map>
 #include <memory>
--- a/Kernel/Event.h
+++ b/Kernel/Event.h
@@ -4,7 +4,7 @@
 #include "Kernel/Job.h"
 #include "Kernel/KernelConfiguration.h"
 #include "Kernel/Outcome.h"
-#include "Kernel/Transfer.h"
+#include "Kernel/Transfer/Transfer.h"
 #include "Libraries/LibCore/Time.h"
 
 #include <cstdint>
--- a/Kernel/Fingerprint.cpp
+++ b/Kernel/Jobs/Fingerprint.cpp
@@ -1,4 +1,4 @@
-#include "Kernel/Fingerprint.h"
+#include "Kernel/Jobs/Fingerprint.h"
 
 #include <string>
 #include <string_view>
--- a/Kernel/IdentifierIssuer.cpp
+++ b/Kernel/Jobs/IdentifierIssuer.cpp
@@ -1,4 +1,4 @@
-#include "Kernel/IdentifierIssuer.h"
+#include "Kernel/Jobs/IdentifierIssuer.h"
 
 #include "Libraries/LibCore/Reason.h"
 
--- a/Kernel/IdentifierIssuer.h
+++ b/Kernel/Jobs/IdentifierIssuer.h
@@ -2,7 +2,7 @@
 
 #include "Kernel/Action.h"
 #include "Kernel/Identifiers.h"
-#include "Kernel/Transfer.h"
+#include "Kernel/Transfer/Transfer.h"
 #include "Libraries/LibCore/Time.h"
 
 #include <cstdint>
--- a/Kernel/JobRules.cpp
+++ b/Kernel/Jobs/JobRules.cpp
@@ -1,5 +1,5 @@
 #include "Kernel/DispatcherState.h"
-#include "Kernel/Fingerprint.h"
+#include "Kernel/Jobs/Fingerprint.h"
 
 #include <algorithm>
 
--- a/Kernel/JobTable.cpp
+++ b/Kernel/Jobs/JobTable.cpp
@@ -1,4 +1,4 @@
-#include "Kernel/JobTable.h"
+#include "Kernel/Jobs/JobTable.h"
 
 #include <algorithm>
 
--- a/Kernel/JobTable.h
+++ b/Kernel/Jobs/JobTable.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Kernel/JobRecord.h"
+#include "Kernel/Jobs/JobRecord.h"
 #include "Libraries/LibCore/Time.h"
 
 #include <cstdint>
--- a/Kernel/OutcomeStore.cpp
+++ b/Kernel/Jobs/OutcomeStore.cpp
@@ -1,4 +1,4 @@
-#include "Kernel/OutcomeStore.h"
+#include "Kernel/Jobs/OutcomeStore.h"
 
 #include <algorithm>
 
--- a/Kernel/OutcomeStore.h
+++ b/Kernel/Jobs/OutcomeStore.h
@@ -2,7 +2,7 @@
 
 #include "Kernel/Identifiers.h"
 #include "Kernel/Outcome.h"
-#include "Kernel/Transfer.h"
+#include "Kernel/Transfer/Transfer.h"
 #include "Libraries/LibCore/Time.h"
 
 #include <cstdint>
--- a/Kernel/Recovery.cpp
+++ b/Kernel/Jobs/Recovery.cpp
@@ -1,4 +1,4 @@
-#include "Kernel/Recovery.h"
+#include "Kernel/Jobs/Recovery.h"
 
 #include "Libraries/LibCore/Reason.h"
 
--- a/Kernel/MemberTable.cpp
+++ b/Kernel/Membership/MemberTable.cpp
@@ -1,4 +1,4 @@
-#include "Kernel/MemberTable.h"
+#include "Kernel/Membership/MemberTable.h"
 
 #include <algorithm>
 #include <tuple>
--- a/Kernel/MemberTable.h
+++ b/Kernel/Membership/MemberTable.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Kernel/MemberRecord.h"
+#include "Kernel/Membership/MemberRecord.h"
 
 #include <functional>
 #include <map>
--- a/Kernel/Membership.cpp
+++ b/Kernel/Membership/Membership.cpp
@@ -1,4 +1,4 @@
-#include "Kernel/Membership.h"
+#include "Kernel/Membership/Membership.h"
 
 #include <algorithm>
 
--- a/Kernel/Membership.h
+++ b/Kernel/Membership/Membership.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Kernel/MemberTable.h"
+#include "Kernel/Membership/MemberTable.h"
 
 #include <random>
 #include <set>
--- a/Kernel/MembershipRecords.cpp
+++ b/Kernel/Membership/MembershipRecords.cpp
@@ -1,5 +1,5 @@
 // How records spread: announcements, syncs, gateways between data centres, and first contacts.
-#include "Kernel/Membership.h"
+#include "Kernel/Membership/Membership.h"
 
 #include <algorithm>
 
--- a/Kernel/AdmissionPolicies.cpp
+++ b/Kernel/Scheduling/AdmissionPolicies.cpp
@@ -1,4 +1,4 @@
-#include "Kernel/AdmissionPolicy.h"
+#include "Kernel/Scheduling/AdmissionPolicy.h"
 
 #include <algorithm>
 
--- a/Kernel/EndpointTable.cpp
+++ b/Kernel/Scheduling/EndpointTable.cpp
@@ -1,4 +1,4 @@
-#include "Kernel/EndpointTable.h"
+#include "Kernel/Scheduling/EndpointTable.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Kernel/ExpectedCompletionPlacement.cpp
+++ b/Kernel/Scheduling/ExpectedCompletionPlacement.cpp
@@ -1,4 +1,4 @@
-#include "Kernel/PlacementPolicy.h"
+#include "Kernel/Scheduling/PlacementPolicy.h"
 
 #include <algorithm>
 #include <limits>
--- a/Kernel/HealthTracker.cpp
+++ b/Kernel/Scheduling/HealthTracker.cpp
@@ -1,4 +1,4 @@
-#include "Kernel/HealthTracker.h"
+#include "Kernel/Scheduling/HealthTracker.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Kernel/OrderingPolicies.cpp
+++ b/Kernel/Scheduling/OrderingPolicies.cpp
@@ -1,4 +1,4 @@
-#include "Kernel/OrderingPolicy.h"
+#include "Kernel/Scheduling/OrderingPolicy.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Kernel/PlacementPolicy.h
+++ b/Kernel/Scheduling/PlacementPolicy.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Kernel/EndpointTable.h"
+#include "Kernel/Scheduling/EndpointTable.h"
 #include "Libraries/LibCore/PluginRegistry.h"
 
 #include <cstdint>
--- a/Kernel/PolicyScheduler.h
+++ b/Kernel/Scheduling/PolicyScheduler.h
@@ -1,17 +1,17 @@
 #pragma once
 
-#include "Kernel/AdmissionPolicy.h"
-#include "Kernel/EndpointTable.h"
-#include "Kernel/HealthTracker.h"
-#include "Kernel/OrderingPolicy.h"
-#include "Kernel/PlacementPolicy.h"
-#include "Kernel/QuotaLedger.h"
-#include "Kernel/RetryBudget.h"
-#include "Kernel/RunTimeEstimator.h"
 #include "Kernel/Scheduler.h"
-#include "Kernel/SizeEstimator.h"
-#include "Kernel/SpeedEstimator.h"
-#include "Kernel/WaitingJobs.h"
+#include "Kernel/Scheduling/AdmissionPolicy.h"
+#include "Kernel/Scheduling/EndpointTable.h"
+#include "Kernel/Scheduling/HealthTracker.h"
+#include "Kernel/Scheduling/OrderingPolicy.h"
+#include "Kernel/Scheduling/PlacementPolicy.h"
+#include "Kernel/Scheduling/QuotaLedger.h"
+#include "Kernel/Scheduling/RetryBudget.h"
+#include "Kernel/Scheduling/RunTimeEstimator.h"
+#include "Kernel/Scheduling/SizeEstimator.h"
+#include "Kernel/Scheduling/SpeedEstimator.h"
+#include "Kernel/Scheduling/WaitingJobs.h"
 
 #include <cstdint>
 #include <map>
--- a/Kernel/PolicySchedulerEvents.cpp
+++ b/Kernel/Scheduling/PolicySchedulerEvents.cpp
@@ -1,6 +1,6 @@
 // What the scheduler learns from ends, refusals and observations.
 
-#include "Kernel/PolicyScheduler.h"
+#include "Kernel/Scheduling/PolicyScheduler.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Kernel/QuotaLedger.cpp
+++ b/Kernel/Scheduling/QuotaLedger.cpp
@@ -1,4 +1,4 @@
-#include "Kernel/QuotaLedger.h"
+#include "Kernel/Scheduling/QuotaLedger.h"
 
 #include <algorithm>
 
--- a/Kernel/RetryBudget.cpp
+++ b/Kernel/Scheduling/RetryBudget.cpp
@@ -1,4 +1,4 @@
-#include "Kernel/RetryBudget.h"
+#include "Kernel/Scheduling/RetryBudget.h"
 
 #include <algorithm>
 
--- a/Kernel/RunTimeEstimator.cpp
+++ b/Kernel/Scheduling/RunTimeEstimator.cpp
@@ -1,4 +1,4 @@
-#include "Kernel/RunTimeEstimator.h"
+#include "Kernel/Scheduling/RunTimeEstimator.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Kernel/SizeEstimator.cpp
+++ b/Kernel/Scheduling/SizeEstimator.cpp
@@ -1,4 +1,4 @@
-#include "Kernel/SizeEstimator.h"
+#include "Kernel/Scheduling/SizeEstimator.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Kernel/SpeedEstimator.cpp
+++ b/Kernel/Scheduling/SpeedEstimator.cpp
@@ -1,4 +1,4 @@
-#include "Kernel/SpeedEstimator.h"
+#include "Kernel/Scheduling/SpeedEstimator.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Kernel/WaitingJobs.cpp
+++ b/Kernel/Scheduling/WaitingJobs.cpp
@@ -1,4 +1,4 @@
-#include "Kernel/WaitingJobs.h"
+#include "Kernel/Scheduling/WaitingJobs.h"
 
 #include <algorithm>
 #include <bit>
--- a/Kernel/WaitingJobs.h
+++ b/Kernel/Scheduling/WaitingJobs.h
@@ -2,8 +2,8 @@
 
 #include "Kernel/Identifiers.h"
 #include "Kernel/Job.h"
-#include "Kernel/OrderingPolicy.h"
-#include "Kernel/RunTimeEstimator.h"
+#include "Kernel/Scheduling/OrderingPolicy.h"
+#include "Kernel/Scheduling/RunTimeEstimator.h"
 
 #include <array>
 #include <cstdint>
--- a/Kernel/SlotLender.cpp
+++ b/Kernel/Slots/SlotLender.cpp
@@ -1,4 +1,4 @@
-#include "Kernel/SlotLender.h"
+#include "Kernel/Slots/SlotLender.h"
 
 #include <algorithm>
 #include <utility>
--- a/Kernel/SlotLender.h
+++ b/Kernel/Slots/SlotLender.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Kernel/Identifiers.h"
-#include "Kernel/MemberRecord.h"
+#include "Kernel/Membership/MemberRecord.h"
 #include "Kernel/Scheduler.h"
 #include "Libraries/LibCore/Time.h"
 
--- a/Kernel/SlotLending.cpp
+++ b/Kernel/Slots/SlotLending.cpp
@@ -1,5 +1,5 @@
 // The owner's side of the SlotLender: granting and recalling.
-#include "Kernel/SlotLender.h"
+#include "Kernel/Slots/SlotLender.h"
 
 #include "Libraries/LibCore/Reason.h"
 
--- a/Kernel/TransferPartWriter.cpp
+++ b/Kernel/Transfer/TransferPartWriter.cpp
@@ -1,6 +1,6 @@
-#include "Kernel/TransferPartWriter.h"
+#include "Kernel/Transfer/TransferPartWriter.h"
 
-#include "Kernel/OutcomeStore.h"
+#include "Kernel/Jobs/OutcomeStore.h"
 
 #include <utility>
 
--- a/Kernel/TransferPartWriter.h
+++ b/Kernel/Transfer/TransferPartWriter.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Kernel/IdentifierIssuer.h"
-#include "Kernel/Transfer.h"
+#include "Kernel/Jobs/IdentifierIssuer.h"
+#include "Kernel/Transfer/Transfer.h"
 
 #include <cstdint>
 #include <memory>
--- a/Kernel/TransferRules.cpp
+++ b/Kernel/Transfer/TransferRules.cpp
@@ -1,5 +1,5 @@
 #include "Kernel/DispatcherState.h"
-#include "Kernel/TransferPartWriter.h"
+#include "Kernel/Transfer/TransferPartWriter.h"
 
 #include <algorithm>
 
--- a/Kernel/TransferStaging.cpp
+++ b/Kernel/Transfer/TransferStaging.cpp
@@ -1,6 +1,6 @@
-#include "Kernel/TransferStaging.h"
+#include "Kernel/Transfer/TransferStaging.h"
 
-#include "Kernel/OutcomeStore.h"
+#include "Kernel/Jobs/OutcomeStore.h"
 
 namespace cornellift::kernel {
 namespace {
--- a/Kernel/TransferStaging.h
+++ b/Kernel/Transfer/TransferStaging.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Kernel/Identifiers.h"
-#include "Kernel/Transfer.h"
+#include "Kernel/Transfer/Transfer.h"
 #include "Libraries/LibCore/Time.h"
 
 #include <cstdint>
--- a/Libraries/LibPeer/MembershipCoding.h
+++ b/Libraries/LibPeer/MembershipCoding.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Kernel/MemberRecord.h"
+#include "Kernel/Membership/MemberRecord.h"
 #include "Libraries/LibPeer/Generated/Peer.pb.h"
 
 #include <google/protobuf/repeated_field.h>
--- a/Services/EntryDaemon/CallerApi.cpp
+++ b/Services/EntryDaemon/CallerApi.cpp
@@ -1,6 +1,6 @@
 #include "Services/EntryDaemon/CallerApi.h"
 
-#include "Kernel/Fingerprint.h"
+#include "Kernel/Jobs/Fingerprint.h"
 #include "Libraries/LibCore/Log.h"
 #include "Libraries/LibCore/Reason.h"
 #include "Services/EntryDaemon/CallerMessages.h"
--- a/Services/EntryDaemon/Daemon.cpp
+++ b/Services/EntryDaemon/Daemon.cpp
@@ -1,6 +1,6 @@
 #include "Services/EntryDaemon/Daemon.h"
 
-#include "Kernel/PolicyScheduler.h"
+#include "Kernel/Scheduling/PolicyScheduler.h"
 #include "Libraries/LibConfiguration/Document.h"
 #include "Libraries/LibCore/Log.h"
 #include "Libraries/LibCore/Reason.h"
--- a/Services/EntryDaemon/JobRecovery.h
+++ b/Services/EntryDaemon/JobRecovery.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "Kernel/Jobs/Recovery.h"
 #include "Kernel/KernelConfiguration.h"
-#include "Kernel/Recovery.h"
 
 #include <cstdint>
 #include <string_view>
--- a/Services/EntryDaemon/MembershipDuty.h
+++ b/Services/EntryDaemon/MembershipDuty.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Kernel/Membership.h"
+#include "Kernel/Membership/Membership.h"
 #include "Libraries/LibPeer/PeerClient.h"
 #include "Libraries/LibPlatform/PlatformStore.h"
 #include "Services/EntryDaemon/ConfigurationSource.h"
--- a/Services/EntryDaemon/PolicyCheck.cpp
+++ b/Services/EntryDaemon/PolicyCheck.cpp
@@ -1,8 +1,8 @@
 #include "Services/EntryDaemon/PolicyCheck.h"
 
-#include "Kernel/AdmissionPolicy.h"
-#include "Kernel/OrderingPolicy.h"
-#include "Kernel/PlacementPolicy.h"
+#include "Kernel/Scheduling/AdmissionPolicy.h"
+#include "Kernel/Scheduling/OrderingPolicy.h"
+#include "Kernel/Scheduling/PlacementPolicy.h"
 #include "Libraries/LibCore/Reason.h"
 
 #include <algorithm>
--- a/Services/EntryDaemon/SlotDuty.h
+++ b/Services/EntryDaemon/SlotDuty.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Kernel/SlotLender.h"
+#include "Kernel/Slots/SlotLender.h"
 #include "Libraries/LibPeer/PeerClient.h"
 #include "Services/EntryDaemon/ConfigurationBoard.h"
 #include "Services/EntryDaemon/KernelThread.h"
--- a/Services/EntryDaemon/TransferCoding.h
+++ b/Services/EntryDaemon/TransferCoding.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Kernel/Transfer.h"
+#include "Kernel/Transfer/Transfer.h"
 #include "Libraries/LibPeer/Generated/Peer.pb.h"
 #include "Services/EntryDaemon/ConfigurationBoard.h"
 #include "Services/EntryDaemon/IssuerNames.h"
--- a/Tests/Kernel/MembershipNetwork.h
+++ b/Tests/Kernel/MembershipNetwork.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Kernel/Membership.h"
+#include "Kernel/Membership/Membership.h"
 
 #include <functional>
 #include <map>
--- a/Tests/Kernel/OwnershipChecks.cpp
+++ b/Tests/Kernel/OwnershipChecks.cpp
@@ -1,7 +1,7 @@
 #include "OwnershipProcess.h"
 #include "OwnershipWorld.h"
 
-#include "Kernel/Recovery.h"
+#include "Kernel/Jobs/Recovery.h"
 
 namespace cornellift::kernel {
 namespace {
--- a/Tests/Kernel/OwnershipWorld.cpp
+++ b/Tests/Kernel/OwnershipWorld.cpp
@@ -1,6 +1,6 @@
 #include "OwnershipWorld.h"
 
-#include "Kernel/DelegatedTable.h"
+#include "Kernel/Delegation/DelegatedTable.h"
 #include "OwnershipProcess.h"
 
 #include <algorithm>
--- a/Tests/Kernel/OwnershipWorld.h
+++ b/Tests/Kernel/OwnershipWorld.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Kernel/Dispatcher.h"
-#include "Kernel/Recovery.h"
+#include "Kernel/Jobs/Recovery.h"
 #include "RotatingScheduler.h"
 
 #include <cstdint>
--- a/Tests/Kernel/SlotNetwork.h
+++ b/Tests/Kernel/SlotNetwork.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Kernel/SlotLender.h"
+#include "Kernel/Slots/SlotLender.h"
 
 #include <functional>
 #include <map>
--- a/Tests/Kernel/TestDelegation.cpp
+++ b/Tests/Kernel/TestDelegation.cpp
@@ -1,6 +1,6 @@
 #include "DispatcherFixture.h"
 
-#include "Kernel/DelegatedTable.h"
+#include "Kernel/Delegation/DelegatedTable.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/Tests/Kernel/TestPolicyScheduler.cpp
+++ b/Tests/Kernel/TestPolicyScheduler.cpp
@@ -1,4 +1,4 @@
-#include "Kernel/PolicyScheduler.h"
+#include "Kernel/Scheduling/PolicyScheduler.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/Utilities/Replay/CostMeasurement.cpp
+++ b/Utilities/Replay/CostMeasurement.cpp
@@ -1,6 +1,6 @@
 #include "Utilities/Replay/CostMeasurement.h"
 
-#include "Kernel/PolicyScheduler.h"
+#include "Kernel/Scheduling/PolicyScheduler.h"
 #include "Utilities/Replay/Generators.h"
 #include "Utilities/Replay/ReplayRun.h"
 #include "Utilities/Replay/Report.h"
--- a/Utilities/Replay/TimedScheduler.h
+++ b/Utilities/Replay/TimedScheduler.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Kernel/PolicyScheduler.h"
+#include "Kernel/Scheduling/PolicyScheduler.h"
 
 #include <cstdint>
 #include <vector>
