Kernel: Keep the sum of slot speeds exact

A VM that had just lost its last slot had 1e-16 left in the sum of speeds, which is added to and taken from in floating point, so the backlog divided by it was endless and the retry time overflowed. A lack of capacity in the data centre was ruled out: the queue held 20 tasks.

The sum is now kept in integer steps. The wait that a refusal names is bounded to 10 minutes, and a job's expected end without slots is the earliest one possible.

After: both are accepted.

--- a/Kernel/Scheduling/AdmissionPolicies.cpp
+++ b/Kernel/Scheduling/AdmissionPolicies.cpp
@@ -9,9 +9,15 @@
 /// takes 400 s to drain, within the 10 minutes that are allowed after a burst.
 constexpr double MaximumBacklogMilliseconds = 20000;
 
+/// Bounds of the wait until a refused job may be sent again. Estimates of a long wait are rough,
+/// and slots may come back at any time.
+constexpr double ShortestWaitMilliseconds = 1000;
+constexpr double LongestWaitMilliseconds = 600000;
+
 NotRun overloaded(std::string Reason, double WaitMilliseconds, core::TimePoint Now) {
   return {core::ErrorKind::Overloaded, std::move(Reason),
-          Now + core::fromMilliseconds(std::max(1000.0, WaitMilliseconds))};
+          Now + core::fromMilliseconds(std::clamp(WaitMilliseconds, ShortestWaitMilliseconds,
+                                                  LongestWaitMilliseconds))};
 }
 
 /// Bounds on queued tasks and bytes only.
--- a/Kernel/Scheduling/EndpointTable.cpp
+++ b/Kernel/Scheduling/EndpointTable.cpp
@@ -68,7 +68,7 @@
   Groups_.clear();
   GroupsOfService_.clear();
   FreeSlots_ = RunningTasks_ = 0;
-  SlotSpeed_ = 0;
+  SlotSpeedUnits_ = 0;
   auto Count = std::max(Endpoints_.size(), Configuration.Endpoints.size());
   Endpoints_.resize(Count);
   for (std::uint32_t Position = 0; Position < Count; ++Position) {
@@ -93,6 +93,10 @@
   }
 }
 
+std::int64_t EndpointTable::slotSpeedUnits(const EndpointState &State) {
+  return std::llround(State.Slots * std::exp(State.LogSpeed) * SpeedUnits);
+}
+
 EndpointState &EndpointTable::edit(EndpointIndex Endpoint) {
   auto Position = static_cast<std::uint32_t>(Endpoint);
   auto &State = Endpoints_[Position];
@@ -105,7 +109,7 @@
   RunningTasks_ -= State.Running;
   if (!State.usable())
     return;
-  SlotSpeed_ -= State.Slots * std::exp(State.LogSpeed);
+  SlotSpeedUnits_ -= slotSpeedUnits(State);
   Group.Busy[State.Bucket] -= State.Running;
   if (State.IsFree) {
     auto &Set = Group.Free[State.Bucket];
@@ -123,7 +127,7 @@
   State.IsFree = false;
   if (!State.usable())
     return;
-  SlotSpeed_ += State.Slots * std::exp(State.LogSpeed);
+  SlotSpeedUnits_ += slotSpeedUnits(State);
   Group.Busy[State.Bucket] += State.Running;
   auto Usable = std::min(State.Slots, State.Allowed);
   State.IsFree = State.Running < Usable;
--- a/Kernel/Scheduling/EndpointTable.h
+++ b/Kernel/Scheduling/EndpointTable.h
@@ -66,8 +66,8 @@
 
   std::uint32_t freeSlots() const { return FreeSlots_; }
   std::uint32_t runningTasks() const { return RunningTasks_; }
-  /// Sum of speeds over all usable slots.
-  double slotSpeed() const { return SlotSpeed_; }
+  /// Sum of speeds over all usable slots. Exactly zero when there is none.
+  double slotSpeed() const { return static_cast<double>(SlotSpeedUnits_) / SpeedUnits; }
 
   /// Calls Visit with each bucket before Last, fastest first, in which usable endpoints that offer
   /// the service have busy slots, and their number.
@@ -141,6 +141,9 @@
     return false;
   }
 
+  static constexpr double SpeedUnits = 1 << 20;
+
+  static std::int64_t slotSpeedUnits(const EndpointState &State);
   std::span<const std::uint32_t> groupsOf(ServiceIndex Service) const;
   EndpointState &edit(EndpointIndex Endpoint);
   /// Removes the endpoint's share from all totals; refresh() adds it again after a change.
@@ -154,7 +157,9 @@
   std::vector<std::vector<std::uint32_t>> GroupsOfService_;
   std::uint32_t FreeSlots_ = 0;
   std::uint32_t RunningTasks_ = 0;
-  double SlotSpeed_ = 0;
+  /// In steps of 1/SpeedUnits. An integer, since a sum of floating-point numbers kept a rest of
+  /// 1e-16 after the last slot had gone, and the backlog looked endless.
+  std::int64_t SlotSpeedUnits_ = 0;
 };
 
 } // namespace cornellift::kernel
--- a/Kernel/Scheduling/PolicyScheduler.cpp
+++ b/Kernel/Scheduling/PolicyScheduler.cpp
@@ -120,6 +120,9 @@
   double Longest = Job.Tasks.back().RunTime;
   auto Queue = Waiting_.queueOf(Job.Team);
   bool IsQueued = Waiting_.find(Job.Id) == &Job;
+  // Nobody knows when slots come back; until then this is the earliest end.
+  if (Endpoints_.slotSpeed() <= 0)
+    return Longest;
   double Work = Waiting_.workAhead(Queue, Job.view()) + (IsQueued ? 0 : Job.WaitingWork);
   bool Contended = Endpoints_.freeSlots() == 0;
   double Speed = Contended ? teamSpeed(Job.Team) : Endpoints_.slotSpeed();
--- a/Tests/Kernel/TestPolicyScheduler.cpp
+++ b/Tests/Kernel/TestPolicyScheduler.cpp
@@ -225,3 +225,28 @@
   for (const auto &Next : Fleet.startAll())
     BOOST_TEST((Next.Endpoint != Left));
 }
+
+// Guards against a process that refuses every job as overloaded after its last slot has gone, with
+// a retry time ages away: the sum of speeds kept a rounding error.
+BOOST_AUTO_TEST_CASE(WithoutSlotsJobsWaitForThem) {
+  Fixture Fleet(5);
+  std::uint64_t Job = 0;
+  // Learned speeds make the sums inexact.
+  for (int Round = 0; Round < 20; ++Round) {
+    Fleet.submit(++Job, Fixture::spec(7));
+    for (const auto &Started : Fleet.startAll()) {
+      auto RunTime = std::chrono::milliseconds(60 + 17 * static_cast<int>(Started.Endpoint));
+      Fleet.Policy.taskEnded(
+          {Started.Task, Started.Endpoint, TaskVerdict::Finished, nullptr, RunTime, {}, 0},
+          Fleet.Now);
+    }
+  }
+  for (std::uint32_t Index = 0; Index < 5; ++Index)
+    Fleet.Policy.slotsChanged(EndpointIndex{Index}, 0, Fleet.Now);
+  auto Waiting = ++Job;
+  BOOST_TEST(!Fleet.submit(Waiting, Fixture::spec(3)));
+  BOOST_TEST(!Fleet.submit(++Job, Fixture::spec(3)));
+  auto End = Fleet.Policy.expectedEnd({{1}, Waiting}, Fleet.Now);
+  BOOST_REQUIRE(End);
+  BOOST_TEST((*End < Fleet.Now + std::chrono::minutes(1)));
+}
