EntryDaemon: End what is left before a planned stop runs out of time

Cause: a stopping process whose successor did not confirm the hand-over has no slots and cannot borrow any, so that a job with 48 of 60 tasks done stayed "pending" until its process exited; its caller never got an outcome.

Near the end of the stop time (its last quarter, 5 s at most) the kernel now starts nothing more and ends each job once its running tasks have ended: not run if none has started, otherwise may have run with the state of each task.

Ruled out: borrowing from other peers, which would need a third VM.

--- a/Kernel/Dispatcher.cpp
+++ b/Kernel/Dispatcher.cpp
@@ -58,6 +58,16 @@
   return Starts::Unchanged;
 }
 
+auto Dispatcher::State::on(StopOverdue &) -> Starts {
+  if (Life_ != Life::Stopping)
+    return Starts::Unchanged;
+  for (auto Id : Jobs_.sortedIds())
+    endEarly(*Jobs_.find(Id), core::ErrorKind::Unavailable,
+             "the entry process stopped before the job had ended; submit what has not run again "
+             "with a new identifier");
+  return Starts::Unchanged;
+}
+
 auto Dispatcher::State::on(Tick &) -> Starts {
   checkDueRequests();
   checkDueTasks();
--- a/Kernel/DispatcherState.h
+++ b/Kernel/DispatcherState.h
@@ -57,6 +57,7 @@
   // Dispatcher.cpp
   Starts on(ConfigurationApplied &Next);
   Starts on(StopRequested &Next);
+  Starts on(StopOverdue &Next);
   Starts on(Tick &Next);
   // TransferRules.cpp
   Starts on(BeginTransfer &Next);
--- a/Kernel/Event.h
+++ b/Kernel/Event.h
@@ -137,14 +137,18 @@
 /// A planned stop begins: issue no identifiers and hand over what has not started.
 struct StopRequested {};
 
+/// The time for a planned stop is nearly over: start nothing more, and end each job here that has
+/// not been handed over as soon as its running tasks have ended.
+struct StopOverdue {};
+
 /// Time has passed. Sent at least every 10 ms.
 struct Tick {};
 
 using Event =
     std::variant<OpenSession, SubmitJob, AskOutcome, CancelJob, RequestAbandoned, StartRefused,
                  TaskEnded, TaskUncertain, TaskReported, EndpointObserved, SlotsChanged,
-                 StartDelegated, AskDelegated, ConfigurationApplied, StopRequested, BeginTransfer,
-                 AbortTransfer, TransferSealSent, TransferConfirmed, TransferUnanswered,
-                 TransferReceived, TransferSealed, PredecessorEnded, Tick>;
+                 StartDelegated, AskDelegated, ConfigurationApplied, StopRequested, StopOverdue,
+                 BeginTransfer, AbortTransfer, TransferSealSent, TransferConfirmed,
+                 TransferUnanswered, TransferReceived, TransferSealed, PredecessorEnded, Tick>;
 
 } // namespace cornellift::kernel
--- a/Services/EntryDaemon/Daemon.cpp
+++ b/Services/EntryDaemon/Daemon.cpp
@@ -18,6 +18,10 @@
 namespace {
 
 constexpr core::Duration DrainCheckInterval = std::chrono::milliseconds(10);
+/// Part of the time of a planned stop in which nothing more is started, so that jobs that cannot
+/// end, as without any slot, get an outcome before the process exits. A few tasks take seconds.
+constexpr core::Duration LongestWindDown = std::chrono::seconds(5);
+constexpr int WindDownShare = 4; ///< At most this fraction of the whole time.
 
 std::uint64_t drawRandom() {
   std::random_device Source;
@@ -155,12 +159,21 @@
 
 void Daemon::awaitDrained() {
   auto Deadline = core::MonotonicClock::now() + Settings_.StopTime;
+  auto OverdueAt = Deadline - std::min(LongestWindDown, Settings_.StopTime / WindDownShare);
+  bool Overdue = false;
   auto IsDrained = [this] {
     return Router_.isDrained() && std::all_of(Duties_.begin(), Duties_.end(),
                                               [](const auto &Next) { return Next->isDrained(); });
   };
-  while (!IsDrained() && core::MonotonicClock::now() < Deadline)
+  while (!IsDrained() && core::MonotonicClock::now() < Deadline) {
+    if (!Overdue && core::MonotonicClock::now() >= OverdueAt) {
+      Overdue = true;
+      core::logLine(core::LogLevel::Warning, "daemon",
+                    "jobs are left near the end of the stop time; starting nothing more");
+      Kernel_.post(kernel::StopOverdue{});
+    }
     std::this_thread::sleep_for(DrainCheckInterval);
+  }
 }
 
 } // namespace cornellift::entry
--- a/Tests/Kernel/TestTransfer.cpp
+++ b/Tests/Kernel/TestTransfer.cpp
@@ -163,3 +163,25 @@
       Test.Sender.handle(TaskEnded{Each.Task, Each.Endpoint, {}, nullptr, {}, {}, Each.Attempt});
   BOOST_TEST(Test.Sender.take<Drained>().size() == 1);
 }
+
+// Guards against jobs that never end, and callers that get no outcome, when a stopping process has
+// no slots left and its time runs out.
+BOOST_AUTO_TEST_CASE(OverdueStopEndsWhatIsLeft) {
+  DispatcherFixture Test;
+  auto Partial = Test.newId();
+  auto Waiter = Test.submit(Partial, DispatcherFixture::spec(6));
+  auto Started = Test.take<StartTask>();
+  BOOST_REQUIRE(!Started.empty() && Started.size() < 6);
+  auto Queued = Test.newId();
+  auto Second = Test.submit(Queued, DispatcherFixture::spec(2));
+  Test.handle(StopRequested{});
+  Test.handle(StopOverdue{});
+  BOOST_TEST(Test.outcome<NotRun>(Second));
+  for (const auto &Task : Started)
+    Test.finish(Task);
+  BOOST_TEST(Test.take<StartTask>().empty());
+  auto Ended = Test.outcome<MayHaveRun>(Waiter);
+  BOOST_REQUIRE(Ended);
+  BOOST_TEST((Ended->Tasks.front() == TaskOutcome::Finished));
+  BOOST_TEST((Ended->Tasks.back() == TaskOutcome::NotRun));
+}
