--- a/Tests/EntryDaemon/TestPeers.cpp
+++ b/Tests/EntryDaemon/TestPeers.cpp
@@ -239,3 +239,19 @@
   BOOST_TEST(Net.countStarts() == 40);
   BOOST_TEST(Net.countStarts("yaba-w1") > 0);
 }
+
+// Guards against a process that starts with routes it cannot follow, and calls the wrong address.
+BOOST_AUTO_TEST_CASE(MalformedPeerRouteIsRefused) {
+  for (const char *Route : {"10.0.0.1:7070", "10.0.0.1=10.0.0.2:7070", "10.0.0.1:7070=10.0.0.2"}) {
+    const char *Arguments[] = {"entryd",      "--vm-name",          "ikeja-1",     "--data-centre",
+                               "ikeja",       "--platform-address", "127.0.0.1:1", "--peer-address",
+                               "127.0.0.1:0", "--peer-routes",      Route};
+    auto Settings = entry::DaemonSettings::parse(Arguments);
+    BOOST_REQUIRE_MESSAGE(Settings, core::lastReason().Message);
+    entry::Daemon Daemon(std::move(*Settings));
+    entry::PeerDuty Peers(Daemon, nullptr);
+    BOOST_TEST(!Peers.start());
+    BOOST_TEST((core::lastReason().Kind == core::ErrorKind::Malformed));
+    BOOST_TEST(core::lastReason().Message.find("--peer-routes") != std::string::npos);
+  }
+}
--- a/Tests/Integration/Deployment.h
+++ b/Tests/Integration/Deployment.h
@@ -75,6 +75,8 @@
   void platformFault(const nlohmann::json &Switches);
   /// Marks the entry VM or endpoint as leaving in the platform's list, which lags by a second.
   void markLeaving(const std::string &Name);
+  /// Port for callers and operators, which is not behind the proxy.
+  std::uint16_t httpPort(const std::string &Vm) const { return Ports_.at("http-" + Vm); }
   std::uint16_t endpointPort(const std::string &DataCentre, unsigned Number) const;
 
   /// Number of starts by task id, from the endpoints' own log.
