Kernel: Start nothing after an overdue stop, whatever comes next

Cause: a hand-over that is taken back, or a new submission, after the end of the stop time would have started jobs that had to end. An overdue process now refuses new jobs as not run and ends what an aborted hand-over gives back.

--- a/Kernel/Delegation/DelegatedRules.cpp
+++ b/Kernel/Delegation/DelegatedRules.cpp
@@ -30,7 +30,7 @@
   // An own job, or one that was taken over: its tasks start through the job or not at all.
   if (issuerOf(Next.Task.Job))
     return refuseDelegated(Next, StartRefusal::NoSlot);
-  if (Life_ == Life::Stopping)
+  if (Life_ != Life::Serving)
     return refuseDelegated(Next, StartRefusal::Leaving);
   auto Endpoint =
       Policy_->placeDelegated(Next.Task, Next.Service, Next.Kind, Next.Team, Next.Spec, Now_);
--- a/Kernel/Dispatcher.cpp
+++ b/Kernel/Dispatcher.cpp
@@ -9,6 +9,9 @@
 /// 6,400 jobs a second.
 constexpr std::size_t JobsForeseenPerTick = 64;
 
+constexpr const char *OverdueText = "the entry process stopped before the job had ended; submit "
+                                    "what has not run again with a new identifier";
+
 } // namespace
 
 Dispatcher::Dispatcher(Incarnation Own, std::unique_ptr<Scheduler> Policy)
@@ -54,17 +57,17 @@
 }
 
 auto Dispatcher::State::on(StopRequested &) -> Starts {
-  Life_ = Life::Stopping;
+  if (Life_ == Life::Serving)
+    Life_ = Life::Stopping;
   return Starts::Unchanged;
 }
 
 auto Dispatcher::State::on(StopOverdue &) -> Starts {
-  if (Life_ != Life::Stopping)
+  if (Life_ == Life::Serving)
     return Starts::Unchanged;
+  Life_ = Life::Overdue;
   for (auto Id : Jobs_.sortedIds())
-    endEarly(*Jobs_.find(Id), core::ErrorKind::Unavailable,
-             "the entry process stopped before the job had ended; submit what has not run again "
-             "with a new identifier");
+    endEarly(*Jobs_.find(Id), core::ErrorKind::Unavailable, OverdueText);
   return Starts::Unchanged;
 }
 
--- a/Kernel/DispatcherState.h
+++ b/Kernel/DispatcherState.h
@@ -148,7 +148,8 @@
   std::uint32_t LastAttempt_ = 0;
   DispatcherCounters Counters_;
 
-  enum class Life { Serving, Stopping } Life_{};
+  /// Overdue: stopping, and nothing more is started.
+  enum class Life { Serving, Stopping, Overdue } Life_{};
   enum class Drain { Reported, Pending } Drain_{Drain::Pending};
   Handover Handover_ = Handover::None;
   Incarnation Receiver_;
--- a/Kernel/Jobs/JobRules.cpp
+++ b/Kernel/Jobs/JobRules.cpp
@@ -40,7 +40,7 @@
 } // namespace
 
 auto Dispatcher::State::on(OpenSession &Next) -> Starts {
-  if (Life_ == Life::Stopping) {
+  if (Life_ != Life::Serving) {
     respondNotRun(Next.Request, core::ErrorKind::Unavailable,
                   "this entry process is stopping; open the session at another one");
     return Starts::Unchanged;
@@ -208,6 +208,10 @@
     return NotRun{core::ErrorKind::Unavailable,
                   "no configuration is in force yet; submit again later with a new identifier",
                   std::nullopt};
+  if (Life_ == Life::Overdue)
+    return NotRun{core::ErrorKind::Unavailable,
+                  "the entry process is about to stop; submit to another one with a new identifier",
+                  std::nullopt};
   const auto &Spec = Next.Spec;
   if (Spec.Tasks.empty() || (Spec.Payload && Spec.Payload->Tasks.size() != Spec.Tasks.size()))
     return NotRun{core::ErrorKind::Malformed,
--- a/Kernel/Transfer/TransferRules.cpp
+++ b/Kernel/Transfer/TransferRules.cpp
@@ -21,7 +21,8 @@
 auto Dispatcher::State::on(BeginTransfer &Next) -> Starts {
   if (Handover_ != Handover::None)
     return Starts::Unchanged;
-  Life_ = Life::Stopping;
+  if (Life_ == Life::Serving)
+    Life_ = Life::Stopping;
   Handover_ = Handover::Staging;
   Receiver_ = Next.Receiver;
   ++Transfer_;
@@ -41,6 +42,10 @@
   }
   for (auto &Held : std::exchange(HeldSubmissions_, {}))
     on(Held);
+  if (Life_ == Life::Overdue) {
+    StopOverdue Again;
+    return on(Again);
+  }
   return Starts::Possible;
 }
 
@@ -241,7 +246,7 @@
 
 void Dispatcher::State::checkDrained() {
   bool Undecided = Handover_ == Handover::Staging || Handover_ == Handover::SealSent;
-  bool Empty = Life_ == Life::Stopping && !Undecided && Jobs_.size() == 0 &&
+  bool Empty = Life_ != Life::Serving && !Undecided && Jobs_.size() == 0 &&
                Requests_.size() == 0 && Running_.size() == 0;
   if (Empty && Drain_ == Drain::Pending)
     emit(Drained{});
--- a/Tests/Kernel/OwnershipChecks.cpp
+++ b/Tests/Kernel/OwnershipChecks.cpp
@@ -16,7 +16,7 @@
       "Advance",       "LongWait",  "OpenSession", "Submit",        "Resubmit",
       "SubmitOther",   "Ask",       "Cancel",      "Abandon",       "Kill",
       "Restart",       "Pause",     "Resume",      "NoticeDeath",   "RestartEndpoint",
-      "ToggleLeaving", "Stop",      "RetrySeal",   "GiveUpSeal"};
+      "ToggleLeaving", "Stop",      "RetrySeal",   "GiveUpSeal",    "Overdue"};
   return std::string(Names[static_cast<std::size_t>(Taken.Kind)]) + ' ' +
          std::to_string(Taken.First) + ' ' + std::to_string(Taken.Second);
 }
--- a/Tests/Kernel/OwnershipWorld.cpp
+++ b/Tests/Kernel/OwnershipWorld.cpp
@@ -135,6 +135,10 @@
   case StepKind::RetrySeal:
   case StepKind::GiveUpSeal:
     return decide(Next);
+  case StepKind::Overdue:
+    if (At)
+      At->handle(StopOverdue{});
+    return;
   case StepKind::Count:
     break;
   }
--- a/Tests/Kernel/OwnershipWorld.h
+++ b/Tests/Kernel/OwnershipWorld.h
@@ -40,6 +40,7 @@
   Stop,
   RetrySeal,
   GiveUpSeal,
+  Overdue,
   Count
 };
 
--- a/Tests/Kernel/TestOwnershipRules.cpp
+++ b/Tests/Kernel/TestOwnershipRules.cpp
@@ -16,8 +16,8 @@
 constexpr std::size_t StepsPerTrace = 400;
 
 /// How often each kind of step is taken, in the order of StepKind.
-constexpr int Weights[] = {400, 15, 18, 12, 70, 60, 1, 25, 120, 25, 8, 15,
-                           20,  8,  4,  12, 6,  12, 4, 4,  4,   12, 6, 14};
+constexpr int Weights[] = {400, 15, 18, 12, 70, 60, 1, 25, 120, 25, 8,  15, 20,
+                           8,   4,  12, 6,  12, 4,  4, 4,  12,  6,  14, 3};
 static_assert(std::size(Weights) == static_cast<std::size_t>(StepKind::Count));
 
 using Trace = std::vector<Step>;
