EntryDaemon: Delegate when a neighbour's idle slots are of no use

Cause: following OPERATIONS.md by hand, the workers of one data centre were killed and restarted after 6 s. A job of 20 tasks submitted meanwhile took 38 s, though the other data centre had 48 idle slots. First, nothing is delegated while a neighbour reports idle slots, and a neighbour without work does not know that its endpoints are lost. Second, at 40 ms a message a lost endpoint is asked again after 41 s only.

Tasks that have waited for 300 ms without a free slot go abroad whatever neighbours report. Endpoints that were lost together, more than a fifth of a data centre, are asked after 1 s and then after a quarter of the time since the loss.

Tried and refused: asking every lost endpoint early.

--- a/Kernel/Scheduling/HealthTracker.cpp
+++ b/Kernel/Scheduling/HealthTracker.cpp
@@ -26,6 +26,12 @@
 constexpr std::uint32_t SuccessesPerStep = 3;
 constexpr std::uint32_t LastTrialBound = 8;
 constexpr core::Duration StatusTimeout = std::chrono::seconds(1);
+/// When more than this share of a data centre's endpoints is lost at once, a switch or a link has
+/// failed rather than a worker. Then status queries are a fraction of the time since the loss
+/// apart: a fixed 41 s, at 40 ms a message, left all of them idle for 38 s after a loss of 6 s.
+/// Single workers that flap are better left out for long.
+constexpr double CommonLossShare = 0.2;
+constexpr int ProbesPerAge = 4;
 
 } // namespace
 
@@ -49,9 +55,12 @@
     HeldIn_[Index] += Records_[Position].IsHeld ? 1 : 0;
   }
   EjectedIn_.assign(DataCentres_.size(), 0);
-  for (const auto &Endpoint : Records_)
-    if (Endpoint.Now == Stage::Ejected && !EjectedIn_.empty())
-      ++EjectedIn_[Endpoint.DataCentre];
+  LostIn_.assign(DataCentres_.size(), 0);
+  // A configuration without endpoints has no data centre.
+  for (const auto &Endpoint : DataCentres_.empty() ? std::vector<Record>() : Records_) {
+    EjectedIn_[Endpoint.DataCentre] += Endpoint.Now == Stage::Ejected ? 1 : 0;
+    LostIn_[Endpoint.DataCentre] += Endpoint.Now == Stage::Unreachable ? 1 : 0;
+  }
 }
 
 void HealthTracker::setHeld(EndpointIndex Endpoint, bool Held) {
@@ -86,9 +95,18 @@
     ++EjectedIn_[Endpoint.DataCentre];
   if (Endpoint.Now == Stage::Ejected)
     --EjectedIn_[Endpoint.DataCentre];
+  if (Next == Stage::Unreachable)
+    ++LostIn_[Endpoint.DataCentre];
+  if (Endpoint.Now == Stage::Unreachable)
+    --LostIn_[Endpoint.DataCentre];
   Endpoint.Now = Next;
 }
 
+bool HealthTracker::isCommonLoss(const Record &Endpoint) const {
+  return Endpoint.Now == Stage::Unreachable &&
+         LostIn_[Endpoint.DataCentre] > CommonLossShare * HeldIn_[Endpoint.DataCentre];
+}
+
 void HealthTracker::succeeded(EndpointIndex Endpoint, ServiceIndex Service, KindIndex Kind) {
   auto &Rate = rate(Service, Kind);
   Rate.Ended += 1;
@@ -236,8 +254,10 @@
     if ((State.Now != Stage::Ejected && State.Now != Stage::Unreachable) || Now < State.ProbeAt)
       continue;
     // The gain of a faster answer is a few task starts; a costly message is sent less often.
-    State.ProbeAt = Now + std::chrono::duration_cast<core::Duration>(StatusTimeout *
-                                                                     (1 + MessageCostMilliseconds));
+    auto Longest =
+        std::chrono::duration_cast<core::Duration>(StatusTimeout * (1 + MessageCostMilliseconds));
+    auto Soon = std::max(StatusTimeout, (Now - State.LastSetback) / ProbesPerAge);
+    State.ProbeAt = Now + (isCommonLoss(State) ? std::min(Soon, Longest) : Longest);
     return static_cast<EndpointIndex>(Position);
   }
   return std::nullopt;
--- a/Kernel/Scheduling/HealthTracker.h
+++ b/Kernel/Scheduling/HealthTracker.h
@@ -43,7 +43,8 @@
   bool onTrial(EndpointIndex Endpoint) const;
 
   /// An endpoint whose status is worth a message now. The cost is what that message is worth in
-  /// milliseconds of response time; a higher one makes status queries rarer.
+  /// milliseconds of response time; a higher one makes status queries rarer, but for endpoints that
+  /// were lost together.
   std::optional<EndpointIndex> nextProbe(core::TimePoint Now, double MessageCostMilliseconds);
 
 private:
@@ -82,12 +83,15 @@
   void noteSetback(Record &Endpoint, core::TimePoint Now);
   bool mayEject(std::uint32_t DataCentre) const;
   void eject(Record &Endpoint, core::TimePoint Now);
+  /// Whether it was lost together with many others of its data centre.
+  bool isCommonLoss(const Record &Endpoint) const;
   void setStage(Record &Endpoint, Stage Next);
 
   std::vector<Record> Records_;
   std::vector<std::string> DataCentres_;
   std::vector<std::uint32_t> HeldIn_; ///< Endpoints by data centre.
   std::vector<std::uint32_t> EjectedIn_;
+  std::vector<std::uint32_t> LostIn_;
   std::vector<std::vector<KindRate>> Rates_;
   std::unordered_map<JobId, FailedJob> FailedJobs_;
   std::deque<JobId> FailedJobOrder_;
--- a/Services/EntryDaemon/DelegationDuty.cpp
+++ b/Services/EntryDaemon/DelegationDuty.cpp
@@ -14,6 +14,10 @@
 /// Longer than any task; a silent connection is found by keep-alive before.
 constexpr core::Duration StartTime = std::chrono::minutes(10);
 constexpr core::Duration QuestionTime = std::chrono::seconds(1);
+/// Slots are borrowed from an idle neighbour within some milliseconds. Tasks that still wait after
+/// this time go abroad: the neighbour's slots may be those of endpoints that only this process
+/// knows to be lost.
+constexpr core::Duration NeighbourPatience = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -53,10 +57,14 @@
   for (const auto &[Index, Item] : Centres_)
     FreeAbroad += Scheduler.use(Index).Free;
   bool IsFull = Load.WaitingTasks > 0 && Load.FreeSlots <= FreeAbroad;
+  if (!IsFull)
+    FullSince_.reset();
+  else if (!FullSince_)
+    FullSince_ = Now;
   std::map<kernel::EndpointIndex, std::uint32_t> Idle;
   if (IsFull)
     Members_.read([&](const kernel::Membership &View) {
-      if (!hasIdleNeighbour(View))
+      if (Now - *FullSince_ > NeighbourPatience || !hasIdleNeighbour(View))
         for (auto &[Index, Item] : Centres_)
           Idle[Index] = idleSlots(View, Item, Scheduler.use(Index).Used);
       return 0;
@@ -219,6 +227,7 @@
   Request.set_task_count(Action.TaskCount);
   Request.set_fingerprint(Action.Fingerprint);
   Request.set_receiver(Receiver.Process.Value);
+  Request.set_attempt(Action.Attempt);
   return Request;
 }
 
--- a/Services/EntryDaemon/DelegationDuty.h
+++ b/Services/EntryDaemon/DelegationDuty.h
@@ -72,6 +72,7 @@
   std::shared_ptr<const kernel::KernelConfiguration> Configuration_;
   std::map<kernel::EndpointIndex, Centre> Centres_;
   core::TimePoint NextUpdate_;
+  std::optional<core::TimePoint> FullSince_; ///< Tasks have waited without a free slot since then.
 
   std::mutex Mutex_;
   std::map<kernel::TaskId, Target> Targets_; ///< Of tasks that have not ended.
--- a/Tests/Kernel/TestPolicyScheduler.cpp
+++ b/Tests/Kernel/TestPolicyScheduler.cpp
@@ -250,3 +250,41 @@
   BOOST_REQUIRE(End);
   BOOST_TEST((*End < Fleet.Now + std::chrono::minutes(1)));
 }
+
+namespace {
+
+/// Status queries of endpoints in an hour after the loss of the first Lost ones out of ten, in the
+/// first 6 s and after 10 minutes.
+std::pair<std::uint32_t, std::uint32_t> queriesAfterLoss(std::uint32_t Lost) {
+  constexpr double CostlyMessage = 40;
+  HealthTracker Health;
+  KernelConfiguration Settings;
+  Settings.Endpoints.resize(10);
+  Health.configure(Settings);
+  core::TimePoint Start{std::chrono::hours(1)};
+  for (std::uint32_t Index = 0; Index < 10; ++Index)
+    Health.setHeld(EndpointIndex{Index}, true);
+  for (std::uint32_t Index = 0; Index < Lost; ++Index)
+    Health.unreachable(EndpointIndex{Index}, Start);
+  std::uint32_t Early = 0;
+  std::uint32_t Late = 0;
+  for (auto Now = Start; Now < Start + std::chrono::hours(1); Now += std::chrono::milliseconds(100))
+    while (Health.nextProbe(Now, CostlyMessage)) {
+      Early += Now < Start + std::chrono::seconds(6) ? 1 : 0;
+      Late += Now > Start + std::chrono::minutes(10) ? 1 : 0;
+    }
+  return {Early, Late};
+}
+
+} // namespace
+
+// Guards against workers that are left idle after a switch came back, because status queries are
+// rare where messages are costly, and against queries without end when they stay away.
+BOOST_AUTO_TEST_CASE(WorkersLostTogetherAreAskedSoonAndThenRarely) {
+  constexpr std::uint32_t MostLate = 50 * 60 / 41 + 1; // Per worker, at one query in 41 s.
+  auto Together = queriesAfterLoss(6);
+  BOOST_TEST(Together.first >= 4U * 6);
+  BOOST_TEST(Together.second <= MostLate * 6);
+  auto Single = queriesAfterLoss(1);
+  BOOST_TEST(Single.first == 1U);
+}
