Kernel: Let a later attempt of a delegated task start after "no slot"

Delegations now carry the sender's attempt, and a refusal for want of a slot holds for that attempt and earlier ones. An answer to a question about the task makes the refusal final, since a later attempt may be on its way.

--- a/Kernel/Delegation/DelegatedRules.cpp
+++ b/Kernel/Delegation/DelegatedRules.cpp
@@ -10,7 +10,9 @@
 } // namespace
 
 auto Dispatcher::State::on(StartDelegated &Next) -> Starts {
-  if (const auto *Known = Delegated_.find(Next.Task)) {
+  if (const auto *Known = Delegated_.find(Next.Task); Known && mayStartNow(*Known, Next)) {
+    Delegated_.dropRefused(Next.Task);
+  } else if (Known) {
     if (Known->Now == DelegatedTask::State::Running)
       Delegated_.attach(Next.Request, Next.Task);
     else
@@ -36,7 +38,7 @@
       Policy_->placeDelegated(Next.Task, Next.Service, Next.Kind, Next.Team, Next.Spec, Now_);
   if (!Endpoint)
     return refuseDelegated(Next, StartRefusal::NoSlot);
-  Delegated_.add(Next.Task, {});
+  Delegated_.add(Next.Task, {}).Attempt = Next.Attempt;
   Delegated_.attach(Next.Request, Next.Task);
   ++Counters_.StartedTasks;
   RunningTask Started;
@@ -51,10 +53,18 @@
   return Starts::Unchanged;
 }
 
+/// A refusal for want of a slot holds for the attempt that it answered, and for earlier ones that
+/// arrive late. Held for later ones too, it left tasks waiting for minutes beside idle slots.
+bool Dispatcher::State::mayStartNow(const DelegatedTask &Known, const StartDelegated &Next) {
+  return Known.Now == DelegatedTask::State::Refused && Known.Cause == StartRefusal::NoSlot &&
+         Next.Attempt > Known.Attempt;
+}
+
 auto Dispatcher::State::refuseDelegated(const StartDelegated &Next, StartRefusal Cause) -> Starts {
   DelegatedTask Record;
   Record.Now = DelegatedTask::State::Refused;
   Record.Cause = Cause;
+  Record.Attempt = Next.Attempt;
   Delegated_.add(Next.Task, std::move(Record));
   Delegated_.noteEnd(Next.Task, Now_);
   respond(Next.Request, DelegatedReply{StartRefused{Next.Task, {}, Cause}});
@@ -62,7 +72,10 @@
 }
 
 auto Dispatcher::State::on(AskDelegated &Next) -> Starts {
-  if (const auto *Known = Delegated_.find(Next.Task)) {
+  if (auto *Known = Delegated_.find(Next.Task)) {
+    // The answer is "fenced", which holds for every attempt that may still be on its way.
+    if (Known->Now == DelegatedTask::State::Refused)
+      Known->Cause = StartRefusal::Fenced;
     respondDelegated(Next.Request, Next.Task, *Known, DelegatedCall::Ask);
     return Starts::Unchanged;
   }
--- a/Kernel/Delegation/DelegatedTable.cpp
+++ b/Kernel/Delegation/DelegatedTable.cpp
@@ -31,10 +31,18 @@
 }
 
 void DelegatedTable::noteEnd(TaskId Task, core::TimePoint Now) {
-  ResultBytes_ += resultBytes(Tasks_.at(Task));
+  auto &Record = Tasks_.at(Task);
+  Record.EndedAt = Now;
+  ResultBytes_ += resultBytes(Record);
+  ++Ended_;
   EndOrder_.emplace_back(Now, Task);
 }
 
+void DelegatedTable::dropRefused(TaskId Task) {
+  Tasks_.erase(Task);
+  --Ended_;
+}
+
 void DelegatedTable::attach(RequestId Request, TaskId Task) {
   Requests_.emplace(Request, Task);
   Tasks_.at(Task).Waiters.push_back(Request);
@@ -59,11 +67,15 @@
   while (!EndOrder_.empty() &&
          (EndOrder_.front().first + Retention < Now || Tasks_.size() > MaximumRecords ||
           ResultBytes_ > MaximumResultBytes)) {
-    auto Task = EndOrder_.front().second;
-    ResultBytes_ -= resultBytes(Tasks_.at(Task));
-    forget(Task);
-    Tasks_.erase(Task);
+    auto [EndedAt, Task] = EndOrder_.front();
     EndOrder_.pop_front();
+    auto Found = Tasks_.find(Task);
+    if (Found == Tasks_.end() || Found->second.EndedAt != EndedAt)
+      continue;
+    ResultBytes_ -= resultBytes(Found->second);
+    forget(Task);
+    Tasks_.erase(Found);
+    --Ended_;
   }
 }
 
--- a/Kernel/Delegation/DelegatedTable.h
+++ b/Kernel/Delegation/DelegatedTable.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -22,7 +23,9 @@
     Refused, ///< Known not to have started here, and refused from now on.
     Lost     ///< May have run here; its end will never be known.
   } Now{};
-  StartRefusal Cause{}; ///< In state Refused.
+  StartRefusal Cause{};                   ///< In state Refused.
+  std::uint32_t Attempt = 0;              ///< Of the peer, that this record is about.
+  std::optional<core::TimePoint> EndedAt; ///< Unset in state Running.
   TeamIndex Team{};
   std::shared_ptr<const TaskEnded> Ended;
   std::vector<RequestId> Waiters; ///< In state Running.
@@ -58,6 +61,9 @@
   /// Called when the task has left the state Running, or was added in another state.
   void noteEnd(TaskId Task, core::TimePoint Now);
 
+  /// Drops the record of a task that was refused, so that a later attempt can be added.
+  void dropRefused(TaskId Task);
+
   void evict(core::TimePoint Now);
 
   /// Answers the request when the task ends.
@@ -69,11 +75,13 @@
   /// Returns the requests that wait for the task, and forgets them.
   std::vector<RequestId> takeWaiters(TaskId Task);
 
-  std::size_t running() const { return Tasks_.size() - EndOrder_.size(); }
+  std::size_t running() const { return Tasks_.size() - Ended_; }
 
 private:
   std::unordered_map<TaskId, DelegatedTask> Tasks_;
+  /// Entries of dropped records stay until their turn.
   std::deque<std::pair<core::TimePoint, TaskId>> EndOrder_;
+  std::size_t Ended_ = 0;
   std::map<Incarnation, std::uint64_t> HighestForgotten_;
   std::unordered_map<RequestId, TaskId> Requests_;
   std::uint64_t ResultBytes_ = 0;
--- a/Kernel/DispatcherState.h
+++ b/Kernel/DispatcherState.h
@@ -113,6 +113,7 @@
   void checkDeadlines();
 
   // Delegated tasks.
+  static bool mayStartNow(const DelegatedTask &Known, const StartDelegated &Next);
   Starts refuseDelegated(const StartDelegated &Next, StartRefusal Cause);
   enum class DelegatedCall { Start, Ask };
   void respondDelegated(RequestId Request, TaskId Task, const DelegatedTask &Record,
--- a/Kernel/Event.h
+++ b/Kernel/Event.h
@@ -121,6 +121,7 @@
   std::shared_ptr<const JobPayload> Payload; ///< One entry, for this task.
   std::uint32_t TaskCount = 1;               ///< Of the whole job.
   std::uint64_t Fingerprint = 0;             ///< Of the job's specification; endpoints record it.
+  std::uint32_t Attempt = 0; ///< Of the peer's StartTask; rises with each attempt. Zero: not told.
 };
 
 /// A peer asks about a task that it delegated, or fences it.
--- a/Services/EntryDaemon/TaskCoding.cpp
+++ b/Services/EntryDaemon/TaskCoding.cpp
@@ -47,6 +47,7 @@
       kernel::JobPayload{{std::string(Request.payload())}});
   Result.TaskCount = Request.task_count();
   Result.Fingerprint = Request.fingerprint();
+  Result.Attempt = Request.attempt();
   return Result;
 }
 
--- a/Tests/Kernel/OwnershipProcess.h
+++ b/Tests/Kernel/OwnershipProcess.h
@@ -87,7 +87,9 @@
                             Start.Team,
                             Start.Spec,
                             std::make_shared<const JobPayload>(std::move(Single)),
-                            Start.TaskCount});
+                            Start.TaskCount,
+                            Start.Fingerprint,
+                            Start.Attempt});
   }
 
   void on(AskTask &Question) {
--- a/Tests/Kernel/TestDelegation.cpp
+++ b/Tests/Kernel/TestDelegation.cpp
@@ -13,9 +13,11 @@
 
 TaskId taskOf(std::uint64_t Sequence) { return {{Peer, Sequence}, 0}; }
 
-RequestId delegate(DispatcherFixture &Test, TaskId Task) {
+RequestId delegate(DispatcherFixture &Test, TaskId Task, std::uint32_t Attempt = 0) {
   auto Request = Test.newRequest();
-  Test.handle(StartDelegated{Request, Task, {}, {}, {}, {}, DispatcherFixture::spec(1).Payload, 1});
+  StartDelegated Call{Request, Task, {}, {}, {}, {}, DispatcherFixture::spec(1).Payload, 1};
+  Call.Attempt = Attempt;
+  Test.handle(std::move(Call));
   return Request;
 }
 
@@ -92,3 +94,49 @@
   delegate(Test, taskOf(8));
   BOOST_TEST(Test.take<StartTask>().size() == 1);
 }
+
+// Guards against tasks that wait for minutes beside idle slots, because a refusal for want of a
+// slot was kept up for later attempts, and against a late copy of the refused attempt that starts.
+BOOST_AUTO_TEST_CASE(LaterAttemptStartsAfterARefusalForWantOfASlot) {
+  DispatcherFixture Test;
+  for (std::uint64_t Sequence : {1, 2, 3, 4})
+    delegate(Test, taskOf(Sequence), 1);
+  auto Started = Test.take<StartTask>();
+  BOOST_REQUIRE(Started.size() == 4);
+  auto Refused = reply<StartRefused>(Test, delegate(Test, taskOf(5), 2));
+  BOOST_REQUIRE(Refused);
+  BOOST_TEST((Refused->Cause == StartRefusal::NoSlot));
+  Test.finish(Started[0]);
+  BOOST_TEST(reply<StartRefused>(Test, delegate(Test, taskOf(5), 2)).has_value());
+  BOOST_TEST(Test.take<StartTask>().empty());
+  auto Later = delegate(Test, taskOf(5), 3);
+  auto Again = Test.take<StartTask>();
+  BOOST_REQUIRE(Again.size() == 1);
+  delegate(Test, taskOf(5), 2);
+  BOOST_TEST(Test.take<StartTask>().empty());
+  // Past the time when the record of the refusal would have been dropped.
+  Test.tickAt(DelegatedTable::Retention + std::chrono::seconds(1));
+  BOOST_TEST(Test.take<StartTask>().empty());
+  Test.finish(Again[0]);
+  BOOST_TEST(reply<TaskEnded>(Test, Later).has_value());
+  BOOST_TEST(reply<TaskEnded>(Test, delegate(Test, taskOf(5), 4)).has_value());
+}
+
+// Guards against a second start: the issuer asked about a later attempt that was still on its way,
+// and was told of the refusal of an earlier one.
+BOOST_AUTO_TEST_CASE(QuestionMakesARefusalFinal) {
+  for (auto Purpose : {AskDelegated::Wish::Ask, AskDelegated::Wish::Fence}) {
+    DispatcherFixture Test;
+    for (std::uint64_t Sequence : {1, 2, 3, 4})
+      delegate(Test, taskOf(Sequence), 1);
+    auto Started = Test.take<StartTask>();
+    BOOST_REQUIRE(Started.size() == 4);
+    delegate(Test, taskOf(5), 2);
+    auto Report = reply<TaskReported>(Test, inquire(Test, taskOf(5), Purpose));
+    BOOST_REQUIRE(Report);
+    BOOST_TEST((Report->Report == TaskReport::NotStartedAndFenced));
+    Test.finish(Started[0]);
+    BOOST_TEST(reply<StartRefused>(Test, delegate(Test, taskOf(5), 3)).has_value());
+    BOOST_TEST(Test.take<StartTask>().empty());
+  }
+}
