Load: Run a trace under a policy on real processes

The load tool sent equal jobs of one team only, so the replay's ranking of policies could not be checked against processes. It now takes a trace and the keys of its teams, and reports the response over the clairvoyant schedule of the same jobs, messages per task, and wasted ones by cause. cornellift-replay generates the trace from a configuration document (services, kinds, teams, and endpoints of its largest data centre) and writes the document scaled to those endpoints with a policy of its own presets, so that both sides have the same settings.

--- a/Utilities/Load/EntryProbe.cpp
+++ b/Utilities/Load/EntryProbe.cpp
@@ -11,9 +11,9 @@
 
 namespace cornellift::load {
 
-std::optional<double> sumCounters(const std::vector<std::string> &Addresses,
-                                  const std::vector<std::string> &Names) {
-  double Sum = 0;
+std::optional<std::vector<double>> readCounters(const std::vector<std::string> &Addresses,
+                                                const std::vector<std::string> &Names) {
+  std::vector<double> Sums(Names.size());
   for (const auto &Address : Addresses) {
     httplib::Client Client("http://" + Address);
     auto Page = Client.Get("/metrics");
@@ -22,11 +22,13 @@
                         "no metrics from " + Address + "; check --entry");
     std::istringstream Lines(Page->body);
     std::string Name;
-    for (double Value = 0; Lines >> Name >> Value;)
-      if (std::find(Names.begin(), Names.end(), Name) != Names.end())
-        Sum += Value;
+    for (double Value = 0; Lines >> Name >> Value;) {
+      auto Found = std::find(Names.begin(), Names.end(), Name);
+      if (Found != Names.end())
+        Sums[static_cast<std::size_t>(Found - Names.begin())] += Value;
+    }
   }
-  return Sum;
+  return Sums;
 }
 
 std::optional<double> processorMicroseconds(const std::vector<std::string> &ProcessIds) {
--- a/Utilities/Load/LoadReport.h
+++ b/Utilities/Load/LoadReport.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include "Utilities/Replay/Trace.h"
+
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace cornellift::load {
@@ -16,11 +19,18 @@
   std::uint64_t Unknown = 0; ///< Answered with "may have run", or not at all.
   double Seconds = 0;
   std::vector<double> AddedMilliseconds; ///< Response minus the longest run time on an endpoint.
-  double WastedPerTask = 0;
+  std::vector<double> Responses; ///< Milliseconds by job of the plan; negative when not complete.
+  /// Messages to the endpoints per task, by kind; the first is the starts, and the others are
+  /// wasted ones.
+  std::vector<std::pair<std::string, double>> MessagesPerTask;
+  std::vector<std::pair<std::string, double>> Ratios; ///< Over the clairvoyant schedule.
   double MicrosecondsOfProcessor = 0; ///< Of the entry processes, per task; zero when not measured.
   bool ProcessorMeasured = false;
 };
 
+/// Sets the ratios from the responses of complete jobs after the trace's warm-up.
+void compareWithIdeal(LoadReport &Report, const replay::Trace &Content);
+
 /// Renders as "text", "csv" or "json".
 std::string renderReport(LoadReport Report, std::string_view Format);
 
--- a/Utilities/Load/Main.cpp
+++ b/Utilities/Load/Main.cpp
@@ -6,7 +6,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <fstream>
 #include <iostream>
+#include <map>
 #include <span>
 
 using namespace cornellift;
@@ -22,6 +24,9 @@
     {"key", "The team's key", SettingType::Text, ""},
     {"entry-pids", "Process ids of the entry processes, for their processor time",
      SettingType::Text, ""},
+    {"trace", "Trace whose jobs are sent instead of equal ones; docs/TRACES.md", SettingType::Text,
+     ""},
+    {"team-keys", "With --trace: keys of its teams as TEAM=KEY,...", SettingType::Text, ""},
     {"service", "Service of the jobs", SettingType::Text, "slips"},
     {"kind", "Kind of the jobs", SettingType::Text, "branch-batch"},
     {"jobs", "Number of jobs", SettingType::Integer, "1000", 1, 1000000},
@@ -35,14 +40,16 @@
     {"format", "text, csv or json", SettingType::Text, "text"},
 };
 
-const std::vector<std::string> WastedCounters = {
-    "cornellift_starts_refused_total", "cornellift_starts_unwritten_total",
-    "cornellift_task_questions_total", "cornellift_task_fences_total",
-    "cornellift_endpoint_probes_total"};
+/// Starts that were written to a connection come first, the wasted messages follow.
+const std::vector<std::string> MessageCounters = {
+    "cornellift_starts_total",           "cornellift_starts_refused_total",
+    "cornellift_starts_unwritten_total", "cornellift_task_questions_total",
+    "cornellift_task_fences_total",      "cornellift_endpoint_probes_total"};
+const std::vector<std::string> MessageNames = {"starts",         "refused", "unwritten",
+                                               "status_queries", "fences",  "probes"};
 
-load::LoadOptions makeOptions(const core::Settings &Settings) {
-  load::LoadOptions Options;
-  Options.Entries = Settings.list("entry");
+std::vector<load::PlannedJob> planUniform(const core::Settings &Settings) {
+  load::UniformJobs Options;
   Options.Key = Settings.text("key");
   Options.Service = Settings.text("service");
   Options.Kind = Settings.text("kind");
@@ -51,9 +58,43 @@
   Options.RunMilliseconds = Settings.real("run-ms");
   Options.JobsPerSecond = Settings.real("rate");
   Options.Seed = static_cast<std::uint64_t>(Settings.integer("seed"));
-  Options.Connections = static_cast<std::uint32_t>(Settings.integer("connections"));
-  Options.LongestRun = std::chrono::milliseconds(Settings.integer("longest-ms"));
-  return Options;
+  return load::planUniform(Options);
+}
+
+/// The trace has no name when none is given.
+std::optional<replay::Trace> readTrace(const core::Settings &Settings) {
+  const auto &File = Settings.text("trace");
+  if (File.empty())
+    return replay::Trace();
+  std::ifstream Input(File);
+  if (!Input)
+    return core::fail(core::ErrorKind::NotFound, "cannot read " + File + "; check the path");
+  return replay::readTrace(Input);
+}
+
+std::optional<std::vector<load::PlannedJob>> makePlan(const core::Settings &Settings,
+                                                      const replay::Trace &Content) {
+  if (Content.Name.empty())
+    return planUniform(Settings);
+  std::map<std::string, std::string> Keys;
+  for (const auto &Entry : Settings.list("team-keys")) {
+    auto Middle = Entry.find('=');
+    if (Middle == std::string::npos)
+      return core::fail(core::ErrorKind::Malformed, "--team-keys: give TEAM=KEY,...");
+    Keys[Entry.substr(0, Middle)] = Entry.substr(Middle + 1);
+  }
+  return load::planTrace(Content, Keys);
+}
+
+/// A start that was refused or not written is counted as a start too, though it is one message.
+void addMessages(load::LoadReport &Report, const std::vector<double> &Before,
+                 const std::vector<double> &After) {
+  auto Tasks = static_cast<double>(std::max<std::uint64_t>(1, Report.Tasks));
+  for (std::size_t Index = 0; Index < MessageNames.size(); ++Index)
+    Report.MessagesPerTask.emplace_back(MessageNames[Index],
+                                        (After[Index] - Before[Index]) / Tasks);
+  for (std::size_t Index : {1, 2})
+    Report.MessagesPerTask[0].second -= Report.MessagesPerTask[Index].second;
 }
 
 int reportUnreachable() {
@@ -75,20 +116,29 @@
     core::fail(core::ErrorKind::Malformed, "give --entry addresses and --format text, csv or json");
     return core::reportBadUsage(Program);
   }
+  auto Content = readTrace(*Settings);
+  auto Plan = Content ? makePlan(*Settings, *Content) : std::nullopt;
+  if (!Plan)
+    return core::reportBadUsage(Program);
+  auto Entries = Settings->list("entry");
   auto ProcessIds = Settings->list("entry-pids");
-  auto WastedBefore = load::sumCounters(Settings->list("entry"), WastedCounters);
+  auto MessagesBefore = load::readCounters(Entries, MessageCounters);
   auto ProcessorBefore = load::processorMicroseconds(ProcessIds);
-  if (!WastedBefore || !ProcessorBefore)
+  if (!MessagesBefore || !ProcessorBefore)
     return reportUnreachable();
-  auto Report = load::LoadRun(makeOptions(*Settings)).run();
-  auto WastedAfter = load::sumCounters(Settings->list("entry"), WastedCounters);
+  auto Connections = static_cast<std::uint32_t>(Settings->integer("connections"));
+  auto LongestRun = std::chrono::milliseconds(Settings->integer("longest-ms"));
+  auto Report = load::LoadRun({Entries, std::move(*Plan), Connections, LongestRun}).run();
+  auto MessagesAfter = load::readCounters(Entries, MessageCounters);
   auto ProcessorAfter = load::processorMicroseconds(ProcessIds);
-  if (!WastedAfter || !ProcessorAfter)
+  if (!MessagesAfter || !ProcessorAfter)
     return reportUnreachable();
-  auto Tasks = static_cast<double>(std::max<std::uint64_t>(1, Report.Tasks));
-  Report.WastedPerTask = (*WastedAfter - *WastedBefore) / Tasks;
+  addMessages(Report, *MessagesBefore, *MessagesAfter);
   Report.ProcessorMeasured = !ProcessIds.empty();
-  Report.MicrosecondsOfProcessor = (*ProcessorAfter - *ProcessorBefore) / Tasks;
+  Report.MicrosecondsOfProcessor = (*ProcessorAfter - *ProcessorBefore) /
+                                   static_cast<double>(std::max<std::uint64_t>(1, Report.Tasks));
+  if (!Content->Name.empty())
+    load::compareWithIdeal(Report, *Content);
   std::cout << load::renderReport(std::move(Report), Format) << std::flush;
   return 0;
 }
--- a/Utilities/Replay/Generators.cpp
+++ b/Utilities/Replay/Generators.cpp
@@ -1,6 +1,7 @@
 #include "Utilities/Replay/Generators.h"
 
 #include "Libraries/LibCore/Reason.h"
+#include "Utilities/Replay/Workload.h"
 
 #include <algorithm>
 #include <array>
@@ -22,50 +23,6 @@
 constexpr double DriftInterval = 5000;
 constexpr std::uint32_t WorkersPerRack = 6;
 
-/// A kind of job and how its jobs look.
-struct JobShape {
-  TraceKind Kind;
-  double Weight = 1;      ///< Share of the jobs.
-  double SmallestJob = 1; ///< Tasks.
-  double LargestJob = 1;  ///< Tasks; log-uniform in between.
-  double Median = 300;    ///< Milliseconds of a task.
-  double Deviation = 0.5; ///< Of the logarithm.
-  std::string Label;
-};
-
-struct Workload {
-  std::string Service;
-  double MessageCost = 1;
-  double OneWay = 0.5;
-  std::array<const char *, 4> DataCentres;
-  kernel::Resources Capacity;
-  std::vector<std::string> Teams;
-  std::vector<JobShape> Shapes;
-};
-
-Workload slipworks() {
-  return {"print",
-          20,
-          0.5,
-          {"ikeja", "yaba", "apapa", "lekki"},
-          {16, 65536, 0},
-          {"surulere", "agege", "mushin", "epe", "badagry", "counter"},
-          {{{"payslip", 350, {1, 2048, 0}}, 0.9, 20, 1400, 300, 0.5, "batch"},
-           {{"reprint", 300, {1, 2048, 0}}, 0.1, 1, 1, 250, 0.4, "reprint"}}};
-}
-
-Workload alarcon() {
-  return {"fans",
-          1,
-          1.4,
-          {"leon", "celaya", "irapuato", "queretaro"},
-          {64, 131072, 0},
-          {"retail", "projects", "service"},
-          {{{"slot_confirmation", 120, {2, 1024, 0}}, 0.5, 1, 4, 100, 0.4, "confirmation"},
-           {{"ceiling_check", 250, {4, 4096, 0}}, 0.3, 4, 32, 220, 0.5, "check"},
-           {{"price_quote", 450, {4, 8192, 0}}, 0.2, 10, 200, 400, 0.6, "quote"}}};
-}
-
 class Generator {
 public:
   explicit Generator(const GeneratorOptions &Options, Workload Users)
@@ -94,32 +51,41 @@
   double end() const { return Options_.Seconds * MillisecondsPerSecond; }
 
   void makeFrame() {
-    Result_.Name = Options_.Workload + "-" + Options_.Scenario;
+    Result_.Name =
+        (Users_.Workers.empty() ? Options_.Workload : "configured") + "-" + Options_.Scenario;
     Result_.Seed = Options_.Seed;
     Result_.OneWay = Users_.OneWay;
     Result_.WarmUp = end() / 4;
     Result_.EntryVms = Options_.EntryVms;
-    TraceService Service{Users_.Service, Users_.MessageCost, {}};
-    for (const auto &Shape : Users_.Shapes)
-      Service.Kinds.push_back(Shape.Kind);
-    Result_.Services.push_back(std::move(Service));
-    for (const auto &Team : Users_.Teams)
-      Result_.Teams.push_back({Team, 1});
+    Result_.Services = Users_.Services;
+    for (const auto &Shape : Users_.Shapes) {
+      auto &Kinds = Result_.Services[Shape.Service].Kinds;
+      KindOfShape_.push_back(static_cast<std::uint32_t>(Kinds.size()));
+      Kinds.push_back(Shape.Kind);
+    }
+    Result_.Teams = Users_.Teams;
   }
 
   void makeWorkers() {
     for (std::uint32_t Index = 0; Index < Options_.Workers; ++Index) {
       TraceWorker Worker;
-      Worker.Name = "w" + std::to_string(Index);
-      Worker.DataCentre = Users_.DataCentres[Index / WorkersPerRack % Users_.DataCentres.size()];
-      Worker.Capacity = Users_.Capacity;
+      if (Users_.Workers.empty()) {
+        Worker.Name = "w" + std::to_string(Index);
+        Worker.DataCentre = Users_.DataCentres[Index / WorkersPerRack % Users_.DataCentres.size()];
+        Worker.Capacity = Users_.Capacity;
+      } else {
+        Worker = Users_.Workers[Index];
+      }
       Worker.Speed = std::clamp(std::exp(normal(SpeedDeviation)), 0.5, 1.8);
       Capacity_ += Worker.Slots * Worker.Speed;
       Result_.Workers.push_back(std::move(Worker));
     }
   }
 
+  /// Workers of a configuration are met by stand-ins, whose speed does not drift.
   void makeDrift() {
+    if (!Users_.Workers.empty())
+      return;
     std::vector<double> Speeds;
     for (const auto &Worker : Result_.Workers)
       Speeds.push_back(Worker.Speed);
@@ -160,13 +126,15 @@
   TraceJob makeJob(double At) {
     TraceJob Job;
     Job.At = At;
-    Job.Kind = drawShape();
-    const auto &Shape = Users_.Shapes[Job.Kind];
+    auto Drawn = drawShape();
+    const auto &Shape = Users_.Shapes[Drawn];
+    Job.Service = Shape.Service;
+    Job.Kind = KindOfShape_[Drawn];
     Job.Label = Shape.Label;
     // Reprints come from the counter, which sends nothing else.
     bool IsCounter = Shape.Label == "reprint";
     auto Teams = Users_.Teams.size();
-    if (Users_.Teams.back() == "counter")
+    if (Users_.Teams.back().Name == "counter")
       Job.Team = static_cast<std::uint32_t>(IsCounter ? Teams - 1 : below(Teams - 1));
     else
       Job.Team = below(Teams);
@@ -225,6 +193,7 @@
   std::mt19937_64 Random_;
   Trace Result_;
   double Capacity_ = 0;
+  std::vector<std::uint32_t> KindOfShape_; ///< Position among its service's kinds.
 };
 
 constexpr std::array<std::string_view, 13> Scenarios{
@@ -370,10 +339,14 @@
   if (std::find(Scenarios.begin(), Scenarios.end(), Options.Scenario) == Scenarios.end())
     return core::fail(core::ErrorKind::Malformed,
                       "there is no scenario \"" + Options.Scenario + "\"; see docs/TRACES.md");
+  if (!Options.Configuration.is_null()) {
+    auto Users = configuredWorkload(Options.Configuration, Options.Workers);
+    return Users ? std::optional(Generator(Options, std::move(*Users)).make()) : std::nullopt;
+  }
   if (Options.Workload == "slipworks")
-    return Generator(Options, slipworks()).make();
+    return Generator(Options, slipworksWorkload()).make();
   if (Options.Workload == "alarcon")
-    return Generator(Options, alarcon()).make();
+    return Generator(Options, alarconWorkload()).make();
   return core::fail(core::ErrorKind::Malformed,
                     "there is no workload \"" + Options.Workload + "\"; use slipworks or alarcon");
 }
--- a/Utilities/Replay/Generators.h
+++ b/Utilities/Replay/Generators.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <string_view>
 
+#include <nlohmann/json.hpp>
+
 namespace cornellift::replay {
 
 /// What to generate.
@@ -18,6 +20,9 @@
   std::uint32_t Workers = 50;
   std::uint32_t EntryVms = 1;
   std::uint64_t Seed = 1;
+  /// A configuration document; when given, its services, teams and Workers of its endpoints replace
+  /// those of the workload.
+  nlohmann::json Configuration;
 };
 
 /// Names of the scenarios: calm and the faults.
--- a/Utilities/Replay/Main.cpp
+++ b/Utilities/Replay/Main.cpp
@@ -4,6 +4,7 @@
 #include "Utilities/Replay/CostMeasurement.h"
 #include "Utilities/Replay/Generators.h"
 #include "Utilities/Replay/Plots.h"
+#include "Utilities/Replay/Workload.h"
 
 #include <charconv>
 #include <fstream>
@@ -21,6 +22,12 @@
 const core::SettingSpec Specs[] = {
     {"trace", "File of JSON lines to replay; empty to generate", SettingType::Text, ""},
     {"workload", "Generated workload: slipworks or alarcon", SettingType::Text, "slipworks"},
+    {"configuration", "Document whose services, teams and endpoints replace the workload's",
+     SettingType::Text, ""},
+    {"write-configuration", "With --configuration: write the scaled document to this file and exit",
+     SettingType::Text, ""},
+    {"first-port", "Of the endpoints in the scaled document", SettingType::Integer, "17301", 1,
+     65000},
     {"scenario", "Generated scenario; docs/TRACES.md lists them", SettingType::Text, "calm"},
     {"load", "Offered work over capacity", SettingType::Real, "0.7", 0.01, 10},
     {"seconds", "Length of the arrivals in seconds", SettingType::Real, "40", 1, 100000},
@@ -38,6 +45,18 @@
     {"cost", "Measure decision time and memory instead", SettingType::Flag, "false"},
 };
 
+/// Null when no document is given.
+std::optional<nlohmann::json> readConfiguration(const core::Settings &Settings) {
+  const auto &File = Settings.text("configuration");
+  if (File.empty())
+    return nlohmann::json();
+  std::ifstream Input(File);
+  auto Document = nlohmann::json::parse(Input, nullptr, false);
+  if (!Document.is_object())
+    return core::fail(core::ErrorKind::NotFound, "no document in " + File + "; check the path");
+  return Document;
+}
+
 std::optional<replay::Trace> makeTrace(const core::Settings &Settings) {
   if (const auto &File = Settings.text("trace"); !File.empty()) {
     std::ifstream Input(File);
@@ -45,7 +64,11 @@
       return core::fail(core::ErrorKind::NotFound, "cannot read " + File + "; check the path");
     return replay::readTrace(Input);
   }
+  auto Document = readConfiguration(Settings);
+  if (!Document)
+    return std::nullopt;
   replay::GeneratorOptions Options;
+  Options.Configuration = std::move(*Document);
   Options.Workload = Settings.text("workload");
   Options.Scenario = Settings.text("scenario");
   Options.Load = Settings.real("load");
@@ -103,6 +126,20 @@
   return static_cast<int>(Fails ? ExitStatus::RequestFailed : ExitStatus::Success);
 }
 
+int writeConfiguration(const replay::Trace &Input, const core::Settings &Settings,
+                       const std::string &Preset, const std::string &File) {
+  auto Document = readConfiguration(Settings);
+  auto Policy = replay::findPreset(Preset);
+  if (!Document || Document->is_null() || !Policy) {
+    core::fail(core::ErrorKind::Malformed, "--write-configuration needs --configuration");
+    return core::reportBadUsage(Program);
+  }
+  std::ofstream Output(File);
+  auto FirstPort = static_cast<int>(Settings.integer("first-port"));
+  Output << replay::scaledDocument(std::move(*Document), Input, FirstPort, *Policy).dump(1) << '\n';
+  return static_cast<int>(Output ? ExitStatus::Success : ExitStatus::RequestFailed);
+}
+
 } // namespace
 
 int main(int Count, char **Arguments) {
@@ -126,6 +163,8 @@
     replay::writeTrace(*Input, Output);
     return static_cast<int>(Output ? ExitStatus::Success : ExitStatus::RequestFailed);
   }
+  if (const auto &File = Settings->text("write-configuration"); !File.empty())
+    return writeConfiguration(*Input, *Settings, Presets->front(), File);
   if (!Settings->text("message-costs").empty())
     return replayCurve(*Input, *Settings, *Presets);
   return replayAll(*Input, *Settings, *Presets, *Format);
