Replay: Add silent connections, deadlines, teams and data centres to the traces

A worker's open connections can now go silent: the answers of its running tasks and the next starts on its idle connections are lost, and a question on a new connection finds the result or proves that the task did not start. An answer 'unknown' to a status question no longer counts the job's tasks as not waiting; only one to a fence does.

--- a/Utilities/Replay/Comparison.cpp
+++ b/Utilities/Replay/Comparison.cpp
@@ -103,9 +103,9 @@
 }
 
 std::vector<ComparedRun> compare(const Trace &Input, std::span<const std::string> Presets,
-                                 std::optional<double> MessageCost) {
+                                 std::optional<double> MessageCost, Planning Mode) {
   std::vector<ComparedRun> Runs;
-  PlanCache Cache;
+  PlanCache Cache{Mode, {}, {}};
   double OwnTail = EndlessResponse;
   double BestBaseline = std::numeric_limits<double>::infinity();
   for (const auto &Name : Presets) {
--- a/Utilities/Replay/Comparison.h
+++ b/Utilities/Replay/Comparison.h
@@ -27,6 +27,7 @@
 /// Replays the trace under each preset. Names must be known. The first one also gets p99_gain, the
 /// best baseline's p99 over its own, and reprint_p99_over_idle where the trace has reprints.
 std::vector<ComparedRun> compare(const Trace &Input, std::span<const std::string> Presets,
-                                 std::optional<double> MessageCost);
+                                 std::optional<double> MessageCost,
+                                 Planning Mode = Planning::Clairvoyant);
 
 } // namespace cornellift::replay
--- a/Utilities/Replay/FakeWorker.cpp
+++ b/Utilities/Replay/FakeWorker.cpp
@@ -27,8 +27,12 @@
   // The tasks are lost with the process, and so are its records.
   auto Lost = std::exchange(Running_, {});
   Known_.clear();
+  Untold_.clear();
+  LostStarts_.clear();
+  SilentIdle_ = 0;
   for (auto &[Task, Entry] : Lost)
-    Entry.Reply(kernel::TaskUncertain{Task, Index_, Entry.Attempt});
+    if (Entry.Reply)
+      Entry.Reply(kernel::TaskUncertain{Task, Index_, Entry.Attempt});
 }
 
 bool FakeWorker::start(const FakeTask &Task, Tell Reply) {
@@ -38,10 +42,16 @@
   };
   if (!isUp())
     return Refuse(kernel::StartRefusal::NotSent);
+  if (SilentIdle_ > 0) {
+    --SilentIdle_;
+    LostStarts_.insert(Task.Id);
+    return false;
+  }
   if (Running_.size() >= Slots_)
     return Refuse(kernel::StartRefusal::NoSlot);
   if (!Known_.insert(Task.Id).second)
     ++DoubleStarts_;
+  LostStarts_.erase(Task.Id);
   auto RunTime = Task.Truth.True / Speed_;
   auto Verdict = kernel::TaskVerdict::Finished;
   if (Task.Nature == JobNature::Failing || exceeds(Task.Truth.TrueSize, Task.Truth.DeclaredSize)) {
@@ -66,18 +76,35 @@
     return;
   auto Reply = std::move(Found->second.Reply);
   Running_.erase(Found);
-  Reply(kernel::TaskEnded{Task.Id, Index_, Verdict, nullptr, RunTime, Task.Truth.TrueSize,
-                          Task.Attempt});
+  kernel::TaskEnded Ended{Task.Id,     Index_, Verdict, nullptr, RunTime, Task.Truth.TrueSize,
+                          Task.Attempt};
+  if (Reply)
+    Reply(std::move(Ended));
+  else
+    Untold_.emplace(Task.Id, std::move(Ended));
 }
 
-kernel::TaskReport FakeWorker::report(kernel::TaskId Task) const {
-  return isUp() && Running_.contains(Task) ? kernel::TaskReport::Running
-                                           : kernel::TaskReport::Unknown;
+kernel::Event FakeWorker::ask(kernel::TaskId Task, std::uint32_t Attempt) const {
+  if (auto Ended = Untold_.find(Task); isUp() && Ended != Untold_.end())
+    return Ended->second;
+  auto Report =
+      isUp() && Running_.contains(Task) ? kernel::TaskReport::Running : kernel::TaskReport::Unknown;
+  return kernel::TaskReported{Task, Index_, Report, Attempt};
 }
 
-kernel::TaskReport FakeWorker::fence(kernel::TaskId Task) {
+kernel::Event FakeWorker::fence(kernel::TaskId Task, std::uint32_t Attempt) {
   // A restarted process cannot know whether the one before it started the task.
-  return report(Task);
+  if (isUp() && LostStarts_.contains(Task))
+    return kernel::TaskReported{Task, Index_, kernel::TaskReport::NotStartedAndFenced, Attempt};
+  return ask(Task, Attempt);
+}
+
+void FakeWorker::silenceConnections() {
+  if (!isUp())
+    return;
+  for (auto &[Task, Entry] : Running_)
+    Entry.Reply = nullptr;
+  SilentIdle_ = Slots_ - running();
 }
 
 } // namespace cornellift::replay
--- a/Utilities/Replay/FakeWorker.h
+++ b/Utilities/Replay/FakeWorker.h
@@ -35,8 +35,12 @@
 
   /// Returns whether the task started; tells the result, or the refusal, later.
   bool start(const FakeTask &Task, Tell Reply);
-  kernel::TaskReport report(kernel::TaskId Task) const;
-  kernel::TaskReport fence(kernel::TaskId Task);
+  /// The answer to a question on a new connection: TaskEnded or TaskReported.
+  kernel::Event ask(kernel::TaskId Task, std::uint32_t Attempt) const;
+  kernel::Event fence(kernel::TaskId Task, std::uint32_t Attempt);
+
+  /// Every open connection goes silent; one per slot is open.
+  void silenceConnections();
 
   /// Starts of a task that had started here before.
   std::uint64_t doubleStarts() const { return DoubleStarts_; }
@@ -45,7 +49,7 @@
   struct Running {
     std::uint32_t Attempt = 0;
     std::uint64_t Token = 0;
-    Tell Reply;
+    Tell Reply; ///< Empty when its connection has gone silent.
   };
 
   void end(const FakeTask &Task, std::uint64_t Token, core::Duration RunTime,
@@ -58,6 +62,9 @@
   WorkerChange::State State_ = WorkerChange::State::Normal;
   std::unordered_map<kernel::TaskId, Running> Running_;
   std::unordered_set<kernel::TaskId> Known_;
+  std::unordered_map<kernel::TaskId, kernel::TaskEnded> Untold_; ///< Results that were not told.
+  std::unordered_set<kernel::TaskId> LostStarts_; ///< Written to a connection that had gone silent.
+  std::uint32_t SilentIdle_ = 0;                  ///< Silent connections that carry no task.
   std::uint64_t NextToken_ = 0;
   std::uint64_t DoubleStarts_ = 0;
 };
--- a/Utilities/Replay/Generators.cpp
+++ b/Utilities/Replay/Generators.cpp
@@ -29,6 +29,7 @@
       : Options_(Options), Users_(std::move(Users)), Random_(Options.Seed) {}
 
   Trace make() {
+    scaleUsers();
     makeFrame();
     makeWorkers();
     makeDrift();
@@ -50,6 +51,25 @@
   std::uint32_t below(std::size_t Count) { return static_cast<std::uint32_t>(Random_() % Count); }
   double end() const { return Options_.Seconds * MillisecondsPerSecond; }
 
+  /// Teams of unequal shares; the counter, where there is one, has the mean share.
+  void scaleUsers() {
+    for (auto &Shape : Users_.Shapes)
+      Shape.Median *= Options_.RunTimeScale;
+    if (Options_.DataCentres > 0)
+      Users_.DataCentres.clear();
+    for (std::uint32_t Index = 0; Index < Options_.DataCentres; ++Index)
+      Users_.DataCentres.push_back("centre-" + std::to_string(Index));
+    if (Options_.Teams == 0)
+      return;
+    bool HasCounter = Users_.Teams.back().Name == "counter";
+    Users_.Teams.clear();
+    constexpr std::uint32_t LargestShare = 5;
+    for (std::uint32_t Index = 0; Index + (HasCounter ? 1 : 0) < Options_.Teams; ++Index)
+      Users_.Teams.push_back({"team-" + std::to_string(Index), 1.0 + Index % LargestShare});
+    if (HasCounter)
+      Users_.Teams.push_back({"counter", (1 + LargestShare) / 2.0});
+  }
+
   void makeFrame() {
     Result_.Name =
         (Users_.Workers.empty() ? Options_.Workload : "configured") + "-" + Options_.Scenario;
@@ -184,6 +204,8 @@
   void applyWorkerFaults();
   void applyOutages();
   void applyFlapping();
+  void applyDeadlines();
+  void applySilence();
   void applyWrongDeclarations();
   void applyImpossibleJobs();
   void applyStragglers(std::uint32_t Count);
@@ -196,10 +218,10 @@
   std::vector<std::uint32_t> KindOfShape_; ///< Position among its service's kinds.
 };
 
-constexpr std::array<std::string_view, 13> Scenarios{
-    "calm",        "burst",        "black-hole",        "straggler",     "stragglers",
-    "cancel-wave", "declarations", "data-centre-lost",  "entry-vm-lost", "store-away",
-    "flapping",    "impossible",   "impossible-and-bad"};
+constexpr std::array<std::string_view, 15> Scenarios{
+    "calm",        "burst",        "black-hole",         "straggler",     "stragglers",
+    "cancel-wave", "declarations", "data-centre-lost",   "entry-vm-lost", "store-away",
+    "flapping",    "impossible",   "impossible-and-bad", "deadlines",     "silent"};
 
 void Generator::applyBurst() {
   double From = end() * 0.3;
@@ -282,6 +304,38 @@
   expectAtMost("unanswered_jobs", 0);
 }
 
+/// Half of the jobs must end within 0.8 to 5 times their longest task, and a tenth of the trace
+/// offers twice the capacity, so that some deadlines cannot be met and others become so later.
+void Generator::applyDeadlines() {
+  makeArrivals(end() * 0.4, end() * 0.5, 2, "rush-");
+  for (auto &Job : Result_.Jobs) {
+    if (uniform(0, 1) < 0.5)
+      continue;
+    double Longest = 0;
+    for (const auto &Task : Job.Tasks)
+      Longest = std::max(Longest, Task.True);
+    Job.Deadline = Longest * uniform(0.8, 5) + 2 * Users_.OneWay;
+  }
+  expectAtMost("untrue_refusals", 0);
+  expectAtMost("unanswered_jobs", 0);
+  expectAtMost("double_starts", 0);
+}
+
+/// The connections to each of a tenth of the workers go silent every few seconds.
+void Generator::applySilence() {
+  constexpr double MeanInterval = 4000;
+  auto Count = std::max(1U, Options_.Workers / 10);
+  for (std::uint32_t Index = 0; Index < Count; ++Index)
+    for (double At = end() / 4; At < end(); At += uniform(0.5, 1.5) * MeanInterval)
+      change(At, ConnectionsSilent{(Index * 9 + 1) % Options_.Workers});
+  expectAtMost("failed_share", 0);
+  expectAtMost("resubmissions", 0);
+  // Twice the longest run time: 5 s on a worker of half the typical speed.
+  expectAtMost("silent_found_after_ms", 20000);
+  expectAtMost("unanswered_jobs", 0);
+  expectAtMost("double_starts", 0);
+}
+
 void Generator::applyWrongDeclarations() {
   for (auto &Job : Result_.Jobs) {
     double Factor = uniform(0, 1) < 0.5 ? 10 : 0.1;
@@ -321,6 +375,10 @@
     applyBurst();
   } else if (Options_.Scenario == "flapping") {
     applyFlapping();
+  } else if (Options_.Scenario == "deadlines") {
+    applyDeadlines();
+  } else if (Options_.Scenario == "silent") {
+    applySilence();
   } else if (Options_.Scenario == "declarations") {
     applyWrongDeclarations();
   } else if (Options_.Scenario.starts_with("impossible")) {
--- a/Utilities/Replay/Generators.h
+++ b/Utilities/Replay/Generators.h
@@ -19,6 +19,9 @@
   double Seconds = 40;                ///< Length of the arrivals.
   std::uint32_t Workers = 50;
   std::uint32_t EntryVms = 1;
+  std::uint32_t Teams = 0;       ///< Replaces the workload's; zero keeps them.
+  std::uint32_t DataCentres = 0; ///< Likewise.
+  double RunTimeScale = 1;       ///< Multiplies the medians of the run times.
   std::uint64_t Seed = 1;
   /// A configuration document; when given, its services, teams and Workers of its endpoints replace
   /// those of the workload.
--- a/Utilities/Replay/Main.cpp
+++ b/Utilities/Replay/Main.cpp
@@ -4,6 +4,7 @@
 #include "Utilities/Replay/CostMeasurement.h"
 #include "Utilities/Replay/Generators.h"
 #include "Utilities/Replay/Plots.h"
+#include "Utilities/Replay/Recording.h"
 #include "Utilities/Replay/Workload.h"
 
 #include <charconv>
@@ -33,14 +34,25 @@
     {"seconds", "Length of the arrivals in seconds", SettingType::Real, "40", 1, 100000},
     {"workers", "Number of workers", SettingType::Integer, "50", 1, 10000},
     {"entry-vms", "Number of entry VMs", SettingType::Integer, "1", 1, 1000},
+    {"teams", "Number of teams, with unequal shares; 0 for the workload's", SettingType::Integer,
+     "0", 0, 1000},
+    {"data-centres", "Number of data centres; 0 for the workload's", SettingType::Integer, "0", 0,
+     100},
+    {"run-time-scale", "Multiplies the medians of the run times", SettingType::Real, "1", 0.01,
+     100},
     {"seed", "Seed of the trace and of the policies", SettingType::Integer, "1"},
     {"write-trace", "Write the trace to this file and exit", SettingType::Text, ""},
+    {"record",
+     "Replay the rounded trace under every policy, write it to this file with the counts "
+     "that all of them agree on as its outcome, and exit",
+     SettingType::Text, ""},
     {"policies", "Comma-separated policies, the checked one first; all for every one",
      SettingType::Text, "all"},
     {"message-costs", "Comma-separated milliseconds: replay the first policy with each",
      SettingType::Text, ""},
     {"format", "text, csv or json", SettingType::Text, "text"},
     {"plots", "Directory for plot data and gnuplot scripts; empty for none", SettingType::Text, ""},
+    {"without-ideal", "Do not plan the clairvoyant schedule", SettingType::Flag, "false"},
     {"check", "Exit with 1 unless the trace's expectations hold", SettingType::Flag, "false"},
     {"cost", "Measure decision time and memory instead", SettingType::Flag, "false"},
 };
@@ -74,6 +86,9 @@
   Options.Load = Settings.real("load");
   Options.Seconds = Settings.real("seconds");
   Options.Workers = static_cast<std::uint32_t>(Settings.integer("workers"));
+  Options.Teams = static_cast<std::uint32_t>(Settings.integer("teams"));
+  Options.DataCentres = static_cast<std::uint32_t>(Settings.integer("data-centres"));
+  Options.RunTimeScale = Settings.real("run-time-scale");
   Options.EntryVms = static_cast<std::uint32_t>(Settings.integer("entry-vms"));
   Options.Seed = static_cast<std::uint64_t>(Settings.integer("seed"));
   return replay::generateTrace(Options);
@@ -111,7 +126,9 @@
 
 int replayAll(const replay::Trace &Input, const core::Settings &Settings,
               std::span<const std::string> Presets, replay::ReportFormat Format) {
-  auto Runs = replay::compare(Input, Presets, std::nullopt);
+  auto Mode =
+      Settings.flag("without-ideal") ? replay::Planning::None : replay::Planning::Clairvoyant;
+  auto Runs = replay::compare(Input, Presets, std::nullopt, Mode);
   std::vector<replay::PolicyFigures> Figures;
   Figures.reserve(Runs.size());
   for (const auto &Run : Runs)
@@ -126,6 +143,15 @@
   return static_cast<int>(Fails ? ExitStatus::RequestFailed : ExitStatus::Success);
 }
 
+int recordTrace(replay::Trace Input, const std::string &File) {
+  replay::roundTrace(Input);
+  auto Figures = replay::addAgreedCounts(Input);
+  std::ofstream Output(File);
+  replay::writeTrace(Input, Output);
+  bool Holds = replay::checkExpectations(Input.Expectations, Figures, std::cout);
+  return static_cast<int>(Output && Holds ? ExitStatus::Success : ExitStatus::RequestFailed);
+}
+
 int writeConfiguration(const replay::Trace &Input, const core::Settings &Settings,
                        const std::string &Preset, const std::string &File) {
   auto Document = readConfiguration(Settings);
@@ -163,6 +189,8 @@
     replay::writeTrace(*Input, Output);
     return static_cast<int>(Output ? ExitStatus::Success : ExitStatus::RequestFailed);
   }
+  if (const auto &File = Settings->text("record"); !File.empty())
+    return recordTrace(std::move(*Input), File);
   if (const auto &File = Settings->text("write-configuration"); !File.empty())
     return writeConfiguration(*Input, *Settings, Presets->front(), File);
   if (!Settings->text("message-costs").empty())
--- a/Utilities/Replay/ReplayResult.h
+++ b/Utilities/Replay/ReplayResult.h
@@ -25,6 +25,7 @@
   std::uint32_t Submissions = 0;
   bool RefusalWasUntrue = false; ///< A task of a submission that was "not run" has started.
   bool Started = false;          ///< A task has started.
+  double FlaggedAt = -1; ///< Milliseconds when it was foreseen to be late; negative when never.
 };
 
 /// Messages between an entry VM and a worker. Replies are not counted.
@@ -63,8 +64,9 @@
   double TotalWork = 0;           ///< Slot milliseconds of all tasks.
   double LongestOverQuota = 0;    ///< Milliseconds that a team was over while another waited.
   double LongestUnderQuotaWait = 0;
-  double EjectedShare = 0; ///< Largest share of a data centre that was ejected.
-  double EndOfBurst = -1;  ///< When the last job of the burst was answered; milliseconds.
+  double LongestSilence = 0; ///< Milliseconds from a start to the answer on another connection.
+  double EjectedShare = 0;   ///< Largest share of a data centre that was ejected.
+  double EndOfBurst = -1;    ///< When the last job of the burst was answered; milliseconds.
   DecisionTimes Times;
 };
 
--- a/Utilities/Replay/ReplayRun.cpp
+++ b/Utilities/Replay/ReplayRun.cpp
@@ -208,6 +208,7 @@
   --Teams_[Job.Team].Waiting;
   ++Teams_[Job.Team].Running;
   Vm.addInUse(Worker, 1);
+  Held_[Next.Task] = nowInTrace();
   FakeTask Task{Next.Task, Next.Attempt, Job.Tasks[Next.Task.Index], Job.Nature};
   Clock_.after(core::fromMilliseconds(Input_.OneWay), [this, Worker, Task, Index = Vm.index()] {
     if (!Workers_[Worker].start(
@@ -225,51 +226,92 @@
   });
 }
 
-void ReplayRun::account(SimulatedVm &Vm, const kernel::Event &Next) {
-  auto Release = [&](const auto &Event) {
-    auto &From = Submissions_[Event.Task.Job];
+ReplayRun::Submission &ReplayRun::release(SimulatedVm &Vm, kernel::TaskId Task,
+                                          kernel::EndpointIndex Endpoint) {
+  auto &From = Submissions_[Task.Job];
+  if (Held_.erase(Task) > 0) {
     --Teams_[Input_.Jobs[From.Job].Team].Running;
-    Vm.addInUse(static_cast<std::uint32_t>(Event.Endpoint), -1);
-    return &From;
-  };
+    Vm.addInUse(static_cast<std::uint32_t>(Endpoint), -1);
+  }
+  return From;
+}
+
+void ReplayRun::waitAgain(Submission &Refused) {
+  if (Refused.IsEnding)
+    return;
+  ++Refused.Unstarted;
+  ++Teams_[Input_.Jobs[Refused.Job].Team].Waiting;
+}
+
+void ReplayRun::account(SimulatedVm &Vm, const kernel::Event &Next) {
   if (const auto *Ended = std::get_if<kernel::TaskEnded>(&Next)) {
-    auto *From = Release(*Ended);
+    auto &From = release(Vm, Ended->Task, Ended->Endpoint);
     double Work = core::toMilliseconds(Ended->RunTime);
     Result_.TotalWork += Work;
-    From->Work += Work;
+    From.Work += Work;
     if (Ended->Verdict == kernel::TaskVerdict::Failed)
-      stopWaiting(*From);
+      stopWaiting(From);
   } else if (const auto *Refused = std::get_if<kernel::StartRefused>(&Next)) {
     ++Result_.Messages.Refused;
-    auto *From = Release(*Refused);
-    if (From->IsEnding)
-      return;
-    ++From->Unstarted;
-    ++Teams_[Input_.Jobs[From->Job].Team].Waiting;
+    waitAgain(release(Vm, Refused->Task, Refused->Endpoint));
   } else if (const auto *Lost = std::get_if<kernel::TaskUncertain>(&Next)) {
-    Release(*Lost);
-  } else if (const auto *Report = std::get_if<kernel::TaskReported>(&Next)) {
-    if (Report->Report == kernel::TaskReport::Unknown)
-      stopWaiting(Submissions_[Report->Task.Job]);
+    release(Vm, Lost->Task, Lost->Endpoint);
   }
 }
 
+void ReplayRun::accountFence(SimulatedVm &Vm, const kernel::TaskReported &Next) {
+  if (Next.Report == kernel::TaskReport::NotStartedAndFenced)
+    waitAgain(release(Vm, Next.Task, Next.Endpoint));
+  else if (Next.Report == kernel::TaskReport::Unknown)
+    stopWaiting(release(Vm, Next.Task, Next.Endpoint));
+}
+
+void ReplayRun::noteSilence(const kernel::Event &Answer) {
+  std::optional<kernel::TaskId> Task;
+  if (const auto *Ended = std::get_if<kernel::TaskEnded>(&Answer))
+    Task = Ended->Task;
+  else if (const auto *Report = std::get_if<kernel::TaskReported>(&Answer);
+           Report && Report->Report == kernel::TaskReport::NotStartedAndFenced)
+    Task = Report->Task;
+  auto Found = Task ? Held_.find(*Task) : Held_.end();
+  if (Found != Held_.end())
+    Result_.LongestSilence = std::max(Result_.LongestSilence, nowInTrace() - Found->second);
+}
+
+void ReplayRun::deliverAnswer(std::uint32_t Vm, kernel::Event Answer, Question Asked) {
+  Clock_.after(core::fromMilliseconds(Input_.OneWay),
+               [this, Vm, Asked, Answer = std::move(Answer)] {
+                 noteSilence(Answer);
+                 const auto *Report = std::get_if<kernel::TaskReported>(&Answer);
+                 if (Report && Asked == Question::Fence)
+                   accountFence(*Vms_[Vm], *Report);
+                 account(*Vms_[Vm], Answer);
+                 Vms_[Vm]->handle(Answer);
+               });
+}
+
 void ReplayRun::onAction(SimulatedVm &Vm, kernel::AskTask &Next) {
   ++Result_.Messages.StatusQueries;
   Clock_.after(core::fromMilliseconds(Input_.OneWay), [this, Next, Index = Vm.index()] {
-    auto Report = Workers_[static_cast<std::size_t>(Next.Endpoint)].report(Next.Task);
-    deliver(Index, kernel::TaskReported{Next.Task, Next.Endpoint, Report, Next.Attempt});
+    const auto &Worker = Workers_[static_cast<std::size_t>(Next.Endpoint)];
+    deliverAnswer(Index, Worker.ask(Next.Task, Next.Attempt), Question::Status);
   });
 }
 
 void ReplayRun::onAction(SimulatedVm &Vm, kernel::FenceTask &Next) {
   ++Result_.Messages.Fences;
   Clock_.after(core::fromMilliseconds(Input_.OneWay), [this, Next, Index = Vm.index()] {
-    auto Report = Workers_[static_cast<std::size_t>(Next.Endpoint)].fence(Next.Task);
-    deliver(Index, kernel::TaskReported{Next.Task, Next.Endpoint, Report, Next.Attempt});
+    auto &Worker = Workers_[static_cast<std::size_t>(Next.Endpoint)];
+    deliverAnswer(Index, Worker.fence(Next.Task, Next.Attempt), Question::Fence);
   });
 }
 
+void ReplayRun::onAction(SimulatedVm & /*Vm*/, kernel::FlagLate &Next) {
+  auto &Fate = Result_.Jobs[Submissions_[Next.Job].Job];
+  if (Fate.FlaggedAt < 0)
+    Fate.FlaggedAt = nowInTrace();
+}
+
 void ReplayRun::onAction(SimulatedVm &Vm, kernel::ProbeEndpoint &Next) {
   ++Result_.Messages.Probes;
   Clock_.after(core::fromMilliseconds(Input_.OneWay), [this, Next, Index = Vm.index()] {
--- a/Utilities/Replay/ReplayRun.h
+++ b/Utilities/Replay/ReplayRun.h
@@ -35,6 +35,8 @@
     double Work = 0; ///< Slot milliseconds of its ended tasks.
   };
 
+  enum class Question { Status, Fence };
+
   struct TeamState {
     std::uint32_t Running = 0;
     std::uint32_t Waiting = 0;
@@ -56,10 +58,17 @@
   void onAction(SimulatedVm &Vm, kernel::AskTask &Next);
   void onAction(SimulatedVm &Vm, kernel::FenceTask &Next);
   void onAction(SimulatedVm &Vm, kernel::ProbeEndpoint &Next);
+  void onAction(SimulatedVm &Vm, kernel::FlagLate &Next);
   template <typename Other> void onAction(SimulatedVm & /*Vm*/, Other & /*Next*/) {}
 
   void deliver(std::uint32_t Vm, kernel::Event Next);
   void account(SimulatedVm &Vm, const kernel::Event &Next);
+  void accountFence(SimulatedVm &Vm, const kernel::TaskReported &Next);
+  /// The answer to a question found a task whose own connection had gone silent.
+  void noteSilence(const kernel::Event &Answer);
+  void deliverAnswer(std::uint32_t Vm, kernel::Event Answer, Question Asked);
+  Submission &release(SimulatedVm &Vm, kernel::TaskId Task, kernel::EndpointIndex Endpoint);
+  void waitAgain(Submission &Refused);
   /// The tasks that have not started do not wait any more.
   void stopWaiting(Submission &Ending);
   void endSubmission(kernel::JobId Id, JobEnd End);
@@ -71,6 +80,7 @@
   void apply(const EntryVmLost &Change);
   void apply(const StoreChange & /*Change*/) {}
   void apply(const CancelWave &Change);
+  void apply(const ConnectionsSilent &Change) { Workers_[Change.Worker].silenceConnections(); }
 
   void sample();
   void sampleQuotas(std::uint32_t Slots);
@@ -87,6 +97,8 @@
   std::vector<std::unique_ptr<SimulatedVm>> Vms_;
   std::unique_ptr<SlotExchange> Exchange_;
   std::unordered_map<kernel::JobId, Submission> Submissions_;
+  /// Tasks that take a slot as their VM sees it, with the milliseconds of their start.
+  std::unordered_map<kernel::TaskId, double> Held_;
   std::vector<kernel::JobId> Current_; ///< Latest submission of each job.
   std::vector<std::uint8_t> CancelAsked_;
   std::vector<TeamState> Teams_;
--- a/Utilities/Replay/Report.cpp
+++ b/Utilities/Replay/Report.cpp
@@ -47,6 +47,14 @@
   std::vector<std::uint8_t> Completed;
   for (const auto &Fate : Result.Jobs)
     Completed.push_back(Fate.End == JobEnd::Completed ? 1 : 0);
+  if (Cache.Mode == Planning::None) {
+    std::vector<double> Responses;
+    for (std::size_t Job = 0; Job < Completed.size(); ++Job)
+      if (Completed[Job] != 0 && Input.Jobs[Job].At >= Input.WarmUp)
+        Responses.push_back(Result.Jobs[Job].Response);
+    addDistribution(Figures, "response_ms", Responses);
+    return;
+  }
   const auto &Ideal = planOnce(Input, Completed, Cache);
   std::vector<double> Responses;
   std::vector<double> Planned;
@@ -95,6 +103,7 @@
   auto Count = static_cast<double>(Result.Jobs.size());
   Figures["jobs"] = Count;
   Figures["completed"] = Ends[JobEnd::Completed];
+  Figures["refused"] = Ends[JobEnd::Refused];
   Figures["refused_share"] = ratio(Ends[JobEnd::Refused], Count);
   Figures["failed_share"] = ratio(FailedGood, Good);
   Figures["cancelled"] = Ends[JobEnd::Cancelled];
@@ -104,6 +113,40 @@
   Figures["impossible_started"] = ImpossibleStarted;
 }
 
+void addDeadlines(Figures &Figures, const Trace &Input, const ReplayResult &Result) {
+  double Late = 0;
+  double LateFlagged = 0;
+  double InTime = 0;
+  double InTimeFlagged = 0;
+  std::vector<double> Leads;
+  std::vector<double> Refusals;
+  for (std::size_t Job = 0; Job < Result.Jobs.size(); ++Job) {
+    const auto &Fate = Result.Jobs[Job];
+    const auto &Content = Input.Jobs[Job];
+    if (!Content.Deadline)
+      continue;
+    if (Fate.End == JobEnd::Refused)
+      Refusals.push_back(Fate.Response);
+    if (Fate.End != JobEnd::Completed)
+      continue;
+    double Lead = Content.At + *Content.Deadline - Fate.FlaggedAt;
+    bool IsFlagged = Fate.FlaggedAt >= 0 && Lead > 0;
+    bool IsLate = Fate.Response > *Content.Deadline;
+    ++(IsLate ? Late : InTime);
+    (IsLate ? LateFlagged : InTimeFlagged) += IsFlagged ? 1 : 0;
+    if (IsLate && IsFlagged)
+      Leads.push_back(Lead);
+  }
+  Figures["deadline_in_time"] = InTime;
+  Figures["deadline_late"] = Late;
+  Figures["deadline_refused"] = static_cast<double>(Refusals.size());
+  Figures["deadline_refused_after_ms_p50"] = quantile(Refusals, 0.5);
+  Figures["deadline_refused_after_ms_p99"] = quantile(Refusals, 0.99);
+  Figures["late_flagged_share"] = Late > 0 ? LateFlagged / Late : 1;
+  Figures["late_flag_lead_ms_p50"] = quantile(Leads, 0.5);
+  Figures["flagged_in_time_share"] = ratio(InTimeFlagged, InTime);
+}
+
 void addMessages(Figures &Figures, const ReplayResult &Result) {
   const auto &Messages = Result.Messages;
   auto Tasks = static_cast<double>(std::max<std::uint64_t>(1, Result.Tasks));
@@ -137,6 +180,7 @@
   Figures["useful_work_share"] = ratio(Result.UsefulWork, Result.TotalWork);
   Figures["longest_over_quota_ms"] = Result.LongestOverQuota;
   Figures["longest_under_quota_wait_ms"] = Result.LongestUnderQuotaWait;
+  Figures["silent_found_after_ms"] = Result.LongestSilence;
   Figures["ejected_share"] = Result.EjectedShare;
   double Late = 0;
   for (std::size_t Job = 0; Job < Result.Jobs.size(); ++Job) {
@@ -231,6 +275,7 @@
   Figures Values;
   addResponses(Values, Input, Result, Cache);
   addEnds(Values, Input, Result);
+  addDeadlines(Values, Input, Result);
   addMessages(Values, Result);
   addLoad(Values, Input, Result);
   addTimes(Values, Result);
--- a/Utilities/Replay/Report.h
+++ b/Utilities/Replay/Report.h
@@ -20,8 +20,12 @@
 /// Empty responses give a quantile of zero. Share is in 0 to 1.
 double quantile(std::vector<double> Values, double Share);
 
+/// Whether a run is compared with the clairvoyant schedule, which takes minutes for 1,400 workers.
+enum class Planning { Clairvoyant, None };
+
 /// The last plan of a trace and the jobs that it is for.
 struct PlanCache {
+  Planning Mode = Planning::Clairvoyant;
   std::vector<std::uint8_t> Completed;
   std::optional<IdealSchedule> Plan;
 };
--- a/Utilities/Replay/Trace.cpp
+++ b/Utilities/Replay/Trace.cpp
@@ -138,6 +138,11 @@
       {Line.at("at_ms").get<double>(), CancelWave{Line.at("share").get<double>()}});
 }
 
+void readSilence(const Json &Line, Trace &Result) {
+  Result.Changes.push_back(
+      {Line.at("at_ms").get<double>(), ConnectionsSilent{workerOf(Line, Result)}});
+}
+
 void readExpectation(const Json &Line, Trace &Result) {
   Expectation Expected;
   Expected.Metric = Line.at("metric").get<std::string>();
@@ -163,6 +168,7 @@
       {"entry_vm_lost", readEntryVmLost},
       {"store", readStore},
       {"cancel", readCancel},
+      {"silent", readSilence},
       {"expect", readExpectation}};
   return Readers;
 }
@@ -191,6 +197,10 @@
 
 Json changeJson(const CancelWave &Change) { return {{"type", "cancel"}, {"share", Change.Share}}; }
 
+Json changeJson(const ConnectionsSilent &Change) {
+  return {{"type", "silent"}, {"worker", Change.Worker}};
+}
+
 Json serviceJson(const TraceService &Service) {
   Json Kinds = Json::array();
   for (const auto &Kind : Service.Kinds)
--- a/Utilities/Replay/Trace.h
+++ b/Utilities/Replay/Trace.h
@@ -77,9 +77,16 @@
   double Share = 0;
 };
 
+/// Every connection to the worker that is open at this moment goes silent for good: the running
+/// tasks' answers are lost, and so is the next start on each idle one. New connections work.
+struct ConnectionsSilent {
+  std::uint32_t Worker = 0;
+};
+
 struct TimedChange {
   double At = 0;
-  std::variant<SpeedChange, WorkerChange, DataCentreChange, EntryVmLost, StoreChange, CancelWave>
+  std::variant<SpeedChange, WorkerChange, DataCentreChange, EntryVmLost, StoreChange, CancelWave,
+               ConnectionsSilent>
       Content;
 };
 
