--- a/Kernel/DispatcherState.h
+++ b/Kernel/DispatcherState.h
@@ -57,6 +57,7 @@
   // Dispatcher.cpp
   Starts on(ConfigurationApplied &Next);
   Starts on(StopRequested &Next);
+  Starts on(StopOverdue &Next);
   Starts on(Tick &Next);
   // TransferRules.cpp
   Starts on(BeginTransfer &Next);
@@ -147,7 +148,8 @@
   std::uint32_t LastAttempt_ = 0;
   DispatcherCounters Counters_;
 
-  enum class Life { Serving, Stopping } Life_{};
+  /// Overdue: stopping, and nothing more is started.
+  enum class Life { Serving, Stopping, Overdue } Life_{};
   enum class Drain { Reported, Pending } Drain_{Drain::Pending};
   Handover Handover_ = Handover::None;
   Incarnation Receiver_;
