--- a/Utilities/Replay/Generators.cpp
+++ b/Utilities/Replay/Generators.cpp
@@ -1,6 +1,7 @@
 #include "Utilities/Replay/Generators.h"
 
 #include "Libraries/LibCore/Reason.h"
+#include "Utilities/Replay/Workload.h"
 
 #include <algorithm>
 #include <array>
@@ -22,56 +23,13 @@
 constexpr double DriftInterval = 5000;
 constexpr std::uint32_t WorkersPerRack = 6;
 
-/// A kind of job and how its jobs look.
-struct JobShape {
-  TraceKind Kind;
-  double Weight = 1;      ///< Share of the jobs.
-  double SmallestJob = 1; ///< Tasks.
-  double LargestJob = 1;  ///< Tasks; log-uniform in between.
-  double Median = 300;    ///< Milliseconds of a task.
-  double Deviation = 0.5; ///< Of the logarithm.
-  std::string Label;
-};
-
-struct Workload {
-  std::string Service;
-  double MessageCost = 1;
-  double OneWay = 0.5;
-  std::array<const char *, 4> DataCentres;
-  kernel::Resources Capacity;
-  std::vector<std::string> Teams;
-  std::vector<JobShape> Shapes;
-};
-
-Workload slipworks() {
-  return {"print",
-          20,
-          0.5,
-          {"ikeja", "yaba", "apapa", "lekki"},
-          {16, 65536, 0},
-          {"surulere", "agege", "mushin", "epe", "badagry", "counter"},
-          {{{"payslip", 350, {1, 2048, 0}}, 0.9, 20, 1400, 300, 0.5, "batch"},
-           {{"reprint", 300, {1, 2048, 0}}, 0.1, 1, 1, 250, 0.4, "reprint"}}};
-}
-
-Workload alarcon() {
-  return {"fans",
-          1,
-          1.4,
-          {"leon", "celaya", "irapuato", "queretaro"},
-          {64, 131072, 0},
-          {"retail", "projects", "service"},
-          {{{"slot_confirmation", 120, {2, 1024, 0}}, 0.5, 1, 4, 100, 0.4, "confirmation"},
-           {{"ceiling_check", 250, {4, 4096, 0}}, 0.3, 4, 32, 220, 0.5, "check"},
-           {{"price_quote", 450, {4, 8192, 0}}, 0.2, 10, 200, 400, 0.6, "quote"}}};
-}
-
 class Generator {
 public:
   explicit Generator(const GeneratorOptions &Options, Workload Users)
       : Options_(Options), Users_(std::move(Users)), Random_(Options.Seed) {}
 
   Trace make() {
+    scaleUsers();
     makeFrame();
     makeWorkers();
     makeDrift();
@@ -93,33 +51,61 @@
   std::uint32_t below(std::size_t Count) { return static_cast<std::uint32_t>(Random_() % Count); }
   double end() const { return Options_.Seconds * MillisecondsPerSecond; }
 
+  /// Teams of unequal shares; the counter, where there is one, has the mean share.
+  void scaleUsers() {
+    for (auto &Shape : Users_.Shapes)
+      Shape.Median *= Options_.RunTimeScale;
+    if (Options_.DataCentres > 0)
+      Users_.DataCentres.clear();
+    for (std::uint32_t Index = 0; Index < Options_.DataCentres; ++Index)
+      Users_.DataCentres.push_back("centre-" + std::to_string(Index));
+    if (Options_.Teams == 0)
+      return;
+    bool HasCounter = Users_.Teams.back().Name == "counter";
+    Users_.Teams.clear();
+    constexpr std::uint32_t LargestShare = 5;
+    for (std::uint32_t Index = 0; Index + (HasCounter ? 1 : 0) < Options_.Teams; ++Index)
+      Users_.Teams.push_back({"team-" + std::to_string(Index), 1.0 + Index % LargestShare});
+    if (HasCounter)
+      Users_.Teams.push_back({"counter", (1 + LargestShare) / 2.0});
+  }
+
   void makeFrame() {
-    Result_.Name = Options_.Workload + "-" + Options_.Scenario;
+    Result_.Name =
+        (Users_.Workers.empty() ? Options_.Workload : "configured") + "-" + Options_.Scenario;
     Result_.Seed = Options_.Seed;
     Result_.OneWay = Users_.OneWay;
     Result_.WarmUp = end() / 4;
     Result_.EntryVms = Options_.EntryVms;
-    TraceService Service{Users_.Service, Users_.MessageCost, {}};
-    for (const auto &Shape : Users_.Shapes)
-      Service.Kinds.push_back(Shape.Kind);
-    Result_.Services.push_back(std::move(Service));
-    for (const auto &Team : Users_.Teams)
-      Result_.Teams.push_back({Team, 1});
+    Result_.Services = Users_.Services;
+    for (const auto &Shape : Users_.Shapes) {
+      auto &Kinds = Result_.Services[Shape.Service].Kinds;
+      KindOfShape_.push_back(static_cast<std::uint32_t>(Kinds.size()));
+      Kinds.push_back(Shape.Kind);
+    }
+    Result_.Teams = Users_.Teams;
   }
 
   void makeWorkers() {
     for (std::uint32_t Index = 0; Index < Options_.Workers; ++Index) {
       TraceWorker Worker;
-      Worker.Name = "w" + std::to_string(Index);
-      Worker.DataCentre = Users_.DataCentres[Index / WorkersPerRack % Users_.DataCentres.size()];
-      Worker.Capacity = Users_.Capacity;
+      if (Users_.Workers.empty()) {
+        Worker.Name = "w" + std::to_string(Index);
+        Worker.DataCentre = Users_.DataCentres[Index / WorkersPerRack % Users_.DataCentres.size()];
+        Worker.Capacity = Users_.Capacity;
+      } else {
+        Worker = Users_.Workers[Index];
+      }
       Worker.Speed = std::clamp(std::exp(normal(SpeedDeviation)), 0.5, 1.8);
       Capacity_ += Worker.Slots * Worker.Speed;
       Result_.Workers.push_back(std::move(Worker));
     }
   }
 
+  /// Workers of a configuration are met by stand-ins, whose speed does not drift.
   void makeDrift() {
+    if (!Users_.Workers.empty())
+      return;
     std::vector<double> Speeds;
     for (const auto &Worker : Result_.Workers)
       Speeds.push_back(Worker.Speed);
@@ -160,13 +146,15 @@
   TraceJob makeJob(double At) {
     TraceJob Job;
     Job.At = At;
-    Job.Kind = drawShape();
-    const auto &Shape = Users_.Shapes[Job.Kind];
+    auto Drawn = drawShape();
+    const auto &Shape = Users_.Shapes[Drawn];
+    Job.Service = Shape.Service;
+    Job.Kind = KindOfShape_[Drawn];
     Job.Label = Shape.Label;
     // Reprints come from the counter, which sends nothing else.
     bool IsCounter = Shape.Label == "reprint";
     auto Teams = Users_.Teams.size();
-    if (Users_.Teams.back() == "counter")
+    if (Users_.Teams.back().Name == "counter")
       Job.Team = static_cast<std::uint32_t>(IsCounter ? Teams - 1 : below(Teams - 1));
     else
       Job.Team = below(Teams);
@@ -216,6 +204,8 @@
   void applyWorkerFaults();
   void applyOutages();
   void applyFlapping();
+  void applyDeadlines();
+  void applySilence();
   void applyWrongDeclarations();
   void applyImpossibleJobs();
   void applyStragglers(std::uint32_t Count);
@@ -225,12 +215,13 @@
   std::mt19937_64 Random_;
   Trace Result_;
   double Capacity_ = 0;
+  std::vector<std::uint32_t> KindOfShape_; ///< Position among its service's kinds.
 };
 
-constexpr std::array<std::string_view, 13> Scenarios{
-    "calm",        "burst",        "black-hole",        "straggler",     "stragglers",
-    "cancel-wave", "declarations", "data-centre-lost",  "entry-vm-lost", "store-away",
-    "flapping",    "impossible",   "impossible-and-bad"};
+constexpr std::array<std::string_view, 15> Scenarios{
+    "calm",        "burst",        "black-hole",         "straggler",     "stragglers",
+    "cancel-wave", "declarations", "data-centre-lost",   "entry-vm-lost", "store-away",
+    "flapping",    "impossible",   "impossible-and-bad", "deadlines",     "silent"};
 
 void Generator::applyBurst() {
   double From = end() * 0.3;
@@ -243,6 +234,8 @@
   expectAtMost("burst_backlog_after_10_minutes", 0);
   if (Options_.Workload == "slipworks")
     expectAtMost("reprint_p99_over_idle", 1.5);
+  if (Options_.Teams > 0)
+    expectAtMost("longest_over_quota_ms", 5000);
 }
 
 void Generator::applyStragglers(std::uint32_t Count) {
@@ -313,6 +306,38 @@
   expectAtMost("unanswered_jobs", 0);
 }
 
+/// Half of the jobs must end within 0.8 to 5 times their longest task, and a tenth of the trace
+/// offers twice the capacity, so that some deadlines cannot be met and others become so later.
+void Generator::applyDeadlines() {
+  makeArrivals(end() * 0.4, end() * 0.5, 2, "rush-");
+  for (auto &Job : Result_.Jobs) {
+    if (uniform(0, 1) < 0.5)
+      continue;
+    double Longest = 0;
+    for (const auto &Task : Job.Tasks)
+      Longest = std::max(Longest, Task.True);
+    Job.Deadline = Longest * uniform(0.8, 5) + 2 * Users_.OneWay;
+  }
+  expectAtMost("untrue_refusals", 0);
+  expectAtMost("unanswered_jobs", 0);
+  expectAtMost("double_starts", 0);
+}
+
+/// The connections to each of a tenth of the workers go silent every few seconds.
+void Generator::applySilence() {
+  constexpr double MeanInterval = 4000;
+  auto Count = std::max(1U, Options_.Workers / 10);
+  for (std::uint32_t Index = 0; Index < Count; ++Index)
+    for (double At = end() / 4; At < end(); At += uniform(0.5, 1.5) * MeanInterval)
+      change(At, ConnectionsSilent{(Index * 9 + 1) % Options_.Workers});
+  expectAtMost("failed_share", 0);
+  expectAtMost("resubmissions", 0);
+  // Twice the longest run time: 5 s on a worker of half the typical speed.
+  expectAtMost("silent_found_after_ms", 20000);
+  expectAtMost("unanswered_jobs", 0);
+  expectAtMost("double_starts", 0);
+}
+
 void Generator::applyWrongDeclarations() {
   for (auto &Job : Result_.Jobs) {
     double Factor = uniform(0, 1) < 0.5 ? 10 : 0.1;
@@ -352,6 +377,10 @@
     applyBurst();
   } else if (Options_.Scenario == "flapping") {
     applyFlapping();
+  } else if (Options_.Scenario == "deadlines") {
+    applyDeadlines();
+  } else if (Options_.Scenario == "silent") {
+    applySilence();
   } else if (Options_.Scenario == "declarations") {
     applyWrongDeclarations();
   } else if (Options_.Scenario.starts_with("impossible")) {
@@ -370,10 +399,14 @@
   if (std::find(Scenarios.begin(), Scenarios.end(), Options.Scenario) == Scenarios.end())
     return core::fail(core::ErrorKind::Malformed,
                       "there is no scenario \"" + Options.Scenario + "\"; see docs/TRACES.md");
+  if (!Options.Configuration.is_null()) {
+    auto Users = configuredWorkload(Options.Configuration, Options.Workers);
+    return Users ? std::optional(Generator(Options, std::move(*Users)).make()) : std::nullopt;
+  }
   if (Options.Workload == "slipworks")
-    return Generator(Options, slipworks()).make();
+    return Generator(Options, slipworksWorkload()).make();
   if (Options.Workload == "alarcon")
-    return Generator(Options, alarcon()).make();
+    return Generator(Options, alarconWorkload()).make();
   return core::fail(core::ErrorKind::Malformed,
                     "there is no workload \"" + Options.Workload + "\"; use slipworks or alarcon");
 }
