--- a/Kernel/Membership/MemberRecord.h
+++ b/Kernel/Membership/MemberRecord.h
@@ -4,6 +4,7 @@
 #include "Libraries/LibCore/Time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -59,6 +60,8 @@
   std::vector<MemberRecord> Members{};
   std::vector<SuccessionRecord> Successions{};
   std::uint64_t ConfigurationVersion = 0; ///< Not zero when the sender has a new configuration.
+  /// Load of the sender, given with a new configuration: tells whom to fetch it from.
+  std::optional<LoadRecord> Sender{};
   enum class Extent : std::uint8_t { Changes, Full } Scope{};
 };
 
--- a/Kernel/Membership/Membership.cpp
+++ b/Kernel/Membership/Membership.cpp
@@ -179,11 +179,8 @@
 void Membership::probeFailed(ProbeToken Token, core::TimePoint Now, MembershipActions &Out) {
   ContactProbes_.erase(Token);
   for (auto &[Name, Item] : Gateways_)
-    if (Item.Token == Token) {
-      Item.Token.reset();
-      ++Item.Choice;
-      return;
-    }
+    if (Item.Token == Token)
+      return missGateway(Item, Now);
   for (auto &[Name, Item] : Watches_) {
     if (Item.Tokens.erase(Token) == 0)
       continue;
--- a/Kernel/Membership/Membership.h
+++ b/Kernel/Membership/Membership.h
@@ -55,7 +55,9 @@
   /// gives a declaration 0.8 s to 1.1 s after the last reply.
   core::Duration SuspicionTime = std::chrono::milliseconds(400);
   core::Duration RetryInterval = std::chrono::milliseconds(130);
-  core::Duration GatewayInterval = std::chrono::seconds(2);
+  /// Relays announce new configurations to each other at once. A lost announcement is made up for
+  /// by the next probe, within the 5 s in which a change has to be in force.
+  core::Duration GatewayInterval = std::chrono::seconds(4);
   core::Duration GatewayTimeout = std::chrono::seconds(1);
   /// Three missed gateway probes in a row.
   core::Duration DataCentreTimeout = std::chrono::seconds(7);
@@ -96,7 +98,11 @@
   void setLoad(std::uint32_t WaitingTasks, std::uint32_t FreeSlots, std::uint64_t Version,
                core::TimePoint Now);
   void announceSuccession(SuccessionRecord Record, core::TimePoint Now, MembershipActions &Out);
-  void announceVersion(std::uint64_t Version, core::TimePoint Now, MembershipActions &Out);
+
+  /// Whom news go to: the own data centre, or also one VM of each other data centre.
+  enum class Reach : std::uint8_t { OwnDataCentre, Everywhere };
+  void announceVersion(std::uint64_t Version, Reach Range, core::TimePoint Now,
+                       MembershipActions &Out);
 
   const MemberRecord &own() const { return Own_; }
   const MemberTable &table() const { return Table_; }
@@ -158,6 +164,7 @@
   void runGateways(core::TimePoint Now, MembershipActions &Out);
   void runGateway(const std::string &DataCentre, Gateway &Item, core::TimePoint Now,
                   MembershipActions &Out);
+  void missGateway(Gateway &Item, core::TimePoint Now) const;
   std::vector<const MemberRecord *> gatewayCandidates(std::string_view DataCentre) const;
   void updateUnreachable(core::TimePoint Now, MembershipActions &Out);
   void contact(core::TimePoint Now, MembershipActions &Out);
--- a/Kernel/Membership/MembershipRecords.cpp
+++ b/Kernel/Membership/MembershipRecords.cpp
@@ -84,10 +84,13 @@
   sendAbroad(News, Out);
 }
 
-void Membership::announceVersion(std::uint64_t Version, core::TimePoint Now,
+void Membership::announceVersion(std::uint64_t Version, Reach Range, core::TimePoint Now,
                                  MembershipActions &Out) {
   setLoad(OwnLoad_.WaitingTasks, OwnLoad_.FreeSlots, Version, Now);
-  broadcast({.Origin = Own_.DataCentre, .ConfigurationVersion = Version}, Out);
+  Announcement News{.Origin = Own_.DataCentre, .ConfigurationVersion = Version, .Sender = OwnLoad_};
+  broadcast(News, Out);
+  if (Range == Reach::Everywhere)
+    sendAbroad(News, Out);
 }
 
 void Membership::broadcast(const Announcement &News, MembershipActions &Out) const {
@@ -110,6 +113,8 @@
 
 Announcement Membership::announced(const Announcement &News, core::TimePoint Now,
                                    MembershipActions &Out) {
+  if (News.Sender)
+    learnLoad(*News.Sender, Now);
   Announcement Local{.Origin = Own_.DataCentre};
   Announcement Abroad{.Origin = Own_.DataCentre};
   for (const auto &Record : News.Members) {
@@ -209,10 +214,8 @@
 
 void Membership::runGateway(const std::string &DataCentre, Gateway &Item, core::TimePoint Now,
                             MembershipActions &Out) {
-  if (Item.Token && Now >= Item.Deadline) {
-    Item.Token.reset();
-    ++Item.Choice;
-  }
+  if (Item.Token && Now >= Item.Deadline)
+    missGateway(Item, Now);
   if (Now < Item.NextAt)
     return;
   auto Candidates = gatewayCandidates(DataCentre);
@@ -223,6 +226,14 @@
                              Item.Deadline, heartbeat(Now)});
 }
 
+void Membership::missGateway(Gateway &Item, core::TimePoint Now) const {
+  Item.Token.reset();
+  ++Item.Choice;
+  // Three misses in a row fit into the timeout. A data centre that stays away is asked less often.
+  if (Now - Item.LastReplyAt <= Settings_.DataCentreTimeout)
+    Item.NextAt = std::min(Item.NextAt, Item.Deadline);
+}
+
 std::vector<const MemberRecord *> Membership::gatewayCandidates(std::string_view DataCentre) const {
   std::vector<const MemberRecord *> Live;
   std::vector<const MemberRecord *> All;
--- a/Libraries/LibPeer/MembershipCoding.cpp
+++ b/Libraries/LibPeer/MembershipCoding.cpp
@@ -132,6 +132,8 @@
   AnnounceRequest Result;
   encodeRecords(From, Now, Result);
   Result.set_configuration_version(From.ConfigurationVersion);
+  if (From.Sender)
+    *Result.mutable_sender() = encode(*From.Sender, true);
   Result.set_full(From.Scope == kernel::Announcement::Extent::Full);
   return Result;
 }
@@ -139,6 +141,8 @@
 kernel::Announcement decode(const AnnounceRequest &From, core::TimePoint Now) {
   auto Result = decodeRecords(From, Now);
   Result.ConfigurationVersion = From.configuration_version();
+  if (From.has_sender())
+    Result.Sender = decode(From.sender());
   if (From.full())
     Result.Scope = kernel::Announcement::Extent::Full;
   return Result;
--- a/Libraries/LibPlatform/HttpPlatformStore.cpp
+++ b/Libraries/LibPlatform/HttpPlatformStore.cpp
@@ -16,6 +16,7 @@
 
 constexpr int StatusOk = 200;
 constexpr int StatusNoContent = 204;
+constexpr int StatusNotModified = 304;
 constexpr int StatusNotFound = 404;
 constexpr int StatusConflict = 409;
 constexpr int FirstServerError = 500;
@@ -106,7 +107,16 @@
 }
 
 std::optional<std::vector<VmRecord>> HttpPlatformStore::listVms(core::TimePoint Deadline) {
-  auto Reply = callStore(Address_, "GET", "/v1/vms", {}, Deadline);
+  std::string KnownTag;
+  {
+    std::lock_guard Guard(Mutex_);
+    KnownTag = ListTag_;
+  }
+  auto Reply = callStore(Address_, "GET", "/v1/vms", {}, Deadline, KnownTag);
+  if (Reply.Status == StatusNotModified && !KnownTag.empty()) {
+    std::lock_guard Guard(Mutex_);
+    return List_;
+  }
   if (Reply.Status != StatusOk) {
     explain(Reply);
     return std::nullopt;
@@ -116,6 +126,9 @@
     auto List = nlohmann::json::parse(Reply.Body);
     for (const auto &Value : List.at("vms"))
       Result.push_back(toVmRecord(Value));
+    std::lock_guard Guard(Mutex_);
+    ListTag_ = Reply.EntityTag;
+    List_ = Result;
     return Result;
   } catch (const nlohmann::json::exception &Error) {
     return core::fail(core::ErrorKind::Malformed,
--- a/Libraries/LibPlatform/HttpPlatformStore.h
+++ b/Libraries/LibPlatform/HttpPlatformStore.h
@@ -2,7 +2,9 @@
 
 #include "Libraries/LibPlatform/PlatformStore.h"
 
+#include <mutex>
 #include <string>
+#include <vector>
 
 namespace cornellift::platform {
 
@@ -22,6 +24,10 @@
 
 private:
   std::string Address_;
+
+  std::mutex Mutex_;    ///< For the members below.
+  std::string ListTag_; ///< Entity tag of List_; empty when the platform gives none.
+  std::vector<VmRecord> List_;
 };
 
 } // namespace cornellift::platform
--- a/Libraries/LibPlatform/StoreCall.cpp
+++ b/Libraries/LibPlatform/StoreCall.cpp
@@ -44,7 +44,7 @@
 } // namespace
 
 StoreReply callStore(const std::string &Address, std::string_view Method, std::string Path,
-                     std::string_view Body, core::TimePoint Deadline) {
+                     std::string_view Body, core::TimePoint Deadline, const std::string &KnownTag) {
   auto Remaining = Deadline - core::MonotonicClock::now();
   if (Remaining <= core::Duration::zero())
     return failedCall(CallState::NotSent, core::ErrorKind::Timeout, "deadline passed");
@@ -59,8 +59,13 @@
   Request.method = Method;
   Request.path = std::move(Path);
   Request.body = Body;
-  Request.set_header("Content-Type", "application/json");
+  if (!Body.empty())
+    Request.set_header("Content-Type", "application/json");
+  if (!KnownTag.empty())
+    Request.set_header("If-None-Match", KnownTag);
   Request.set_header("Accept-Encoding", "gzip");
+  // The library's own name and version are longer, and relays call more than once a second.
+  Request.set_header("User-Agent", "cornellift");
   // The library's read timeout holds for each part of a reply; this one holds for all of them.
   Request.content_receiver = [&](const char *Data, std::size_t Length, std::uint64_t,
                                  std::uint64_t) {
@@ -77,6 +82,7 @@
   Result.State = CallState::Replied;
   Result.Status = Reply->status;
   Result.Revision = revisionOf(*Reply);
+  Result.EntityTag = Reply->get_header_value("ETag");
   return Result;
 }
 
--- a/Services/EntryDaemon/ConfigurationDuty.cpp
+++ b/Services/EntryDaemon/ConfigurationDuty.cpp
@@ -14,8 +14,8 @@
 using core::ErrorKind;
 using core::LogLevel;
 
-/// A change of relay, a stop and news from peers wait for the end of a watch, so it is shorter than
-/// the 5 s in which a change has to be in force. Nine relays make 6 calls per second with it.
+/// A change of relay and a stop wait for the end of a watch, so it is shorter than the 5 s in which a
+/// change has to be in force. Nine relays make 6 calls per second with it.
 constexpr auto WatchTime = std::chrono::milliseconds(3500);
 
 constexpr auto ReadTime = std::chrono::seconds(3);
@@ -24,6 +24,10 @@
 constexpr auto FirstBackoff = std::chrono::milliseconds(100);
 constexpr auto LongestBackoff = std::chrono::seconds(2);
 
+/// How long a relay waits for the store to tell it of a version that a peer has announced, before it
+/// fetches it from the peer.
+constexpr auto StoreAdvantage = std::chrono::milliseconds(250);
+
 /// How often a process that is no relay checks whether it has become one.
 constexpr auto RelayCheckTime = std::chrono::milliseconds(500);
 
@@ -87,6 +91,7 @@
     std::lock_guard Guard(Mutex_);
     Current_ = Next;
     HeadText_ = Text;
+    Changed_.notify_all();
   }
   core::logLine(LogLevel::Information, "audit", "configuration in force",
                 {{"version", std::to_string(Head->Version)},
@@ -112,17 +117,22 @@
     Ready_.store(version() > 0);
   }
   if (version() > Before)
-    Peers_->announceVersion(version());
+    Peers_->announceVersion(version(), PeerNetwork::Reach::Everywhere);
 }
 
 void ConfigurationDuty::run() {
   while (!isStopping() && !isReady())
     learnFirst();
+  // A watch on a connection that went silent must not hold up what the peers tell.
+  std::jthread Fetches([this] {
+    while (!isStopping())
+      awaitNews(RelayCheckTime);
+  });
   while (!isStopping()) {
     if (Peers_->isRelay())
       watchStore();
     else
-      awaitNews(RelayCheckTime);
+      sleepFor(RelayCheckTime);
   }
 }
 
@@ -158,35 +168,43 @@
     StoreBackoff_.reset();
     SeenRevision_ = Stored->Revision;
     if (offer(Stored->Value))
-      Peers_->announceVersion(version());
+      Peers_->announceVersion(version(), PeerNetwork::Reach::Everywhere);
     return;
   }
-  if (Replied) {
+  if (Replied)
     StoreBackoff_.reset();
-    // News that came during the watch, from a relay that learned of the change first.
-    awaitNews(core::Duration::zero());
-    return;
-  }
-  // Relays elsewhere may still reach the store; their heartbeats tell of what they learn.
-  awaitNews(StoreBackoff_.next());
+  else
+    sleepFor(StoreBackoff_.next());
 }
 
 /// Waits until peers tell of a higher version, or for the given time, and fetches it.
 void ConfigurationDuty::awaitNews(core::Duration Longest) {
+  bool IsRelay = Peers_->isRelay();
   {
     std::unique_lock Guard(Mutex_);
-    auto HasNews = [this] { return Stopping_ || Wanted_ > (Current_ ? Current_->Version : 0); };
-    if (!Changed_.wait_for(Guard, Longest, HasNews) || Stopping_)
+    auto HasNews = [this] { return Wanted_ > (Current_ ? Current_->Version : 0); };
+    auto HasNone = [&] { return Stopping_ || !HasNews(); };
+    if (!Changed_.wait_for(Guard, Longest, [&] { return Stopping_ || HasNews(); }) || Stopping_)
+      return;
+    if (IsRelay && Changed_.wait_for(Guard, StoreAdvantage, HasNone))
       return;
     // Heartbeats tell again if the fetch fails.
     Wanted_ = 0;
   }
-  fetchFromPeers();
+  bool IsNew = fetchFromPeers();
+  // The store did not tell the relay, so its data centre waits for it.
+  if (IsNew && IsRelay)
+    Peers_->announceVersion(version(), PeerNetwork::Reach::OwnDataCentre);
 }
 
-void ConfigurationDuty::fetchFromPeers() {
-  if (auto Text = Peers_->fetchConfiguration(version()))
-    offer(*Text);
+bool ConfigurationDuty::fetchFromPeers() {
+  auto Text = Peers_->fetchConfiguration(version());
+  return Text && offer(*Text);
+}
+
+void ConfigurationDuty::sleepFor(core::Duration Longest) {
+  std::unique_lock Guard(Mutex_);
+  Changed_.wait_for(Guard, Longest, [this] { return Stopping_; });
 }
 
 void ConfigurationDuty::noteStore(bool Replied) {
--- a/Services/EntryDaemon/ConfigurationDuty.h
+++ b/Services/EntryDaemon/ConfigurationDuty.h
@@ -54,7 +54,8 @@
   void learnFirst();
   void watchStore();
   void awaitNews(core::Duration Longest);
-  void fetchFromPeers();
+  bool fetchFromPeers();
+  void sleepFor(core::Duration Longest);
   void noteStore(bool Replied);
   bool isStopping() const;
 
--- a/Services/EntryDaemon/GrpcPeerNetwork.cpp
+++ b/Services/EntryDaemon/GrpcPeerNetwork.cpp
@@ -66,9 +66,9 @@
   return Members_.read([](const auto &View) { return View.isRelay(); });
 }
 
-void GrpcPeerNetwork::announceVersion(std::uint64_t Version) {
+void GrpcPeerNetwork::announceVersion(std::uint64_t Version, Reach Range) {
   Members_.change(
-      [&](auto &View, auto Now, auto &Out) { View.announceVersion(Version, Now, Out); });
+      [&](auto &View, auto Now, auto &Out) { View.announceVersion(Version, Range, Now, Out); });
 }
 
 std::optional<std::string> GrpcPeerNetwork::fetchConfiguration(std::uint64_t HaveVersion) {
--- a/Services/EntryDaemon/GrpcPeerNetwork.h
+++ b/Services/EntryDaemon/GrpcPeerNetwork.h
@@ -18,7 +18,7 @@
 
   bool isRelay() const override;
   std::optional<std::string> fetchConfiguration(std::uint64_t HaveVersion) override;
-  void announceVersion(std::uint64_t Version) override;
+  void announceVersion(std::uint64_t Version, Reach Range) override;
   std::vector<MemberStatus> members() const override;
   std::optional<ForwardedResponse> forward(std::string_view EntryVm, kernel::Incarnation Issuer,
                                            const ForwardedRequest &Request,
--- a/Services/EntryDaemon/LonePeerNetwork.h
+++ b/Services/EntryDaemon/LonePeerNetwork.h
@@ -23,7 +23,7 @@
                       "there are no peers; name some in the settings");
   }
 
-  void announceVersion(std::uint64_t) override {}
+  void announceVersion(std::uint64_t, Reach) override {}
 
   std::vector<MemberStatus> members() const override {
     auto Self = Self_;
--- a/Services/EntryDaemon/PeerNetwork.h
+++ b/Services/EntryDaemon/PeerNetwork.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Kernel/Identifiers.h"
+#include "Kernel/Membership/Membership.h"
 
 #include <cstdint>
 #include <optional>
@@ -55,7 +56,8 @@
   virtual std::optional<std::string> fetchConfiguration(std::uint64_t HaveVersion) = 0;
 
   /// Tells the peers at once that this process has a newer configuration to fetch.
-  virtual void announceVersion(std::uint64_t Version) = 0;
+  using Reach = kernel::Membership::Reach;
+  virtual void announceVersion(std::uint64_t Version, Reach Range) = 0;
 
   /// Every entry VM that is known, this one included.
   virtual std::vector<MemberStatus> members() const = 0;
--- a/Services/PlatformStandIn/StandInServer.cpp
+++ b/Services/PlatformStandIn/StandInServer.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <functional>
 #include <optional>
 #include <thread>
 
@@ -58,6 +59,7 @@
   Server_.set_tcp_nodelay(true);
   Server_.set_pre_routing_handler(
       [this](const Request &Call, Response &Reply) { return applyFaults(Call, Reply); });
+  Server_.set_logger([this](const Request &Call, const Response &Reply) { count(Call, Reply); });
   addKeyRoutes();
   addLeaseRoutes();
   addControlRoutes();
@@ -83,10 +85,7 @@
                  [this](const Request &Call, Response &Reply) { remove(Call, Reply); });
   Server_.Get("/v1/watch/(.+)",
               [this](const Request &Call, Response &Reply) { watch(Call, Reply); });
-  Server_.Get("/v1/vms", [this](const Request &, Response &Reply) {
-    ++Counters_.VmLists;
-    Reply.set_content(Vms_.visible(), JsonType);
-  });
+  Server_.Get("/v1/vms", [this](const Request &Call, Response &Reply) { listVms(Call, Reply); });
 }
 
 void StandInServer::addLeaseRoutes() {
@@ -164,6 +163,33 @@
   replyEntry(Reply, *Found);
 }
 
+void StandInServer::listVms(const Request &Call, Response &Reply) {
+  ++Counters_.VmLists;
+  auto List = Vms_.visible();
+  auto Tag = '"' + std::to_string(std::hash<std::string>()(List)) + '"';
+  Reply.set_header("ETag", Tag);
+  if (Call.get_header_value("If-None-Match") == Tag)
+    Reply.status = 304;
+  else
+    Reply.set_content(List, JsonType);
+}
+
+void StandInServer::count(const Request &Call, const Response &Reply) {
+  if (Call.path.starts_with("/control/"))
+    return;
+  // "HTTP/1.1" and the line ends of both first lines, the status with its text, and the blank
+  // lines.
+  constexpr std::size_t FirstLines = 40;
+  auto Bytes =
+      FirstLines + Call.method.size() + Call.target.size() + Call.body.size() + Reply.body.size();
+  for (const auto *Headers : {&Call.headers, &Reply.headers})
+    for (const auto &[Name, Value] : *Headers)
+      // The library adds the addresses as headers, with these prefixes.
+      if (!Name.starts_with("REMOTE_") && !Name.starts_with("LOCAL_"))
+        Bytes += Name.size() + Value.size() + 4;
+  Counters_.Bytes += Bytes;
+}
+
 void StandInServer::grantLease(const Request &Call, Response &Reply) {
   ++Counters_.Writes;
   auto Lifetime = numberParameter(Call, "lifetime_ms");
@@ -198,7 +224,8 @@
   return json{{"reads", Counters_.Reads.load()},
               {"writes", Counters_.Writes.load()},
               {"watches", Counters_.Watches.load()},
-              {"vm_lists", Counters_.VmLists.load()}}
+              {"vm_lists", Counters_.VmLists.load()},
+              {"bytes", Counters_.Bytes.load()}}
       .dump();
 }
 
--- a/Services/PlatformStandIn/StandInServer.h
+++ b/Services/PlatformStandIn/StandInServer.h
@@ -19,7 +19,8 @@
 /// /control/.
 ///
 /// Keys: values are the bodies, revisions the header X-Revision. A write that is not applied gets
-/// 409 with the current revision. A watch without a change gets 204 at its deadline.
+/// 409 with the current revision. A watch without a change gets 204 at its deadline. The list of
+/// VMs has an entity tag; a reader that names it gets 304 while the list is the same.
 class StandInServer {
 public:
   /// Threads bounds the concurrent requests; a pending watch holds one.
@@ -49,6 +50,7 @@
     std::atomic<std::uint64_t> Writes{0};
     std::atomic<std::uint64_t> Watches{0};
     std::atomic<std::uint64_t> VmLists{0};
+    std::atomic<std::uint64_t> Bytes{0}; ///< Of requests and replies, with their headers.
   };
 
   void addKeyRoutes();
@@ -59,6 +61,8 @@
   void put(const Request &Call, Response &Reply);
   void remove(const Request &Call, Response &Reply);
   void watch(const Request &Call, Response &Reply);
+  void listVms(const Request &Call, Response &Reply);
+  void count(const Request &Call, const Response &Reply);
   void grantLease(const Request &Call, Response &Reply);
   void setFaults(const Request &Call, Response &Reply);
   std::string countersText() const;
--- a/Tests/EntryDaemon/TestConfigurationDuty.cpp
+++ b/Tests/EntryDaemon/TestConfigurationDuty.cpp
@@ -35,7 +35,7 @@
       return Text_;
     return core::fail(core::ErrorKind::NotFound, "nothing newer");
   }
-  void announceVersion(std::uint64_t Version) override { Announced = Version; }
+  void announceVersion(std::uint64_t Version, Reach) override { Announced = Version; }
   std::vector<MemberStatus> members() const override { return {}; }
   std::optional<ForwardedResponse> forward(std::string_view, kernel::Incarnation,
                                            const ForwardedRequest &, ForwardFailure &) override {
--- a/Tests/Kernel/TestMembership.cpp
+++ b/Tests/Kernel/TestMembership.cpp
@@ -151,6 +151,29 @@
   }
 }
 
+// Guards against a data centre without the platform that waits for a heartbeat to learn of a
+// version, and against a lost announcement that no heartbeat makes up for within 5 s.
+BOOST_AUTO_TEST_CASE(NewVersionsAreAnnouncedToEachDataCentre) {
+  MembershipNetwork Net;
+  Net.addCentre("a", 3);
+  Net.addCentre("b", 3);
+  Net.runFor(8s);
+  auto Origin = Net.at("a-2").own().Process;
+  auto Announce = [&](std::uint64_t Version) {
+    Net.act("a-2", [&](auto &Out) {
+      Net.at("a-2").announceVersion(Version, Membership::Reach::Everywhere, Net.Now, Out);
+    });
+  };
+  Announce(7);
+  Net.runFor(20ms);
+  BOOST_TEST(Net.at("b-1").loadOf(Origin)->ConfigurationVersion == 7U);
+  Net.Lost = [](auto &From, auto &To) { return From[0] != To[0]; };
+  Announce(8);
+  Net.Lost = [](auto &, auto &) { return false; };
+  Net.runFor(5s);
+  BOOST_TEST(Net.at("b-1").loadOf(Origin)->ConfigurationVersion == 8U);
+}
+
 // Guards against views that stay apart, or call peers dead, after regions were apart for an hour in
 // which both changed.
 BOOST_AUTO_TEST_CASE(RegionsMergeAfterAnHourApart) {
