LibEndpoint: Send a start in one piece

The library's client sends the head and the body of a request apart, polls the socket before each write and read, and the peer is woken twice. The client now works on the stream of LibHttp, which keeps writes back until a read has to wait.

--- a/Libraries/LibEndpoint/HttpEndpointProtocol.h
+++ b/Libraries/LibEndpoint/HttpEndpointProtocol.h
@@ -1,11 +1,10 @@
 #pragma once
 
 #include "Libraries/LibEndpoint/EndpointProtocol.h"
+#include "Libraries/LibEndpoint/KeptClient.h"
 
 #include <string>
 
-#include <httplib.h>
-
 namespace cornellift::endpoint {
 
 /// The endpoint protocol over HTTP; see docs/API.md.
@@ -33,7 +32,7 @@
                        core::TimePoint Deadline);
   void closeIfIdleForLong();
 
-  httplib::Client Client_;
+  KeptClient Client_;
   core::TimePoint LastUse_;
 };
 
--- a/Libraries/LibHttp/ConnectionStream.cpp
+++ b/Libraries/LibHttp/ConnectionStream.cpp
@@ -61,6 +61,9 @@
 bool ConnectionStream::is_writable() const { return true; }
 
 ssize_t ConnectionStream::read(char *Target, size_t Size) {
+  // A peer may wait for the whole message before it sends more.
+  if (Begin_ == End_ && !Kept_.empty())
+    flush();
   while (Begin_ == End_) {
     auto Received = ::recv(Socket_, Buffer_.data(), Buffer_.size(), MSG_DONTWAIT);
     if (Received > 0) {
--- a/Libraries/LibHttp/ConnectionStream.h
+++ b/Libraries/LibHttp/ConnectionStream.h
@@ -10,9 +10,9 @@
 
 namespace cornellift::http {
 
-/// Buffered stream over an accepted socket. A whole request has to arrive, and a whole response has
+/// Buffered stream over a connected socket. A whole request has to arrive, and a whole response has
 /// to leave, within one deadline, so that a peer that sends one byte at a time cannot hold a
-/// thread.
+/// thread. A client uses one for each request and its response.
 class ConnectionStream : public httplib::Stream {
 public:
   ConnectionStream(socket_t Socket, core::Duration TransferTime);
@@ -20,8 +20,8 @@
   /// Starts the deadline of the next request.
   void beginRequest();
 
-  /// Sends what write() has kept back. The library writes the head and the body of a response
-  /// apart; sent as one, they cost the system and the peer half as much.
+  /// Sends what write() has kept back; so does a read that has to wait. The library writes the head
+  /// and the body of a response apart; sent as one, they cost the system and the peer half as much.
   void flush();
 
   /// True when bytes of a next request are here already.
