--- a/Libraries/LibEndpoint/HttpEndpointMessages.cpp
+++ b/Libraries/LibEndpoint/HttpEndpointMessages.cpp
@@ -7,6 +7,9 @@
 
 using Json = nlohmann::json;
 
+/// Of a start without its payload, roughly.
+constexpr std::size_t FieldBytes = 512;
+
 std::string textField(const Json &Object, const char *Name) {
   auto Found = Object.find(Name);
   return Found != Object.end() && Found->is_string() ? Found->get<std::string>() : std::string();
@@ -68,20 +71,30 @@
 
 } // namespace
 
+/// Writes the fields one by one: a start is rendered for each task, and an object of the library
+/// would be built only to be written.
 std::string renderStart(const StartRequest &Request) {
-  Json Object = {{"task_count", Request.TaskCount},
-                 {"attempt", Request.Attempt},
-                 {"job_fingerprint", Request.Fingerprint},
-                 {"payload", Request.Payload}};
+  std::string Text = "{";
+  Text.reserve(Request.Payload.size() + FieldBytes);
+  auto Add = [&Text](std::string_view Name, const auto &Value) {
+    if (Text.size() > 1)
+      Text += ',';
+    Text.append(1, '"').append(Name).append("\":");
+    Text += Json(Value).dump(-1, ' ', false, Json::error_handler_t::replace);
+  };
+  Add("task_count", Request.TaskCount);
+  Add("attempt", Request.Attempt);
+  Add("job_fingerprint", Request.Fingerprint);
+  Add("payload", Request.Payload);
   if (!Request.Boot.empty())
-    Object["boot"] = Request.Boot;
-  Object["service"] = Request.Service;
-  Object["kind"] = Request.Kind;
-  Object["team"] = Request.Team;
-  Object["processors"] = Request.Declared.Processors;
-  Object["memory_mb"] = Request.Declared.MemoryMegabytes;
-  Object["accelerators"] = Request.Declared.Accelerators;
-  return Object.dump(-1, ' ', false, Json::error_handler_t::replace);
+    Add("boot", Request.Boot);
+  Add("service", Request.Service);
+  Add("kind", Request.Kind);
+  Add("team", Request.Team);
+  Add("processors", Request.Declared.Processors);
+  Add("memory_mb", Request.Declared.MemoryMegabytes);
+  Add("accelerators", Request.Declared.Accelerators);
+  return Text + '}';
 }
 
 std::optional<StartAnswer> parseStartAnswer(std::string_view Body, std::string_view Task,
