--- a/Services/EntryDaemon/KeyTable.cpp
+++ b/Services/EntryDaemon/KeyTable.cpp
@@ -3,7 +3,7 @@
 #include "Libraries/LibCore/Reason.h"
 
 #include <openssl/crypto.h>
-#include <openssl/sha.h>
+#include <openssl/evp.h>
 
 namespace cornellift::entry {
 
@@ -33,8 +33,10 @@
 }
 
 KeyTable::Digest KeyTable::digestOf(std::string_view Key) {
+  // SHA256() would look the algorithm up for each key, which takes longer than the digest.
+  static EVP_MD *const Algorithm = EVP_MD_fetch(nullptr, "SHA256", nullptr);
   Digest Result{};
-  SHA256(reinterpret_cast<const unsigned char *>(Key.data()), Key.size(), Result.data());
+  EVP_Digest(Key.data(), Key.size(), Result.data(), nullptr, Algorithm, nullptr);
   return Result;
 }
 
