LibHttp: Look the ends of a connection up once

The library asks for both ends at each request. System calls per request, strace -c, 600 jobs: getpeername and getsockname 1.1 each before, 0.1 after. User instructions per task, callgrind: 3,600 fewer of 273,000.

--- a/Libraries/LibHttp/ConnectionStream.cpp
+++ b/Libraries/LibHttp/ConnectionStream.cpp
@@ -11,21 +11,6 @@
 namespace cornellift::http {
 namespace {
 
-using AddressLookup = int (*)(int, sockaddr *, socklen_t *);
-
-void describeAddress(AddressLookup Lookup, socket_t Socket, std::string &Address, int &Port) {
-  sockaddr_storage Storage{};
-  socklen_t Length = sizeof(Storage);
-  if (Lookup(Socket, reinterpret_cast<sockaddr *>(&Storage), &Length) != 0 ||
-      Storage.ss_family != AF_INET)
-    return;
-  const auto *Internet = reinterpret_cast<const sockaddr_in *>(&Storage);
-  std::array<char, INET_ADDRSTRLEN> Text{};
-  if (inet_ntop(AF_INET, &Internet->sin_addr, Text.data(), Text.size()) != nullptr)
-    Address = Text.data();
-  Port = ntohs(Internet->sin_port);
-}
-
 bool mustWait() { return errno == EAGAIN || errno == EWOULDBLOCK; }
 
 } // namespace
@@ -35,6 +20,24 @@
   beginRequest();
 }
 
+const ConnectionStream::End &ConnectionStream::describe(std::optional<End> &Known,
+                                                        AddressLookup Lookup) const {
+  if (Known)
+    return *Known;
+  Known.emplace();
+  sockaddr_storage Storage{};
+  socklen_t Length = sizeof(Storage);
+  if (Lookup(Socket_, reinterpret_cast<sockaddr *>(&Storage), &Length) != 0 ||
+      Storage.ss_family != AF_INET)
+    return *Known;
+  const auto *Internet = reinterpret_cast<const sockaddr_in *>(&Storage);
+  std::array<char, INET_ADDRSTRLEN> Text{};
+  if (inet_ntop(AF_INET, &Internet->sin_addr, Text.data(), Text.size()) != nullptr)
+    Known->Address = Text.data();
+  Known->Port = ntohs(Internet->sin_port);
+  return *Known;
+}
+
 void ConnectionStream::beginRequest() {
   ReadDeadline_ = core::MonotonicClock::now() + TransferTime_;
 }
@@ -111,11 +114,15 @@
 }
 
 void ConnectionStream::get_remote_ip_and_port(std::string &Address, int &Port) const {
-  describeAddress(::getpeername, Socket_, Address, Port);
+  const auto &Known = describe(Remote_, ::getpeername);
+  Address = Known.Address;
+  Port = Known.Port;
 }
 
 void ConnectionStream::get_local_ip_and_port(std::string &Address, int &Port) const {
-  describeAddress(::getsockname, Socket_, Address, Port);
+  const auto &Known = describe(Local_, ::getsockname);
+  Address = Known.Address;
+  Port = Known.Port;
 }
 
 } // namespace cornellift::http
--- a/Libraries/LibHttp/ConnectionStream.h
+++ b/Libraries/LibHttp/ConnectionStream.h
@@ -4,9 +4,11 @@
 
 #include <array>
 #include <cstddef>
+#include <optional>
 #include <string>
 
 #include <httplib.h>
+#include <sys/socket.h>
 
 namespace cornellift::http {
 
@@ -40,6 +42,15 @@
   socket_t socket() const override { return Socket_; }
 
 private:
+  struct End {
+    std::string Address; ///< Empty when it cannot be found out.
+    int Port = 0;
+  };
+  using AddressLookup = int (*)(int, sockaddr *, socklen_t *);
+
+  /// The library asks for both ends at each request; they are looked up once.
+  const End &describe(std::optional<End> &Known, AddressLookup Lookup) const;
+
   void sendAll(const char *Source, size_t Size);
   bool waitFor(short Events, core::TimePoint Deadline) const;
 
@@ -54,6 +65,8 @@
   std::array<char, BufferBytes> Buffer_;
   std::size_t Begin_ = 0;
   std::size_t End_ = 0;
+  mutable std::optional<End> Remote_;
+  mutable std::optional<End> Local_;
   std::string Kept_; ///< Written and not sent yet.
   bool Broken_ = false;
 };
