--- a/Libraries/LibHttp/BoundedPool.cpp
+++ b/Libraries/LibHttp/BoundedPool.cpp
@@ -48,6 +48,11 @@
   return Queue_.size() > Idle_;
 }
 
+bool BoundedPool::isFull() const {
+  std::lock_guard Guard(Mutex_);
+  return Idle_ == 0 && Threads_.size() >= MaximumThreads_;
+}
+
 bool BoundedPool::isRefusing() { return Refusing; }
 
 void BoundedPool::serveConnections() {
--- a/Libraries/LibHttp/BoundedPool.h
+++ b/Libraries/LibHttp/BoundedPool.h
@@ -26,6 +26,9 @@
   /// True while a connection waits for a thread.
   bool hasWaiting() const;
 
+  /// Whether a next connection would have to wait.
+  bool isFull() const;
+
   /// True while the current thread has to refuse the connection that it was given.
   static bool isRefusing();
 
