LibHttp: Let clang accept the description of an end

Cause: clang rejects an optional of a nested class whose members have initialisers, so the linter could not read ConnectionStream.h. The class moves to the detail namespace.

--- a/Libraries/LibHttp/ConnectionStream.cpp
+++ b/Libraries/LibHttp/ConnectionStream.cpp
@@ -20,7 +20,7 @@
   beginRequest();
 }
 
-const ConnectionStream::End &ConnectionStream::describe(std::optional<End> &Known,
+const detail::ConnectionEnd &ConnectionStream::describe(std::optional<detail::ConnectionEnd> &Known,
                                                         AddressLookup Lookup) const {
   if (Known)
     return *Known;
--- a/Libraries/LibHttp/ConnectionStream.h
+++ b/Libraries/LibHttp/ConnectionStream.h
@@ -11,6 +11,14 @@
 #include <sys/socket.h>
 
 namespace cornellift::http {
+namespace detail {
+
+struct ConnectionEnd {
+  std::string Address; ///< Empty when it cannot be found out.
+  int Port = 0;
+};
+
+} // namespace detail
 
 /// Buffered stream over a connected socket. A whole request has to arrive, and a whole response has
 /// to leave, within one deadline, so that a peer that sends one byte at a time cannot hold a
@@ -42,14 +50,11 @@
   socket_t socket() const override { return Socket_; }
 
 private:
-  struct End {
-    std::string Address; ///< Empty when it cannot be found out.
-    int Port = 0;
-  };
   using AddressLookup = int (*)(int, sockaddr *, socklen_t *);
 
   /// The library asks for both ends at each request; they are looked up once.
-  const End &describe(std::optional<End> &Known, AddressLookup Lookup) const;
+  const detail::ConnectionEnd &describe(std::optional<detail::ConnectionEnd> &Known,
+                                        AddressLookup Lookup) const;
 
   void sendAll(const char *Source, size_t Size);
   bool waitFor(short Events, core::TimePoint Deadline) const;
@@ -65,8 +70,8 @@
   std::array<char, BufferBytes> Buffer_;
   std::size_t Begin_ = 0;
   std::size_t End_ = 0;
-  mutable std::optional<End> Remote_;
-  mutable std::optional<End> Local_;
+  mutable std::optional<detail::ConnectionEnd> Remote_;
+  mutable std::optional<detail::ConnectionEnd> Local_;
   std::string Kept_; ///< Written and not sent yet.
   bool Broken_ = false;
 };
