--- a/Libraries/LibHttp/ConnectionStream.h
+++ b/Libraries/LibHttp/ConnectionStream.h
@@ -4,15 +4,25 @@
 
 #include <array>
 #include <cstddef>
+#include <optional>
 #include <string>
 
 #include <httplib.h>
+#include <sys/socket.h>
 
 namespace cornellift::http {
+namespace detail {
 
-/// Buffered stream over an accepted socket. A whole request has to arrive, and a whole response has
+struct ConnectionEnd {
+  std::string Address; ///< Empty when it cannot be found out.
+  int Port = 0;
+};
+
+} // namespace detail
+
+/// Buffered stream over a connected socket. A whole request has to arrive, and a whole response has
 /// to leave, within one deadline, so that a peer that sends one byte at a time cannot hold a
-/// thread.
+/// thread. A client uses one for each request and its response.
 class ConnectionStream : public httplib::Stream {
 public:
   ConnectionStream(socket_t Socket, core::Duration TransferTime);
@@ -20,8 +30,8 @@
   /// Starts the deadline of the next request.
   void beginRequest();
 
-  /// Sends what write() has kept back. The library writes the head and the body of a response
-  /// apart; sent as one, they cost the system and the peer half as much.
+  /// Sends what write() has kept back; so does a read that has to wait. The library writes the head
+  /// and the body of a response apart; sent as one, they cost the system and the peer half as much.
   void flush();
 
   /// True when bytes of a next request are here already.
@@ -40,6 +50,12 @@
   socket_t socket() const override { return Socket_; }
 
 private:
+  using AddressLookup = int (*)(int, sockaddr *, socklen_t *);
+
+  /// The library asks for both ends at each request; they are looked up once.
+  const detail::ConnectionEnd &describe(std::optional<detail::ConnectionEnd> &Known,
+                                        AddressLookup Lookup) const;
+
   void sendAll(const char *Source, size_t Size);
   bool waitFor(short Events, core::TimePoint Deadline) const;
 
@@ -54,6 +70,8 @@
   std::array<char, BufferBytes> Buffer_;
   std::size_t Begin_ = 0;
   std::size_t End_ = 0;
+  mutable std::optional<detail::ConnectionEnd> Remote_;
+  mutable std::optional<detail::ConnectionEnd> Local_;
   std::string Kept_; ///< Written and not sent yet.
   bool Broken_ = false;
 };
