--- a/Kernel/Transfer/TransferRules.cpp
+++ b/Kernel/Transfer/TransferRules.cpp
@@ -246,8 +246,8 @@
 
 void Dispatcher::State::checkDrained() {
   bool Undecided = Handover_ == Handover::Staging || Handover_ == Handover::SealSent;
-  bool Empty = Life_ != Life::Serving && !Undecided && Jobs_.size() == 0 &&
-               Requests_.size() == 0 && Running_.size() == 0;
+  bool Empty = Life_ != Life::Serving && !Undecided && Jobs_.size() == 0 && Requests_.size() == 0 &&
+               Running_.size() == 0;
   if (Empty && Drain_ == Drain::Pending)
     emit(Drained{});
   Drain_ = Empty ? Drain::Reported : Drain::Pending;
