--- a/Utilities/Replay/Main.cpp
+++ b/Utilities/Replay/Main.cpp
@@ -4,6 +4,8 @@
 #include "Utilities/Replay/CostMeasurement.h"
 #include "Utilities/Replay/Generators.h"
 #include "Utilities/Replay/Plots.h"
+#include "Utilities/Replay/Recording.h"
+#include "Utilities/Replay/Workload.h"
 
 #include <charconv>
 #include <fstream>
@@ -21,23 +23,52 @@
 const core::SettingSpec Specs[] = {
     {"trace", "File of JSON lines to replay; empty to generate", SettingType::Text, ""},
     {"workload", "Generated workload: slipworks or alarcon", SettingType::Text, "slipworks"},
+    {"configuration", "Document whose services, teams and endpoints replace the workload's",
+     SettingType::Text, ""},
+    {"write-configuration", "With --configuration: write the scaled document to this file and exit",
+     SettingType::Text, ""},
+    {"first-port", "Of the endpoints in the scaled document", SettingType::Integer, "17301", 1,
+     65000},
     {"scenario", "Generated scenario; docs/TRACES.md lists them", SettingType::Text, "calm"},
     {"load", "Offered work over capacity", SettingType::Real, "0.7", 0.01, 10},
     {"seconds", "Length of the arrivals in seconds", SettingType::Real, "40", 1, 100000},
     {"workers", "Number of workers", SettingType::Integer, "50", 1, 10000},
     {"entry-vms", "Number of entry VMs", SettingType::Integer, "1", 1, 1000},
+    {"teams", "Number of teams, with unequal shares; 0 for the workload's", SettingType::Integer,
+     "0", 0, 1000},
+    {"data-centres", "Number of data centres; 0 for the workload's", SettingType::Integer, "0", 0,
+     100},
+    {"run-time-scale", "Multiplies the medians of the run times", SettingType::Real, "1", 0.01,
+     100},
     {"seed", "Seed of the trace and of the policies", SettingType::Integer, "1"},
     {"write-trace", "Write the trace to this file and exit", SettingType::Text, ""},
+    {"record",
+     "Replay the rounded trace under every policy, write it to this file with the counts "
+     "that all of them agree on as its outcome, and exit",
+     SettingType::Text, ""},
     {"policies", "Comma-separated policies, the checked one first; all for every one",
      SettingType::Text, "all"},
     {"message-costs", "Comma-separated milliseconds: replay the first policy with each",
      SettingType::Text, ""},
     {"format", "text, csv or json", SettingType::Text, "text"},
     {"plots", "Directory for plot data and gnuplot scripts; empty for none", SettingType::Text, ""},
+    {"without-ideal", "Do not plan the clairvoyant schedule", SettingType::Flag, "false"},
     {"check", "Exit with 1 unless the trace's expectations hold", SettingType::Flag, "false"},
     {"cost", "Measure decision time and memory instead", SettingType::Flag, "false"},
 };
 
+/// Null when no document is given.
+std::optional<nlohmann::json> readConfiguration(const core::Settings &Settings) {
+  const auto &File = Settings.text("configuration");
+  if (File.empty())
+    return nlohmann::json();
+  std::ifstream Input(File);
+  auto Document = nlohmann::json::parse(Input, nullptr, false);
+  if (!Document.is_object())
+    return core::fail(core::ErrorKind::NotFound, "no document in " + File + "; check the path");
+  return Document;
+}
+
 std::optional<replay::Trace> makeTrace(const core::Settings &Settings) {
   if (const auto &File = Settings.text("trace"); !File.empty()) {
     std::ifstream Input(File);
@@ -45,12 +76,19 @@
       return core::fail(core::ErrorKind::NotFound, "cannot read " + File + "; check the path");
     return replay::readTrace(Input);
   }
+  auto Document = readConfiguration(Settings);
+  if (!Document)
+    return std::nullopt;
   replay::GeneratorOptions Options;
+  Options.Configuration = std::move(*Document);
   Options.Workload = Settings.text("workload");
   Options.Scenario = Settings.text("scenario");
   Options.Load = Settings.real("load");
   Options.Seconds = Settings.real("seconds");
   Options.Workers = static_cast<std::uint32_t>(Settings.integer("workers"));
+  Options.Teams = static_cast<std::uint32_t>(Settings.integer("teams"));
+  Options.DataCentres = static_cast<std::uint32_t>(Settings.integer("data-centres"));
+  Options.RunTimeScale = Settings.real("run-time-scale");
   Options.EntryVms = static_cast<std::uint32_t>(Settings.integer("entry-vms"));
   Options.Seed = static_cast<std::uint64_t>(Settings.integer("seed"));
   return replay::generateTrace(Options);
@@ -88,7 +126,9 @@
 
 int replayAll(const replay::Trace &Input, const core::Settings &Settings,
               std::span<const std::string> Presets, replay::ReportFormat Format) {
-  auto Runs = replay::compare(Input, Presets, std::nullopt);
+  auto Mode =
+      Settings.flag("without-ideal") ? replay::Planning::None : replay::Planning::Clairvoyant;
+  auto Runs = replay::compare(Input, Presets, std::nullopt, Mode);
   std::vector<replay::PolicyFigures> Figures;
   Figures.reserve(Runs.size());
   for (const auto &Run : Runs)
@@ -103,6 +143,29 @@
   return static_cast<int>(Fails ? ExitStatus::RequestFailed : ExitStatus::Success);
 }
 
+int recordTrace(replay::Trace Input, const std::string &File) {
+  replay::roundTrace(Input);
+  auto Figures = replay::addAgreedCounts(Input);
+  std::ofstream Output(File);
+  replay::writeTrace(Input, Output);
+  bool Holds = replay::checkExpectations(Input.Expectations, Figures, std::cout);
+  return static_cast<int>(Output && Holds ? ExitStatus::Success : ExitStatus::RequestFailed);
+}
+
+int writeConfiguration(const replay::Trace &Input, const core::Settings &Settings,
+                       const std::string &Preset, const std::string &File) {
+  auto Document = readConfiguration(Settings);
+  auto Policy = replay::findPreset(Preset);
+  if (!Document || Document->is_null() || !Policy) {
+    core::fail(core::ErrorKind::Malformed, "--write-configuration needs --configuration");
+    return core::reportBadUsage(Program);
+  }
+  std::ofstream Output(File);
+  auto FirstPort = static_cast<int>(Settings.integer("first-port"));
+  Output << replay::scaledDocument(std::move(*Document), Input, FirstPort, *Policy).dump(1) << '\n';
+  return static_cast<int>(Output ? ExitStatus::Success : ExitStatus::RequestFailed);
+}
+
 } // namespace
 
 int main(int Count, char **Arguments) {
@@ -126,6 +189,10 @@
     replay::writeTrace(*Input, Output);
     return static_cast<int>(Output ? ExitStatus::Success : ExitStatus::RequestFailed);
   }
+  if (const auto &File = Settings->text("record"); !File.empty())
+    return recordTrace(std::move(*Input), File);
+  if (const auto &File = Settings->text("write-configuration"); !File.empty())
+    return writeConfiguration(*Input, *Settings, Presets->front(), File);
   if (!Settings->text("message-costs").empty())
     return replayCurve(*Input, *Settings, *Presets);
   return replayAll(*Input, *Settings, *Presets, *Format);
