--- a/Meta/measure-control.sh
+++ b/Meta/measure-control.sh
@@ -50,7 +50,7 @@
 for ((c = 0; c < centres; ++c)); do
   for ((v = 1; v <= per_centre; ++v)); do
     "$entryd" --vm-name "c$c-$v" --data-centre "c$c" \
-      --http-port $((30000 + c * 100 + v)) --peer-address "127.0.0.1:$((20000 + c * 100 + v))" \
+      --http-port $((18000 + c * 100 + v)) --peer-address "127.0.0.1:$((20000 + c * 100 + v))" \
       --seed-peers "$seeds" --platform-address "$platform" --operator-keys op=k --log-level warn \
       >/dev/null 2>>"$work/log" &
     pid_of["c$c-$v"]=$!
@@ -59,7 +59,7 @@
 for name in "${!pid_of[@]}"; do
   c=${name%-*} v=${name#*-}
   for ((try = 0; try < 150; ++try)); do
-    curl -sf "http://127.0.0.1:$((30000 + ${c#c} * 100 + v))/ready" >/dev/null && break
+    curl -sf "http://127.0.0.1:$((18000 + ${c#c} * 100 + v))/ready" >/dev/null && break
     sleep 0.1
   done
   [ "$try" -lt 150 ] || { echo "$name is not ready" >&2; exit 1; }
@@ -84,7 +84,7 @@
 processor() { for pid in "${pid_of[@]}"; do awk -v pid="$pid" '{ print pid, $14 + $15 }' "/proc/$pid/stat"; done; }
 calls() { curl -sf "http://$platform/control/counters"; }
 names=("${!pid_of[@]}") version=1
-http_of() { local c=${1%-*} v=${1#*-}; echo "127.0.0.1:$((30000 + ${c#c} * 100 + v))"; }
+http_of() { local c=${1%-*} v=${1#*-}; echo "127.0.0.1:$((18000 + ${c#c} * 100 + v))"; }
 # Makes the next version through the VM with that number; a change touches one endpoint.
 change() {
   local e=$((version * 37 % endpoint_count)) vm=${names[$(($1 % ${#names[@]}))]} body
