EntryDaemon: Ask a VM held dead once more before its jobs are recovered

Cause: SilentPeerConnectionLosesNoAnswer failed in 1 of 2 runs on a busy machine: the silent connection passed for the death of the owner, and the answer was put together from the endpoints' records ("may have run") while the owner was alive and gave the whole answer seconds later. Ruled out: the repeated forward, which goes over a new connection.

--- a/Services/EntryDaemon/GrpcPeerNetwork.cpp
+++ b/Services/EntryDaemon/GrpcPeerNetwork.cpp
@@ -170,13 +170,23 @@
     }
     const auto *Record = View.table().find(Vm);
     bool IsOwnName = Vm == View.own().EntryVm;
-    if (IsOwnName || !Record ||
-        (Record->Process == Process && Record->Standing == kernel::MemberStanding::Dead))
+    if (IsOwnName || !Record)
       return {};
-    return {Record->Address, Process};
+    bool IsHeldDead =
+        Record->Process == Process && Record->Standing == kernel::MemberStanding::Dead;
+    return {Record->Address, Process, IsHeldDead ? Owner::Belief::Dead : Owner::Belief::Alive};
   });
 }
 
+/// A connection that went silent on a busy machine may pass for the death of its VM, and what the
+/// endpoints have on record would then be the answer although the owner could give a better one.
+bool GrpcPeerNetwork::answers(const Owner &Target) const {
+  return Client_
+      .call<peer::StatusRequest, peer::StatusReply>(
+          Target.Address, &peer::Peer::Stub::async::Status, {}, MonotonicClock::now() + StatusTime)
+      .Content.has_value();
+}
+
 std::optional<ForwardedResponse> GrpcPeerNetwork::forward(std::string_view EntryVm,
                                                           kernel::Incarnation Issuer,
                                                           const ForwardedRequest &Request,
@@ -191,7 +201,7 @@
   for (int Hop = 0; Hop < MaximumHops; ++Hop) {
     auto Target = findOwner(EntryVm, Issuer);
     Failure = ForwardFailure::IssuerDead;
-    if (Target.Address.empty())
+    if (Target.Address.empty() || (Target.State == Owner::Belief::Dead && !answers(Target)))
       return std::nullopt;
     auto Result = Client_.call<peer::ForwardRequest, peer::ForwardReply>(
         Target.Address, &peer::Peer::Stub::async::Forward, Message,
--- a/Services/EntryDaemon/GrpcPeerNetwork.h
+++ b/Services/EntryDaemon/GrpcPeerNetwork.h
@@ -29,9 +29,11 @@
   struct Owner {
     std::string Address;
     kernel::Incarnation Process;
+    enum class Belief { Alive, Dead } State{};
   };
 
   Owner findOwner(std::string_view EntryVm, kernel::Incarnation Issuer) const;
+  bool answers(const Owner &Target) const;
   void addVersionsAbroad(std::vector<MemberStatus> &Members) const;
 
   MembershipDuty &Members_;
