Replay: Drive the kernel's slot lender

The replay had its own rule for loans between entry VMs, with loads known at once and a look at them every 2 ms, so its figures did not show what the daemon does. It now runs one SlotLender per entry VM with the daemon's tick, the loads of membership's reports, and messages with the trace's latency.

--- a/Kernel/DispatcherState.h
+++ b/Kernel/DispatcherState.h
@@ -51,6 +51,7 @@
   Starts on(TaskReported &Next);
   Starts on(EndpointObserved &Next);
   Starts on(SlotsChanged &Next);
+  Starts on(TeamTargetsChanged &Next);
   // DelegatedRules.cpp
   Starts on(StartDelegated &Next);
   Starts on(AskDelegated &Next);
--- a/Kernel/Event.h
+++ b/Kernel/Event.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <variant>
+#include <vector>
 
 namespace cornellift::kernel {
 
@@ -110,6 +111,11 @@
   std::uint32_t Slots = 0;
 };
 
+/// Slots due to each team on this entry VM; see Scheduler::setTeamTargets.
+struct TeamTargetsChanged {
+  std::vector<double> Targets;
+};
+
 /// A peer in another data centre asks to start a task here at once. It is never passed on.
 struct StartDelegated {
   RequestId Request{};
@@ -143,7 +149,7 @@
 using Event =
     std::variant<OpenSession, SubmitJob, AskOutcome, CancelJob, RequestAbandoned, StartRefused,
                  TaskEnded, TaskUncertain, TaskReported, EndpointObserved, SlotsChanged,
-                 StartDelegated, AskDelegated, ConfigurationApplied, StopRequested, BeginTransfer,
+                 TeamTargetsChanged,                 StartDelegated, AskDelegated, ConfigurationApplied, StopRequested, BeginTransfer,
                  AbortTransfer, TransferSealSent, TransferConfirmed, TransferUnanswered,
                  TransferReceived, TransferSealed, PredecessorEnded, Tick>;
 
--- a/Kernel/Jobs/TaskRules.cpp
+++ b/Kernel/Jobs/TaskRules.cpp
@@ -110,6 +110,11 @@
   return Starts::Possible;
 }
 
+auto Dispatcher::State::on(TeamTargetsChanged &Next) -> Starts {
+  Policy_->setTeamTargets(std::move(Next.Targets));
+  return Starts::Unchanged;
+}
+
 void Dispatcher::State::startTasks() {
   while (auto Choice = Policy_->next(Now_)) {
     if (start(*Choice))
--- a/Kernel/Scheduler.h
+++ b/Kernel/Scheduler.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace cornellift::kernel {
 
@@ -29,6 +30,16 @@
 struct EndpointUse {
   std::uint32_t Used = 0; ///< Slots with a task.
   std::uint32_t Free = 0; ///< Slots that may take a task now; zero while the endpoint is unusable.
+  /// Tasks that the endpoint may take beside Used, however many of its slots this process holds;
+  /// zero while the endpoint is unusable or on trial.
+  std::uint32_t Room = 0;
+  double LogSpeed = 0;
+};
+
+/// Tasks of a team on one entry VM, waiting and running.
+struct TeamDemand {
+  TeamIndex Team{};
+  std::uint32_t Tasks = 0;
 };
 
 /// Decides which jobs are accepted, which task goes next, and where. The Dispatcher owns the rules
@@ -83,6 +94,16 @@
 
   /// Decides which slots may be lent to peers. A scheduler that does not say lends none.
   virtual EndpointUse use(EndpointIndex /*Endpoint*/) const { return {}; }
+
+  /// Teams with waiting or running tasks.
+  virtual std::vector<TeamDemand> teamDemands() const { return {}; }
+
+  /// Services of the waiting tasks. Empty means any.
+  virtual std::vector<ServiceIndex> waitingServices() const { return {}; }
+
+  /// Slots due to each team on this entry VM, by team, while the data centre has more tasks than
+  /// slots; empty when the configured shares alone count.
+  virtual void setTeamTargets(std::vector<double> /*Targets*/) {}
 };
 
 } // namespace cornellift::kernel
--- a/Kernel/Scheduling/PolicyScheduler.cpp
+++ b/Kernel/Scheduling/PolicyScheduler.cpp
@@ -415,7 +415,21 @@
     return {};
   const auto &State = Endpoints_.at(Endpoint);
   auto Bound = State.usable() ? std::min(State.Slots, State.Allowed) : 0;
-  return {State.Running, Bound > State.Running ? Bound - State.Running : 0};
+  auto Possible = State.usable() && !State.OnTrial ? State.Allowed : 0;
+  return {State.Running, Bound > State.Running ? Bound - State.Running : 0,
+          Possible > State.Running ? Possible - State.Running : 0, State.LogSpeed};
+}
+
+std::vector<TeamDemand> PolicyScheduler::teamDemands() const {
+  std::vector<TeamDemand> Result;
+  if (!Configuration_)
+    return Result;
+  for (std::size_t Team = 0; Team < Configuration_->Teams.size(); ++Team) {
+    auto Index = static_cast<TeamIndex>(Team);
+    if (auto Tasks = Waiting_.teamTasks(Index) + Quotas_.running(Index); Tasks > 0)
+      Result.push_back({Index, Tasks});
+  }
+  return Result;
 }
 
 PolicyScheduler::EndpointNotes &PolicyScheduler::notes(EndpointIndex Endpoint) {
--- a/Kernel/Scheduling/PolicyScheduler.h
+++ b/Kernel/Scheduling/PolicyScheduler.h
@@ -47,6 +47,11 @@
   std::optional<EndpointIndex> nextProbe(core::TimePoint Now) override;
   SchedulerLoad load() const override;
   EndpointUse use(EndpointIndex Endpoint) const override;
+  std::vector<TeamDemand> teamDemands() const override;
+  std::vector<ServiceIndex> waitingServices() const override { return Waiting_.services(); }
+  void setTeamTargets(std::vector<double> Targets) override {
+    Quotas_.setTargets(std::move(Targets));
+  }
 
   /// For reports and tests.
   const EndpointTable &endpoints() const { return Endpoints_; }
--- a/Kernel/Scheduling/QuotaLedger.cpp
+++ b/Kernel/Scheduling/QuotaLedger.cpp
@@ -41,6 +41,12 @@
   return Account ? Account->Share : MinimumShare;
 }
 
-double QuotaLedger::used(TeamIndex Team) const { return running(Team) / share(Team); }
+double QuotaLedger::used(TeamIndex Team) const {
+  if (Targets_.empty())
+    return running(Team) / share(Team);
+  auto Position = static_cast<std::size_t>(Team);
+  double Target = Position < Targets_.size() ? Targets_[Position] : 0;
+  return running(Team) / (Target > 0 ? Target : 1);
+}
 
 } // namespace cornellift::kernel
--- a/Kernel/Scheduling/QuotaLedger.h
+++ b/Kernel/Scheduling/QuotaLedger.h
@@ -3,6 +3,7 @@
 #include "Kernel/KernelConfiguration.h"
 
 #include <cstdint>
+#include <utility>
 #include <vector>
 
 namespace cornellift::kernel {
@@ -19,7 +20,11 @@
   std::uint32_t running(TeamIndex Team) const;
   double share(TeamIndex Team) const;
 
-  /// Running tasks per unit of share; the smallest goes first.
+  /// Replaces the shares in used() while not empty; by team. A team without a target is served
+  /// first: its tasks came after the targets were computed.
+  void setTargets(std::vector<double> Targets) { Targets_ = std::move(Targets); }
+
+  /// Running tasks per unit of share or target; the smallest goes first.
   double used(TeamIndex Team) const;
 
 private:
@@ -31,6 +36,7 @@
   const Account *find(TeamIndex Team) const;
 
   std::vector<Account> Teams_;
+  std::vector<double> Targets_;
 };
 
 } // namespace cornellift::kernel
--- a/Kernel/Scheduling/WaitingJobs.cpp
+++ b/Kernel/Scheduling/WaitingJobs.cpp
@@ -45,6 +45,10 @@
     TeamTasks_.resize(Team + 1);
   auto Step = static_cast<std::uint32_t>(Sign);
   TeamTasks_[Team] += Step;
+  auto Service = static_cast<std::size_t>(Job.Service);
+  if (Service >= ServiceTasks_.size())
+    ServiceTasks_.resize(Service + 1);
+  ServiceTasks_[Service] += Step;
   WaitingTasks_ += Step;
   WaitingBytes_ += static_cast<std::uint64_t>(static_cast<std::int64_t>(Sign) * Task.PayloadBytes);
   WaitingWork_ = WaitingTasks_ == 0 ? 0 : WaitingWork_ + Sign * static_cast<double>(Task.RunTime);
@@ -165,6 +169,14 @@
   return Sum;
 }
 
+std::vector<ServiceIndex> WaitingJobs::services() const {
+  std::vector<ServiceIndex> Result;
+  for (std::size_t Service = 0; Service < ServiceTasks_.size(); ++Service)
+    if (ServiceTasks_[Service] > 0)
+      Result.push_back(static_cast<ServiceIndex>(Service));
+  return Result;
+}
+
 std::uint32_t WaitingJobs::teamTasks(TeamIndex Team) const {
   auto Position = static_cast<std::size_t>(Team);
   return Position < TeamTasks_.size() ? TeamTasks_[Position] : 0;
--- a/Kernel/Scheduling/WaitingJobs.h
+++ b/Kernel/Scheduling/WaitingJobs.h
@@ -82,6 +82,8 @@
   /// Work in the lanes up to the one that a job like this is in.
   double workAhead(std::size_t Queue, const JobView &Job) const;
   std::uint32_t teamTasks(TeamIndex Team) const;
+  /// Services of the waiting tasks.
+  std::vector<ServiceIndex> services() const;
   std::size_t jobCount() const { return Jobs_.size(); }
 
 private:
@@ -99,6 +101,7 @@
   std::unordered_map<JobId, std::unique_ptr<ActiveJob>> Jobs_;
   std::vector<Queue> Queues_;
   std::vector<std::uint32_t> TeamTasks_;
+  std::vector<std::uint32_t> ServiceTasks_;
   std::uint32_t WaitingTasks_ = 0;
   std::uint64_t WaitingBytes_ = 0;
   double WaitingWork_ = 0;
--- a/Utilities/Replay/ReplayRun.cpp
+++ b/Utilities/Replay/ReplayRun.cpp
@@ -7,9 +7,7 @@
 namespace {
 
 constexpr core::Duration TickInterval = std::chrono::milliseconds(10);
-constexpr core::Duration ExchangeInterval = std::chrono::milliseconds(2);
 constexpr core::Duration SampleInterval = std::chrono::milliseconds(100);
-constexpr core::Duration HomeChange = std::chrono::seconds(3);
 /// Callers learn of a lost entry VM by its closed connection.
 constexpr core::Duration LossNoticed = std::chrono::milliseconds(100);
 constexpr core::Duration RepeatAfter = std::chrono::milliseconds(10);
@@ -41,7 +39,7 @@
     Vms_.push_back(std::make_unique<SimulatedVm>(
         Clock_, Vm, Input.Seed, Result_.Times, Configuration_,
         [this](SimulatedVm &From, kernel::Action &Next) { perform(From, Next); }));
-  Exchange_ = std::make_unique<SlotExchange>(Clock_, Input, Vms_, Result_.Messages);
+  Exchange_ = std::make_unique<SlotExchange>(Clock_, Input, Configuration_, Vms_, Result_.Messages);
 }
 
 std::shared_ptr<const kernel::KernelConfiguration> ReplayRun::makeConfiguration() const {
@@ -70,15 +68,15 @@
 }
 
 ReplayResult ReplayRun::run() {
-  Exchange_->assignHomes();
+  Exchange_->start();
   Unanswered_ = static_cast<std::uint32_t>(Input_.Jobs.size());
   scheduleTrace();
   every(TickInterval, [this] {
     for (auto &Vm : Vms_)
       Vm->handle(kernel::Tick{});
+    if (Vms_.size() > 1)
+      Exchange_->tick();
   });
-  if (Vms_.size() > 1)
-    every(ExchangeInterval, [this] { Exchange_->exchange(); });
   every(SampleInterval, [this] { sample(); });
   while (!isOver() && Clock_.step()) {
   }
@@ -207,7 +205,6 @@
   --From.Unstarted;
   --Teams_[Job.Team].Waiting;
   ++Teams_[Job.Team].Running;
-  Vm.addInUse(Worker, 1);
   FakeTask Task{Next.Task, Next.Attempt, Job.Tasks[Next.Task.Index], Job.Nature};
   Clock_.after(core::fromMilliseconds(Input_.OneWay), [this, Worker, Task, Index = Vm.index()] {
     if (!Workers_[Worker].start(
@@ -220,16 +217,15 @@
 
 void ReplayRun::deliver(std::uint32_t Vm, kernel::Event Next) {
   Clock_.after(core::fromMilliseconds(Input_.OneWay), [this, Vm, Next = std::move(Next)] {
-    account(*Vms_[Vm], Next);
+    account(Next);
     Vms_[Vm]->handle(Next);
   });
 }
 
-void ReplayRun::account(SimulatedVm &Vm, const kernel::Event &Next) {
+void ReplayRun::account(const kernel::Event &Next) {
   auto Release = [&](const auto &Event) {
     auto &From = Submissions_[Event.Task.Job];
     --Teams_[Input_.Jobs[From.Job].Team].Running;
-    Vm.addInUse(static_cast<std::uint32_t>(Event.Endpoint), -1);
     return &From;
   };
   if (const auto *Ended = std::get_if<kernel::TaskEnded>(&Next)) {
@@ -300,7 +296,7 @@
     for (auto Id : Open)
       endSubmission(Id, JobEnd::Failed);
   });
-  Clock_.after(HomeChange, [this] { Exchange_->assignHomes(); });
+  Exchange_->lost(Lost);
 }
 
 void ReplayRun::apply(const CancelWave &Change) {
--- a/Utilities/Replay/ReplayRun.h
+++ b/Utilities/Replay/ReplayRun.h
@@ -59,7 +59,7 @@
   template <typename Other> void onAction(SimulatedVm & /*Vm*/, Other & /*Next*/) {}
 
   void deliver(std::uint32_t Vm, kernel::Event Next);
-  void account(SimulatedVm &Vm, const kernel::Event &Next);
+  void account(const kernel::Event &Next);
   /// The tasks that have not started do not wait any more.
   void stopWaiting(Submission &Ending);
   void endSubmission(kernel::JobId Id, JobEnd End);
--- a/Utilities/Replay/SimulatedVm.cpp
+++ b/Utilities/Replay/SimulatedVm.cpp
@@ -14,8 +14,7 @@
                          DecisionTimes &Times,
                          std::shared_ptr<const kernel::KernelConfiguration> Configuration,
                          Perform Do)
-    : Clock_(Clock), Index_(Index), Do_(std::move(Do)), Slots_(Configuration->Endpoints.size()),
-      InUse_(Configuration->Endpoints.size()) {
+    : Clock_(Clock), Index_(Index), Do_(std::move(Do)), Slots_(Configuration->Endpoints.size()) {
   auto Scheduler = std::make_unique<TimedScheduler>(Seed + Index, Times);
   Scheduler_ = Scheduler.get();
   Dispatcher_ =
--- a/Utilities/Replay/SimulatedVm.h
+++ b/Utilities/Replay/SimulatedVm.h
@@ -29,10 +29,6 @@
 
   std::uint32_t index() const { return Index_; }
   std::uint32_t slots(std::uint32_t Worker) const { return Slots_[Worker]; }
-  std::uint32_t inUse(std::uint32_t Worker) const { return InUse_[Worker]; }
-  void addInUse(std::uint32_t Worker, int Change) {
-    InUse_[Worker] += static_cast<std::uint32_t>(Change);
-  }
   kernel::SchedulerLoad load() const { return Scheduler_->load(); }
   const kernel::PolicyScheduler &policy() const { return Scheduler_->inner(); }
 
@@ -46,7 +42,6 @@
   std::unique_ptr<kernel::Dispatcher> Dispatcher_;
   std::unordered_map<std::uint32_t, kernel::IdentifierBlock> Blocks_; ///< By team.
   std::vector<std::uint32_t> Slots_;
-  std::vector<std::uint32_t> InUse_;
 };
 
 } // namespace cornellift::replay
--- a/Utilities/Replay/SlotExchange.cpp
+++ b/Utilities/Replay/SlotExchange.cpp
@@ -1,140 +1,140 @@
 #include "Utilities/Replay/SlotExchange.h"
 
-#include <algorithm>
+#include <utility>
+#include <variant>
 
 namespace cornellift::replay {
 namespace {
 
-/// Borrowed slots go home after their VM has had free slots for this long.
-constexpr core::Duration IdleBeforeReturn = std::chrono::milliseconds(50);
-/// Slots of one loan.
-constexpr std::uint32_t LargestLoan = 64;
+/// Membership's interval between two reports of a VM's load, and the time until all VMs of the data
+/// centre have a report: two heartbeats.
+constexpr core::Duration LoadInterval = std::chrono::seconds(1);
+constexpr core::Duration LoadSpread = std::chrono::milliseconds(400);
+/// Until membership declares a silent VM dead.
+constexpr core::Duration DeathNoticed = std::chrono::seconds(1);
+/// Deadline of a call between entry VMs.
+constexpr core::Duration CallTime = std::chrono::milliseconds(300);
 
 } // namespace
 
 SlotExchange::SlotExchange(EventQueue &Clock, const Trace &Input,
+                           std::shared_ptr<const kernel::KernelConfiguration> Configuration,
                            std::span<std::unique_ptr<SimulatedVm>> Vms, MessageCounts &Messages)
-    : Clock_(Clock), Input_(Input), Vms_(Vms), Messages_(Messages), Homes_(Input.Workers.size()),
-      InFlight_(Input.Workers.size()), Asking_(Vms.size()), IdleSince_(Vms.size()) {}
-
-void SlotExchange::assignHomes() {
-  std::vector<std::uint32_t> Alive;
-  for (const auto &Vm : Vms_)
-    if (Vm->IsAlive)
-      Alive.push_back(Vm->index());
-  for (std::uint32_t Worker = 0; Worker < Homes_.size(); ++Worker)
-    if (!HasHomes_ || !home(Worker).IsAlive)
-      Homes_[Worker] = Alive[Worker % Alive.size()];
-  HasHomes_ = true;
-  settle();
-}
+    : Clock_(Clock), Input_(Input), Configuration_(std::move(Configuration)), Vms_(Vms),
+      Messages_(Messages), Nodes_(Vms.size()) {}
 
-void SlotExchange::settle() {
-  for (std::uint32_t Worker = 0; Worker < Homes_.size(); ++Worker) {
-    if (!home(Worker).IsAlive)
-      continue;
-    auto Taken = InFlight_[Worker];
-    for (const auto &Vm : Vms_)
-      if (Vm->IsAlive && Vm.get() != &home(Worker))
-        Taken += std::max(Vm->slots(Worker), Vm->inUse(Worker));
-    auto Slots = Input_.Workers[Worker].Slots;
-    home(Worker).setSlots(Worker, Slots - std::min(Slots, Taken));
+void SlotExchange::start() {
+  kernel::SlotLenderSettings Settings;
+  Settings.InitialDelay = core::Duration(0);
+  std::vector<kernel::LenderEndpoint> Endpoints;
+  for (std::uint32_t Worker = 0; Worker < Configuration_->Endpoints.size(); ++Worker) {
+    const auto &Endpoint = Configuration_->Endpoints[Worker];
+    Endpoints.push_back(
+        {static_cast<kernel::EndpointIndex>(Worker), Endpoint.Name, Endpoint.Slots});
+  }
+  for (auto &Vm : Vms_) {
+    auto &Lender = Nodes_[Vm->index()].Lender;
+    Lender = std::make_unique<kernel::SlotLender>(
+        nameOf(*Vm), kernel::Incarnation{Vm->index() + 1}, Settings);
+    kernel::SlotActions Out;
+    Lender->setEndpoints(Endpoints, Clock_.now(), Out);
+    updatePeers(*Vm, Out);
+    perform(*Vm, Out);
   }
+  if (Vms_.size() > 1)
+    reportLoads();
 }
 
-SimulatedVm *SlotExchange::lenderFor(const SimulatedVm &Borrower) {
-  SimulatedVm *Best = nullptr;
-  std::uint32_t MostFree = 0;
-  for (const auto &Vm : Vms_) {
-    if (!Vm->IsAlive || Vm->index() == Borrower.index())
-      continue;
-    auto Load = Vm->load();
-    if (Load.WaitingTasks > 0 || Load.FreeSlots <= MostFree)
+void SlotExchange::tick() {
+  for (auto &Vm : Vms_) {
+    if (!Vm->IsAlive)
       continue;
-    MostFree = Load.FreeSlots;
-    Best = Vm.get();
+    kernel::SlotActions Out;
+    updatePeers(*Vm, Out);
+    Nodes_[Vm->index()].Lender->tick(demandOf(*Vm), Clock_.now(), Out);
+    perform(*Vm, Out);
   }
-  return Best;
 }
 
-void SlotExchange::borrow(SimulatedVm &Borrower, std::uint32_t Wanted) {
-  auto *Lender = lenderFor(Borrower);
-  if (!Lender)
-    return;
-  ++Asking_[Borrower.index()];
-  Messages_.SlotExchange += 2;
-  Clock_.after(core::fromMilliseconds(Input_.OneWay), [this, Lender, &Borrower, Wanted] {
-    --Asking_[Borrower.index()];
-    if (Lender->IsAlive)
-      lend(*Lender, Borrower, Wanted);
-  });
+void SlotExchange::lost(const SimulatedVm &Vm) {
+  Clock_.after(DeathNoticed, [this, Index = Vm.index()] { Nodes_[Index].IsKnownDead = true; });
 }
 
-void SlotExchange::lend(SimulatedVm &Lender, SimulatedVm &Borrower, std::uint32_t Wanted) {
-  auto Left = std::min({Wanted, LargestLoan, (Lender.load().FreeSlots + 1) / 2});
-  auto Count = static_cast<std::uint32_t>(Homes_.size());
-  ++Rotation_;
-  for (std::uint32_t Step = 0; Step < Count && Left > 0; ++Step) {
-    auto Worker = (Rotation_ + Step) % Count;
-    auto Endpoint = static_cast<kernel::EndpointIndex>(Worker);
-    const auto &State = Lender.policy().endpoints().at(Endpoint);
-    if (&home(Worker) != &Lender || !State.IsFree || State.OnTrial)
-      continue;
-    auto Free = std::min(Left, State.Slots - State.Running);
-    Left -= Free;
-    Lender.setSlots(Worker, Lender.slots(Worker) - Free);
-    InFlight_[Worker] += Free;
-    Clock_.after(core::fromMilliseconds(Input_.OneWay), [this, Worker, &Borrower, Free] {
-      InFlight_[Worker] -= Free;
-      if (Borrower.IsAlive)
-        Borrower.setSlots(Worker, Borrower.slots(Worker) + Free);
+void SlotExchange::reportLoads() {
+  for (auto &Vm : Vms_)
+    Clock_.after(LoadSpread, [this, Index = Vm->index(), Load = Vm->load()] {
+      Nodes_[Index].Reported = Load;
     });
-  }
+  Clock_.after(LoadInterval, [this] { reportLoads(); });
 }
 
-void SlotExchange::giveBackIdle(SimulatedVm &Borrower) {
-  bool Any = false;
-  for (std::uint32_t Worker = 0; Worker < Homes_.size(); ++Worker) {
-    if (&home(Worker) == &Borrower || Borrower.slots(Worker) <= Borrower.inUse(Worker))
-      continue;
-    Borrower.setSlots(Worker, Borrower.inUse(Worker));
-    Any = true;
+void SlotExchange::updatePeers(SimulatedVm &Vm, kernel::SlotActions &Out) {
+  std::vector<kernel::LenderPeer> Peers;
+  for (const auto &Peer : Vms_) {
+    const auto &Known = Nodes_[Peer->index()];
+    if (!Known.IsKnownDead)
+      Peers.push_back({nameOf(*Peer), kernel::Incarnation{Peer->index() + 1},
+                       Known.Reported.WaitingTasks, Known.Reported.FreeSlots,
+                       kernel::LenderPeer::Role::Owner});
   }
-  Messages_.SlotExchange += Any ? 1 : 0;
+  Nodes_[Vm.index()].Lender->setPeers(std::move(Peers), Clock_.now(), Out);
 }
 
-void SlotExchange::recall(SimulatedVm &Lender) {
-  for (auto &Vm : Vms_) {
-    if (!Vm->IsAlive || Vm.get() == &Lender)
-      continue;
-    bool Any = false;
-    for (std::uint32_t Worker = 0; Worker < Homes_.size(); ++Worker) {
-      if (&home(Worker) != &Lender || Vm->slots(Worker) == 0)
-        continue;
-      Vm->setSlots(Worker, 0);
-      Any = true;
-    }
-    Messages_.SlotExchange += Any ? 2 : 0;
-  }
+kernel::SlotDemand SlotExchange::demandOf(const SimulatedVm &Vm) const {
+  auto Load = Vm.load();
+  return {Load.WaitingTasks, Load.FreeSlots,
+          [&Vm](kernel::EndpointIndex Endpoint) { return Vm.policy().use(Endpoint); }};
 }
 
-void SlotExchange::exchange() {
-  settle();
-  for (auto &Vm : Vms_) {
-    if (!Vm->IsAlive)
-      continue;
-    auto Load = Vm->load();
-    auto Index = Vm->index();
-    if (Load.WaitingTasks > 0 && Load.FreeSlots == 0) {
-      recall(*Vm);
-      if (Asking_[Index] == 0)
-        borrow(*Vm, Load.WaitingTasks);
+void SlotExchange::perform(SimulatedVm &Vm, const kernel::SlotActions &Actions) {
+  for (const auto &Action : Actions)
+    std::visit([&](const auto &Content) { perform(Vm, Content); }, Action);
+}
+
+void SlotExchange::perform(SimulatedVm &Vm, const kernel::SetSlots &Action) {
+  Vm.setSlots(static_cast<std::uint32_t>(Action.Endpoint), Action.Slots);
+}
+
+void SlotExchange::perform(SimulatedVm &Vm, const kernel::SendBorrow &Action) {
+  ++Messages_.SlotExchange;
+  later([this, Action, Borrower = &Vm] {
+    auto &Owner = vm(Action.Process);
+    if (!Owner.IsAlive) {
+      Clock_.after(CallTime, [this, Action, Borrower] { reply(*Borrower, Action, std::nullopt); });
+      return;
     }
-    if (Load.FreeSlots == 0)
-      IdleSince_[Index] = Clock_.now();
-    else if (Clock_.now() - IdleSince_[Index] >= IdleBeforeReturn)
-      giveBackIdle(*Vm);
-  }
+    kernel::SlotActions Out;
+    auto Reply = Nodes_[Owner.index()].Lender->lend(Action.Request, demandOf(Owner), Clock_.now(),
+                                                    Out);
+    perform(Owner, Out);
+    ++Messages_.SlotExchange;
+    later([this, Action, Borrower, Reply = std::move(Reply)] { reply(*Borrower, Action, Reply); });
+  });
+}
+
+void SlotExchange::reply(SimulatedVm &Borrower, const kernel::SendBorrow &Action,
+                         std::optional<kernel::BorrowReply> Reply) {
+  if (!Borrower.IsAlive)
+    return;
+  auto &Lender = *Nodes_[Borrower.index()].Lender;
+  kernel::SlotActions Out;
+  if (Reply)
+    Lender.borrowReplied(Action.Process, Action.Request.Sequence, *Reply, Clock_.now(), Out);
+  else
+    Lender.borrowFailed(Action.Process, Action.Request.Sequence, Clock_.now());
+  perform(Borrower, Out);
+}
+
+void SlotExchange::perform(SimulatedVm &Vm, const kernel::SendRecall &Action) {
+  ++Messages_.SlotExchange;
+  later([this, Action, Owner = kernel::Incarnation{Vm.index() + 1}] {
+    auto &Borrower = vm(Action.Process);
+    if (!Borrower.IsAlive)
+      return;
+    kernel::SlotActions Out;
+    Nodes_[Borrower.index()].Lender->recalled(Owner, Action.Wanted, Clock_.now(), Out);
+    perform(Borrower, Out);
+  });
 }
 
 } // namespace cornellift::replay
--- a/Utilities/Replay/SlotExchange.h
+++ b/Utilities/Replay/SlotExchange.h
@@ -1,52 +1,66 @@
 #pragma once
 
+#include "Kernel/Slots/SlotLender.h"
 #include "Utilities/Replay/EventQueue.h"
 #include "Utilities/Replay/ReplayResult.h"
 #include "Utilities/Replay/SimulatedVm.h"
 #include "Utilities/Replay/Trace.h"
 
+#include <cstdint>
+#include <map>
 #include <memory>
+#include <optional>
 #include <span>
+#include <string>
 #include <vector>
 
 namespace cornellift::replay {
 
-/// Which entry VM may use which slots. Each worker has a home VM, which uses every slot that is not
-/// lent. A VM with waiting tasks and no free slot borrows free ones from the VM with most of them,
-/// in batches of two messages, and returns them when they are idle. A home VM that lacks slots
-/// recalls the ones it lent; it gets each when the task on it has ended. A dead VM's workers get a
-/// new home after a while.
+/// Runs one SlotLender per entry VM, as the daemon does, and carries their messages and the loads
+/// that heartbeats report. A lost VM is known as dead after the time that membership takes.
 class SlotExchange {
 public:
-  SlotExchange(EventQueue &Clock, const Trace &Input, std::span<std::unique_ptr<SimulatedVm>> Vms,
-               MessageCounts &Messages);
+  SlotExchange(EventQueue &Clock, const Trace &Input,
+               std::shared_ptr<const kernel::KernelConfiguration> Configuration,
+               std::span<std::unique_ptr<SimulatedVm>> Vms, MessageCounts &Messages);
 
-  /// Gives every worker's slots to its home VM. Called at the start and after a loss.
-  void assignHomes();
+  /// Gives every slot to its home.
+  void start();
 
-  /// Borrows and returns. Called every exchange interval.
-  void exchange();
+  /// The lenders' tick. Called after each kernel tick.
+  void tick();
+
+  /// Call when a VM has been lost.
+  void lost(const SimulatedVm &Vm);
 
 private:
-  SimulatedVm &home(std::uint32_t Worker) { return *Vms_[Homes_[Worker]]; }
-  SimulatedVm *lenderFor(const SimulatedVm &Borrower);
-  void borrow(SimulatedVm &Borrower, std::uint32_t Wanted);
-  void lend(SimulatedVm &Lender, SimulatedVm &Borrower, std::uint32_t Wanted);
-  void giveBackIdle(SimulatedVm &Borrower);
-  void recall(SimulatedVm &Lender);
-  /// Gives each home VM the slots that no other VM holds or is still using.
-  void settle();
+  struct Node {
+    std::unique_ptr<kernel::SlotLender> Lender;
+    kernel::SchedulerLoad Reported; ///< As its peers know it.
+    bool IsKnownDead = false;
+  };
+
+  static std::string nameOf(const SimulatedVm &Vm) { return "vm-" + std::to_string(Vm.index()); }
+  SimulatedVm &vm(kernel::Incarnation Process) { return *Vms_[Process.Value - 1]; }
+  kernel::SlotDemand demandOf(const SimulatedVm &Vm) const;
+  void updatePeers(SimulatedVm &Vm, kernel::SlotActions &Out);
+  void reportLoads();
+  void perform(SimulatedVm &Vm, const kernel::SlotActions &Actions);
+  void perform(SimulatedVm &Vm, const kernel::SetSlots &Action);
+  void perform(SimulatedVm &Vm, const kernel::SendBorrow &Action);
+  void perform(SimulatedVm &Vm, const kernel::SendRecall &Action);
+  void reply(SimulatedVm &Borrower, const kernel::SendBorrow &Action,
+             std::optional<kernel::BorrowReply> Reply);
+  void later(std::function<void()> Run) {
+    Clock_.after(core::fromMilliseconds(Input_.OneWay), std::move(Run));
+  }
 
   EventQueue &Clock_;
   const Trace &Input_;
+  std::shared_ptr<const kernel::KernelConfiguration> Configuration_;
   std::span<std::unique_ptr<SimulatedVm>> Vms_;
   MessageCounts &Messages_;
-  std::vector<std::uint32_t> Homes_;    ///< By worker.
-  std::vector<std::uint32_t> InFlight_; ///< By worker: lent slots that have not arrived.
-  std::vector<std::uint32_t> Asking_;   ///< By VM: exchanges in flight.
-  std::vector<core::TimePoint> IdleSince_;
-  std::uint32_t Rotation_ = 0;
-  bool HasHomes_ = false;
+  std::vector<Node> Nodes_; ///< By VM.
 };
 
 } // namespace cornellift::replay
--- a/Utilities/Replay/TimedScheduler.h
+++ b/Utilities/Replay/TimedScheduler.h
@@ -42,6 +42,16 @@
                         core::TimePoint Now) const override;
   std::optional<kernel::EndpointIndex> nextProbe(core::TimePoint Now) override;
   kernel::SchedulerLoad load() const override { return Inner_.load(); }
+  kernel::EndpointUse use(kernel::EndpointIndex Endpoint) const override {
+    return Inner_.use(Endpoint);
+  }
+  std::vector<kernel::TeamDemand> teamDemands() const override { return Inner_.teamDemands(); }
+  std::vector<kernel::ServiceIndex> waitingServices() const override {
+    return Inner_.waitingServices();
+  }
+  void setTeamTargets(std::vector<double> Targets) override {
+    Inner_.setTeamTargets(std::move(Targets));
+  }
 
   const kernel::PolicyScheduler &inner() const { return Inner_; }
 
