--- a/Utilities/Replay/ReplayRun.h
+++ b/Utilities/Replay/ReplayRun.h
@@ -62,12 +62,12 @@
   template <typename Other> void onAction(SimulatedVm & /*Vm*/, Other & /*Next*/) {}
 
   void deliver(std::uint32_t Vm, kernel::Event Next);
-  void account(SimulatedVm &Vm, const kernel::Event &Next);
-  void accountFence(SimulatedVm &Vm, const kernel::TaskReported &Next);
+  void account(const kernel::Event &Next);
+  void accountFence(const kernel::TaskReported &Next);
   /// The answer to a question found a task whose own connection had gone silent.
   void noteSilence(const kernel::Event &Answer);
   void deliverAnswer(std::uint32_t Vm, kernel::Event Answer, Question Asked);
-  Submission &release(SimulatedVm &Vm, kernel::TaskId Task, kernel::EndpointIndex Endpoint);
+  Submission &release(kernel::TaskId Task);
   void waitAgain(Submission &Refused);
   /// The tasks that have not started do not wait any more.
   void stopWaiting(Submission &Ending);
