--- a/Tests/Integration/TestCallerFaults.cpp
+++ b/Tests/Integration/TestCallerFaults.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr int IdleSeconds = 5; // After which idle connections are closed.
+constexpr int IdleSeconds = 5;                      // After which idle connections are closed.
 constexpr std::uint64_t MemoryBoundMegabytes = 128; // An idle process takes 24 MB.
 
 /// Open connections that send nothing.
