Kernel: Notice a cut although the process is paused again and again

After a gap of 250 ms between two ticks the relay took the last reply of each data centre as having come just now, so that a gap every few seconds put the report off for ever.

Only the gap itself no longer counts. CutIsNoticedInSpiteOfPauses, a pause of 300 ms each second for 20 s, fails before and passes after; the other 13 cases of TestMembership pass.

--- a/Kernel/Membership/Membership.cpp
+++ b/Kernel/Membership/Membership.cpp
@@ -18,12 +18,12 @@
 }
 
 void Membership::tick(core::TimePoint Now, MembershipActions &Out) {
-  bool Paused = LastTick_ && Now - *LastTick_ > Settings_.PauseGap;
+  auto Gap = LastTick_ ? Now - *LastTick_ : core::Duration::zero();
   if (!LastTick_)
     publishOwn(Now, Out);
   LastTick_ = Now;
-  if (Paused)
-    resumeAfterPause(Now);
+  if (Gap > Settings_.PauseGap)
+    resumeAfterPause(Gap, Now);
   if (Now >= NextExpiryAt_) {
     Table_.dropExpired(Now);
     std::erase_if(Loads_, [&](auto &Item) { return !Table_.find(Item.second.Load.Process); });
@@ -36,11 +36,16 @@
   contact(Now, Out);
 }
 
-void Membership::resumeAfterPause(core::TimePoint Now) {
+void Membership::resumeAfterPause(core::Duration Gap, core::TimePoint Now) {
   for (auto &[Name, Item] : Watches_)
     Item = {.Target = Item.Target, .NextAt = Now};
-  for (auto &[Name, Item] : Gateways_)
-    Item = {.NextAt = Now, .LastReplyAt = Now};
+  for (auto &[Name, Item] : Gateways_) {
+    Item.Token.reset();
+    Item.NextAt = Now;
+    // Only the pause does not count. Counted from now, a process on a busy machine, with a gap
+    // every few seconds, never noticed that a data centre was cut off.
+    Item.LastReplyAt += Gap;
+  }
 }
 
 void Membership::updateWatches(core::TimePoint Now) {
--- a/Kernel/Membership/Membership.h
+++ b/Kernel/Membership/Membership.h
@@ -152,7 +152,7 @@
 
   bool isPeer(const MemberRecord &Record) const;
   std::vector<const MemberRecord *> localPeers() const;
-  void resumeAfterPause(core::TimePoint Now);
+  void resumeAfterPause(core::Duration Gap, core::TimePoint Now);
   void updateWatches(core::TimePoint Now);
   void runWatch(Watch &Item, core::TimePoint Now, MembershipActions &Out);
   void probe(Watch &Item, core::TimePoint Deadline, core::TimePoint Now, MembershipActions &Out);
--- a/Tests/Kernel/TestMembership.cpp
+++ b/Tests/Kernel/TestMembership.cpp
@@ -132,6 +132,20 @@
   BOOST_TEST(!Net.at("a-6").table().successor({900}));
 }
 
+// Guards against a relay on a busy machine, with a pause every second, that never notices a cut.
+BOOST_AUTO_TEST_CASE(CutIsNoticedInSpiteOfPauses) {
+  MembershipNetwork Net;
+  Net.addCentre("a", 2);
+  Net.addCentre("b", 2);
+  Net.runFor(20s);
+  Net.Lost = [](auto &From, auto &To) { return From[0] != To[0]; };
+  for (int Second = 0; Second < 20; ++Second) {
+    Net.Nodes.at("a-1").PausedUntil = Net.Now + 300ms;
+    Net.runFor(1s);
+  }
+  BOOST_TEST(Net.at("a-1").isUnreachable("b"));
+}
+
 // Guards against a whole data centre being mistaken for seven dead VMs, whose incarnations peers
 // would then treat as ended.
 BOOST_AUTO_TEST_CASE(LostDataCentreIsUnreachable) {
