--- a/Tests/LibPlatform/TestHttpPlatformStore.cpp
+++ b/Tests/LibPlatform/TestHttpPlatformStore.cpp
@@ -33,7 +33,7 @@
                        200);
   }
 
-  std::string ListTag() { return Control.Get("/v1/vms")->get_header_value("ETag"); }
+  std::string listTag() { return Control.Get("/v1/vms")->get_header_value("ETag"); }
 
   standin::StandInServer Server;
   int Port;
@@ -111,7 +111,7 @@
   BOOST_TEST((Vms->at(1).State == VmState::Leaving));
   // Guards against a list that is lost, or kept although it changed, when the platform says that it
   // is not modified.
-  auto Raw = [&] { return Control.Get("/v1/vms", {{"If-None-Match", ListTag()}})->status; };
+  auto Raw = [&] { return Control.Get("/v1/vms", {{"If-None-Match", listTag()}})->status; };
   BOOST_TEST(Raw() == 304);
   BOOST_TEST(Store->listVms(within(2000))->size() == 2U);
   BOOST_TEST(Control.Put("/control/vms", R"({"vms":[]})", "application/json")->status == 200);
