Kernel: Fence a delegated task for the attempt in question only

Cause: in the last run of all tests from a fresh clone, DataCentreWithoutWorkersDelegates left 2 of 40 tasks waiting. Questions now carry the attempt, and the answer holds for it and earlier ones.

--- a/Kernel/Delegation/DelegatedRules.cpp
+++ b/Kernel/Delegation/DelegatedRules.cpp
@@ -1,5 +1,8 @@
 #include "Kernel/DispatcherState.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace cornellift::kernel {
 namespace {
 
@@ -7,6 +10,11 @@
 /// estimate yet.
 constexpr core::Duration AskInterval = std::chrono::milliseconds(250);
 
+/// The last attempt that a question fences; all of them when it does not tell.
+std::uint32_t fencedAttempt(const AskDelegated &Question) {
+  return Question.Attempt != 0 ? Question.Attempt : std::numeric_limits<std::uint32_t>::max();
+}
+
 } // namespace
 
 auto Dispatcher::State::on(StartDelegated &Next) -> Starts {
@@ -56,8 +64,8 @@
 /// A refusal for want of a slot holds for the attempt that it answered, and for earlier ones that
 /// arrive late. Held for later ones too, it left tasks waiting for minutes beside idle slots.
 bool Dispatcher::State::mayStartNow(const DelegatedTask &Known, const StartDelegated &Next) {
-  return Known.Now == DelegatedTask::State::Refused && Known.Cause == StartRefusal::NoSlot &&
-         Next.Attempt > Known.Attempt;
+  bool MayPass = Known.Cause == StartRefusal::NoSlot || Known.Cause == StartRefusal::Fenced;
+  return Known.Now == DelegatedTask::State::Refused && MayPass && Next.Attempt > Known.Attempt;
 }
 
 auto Dispatcher::State::refuseDelegated(const StartDelegated &Next, StartRefusal Cause) -> Starts {
@@ -73,9 +81,9 @@
 
 auto Dispatcher::State::on(AskDelegated &Next) -> Starts {
   if (auto *Known = Delegated_.find(Next.Task)) {
-    // The answer is "fenced", which holds for every attempt that may still be on its way.
+    // The answer is "fenced", which holds for the attempt in question: it may still be on its way.
     if (Known->Now == DelegatedTask::State::Refused)
-      Known->Cause = StartRefusal::Fenced;
+      Known->Attempt = std::max(Known->Attempt, fencedAttempt(Next));
     respondDelegated(Next.Request, Next.Task, *Known, DelegatedCall::Ask);
     return Starts::Unchanged;
   }
@@ -89,6 +97,7 @@
   DelegatedTask Record;
   Record.Now = DelegatedTask::State::Refused;
   Record.Cause = StartRefusal::Fenced;
+  Record.Attempt = fencedAttempt(Next);
   respondDelegated(Next.Request, Next.Task, Delegated_.add(Next.Task, std::move(Record)),
                    DelegatedCall::Ask);
   Delegated_.noteEnd(Next.Task, Now_);
--- a/Kernel/Event.h
+++ b/Kernel/Event.h
@@ -135,6 +135,7 @@
   RequestId Request{};
   TaskId Task;
   enum class Wish { Ask, Fence } Purpose{};
+  std::uint32_t Attempt = 0; ///< That the peer asks about; zero when not told.
 };
 
 struct ConfigurationApplied {
--- a/Services/EntryDaemon/DelegationDuty.cpp
+++ b/Services/EntryDaemon/DelegationDuty.cpp
@@ -192,6 +192,7 @@
   Request.set_incarnation(Task.Job.Issuer.Value);
   Request.set_sequence(Task.Job.Sequence);
   Request.set_index(Task.Index);
+  Request.set_attempt(Attempt);
   Request.set_fence(Purpose == kernel::AskDelegated::Wish::Fence);
   Request.set_receiver(Receiver->Process.Value);
   Client_.start<peer::AskTaskRequest, peer::TaskReply>(
--- a/Services/EntryDaemon/PeerService.cpp
+++ b/Services/EntryDaemon/PeerService.cpp
@@ -177,7 +177,7 @@
       Request->fence() ? kernel::AskDelegated::Wish::Fence : kernel::AskDelegated::Wish::Ask;
   auto Answer = Daemon_.Requests.call(
       [&](kernel::RequestId Id) {
-        return kernel::Event(kernel::AskDelegated{Id, Task, Purpose});
+        return kernel::Event(kernel::AskDelegated{Id, Task, Purpose, Request->attempt()});
       },
       MonotonicClock::now() + KernelTime);
   if (Answer)
--- a/Tests/Kernel/OwnershipProcess.h
+++ b/Tests/Kernel/OwnershipProcess.h
@@ -126,7 +126,7 @@
     }
     auto Purpose =
         Wish == EndpointCall::Kind::Ask ? AskDelegated::Wish::Ask : AskDelegated::Wish::Fence;
-    callPeer(Number, Attempt, AskDelegated{{}, Task, Purpose});
+    callPeer(Number, Attempt, AskDelegated{{}, Task, Purpose, Attempt});
   }
 
   template <typename T> void callPeer(std::uint32_t Number, std::uint32_t Attempt, T Content) {
