Kernel: Let every kind of refused delegation be tried again

Cause: rereading the change showed that only refusals for want of a slot, and fences, let a later attempt start. Any refusal says of one attempt only that it has not started, so the condition on its cause goes, which is simpler.

--- a/Kernel/Delegation/DelegatedRules.cpp
+++ b/Kernel/Delegation/DelegatedRules.cpp
@@ -61,11 +61,10 @@
   return Starts::Unchanged;
 }
 
-/// A refusal for want of a slot holds for the attempt that it answered, and for earlier ones that
-/// arrive late. Held for later ones too, it left tasks waiting for minutes beside idle slots.
+/// A refusal or a fence holds for the attempt that it answered, and for earlier ones that arrive
+/// late. Held for later ones too, it left tasks waiting for minutes beside idle slots.
 bool Dispatcher::State::mayStartNow(const DelegatedTask &Known, const StartDelegated &Next) {
-  bool MayPass = Known.Cause == StartRefusal::NoSlot || Known.Cause == StartRefusal::Fenced;
-  return Known.Now == DelegatedTask::State::Refused && MayPass && Next.Attempt > Known.Attempt;
+  return Known.Now == DelegatedTask::State::Refused && Next.Attempt > Known.Attempt;
 }
 
 auto Dispatcher::State::refuseDelegated(const StartDelegated &Next, StartRefusal Cause) -> Starts {
--- a/Tests/Kernel/TestDelegation.cpp
+++ b/Tests/Kernel/TestDelegation.cpp
@@ -122,8 +122,23 @@
   BOOST_TEST(reply<TaskEnded>(Test, delegate(Test, taskOf(5), 4)).has_value());
 }
 
-// Guards against a second start: the issuer asked about a later attempt that was still on its way,
-// and was told of the refusal of an earlier one.
+// Guards against tasks that no helper takes any more after a question, and against a second start:
+// a fence holds for the attempt in question, which may still be on its way.
+BOOST_AUTO_TEST_CASE(FenceHoldsForTheAttemptInQuestion) {
+  DispatcherFixture Test;
+  auto Request = Test.newRequest();
+  Test.handle(AskDelegated{Request, taskOf(1), AskDelegated::Wish::Fence, 4});
+  auto Report = reply<TaskReported>(Test, Request);
+  BOOST_REQUIRE(Report);
+  BOOST_TEST((Report->Report == TaskReport::NotStartedAndFenced));
+  BOOST_TEST(reply<StartRefused>(Test, delegate(Test, taskOf(1), 4)).has_value());
+  BOOST_TEST(Test.take<StartTask>().empty());
+  delegate(Test, taskOf(1), 5);
+  BOOST_TEST(Test.take<StartTask>().size() == 1U);
+}
+
+// Guards against a second start: a peer of an earlier release does not tell the attempt, so that
+// the answer to its question holds for all of them.
 BOOST_AUTO_TEST_CASE(QuestionMakesARefusalFinal) {
   for (auto Purpose : {AskDelegated::Wish::Ask, AskDelegated::Wish::Fence}) {
     DispatcherFixture Test;
