--- /dev/null
+++ b/Kernel/Pool/JobKey.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cornellift::kernel {
+
+/// Identifier that a caller chose for its job.
+enum class JobKey : std::uint64_t {};
+
+/// Text form: 16 lower-case hexadecimal digits.
+std::string formatJobKey(JobKey Key);
+
+/// Parses 16 hexadecimal digits. Returns an empty optional with Malformed for anything else.
+std::optional<JobKey> parseJobKey(std::string_view Text);
+
+/// One task of a job: task Index of step Step.
+struct TaskRef {
+  JobKey Job{};
+  std::uint32_t Step = 0;
+  std::uint32_t Index = 0;
+  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
+  auto operator<=>(const TaskRef &) const = default;
+};
+
+} // namespace cornellift::kernel
--- /dev/null
+++ b/Kernel/Pool/PoolCounters.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+
+namespace cornellift::kernel {
+
+/// Counts since the start of the process.
+struct PoolCounters {
+  std::uint64_t JobsReceived = 0;
+  std::uint64_t JobsCompleted = 0;
+  std::uint64_t JobsFailed = 0;
+  std::uint64_t JobsRejected = 0;
+  std::uint64_t JobsGivenUp = 0;
+  std::uint64_t JobsAbandoned = 0;
+  std::uint64_t StartsOrdered = 0;
+  std::uint64_t RunsDone = 0;
+  std::uint64_t RunsFailed = 0;
+  std::uint64_t RunsStopped = 0;
+  std::uint64_t RunsLost = 0;
+  std::uint64_t StartsRefused = 0;
+  std::uint64_t TasksDelegated = 0;
+  std::uint64_t DelegationsRefused = 0;
+  std::uint64_t GuestTasks = 0;
+  std::uint64_t StragglersMoved = 0;
+};
+
+} // namespace cornellift::kernel
--- /dev/null
+++ b/Kernel/Pool/PoolElection.cpp
@@ -0,0 +1,177 @@
+#include "Kernel/Pool/PoolElection.h"
+
+#include <tuple>
+#include <utility>
+
+namespace cornellift::kernel {
+namespace {
+
+/// A process that has just started first listens to the others.
+constexpr core::Duration ListenTime = std::chrono::milliseconds(700);
+/// A process is trusted with the workers of its data centre after this time.
+constexpr core::Duration ProvenTime = std::chrono::milliseconds(1500);
+/// The leases of a manager that fell silent have ended after this time; its loss is noticed when it
+/// has been silent for 0.6 s, and a lease lasts 0.94 s at most.
+constexpr core::Duration LeaseRest = std::chrono::milliseconds(350);
+constexpr core::Duration Never = std::chrono::hours(24 * 365);
+
+} // namespace
+
+PoolElection::PoolElection(CandidateState Self, core::TimePoint Now)
+    : Self_(std::move(Self)), StartedAt_(Now) {}
+
+void PoolElection::peerChanged(PeerIndex Index, CandidateState State, core::TimePoint Now) {
+  auto [Position, IsNew] = Peers_.try_emplace(Index);
+  if (IsNew)
+    Position->second.UpSince = Now;
+  Position->second.State = std::move(State);
+}
+
+void PoolElection::peerLost(PeerIndex Index, bool HasEnded, core::TimePoint Now) {
+  auto Found = Peers_.find(Index);
+  if (Found == Peers_.end())
+    return;
+  auto ClaimAt = HasEnded ? Now : Now + LeaseRest;
+  for (const auto &DataCentre : Found->second.State.Managed)
+    Lost_[DataCentre] = {ClaimAt};
+  for (const auto &DataCentre : Found->second.State.Released)
+    Lost_[DataCentre] = {ClaimAt};
+  Peers_.erase(Found);
+}
+
+bool PoolElection::ranksBefore(const CandidateState &Left, const CandidateState &Right,
+                               const std::string &DataCentre) const {
+  auto Key = [&](const CandidateState &State) {
+    return std::tuple(State.DataCentre != DataCentre, -static_cast<std::int64_t>(State.Weight),
+                      State.Vm);
+  };
+  return Key(Left) < Key(Right);
+}
+
+std::optional<PeerIndex> PoolElection::managerAmongPeers(const std::string &DataCentre) const {
+  std::optional<PeerIndex> Best;
+  for (const auto &[Index, Known] : Peers_) {
+    if (!Known.State.Managed.contains(DataCentre))
+      continue;
+    if (!Best || ranksBefore(Known.State, Peers_.at(*Best).State, DataCentre))
+      Best = Index;
+  }
+  return Best;
+}
+
+std::optional<PeerIndex> PoolElection::bestPeer(const std::string &DataCentre,
+                                                core::TimePoint Now) const {
+  std::optional<PeerIndex> Best;
+  for (const auto &[Index, Known] : Peers_) {
+    bool IsProven = Now - Known.UpSince >= ProvenTime || Self_.IsStopping;
+    if (!Known.State.IsReady || Known.State.IsStopping || !IsProven)
+      continue;
+    if (!Best || ranksBefore(Known.State, Peers_.at(*Best).State, DataCentre))
+      Best = Index;
+  }
+  return Best;
+}
+
+bool PoolElection::isSeenByOthers(const std::string &DataCentre) const {
+  for (const auto &[Index, Known] : Peers_)
+    if (Known.State.Seen.contains(DataCentre))
+      return true;
+  return false;
+}
+
+std::optional<PeerIndex> PoolElection::successorFor(const std::string &DataCentre,
+                                                    core::TimePoint Now) const {
+  auto Other = managerAmongPeers(DataCentre);
+  if (Other && (Self_.IsStopping || ranksBefore(Peers_.at(*Other).State, Self_, DataCentre)))
+    return Other;
+  auto Best = bestPeer(DataCentre, Now);
+  if (!Best)
+    return std::nullopt;
+  bool IsAway = Self_.DataCentre != DataCentre && Peers_.at(*Best).State.DataCentre == DataCentre;
+  return Self_.IsStopping || IsAway ? Best : std::nullopt;
+}
+
+void PoolElection::considerBegin(const std::string &DataCentre, core::TimePoint Now,
+                                 ElectionChanges &Changes) {
+  if (Self_.IsStopping || !Self_.IsReady || Now < StartedAt_ + ListenTime)
+    return;
+  if (managerAmongPeers(DataCentre) || Self_.Released.contains(DataCentre))
+    return;
+  for (const auto &[Index, Known] : Peers_)
+    if (Known.State.IsReady && !Known.State.IsStopping &&
+        ranksBefore(Known.State, Self_, DataCentre))
+      return;
+  std::optional<PeerIndex> Releaser;
+  for (const auto &[Index, Known] : Peers_)
+    if (Known.State.Released.contains(DataCentre))
+      Releaser = Index;
+  if (!Releaser && isSeenByOthers(DataCentre))
+    return;
+  auto Lost = Lost_.find(DataCentre);
+  auto ClaimAt = Lost == Lost_.end() ? Now : std::max(Now, Lost->second.ClaimAt);
+  if (Releaser) {
+    ClaimAt = Now + Never;
+    Awaited_[DataCentre] = *Releaser;
+  }
+  Lost_.erase(DataCentre);
+  Self_.Managed.insert(DataCentre);
+  Changes.Begun.push_back({DataCentre, ClaimAt, Releaser});
+}
+
+void PoolElection::watchRelease(ElectionChanges &Changes, core::TimePoint Now) {
+  for (auto Entry = Awaited_.begin(); Entry != Awaited_.end();) {
+    const auto &[DataCentre, Index] = *Entry;
+    auto Known = Peers_.find(Index);
+    if (Known != Peers_.end() && Known->second.State.Released.contains(DataCentre)) {
+      ++Entry;
+      continue;
+    }
+    auto Lost = Lost_.find(DataCentre);
+    auto ClaimAt = Lost == Lost_.end() ? Now : std::max(Now, Lost->second.ClaimAt);
+    Lost_.erase(DataCentre);
+    if (Self_.Managed.contains(DataCentre))
+      Changes.Claims.push_back({DataCentre, ClaimAt});
+    Entry = Awaited_.erase(Entry);
+  }
+}
+
+ElectionChanges PoolElection::evaluate(core::TimePoint Now) {
+  ElectionChanges Changes;
+  watchRelease(Changes, Now);
+  for (const auto &DataCentre : DataCentres_) {
+    if (!Self_.Managed.contains(DataCentre)) {
+      considerBegin(DataCentre, Now, Changes);
+      continue;
+    }
+    auto Successor = successorFor(DataCentre, Now);
+    if (!Successor)
+      continue;
+    Self_.Managed.erase(DataCentre);
+    Self_.Released.insert(DataCentre);
+    Awaited_.erase(DataCentre);
+    Changes.Stopped.push_back({DataCentre, *Successor});
+  }
+  return Changes;
+}
+
+std::set<std::string> PoolElection::seen() const {
+  auto Result = Self_.Managed;
+  for (const auto &[Index, Known] : Peers_)
+    Result.insert(Known.State.Managed.begin(), Known.State.Managed.end());
+  return Result;
+}
+
+std::optional<PeerIndex> PoolElection::homeManager() const {
+  if (Self_.Managed.contains(Self_.DataCentre))
+    return SelfPeer;
+  if (auto Near = managerAmongPeers(Self_.DataCentre))
+    return Near;
+  if (!Self_.Managed.empty())
+    return SelfPeer;
+  for (const auto &[Index, Known] : Peers_)
+    if (!Known.State.Managed.empty())
+      return Index;
+  return std::nullopt;
+}
+
+} // namespace cornellift::kernel
--- /dev/null
+++ b/Kernel/Pool/PoolManager.cpp
@@ -0,0 +1,193 @@
+#include "Kernel/Pool/PoolManager.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cornellift::kernel {
+namespace {
+
+/// Between checks for waiting jobs whose time has run out.
+constexpr core::Duration ExpiryTime = std::chrono::milliseconds(5);
+constexpr core::Duration StragglerCheckTime = std::chrono::milliseconds(20);
+
+} // namespace
+
+PoolManager::PoolManager(const PoolSettings &Settings, PoolOutput &Output, TokenSource &Tokens,
+                         DecisionLog &Log)
+    : Settings_(Settings), Output_(Output), Log_(Log), Fleet_(Output, *this, Tokens, Log) {}
+
+void PoolManager::setWorkers(std::span<const WorkerEntry> Entries, core::TimePoint Now) {
+  if (std::equal(Entries.begin(), Entries.end(), Listed_.begin(), Listed_.end()))
+    return;
+  Listed_.assign(Entries.begin(), Entries.end());
+  ++DirectoryVersion_;
+  Fleet_.setListed(Entries, Now);
+  for (std::size_t Position = 0; Position < Fleet_.size(); ++Position) {
+    auto Index = static_cast<EndpointIndex>(Position);
+    Ratings_.enlist(Index, Fleet_.at(Index).Entry);
+  }
+  for (const auto &[Peer, Known] : Remotes_)
+    if (Known.IsManager)
+      sendDirectory(Peer);
+  ReportIsDue_ = true;
+  NeedsDispatch_ = true;
+  afterEvent(Now);
+}
+
+void PoolManager::receive(PeerIndex From, const PoolMessage &Message, core::TimePoint Now) {
+  if (const auto *Submitted = std::get_if<SubmitToPool>(&Message))
+    submit(From, Submitted->Order, Now);
+  else if (const auto *Abandoned = std::get_if<AbandonJob>(&Message))
+    abandon(From, Abandoned->Job, Now);
+  else if (const auto *Delegated = std::get_if<DelegateTasks>(&Message))
+    acceptDelegated(From, *Delegated, Now);
+  else if (const auto *Ended = std::get_if<DelegatedTaskEnded>(&Message))
+    delegatedEnded(From, *Ended, Now);
+  else if (const auto *Stopped = std::get_if<StopDelegated>(&Message))
+    stopDelegated(From, *Stopped, Now);
+  else if (const auto *Directory = std::get_if<PoolDirectory>(&Message))
+    Remotes_[From].Pool.setDirectory(*Directory);
+  else if (const auto *Report = std::get_if<PoolReport>(&Message)) {
+    Remotes_[From].Pool.setReport(*Report, Now);
+    NeedsDispatch_ = !Queue_.empty();
+  }
+  afterEvent(Now);
+}
+
+void PoolManager::startReplied(EndpointIndex Worker, const StartOrder &Order,
+                               const OrderReply &Reply, core::TimePoint Now) {
+  Fleet_.startReplied(Worker, Order, Reply, Now);
+  afterEvent(Now);
+}
+
+void PoolManager::stopReplied(EndpointIndex Worker, const StopOrder &Order, const OrderReply &Reply,
+                              core::TimePoint Now) {
+  Fleet_.stopReplied(Worker, Order, Reply, Now);
+  afterEvent(Now);
+}
+
+void PoolManager::lookReplied(EndpointIndex Worker, const LookOrder &Order, const LookReply &Reply,
+                              core::TimePoint Now) {
+  Fleet_.lookReplied(Worker, Order, Reply, Now);
+  afterEvent(Now);
+}
+
+void PoolManager::tick(core::TimePoint Now) {
+  Fleet_.tick(Now);
+  Ratings_.tick(Now);
+  settleDelegated(Now);
+  if (Now >= NextExpiry_) {
+    NextExpiry_ = Now + ExpiryTime;
+    expire(Now);
+    forgetAnswers(Now);
+  }
+  if (Now >= NextStragglerCheck_) {
+    NextStragglerCheck_ = Now + StragglerCheckTime;
+    moveStragglers(Now);
+  }
+  NeedsDispatch_ = NeedsDispatch_ || !Queue_.empty();
+  afterEvent(Now);
+}
+
+void PoolManager::afterEvent(core::TimePoint Now) {
+  if (NeedsDispatch_) {
+    NeedsDispatch_ = false;
+    dispatch(Now);
+  }
+  sendReports(Now);
+}
+
+void PoolManager::roomChanged(core::TimePoint /*Now*/) {
+  NeedsDispatch_ = true;
+  ReportIsDue_ = true;
+}
+
+void PoolManager::runLeft(EndpointIndex Worker, const Run &Left, RunOutcome How,
+                          core::TimePoint Now) {
+  NeedsDispatch_ = true;
+  ReportIsDue_ = true;
+  auto *Job = find(Left.Job);
+  if (!Job)
+    return;
+  learnFrom(Worker, *Job, Left, How, Now);
+  const auto &WorkerId = Fleet_.at(Worker).Entry.Id;
+  auto &Task = Job->Tasks[Left.TaskNumber];
+  if (How == RunOutcome::Outdated)
+    Task.LastRun = std::max(Task.LastRun, Left.Number) + 16; // Above what that worker remembers.
+  if (Job->IsGuest) {
+    Task.State = TaskState::Done;
+    auto End = How == RunOutcome::Done     ? DelegatedEnd::Done
+               : How == RunOutcome::Failed ? DelegatedEnd::Failed
+               : How == RunOutcome::NotStarted || How == RunOutcome::Outdated
+                   ? DelegatedEnd::Refused
+                   : DelegatedEnd::Lost;
+    reportGuest(*Job, Left.TaskNumber, Left.Number, End, WorkerId);
+    return removeIfSettled(Job->Handle, Now);
+  }
+  if (How == RunOutcome::Done)
+    return finishTask(*Job, Left.TaskNumber, Now);
+  if (How == RunOutcome::Failed)
+    return failTask(*Job, Left.TaskNumber, Now);
+  requeueTask(*Job, Left.TaskNumber, Now);
+}
+
+void PoolManager::learnFrom(EndpointIndex Worker, const PoolJob &Job, const Run &Left,
+                            RunOutcome How, core::TimePoint Now) {
+  switch (How) {
+  case RunOutcome::Done:
+    ++Counters_.RunsDone;
+    break;
+  case RunOutcome::Failed:
+    ++Counters_.RunsFailed;
+    return Ratings_.ranBadly(Worker, Job.Kind, Job.key(), Now);
+  case RunOutcome::Stopped:
+    ++Counters_.RunsStopped;
+    return;
+  case RunOutcome::Lost:
+    ++Counters_.RunsLost;
+    return;
+  case RunOutcome::NotStarted:
+  case RunOutcome::Outdated:
+    ++Counters_.StartsRefused;
+    return;
+  }
+  auto StepIndex = Job.stepOf(Left.TaskNumber);
+  const auto &Step = Job.Order->Steps[StepIndex];
+  const auto &Entry = Fleet_.at(Worker).Entry;
+  bool IsNear = Step.DataRack.empty() || std::find(Entry.Labels.begin(), Entry.Labels.end(),
+                                                   Step.DataRack) != Entry.Labels.end();
+  double Taken = std::max(1.0, core::toMilliseconds(Now - Left.OrderedAt));
+  if (!IsNear)
+    Taken /= Settings_.RemoteFactor;
+  auto Estimate = Kinds_.estimate(Job.Kind, Step);
+  Ratings_.ranWell(Worker, Job.Kind, Estimate.medianMilliseconds() / Taken, Estimate.LogDeviation,
+                   Now);
+  Kinds_.learn(Job.Kind, Step, Taken, Ratings_.speed(Worker), Now);
+}
+
+std::uint32_t PoolManager::waitingTasks() const {
+  std::uint32_t Sum = 0;
+  for (const auto &Key : Queue_)
+    Sum += Jobs_.at(Key.Handle).waiting();
+  return Sum;
+}
+
+std::vector<RouteBacklog> PoolManager::backlog() const {
+  std::map<std::string, std::uint32_t> JobsByRoute;
+  for (const auto &Key : Queue_) {
+    const auto &Job = Jobs_.at(Key.Handle);
+    if (!Job.HasStarted)
+      ++JobsByRoute[Job.Order->Terms.Route];
+  }
+  std::vector<RouteBacklog> Result;
+  for (auto &[Route, Count] : JobsByRoute)
+    Result.push_back({Route, Count});
+  return Result;
+}
+
+PoolJob *PoolManager::find(JobHandle Handle) {
+  auto Found = Jobs_.find(Handle);
+  return Found == Jobs_.end() ? nullptr : &Found->second;
+}
+
+} // namespace cornellift::kernel
--- /dev/null
+++ b/Kernel/Pool/PoolManager.h
@@ -0,0 +1,180 @@
+#pragma once
+
+#include "Kernel/Pool/DecisionLog.h"
+#include "Kernel/Pool/KindBook.h"
+#include "Kernel/Pool/PoolCounters.h"
+#include "Kernel/Pool/PoolJob.h"
+#include "Kernel/Pool/PoolOutput.h"
+#include "Kernel/Pool/PoolPlacement.h"
+#include "Kernel/Pool/RemotePool.h"
+#include "Kernel/Pool/TokenSource.h"
+#include "Kernel/Pool/WorkerFleet.h"
+#include "Kernel/Pool/WorkerRatings.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cornellift::kernel {
+
+struct PoolSettings {
+  double RemoteFactor = 1; ///< Run time of a task away from its data, relative to near it.
+  /// Time from one data centre to another and back, in milliseconds.
+  double PeerRoundTripMilliseconds = 4;
+};
+
+/// Runs the jobs that are handed to this process on the workers that it manages, and on those of
+/// other managers that have room.
+///
+/// No task runs twice at the same time: a task gets a new run only when the former one has ended,
+/// was never begun, or has lost its lease for certain.
+class PoolManager final : private RunListener {
+public:
+  PoolManager(const PoolSettings &Settings, PoolOutput &Output, TokenSource &Tokens,
+              DecisionLog &Log);
+
+  WorkerFleet &fleet() { return Fleet_; }
+  const WorkerFleet &fleet() const { return Fleet_; }
+
+  /// The complete list of the workers to be managed.
+  void setWorkers(std::span<const WorkerEntry> Entries, core::TimePoint Now);
+
+  /// A message of a peer, or of this process as SelfPeer.
+  void receive(PeerIndex From, const PoolMessage &Message, core::TimePoint Now);
+
+  /// Whether the peer manages workers of its own; it then gets this manager's reports.
+  void setManager(PeerIndex Peer, bool IsManager, core::TimePoint Now);
+  void peerLost(PeerIndex Peer, core::TimePoint Now);
+
+  void startReplied(EndpointIndex Worker, const StartOrder &Order, const OrderReply &Reply,
+                    core::TimePoint Now);
+  void stopReplied(EndpointIndex Worker, const StopOrder &Order, const OrderReply &Reply,
+                   core::TimePoint Now);
+  void lookReplied(EndpointIndex Worker, const LookOrder &Order, const LookReply &Reply,
+                   core::TimePoint Now);
+
+  /// Time has passed; called at least every 20 ms.
+  void tick(core::TimePoint Now);
+
+  /// No further task is started on this manager's own workers; jobs go on at other managers.
+  void stopStarting() { MayStart_ = false; }
+
+  /// Jobs that have not ended, guests included.
+  std::size_t jobCount() const { return Jobs_.size(); }
+  std::uint32_t waitingTasks() const;
+  /// Jobs of which no task has started, by route.
+  std::vector<RouteBacklog> backlog() const;
+  const PoolCounters &counters() const { return Counters_; }
+
+private:
+  /// Waiting jobs in the order in which their tasks are placed.
+  struct QueueKey {
+    bool HasMissed = false; ///< Can no longer meet its objective; comes after those that can.
+    core::TimePoint LatestStart;
+    JobHandle Handle{};
+    auto operator<=>(const QueueKey &) const = default;
+  };
+
+  struct Remote {
+    bool IsManager = false;
+    RemotePool Pool;
+    std::vector<DelegatedTask> Outgoing; ///< Of the job being placed.
+  };
+
+  struct AnsweredJob {
+    JobAnswer Answer;
+    core::TimePoint ForgetAt;
+  };
+
+  // PoolManagerJobs.cpp: the life of a job.
+  void submit(PeerIndex From, const std::shared_ptr<const JobOrder> &Order, core::TimePoint Now);
+  bool attachToKnown(PeerIndex From, const std::shared_ptr<const JobOrder> &Order,
+                     core::TimePoint Now);
+  PoolJob &createJob(PeerIndex From, const std::shared_ptr<const JobOrder> &Order, bool IsGuest,
+                     core::TimePoint Now);
+  void setDeadlines(PoolJob &Job);
+  std::optional<JobAnswer> refusal(const PoolJob &Job, core::TimePoint Now) const;
+  void unblockSteps(PoolJob &Job);
+  void finishTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now);
+  void failTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now);
+  void requeueTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now);
+  void endJob(PoolJob &Job, JobAnswer Answer, core::TimePoint Now);
+  void stopTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now);
+  void removeIfSettled(JobHandle Handle, core::TimePoint Now);
+  void abandon(PeerIndex From, JobKey Key, core::TimePoint Now);
+  void expire(core::TimePoint Now);
+  void forgetAnswers(core::TimePoint Now);
+  void enqueue(const PoolJob &Job, core::TimePoint Now);
+  void dequeue(JobHandle Handle);
+  double waitMilliseconds(const PoolJob &Job) const;
+  PoolJob *find(JobHandle Handle);
+
+  // PoolManagerPlacing.cpp: where tasks go.
+  void dispatch(core::TimePoint Now);
+  void placeJob(PoolJob &Job, core::TimePoint Now);
+  bool placeTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now);
+  PoolQuestion questionFor(const PoolJob &Job, std::uint32_t Step, core::TimePoint Now) const;
+  std::optional<EndpointIndex> choosePlace(const PoolJob &Job, std::uint32_t Step,
+                                           PlaceChooser &Chooser, const PoolQuestion &Question,
+                                           core::TimePoint Now) const;
+  std::optional<std::pair<PeerIndex, std::size_t>>
+  chooseRemote(PlaceChooser &Chooser, const PoolQuestion &Question, core::TimePoint Now) const;
+  WorkerRoom roomOf(EndpointIndex Worker, core::TimePoint Now) const;
+  bool exceedsWorkerBound(const PoolJob &Job, std::uint32_t Step, EndpointIndex Worker) const;
+  void startOn(PoolJob &Job, std::uint32_t Task, EndpointIndex Worker, core::TimePoint Now);
+  void flushDelegations(const PoolJob &Job);
+  double fastestSpeed(core::TimePoint Now) const;
+  bool hasAnyRoom(core::TimePoint Now) const;
+  void moveStragglers(core::TimePoint Now);
+
+  // PoolManagerPeers.cpp: work for and by other managers.
+  void acceptDelegated(PeerIndex From, const DelegateTasks &Message, core::TimePoint Now);
+  void delegatedEnded(PeerIndex From, const DelegatedTaskEnded &Message, core::TimePoint Now);
+  void stopDelegated(PeerIndex From, const StopDelegated &Message, core::TimePoint Now);
+  void reportGuest(PoolJob &Job, std::uint32_t Task, std::uint32_t Run, DelegatedEnd How,
+                   std::string_view Worker);
+  void settleDelegated(core::TimePoint Now);
+  void sendReports(core::TimePoint Now);
+  PoolReport makeReport(core::TimePoint Now) const;
+  void sendDirectory(PeerIndex Peer);
+
+  void runLeft(EndpointIndex Worker, const Run &Left, RunOutcome How, core::TimePoint Now) override;
+  void roomChanged(core::TimePoint Now) override;
+  void learnFrom(EndpointIndex Worker, const PoolJob &Job, const Run &Left, RunOutcome How,
+                 core::TimePoint Now);
+  void afterEvent(core::TimePoint Now);
+
+  PoolSettings Settings_;
+  PoolOutput &Output_;
+  DecisionLog &Log_;
+  WorkerFleet Fleet_;
+  WorkerRatings Ratings_;
+  KindBook Kinds_;
+  PoolCounters Counters_;
+  std::unordered_map<JobHandle, PoolJob> Jobs_;
+  std::unordered_map<JobKey, JobHandle> HomeJobs_;
+  std::map<std::pair<PeerIndex, JobKey>, JobHandle> GuestJobs_;
+  std::unordered_map<JobKey, AnsweredJob> Answered_;
+  std::deque<JobKey> AnsweredOrder_;
+  std::set<QueueKey> Queue_;
+  std::unordered_map<JobHandle, QueueKey> QueueKeys_;
+  std::map<PeerIndex, Remote> Remotes_;
+  std::vector<WorkerEntry> Listed_; ///< As in the directory sent to other managers.
+  std::uint64_t DirectoryVersion_ = 0;
+  std::uint64_t NextHandle_ = 1;
+  double WaitingMilliseconds_ = 0; ///< Typical run time of all waiting tasks.
+  core::TimePoint ReportAt_;       ///< Earliest next report.
+  bool NeedsDispatch_ = false;
+  bool ReportIsDue_ = false;
+  bool MayStart_ = true;
+  core::TimePoint NextExpiry_;
+  core::TimePoint NextStragglerCheck_;
+};
+
+} // namespace cornellift::kernel
--- /dev/null
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -0,0 +1,382 @@
+#include "Kernel/Pool/PoolManager.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cornellift::kernel {
+namespace {
+
+/// Time of the client's connection that no process sees: its way to the entry process and back, and
+/// the steps in between.
+constexpr double ClientMilliseconds = 8;
+/// An answer up to this many times the objective's time is of use, though late.
+constexpr double UsefulFactor = 3;
+/// Share of its run time by which the longest of a step's tasks exceeds the typical one, per
+/// doubling of the number of tasks; declared sizes are the same for all.
+constexpr double LongestPerDoubling = 0.06;
+/// How long the runs of a job go on whose entry process is lost. Its client sends the job again
+/// 1.3 s after the connection broke, and the loss is noticed after 0.6 s at most.
+constexpr core::Duration OrphanTime = std::chrono::milliseconds(500);
+/// After this time nothing that a lost manager started runs any more: it stops its guests when it
+/// notices the loss, and otherwise their leases have ended.
+constexpr core::Duration LostManagerTime = std::chrono::milliseconds(950);
+/// How long an answer is kept for a repeated submission.
+constexpr core::Duration AnswerMemory = std::chrono::seconds(15);
+/// Bounds on the time after which a rejected caller is asked to come back.
+constexpr double ShortestRetry = 200;
+constexpr double LongestRetry = 5000;
+
+core::Duration milliseconds(double Value) { return core::fromMilliseconds(Value); }
+
+} // namespace
+
+void PoolManager::submit(PeerIndex From, const std::shared_ptr<const JobOrder> &Order,
+                         core::TimePoint Now) {
+  ++Counters_.JobsReceived;
+  if (attachToKnown(From, Order, Now))
+    return;
+  auto &Job = createJob(From, Order, false, Now);
+  HomeJobs_[Order->Key] = Job.Handle;
+  if (auto Refused = refusal(Job, Now))
+    return endJob(Job, std::move(*Refused), Now);
+  enqueue(Job, Now);
+  NeedsDispatch_ = true;
+}
+
+bool PoolManager::attachToKnown(PeerIndex From, const std::shared_ptr<const JobOrder> &Order,
+                                core::TimePoint Now) {
+  auto Known = HomeJobs_.find(Order->Key);
+  if (Known != HomeJobs_.end()) {
+    auto &Job = Jobs_.at(Known->second);
+    Log_.line(DecisionWeight::Notable, "job submitted again", Order->Key,
+              {{"ending", std::int64_t{Job.IsEnding}},
+               {"active_tasks", static_cast<std::int64_t>(Job.active())}});
+    if (Job.IsEnding) {
+      Job.Successor = Order;
+      Job.SuccessorOrigin = From;
+      return true;
+    }
+    if (std::find(Job.Origins.begin(), Job.Origins.end(), From) == Job.Origins.end())
+      Job.Origins.push_back(From);
+    Job.OrphanedUntil.reset();
+    Job.UsefulUntil = std::max(Job.UsefulUntil, Order->AnswerBy);
+    return true;
+  }
+  auto Earlier = Answered_.find(Order->Key);
+  if (Earlier == Answered_.end() || Now >= Earlier->second.ForgetAt)
+    return false;
+  Log_.line(DecisionWeight::Notable, "job submitted again after its end", Order->Key, {});
+  Output_.send(From, PoolAnswer{Order->Key, Earlier->second.Answer});
+  return true;
+}
+
+PoolJob &PoolManager::createJob(PeerIndex From, const std::shared_ptr<const JobOrder> &Order,
+                                bool IsGuest, core::TimePoint Now) {
+  auto Handle = static_cast<JobHandle>(NextHandle_++);
+  auto &Job = Jobs_[Handle];
+  Job.Handle = Handle;
+  Job.Order = Order;
+  Job.IsGuest = IsGuest;
+  Job.Origins.push_back(From);
+  Job.Kind = Kinds_.kindOf(Order->Terms.Route,
+                           Order->Steps.empty() ? 0 : Order->Steps.front().DeclaredMilliseconds);
+  std::uint32_t FirstTask = 0;
+  for (const auto &Step : Order->Steps) {
+    auto Estimate = Kinds_.estimate(Job.Kind, Step);
+    Job.Steps.push_back(
+        {FirstTask, Step.Count, 0, Estimate.medianMilliseconds(), Estimate.LogDeviation});
+    FirstTask += Step.Count;
+  }
+  Job.Tasks.resize(FirstTask);
+  setDeadlines(Job);
+  if (!IsGuest)
+    unblockSteps(Job);
+  (void)Now;
+  return Job;
+}
+
+void PoolManager::setDeadlines(PoolJob &Job) {
+  const auto &Order = *Job.Order;
+  std::vector<double> EndOfStep(Order.Steps.size());
+  double Longest = 0;
+  for (std::size_t Step = 0; Step < Order.Steps.size(); ++Step) {
+    double Begin = 0;
+    for (auto Earlier : Order.Steps[Step].After)
+      if (Earlier < Step)
+        Begin = std::max(Begin, EndOfStep[Earlier]);
+    double Wide = 1 + LongestPerDoubling * std::log2(std::max(1U, Order.Steps[Step].Count));
+    EndOfStep[Step] = Begin + Job.Steps[Step].TypicalMilliseconds * Wide;
+    Longest = std::max(Longest, EndOfStep[Step]);
+  }
+  double Objective = Order.Terms.Stretch * Longest + Order.Terms.TargetLatencyMilliseconds;
+  Job.ObjectiveAt = Order.ReceivedAt + milliseconds(Objective - ClientMilliseconds);
+  Job.UsefulUntil =
+      std::min(Order.AnswerBy, Order.ReceivedAt + milliseconds(Objective * UsefulFactor));
+  Job.LatestStart = Job.ObjectiveAt - milliseconds(Longest);
+}
+
+std::optional<JobAnswer> PoolManager::refusal(const PoolJob &Job, core::TimePoint Now) const {
+  double Wait = waitMilliseconds(Job);
+  auto Start = Now + milliseconds(Wait);
+  auto Run = Job.ObjectiveAt - Job.LatestStart;
+  if (Wait <= 0 || Start + Run <= Job.UsefulUntil)
+    return std::nullopt;
+  return JobAnswer{JobVerdict::Rejected, "too much work waits for the workers",
+                   std::clamp(Wait, ShortestRetry, LongestRetry)};
+}
+
+double PoolManager::waitMilliseconds(const PoolJob &Job) const {
+  // Work ahead over the rate at which the workers do work, each with as many tasks as fit.
+  if (Queue_.empty())
+    return 0;
+  const auto &Need = Job.Order->Steps.front().Need;
+  double Rate = 0;
+  for (std::size_t Position = 0; Position < Fleet_.size(); ++Position) {
+    auto Index = static_cast<EndpointIndex>(Position);
+    const auto &Known = Fleet_.at(Index);
+    if (Known.Lease != LeaseState::Held || Known.FailedLooks > 0)
+      continue;
+    double Places = Need.Processors > 0
+                        ? std::floor(Known.Entry.Capacity.Processors / Need.Processors)
+                        : Known.Entry.Slots;
+    Rate += std::min<double>(Places, Known.Entry.Slots) * Ratings_.speed(Index);
+  }
+  return Rate > 0 ? WaitingMilliseconds_ / Rate : 0;
+}
+
+void PoolManager::unblockSteps(PoolJob &Job) {
+  for (std::size_t Step = 0; Step < Job.Steps.size(); ++Step) {
+    const auto &After = Job.Order->Steps[Step].After;
+    bool IsReady = std::all_of(After.begin(), After.end(), [&](std::uint32_t Earlier) {
+      return Earlier >= Job.Steps.size() || Job.Steps[Earlier].Unfinished == 0;
+    });
+    auto &Progress = Job.Steps[Step];
+    if (!IsReady)
+      continue;
+    for (std::uint32_t Index = 0; Index < Job.Order->Steps[Step].Count; ++Index) {
+      auto &Task = Job.Tasks[Progress.FirstTask + Index];
+      if (Task.State != TaskState::Blocked)
+        continue;
+      Task.State = TaskState::Waiting;
+      ++Progress.Waiting;
+      WaitingMilliseconds_ += Progress.TypicalMilliseconds;
+    }
+  }
+}
+
+void PoolManager::enqueue(const PoolJob &Job, core::TimePoint Now) {
+  if (Job.waiting() == 0 || QueueKeys_.contains(Job.Handle))
+    return;
+  QueueKey Key{Now > Job.LatestStart, Job.LatestStart, Job.Handle};
+  QueueKeys_[Job.Handle] = Key;
+  Queue_.insert(Key);
+}
+
+void PoolManager::dequeue(JobHandle Handle) {
+  auto Found = QueueKeys_.find(Handle);
+  if (Found == QueueKeys_.end())
+    return;
+  Queue_.erase(Found->second);
+  QueueKeys_.erase(Found);
+}
+
+void PoolManager::finishTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now) {
+  auto &Done = Job.Tasks[Task];
+  if (Done.State == TaskState::Done)
+    return;
+  Done.State = TaskState::Done;
+  auto &Step = Job.Steps[Job.stepOf(Task)];
+  if (Step.Unfinished > 0)
+    --Step.Unfinished;
+  if (Job.IsEnding)
+    return removeIfSettled(Job.Handle, Now);
+  if (Job.isFinished())
+    return endJob(Job, {JobVerdict::Completed, {}, 0}, Now);
+  if (Step.Unfinished == 0) {
+    unblockSteps(Job);
+    enqueue(Job, Now);
+  }
+}
+
+void PoolManager::failTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now) {
+  auto &Failed = Job.Tasks[Task];
+  ++Failed.Failures;
+  if (!Job.IsEnding && Failed.Failures >= Job.Order->Terms.MaximumAttempts) {
+    Failed.State = TaskState::Done;
+    return endJob(Job, {JobVerdict::Failed, "a task failed in every attempt", 0}, Now);
+  }
+  requeueTask(Job, Task, Now);
+}
+
+void PoolManager::requeueTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now) {
+  if (Job.IsEnding) {
+    Job.Tasks[Task].State = TaskState::Done;
+    return removeIfSettled(Job.Handle, Now);
+  }
+  Job.Tasks[Task].State = TaskState::Waiting;
+  auto &Step = Job.Steps[Job.stepOf(Task)];
+  ++Step.Waiting;
+  WaitingMilliseconds_ += Step.TypicalMilliseconds;
+  enqueue(Job, Now);
+  NeedsDispatch_ = true;
+}
+
+void PoolManager::endJob(PoolJob &Job, JobAnswer Answer, core::TimePoint Now) {
+  Job.IsEnding = true;
+  dequeue(Job.Handle);
+  for (auto &Step : Job.Steps) {
+    WaitingMilliseconds_ -= Step.Waiting * Step.TypicalMilliseconds;
+    Step.Waiting = 0;
+  }
+  if (Queue_.empty())
+    WaitingMilliseconds_ = 0; // Keeps rounding errors from adding up.
+  switch (Answer.Verdict) {
+  case JobVerdict::Completed:
+    ++Counters_.JobsCompleted;
+    break;
+  case JobVerdict::Failed:
+    ++Counters_.JobsFailed;
+    break;
+  case JobVerdict::Rejected:
+    ++Counters_.JobsRejected;
+    break;
+  case JobVerdict::GivenUp:
+    ++Counters_.JobsGivenUp;
+    break;
+  }
+  if (Answer.Verdict != JobVerdict::Completed)
+    Log_.line(DecisionWeight::Notable, "job ended without success", Job.key(),
+              {{"why", std::string_view(Answer.Why)},
+               {"age_ms", core::toMilliseconds(Now - Job.Order->ReceivedAt)},
+               {"objective_in_ms", core::toMilliseconds(Job.ObjectiveAt - Now)},
+               {"active_tasks", static_cast<std::int64_t>(Job.active())},
+               {"tasks", static_cast<std::int64_t>(Job.Tasks.size())},
+               {"queued_jobs", static_cast<std::int64_t>(Queue_.size())}});
+  for (auto Origin : Job.Origins)
+    Output_.send(Origin, PoolAnswer{Job.key(), Answer});
+  if (Answer.Verdict == JobVerdict::Completed || Answer.Verdict == JobVerdict::Failed) {
+    Answered_[Job.key()] = {std::move(Answer), Now + AnswerMemory};
+    AnsweredOrder_.push_back(Job.key());
+  }
+  for (std::uint32_t Task = 0; Task < Job.Tasks.size(); ++Task)
+    stopTask(Job, Task, Now);
+  removeIfSettled(Job.Handle, Now);
+}
+
+void PoolManager::stopTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now) {
+  auto &Stopped = Job.Tasks[Task];
+  switch (Stopped.State) {
+  case TaskState::Placed:
+    return Fleet_.stopRun(Stopped.Worker, Job.refOf(Task), Stopped.LastRun, Now);
+  case TaskState::Delegated:
+    return Output_.send(Stopped.Manager, StopDelegated{Job.key(), Task});
+  case TaskState::Blocked:
+  case TaskState::Waiting:
+    Stopped.State = TaskState::Done;
+    return;
+  case TaskState::Settling:
+  case TaskState::Done:
+    return;
+  }
+}
+
+void PoolManager::removeIfSettled(JobHandle Handle, core::TimePoint Now) {
+  auto *Job = find(Handle);
+  if (!Job || Job->active() > 0 || (!Job->IsGuest && !Job->IsEnding))
+    return;
+  auto Successor = Job->Successor;
+  auto Origin = Job->SuccessorOrigin;
+  if (Job->IsGuest)
+    GuestJobs_.erase({Job->Origins.front(), Job->key()});
+  else
+    HomeJobs_.erase(Job->key());
+  dequeue(Handle);
+  Jobs_.erase(Handle);
+  if (Successor)
+    submit(Origin, Successor, Now);
+}
+
+void PoolManager::abandon(PeerIndex From, JobKey Key, core::TimePoint Now) {
+  auto Found = HomeJobs_.find(Key);
+  if (Found == HomeJobs_.end())
+    return;
+  auto &Job = Jobs_.at(Found->second);
+  if (Job.Successor && Job.SuccessorOrigin == From)
+    Job.Successor.reset();
+  std::erase(Job.Origins, From);
+  if (Job.IsEnding || !Job.Origins.empty())
+    return;
+  ++Counters_.JobsAbandoned;
+  endJob(Job, {JobVerdict::GivenUp, "the caller has left", 0}, Now);
+}
+
+void PoolManager::expire(core::TimePoint Now) {
+  std::vector<std::pair<JobHandle, JobAnswer>> Ended;
+  for (const auto &[Handle, Job] : Jobs_) {
+    if (Job.IsEnding || Job.IsGuest)
+      continue;
+    if (Job.OrphanedUntil && Now >= *Job.OrphanedUntil) {
+      Ended.push_back({Handle, {JobVerdict::GivenUp, "its entry process is lost", 0}});
+      continue;
+    }
+    auto Limit = Job.waiting() > 0 ? Job.UsefulUntil - (Job.ObjectiveAt - Job.LatestStart) / 2
+                                   : Job.UsefulUntil;
+    if (Now < Limit)
+      continue;
+    auto Verdict = Job.HasStarted ? JobVerdict::GivenUp : JobVerdict::Rejected;
+    double Retry = std::clamp(waitMilliseconds(Job), ShortestRetry, LongestRetry);
+    Ended.push_back({Handle, {Verdict, "cannot be done while the caller waits", Retry}});
+  }
+  for (auto &[Handle, Answer] : Ended)
+    if (auto *Job = find(Handle))
+      endJob(*Job, std::move(Answer), Now);
+  std::vector<JobHandle> Missed;
+  for (const auto &Key : Queue_) {
+    if (Key.HasMissed || Key.LatestStart >= Now)
+      break;
+    Missed.push_back(Key.Handle);
+  }
+  for (auto Handle : Missed) {
+    dequeue(Handle);
+    enqueue(Jobs_.at(Handle), Now);
+  }
+}
+
+void PoolManager::forgetAnswers(core::TimePoint Now) {
+  while (!AnsweredOrder_.empty()) {
+    auto Found = Answered_.find(AnsweredOrder_.front());
+    if (Found != Answered_.end() && Found->second.ForgetAt > Now)
+      return;
+    if (Found != Answered_.end())
+      Answered_.erase(Found);
+    AnsweredOrder_.pop_front();
+  }
+}
+
+void PoolManager::peerLost(PeerIndex Peer, core::TimePoint Now) {
+  std::vector<JobHandle> Guests;
+  for (auto &[Handle, Job] : Jobs_) {
+    if (Job.IsGuest) {
+      if (Job.Origins.front() == Peer)
+        Guests.push_back(Handle);
+      continue;
+    }
+    bool WasAwaited = std::erase(Job.Origins, Peer) > 0;
+    if (WasAwaited && Job.Origins.empty() && !Job.IsEnding)
+      Job.OrphanedUntil = Now + OrphanTime;
+    for (auto &Task : Job.Tasks)
+      if (Task.State == TaskState::Delegated && Task.Manager == Peer) {
+        Task.State = TaskState::Settling;
+        Task.SettledAt = Now + LostManagerTime;
+      }
+  }
+  for (auto Handle : Guests) {
+    auto &Job = Jobs_.at(Handle);
+    for (std::uint32_t Task = 0; Task < Job.Tasks.size(); ++Task)
+      stopTask(Job, Task, Now);
+  }
+  Remotes_.erase(Peer);
+  afterEvent(Now);
+}
+
+} // namespace cornellift::kernel
--- /dev/null
+++ b/Kernel/Pool/PoolManagerPeers.cpp
@@ -0,0 +1,133 @@
+#include "Kernel/Pool/PoolManager.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cornellift::kernel {
+namespace {
+
+/// Least time between two reports to another manager while its view changes all the time.
+constexpr core::Duration ReportTime = std::chrono::milliseconds(20);
+
+} // namespace
+
+void PoolManager::setManager(PeerIndex Peer, bool IsManager, core::TimePoint Now) {
+  auto &Known = Remotes_[Peer];
+  if (Known.IsManager == IsManager)
+    return;
+  Known.IsManager = IsManager;
+  if (!IsManager)
+    return;
+  sendDirectory(Peer);
+  ReportIsDue_ = true;
+  ReportAt_ = Now;
+  afterEvent(Now);
+}
+
+void PoolManager::sendDirectory(PeerIndex Peer) {
+  Output_.send(Peer, PoolDirectory{DirectoryVersion_, Listed_});
+}
+
+PoolReport PoolManager::makeReport(core::TimePoint Now) const {
+  PoolReport Report;
+  Report.DirectoryVersion = DirectoryVersion_;
+  Report.WaitingTasks = waitingTasks();
+  std::unordered_map<std::string_view, EndpointIndex> IndexById;
+  for (std::size_t Position = 0; Position < Fleet_.size(); ++Position) {
+    auto Index = static_cast<EndpointIndex>(Position);
+    IndexById.emplace(Fleet_.at(Index).Entry.Id, Index);
+  }
+  for (const auto &Entry : Listed_)
+    Report.Rooms.push_back(roomOf(IndexById.at(Entry.Id), Now));
+  return Report;
+}
+
+void PoolManager::sendReports(core::TimePoint Now) {
+  if (!ReportIsDue_ || Now < ReportAt_)
+    return;
+  ReportIsDue_ = false;
+  ReportAt_ = Now + ReportTime;
+  bool HasReaders = std::any_of(Remotes_.begin(), Remotes_.end(),
+                                [](const auto &Entry) { return Entry.second.IsManager; });
+  if (!HasReaders)
+    return;
+  auto Report = makeReport(Now);
+  for (const auto &[Peer, Known] : Remotes_)
+    if (Known.IsManager)
+      Output_.send(Peer, Report);
+}
+
+void PoolManager::acceptDelegated(PeerIndex From, const DelegateTasks &Message,
+                                  core::TimePoint Now) {
+  auto Key = std::pair(From, Message.Order->Key);
+  auto Known = GuestJobs_.find(Key);
+  if (Known == GuestJobs_.end()) {
+    auto &Created = createJob(From, Message.Order, true, Now);
+    Known = GuestJobs_.emplace(Key, Created.Handle).first;
+  }
+  auto Handle = Known->second;
+  for (const auto &Delegated : Message.Tasks) {
+    auto &Job = Jobs_.at(Handle);
+    if (Delegated.Task >= Job.Tasks.size())
+      continue;
+    ++Counters_.GuestTasks;
+    Job.Tasks[Delegated.Task].LastRun = Delegated.Run;
+    if (!placeTask(Job, Delegated.Task, Now))
+      reportGuest(Job, Delegated.Task, Delegated.Run, DelegatedEnd::Refused, {});
+  }
+  ReportIsDue_ = true;
+  removeIfSettled(Handle, Now);
+}
+
+void PoolManager::reportGuest(PoolJob &Job, std::uint32_t Task, std::uint32_t Run, DelegatedEnd How,
+                              std::string_view Worker) {
+  Output_.send(Job.Origins.front(),
+               DelegatedTaskEnded{Job.key(), Task, Run, How, std::string(Worker)});
+}
+
+void PoolManager::delegatedEnded(PeerIndex From, const DelegatedTaskEnded &Message,
+                                 core::TimePoint Now) {
+  auto Known = HomeJobs_.find(Message.Job);
+  if (Known == HomeJobs_.end())
+    return;
+  auto &Job = Jobs_.at(Known->second);
+  if (Message.Task >= Job.Tasks.size())
+    return;
+  auto &Task = Job.Tasks[Message.Task];
+  if (Task.State != TaskState::Delegated || Task.Manager != From || Task.LastRun != Message.Run)
+    return;
+  switch (Message.How) {
+  case DelegatedEnd::Done:
+    return finishTask(Job, Message.Task, Now);
+  case DelegatedEnd::Failed:
+    return failTask(Job, Message.Task, Now);
+  case DelegatedEnd::Refused:
+    ++Counters_.DelegationsRefused;
+    Remotes_[From].Pool.refused(Now);
+    return requeueTask(Job, Message.Task, Now);
+  case DelegatedEnd::Lost:
+    return requeueTask(Job, Message.Task, Now);
+  }
+}
+
+void PoolManager::stopDelegated(PeerIndex From, const StopDelegated &Message, core::TimePoint Now) {
+  auto Known = GuestJobs_.find({From, Message.Job});
+  if (Known == GuestJobs_.end())
+    return; // Its end is on its way.
+  auto &Job = Jobs_.at(Known->second);
+  if (Message.Task < Job.Tasks.size())
+    stopTask(Job, Message.Task, Now);
+}
+
+void PoolManager::settleDelegated(core::TimePoint Now) {
+  std::vector<std::pair<JobHandle, std::uint32_t>> Settled;
+  for (auto &[Handle, Job] : Jobs_)
+    for (std::uint32_t Task = 0; Task < Job.Tasks.size(); ++Task)
+      if (Job.Tasks[Task].State == TaskState::Settling && Now >= Job.Tasks[Task].SettledAt)
+        Settled.emplace_back(Handle, Task);
+  for (auto [Handle, Task] : Settled)
+    if (auto *Job = find(Handle))
+      requeueTask(*Job, Task, Now);
+}
+
+} // namespace cornellift::kernel
--- /dev/null
+++ b/Kernel/Pool/PoolMessages.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "Kernel/Job.h"
+#include "Kernel/Pool/JobKey.h"
+#include "Kernel/Pool/JobOrder.h"
+#include "Kernel/Pool/WorkerMessages.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cornellift::kernel {
+
+/// A session with another entry process; a new number after each loss. Zero is this process.
+enum class PeerIndex : std::uint32_t {};
+constexpr PeerIndex SelfPeer{0};
+
+/// An entry process hands a job over to the manager of a pool.
+struct SubmitToPool {
+  std::shared_ptr<const JobOrder> Order;
+};
+
+/// The manager's final answer.
+struct PoolAnswer {
+  JobKey Job{};
+  JobAnswer Answer;
+};
+
+/// Nobody waits for the job any longer.
+struct AbandonJob {
+  JobKey Job{};
+};
+
+/// A task that a manager asks another one to start at once, or to refuse.
+struct DelegatedTask {
+  std::uint32_t Task = 0; ///< Position among all tasks of the job, step by step.
+  std::uint32_t Run = 1;
+};
+
+struct DelegateTasks {
+  std::shared_ptr<const JobOrder> Order;
+  std::vector<DelegatedTask> Tasks;
+};
+
+enum class DelegatedEnd {
+  Done,
+  Failed,
+  Refused, ///< Not started.
+  Lost     ///< Stopped, lapsed or lost with its worker; it does not run any more.
+};
+
+/// How a delegated task ended.
+struct DelegatedTaskEnded {
+  JobKey Job{};
+  std::uint32_t Task = 0;
+  std::uint32_t Run = 1;
+  DelegatedEnd How = DelegatedEnd::Refused;
+  std::string Worker; ///< That ran the task; empty when Refused.
+};
+
+/// Stops a delegated task; its end is reported as usual.
+struct StopDelegated {
+  JobKey Job{};
+  std::uint32_t Task = 0;
+};
+
+/// What managers tell each other of one worker.
+struct WorkerRoom {
+  Resources Free;
+  std::uint32_t FreeSlots = 0;
+  double Speed = 1; ///< Relative to a typical worker; zero when the worker takes no tasks.
+};
+
+/// The workers that a manager holds. Sent when it changes.
+struct PoolDirectory {
+  std::uint64_t Version = 0;
+  std::vector<WorkerEntry> Workers;
+};
+
+/// Tasks that wait at a manager, by route.
+struct RouteBacklog {
+  std::string Route;
+  std::uint32_t Jobs = 0; ///< Of which no task has started.
+};
+
+/// The room of a manager's workers, in the order of its directory.
+struct PoolReport {
+  std::uint64_t DirectoryVersion = 0;
+  std::vector<WorkerRoom> Rooms;
+  std::uint32_t WaitingTasks = 0;
+  std::vector<RouteBacklog> Backlog;
+};
+
+/// A manager has let go of workers, which run nothing any more.
+struct ReleaseWorkers {
+  std::vector<std::string> Ids;
+};
+
+using PoolMessage =
+    std::variant<SubmitToPool, PoolAnswer, AbandonJob, DelegateTasks, DelegatedTaskEnded,
+                 StopDelegated, PoolDirectory, PoolReport, ReleaseWorkers>;
+
+} // namespace cornellift::kernel
--- /dev/null
+++ b/Kernel/Pool/RemotePool.cpp
@@ -0,0 +1,55 @@
+#include "Kernel/Pool/RemotePool.h"
+
+#include <utility>
+
+namespace cornellift::kernel {
+namespace {
+
+/// A delegation that is younger than this may not be counted in a report that arrives now: the
+/// time of two messages and of the work at both ends.
+constexpr core::Duration ReportLag = std::chrono::milliseconds(12);
+/// A refusal shows that another manager was faster; its report follows soon.
+constexpr core::Duration RefusalTime = std::chrono::milliseconds(20);
+
+} // namespace
+
+void RemotePool::setDirectory(PoolDirectory Directory) {
+  DirectoryVersion_ = Directory.Version;
+  Reservations_.clear();
+  Workers_.clear();
+  for (auto &Entry : Directory.Workers)
+    Workers_.push_back({std::move(Entry), {}});
+  for (auto &Worker : Workers_)
+    Worker.Room.Speed = 0; // Takes no tasks before the first report.
+}
+
+void RemotePool::setReport(const PoolReport &Report, core::TimePoint Now) {
+  WaitingTasks_ = Report.WaitingTasks;
+  if (Report.DirectoryVersion != DirectoryVersion_ || Report.Rooms.size() != Workers_.size())
+    return;
+  for (std::size_t Position = 0; Position < Workers_.size(); ++Position)
+    Workers_[Position].Room = Report.Rooms[Position];
+  AvoidUntil_ = {};
+  while (!Reservations_.empty() && Reservations_.front().At + ReportLag < Now)
+    Reservations_.pop_front();
+  for (const auto &Recent : Reservations_)
+    take(Recent);
+}
+
+void RemotePool::reserve(std::size_t Worker, const Resources &Need, core::TimePoint Now) {
+  Reservations_.push_back({Worker, Need, Now});
+  take(Reservations_.back());
+}
+
+void RemotePool::refused(core::TimePoint Now) { AvoidUntil_ = Now + RefusalTime; }
+
+void RemotePool::take(const Reservation &Taken) {
+  auto &Room = Workers_[Taken.Worker].Room;
+  Room.Free.Processors -= Taken.Need.Processors;
+  Room.Free.MemoryMegabytes -= Taken.Need.MemoryMegabytes;
+  Room.Free.Accelerators -= Taken.Need.Accelerators;
+  if (Room.FreeSlots > 0)
+    --Room.FreeSlots;
+}
+
+} // namespace cornellift::kernel
--- /dev/null
+++ b/Kernel/Pool/Worker.cpp
@@ -0,0 +1,71 @@
+#include "Kernel/Pool/Worker.h"
+
+#include <algorithm>
+
+namespace cornellift::kernel {
+namespace {
+
+/// Amounts are given in thousandths; sums of them differ from the capacity by rounding only.
+constexpr double RoundingSlack = 1e-6;
+
+} // namespace
+
+bool Worker::isOpen(core::TimePoint Now) const {
+  return Lease == LeaseState::Held && IsListed && Entry.Standing == WorkerStanding::Ready &&
+         FailedLooks == 0 && !HasForeignRuns && Clock.isKnown() && Now >= AvoidUntil;
+}
+
+Resources Worker::free() const {
+  return {Entry.Capacity.Processors - Committed.Processors,
+          Entry.Capacity.MemoryMegabytes - Committed.MemoryMegabytes,
+          Entry.Capacity.Accelerators - Committed.Accelerators};
+}
+
+std::uint32_t Worker::freeSlots() const {
+  auto Used = static_cast<std::uint32_t>(Runs.size());
+  return Used < Entry.Slots ? Entry.Slots - Used : 0;
+}
+
+bool Worker::fits(const Resources &Need) const {
+  auto Room = free();
+  return freeSlots() > 0 && Need.Processors <= Room.Processors + RoundingSlack &&
+         Need.MemoryMegabytes <= Room.MemoryMegabytes + RoundingSlack &&
+         Need.Accelerators <= Room.Accelerators + RoundingSlack;
+}
+
+bool Worker::hasLabel(const std::string &Label) const {
+  return std::find(Entry.Labels.begin(), Entry.Labels.end(), Label) != Entry.Labels.end();
+}
+
+Run *Worker::find(const TaskRef &Task, std::uint32_t Number) {
+  auto Found = std::find_if(Runs.begin(), Runs.end(), [&](const Run &Candidate) {
+    return Candidate.Task == Task && Candidate.Number == Number;
+  });
+  return Found == Runs.end() ? nullptr : &*Found;
+}
+
+void Worker::add(Run Started) {
+  Committed.Processors += Started.Need.Processors;
+  Committed.MemoryMegabytes += Started.Need.MemoryMegabytes;
+  Committed.Accelerators += Started.Need.Accelerators;
+  Runs.push_back(std::move(Started));
+}
+
+void Worker::remove(const TaskRef &Task, std::uint32_t Number) {
+  const auto *Found = find(Task, Number);
+  if (!Found)
+    return;
+  auto Need = Found->Need;
+  std::erase_if(Runs, [&](const Run &Candidate) {
+    return Candidate.Task == Task && Candidate.Number == Number;
+  });
+  if (Runs.empty()) {
+    Committed = {}; // Keeps rounding errors from adding up.
+    return;
+  }
+  Committed.Processors -= Need.Processors;
+  Committed.MemoryMegabytes -= Need.MemoryMegabytes;
+  Committed.Accelerators -= Need.Accelerators;
+}
+
+} // namespace cornellift::kernel
--- /dev/null
+++ b/Kernel/Pool/WorkerListing.cpp
@@ -0,0 +1,55 @@
+#include "Kernel/Pool/WorkerListing.h"
+
+#include <utility>
+
+namespace cornellift::kernel {
+namespace {
+
+/// A failure of the store that is older than this does not explain that an entry is gone.
+constexpr core::Duration AwayMemory = std::chrono::seconds(3);
+/// How long a worker is kept whose entry lapsed with the store away.
+constexpr core::Duration ReturnTime = std::chrono::milliseconds(2300);
+
+} // namespace
+
+void WorkerListing::written(const std::string &Id, std::optional<WorkerEntry> Entry) {
+  if (!Entry) {
+    Entries_.erase(Id);
+    return;
+  }
+  Entries_[Id] = {std::move(*Entry), std::nullopt};
+}
+
+void WorkerListing::removed(const std::string &Id, core::TimePoint StoreAwayAt,
+                            core::TimePoint Now) {
+  auto Found = Entries_.find(Id);
+  if (Found == Entries_.end() || Found->second.DropAt)
+    return;
+  bool MayReturn = StoreAwayAt != core::TimePoint() && Now - StoreAwayAt < AwayMemory &&
+                   Found->second.Entry.Standing == WorkerStanding::Ready;
+  Found->second.DropAt = MayReturn ? Now + ReturnTime : Now;
+}
+
+bool WorkerListing::tick(core::TimePoint Now) {
+  auto Dropped = std::erase_if(Entries_, [&](const auto &Entry) {
+    return Entry.second.DropAt && Now >= *Entry.second.DropAt;
+  });
+  return Dropped > 0;
+}
+
+std::vector<WorkerEntry> WorkerListing::of(const std::set<std::string> &DataCentres) const {
+  std::vector<WorkerEntry> Result;
+  for (const auto &[Id, Entry] : Entries_)
+    if (DataCentres.contains(Entry.Entry.DataCentre))
+      Result.push_back(Entry.Entry);
+  return Result;
+}
+
+std::vector<std::string> WorkerListing::ids() const {
+  std::vector<std::string> Result;
+  for (const auto &[Id, Entry] : Entries_)
+    Result.push_back(Id);
+  return Result;
+}
+
+} // namespace cornellift::kernel
--- a/Kernel/Scheduling/SpeedEstimator.h
+++ b/Kernel/Scheduling/SpeedEstimator.h
@@ -4,6 +4,7 @@
 #include "Libraries/LibCore/Time.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <vector>
 
 namespace cornellift::kernel {
@@ -17,7 +18,11 @@
 public:
   void resize(std::size_t Endpoints);
 
-  /// Zero without evidence.
+  /// Endpoints of one group tend to be equally fast: without evidence of its own, an endpoint is
+  /// taken to be like its group. All endpoints start in group zero.
+  void assignGroup(EndpointIndex Endpoint, std::uint32_t Group);
+
+  /// Zero without any evidence.
   double logSpeed(EndpointIndex Endpoint) const;
 
   /// LogRatio is the logarithm of the expected run time over the measured one. Deviation is the
@@ -31,12 +36,24 @@
     double Recent = 0; ///< Mean of the last few samples, to notice a sudden change.
     double RecentWeight = 0;
     core::TimePoint LastDecay;
+    std::uint32_t Group = 0;
+  };
+
+  /// Sums over the endpoints of a group.
+  struct GroupEvidence {
+    double Weight = 0;
+    double Sum = 0;
   };
 
   /// Mean over the samples of all endpoints.
   double typicalLog() const;
+  /// Mean over the samples of the group, drawn towards that of all endpoints.
+  double groupLog(const GroupEvidence &Group) const;
+  void withdraw(const Evidence &Known);
+  void contribute(const Evidence &Known);
 
   std::vector<Evidence> Endpoints_;
+  std::vector<GroupEvidence> Groups_{1};
   double TotalWeight_ = 0;
   double TotalSum_ = 0;
 };
--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -33,6 +33,8 @@
   Layout->setLocationInfo(false);
   if (File.empty())
     return std::make_shared<log4cxx::ConsoleAppender>(Layout, LOG4CXX_STR("System.err"));
+  if (File == "-")
+    return std::make_shared<log4cxx::ConsoleAppender>(Layout, LOG4CXX_STR("System.out"));
   LOG4CXX_DECODE_CHAR(Path, std::string(File));
   return std::make_shared<log4cxx::FileAppender>(Layout, Path, true);
 }
@@ -49,6 +51,11 @@
 
 void logLine(LogLevel Level, std::string_view Component, std::string_view Message,
              std::initializer_list<LogField> Fields) {
+  logLine(Level, Component, Message, std::span(Fields.begin(), Fields.size()));
+}
+
+void logLine(LogLevel Level, std::string_view Component, std::string_view Message,
+             std::span<const LogField> Fields) {
   auto Logger = log4cxx::Logger::getLogger(std::string(Component));
   auto LibraryLevel = toLibraryLevel(Level);
   if (!Logger->isEnabledFor(LibraryLevel))
--- a/Libraries/LibCore/Log.h
+++ b/Libraries/LibCore/Log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -12,11 +13,14 @@
 /// One structured field of a log line.
 using LogField = std::pair<std::string, std::string>;
 
-/// Sends JSON lines to standard error, or to the file when its path is not empty. Call once, before
-/// other threads start. Level is one of "debug", "info", "warn" and "error".
+/// Sends JSON lines to standard error, or to the file when its path is not empty; the path "-"
+/// stands for standard output. Call once, before other threads start. Level is one of "debug",
+/// "info", "warn" and "error".
 void configureLog(std::string_view Level, std::string_view File);
 
 /// Writes one line. The component is the logger's name; fields appear under "context_map".
+void logLine(LogLevel Level, std::string_view Component, std::string_view Message,
+             std::span<const LogField> Fields);
 void logLine(LogLevel Level, std::string_view Component, std::string_view Message,
              std::initializer_list<LogField> Fields = {});
 
--- a/Libraries/LibCore/Settings.cpp
+++ b/Libraries/LibCore/Settings.cpp
@@ -6,6 +6,7 @@
 #include <cctype>
 #include <charconv>
 #include <cstdlib>
+#include <fstream>
 #include <iomanip>
 #include <iostream>
 #include <sstream>
@@ -80,12 +81,34 @@
   return Options;
 }
 
-/// The flag wins over the environment, and the environment over the default.
-std::optional<std::string> valueOf(const SettingSpec &Spec, const cxxopts::ParseResult &Parsed) {
+using FileValues = std::map<std::string, std::string, std::less<>>;
+
+/// Reads lines `name=value`; empty lines and lines that begin with # are skipped.
+std::optional<FileValues> readFile(const std::string &Path) {
+  std::ifstream File(Path);
+  if (!File)
+    return fail(ErrorKind::NotFound,
+                "cannot read the settings file \"" + Path + "\"; give its right path");
+  FileValues Values;
+  for (std::string Line; std::getline(File, Line);) {
+    auto Equals = Line.find('=');
+    if (Line.empty() || Line.front() == '#' || Equals == std::string::npos)
+      continue;
+    Values[Line.substr(0, Equals)] = Line.substr(Equals + 1);
+  }
+  return Values;
+}
+
+/// The flag wins over the environment, the environment over the file, and the file over the
+/// default.
+std::optional<std::string> valueOf(const SettingSpec &Spec, const cxxopts::ParseResult &Parsed,
+                                   const FileValues &File) {
   if (Parsed.count(Spec.Name) > 0)
     return Parsed[Spec.Name].as<std::string>();
   if (const char *FromEnvironment = std::getenv(environmentName(Spec.Name).c_str()))
     return std::string(FromEnvironment);
+  if (auto FromFile = File.find(Spec.Name); FromFile != File.end())
+    return FromFile->second;
   if (Spec.Type == SettingType::Flag)
     return Spec.Default.value_or("false");
   return Spec.Default;
@@ -96,7 +119,8 @@
 std::optional<Settings> Settings::parse(std::string_view Program, std::string_view Summary,
                                         std::span<const SettingSpec> Specs,
                                         std::span<const char *const> Arguments,
-                                        std::string_view PositionalHelp) {
+                                        std::string_view PositionalHelp,
+                                        std::string_view FileSetting) {
   auto Options = makeOptions(Program, Summary, Specs, PositionalHelp);
   Settings Result;
   try {
@@ -111,8 +135,18 @@
     }
     if (Parsed.count("positional") > 0)
       Result.Positional_ = Parsed["positional"].as<std::vector<std::string>>();
+    FileValues File;
+    for (const auto &Spec : Specs) {
+      auto Path = Spec.Name == FileSetting ? valueOf(Spec, Parsed, File) : std::nullopt;
+      if (!Path || Path->empty())
+        continue;
+      auto Read = readFile(*Path);
+      if (!Read)
+        return std::nullopt;
+      File = std::move(*Read);
+    }
     for (const auto &Spec : Specs) {
-      auto Value = valueOf(Spec, Parsed);
+      auto Value = valueOf(Spec, Parsed, File);
       if (!Value)
         return fail(ErrorKind::Malformed,
                     "--" + Spec.Name + " is missing; give it or set " + environmentName(Spec.Name));
--- a/Libraries/LibCore/Settings.h
+++ b/Libraries/LibCore/Settings.h
@@ -22,7 +22,8 @@
 /// Kind of value that a setting takes.
 enum class SettingType { Text, Integer, Real, Flag };
 
-/// One setting: flag `--name` and environment variable `CORNELLIFT_NAME`. The flag wins.
+/// One setting: flag `--name`, environment variable `CORNELLIFT_NAME`, or line `name=value` of a
+/// settings file. The flag wins over the variable, and the variable over the file.
 struct SettingSpec {
   std::string Name;        ///< Lower case with dashes.
   std::string Description; ///< With the unit.
@@ -36,11 +37,14 @@
 class Settings {
 public:
   /// Parses and checks. Prints --help or --version and exits with 0 when they are given. Returns an
-  /// empty optional with Malformed for an unknown flag, a bad value, or a missing setting.
+  /// empty optional with Malformed for an unknown flag, a bad value, or a missing setting. The
+  /// value of the setting FileSetting, when it is named and not empty, is the path of a settings
+  /// file; lines of the file that name no setting are ignored.
   static std::optional<Settings> parse(std::string_view Program, std::string_view Summary,
                                        std::span<const SettingSpec> Specs,
                                        std::span<const char *const> Arguments,
-                                       std::string_view PositionalHelp = "");
+                                       std::string_view PositionalHelp = "",
+                                       std::string_view FileSetting = "");
 
   const std::string &text(std::string_view Name) const;
   std::int64_t integer(std::string_view Name) const;
--- /dev/null
+++ b/Libraries/LibMesh/MeshCoding.cpp
@@ -0,0 +1,241 @@
+#include "Libraries/LibMesh/MeshCoding.h"
+
+#include <algorithm>
+#include <cmath>
+#include <memory>
+
+namespace cornellift::mesh {
+namespace {
+
+using namespace cornellift::kernel;
+
+constexpr double MillicoresPerCore = 1000;
+constexpr double Percent = 100;
+
+std::uint32_t toCount(double Value) {
+  return static_cast<std::uint32_t>(std::max(0.0, std::floor(Value + 1e-6)));
+}
+
+void encodeNeed(const Resources &Value, Need &Out) {
+  Out.set_processors(Value.Processors);
+  Out.set_memory_mb(Value.MemoryMegabytes);
+  Out.set_accelerators(Value.Accelerators);
+}
+
+Resources decodeNeed(const Need &Message) {
+  return {Message.processors(), Message.memory_mb(), Message.accelerators()};
+}
+
+void encodeOrder(const JobOrder &Value, core::TimePoint Now, Order &Out) {
+  Out.set_job(static_cast<std::uint64_t>(Value.Key));
+  Out.set_specification(Value.Specification);
+  for (const auto &Each : Value.Steps) {
+    auto &Added = *Out.add_steps();
+    Added.set_count(Each.Count);
+    encodeNeed(Each.Need, *Added.mutable_need());
+    Added.set_declared_ms(Each.DeclaredMilliseconds);
+    for (auto Earlier : Each.After)
+      Added.add_after(Earlier);
+    Added.set_required_label(Each.RequiredLabel);
+    Added.set_data_rack(Each.DataRack);
+    Added.set_maximum_per_worker(Each.MaximumPerWorker);
+  }
+  Out.set_route(Value.Terms.Route);
+  Out.set_service(Value.Terms.Service);
+  Out.set_priority(Value.Terms.Priority);
+  Out.set_maximum_attempts(Value.Terms.MaximumAttempts);
+  Out.set_stretch(Value.Terms.Stretch);
+  Out.set_target_latency_ms(Value.Terms.TargetLatencyMilliseconds);
+  Out.set_age_ms(core::toMilliseconds(Now - Value.ReceivedAt));
+  Out.set_answer_within_ms(core::toMilliseconds(Value.AnswerBy - Now));
+}
+
+std::shared_ptr<const JobOrder> decodeOrder(const Order &Message, core::TimePoint Now) {
+  auto Value = std::make_shared<JobOrder>();
+  Value->Key = static_cast<JobKey>(Message.job());
+  Value->Specification = Message.specification();
+  for (const auto &Each : Message.steps()) {
+    JobStep Added;
+    Added.Count = Each.count();
+    Added.Need = decodeNeed(Each.need());
+    Added.DeclaredMilliseconds = Each.declared_ms();
+    Added.After.assign(Each.after().begin(), Each.after().end());
+    Added.RequiredLabel = Each.required_label();
+    Added.DataRack = Each.data_rack();
+    Added.MaximumPerWorker = Each.maximum_per_worker();
+    Value->Steps.push_back(std::move(Added));
+  }
+  Value->Terms = {Message.route(),    Message.service(),
+                  Message.priority(), Message.maximum_attempts(),
+                  Message.stretch(),  Message.target_latency_ms()};
+  Value->ReceivedAt = Now - core::fromMilliseconds(Message.age_ms());
+  Value->AnswerBy = Now + core::fromMilliseconds(Message.answer_within_ms());
+  return Value;
+}
+
+void encodeWorker(const WorkerEntry &Value, Worker &Out) {
+  Out.set_id(Value.Id);
+  Out.set_address(Value.Address);
+  Out.set_data_centre(Value.DataCentre);
+  Out.set_service(Value.Service);
+  Out.set_draining(Value.Standing == WorkerStanding::Draining);
+  encodeNeed(Value.Capacity, *Out.mutable_capacity());
+  Out.set_slots(Value.Slots);
+  for (const auto &Label : Value.Labels)
+    Out.add_labels(Label);
+  Out.set_born_ms(Value.BornMilliseconds);
+}
+
+WorkerEntry decodeWorker(const Worker &Message) {
+  WorkerEntry Value;
+  Value.Id = Message.id();
+  Value.Address = Message.address();
+  Value.DataCentre = Message.data_centre();
+  Value.Service = Message.service();
+  Value.Standing = Message.draining() ? WorkerStanding::Draining : WorkerStanding::Ready;
+  Value.Capacity = decodeNeed(Message.capacity());
+  Value.Slots = Message.slots();
+  Value.Labels.assign(Message.labels().begin(), Message.labels().end());
+  Value.BornMilliseconds = Message.born_ms();
+  return Value;
+}
+
+void encodeReport(const PoolReport &Value, Report &Out) {
+  Out.set_directory_version(Value.DirectoryVersion);
+  for (const auto &Room : Value.Rooms) {
+    Out.add_free_millicores(toCount(Room.Free.Processors * MillicoresPerCore));
+    Out.add_free_memory_mb(toCount(Room.Free.MemoryMegabytes));
+    Out.add_free_accelerators(toCount(Room.Free.Accelerators));
+    Out.add_free_slots(Room.FreeSlots);
+    Out.add_speed_percent(toCount(Room.Speed * Percent));
+  }
+  Out.set_waiting_tasks(Value.WaitingTasks);
+}
+
+PoolReport decodeReport(const Report &Message) {
+  PoolReport Value;
+  Value.DirectoryVersion = Message.directory_version();
+  Value.WaitingTasks = Message.waiting_tasks();
+  auto Count = std::min({Message.free_millicores_size(), Message.free_memory_mb_size(),
+                         Message.free_accelerators_size(), Message.free_slots_size(),
+                         Message.speed_percent_size()});
+  for (int Position = 0; Position < Count; ++Position)
+    Value.Rooms.push_back({{Message.free_millicores(Position) / MillicoresPerCore,
+                            static_cast<double>(Message.free_memory_mb(Position)),
+                            static_cast<double>(Message.free_accelerators(Position))},
+                           Message.free_slots(Position),
+                           Message.speed_percent(Position) / Percent});
+  return Value;
+}
+
+/// Writes each kind of message into the frame's field for it.
+class FrameWriter {
+public:
+  FrameWriter(Frame &Out, core::TimePoint Now) : Out_(Out), Now_(Now) {}
+
+  void operator()(const SubmitToPool &Value) const {
+    encodeOrder(*Value.Order, Now_, *Out_.mutable_submit());
+  }
+  void operator()(const PoolAnswer &Value) const {
+    auto &Message = *Out_.mutable_answer();
+    Message.set_job(static_cast<std::uint64_t>(Value.Job));
+    Message.set_verdict(static_cast<std::uint32_t>(Value.Answer.Verdict));
+    Message.set_why(Value.Answer.Why);
+    Message.set_retry_after_ms(Value.Answer.RetryAfterMilliseconds);
+  }
+  void operator()(const AbandonJob &Value) const {
+    Out_.mutable_abandon()->set_job(static_cast<std::uint64_t>(Value.Job));
+  }
+  void operator()(const DelegateTasks &Value) const {
+    auto &Message = *Out_.mutable_delegate();
+    encodeOrder(*Value.Order, Now_, *Message.mutable_order());
+    for (const auto &Task : Value.Tasks) {
+      auto &Added = *Message.add_tasks();
+      Added.set_task(Task.Task);
+      Added.set_run(Task.Run);
+    }
+  }
+  void operator()(const DelegatedTaskEnded &Value) const {
+    auto &Message = *Out_.mutable_delegated_end();
+    Message.set_job(static_cast<std::uint64_t>(Value.Job));
+    Message.set_task(Value.Task);
+    Message.set_run(Value.Run);
+    Message.set_how(static_cast<std::uint32_t>(Value.How));
+    Message.set_worker(Value.Worker);
+  }
+  void operator()(const StopDelegated &Value) const {
+    Out_.mutable_stop_task()->set_job(static_cast<std::uint64_t>(Value.Job));
+    Out_.mutable_stop_task()->set_task(Value.Task);
+  }
+  void operator()(const PoolDirectory &Value) const {
+    Out_.mutable_directory()->set_version(Value.Version);
+    for (const auto &Entry : Value.Workers)
+      encodeWorker(Entry, *Out_.mutable_directory()->add_workers());
+  }
+  void operator()(const PoolReport &Value) const { encodeReport(Value, *Out_.mutable_report()); }
+  void operator()(const ReleaseWorkers &Value) const {
+    for (const auto &Id : Value.Ids)
+      Out_.mutable_release()->add_ids(Id);
+  }
+
+private:
+  Frame &Out_;
+  core::TimePoint Now_;
+};
+
+template <typename Enumeration>
+Enumeration decodeEnumeration(std::uint32_t Value, Enumeration Last) {
+  return static_cast<Enumeration>(std::min(Value, static_cast<std::uint32_t>(Last)));
+}
+
+} // namespace
+
+Frame encode(const PoolMessage &Message, core::TimePoint Now) {
+  Frame Out;
+  std::visit(FrameWriter(Out, Now), Message);
+  return Out;
+}
+
+std::optional<PoolMessage> decode(const Frame &Message, core::TimePoint Now) {
+  switch (Message.content_case()) {
+  case Frame::kSubmit:
+    return SubmitToPool{decodeOrder(Message.submit(), Now)};
+  case Frame::kAnswer: {
+    const auto &Value = Message.answer();
+    return PoolAnswer{static_cast<JobKey>(Value.job()),
+                      {decodeEnumeration(Value.verdict(), JobVerdict::GivenUp), Value.why(),
+                       Value.retry_after_ms()}};
+  }
+  case Frame::kAbandon:
+    return AbandonJob{static_cast<JobKey>(Message.abandon().job())};
+  case Frame::kDelegate: {
+    DelegateTasks Value{decodeOrder(Message.delegate().order(), Now), {}};
+    for (const auto &Task : Message.delegate().tasks())
+      Value.Tasks.push_back({Task.task(), Task.run()});
+    return Value;
+  }
+  case Frame::kDelegatedEnd: {
+    const auto &Value = Message.delegated_end();
+    return DelegatedTaskEnded{static_cast<JobKey>(Value.job()), Value.task(), Value.run(),
+                              decodeEnumeration(Value.how(), kernel::DelegatedEnd::Lost),
+                              Value.worker()};
+  }
+  case Frame::kStopTask:
+    return StopDelegated{static_cast<JobKey>(Message.stop_task().job()),
+                         Message.stop_task().task()};
+  case Frame::kDirectory: {
+    PoolDirectory Value{Message.directory().version(), {}};
+    for (const auto &Entry : Message.directory().workers())
+      Value.Workers.push_back(decodeWorker(Entry));
+    return Value;
+  }
+  case Frame::kReport:
+    return decodeReport(Message.report());
+  case Frame::kRelease:
+    return ReleaseWorkers{{Message.release().ids().begin(), Message.release().ids().end()}};
+  default:
+    return std::nullopt;
+  }
+}
+
+} // namespace cornellift::mesh
--- /dev/null
+++ b/Libraries/LibMesh/MeshNode.cpp
@@ -0,0 +1,166 @@
+#include "Libraries/LibMesh/MeshNode.h"
+
+#include "Libraries/LibCore/Log.h"
+#include "Libraries/LibCore/Reason.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cornellift::mesh {
+namespace {
+
+/// Between heartbeats to a peer with which work is shared, and to others.
+constexpr core::Duration CloseInterval = std::chrono::milliseconds(120);
+constexpr core::Duration DistantInterval = std::chrono::milliseconds(700);
+
+} // namespace
+
+MeshNode::MeshNode(asio::io_context &Reactor, MeshIdentity Identity, MeshListener &Listener)
+    : Reactor_(Reactor), Identity_(std::move(Identity)), Listener_(Listener), Acceptor_(Reactor),
+      Random_(Identity_.Incarnation) {}
+
+MeshNode::~MeshNode() = default;
+
+bool MeshNode::listen(const Tcp::endpoint &Address) {
+  boost::system::error_code Error;
+  Acceptor_.open(Address.protocol(), Error);
+  if (!Error)
+    Acceptor_.set_option(Tcp::acceptor::reuse_address(true), Error);
+  if (!Error)
+    Acceptor_.bind(Address, Error);
+  if (!Error)
+    Acceptor_.listen(asio::socket_base::max_listen_connections, Error);
+  if (Error)
+    return core::failFalse(core::ErrorKind::Unavailable,
+                           "cannot listen on " + reactor::formatAddress(Address) + ": " +
+                               Error.message() + "; give a free mesh address");
+  acceptNext();
+  return true;
+}
+
+void MeshNode::acceptNext() {
+  Acceptor_.async_accept([this](boost::system::error_code Error, Tcp::socket Socket) {
+    if (!Acceptor_.is_open())
+      return;
+    if (!Error) {
+      auto Connection = std::make_shared<MeshConnection>(Reactor_, std::move(Socket));
+      Connection->setHandlers(
+          {[this, Connection](const Frame &Message) { helloReceived(Connection, Message); }, {}});
+      Connection->start();
+    }
+    acceptNext();
+  });
+}
+
+void MeshNode::helloReceived(const std::shared_ptr<MeshConnection> &Connection,
+                             const Frame &Message) {
+  if (!Message.has_hello() || Message.hello().vm() == Identity_.Vm)
+    return Connection->close();
+  obtain(Message.hello().vm())->accept(Connection, Message.hello(), core::MonotonicClock::now());
+}
+
+std::shared_ptr<MeshPeer> MeshNode::obtain(const std::string &Vm) {
+  auto &Peer = Peers_[Vm];
+  if (!Peer)
+    Peer = std::make_shared<MeshPeer>(Reactor_, static_cast<MeshPeerOwner &>(*this), Vm);
+  return Peer;
+}
+
+void MeshNode::learn(const std::string &Vm, const std::string &Address) {
+  if (Vm != Identity_.Vm && Address != Identity_.Address)
+    obtain(Vm)->setAddress(Address);
+}
+
+void MeshNode::learnAddress(const std::string &Address) {
+  if (Address == Identity_.Address)
+    return;
+  bool IsKnown = std::any_of(Peers_.begin(), Peers_.end(),
+                             [&](const auto &Entry) { return Entry.second->address() == Address; });
+  if (!IsKnown)
+    obtain(Address)->setAddress(Address);
+}
+
+void MeshNode::send(kernel::PeerIndex Peer, Frame Message) {
+  auto Found = ByIndex_.find(Peer);
+  if (Found != ByIndex_.end())
+    Found->second->send(std::move(Message));
+}
+
+void MeshNode::beatNow(core::TimePoint Now) {
+  for (const auto &[Vm, Peer] : Peers_)
+    Peer->beat(Now);
+}
+
+void MeshNode::tick(core::TimePoint Now) {
+  auto Copy = Peers_; // A loss may make further peers known.
+  for (const auto &[Vm, Peer] : Copy) {
+    if (Peer->isUp())
+      Peer->setInterval(Listener_.isClose(*Peer) ? CloseInterval : DistantInterval);
+    Peer->tick(Now);
+  }
+}
+
+void MeshNode::close() {
+  boost::system::error_code Ignored; // Nothing depends on how the socket closes.
+  Acceptor_.close(Ignored);
+  for (const auto &[Vm, Peer] : Peers_)
+    Peer->shutDown();
+}
+
+std::vector<const MeshPeer *> MeshNode::peers() const {
+  std::vector<const MeshPeer *> Result;
+  for (const auto &[Vm, Peer] : Peers_)
+    if (Peer->isUp())
+      Result.push_back(Peer.get());
+  return Result;
+}
+
+std::vector<const MeshPeer *> MeshNode::known() const {
+  std::vector<const MeshPeer *> Result;
+  for (const auto &[Vm, Peer] : Peers_)
+    Result.push_back(Peer.get());
+  return Result;
+}
+
+const MeshPeer *MeshNode::find(kernel::PeerIndex Index) const {
+  auto Found = ByIndex_.find(Index);
+  return Found == ByIndex_.end() ? nullptr : Found->second;
+}
+
+std::uint64_t MeshNode::newSession() { return Random_(); }
+
+bool MeshNode::peerNamed(MeshPeer &Peer, const std::string &Vm) {
+  auto Known = Peers_.find(Peer.vm());
+  auto Self = Known->second;
+  Peers_.erase(Known);
+  if (Vm == Identity_.Vm || Peers_.contains(Vm)) {
+    Self->shutDown();
+    return false;
+  }
+  Self->setName(Vm);
+  Peers_.emplace(Vm, std::move(Self));
+  return true;
+}
+
+Heartbeat MeshNode::currentHeartbeat() { return Listener_.heartbeatFor(); }
+
+void MeshNode::peerUp(MeshPeer &Peer) {
+  Peer.Index = static_cast<kernel::PeerIndex>(NextIndex_++);
+  ByIndex_[Peer.Index] = &Peer;
+  Listener_.peerUp(Peer);
+}
+
+void MeshNode::peerDown(MeshPeer &Peer, PeerLoss How) {
+  ByIndex_.erase(Peer.Index);
+  Listener_.peerDown(Peer, How);
+}
+
+void MeshNode::peerHeartbeat(MeshPeer &Peer, const Heartbeat &Message) {
+  Listener_.heartbeatReceived(Peer, Message);
+}
+
+void MeshNode::peerMessage(MeshPeer &Peer, const Frame &Message) {
+  Listener_.messageReceived(Peer, Message);
+}
+
+} // namespace cornellift::mesh
--- /dev/null
+++ b/Libraries/LibMesh/MeshNode.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "Libraries/LibMesh/MeshPeer.h"
+#include "Libraries/LibReactor/Asio.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cornellift::mesh {
+
+/// Learns of the peers of a MeshNode. Calls come on the reactor's thread.
+class MeshListener {
+public:
+  virtual ~MeshListener() = default;
+  virtual Heartbeat heartbeatFor() = 0;
+  /// Whether work is shared with the VM, so that its loss has to be noticed soon.
+  virtual bool isClose(const MeshPeer &Peer) = 0;
+  virtual void peerUp(const MeshPeer &Peer) = 0;
+  virtual void peerDown(const MeshPeer &Peer, PeerLoss How) = 0;
+  virtual void heartbeatReceived(const MeshPeer &Peer, const Heartbeat &Message) = 0;
+  virtual void messageReceived(const MeshPeer &Peer, const Frame &Message) = 0;
+};
+
+/// All links of this process to other entry processes.
+class MeshNode final : private MeshPeerOwner {
+public:
+  MeshNode(asio::io_context &Reactor, MeshIdentity Identity, MeshListener &Listener);
+  ~MeshNode() override;
+
+  /// Returns false with Unavailable when the port cannot be bound.
+  bool listen(const Tcp::endpoint &Address);
+
+  /// A VM exists at that address, as told by the store, the settings or another peer.
+  void learn(const std::string &Vm, const std::string &Address);
+
+  /// An address without a name, such as one of the settings; its process tells its name.
+  void learnAddress(const std::string &Address);
+
+  void send(kernel::PeerIndex Peer, Frame Message);
+
+  /// Sends heartbeats to all peers now, because their content has changed.
+  void beatNow(core::TimePoint Now);
+
+  void tick(core::TimePoint Now);
+  void close();
+
+  /// Links that are up.
+  std::vector<const MeshPeer *> peers() const;
+  /// All known VMs, reachable or not.
+  std::vector<const MeshPeer *> known() const;
+  const MeshPeer *find(kernel::PeerIndex Index) const;
+  const MeshIdentity &identity() const override { return Identity_; }
+
+private:
+  void acceptNext();
+  void helloReceived(const std::shared_ptr<MeshConnection> &Connection, const Frame &Message);
+  std::shared_ptr<MeshPeer> obtain(const std::string &Vm);
+  std::uint64_t newSession() override;
+  bool peerNamed(MeshPeer &Peer, const std::string &Vm) override;
+  Heartbeat currentHeartbeat() override;
+  void peerUp(MeshPeer &Peer) override;
+  void peerDown(MeshPeer &Peer, PeerLoss How) override;
+  void peerHeartbeat(MeshPeer &Peer, const Heartbeat &Message) override;
+  void peerMessage(MeshPeer &Peer, const Frame &Message) override;
+
+  asio::io_context &Reactor_;
+  MeshIdentity Identity_;
+  MeshListener &Listener_;
+  Tcp::acceptor Acceptor_;
+  std::mt19937_64 Random_;
+  std::map<std::string, std::shared_ptr<MeshPeer>> Peers_;
+  std::unordered_map<kernel::PeerIndex, MeshPeer *> ByIndex_;
+  std::uint32_t NextIndex_ = 1;
+};
+
+} // namespace cornellift::mesh
--- /dev/null
+++ b/Libraries/LibMesh/MeshPeer.cpp
@@ -0,0 +1,280 @@
+#include "Libraries/LibMesh/MeshPeer.h"
+
+#include <boost/asio/error.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cornellift::mesh {
+namespace {
+
+/// A peer with which work is shared is lost after this time of silence. A manager stops the tasks
+/// of a lost entry process before that one's clients send their jobs again, which is 1.3 s later.
+constexpr core::Duration SilenceTime = std::chrono::milliseconds(600);
+/// Heartbeats that may be missed in a row before a peer is lost.
+constexpr int MissedBeats = 4;
+/// A connection without an acknowledgement for this time is replaced.
+constexpr core::Duration StaleTime = std::chrono::milliseconds(250);
+constexpr core::Duration DialTime = std::chrono::milliseconds(300);
+constexpr core::Duration FirstDialPause = std::chrono::milliseconds(40);
+constexpr core::Duration LongestDialPause = std::chrono::milliseconds(500);
+
+core::Duration silenceLimit(core::Duration Interval) {
+  return std::max(SilenceTime, Interval * MissedBeats);
+}
+
+} // namespace
+
+MeshPeer::MeshPeer(asio::io_context &Reactor, MeshPeerOwner &Owner, std::string Vm)
+    : Reactor_(Reactor), Owner_(Owner), Vm_(std::move(Vm)) {
+  beginSession();
+}
+
+void MeshPeer::setAddress(const std::string &Address) {
+  if (Address.empty() || Address == Address_)
+    return;
+  Address_ = Address;
+  DialPause_ = core::Duration(0);
+  dropOutgoing({});
+}
+
+void MeshPeer::beginSession() {
+  Session_ = Owner_.newSession();
+  Resumes_ = false;
+  NextSequence_ = 1;
+  Unacknowledged_.clear();
+  AwaitsSince_.reset();
+}
+
+void MeshPeer::send(Frame Message) {
+  Message.set_sequence(NextSequence_++);
+  auto Bytes = Message.SerializeAsString();
+  if (!AwaitsSince_)
+    AwaitsSince_ = core::MonotonicClock::now();
+  if (IsGreeted_)
+    Outgoing_->sendBytes(Bytes);
+  Unacknowledged_.emplace_back(Message.sequence(), std::move(Bytes));
+}
+
+void MeshPeer::beat(core::TimePoint Now) {
+  if (!IsGreeted_)
+    return;
+  Frame Message;
+  *Message.mutable_heartbeat() = Owner_.currentHeartbeat();
+  Message.mutable_heartbeat()->set_interval_ms(
+      static_cast<std::uint32_t>(core::toMilliseconds(Interval_)));
+  Outgoing_->send(Message);
+  BeatAt_ = Now + Interval_;
+  if (!AwaitsSince_)
+    AwaitsSince_ = Now;
+}
+
+void MeshPeer::dial(core::TimePoint Now) {
+  auto Remote = reactor::parseAddress(Address_);
+  DialUntil_ = Now + DialTime;
+  DialAt_ = DialUntil_;
+  if (!Remote)
+    return;
+  Outgoing_ = std::make_shared<MeshConnection>(Reactor_, Tcp::socket(Reactor_));
+  auto Weak = weak_from_this();
+  Outgoing_->setHandlers({[Weak](const Frame &Message) {
+                            if (auto Self = Weak.lock())
+                              Self->outgoingFrame(Message);
+                          },
+                          [Weak](const boost::system::error_code &Error) {
+                            if (auto Self = Weak.lock())
+                              Self->outgoingClosed(Error);
+                          }});
+  Outgoing_->connect(*Remote, [Weak] {
+    if (auto Self = Weak.lock())
+      Self->greet();
+  });
+}
+
+void MeshPeer::greet() {
+  const auto &Identity = Owner_.identity();
+  Frame Message;
+  auto &Greeting = *Message.mutable_hello();
+  Greeting.set_vm(Identity.Vm);
+  Greeting.set_data_centre(Identity.DataCentre);
+  Greeting.set_address(Identity.Address);
+  Greeting.set_incarnation(Identity.Incarnation);
+  Greeting.set_weight(Identity.Weight);
+  Greeting.set_session(Session_);
+  Greeting.set_resumes(Resumes_);
+  Outgoing_->send(Message);
+}
+
+void MeshPeer::outgoingFrame(const Frame &Message) {
+  auto Now = core::MonotonicClock::now();
+  if (Message.has_hello_reply())
+    return greeted(Message.hello_reply(), Now);
+  if (Message.has_acknowledge() && IsGreeted_)
+    acknowledged(Message.acknowledge().received(), Now);
+}
+
+void MeshPeer::greeted(const HelloReply &Message, core::TimePoint Now) {
+  if (Message.vm() != Vm_ && !Owner_.peerNamed(*this, Message.vm()))
+    return;
+  learnIncarnation(Message.incarnation(), Now);
+  if (!Outgoing_)
+    return; // The link was reset while the new incarnation became known.
+  if (!Message.accepted()) {
+    if (IsUp_)
+      return goDown(PeerLoss::Silent, Now);
+    beginSession();
+    return dropOutgoing(Now);
+  }
+  IsGreeted_ = true;
+  Resumes_ = true;
+  DialPause_ = core::Duration(0);
+  AwaitsSince_.reset();
+  acknowledged(Message.received(), Now);
+  for (const auto &[Sequence, Bytes] : Unacknowledged_)
+    Outgoing_->sendBytes(Bytes);
+  beat(Now);
+  comeUp(Now);
+}
+
+void MeshPeer::acknowledged(std::uint64_t Received, core::TimePoint Now) {
+  LastAcknowledged_ = Now;
+  while (!Unacknowledged_.empty() && Unacknowledged_.front().first <= Received)
+    Unacknowledged_.pop_front();
+  AwaitsSince_.reset();
+  if (!Unacknowledged_.empty())
+    AwaitsSince_ = Now;
+}
+
+void MeshPeer::outgoingClosed(const boost::system::error_code &Error) {
+  auto Now = core::MonotonicClock::now();
+  Outgoing_.reset();
+  IsGreeted_ = false;
+  bool Refused = Error == asio::error::connection_refused;
+  if (Refused && IsUp_)
+    return goDown(PeerLoss::Ended, Now);
+  dropOutgoing(Now + DialPause_);
+}
+
+void MeshPeer::dropOutgoing(core::TimePoint RedialAt) {
+  if (Outgoing_)
+    Outgoing_->close();
+  Outgoing_.reset();
+  IsGreeted_ = false;
+  AwaitsSince_.reset();
+  DialAt_ = RedialAt;
+  DialPause_ = std::clamp(DialPause_ * 2, FirstDialPause, LongestDialPause);
+}
+
+void MeshPeer::accept(const std::shared_ptr<MeshConnection> &Connection, const Hello &Message,
+                      core::TimePoint Now) {
+  DataCentre_ = Message.data_centre();
+  Weight_ = std::max(1U, Message.weight());
+  setAddress(Message.address());
+  learnIncarnation(Message.incarnation(), Now);
+  bool IsCurrent = PeerSessionIsAlive_ && Message.session() == PeerSession_;
+  bool IsAccepted = IsCurrent || !Message.resumes();
+  if (IsAccepted && !IsCurrent && PeerSessionIsAlive_ && IsUp_)
+    goDown(PeerLoss::Silent, Now); // The peer has given up the former session.
+  if (IsAccepted && !IsCurrent) {
+    PeerSession_ = Message.session();
+    PeerSessionIsAlive_ = true;
+    Received_ = 0;
+  }
+  Frame Reply;
+  auto &Answer = *Reply.mutable_hello_reply();
+  Answer.set_vm(Owner_.identity().Vm);
+  Answer.set_incarnation(Owner_.identity().Incarnation);
+  Answer.set_accepted(IsAccepted);
+  Answer.set_received(Received_);
+  Connection->send(Reply);
+  if (!IsAccepted)
+    return;
+  if (Incoming_ && Incoming_ != Connection)
+    Incoming_->close();
+  Incoming_ = Connection;
+  LastHeard_ = Now;
+  auto Weak = weak_from_this();
+  Connection->setHandlers({[Weak](const Frame &Received) {
+                             if (auto Self = Weak.lock())
+                               Self->incomingFrame(Received);
+                           },
+                           {}});
+  // The peer is alive, so it can be reached again at once.
+  if (!Outgoing_)
+    DialAt_ = Now;
+  comeUp(Now);
+}
+
+void MeshPeer::incomingFrame(const Frame &Message) {
+  auto Now = core::MonotonicClock::now();
+  LastHeard_ = Now;
+  bool IsRepeated = Message.sequence() != 0 && Message.sequence() <= Received_;
+  if (Message.sequence() != 0 && !IsRepeated)
+    Received_ = Message.sequence();
+  Frame Reply;
+  Reply.mutable_acknowledge()->set_received(Received_);
+  auto Connection = Incoming_;
+  Connection->send(Reply);
+  if (Message.has_heartbeat()) {
+    PeerInterval_ = std::chrono::milliseconds(Message.heartbeat().interval_ms());
+    if (IsUp_)
+      Owner_.peerHeartbeat(*this, Message.heartbeat());
+    return;
+  }
+  if (IsUp_ && Message.sequence() != 0 && !IsRepeated)
+    Owner_.peerMessage(*this, Message);
+}
+
+void MeshPeer::learnIncarnation(std::uint64_t Incarnation, core::TimePoint Now) {
+  if (Incarnation == Incarnation_)
+    return;
+  if (IsUp_)
+    goDown(PeerLoss::Ended, Now);
+  PeerSessionIsAlive_ = false;
+  Incarnation_ = Incarnation;
+}
+
+void MeshPeer::comeUp(core::TimePoint Now) {
+  if (IsUp_ || !IsGreeted_ || !Incoming_ || !PeerSessionIsAlive_)
+    return;
+  IsUp_ = true;
+  LastAcknowledged_ = Now;
+  LastHeard_ = Now;
+  Owner_.peerUp(*this);
+}
+
+void MeshPeer::goDown(PeerLoss How, core::TimePoint Now) {
+  bool WasUp = std::exchange(IsUp_, false);
+  PeerSessionIsAlive_ = false;
+  if (Incoming_)
+    Incoming_->close();
+  Incoming_.reset();
+  dropOutgoing(Now + FirstDialPause);
+  beginSession();
+  if (WasUp)
+    Owner_.peerDown(*this, How);
+}
+
+void MeshPeer::tick(core::TimePoint Now) {
+  bool IsSilent = Now - LastHeard_ > silenceLimit(PeerInterval_) ||
+                  Now - LastAcknowledged_ > silenceLimit(Interval_);
+  if (IsUp_ && IsSilent)
+    return goDown(PeerLoss::Silent, Now);
+  if (Outgoing_ && !IsGreeted_ && Now >= DialUntil_)
+    dropOutgoing(Now);
+  if (IsGreeted_ && AwaitsSince_ && Now - *AwaitsSince_ > StaleTime)
+    dropOutgoing(Now);
+  if (!Outgoing_ && Now >= DialAt_)
+    dial(Now);
+  if (Now >= BeatAt_)
+    beat(Now);
+}
+
+void MeshPeer::shutDown() {
+  if (Outgoing_)
+    Outgoing_->close();
+  if (Incoming_)
+    Incoming_->close();
+}
+
+} // namespace cornellift::mesh
--- /dev/null
+++ b/Libraries/LibMesh/MeshPeer.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "Kernel/Pool/PoolMessages.h"
+#include "Libraries/LibCore/Time.h"
+#include "Libraries/LibMesh/MeshConnection.h"
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace cornellift::mesh {
+
+/// What a process says of itself.
+struct MeshIdentity {
+  std::string Vm;
+  std::string DataCentre;
+  std::string Address; ///< IP number and port of its mesh port.
+  std::uint64_t Incarnation = 0;
+  std::uint32_t Weight = 1; ///< Relative processing power.
+};
+
+enum class PeerLoss {
+  Silent, ///< Nothing was heard for too long; the process may go on somewhere.
+  Ended   ///< Its process has ended or was replaced by a new one.
+};
+
+class MeshPeer;
+
+/// Learns what happens to the peers.
+class MeshPeerOwner {
+public:
+  virtual ~MeshPeerOwner() = default;
+  virtual const MeshIdentity &identity() const = 0;
+  virtual std::uint64_t newSession() = 0;
+  /// The peer behind an address has told its name. Returns false when it is known already, so that
+  /// this link is to be dropped.
+  virtual bool peerNamed(MeshPeer &Peer, const std::string &Vm) = 0;
+  virtual Heartbeat currentHeartbeat() = 0;
+  virtual void peerUp(MeshPeer &Peer) = 0;
+  virtual void peerDown(MeshPeer &Peer, PeerLoss How) = 0;
+  virtual void peerHeartbeat(MeshPeer &Peer, const Heartbeat &Message) = 0;
+  virtual void peerMessage(MeshPeer &Peer, const Frame &Message) = 0;
+};
+
+/// The link to one other VM: messages arrive once and in order, over as many connections as that
+/// takes. Each side connects to the other and sends on the connection that it made. A connection
+/// that is reset or falls silent is replaced and unacknowledged messages are sent again; the peer
+/// is lost only when nothing is heard of it on any connection, or its process has ended.
+class MeshPeer : public std::enable_shared_from_this<MeshPeer> {
+public:
+  MeshPeer(asio::io_context &Reactor, MeshPeerOwner &Owner, std::string Vm);
+
+  const std::string &vm() const { return Vm_; }
+  const std::string &dataCentre() const { return DataCentre_; }
+  const std::string &address() const { return Address_; }
+  std::uint32_t weight() const { return Weight_; }
+  std::uint64_t incarnation() const { return Incarnation_; }
+  bool isUp() const { return IsUp_; }
+  /// When anything was heard of the peer last.
+  core::TimePoint lastHeard() const { return LastHeard_; }
+  /// Set by the owner when the peer comes up.
+  kernel::PeerIndex Index{};
+
+  void setAddress(const std::string &Address);
+  void setName(const std::string &Vm) { Vm_ = Vm; }
+  /// Time between heartbeats to this peer.
+  void setInterval(core::Duration Interval) { Interval_ = Interval; }
+
+  /// Queues a message; it is dropped when the peer is lost before it arrives.
+  void send(Frame Message);
+
+  /// Sends a heartbeat now, because its content has changed.
+  void beat(core::TimePoint Now);
+
+  void accept(const std::shared_ptr<MeshConnection> &Connection, const Hello &Message,
+              core::TimePoint Now);
+  void tick(core::TimePoint Now);
+  void shutDown();
+
+private:
+  void dial(core::TimePoint Now);
+  void greet();
+  void outgoingFrame(const Frame &Message);
+  void outgoingClosed(const boost::system::error_code &Error);
+  void incomingFrame(const Frame &Message);
+  void greeted(const HelloReply &Message, core::TimePoint Now);
+  void acknowledged(std::uint64_t Received, core::TimePoint Now);
+  void dropOutgoing(core::TimePoint RedialAt);
+  void learnIncarnation(std::uint64_t Incarnation, core::TimePoint Now);
+  void comeUp(core::TimePoint Now);
+  void goDown(PeerLoss How, core::TimePoint Now);
+  void beginSession();
+
+  asio::io_context &Reactor_;
+  MeshPeerOwner &Owner_;
+  std::string Vm_;
+  std::string DataCentre_;
+  std::string Address_;
+  std::uint32_t Weight_ = 1;
+  std::uint64_t Incarnation_ = 0;
+  core::Duration Interval_ = std::chrono::milliseconds(600);
+  bool IsUp_ = false;
+
+  // The direction from this process to the peer.
+  std::shared_ptr<MeshConnection> Outgoing_;
+  bool IsGreeted_ = false; ///< The peer has accepted the session on this connection.
+  std::uint64_t Session_ = 0;
+  bool Resumes_ = false;
+  std::uint64_t NextSequence_ = 1;
+  std::deque<std::pair<std::uint64_t, std::string>> Unacknowledged_;
+  core::TimePoint DialAt_;
+  core::TimePoint DialUntil_;
+  core::Duration DialPause_{0};
+  core::TimePoint BeatAt_;
+  std::optional<core::TimePoint> AwaitsSince_; ///< The oldest frame without acknowledgement.
+  core::TimePoint LastAcknowledged_;
+
+  // The direction from the peer to this process.
+  std::shared_ptr<MeshConnection> Incoming_;
+  std::uint64_t PeerSession_ = 0;
+  bool PeerSessionIsAlive_ = false;
+  std::uint64_t Received_ = 0;
+  core::TimePoint LastHeard_;
+  core::Duration PeerInterval_{0};
+};
+
+} // namespace cornellift::mesh
--- /dev/null
+++ b/Libraries/LibPlatform/CallerFormat.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "Kernel/Pool/JobOrder.h"
+#include "Kernel/Pool/SubmittedJob.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cornellift::platform {
+
+enum class JobProgress { Waiting, Running, Completed, Failed, Cancelled };
+
+/// Bodies and headers that callers and this product exchange.
+class CallerFormat {
+public:
+  virtual ~CallerFormat() = default;
+
+  /// Returns an empty optional with Malformed when the body is not a job.
+  virtual std::optional<kernel::SubmittedJob> parseJob(std::string_view Body) const = 0;
+
+  virtual std::string renderProgress(JobProgress Progress) const = 0;
+  virtual std::string renderWaitingJobs(std::uint64_t Count) const = 0;
+
+  /// Name of the header that tells for how many milliseconds the caller waits.
+  virtual std::string_view waitHeader() const = 0;
+
+  /// Path of the readiness check.
+  virtual std::string_view readinessPath() const = 0;
+};
+
+} // namespace cornellift::platform
--- /dev/null
+++ b/Libraries/LibPlatform/StoreFormat.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "Kernel/Pool/PoolConfiguration.h"
+#include "Libraries/LibReactor/HttpCall.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cornellift::platform {
+
+/// A key of the store with its value.
+struct StoreItem {
+  std::string Key;
+  std::string Value;
+  std::uint64_t Revision = 0; ///< Of its last change.
+};
+
+/// A key that was written or removed.
+struct StoreEvent {
+  StoreItem Item; ///< Without a value when removed.
+  bool IsRemoved = false;
+};
+
+/// One page of the keys with a prefix.
+struct StorePage {
+  std::vector<StoreItem> Items;
+  bool HasMore = false;
+  std::uint64_t Revision = 0; ///< Of the store, when it read the page.
+};
+
+struct StoreEvents {
+  std::vector<StoreEvent> Events;
+  std::uint64_t Revision = 0; ///< To continue from.
+};
+
+/// Why the store did not do what was asked.
+enum class StoreFailure {
+  Unreachable, ///< No reply; a change may have been made, or may be made later.
+  Refused,     ///< Nothing was done: the store is busy, or too many calls were made.
+  Conflict,    ///< The condition of a change did not hold.
+  Expired,     ///< The history, the key or the lease is gone.
+  Malformed    ///< The reply could not be read.
+};
+
+/// A key to be written with a lease, whatever it holds now.
+struct StoreWrite {
+  std::string_view Key;
+  std::string_view Value;
+  std::uint64_t Lease = 0; ///< The key goes when it ends; zero for none.
+};
+
+template <typename Value> struct StoreReply {
+  std::optional<Value> Content;
+  StoreFailure Failure = StoreFailure::Unreachable;
+  std::string Cause; ///< Of the failure, for logs.
+};
+
+/// Calls to the platform's store.
+class StoreFormat {
+public:
+  virtual ~StoreFormat() = default;
+
+  virtual reactor::HttpRequest rangeRequest(std::string_view Prefix,
+                                            std::string_view AfterKey) const = 0;
+  virtual StoreReply<StorePage> parsePage(const reactor::HttpResult &Result) const = 0;
+
+  virtual reactor::HttpRequest watchRequest(std::string_view Prefix, std::uint64_t AfterRevision,
+                                            std::uint32_t WaitMilliseconds) const = 0;
+  virtual StoreReply<StoreEvents> parseEvents(const reactor::HttpResult &Result) const = 0;
+
+  virtual reactor::HttpRequest writeRequest(const StoreWrite &Write) const = 0;
+  /// The content is the revision of the change.
+  virtual StoreReply<std::uint64_t> parseWritten(const reactor::HttpResult &Result) const = 0;
+
+  virtual reactor::HttpRequest leaseRequest(std::uint32_t Milliseconds) const = 0;
+  /// The content is the lease's number.
+  virtual StoreReply<std::uint64_t> parseLease(const reactor::HttpResult &Result) const = 0;
+  virtual reactor::HttpRequest renewRequest(std::uint64_t Lease) const = 0;
+  virtual reactor::HttpRequest endLeaseRequest(std::uint64_t Lease) const = 0;
+  /// The content is zero.
+  virtual StoreReply<std::uint64_t> parseRenewed(const reactor::HttpResult &Result) const = 0;
+
+  /// Prefix of the operators' keys, and the key of the configuration below it.
+  virtual std::string_view operatorPrefix() const = 0;
+  virtual std::string_view configurationKey() const = 0;
+  /// Prefix of the workers' keys; the rest of a key is the worker's id.
+  virtual std::string_view workerPrefix() const = 0;
+
+  /// Returns an empty optional with Malformed when the text is not a configuration.
+  virtual std::optional<kernel::PoolConfiguration>
+  parseConfiguration(std::string_view Document) const = 0;
+};
+
+} // namespace cornellift::platform
--- /dev/null
+++ b/Libraries/LibPlatform/WorkerFormat.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "Kernel/Pool/WorkerMessages.h"
+#include "Libraries/LibReactor/HttpCall.h"
+
+#include <optional>
+#include <string_view>
+
+namespace cornellift::platform {
+
+/// Calls to workers, and their entries in the store.
+class WorkerFormat {
+public:
+  virtual ~WorkerFormat() = default;
+
+  virtual reactor::HttpRequest startRequest(std::string_view WorkerId,
+                                            const kernel::StartOrder &Order) const = 0;
+  virtual reactor::HttpRequest stopRequest(std::string_view WorkerId,
+                                           const kernel::StopOrder &Order) const = 0;
+  virtual reactor::HttpRequest lookRequest(std::string_view WorkerId,
+                                           const kernel::LookOrder &Order) const = 0;
+
+  /// A reply that cannot be read counts as none.
+  virtual kernel::OrderReply parseOrderReply(const reactor::HttpResult &Result) const = 0;
+  virtual kernel::LookReply parseLookReply(const reactor::HttpResult &Result) const = 0;
+
+  /// Returns an empty optional with Malformed for a value that does not describe a worker.
+  virtual std::optional<kernel::WorkerEntry> parseEntry(std::string_view WorkerId,
+                                                        std::string_view Value) const = 0;
+};
+
+} // namespace cornellift::platform
--- /dev/null
+++ b/Libraries/LibReactor/Asio.h
@@ -0,0 +1,33 @@
+#pragma once
+
+// The reactor's timers are served by the wait for sockets, at millisecond steps, instead of a
+// timer descriptor, which would cost a system call for each change of the earliest deadline.
+#ifndef BOOST_ASIO_DISABLE_TIMERFD
+#error "define BOOST_ASIO_DISABLE_TIMERFD for every user of LibReactor"
+#endif
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "Libraries/LibCore/Time.h"
+
+#include <optional>
+#include <string_view>
+
+namespace cornellift::reactor {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+/// Parses `10.0.0.1:8080`. Returns an empty optional with Malformed for anything else.
+std::optional<Tcp::endpoint> parseAddress(std::string_view Text);
+
+/// Text form `10.0.0.1:8080`.
+std::string formatAddress(const Tcp::endpoint &Address);
+
+/// The moment of the timers' clock that corresponds to a deadline.
+std::chrono::steady_clock::time_point timerDeadline(core::TimePoint Deadline);
+
+} // namespace cornellift::reactor
--- /dev/null
+++ b/Libraries/LibReactor/HttpClient.cpp
@@ -0,0 +1,94 @@
+#include "Libraries/LibReactor/HttpClient.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cornellift::reactor {
+
+HttpClient::HttpClient(asio::io_context &Reactor, Tcp::endpoint Remote,
+                       std::size_t MaximumConnections)
+    : Reactor_(Reactor), Remote_(std::move(Remote)), MaximumConnections_(MaximumConnections) {}
+
+void HttpClient::call(HttpRequest Request, core::TimePoint Deadline, HttpHandler Handler) {
+  if (Closed_)
+    return Handler({std::nullopt, HttpFailure::NotSent, "the client is closed"});
+  if (Waiting_.empty()) {
+    if (auto Connection = idleConnection())
+      return Connection->call(Request, Deadline, std::move(Handler));
+  }
+  Waiting_.push_back({std::move(Request), Deadline, std::move(Handler)});
+  serveWaiting();
+}
+
+void HttpClient::close() {
+  Closed_ = true;
+  Waiting_.clear();
+  for (const auto &Connection : std::exchange(Connections_, {}))
+    Connection->close("the client is closed");
+}
+
+std::shared_ptr<HttpConnection> HttpClient::idleConnection() const {
+  for (const auto &Connection : Connections_)
+    if (Connection->state() == HttpConnection::State::Idle)
+      return Connection;
+  return nullptr;
+}
+
+std::size_t HttpClient::connecting() const {
+  return static_cast<std::size_t>(
+      std::count_if(Connections_.begin(), Connections_.end(), [](const auto &Connection) {
+        return Connection->state() == HttpConnection::State::Connecting;
+      }));
+}
+
+void HttpClient::dropOverdue() {
+  auto Now = core::MonotonicClock::now();
+  while (!Waiting_.empty() && Waiting_.front().Deadline <= Now) {
+    auto Handler = std::move(Waiting_.front().Handler);
+    Waiting_.pop_front();
+    Handler({std::nullopt, HttpFailure::NotSent, "no connection in time"});
+  }
+}
+
+void HttpClient::serveWaiting() {
+  while (!Waiting_.empty()) {
+    auto Connection = idleConnection();
+    if (!Connection)
+      break;
+    auto Next = std::move(Waiting_.front());
+    Waiting_.pop_front();
+    Connection->call(Next.Request, Next.Deadline, std::move(Next.Handler));
+  }
+  while (!Closed_ && connecting() < Waiting_.size() && Connections_.size() < MaximumConnections_)
+    open(Waiting_[connecting()].Deadline);
+}
+
+void HttpClient::open(core::TimePoint Deadline) {
+  auto Connection = std::make_shared<HttpConnection>(
+      Reactor_, Remote_, [Weak = weak_from_this()](const std::shared_ptr<HttpConnection> &Changed) {
+        if (auto Self = Weak.lock())
+          Self->connectionChanged(Changed);
+      });
+  Connections_.push_back(Connection);
+  ++Made_;
+  Connection->open(Deadline);
+}
+
+void HttpClient::connectionChanged(const std::shared_ptr<HttpConnection> &Connection) {
+  if (Closed_)
+    return;
+  if (Connection->state() != HttpConnection::State::Closed)
+    return serveWaiting();
+  std::erase(Connections_, Connection);
+  dropOverdue();
+  // A failed attempt to connect fails one call, so that an unreachable address is not tried in a
+  // loop; the caller decides whether to try again.
+  if (!Connection->wasOpened() && !Waiting_.empty()) {
+    auto Next = std::move(Waiting_.front());
+    Waiting_.pop_front();
+    Next.Handler({std::nullopt, HttpFailure::NotSent, "cannot connect"});
+  }
+  serveWaiting();
+}
+
+} // namespace cornellift::reactor
--- /dev/null
+++ b/Libraries/LibReactor/HttpConnection.cpp
@@ -0,0 +1,146 @@
+#include "Libraries/LibReactor/HttpConnection.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <utility>
+
+namespace cornellift::reactor {
+namespace {
+
+/// Bound on a reply; a page of the platform's store is the largest one.
+constexpr std::uint64_t MaximumReplyBytes = 16U << 20;
+
+std::string_view methodName(HttpMethod Method) {
+  switch (Method) {
+  case HttpMethod::Post:
+    return "POST ";
+  case HttpMethod::Delete:
+    return "DELETE ";
+  case HttpMethod::Get:
+  case HttpMethod::Other:
+    return "GET ";
+  }
+  return "GET ";
+}
+
+/// Renders the request into one buffer, so that it leaves in one system call.
+void renderRequest(const HttpRequest &Request, const Tcp::endpoint &Remote, std::string &Out) {
+  Out.clear();
+  Out.append(methodName(Request.Method)).append(Request.Target).append(" HTTP/1.1\r\nHost: ");
+  Out.append(formatAddress(Remote)).append("\r\n");
+  for (const auto &[Name, Value] : Request.Headers)
+    Out.append(Name).append(": ").append(Value).append("\r\n");
+  if (Request.Method == HttpMethod::Post || !Request.Body.empty())
+    Out.append("Content-Type: application/json\r\nContent-Length: ")
+        .append(std::to_string(Request.Body.size()))
+        .append("\r\n");
+  Out.append("\r\n").append(Request.Body);
+}
+
+} // namespace
+
+HttpConnection::HttpConnection(asio::io_context &Reactor, Tcp::endpoint Remote,
+                               StateHandler OnChange)
+    : Socket_(Reactor), Timer_(Reactor), Remote_(std::move(Remote)),
+      OnChange_(std::move(OnChange)) {}
+
+void HttpConnection::open(core::TimePoint Deadline) {
+  armTimer(Deadline);
+  Socket_.async_connect(Remote_, [Self = shared_from_this()](boost::system::error_code Error) {
+    if (Self->State_ != State::Connecting)
+      return;
+    ++Self->TimerRound_;
+    if (Error)
+      return Self->close(Error.message());
+    boost::system::error_code Ignored; // A connection without the option still works.
+    Self->Socket_.set_option(Tcp::no_delay(true), Ignored);
+    Self->WasOpened_ = true;
+    Self->readNext();
+    Self->setState(State::Idle);
+  });
+}
+
+void HttpConnection::call(const HttpRequest &Request, core::TimePoint Deadline,
+                          HttpHandler Handler) {
+  State_ = State::Busy;
+  Handler_ = std::move(Handler);
+  armTimer(Deadline);
+  renderRequest(Request, Remote_, Outgoing_);
+  asio::async_write(Socket_, asio::buffer(Outgoing_),
+                    [Self = shared_from_this()](boost::system::error_code Error, std::size_t) {
+                      if (Error && Self->State_ != State::Closed)
+                        Self->close(Error.message());
+                    });
+}
+
+void HttpConnection::close(const std::string &Cause) {
+  if (State_ == State::Closed)
+    return;
+  bool WasBusy = State_ == State::Busy;
+  State_ = State::Closed;
+  Timer_.cancel();
+  boost::system::error_code Ignored; // The connection is given up in any case.
+  Socket_.close(Ignored);
+  if (WasBusy)
+    finishCall({std::nullopt, HttpFailure::NoReply, Cause});
+  if (auto OnChange = std::exchange(OnChange_, nullptr))
+    OnChange(shared_from_this());
+}
+
+void HttpConnection::readNext() {
+  Parser_.emplace();
+  Parser_->body_limit(MaximumReplyBytes);
+  boost::beast::http::async_read(
+      Socket_, Buffer_, *Parser_,
+      [Self = shared_from_this()](boost::system::error_code Error, std::size_t) {
+        Self->readDone(Error);
+      });
+}
+
+void HttpConnection::readDone(boost::system::error_code Error) {
+  if (State_ == State::Closed)
+    return;
+  if (Error || State_ != State::Busy)
+    return close(Error ? Error.message() : "a reply came without a request");
+  auto Message = Parser_->release();
+  HttpReply Reply{Message.result_int(), std::move(Message.body()), {}};
+  for (const auto &Field : Message)
+    Reply.Headers.emplace_back(std::string(Field.name_string()), std::string(Field.value()));
+  ++TimerRound_;
+  Timer_.cancel();
+  bool KeepAlive = Message.keep_alive();
+  auto Self = shared_from_this();
+  if (KeepAlive) {
+    State_ = State::Idle;
+    readNext();
+  }
+  finishCall({std::move(Reply), HttpFailure::NoReply, {}});
+  if (!KeepAlive)
+    return close("closed by the other side");
+  if (State_ == State::Idle)
+    setState(State::Idle);
+}
+
+void HttpConnection::armTimer(core::TimePoint Deadline) {
+  auto Round = ++TimerRound_;
+  Timer_.expires_at(timerDeadline(Deadline));
+  Timer_.async_wait([Self = shared_from_this(), Round](boost::system::error_code Error) {
+    if (!Error && Round == Self->TimerRound_)
+      Self->close("no reply in time");
+  });
+}
+
+void HttpConnection::finishCall(HttpResult Result) {
+  if (auto Handler = std::exchange(Handler_, nullptr))
+    Handler(std::move(Result));
+}
+
+void HttpConnection::setState(State Next) {
+  State_ = Next;
+  if (OnChange_)
+    OnChange_(shared_from_this());
+}
+
+} // namespace cornellift::reactor
--- /dev/null
+++ b/Libraries/LibReactor/HttpConnection.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "Libraries/LibReactor/Asio.h"
+#include "Libraries/LibReactor/HttpCall.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace cornellift::reactor {
+
+/// A keep-alive client connection that carries one call at a time. It keeps itself alive while an
+/// operation is under way. A read is always pending, so that a close by the other side is noticed
+/// while the connection is idle.
+class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
+public:
+  enum class State { Connecting, Idle, Busy, Closed };
+
+  /// Called when the connection has become idle or closed.
+  using StateHandler = std::function<void(const std::shared_ptr<HttpConnection> &)>;
+
+  HttpConnection(asio::io_context &Reactor, Tcp::endpoint Remote, StateHandler OnChange);
+
+  /// Connects; gives up at the deadline. OnChange is called once the outcome is known.
+  void open(core::TimePoint Deadline);
+
+  /// Sends a request. The connection must be idle. The handler is called exactly once, at the
+  /// deadline at the latest; a call that is cut short closes the connection.
+  void call(const HttpRequest &Request, core::TimePoint Deadline, HttpHandler Handler);
+
+  /// Drops the connection; a call under way fails with NoReply.
+  void close(const std::string &Cause);
+
+  State state() const { return State_; }
+
+  /// Whether the connection was ever established.
+  bool wasOpened() const { return WasOpened_; }
+
+private:
+  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void readNext();
+  void readDone(boost::system::error_code Error);
+  void armTimer(core::TimePoint Deadline);
+  void finishCall(HttpResult Result);
+  void setState(State Next);
+
+  Tcp::socket Socket_;
+  asio::steady_timer Timer_;
+  Tcp::endpoint Remote_;
+  StateHandler OnChange_;
+  State State_ = State::Connecting;
+  bool WasOpened_ = false;
+  boost::beast::flat_buffer Buffer_;
+  std::optional<Parser> Parser_;
+  std::string Outgoing_;
+  HttpHandler Handler_;
+  std::uint64_t TimerRound_ = 0; ///< Ignores timers of earlier calls.
+};
+
+} // namespace cornellift::reactor
--- /dev/null
+++ b/Libraries/LibReactor/HttpSession.cpp
@@ -0,0 +1,243 @@
+#include "Libraries/LibReactor/HttpSession.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <sys/socket.h>
+
+#include <utility>
+
+namespace cornellift::reactor {
+namespace {
+
+/// How long a connection stays open for a request that is on its way when the server drains.
+constexpr core::Duration DrainIdleTime = std::chrono::milliseconds(1500);
+
+void renderReply(const HttpReply &Reply, bool Close, std::string &Out) {
+  Out.clear();
+  auto Reason =
+      boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(Reply.Status));
+  Out.append("HTTP/1.1 ").append(std::to_string(Reply.Status)).append(" ");
+  Out.append(Reason.data(), Reason.size());
+  Out.append("\r\n");
+  for (const auto &[Name, Value] : Reply.Headers)
+    Out.append(Name).append(": ").append(Value).append("\r\n");
+  if (!Reply.Body.empty())
+    Out.append("Content-Type: application/json\r\n");
+  if (Close)
+    Out.append("Connection: close\r\n");
+  Out.append("Content-Length: ").append(std::to_string(Reply.Body.size())).append("\r\n\r\n");
+  Out.append(Reply.Body);
+}
+
+} // namespace
+
+/// The exchange of a session's current request. It outlives the session's connection.
+class SessionExchange final : public HttpExchange {
+public:
+  using Message = boost::beast::http::request<boost::beast::http::string_body>;
+
+  SessionExchange(std::shared_ptr<HttpSession> Session, Message Request)
+      : Session_(std::move(Session)), Request_(std::move(Request)),
+        ReceivedAt_(core::MonotonicClock::now()) {}
+
+  HttpMethod method() const override {
+    switch (Request_.method()) {
+    case boost::beast::http::verb::get:
+      return HttpMethod::Get;
+    case boost::beast::http::verb::post:
+      return HttpMethod::Post;
+    case boost::beast::http::verb::delete_:
+      return HttpMethod::Delete;
+    default:
+      return HttpMethod::Other;
+    }
+  }
+  std::string_view target() const override {
+    return {Request_.target().data(), Request_.target().size()};
+  }
+  std::string_view host() const override { return header("Host"); }
+  std::string_view header(std::string_view Name) const override {
+    auto Value = Request_[boost::beast::string_view(Name.data(), Name.size())];
+    return {Value.data(), Value.size()};
+  }
+  std::string_view body() const override { return Request_.body(); }
+  core::TimePoint receivedAt() const override { return ReceivedAt_; }
+
+  void reply(HttpReply Reply) override {
+    OnAbandoned_ = nullptr;
+    if (auto Session = std::exchange(Session_, nullptr))
+      Session->send(std::move(Reply));
+  }
+
+  void whenAbandoned(std::function<void()> Handler) override { OnAbandoned_ = std::move(Handler); }
+
+  void abandon() {
+    Session_ = nullptr;
+    if (auto Handler = std::exchange(OnAbandoned_, nullptr))
+      Handler();
+  }
+
+private:
+  std::shared_ptr<HttpSession> Session_;
+  Message Request_;
+  core::TimePoint ReceivedAt_;
+  std::function<void()> OnAbandoned_;
+};
+
+HttpSession::HttpSession(std::shared_ptr<HttpServer> Server, Tcp::socket Socket)
+    : Server_(std::move(Server)), Socket_(std::move(Socket)), Timer_(Socket_.get_executor()) {
+  Server_->Sessions_.insert(this);
+}
+
+HttpSession::~HttpSession() { Server_->Sessions_.erase(this); }
+
+void HttpSession::start() {
+  boost::system::error_code Ignored; // A connection without the option still works.
+  Socket_.set_option(Tcp::no_delay(true), Ignored);
+  awaitRequest();
+}
+
+void HttpSession::drain() {
+  if (Phase_ == Phase::Idle)
+    armTimer(DrainIdleTime);
+}
+
+void HttpSession::awaitRequest() {
+  Phase_ = Phase::Idle;
+  armTimer(Server_->IsDraining_ ? DrainIdleTime : Server_->Limits_.IdleTime);
+  if (Buffer_.size() > 0)
+    return firstByteArrived({});
+  Socket_.async_wait(Tcp::socket::wait_read,
+                     [Self = shared_from_this()](boost::system::error_code Error) {
+                       Self->firstByteArrived(Error);
+                     });
+}
+
+void HttpSession::firstByteArrived(boost::system::error_code Error) {
+  if (Phase_ != Phase::Idle)
+    return;
+  if (Error)
+    return close();
+  Phase_ = Phase::Reading;
+  armTimer(Server_->Limits_.HeaderTime);
+  readRequest();
+}
+
+void HttpSession::readRequest() {
+  Parser_.emplace();
+  Parser_->header_limit(Server_->Limits_.HeaderBytes);
+  Parser_->body_limit(Server_->Limits_.BodyBytes);
+  boost::beast::http::async_read(
+      Socket_, Buffer_, *Parser_,
+      [Self = shared_from_this()](boost::system::error_code Error, std::size_t) {
+        Self->requestRead(Error);
+      });
+}
+
+void HttpSession::requestRead(boost::system::error_code Error) {
+  if (Phase_ != Phase::Reading)
+    return;
+  namespace http = boost::beast::http;
+  if (Error == http::error::body_limit)
+    return refuse(413);
+  if (Error == http::error::header_limit)
+    return refuse(431);
+  bool IsProtocolError = Error.category() == make_error_code(http::error::bad_method).category();
+  if (Error && IsProtocolError && Error != http::error::end_of_stream &&
+      Error != http::error::partial_message)
+    return refuse(400);
+  if (Error)
+    return close();
+  Phase_ = Phase::Answering;
+  ++TimerRound_;
+  Timer_.cancel();
+  auto Request = Parser_->release();
+  CloseAfterReply_ = !Request.keep_alive();
+  auto Exchange = std::make_shared<SessionExchange>(shared_from_this(), std::move(Request));
+  Exchange_ = Exchange;
+  ++Server_->OpenRequests_;
+  watchForClose();
+  Server_->OnRequest_(std::move(Exchange));
+}
+
+void HttpSession::refuse(unsigned Status) {
+  ++Server_->OpenRequests_;
+  Phase_ = Phase::Answering;
+  CloseAfterReply_ = true;
+  send({Status, {}, {}});
+}
+
+void HttpSession::watchForClose() {
+  if (Buffer_.size() > 0)
+    return;
+  Socket_.async_wait(Tcp::socket::wait_read,
+                     [Self = shared_from_this()](boost::system::error_code Error) {
+                       if (!Error)
+                         Self->closeNoticed();
+                     });
+}
+
+void HttpSession::closeNoticed() {
+  if (Phase_ != Phase::Answering)
+    return;
+  char Next = 0;
+  auto Count = ::recv(Socket_.native_handle(), &Next, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (Count > 0 || (Count < 0 && (errno == EAGAIN || errno == EINTR)))
+    return; // A further request waits; it is read after the reply.
+  auto Exchange = Exchange_.lock();
+  close();
+  if (Exchange)
+    Exchange->abandon();
+}
+
+void HttpSession::send(HttpReply Reply) {
+  if (Phase_ != Phase::Answering)
+    return;
+  Phase_ = Phase::Writing;
+  --Server_->OpenRequests_;
+  CloseAfterReply_ = CloseAfterReply_ || Server_->IsDraining_;
+  renderReply(Reply, CloseAfterReply_, Outgoing_);
+  armTimer(Server_->Limits_.IdleTime);
+  asio::async_write(Socket_, asio::buffer(Outgoing_),
+                    [Self = shared_from_this()](boost::system::error_code Error, std::size_t) {
+                      Self->sent(Error);
+                    });
+}
+
+void HttpSession::sent(boost::system::error_code Error) {
+  if (Phase_ != Phase::Writing)
+    return;
+  if (Error)
+    return close();
+  if (!CloseAfterReply_) {
+    Socket_.cancel(Error); // Ends the wait of watchForClose().
+    return awaitRequest();
+  }
+  // Closing with unread bytes would reset the connection and could lose the reply.
+  Socket_.shutdown(Tcp::socket::shutdown_send, Error);
+  close();
+}
+
+void HttpSession::armTimer(core::Duration Span) {
+  auto Round = ++TimerRound_;
+  Timer_.expires_after(Span);
+  Timer_.async_wait([Weak = weak_from_this(), Round](boost::system::error_code Error) {
+    auto Self = Weak.lock();
+    if (!Error && Self && Round == Self->TimerRound_)
+      Self->close();
+  });
+}
+
+void HttpSession::close() {
+  if (Phase_ == Phase::Answering)
+    --Server_->OpenRequests_;
+  Phase_ = Phase::Closed;
+  Timer_.cancel();
+  boost::system::error_code Ignored; // The connection is given up in any case.
+  Socket_.close(Ignored);
+}
+
+} // namespace cornellift::reactor
--- /dev/null
+++ b/Libraries/LibReactor/HttpSession.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "Libraries/LibReactor/HttpServer.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace cornellift::reactor {
+
+class SessionExchange;
+
+/// One client's connection to an HttpServer. It carries one request at a time and keeps itself
+/// alive while an operation is under way.
+class HttpSession : public std::enable_shared_from_this<HttpSession> {
+public:
+  HttpSession(std::shared_ptr<HttpServer> Server, Tcp::socket Socket);
+  ~HttpSession();
+
+  void start();
+
+  /// Closes the connection if no request is under way; otherwise the next reply closes it.
+  void drain();
+
+private:
+  friend class SessionExchange;
+  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+  enum class Phase { Idle, Reading, Answering, Writing, Closed };
+
+  void awaitRequest();
+  void firstByteArrived(boost::system::error_code Error);
+  void readRequest();
+  void requestRead(boost::system::error_code Error);
+  void refuse(unsigned Status);
+  void watchForClose();
+  void closeNoticed();
+  void send(HttpReply Reply);
+  void sent(boost::system::error_code Error);
+  void armTimer(core::Duration Span);
+  void close();
+
+  std::shared_ptr<HttpServer> Server_;
+  Tcp::socket Socket_;
+  asio::steady_timer Timer_;
+  Phase Phase_ = Phase::Idle;
+  boost::beast::flat_buffer Buffer_;
+  std::optional<Parser> Parser_;
+  std::weak_ptr<SessionExchange> Exchange_;
+  std::string Outgoing_;
+  bool CloseAfterReply_ = false;
+  std::uint64_t TimerRound_ = 0;
+};
+
+} // namespace cornellift::reactor
--- /dev/null
+++ b/Libraries/LibStore/KeyMirror.cpp
@@ -0,0 +1,120 @@
+#include "Libraries/LibStore/KeyMirror.h"
+
+#include "Libraries/LibCore/Log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cornellift::store {
+namespace {
+
+/// Pauses after failed calls; doubled for each failure in a row, with jitter.
+constexpr core::Duration FirstPause = std::chrono::milliseconds(100);
+constexpr core::Duration LongestPause = std::chrono::milliseconds(800);
+constexpr std::uint32_t MaximumDoublings = 3;
+
+} // namespace
+
+KeyMirror::KeyMirror(asio::io_context &Reactor, std::shared_ptr<StoreClient> Store,
+                     std::string Prefix, MirrorPace Pace, ChangeHandler OnChange)
+    : Timer_(Reactor), Store_(std::move(Store)), Prefix_(std::move(Prefix)), Pace_(Pace),
+      OnChange_(std::move(OnChange)), Random_(std::random_device()()) {}
+
+void KeyMirror::start() {
+  if (!std::exchange(IsStopped_, false))
+    return;
+  ++Round_;
+  load();
+}
+
+void KeyMirror::stop() {
+  IsStopped_ = true;
+  ++Round_;
+  Timer_.cancel();
+}
+
+void KeyMirror::load() {
+  Store_->range(Prefix_, [Self = shared_from_this(), Round = Round_](StoreReply<StorePage> Reply) {
+    if (Round == Self->Round_)
+      Self->loaded(std::move(Reply));
+  });
+}
+
+void KeyMirror::loaded(StoreReply<StorePage> Reply) {
+  if (!Reply.Content)
+    return retryLater(Reply.Cause);
+  Failures_ = 0;
+  // The history may have been dropped and the reply delayed; a copy never goes back.
+  if (Reply.Content->Revision < Revision_)
+    return retryLater("the store answered with an older state");
+  Items_.clear();
+  for (auto &Item : Reply.Content->Items)
+    Items_[Item.Key] = std::move(Item);
+  Revision_ = Reply.Content->Revision;
+  IsLoaded_ = true;
+  OnChange_(Items_);
+  after(Pace_.BetweenCalls, &KeyMirror::follow);
+}
+
+void KeyMirror::follow() {
+  Store_->watch(Prefix_, Revision_, Pace_.Wait,
+                [Self = shared_from_this(), Round = Round_](StoreReply<StoreEvents> Reply) {
+                  if (Round == Self->Round_)
+                    Self->followed(std::move(Reply));
+                });
+}
+
+void KeyMirror::followed(StoreReply<StoreEvents> Reply) {
+  if (!Reply.Content && Reply.Failure == StoreFailure::Expired) {
+    core::logLine(core::LogLevel::Information, "store", "the history is gone; reading all keys",
+                  {{"prefix", Prefix_}});
+    return load();
+  }
+  if (!Reply.Content)
+    return retryLater(Reply.Cause);
+  Failures_ = 0;
+  apply(std::move(*Reply.Content));
+  after(Pace_.BetweenCalls, &KeyMirror::follow);
+}
+
+void KeyMirror::apply(StoreEvents Changes) {
+  bool HasChanged = !Changes.Events.empty();
+  for (auto &Event : Changes.Events) {
+    auto Known = Items_.find(Event.Item.Key);
+    if (Known != Items_.end() && Known->second.Revision > Event.Item.Revision)
+      continue;
+    if (Event.IsRemoved)
+      Items_.erase(Event.Item.Key);
+    else
+      Items_[Event.Item.Key] = std::move(Event.Item);
+  }
+  Revision_ = std::max(Revision_, Changes.Revision);
+  if (HasChanged)
+    OnChange_(Items_);
+}
+
+void KeyMirror::retryLater(const std::string &Cause) {
+  if (Failures_ == 0)
+    core::logLine(core::LogLevel::Warning, "store", "a call failed",
+                  {{"prefix", Prefix_}, {"reason", Cause}});
+  auto Pause = std::min(LongestPause, FirstPause * (1 << std::min(Failures_, MaximumDoublings)));
+  ++Failures_;
+  std::uniform_real_distribution<double> Jitter(0.5, 1.0);
+  Pause = std::chrono::duration_cast<core::Duration>(Pause * Jitter(Random_));
+  after(Pause, IsLoaded_ ? &KeyMirror::follow : &KeyMirror::load);
+}
+
+void KeyMirror::after(core::Duration Pause, void (KeyMirror::*Next)()) {
+  if (IsStopped_)
+    return;
+  if (Pause.count() == 0)
+    return (this->*Next)();
+  Timer_.expires_after(Pause);
+  Timer_.async_wait(
+      [Self = shared_from_this(), Round = Round_, Next](boost::system::error_code Error) {
+        if (!Error && Round == Self->Round_)
+          (Self.get()->*Next)();
+      });
+}
+
+} // namespace cornellift::store
--- /dev/null
+++ b/Libraries/LibStore/KeyMirror.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "Libraries/LibStore/StoreClient.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace cornellift::store {
+
+/// How a mirror follows the store.
+struct MirrorPace {
+  core::Duration Wait{0};         ///< Of one watch.
+  core::Duration BetweenCalls{0}; ///< Events that come in between arrive together.
+};
+
+/// Keeps a copy of all keys with a prefix. It reads them once and then follows a watch; when the
+/// history has been dropped it reads them again. While the store is away the copy stays as it is.
+class KeyMirror : public std::enable_shared_from_this<KeyMirror> {
+public:
+  using Items = std::map<std::string, StoreItem>;
+  /// Called after each change, and after the first reading.
+  using ChangeHandler = std::function<void(const Items &)>;
+
+  KeyMirror(asio::io_context &Reactor, std::shared_ptr<StoreClient> Store, std::string Prefix,
+            MirrorPace Pace, ChangeHandler OnChange);
+
+  void start();
+  void stop();
+
+  bool isLoaded() const { return IsLoaded_; }
+  /// Highest revision of the store that the copy reflects.
+  std::uint64_t revision() const { return Revision_; }
+  const Items &items() const { return Items_; }
+
+private:
+  void load();
+  void loaded(StoreReply<StorePage> Reply);
+  void follow();
+  void followed(StoreReply<StoreEvents> Reply);
+  void apply(StoreEvents Changes);
+  void retryLater(const std::string &Cause);
+  void after(core::Duration Pause, void (KeyMirror::*Next)());
+
+  asio::steady_timer Timer_;
+  std::shared_ptr<StoreClient> Store_;
+  std::string Prefix_;
+  MirrorPace Pace_;
+  ChangeHandler OnChange_;
+  Items Items_;
+  std::uint64_t Revision_ = 0;
+  bool IsLoaded_ = false;
+  bool IsStopped_ = true;
+  std::uint32_t Failures_ = 0; ///< In a row.
+  std::uint64_t Round_ = 0;    ///< Ignores replies to calls made before a restart.
+  std::minstd_rand Random_;
+};
+
+} // namespace cornellift::store
--- /dev/null
+++ b/Libraries/LibStore/StoreClient.cpp
@@ -0,0 +1,119 @@
+#include "Libraries/LibStore/StoreClient.h"
+
+#include <iterator>
+#include <utility>
+
+namespace cornellift::store {
+namespace {
+
+/// Watches, and calls beside them. A call that hangs holds its connection until its deadline.
+constexpr std::size_t Connections = 8;
+/// Longest time for a call that does not wait for events.
+constexpr core::Duration CallTime = std::chrono::milliseconds(1500);
+/// How much longer than asked the store may take to end a watch without events.
+constexpr core::Duration WatchSlack = std::chrono::milliseconds(1000);
+
+} // namespace
+
+StoreClient::StoreClient(asio::io_context &Reactor, const reactor::Tcp::endpoint &Address,
+                         const platform::StoreFormat &Format)
+    : Reactor_(Reactor), Format_(Format),
+      Client_(std::make_shared<reactor::HttpClient>(Reactor, Address, Connections)) {}
+
+core::TimePoint StoreClient::deadline() const { return core::MonotonicClock::now() + CallTime; }
+
+template <typename Value> void StoreClient::note(const StoreReply<Value> &Reply) {
+  auto Now = core::MonotonicClock::now();
+  bool IsFailed = !Reply.Content && (Reply.Failure == StoreFailure::Unreachable ||
+                                     Reply.Failure == StoreFailure::Refused);
+  IsAway_ = IsFailed;
+  if (!IsFailed) {
+    LastAnswered_ = Now;
+    return;
+  }
+  LastAway_ = Now;
+  ++Counters_.Failures;
+}
+
+void StoreClient::range(std::string Prefix, Handler<StorePage> OnReply) {
+  nextPage(std::move(Prefix), std::make_shared<StorePage>(), {}, std::move(OnReply));
+}
+
+void StoreClient::nextPage(std::string Prefix, std::shared_ptr<StorePage> Gathered,
+                           std::string AfterKey, Handler<StorePage> OnReply) {
+  ++Counters_.Ranges;
+  auto Request = Format_.rangeRequest(Prefix, AfterKey);
+  Client_->call(std::move(Request), deadline(),
+                [Self = shared_from_this(), Prefix, Gathered,
+                 OnReply = std::move(OnReply)](const reactor::HttpResult &Result) mutable {
+                  auto Reply = Self->Format_.parsePage(Result);
+                  Self->note(Reply);
+                  if (!Reply.Content)
+                    return OnReply(std::move(Reply));
+                  if (Gathered->Items.empty())
+                    Gathered->Revision = Reply.Content->Revision;
+                  std::move(Reply.Content->Items.begin(), Reply.Content->Items.end(),
+                            std::back_inserter(Gathered->Items));
+                  bool HasMore = Reply.Content->HasMore && !Gathered->Items.empty();
+                  if (!HasMore)
+                    return OnReply({std::move(*Gathered), {}, {}});
+                  auto Last = Gathered->Items.back().Key;
+                  Self->nextPage(std::move(Prefix), Gathered, std::move(Last), std::move(OnReply));
+                });
+}
+
+void StoreClient::watch(std::string_view Prefix, std::uint64_t AfterRevision, core::Duration Wait,
+                        Handler<StoreEvents> OnReply) {
+  ++Counters_.Watches;
+  auto Milliseconds = static_cast<std::uint32_t>(core::toMilliseconds(Wait));
+  auto Deadline = core::MonotonicClock::now() + Wait + WatchSlack;
+  Client_->call(
+      Format_.watchRequest(Prefix, AfterRevision, Milliseconds), Deadline,
+      [Self = shared_from_this(), OnReply = std::move(OnReply)](const reactor::HttpResult &Result) {
+        auto Reply = Self->Format_.parseEvents(Result);
+        Self->note(Reply);
+        OnReply(std::move(Reply));
+      });
+}
+
+void StoreClient::write(const StoreWrite &Write, Handler<std::uint64_t> OnReply) {
+  ++Counters_.Writes;
+  Client_->call(
+      Format_.writeRequest(Write), deadline(),
+      [Self = shared_from_this(), OnReply = std::move(OnReply)](const reactor::HttpResult &Result) {
+        auto Reply = Self->Format_.parseWritten(Result);
+        Self->note(Reply);
+        OnReply(std::move(Reply));
+      });
+}
+
+void StoreClient::openLease(core::Duration Time, Handler<std::uint64_t> OnReply) {
+  ++Counters_.Leases;
+  auto Milliseconds = static_cast<std::uint32_t>(core::toMilliseconds(Time));
+  Client_->call(
+      Format_.leaseRequest(Milliseconds), deadline(),
+      [Self = shared_from_this(), OnReply = std::move(OnReply)](const reactor::HttpResult &Result) {
+        auto Reply = Self->Format_.parseLease(Result);
+        Self->note(Reply);
+        OnReply(std::move(Reply));
+      });
+}
+
+void StoreClient::renewLease(std::uint64_t Lease, Handler<std::uint64_t> OnReply) {
+  ++Counters_.Renewals;
+  Client_->call(
+      Format_.renewRequest(Lease), deadline(),
+      [Self = shared_from_this(), OnReply = std::move(OnReply)](const reactor::HttpResult &Result) {
+        auto Reply = Self->Format_.parseRenewed(Result);
+        Self->note(Reply);
+        OnReply(std::move(Reply));
+      });
+}
+
+void StoreClient::endLease(std::uint64_t Lease) {
+  ++Counters_.Leases;
+  // Nothing depends on the reply: the lease ends by itself when it is not renewed.
+  Client_->call(Format_.endLeaseRequest(Lease), deadline(), [](const reactor::HttpResult &) {});
+}
+
+} // namespace cornellift::store
--- /dev/null
+++ b/Services/PoolDaemon/ConfigurationKeeper.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "Kernel/Pool/DecisionLog.h"
+#include "Kernel/Pool/PoolConfiguration.h"
+#include "Libraries/LibPlatform/StoreFormat.h"
+
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace cornellift::pool {
+
+/// The configuration in force. It comes from the store or from a peer and never goes back to an
+/// older version. A document that cannot be read changes nothing.
+class ConfigurationKeeper {
+public:
+  using ChangeHandler = std::function<void(std::shared_ptr<const kernel::PoolConfiguration>)>;
+
+  ConfigurationKeeper(const platform::StoreFormat &Format, kernel::DecisionLog &Log,
+                      ChangeHandler OnChange);
+
+  /// Source names where the document comes from, for the log.
+  void offer(std::string_view Document, std::string_view Source);
+
+  std::uint64_t version() const { return Current_ ? Current_->Version : 0; }
+  const std::shared_ptr<const kernel::PoolConfiguration> &current() const { return Current_; }
+
+private:
+  const platform::StoreFormat &Format_;
+  kernel::DecisionLog &Log_;
+  ChangeHandler OnChange_;
+  std::shared_ptr<const kernel::PoolConfiguration> Current_;
+};
+
+} // namespace cornellift::pool
--- /dev/null
+++ b/Services/PoolDaemon/DaemonSettings.cpp
@@ -0,0 +1,79 @@
+#include "Services/PoolDaemon/DaemonSettings.h"
+
+#include "Libraries/LibCore/Reason.h"
+#include "Libraries/LibCore/Settings.h"
+
+#include <cmath>
+
+namespace cornellift::pool {
+namespace {
+
+using core::SettingType;
+
+constexpr double WeightPerCore = 1000;
+
+const core::SettingSpec Specs[] = {
+    {"node-file", "Settings file with lines name=value; none when empty", SettingType::Text, ""},
+    {"vm-name", "Name of this entry VM", SettingType::Text, {}},
+    {"data-centre", "Name of its data centre", SettingType::Text, {}},
+    {"data-centres", "Names of all data centres, separated by commas", SettingType::Text, ""},
+    {"caller-address", "IP number and port for callers", SettingType::Text, {}},
+    {"readiness-address", "IP number and port for readiness checks", SettingType::Text, {}},
+    {"mesh-address", "IP number and port for other entry processes", SettingType::Text, {}},
+    {"metrics-port", "Port for metrics, on the IP number for callers", SettingType::Integer, "9464",
+     1, 65535},
+    {"seed-addresses", "Mesh addresses of other entry processes, separated by commas",
+     SettingType::Text, ""},
+    {"store-address", "IP number and port of the platform's store", SettingType::Text, {}},
+    {"platform", "Name of the platform's formats", SettingType::Text, "kv"},
+    {"processor-share", "Cores that this VM may use; larger VMs manage workers first",
+     SettingType::Real, "1", 0.001, 1024},
+    {"stop-seconds", "Time from the request to stop until the process is killed", SettingType::Real,
+     "10", 0.5, 3600},
+    {"remote-factor", "Run time of a task away from its data, relative to near it",
+     SettingType::Real, "1", 1, 100},
+    {"log-level", "debug, info, warn or error", SettingType::Text, "info"},
+};
+
+bool readAddress(const core::Settings &Parsed, std::string_view Name,
+                 reactor::Tcp::endpoint &Address) {
+  auto Value = reactor::parseAddress(Parsed.text(Name));
+  if (!Value)
+    return core::failFalse(core::ErrorKind::Malformed,
+                           "--" + std::string(Name) + ": " + core::lastReason().Message);
+  Address = *Value;
+  return true;
+}
+
+} // namespace
+
+std::optional<DaemonSettings> DaemonSettings::parse(std::span<const char *const> Arguments) {
+  auto Parsed = core::Settings::parse("cornellift-poold",
+                                      "Entry process: takes jobs and runs them on leased workers",
+                                      Specs, Arguments, "", "node-file");
+  if (!Parsed)
+    return std::nullopt;
+  DaemonSettings Result;
+  if (!readAddress(*Parsed, "caller-address", Result.CallerAddress) ||
+      !readAddress(*Parsed, "readiness-address", Result.ReadinessAddress) ||
+      !readAddress(*Parsed, "mesh-address", Result.MeshAddress) ||
+      !readAddress(*Parsed, "store-address", Result.StoreAddress))
+    return std::nullopt;
+  Result.VmName = Parsed->text("vm-name");
+  Result.DataCentre = Parsed->text("data-centre");
+  for (auto &Name : Parsed->list("data-centres"))
+    Result.DataCentres.insert(std::move(Name));
+  Result.DataCentres.insert(Result.DataCentre);
+  Result.MetricsAddress = reactor::Tcp::endpoint(
+      Result.CallerAddress.address(), static_cast<unsigned short>(Parsed->integer("metrics-port")));
+  Result.SeedAddresses = Parsed->list("seed-addresses");
+  Result.Platform = Parsed->text("platform");
+  Result.Weight =
+      static_cast<std::uint32_t>(std::lround(Parsed->real("processor-share") * WeightPerCore));
+  Result.StopTime = core::fromMilliseconds(Parsed->real("stop-seconds") * 1000);
+  Result.RemoteFactor = Parsed->real("remote-factor");
+  Result.LogLevel = Parsed->text("log-level");
+  return Result;
+}
+
+} // namespace cornellift::pool
--- /dev/null
+++ b/Services/PoolDaemon/DaemonSettings.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "Libraries/LibReactor/Asio.h"
+
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace cornellift::pool {
+
+/// Checked settings of the pool daemon.
+struct DaemonSettings {
+  std::string VmName;
+  std::string DataCentre;
+  std::set<std::string> DataCentres; ///< All that exist.
+  reactor::Tcp::endpoint CallerAddress;
+  reactor::Tcp::endpoint ReadinessAddress;
+  reactor::Tcp::endpoint MeshAddress;
+  reactor::Tcp::endpoint MetricsAddress;
+  reactor::Tcp::endpoint StoreAddress;
+  std::vector<std::string> SeedAddresses; ///< Mesh addresses of other entry processes.
+  std::string Platform;                   ///< Name of the platform's formats.
+  std::uint32_t Weight = 1;               ///< Processing power in thousandths of a core.
+  core::Duration StopTime{0};             ///< From the request to stop to the end of the process.
+  double RemoteFactor = 1;
+  std::string LogLevel;
+
+  /// Returns an empty optional with Malformed, naming the setting and the remedy.
+  static std::optional<DaemonSettings> parse(std::span<const char *const> Arguments);
+};
+
+} // namespace cornellift::pool
--- /dev/null
+++ b/Services/PoolDaemon/DecisionLogWriter.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "Kernel/Pool/DecisionLog.h"
+#include "Libraries/LibCore/Time.h"
+
+#include <array>
+#include <cstdint>
+
+namespace cornellift::pool {
+
+/// Writes decisions as lines of the log. Each weight has a bound on its lines a second, so that
+/// lines on served requests do not crowd out those on failed ones; what is left out is counted and
+/// reported once a second.
+class DecisionLogWriter final : public kernel::DecisionLog {
+public:
+  void line(kernel::DecisionWeight Weight, std::string_view Event,
+            std::optional<kernel::JobKey> Job,
+            std::initializer_list<kernel::DecisionField> Fields) override;
+
+  std::uint64_t linesWritten() const { return Written_; }
+  std::uint64_t linesDropped() const { return Dropped_; }
+
+private:
+  static constexpr std::size_t Weights = 3;
+
+  bool take(kernel::DecisionWeight Weight, core::TimePoint Now);
+  void renew(core::TimePoint Now);
+
+  std::array<std::uint32_t, Weights> Left_{};
+  std::array<std::uint32_t, Weights> DroppedNow_{};
+  core::TimePoint RenewAt_;
+  std::uint64_t Written_ = 0;
+  std::uint64_t Dropped_ = 0;
+};
+
+} // namespace cornellift::pool
--- /dev/null
+++ b/Services/PoolDaemon/Ingress.cpp
@@ -0,0 +1,253 @@
+#include "Services/PoolDaemon/Ingress.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <utility>
+
+namespace cornellift::pool {
+namespace {
+
+using reactor::HttpMethod;
+
+/// How long a job waits for a manager; the change from one to the next takes less.
+constexpr core::Duration ManagerTime = std::chrono::milliseconds(300);
+/// Time before the caller's limit at which it gets its final answer, for the way to it.
+constexpr core::Duration ReturnTime = std::chrono::milliseconds(10);
+/// Retry time where a process lacks its configuration or a manager.
+constexpr double StartupRetryMilliseconds = 1000;
+/// A request for something that is not supported succeeds nowhere before an upgrade.
+constexpr double UnsupportedRetryMilliseconds = 60000;
+constexpr double MillisecondsPerSecond = 1000;
+
+std::optional<double> parseNumber(std::string_view Text) {
+  double Value = 0;
+  auto Parsed = std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  if (Text.empty() || Parsed.ec != std::errc())
+    return std::nullopt;
+  return Value;
+}
+
+std::string_view verdictWord(kernel::JobVerdict Verdict) {
+  switch (Verdict) {
+  case kernel::JobVerdict::Completed:
+    return "completed";
+  case kernel::JobVerdict::Failed:
+    return "failed";
+  case kernel::JobVerdict::Rejected:
+    return "rejected";
+  case kernel::JobVerdict::GivenUp:
+    return "given_up";
+  }
+  return "given_up";
+}
+
+} // namespace
+
+Ingress::Ingress(const platform::CallerFormat &Format, kernel::DecisionLog &Log,
+                 core::MetricsRegistry &Metrics, Sender Send)
+    : Format_(Format), Log_(Log), Metrics_(Metrics), Send_(std::move(Send)) {}
+
+void Ingress::setConfiguration(std::shared_ptr<const kernel::PoolConfiguration> Configuration) {
+  Configuration_ = std::move(Configuration);
+}
+
+void Ingress::setHome(std::optional<kernel::PeerIndex> Manager, core::TimePoint /*Now*/) {
+  Home_ = Manager;
+  if (!Home_)
+    return;
+  for (auto &[Key, Job] : Jobs_)
+    if (!Job.Manager)
+      handOver(Job);
+}
+
+reactor::HttpReply Ingress::rejection(double RetryMilliseconds) const {
+  auto Seconds = std::max(1.0, std::ceil(RetryMilliseconds / MillisecondsPerSecond));
+  return {503, {}, {{"Retry-After", std::to_string(static_cast<int>(Seconds))}}};
+}
+
+void Ingress::handle(const Exchange &Request) {
+  if (!Configuration_)
+    return Request->reply(rejection(StartupRetryMilliseconds));
+  auto Path = Request->target().substr(0, Request->target().find('?'));
+  auto Host = Request->host().substr(0, Request->host().find(':'));
+  const auto *Route = Configuration_->find(Host, Path);
+  if (!Route)
+    return Request->reply({404, {}, {}});
+  auto Rest = Path.substr(Route->Prefix.size());
+  if (Rest.empty() && Request->method() == HttpMethod::Get)
+    return showBacklog(Request, *Route);
+  auto Key = kernel::parseJobKey(Rest);
+  if (!Key)
+    return Request->reply({404, {}, {}});
+  switch (Request->method()) {
+  case HttpMethod::Post:
+    return submit(Request, *Route, *Key);
+  case HttpMethod::Get:
+    return showProgress(Request, *Key);
+  case HttpMethod::Delete:
+    return cancel(Request, *Key);
+  case HttpMethod::Other:
+    return Request->reply({405, {}, {{"Allow", "GET, POST, DELETE"}}});
+  }
+}
+
+void Ingress::submit(const Exchange &Request, const kernel::Route &Route, kernel::JobKey Key) {
+  Metrics_.counter("cornellift_jobs_submitted_total").add();
+  if (auto Known = Jobs_.find(Key); Known != Jobs_.end())
+    return attach(Known->second, Request);
+  auto Submitted = Format_.parseJob(Request->body());
+  if (!Submitted)
+    return Request->reply({400, {}, {}});
+  if (!Submitted->IsAwaited || !Submitted->Unsupported.empty() || Route.NeedsAdvice) {
+    Log_.line(kernel::DecisionWeight::Notable, "job of an unsupported kind rejected", Key,
+              {{"feature", std::string_view(Submitted->Unsupported)},
+               {"awaited", std::int64_t{Submitted->IsAwaited}}});
+    return Request->reply(rejection(UnsupportedRetryMilliseconds));
+  }
+  auto Order = std::make_shared<kernel::JobOrder>();
+  Order->Key = Key;
+  Order->Specification = std::move(Submitted->Specification);
+  Order->Steps = std::move(Submitted->Steps);
+  Order->Terms = Route.Terms;
+  Order->ReceivedAt = Request->receivedAt();
+  auto Patience = parseNumber(Request->header(Format_.waitHeader()));
+  auto Limit = Route.Timeout;
+  if (Patience)
+    Limit = std::min(Limit, core::fromMilliseconds(*Patience));
+  Order->AnswerBy = Order->ReceivedAt + Limit - ReturnTime;
+  Log_.line(kernel::DecisionWeight::Routine, "job received", Key,
+            {{"route", std::string_view(Route.Terms.Route)},
+             {"configuration", static_cast<std::int64_t>(Configuration_->Version)},
+             {"tasks", static_cast<std::int64_t>(Order->taskCount())},
+             {"wait_ms", core::toMilliseconds(Limit)}});
+  auto &Job = Jobs_[Key];
+  Job.Order = std::move(Order);
+  Job.ManagerBy = Request->receivedAt() + ManagerTime;
+  attach(Job, Request);
+  if (Home_)
+    handOver(Job);
+}
+
+void Ingress::attach(OpenJob &Job, const Exchange &Request) {
+  Job.Exchanges.push_back(Request);
+  auto *Raw = Request.get();
+  Request->whenAbandoned([this, Key = Job.Order->Key, Raw] { abandoned(Key, Raw); });
+}
+
+void Ingress::handOver(OpenJob &Job) {
+  Job.Manager = Home_;
+  Send_(*Home_, kernel::SubmitToPool{Job.Order});
+}
+
+void Ingress::abandoned(kernel::JobKey Key, const reactor::HttpExchange *Request) {
+  auto Known = Jobs_.find(Key);
+  if (Known == Jobs_.end())
+    return;
+  auto &Job = Known->second;
+  std::erase_if(Job.Exchanges, [&](const Exchange &Each) { return Each.get() == Request; });
+  if (!Job.Exchanges.empty())
+    return;
+  Metrics_.counter("cornellift_jobs_abandoned_total").add();
+  Log_.line(kernel::DecisionWeight::Routine, "caller left", Key, {});
+  if (Job.Manager)
+    Send_(*Job.Manager, kernel::AbandonJob{Key});
+  Jobs_.erase(Known);
+}
+
+void Ingress::cancel(const Exchange &Request, kernel::JobKey Key) {
+  auto Known = Jobs_.find(Key);
+  if (Known == Jobs_.end())
+    return Request->reply({410, {}, {}});
+  if (Known->second.Manager)
+    Send_(*Known->second.Manager, kernel::AbandonJob{Key});
+  finish(Key, {200, Format_.renderProgress(platform::JobProgress::Cancelled), {}}, "cancelled",
+         core::MonotonicClock::now());
+  Request->reply({200, {}, {}});
+}
+
+void Ingress::showProgress(const Exchange &Request, kernel::JobKey Key) {
+  bool IsOpen = Jobs_.contains(Key);
+  if (!IsOpen)
+    return Request->reply({410, {}, {}});
+  Request->reply({200, Format_.renderProgress(platform::JobProgress::Running), {}});
+}
+
+void Ingress::showBacklog(const Exchange &Request, const kernel::Route &Route) {
+  std::uint64_t Count = 0;
+  for (const auto &[Manager, Backlog] : Backlogs_)
+    for (const auto &Entry : Backlog)
+      if (Entry.Route == Route.Terms.Route)
+        Count += Entry.Jobs;
+  Request->reply({200, Format_.renderWaitingJobs(Count), {}});
+}
+
+void Ingress::answered(const kernel::PoolAnswer &Answer, core::TimePoint Now) {
+  switch (Answer.Answer.Verdict) {
+  case kernel::JobVerdict::Completed:
+    return finish(Answer.Job, {200, Format_.renderProgress(platform::JobProgress::Completed), {}},
+                  verdictWord(Answer.Answer.Verdict), Now);
+  case kernel::JobVerdict::Failed:
+    return finish(Answer.Job, {200, Format_.renderProgress(platform::JobProgress::Failed), {}},
+                  verdictWord(Answer.Answer.Verdict), Now);
+  case kernel::JobVerdict::Rejected:
+    return finish(Answer.Job, rejection(Answer.Answer.RetryAfterMilliseconds),
+                  verdictWord(Answer.Answer.Verdict), Now);
+  case kernel::JobVerdict::GivenUp:
+    return finish(Answer.Job, {504, {}, {}}, verdictWord(Answer.Answer.Verdict), Now);
+  }
+}
+
+void Ingress::finish(kernel::JobKey Key, const reactor::HttpReply &Reply, std::string_view Outcome,
+                     core::TimePoint Now) {
+  auto Known = Jobs_.find(Key);
+  if (Known == Jobs_.end())
+    return;
+  auto Job = std::move(Known->second);
+  Jobs_.erase(Known);
+  double Taken = core::toMilliseconds(Now - Job.Order->ReceivedAt);
+  Metrics_.counter("cornellift_jobs_" + std::string(Outcome) + "_total").add();
+  Metrics_.distribution("cornellift_job_" + std::string(Outcome) + "_milliseconds").add(Taken);
+  Log_.line(Reply.Status == 200 ? kernel::DecisionWeight::Routine : kernel::DecisionWeight::Notable,
+            "job answered", Key,
+            {{"outcome", Outcome},
+             {"status", static_cast<std::int64_t>(Reply.Status)},
+             {"taken_ms", Taken},
+             {"route", std::string_view(Job.Order->Terms.Route)}});
+  for (const auto &Each : Job.Exchanges)
+    Each->reply(Reply);
+}
+
+void Ingress::peerLost(kernel::PeerIndex Peer, core::TimePoint Now) {
+  Backlogs_.erase(Peer);
+  std::vector<kernel::JobKey> Lost;
+  for (const auto &[Key, Job] : Jobs_)
+    if (Job.Manager == Peer)
+      Lost.push_back(Key);
+  for (auto Key : Lost)
+    finish(Key, {504, {}, {}}, "manager_lost", Now);
+}
+
+void Ingress::setBacklog(kernel::PeerIndex Manager,
+                         const std::vector<kernel::RouteBacklog> &Backlog) {
+  Backlogs_[Manager] = Backlog;
+}
+
+void Ingress::tick(core::TimePoint Now) {
+  std::vector<std::pair<kernel::JobKey, bool>> Ended;
+  for (const auto &[Key, Job] : Jobs_) {
+    if (!Job.Manager && Now >= Job.ManagerBy)
+      Ended.emplace_back(Key, true);
+    else if (Now >= Job.Order->AnswerBy)
+      Ended.emplace_back(Key, !Job.Manager);
+  }
+  for (auto [Key, HasNotRun] : Ended) {
+    const auto &Job = Jobs_.at(Key);
+    if (Job.Manager)
+      Send_(*Job.Manager, kernel::AbandonJob{Key});
+    auto Reply = HasNotRun ? rejection(StartupRetryMilliseconds) : reactor::HttpReply{504, {}, {}};
+    finish(Key, Reply, HasNotRun ? "no_manager" : "overdue", Now);
+  }
+}
+
+} // namespace cornellift::pool
--- /dev/null
+++ b/Services/PoolDaemon/PoolDaemon.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "Kernel/Pool/PoolElection.h"
+#include "Kernel/Pool/PoolManager.h"
+#include "Kernel/Pool/TokenSource.h"
+#include "Libraries/LibCore/MetricsRegistry.h"
+#include "Libraries/LibMesh/MeshNode.h"
+#include "Libraries/LibPlatform/PlatformFormats.h"
+#include "Libraries/LibReactor/HttpServer.h"
+#include "Libraries/LibStore/KeyMirror.h"
+#include "Libraries/LibStore/StoreClient.h"
+#include "Services/PoolDaemon/ConfigurationKeeper.h"
+#include "Services/PoolDaemon/DaemonSettings.h"
+#include "Services/PoolDaemon/DecisionLogWriter.h"
+#include "Services/PoolDaemon/Ingress.h"
+#include "Services/PoolDaemon/VmRegistration.h"
+#include "Services/PoolDaemon/WorkerCaller.h"
+#include "Services/PoolDaemon/WorkerDirectory.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+
+namespace cornellift::pool {
+
+/// The entry process for leased workers: one thread that serves callers, other entry processes,
+/// workers and the store from one reactor.
+class PoolDaemon final : private mesh::MeshListener {
+public:
+  /// Returns an empty pointer with the reason when the platform is unknown or an address is taken.
+  static std::unique_ptr<PoolDaemon> make(DaemonSettings Settings,
+                                          std::span<const char *const> Arguments);
+
+  PoolDaemon(DaemonSettings Settings, std::unique_ptr<platform::PlatformFormats> Formats,
+             std::span<const char *const> Arguments);
+  ~PoolDaemon() override;
+
+  /// Serves until a planned stop has ended.
+  void run();
+
+private:
+  bool listen();
+  void watchSignals();
+  void reload();
+  void beginStop();
+  void stopIfDone(core::TimePoint Now);
+  void tick();
+  void scheduleTick();
+
+  void applyElection(core::TimePoint Now);
+  void workersChanged();
+  void workerDropped(kernel::EndpointIndex Worker);
+  void reportReleased(core::TimePoint Now);
+  void operatorKeysChanged(const store::KeyMirror::Items &Items);
+  void configurationChanged(const std::shared_ptr<const kernel::PoolConfiguration> &Configuration);
+  void send(kernel::PeerIndex Peer, kernel::PoolMessage Message);
+  void deliver(kernel::PeerIndex From, const kernel::PoolMessage &Message);
+  void sendBacklog(core::TimePoint Now);
+  bool isReady() const;
+  void registerMetrics();
+  void serveReadiness(const std::shared_ptr<reactor::HttpExchange> &Exchange);
+  void serveMetrics(const std::shared_ptr<reactor::HttpExchange> &Exchange);
+
+  mesh::Heartbeat heartbeatFor() override;
+  bool isClose(const mesh::MeshPeer &Peer) override;
+  void peerUp(const mesh::MeshPeer &Peer) override;
+  void peerDown(const mesh::MeshPeer &Peer, mesh::PeerLoss How) override;
+  void heartbeatReceived(const mesh::MeshPeer &Peer, const mesh::Heartbeat &Message) override;
+  void messageReceived(const mesh::MeshPeer &Peer, const mesh::Frame &Message) override;
+
+  DaemonSettings Settings_;
+  std::vector<std::string> Arguments_;
+  std::unique_ptr<platform::PlatformFormats> Formats_;
+  reactor::asio::io_context Reactor_;
+  reactor::asio::signal_set Signals_;
+  reactor::asio::steady_timer Timer_;
+  core::MetricsRegistry Metrics_;
+  DecisionLogWriter Log_;
+  kernel::TokenSource Tokens_;
+  std::shared_ptr<store::StoreClient> Store_;
+  ConfigurationKeeper Configuration_;
+  WorkerCaller Workers_;
+  kernel::PoolManager Manager_;
+  kernel::PoolElection Election_;
+  mesh::MeshNode Mesh_;
+  Ingress Ingress_;
+  WorkerDirectory Directory_;
+  std::shared_ptr<store::KeyMirror> OperatorKeys_;
+  std::shared_ptr<VmRegistration> Registration_;
+  std::shared_ptr<reactor::HttpServer> Callers_;
+  std::shared_ptr<reactor::HttpServer> Readiness_;
+  std::shared_ptr<reactor::HttpServer> MetricsServer_;
+
+  std::map<std::string, kernel::PeerIndex> Successors_; ///< Of data centres that are released.
+  std::map<std::string, core::TimePoint> ClaimAt_;      ///< Of data centres that are managed.
+  std::map<kernel::PeerIndex, std::uint64_t> AskedVersions_;
+  std::optional<core::TimePoint> StopBy_;
+  core::TimePoint TickDueAt_;
+  core::TimePoint BacklogAt_;
+  bool HadBacklog_ = false;
+};
+
+} // namespace cornellift::pool
--- /dev/null
+++ b/Services/PoolDaemon/VmRegistration.cpp
@@ -0,0 +1,94 @@
+#include "Services/PoolDaemon/VmRegistration.h"
+
+#include "Libraries/LibCore/Log.h"
+
+#include <utility>
+
+namespace cornellift::pool {
+namespace {
+
+constexpr std::string_view Prefix = "cornellift/vms/";
+constexpr core::Duration LeaseTime = std::chrono::seconds(10);
+constexpr core::Duration RenewTime = std::chrono::seconds(3);
+constexpr core::Duration RetryTime = std::chrono::milliseconds(500);
+constexpr store::MirrorPace Pace = {std::chrono::seconds(8), std::chrono::milliseconds(100)};
+
+} // namespace
+
+VmRegistration::VmRegistration(store::asio::io_context &Reactor,
+                               std::shared_ptr<store::StoreClient> Store, std::string Vm,
+                               std::string Address, PeerHandler OnPeer)
+    : Timer_(Reactor), Store_(std::move(Store)), Vm_(std::move(Vm)), Address_(std::move(Address)),
+      OnPeer_(std::move(OnPeer)),
+      Mirror_(std::make_shared<store::KeyMirror>(
+          Reactor, Store_, std::string(Prefix), Pace,
+          [this](const store::KeyMirror::Items &Items) { itemsChanged(Items); })) {}
+
+void VmRegistration::start() {
+  openLease();
+  Mirror_->start();
+}
+
+void VmRegistration::stop() {
+  IsStopped_ = true;
+  Timer_.cancel();
+  Mirror_->stop();
+  if (Lease_ != 0)
+    Store_->endLease(Lease_);
+}
+
+void VmRegistration::itemsChanged(const store::KeyMirror::Items &Items) {
+  for (const auto &[Key, Item] : Items)
+    if (!Item.Value.empty())
+      OnPeer_(Key.substr(Prefix.size()), Item.Value);
+  auto Own = Items.find(std::string(Prefix) + Vm_);
+  bool IsGone = Own == Items.end() || Own->second.Value != Address_;
+  if (IsGone && std::exchange(IsWritten_, false)) {
+    core::logLine(core::LogLevel::Warning, "registration", "the own key is gone; writing it again");
+    openLease();
+  }
+}
+
+void VmRegistration::openLease() {
+  if (IsStopped_)
+    return;
+  Store_->openLease(LeaseTime,
+                    [Self = shared_from_this()](const store::StoreReply<std::uint64_t> &Reply) {
+                      if (!Reply.Content)
+                        return Self->after(RetryTime, &VmRegistration::openLease);
+                      Self->Lease_ = *Reply.Content;
+                      Self->writeKey();
+                    });
+}
+
+void VmRegistration::writeKey() {
+  auto Key = std::string(Prefix) + Vm_;
+  Store_->write({Key, Address_, Lease_},
+                [Self = shared_from_this()](const store::StoreReply<std::uint64_t> &Reply) {
+                  if (!Reply.Content)
+                    return Self->after(RetryTime, &VmRegistration::openLease);
+                  Self->IsWritten_ = true;
+                  Self->after(RenewTime, &VmRegistration::renew);
+                });
+}
+
+void VmRegistration::renew() {
+  Store_->renewLease(Lease_,
+                     [Self = shared_from_this()](const store::StoreReply<std::uint64_t> &Reply) {
+                       if (!Reply.Content && Reply.Failure == store::StoreFailure::Expired)
+                         return Self->openLease();
+                       Self->after(Reply.Content ? RenewTime : RetryTime, &VmRegistration::renew);
+                     });
+}
+
+void VmRegistration::after(core::Duration Pause, void (VmRegistration::*Next)()) {
+  if (IsStopped_)
+    return;
+  Timer_.expires_after(Pause);
+  Timer_.async_wait([Self = shared_from_this(), Next](boost::system::error_code Error) {
+    if (!Error && !Self->IsStopped_)
+      (Self.get()->*Next)();
+  });
+}
+
+} // namespace cornellift::pool
--- /dev/null
+++ b/Services/PoolDaemon/WorkerCaller.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "Kernel/Pool/PoolManager.h"
+#include "Kernel/Pool/PoolOutput.h"
+#include "Libraries/LibPlatform/WorkerFormat.h"
+#include "Libraries/LibReactor/HttpClient.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cornellift::pool {
+
+/// Carries the pool manager's orders to the workers, and its messages to where they belong.
+class WorkerCaller final : public kernel::PoolOutput {
+public:
+  using Sender = std::function<void(kernel::PeerIndex, kernel::PoolMessage)>;
+  using DroppedHandler = std::function<void(kernel::EndpointIndex)>;
+
+  WorkerCaller(reactor::asio::io_context &Reactor, const platform::WorkerFormat &Format,
+               Sender Send, DroppedHandler OnDropped);
+
+  /// Replies go to this manager from now on.
+  void setManager(kernel::PoolManager &Manager) { Manager_ = &Manager; }
+
+  void workerAddressed(kernel::EndpointIndex Worker, const kernel::WorkerEntry &Entry) override;
+  void workerDropped(kernel::EndpointIndex Worker) override;
+  void look(kernel::EndpointIndex Worker, const kernel::LookOrder &Order) override;
+  void start(kernel::EndpointIndex Worker, const kernel::StartOrder &Order) override;
+  void stop(kernel::EndpointIndex Worker, const kernel::StopOrder &Order) override;
+  void send(kernel::PeerIndex Peer, kernel::PoolMessage Message) override;
+
+  std::uint64_t connectionsMade() const;
+
+private:
+  struct Target {
+    std::string Id;
+    std::shared_ptr<reactor::HttpClient> Looks; ///< Waits for ends; one connection.
+    std::shared_ptr<reactor::HttpClient> Orders;
+  };
+
+  Target &at(kernel::EndpointIndex Worker) { return Targets_[static_cast<std::size_t>(Worker)]; }
+
+  reactor::asio::io_context &Reactor_;
+  const platform::WorkerFormat &Format_;
+  Sender Send_;
+  DroppedHandler OnDropped_;
+  kernel::PoolManager *Manager_ = nullptr;
+  std::vector<Target> Targets_;
+};
+
+} // namespace cornellift::pool
--- /dev/null
+++ b/Services/PoolDaemon/WorkerDirectory.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "Kernel/Pool/DecisionLog.h"
+#include "Kernel/Pool/WorkerListing.h"
+#include "Libraries/LibPlatform/WorkerFormat.h"
+#include "Libraries/LibStore/KeyMirror.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace cornellift::pool {
+
+/// Follows the workers' entries in the store while this process manages workers.
+class WorkerDirectory {
+public:
+  using ChangeHandler = std::function<void()>;
+
+  WorkerDirectory(store::asio::io_context &Reactor,
+                  const std::shared_ptr<store::StoreClient> &Store,
+                  const platform::WorkerFormat &Format, kernel::DecisionLog &Log,
+                  ChangeHandler OnChange);
+
+  /// Begins or ends to follow the store.
+  void follow(bool IsWanted);
+  void tick(core::TimePoint Now);
+
+  const kernel::WorkerListing &listing() const { return Listing_; }
+  bool isLoaded() const { return Mirror_->isLoaded(); }
+  std::uint64_t revision() const { return Mirror_->revision(); }
+
+private:
+  void itemsChanged(const store::KeyMirror::Items &Items);
+
+  std::shared_ptr<store::StoreClient> Store_;
+  const platform::WorkerFormat &Format_;
+  kernel::DecisionLog &Log_;
+  ChangeHandler OnChange_;
+  kernel::WorkerListing Listing_;
+  std::unordered_map<std::string, std::uint64_t> Revisions_; ///< Of the entries read, by id.
+  std::shared_ptr<store::KeyMirror> Mirror_;
+};
+
+} // namespace cornellift::pool
