LibMesh: Tell the name of a seed without opening a session

A link to a seed by its address opened a session of its own, and the name by address was passed on to other peers. A change of the heartbeat interval also counted as silence.

--- a/Kernel/Pool/PoolManagerJobs.cpp
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -109,7 +109,9 @@
     Longest = std::max(Longest, EndOfStep[Step]);
   }
   double Objective = Order.Terms.Stretch * Longest + Order.Terms.TargetLatencyMilliseconds;
-  Job.ObjectiveAt = Order.ReceivedAt + milliseconds(Objective - ClientMilliseconds);
+  // An answer after the caller's limit is none, however long the objective of a large job.
+  Job.ObjectiveAt =
+      std::min(Order.AnswerBy, Order.ReceivedAt + milliseconds(Objective - ClientMilliseconds));
   Job.UsefulUntil =
       std::min(Order.AnswerBy, Order.ReceivedAt + milliseconds(Objective * UsefulFactor));
   Job.LatestStart = Job.ObjectiveAt - milliseconds(Longest);
--- a/Libraries/LibMesh/MeshNode.cpp
+++ b/Libraries/LibMesh/MeshNode.cpp
@@ -56,6 +56,11 @@
                              const Frame &Message) {
   if (!Message.has_hello() || Message.hello().vm() == Identity_.Vm)
     return Connection->close();
+  if (Message.hello().session() == 0) {
+    Frame Reply;
+    Reply.mutable_hello_reply()->set_vm(Identity_.Vm);
+    return Connection->send(Reply);
+  }
   obtain(Message.hello().vm())->accept(Connection, Message.hello(), core::MonotonicClock::now());
 }
 
@@ -95,7 +100,7 @@
   auto Copy = Peers_; // A loss may make further peers known.
   for (const auto &[Vm, Peer] : Copy) {
     if (Peer->isUp())
-      Peer->setInterval(Listener_.isClose(*Peer) ? CloseInterval : DistantInterval);
+      Peer->setInterval(Listener_.isClose(*Peer) ? CloseInterval : DistantInterval, Now);
     Peer->tick(Now);
   }
 }
@@ -118,7 +123,8 @@
 std::vector<const MeshPeer *> MeshNode::known() const {
   std::vector<const MeshPeer *> Result;
   for (const auto &[Vm, Peer] : Peers_)
-    Result.push_back(Peer.get());
+    if (Peer->isNamed())
+      Result.push_back(Peer.get());
   return Result;
 }
 
@@ -129,17 +135,13 @@
 
 std::uint64_t MeshNode::newSession() { return Random_(); }
 
-bool MeshNode::peerNamed(MeshPeer &Peer, const std::string &Vm) {
+void MeshNode::peerNamed(MeshPeer &Peer, const std::string &Vm) {
+  auto Address = Peer.address();
   auto Known = Peers_.find(Peer.vm());
   auto Self = Known->second;
   Peers_.erase(Known);
-  if (Vm == Identity_.Vm || Peers_.contains(Vm)) {
-    Self->shutDown();
-    return false;
-  }
-  Self->setName(Vm);
-  Peers_.emplace(Vm, std::move(Self));
-  return true;
+  Self->shutDown();
+  learn(Vm, Address);
 }
 
 Heartbeat MeshNode::currentHeartbeat() { return Listener_.heartbeatFor(); }
--- a/Libraries/LibMesh/MeshNode.h
+++ b/Libraries/LibMesh/MeshNode.h
@@ -52,7 +52,7 @@
 
   /// Links that are up.
   std::vector<const MeshPeer *> peers() const;
-  /// All known VMs, reachable or not.
+  /// All VMs that are known by name, reachable or not.
   std::vector<const MeshPeer *> known() const;
   const MeshPeer *find(kernel::PeerIndex Index) const;
   const MeshIdentity &identity() const override { return Identity_; }
@@ -62,7 +62,7 @@
   void helloReceived(const std::shared_ptr<MeshConnection> &Connection, const Frame &Message);
   std::shared_ptr<MeshPeer> obtain(const std::string &Vm);
   std::uint64_t newSession() override;
-  bool peerNamed(MeshPeer &Peer, const std::string &Vm) override;
+  void peerNamed(MeshPeer &Peer, const std::string &Vm) override;
   Heartbeat currentHeartbeat() override;
   void peerUp(MeshPeer &Peer) override;
   void peerDown(MeshPeer &Peer, PeerLoss How) override;
--- a/Libraries/LibMesh/MeshPeer.cpp
+++ b/Libraries/LibMesh/MeshPeer.cpp
@@ -38,6 +38,12 @@
   dropOutgoing({});
 }
 
+void MeshPeer::setInterval(core::Duration Interval, core::TimePoint Now) {
+  if (Interval < Interval_)
+    BeatAt_ = std::min(BeatAt_, Now);
+  Interval_ = Interval;
+}
+
 void MeshPeer::beginSession() {
   Session_ = Owner_.newSession();
   Resumes_ = false;
@@ -100,7 +106,7 @@
   Greeting.set_address(Identity.Address);
   Greeting.set_incarnation(Identity.Incarnation);
   Greeting.set_weight(Identity.Weight);
-  Greeting.set_session(Session_);
+  Greeting.set_session(isNamed() ? Session_ : 0);
   Greeting.set_resumes(Resumes_);
   Outgoing_->send(Message);
 }
@@ -114,8 +120,8 @@
 }
 
 void MeshPeer::greeted(const HelloReply &Message, core::TimePoint Now) {
-  if (Message.vm() != Vm_ && !Owner_.peerNamed(*this, Message.vm()))
-    return;
+  if (!isNamed())
+    return Owner_.peerNamed(*this, Message.vm());
   learnIncarnation(Message.incarnation(), Now);
   if (!Outgoing_)
     return; // The link was reset while the new incarnation became known.
@@ -127,8 +133,8 @@
   }
   IsGreeted_ = true;
   Resumes_ = true;
+  GreetedAt_ = Now;
   DialPause_ = core::Duration(0);
-  AwaitsSince_.reset();
   acknowledged(Message.received(), Now);
   for (const auto &[Sequence, Bytes] : Unacknowledged_)
     Outgoing_->sendBytes(Bytes);
@@ -137,7 +143,6 @@
 }
 
 void MeshPeer::acknowledged(std::uint64_t Received, core::TimePoint Now) {
-  LastAcknowledged_ = Now;
   while (!Unacknowledged_.empty() && Unacknowledged_.front().first <= Received)
     Unacknowledged_.pop_front();
   AwaitsSince_.reset();
@@ -160,7 +165,6 @@
     Outgoing_->close();
   Outgoing_.reset();
   IsGreeted_ = false;
-  AwaitsSince_.reset();
   DialAt_ = RedialAt;
   DialPause_ = std::clamp(DialPause_ * 2, FirstDialPause, LongestDialPause);
 }
@@ -238,7 +242,6 @@
   if (IsUp_ || !IsGreeted_ || !Incoming_ || !PeerSessionIsAlive_)
     return;
   IsUp_ = true;
-  LastAcknowledged_ = Now;
   LastHeard_ = Now;
   Owner_.peerUp(*this);
 }
@@ -257,12 +260,12 @@
 
 void MeshPeer::tick(core::TimePoint Now) {
   bool IsSilent = Now - LastHeard_ > silenceLimit(PeerInterval_) ||
-                  Now - LastAcknowledged_ > silenceLimit(Interval_);
+                  (AwaitsSince_ && Now - *AwaitsSince_ > SilenceTime);
   if (IsUp_ && IsSilent)
     return goDown(PeerLoss::Silent, Now);
   if (Outgoing_ && !IsGreeted_ && Now >= DialUntil_)
     dropOutgoing(Now);
-  if (IsGreeted_ && AwaitsSince_ && Now - *AwaitsSince_ > StaleTime)
+  if (IsGreeted_ && AwaitsSince_ && Now - std::max(*AwaitsSince_, GreetedAt_) > StaleTime)
     dropOutgoing(Now);
   if (!Outgoing_ && Now >= DialAt_)
     dial(Now);
--- a/Libraries/LibMesh/MeshPeer.h
+++ b/Libraries/LibMesh/MeshPeer.h
@@ -35,9 +35,8 @@
   virtual ~MeshPeerOwner() = default;
   virtual const MeshIdentity &identity() const = 0;
   virtual std::uint64_t newSession() = 0;
-  /// The peer behind an address has told its name. Returns false when it is known already, so that
-  /// this link is to be dropped.
-  virtual bool peerNamed(MeshPeer &Peer, const std::string &Vm) = 0;
+  /// The process behind an address has told its name; the link by address has done its duty.
+  virtual void peerNamed(MeshPeer &Peer, const std::string &Vm) = 0;
   virtual Heartbeat currentHeartbeat() = 0;
   virtual void peerUp(MeshPeer &Peer) = 0;
   virtual void peerDown(MeshPeer &Peer, PeerLoss How) = 0;
@@ -53,7 +52,9 @@
 public:
   MeshPeer(asio::io_context &Reactor, MeshPeerOwner &Owner, std::string Vm);
 
+  /// The address while the name is not known.
   const std::string &vm() const { return Vm_; }
+  bool isNamed() const { return Vm_ != Address_; }
   const std::string &dataCentre() const { return DataCentre_; }
   const std::string &address() const { return Address_; }
   std::uint32_t weight() const { return Weight_; }
@@ -65,9 +66,8 @@
   kernel::PeerIndex Index{};
 
   void setAddress(const std::string &Address);
-  void setName(const std::string &Vm) { Vm_ = Vm; }
   /// Time between heartbeats to this peer.
-  void setInterval(core::Duration Interval) { Interval_ = Interval; }
+  void setInterval(core::Duration Interval, core::TimePoint Now);
 
   /// Queues a message; it is dropped when the peer is lost before it arrives.
   void send(Frame Message);
@@ -115,8 +115,9 @@
   core::TimePoint DialUntil_;
   core::Duration DialPause_{0};
   core::TimePoint BeatAt_;
-  std::optional<core::TimePoint> AwaitsSince_; ///< The oldest frame without acknowledgement.
-  core::TimePoint LastAcknowledged_;
+  /// When the first frame was sent after which nothing was acknowledged, on any connection.
+  std::optional<core::TimePoint> AwaitsSince_;
+  core::TimePoint GreetedAt_;
 
   // The direction from the peer to this process.
   std::shared_ptr<MeshConnection> Incoming_;
