Kernel: Give a job up as soon as its progress shows that it must be late

Large batch jobs ran until the caller's limit although a tenth of their run time shows that they cannot end in time on the fastest worker. Stragglers are judged by the progress of the whole step, and objectives by the mean speed of all workers.

--- a/Kernel/Pool/PoolJob.h
+++ b/Kernel/Pool/PoolJob.h
@@ -26,6 +26,7 @@
   TaskState State = TaskState::Blocked;
   std::uint32_t Failures = 0;
   std::uint32_t LastRun = 0; ///< Highest run number used.
+  std::uint32_t Moves = 0;   ///< Times that a slow run was stopped to start it elsewhere.
   EndpointIndex Worker{};    ///< Of a Placed task.
   PeerIndex Manager{};       ///< Of a Delegated task.
   core::TimePoint SettledAt;
@@ -37,6 +38,9 @@
   std::uint32_t Waiting = 0;
   double TypicalMilliseconds = 0; ///< Expected run time on a typical worker.
   double Deviation = 0;           ///< Of its natural logarithm.
+  /// Run time on a typical worker as shown by the progress of the step's runs; zero before any
+  /// shows it. Tasks of one step are nearly equal.
+  double ObservedMilliseconds = 0;
 };
 
 /// A job at the manager of a pool. A guest is a part of a job of another manager.
--- a/Kernel/Pool/PoolManager.cpp
+++ b/Kernel/Pool/PoolManager.cpp
@@ -10,6 +10,24 @@
 constexpr core::Duration ExpiryTime = std::chrono::milliseconds(5);
 constexpr core::Duration StragglerCheckTime = std::chrono::milliseconds(20);
 
+std::string_view outcomeWord(RunOutcome How) {
+  switch (How) {
+  case RunOutcome::Done:
+    return "done";
+  case RunOutcome::Failed:
+    return "failed";
+  case RunOutcome::Stopped:
+    return "stopped";
+  case RunOutcome::Lost:
+    return "lost";
+  case RunOutcome::NotStarted:
+    return "not_started";
+  case RunOutcome::Outdated:
+    return "outdated";
+  }
+  return "unknown";
+}
+
 } // namespace
 
 PoolManager::PoolManager(const PoolSettings &Settings, PoolOutput &Output, TokenSource &Tokens,
@@ -111,6 +129,13 @@
     return;
   learnFrom(Worker, *Job, Left, How, Now);
   const auto &WorkerId = Fleet_.at(Worker).Entry.Id;
+  Log_.line(DecisionWeight::Routine, "run left its worker", Job->key(),
+            {{"step", static_cast<std::int64_t>(Left.Task.Step)},
+             {"index", static_cast<std::int64_t>(Left.Task.Index)},
+             {"run", static_cast<std::int64_t>(Left.Number)},
+             {"worker", std::string_view(WorkerId)},
+             {"outcome", outcomeWord(How)},
+             {"after_ms", core::toMilliseconds(Now - Left.OrderedAt)}});
   auto &Task = Job->Tasks[Left.TaskNumber];
   if (How == RunOutcome::Outdated)
     Task.LastRun = std::max(Task.LastRun, Left.Number) + 16; // Above what that worker remembers.
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -113,6 +113,8 @@
   void enqueue(const PoolJob &Job, core::TimePoint Now);
   void dequeue(JobHandle Handle);
   double waitMilliseconds(const PoolJob &Job) const;
+  /// Run time of the longest waiting task on the fastest worker, in milliseconds.
+  double shortestRun(const PoolJob &Job) const;
   PoolJob *find(JobHandle Handle);
 
   // PoolManagerPlacing.cpp: where tasks go.
@@ -129,9 +131,20 @@
   bool exceedsWorkerBound(const PoolJob &Job, std::uint32_t Step, EndpointIndex Worker) const;
   void startOn(PoolJob &Job, std::uint32_t Task, EndpointIndex Worker, core::TimePoint Now);
   void flushDelegations(const PoolJob &Job);
-  double fastestSpeed(core::TimePoint Now) const;
+  void surveySpeeds(core::TimePoint Now);
   bool hasAnyRoom(core::TimePoint Now) const;
+  bool hasRoomFor(const PoolJob &Job, core::TimePoint Now) const;
+  template <typename Visitor>
+  void visitOffers(const PoolJob &Job, std::uint32_t Step, const PoolQuestion &Question,
+                   core::TimePoint Now, Visitor Visit) const;
+
+  // PoolManagerStragglers.cpp: runs that are foreseen to end too late.
   void moveStragglers(core::TimePoint Now);
+  void observeProgress(PoolJob &Job, core::TimePoint Now);
+  void judgeRun(PoolJob &Job, std::uint32_t Task, core::TimePoint Now);
+  void giveUpTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now);
+  std::optional<double> bestFreshRun(const PoolJob &Job, std::uint32_t Step, EndpointIndex Except,
+                                     double TypicalMilliseconds, core::TimePoint Now) const;
 
   // PoolManagerPeers.cpp: work for and by other managers.
   void acceptDelegated(PeerIndex From, const DelegateTasks &Message, core::TimePoint Now);
@@ -168,6 +181,10 @@
   std::vector<WorkerEntry> Listed_; ///< As in the directory sent to other managers.
   std::uint64_t DirectoryVersion_ = 0;
   std::uint64_t NextHandle_ = 1;
+  double FastestSpeed_ = 1; ///< Of the open workers, as of the last round of placing.
+  /// Mean run time over all workers, relative to that on a typical one. The objective of a job is
+  /// stated for the workers as they are, not for those that are used most.
+  double MeanSlowness_ = 1;
   double WaitingMilliseconds_ = 0; ///< Typical run time of all waiting tasks.
   core::TimePoint ReportAt_;       ///< Earliest next report.
   bool NeedsDispatch_ = false;
@@ -177,4 +194,28 @@
   core::TimePoint NextStragglerCheck_;
 };
 
+/// Calls Visit with each place that has room for a task of the step now; the second argument is the
+/// worker when it is one of this manager's own.
+template <typename Visitor>
+void PoolManager::visitOffers(const PoolJob &Job, std::uint32_t Step, const PoolQuestion &Question,
+                              core::TimePoint Now, Visitor Visit) const {
+  for (std::size_t Position = 0; Position < Fleet_.size(); ++Position) {
+    auto Index = static_cast<EndpointIndex>(Position);
+    PlaceOffer Offer{&Fleet_.at(Index).Entry, roomOf(Index, Now), 0};
+    if (isEligible(Question, Offer) && !exceedsWorkerBound(Job, Step, Index))
+      Visit(Offer, std::optional(Index));
+  }
+  if (Job.IsGuest)
+    return;
+  for (const auto &[Peer, Known] : Remotes_) {
+    if (!Known.IsManager || !Known.Pool.takesTasks(Now))
+      continue;
+    for (const auto &Worker : Known.Pool.workers()) {
+      PlaceOffer Offer{&Worker.Entry, Worker.Room, Settings_.PeerRoundTripMilliseconds};
+      if (isEligible(Question, Offer))
+        Visit(Offer, std::optional<EndpointIndex>());
+    }
+  }
+}
+
 } // namespace cornellift::kernel
--- a/Kernel/Pool/PoolManagerJobs.cpp
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -14,6 +14,11 @@
 /// Share of its run time by which the longest of a step's tasks exceeds the typical one, per
 /// doubling of the number of tasks; declared sizes are the same for all.
 constexpr double LongestPerDoubling = 0.06;
+/// A job is given up when even this share of its expected run time is left only; estimates are
+/// rough.
+constexpr double HopeShare = 0.7;
+/// Bound on speeds, so that an unknown fleet does not look endlessly slow.
+constexpr double SlowestSpeed = 0.1;
 /// How long the runs of a job go on whose entry process is lost. Its client sends the job again
 /// 1.3 s after the connection broke, and the loss is noticed after 0.6 s at most.
 constexpr core::Duration OrphanTime = std::chrono::milliseconds(500);
@@ -105,7 +110,7 @@
       if (Earlier < Step)
         Begin = std::max(Begin, EndOfStep[Earlier]);
     double Wide = 1 + LongestPerDoubling * std::log2(std::max(1U, Order.Steps[Step].Count));
-    EndOfStep[Step] = Begin + Job.Steps[Step].TypicalMilliseconds * Wide;
+    EndOfStep[Step] = Begin + Job.Steps[Step].TypicalMilliseconds * MeanSlowness_ * Wide;
     Longest = std::max(Longest, EndOfStep[Step]);
   }
   double Objective = Order.Terms.Stretch * Longest + Order.Terms.TargetLatencyMilliseconds;
@@ -117,10 +122,20 @@
   Job.LatestStart = Job.ObjectiveAt - milliseconds(Longest);
 }
 
+double PoolManager::shortestRun(const PoolJob &Job) const {
+  double Longest = 0;
+  for (const auto &Step : Job.Steps)
+    if (Step.Waiting > 0)
+      Longest = std::max(Longest, Step.TypicalMilliseconds);
+  return Longest / std::max(FastestSpeed_, SlowestSpeed);
+}
+
 std::optional<JobAnswer> PoolManager::refusal(const PoolJob &Job, core::TimePoint Now) const {
+  if (hasRoomFor(Job, Now))
+    return std::nullopt;
   double Wait = waitMilliseconds(Job);
   auto Start = Now + milliseconds(Wait);
-  auto Run = Job.ObjectiveAt - Job.LatestStart;
+  auto Run = milliseconds(shortestRun(Job));
   if (Wait <= 0 || Start + Run <= Job.UsefulUntil)
     return std::nullopt;
   return JobAnswer{JobVerdict::Rejected, "too much work waits for the workers",
@@ -321,7 +336,8 @@
       Ended.push_back({Handle, {JobVerdict::GivenUp, "its entry process is lost", 0}});
       continue;
     }
-    auto Limit = Job.waiting() > 0 ? Job.UsefulUntil - (Job.ObjectiveAt - Job.LatestStart) / 2
+    // A task that still waits needs its run time on the fastest worker.
+    auto Limit = Job.waiting() > 0 ? Job.UsefulUntil - milliseconds(shortestRun(Job) * HopeShare)
                                    : Job.UsefulUntil;
     if (Now < Limit)
       continue;
--- a/Kernel/Pool/PoolManagerPeers.cpp
+++ b/Kernel/Pool/PoolManagerPeers.cpp
@@ -105,6 +105,10 @@
     ++Counters_.DelegationsRefused;
     Remotes_[From].Pool.refused(Now);
     return requeueTask(Job, Message.Task, Now);
+  case DelegatedEnd::TooLong:
+    if (!Job.IsEnding)
+      endJob(Job, {JobVerdict::GivenUp, "a task cannot end while the caller waits", 0}, Now);
+    return; // The other manager reports the end of the run when it has left its worker.
   case DelegatedEnd::Lost:
     return requeueTask(Job, Message.Task, Now);
   }
--- a/Kernel/Pool/PoolManagerPlacing.cpp
+++ b/Kernel/Pool/PoolManagerPlacing.cpp
@@ -8,12 +8,6 @@
 
 /// Waiting jobs that are looked at in one round; the rest waits for the next one.
 constexpr std::size_t JobsPerRound = 64;
-/// A run is moved when its end is foreseen to be later than that of a new one by this factor.
-constexpr double MoveGain = 1.25;
-/// What moving a run costs: its stop, the look that shows its end, and the new start.
-constexpr double MoveMilliseconds = 70;
-/// A run is judged by its progress only after this time.
-constexpr core::Duration JudgeTime = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -26,17 +20,28 @@
   return {Known.free(), Slots, IsOpen ? Ratings_.speed(Index) : 0};
 }
 
-double PoolManager::fastestSpeed(core::TimePoint Now) const {
+void PoolManager::surveySpeeds(core::TimePoint Now) {
   double Fastest = 0;
+  double Slowness = 0;
+  double Count = 0;
+  auto Add = [&](double Speed) {
+    Fastest = std::max(Fastest, Speed);
+    Slowness += 1 / Speed;
+    Count += 1;
+  };
   for (std::size_t Position = 0; Position < Fleet_.size(); ++Position) {
     auto Index = static_cast<EndpointIndex>(Position);
     if (Fleet_.at(Index).isOpen(Now) && Ratings_.allowedTasks(Index) > 0)
-      Fastest = std::max(Fastest, Ratings_.speed(Index));
+      Add(Ratings_.speed(Index));
   }
   for (const auto &[Peer, Known] : Remotes_)
     for (const auto &Worker : Known.Pool.workers())
-      Fastest = std::max(Fastest, Worker.Room.Speed);
-  return Fastest;
+      if (Worker.Room.Speed > 0)
+        Add(Worker.Room.Speed);
+  if (Count == 0)
+    return;
+  FastestSpeed_ = Fastest;
+  MeanSlowness_ = Slowness / Count;
 }
 
 bool PoolManager::hasAnyRoom(core::TimePoint Now) const {
@@ -54,7 +59,17 @@
   });
 }
 
+bool PoolManager::hasRoomFor(const PoolJob &Job, core::TimePoint Now) const {
+  bool IsFound = false;
+  for (std::uint32_t Step = 0; Step < Job.Steps.size() && !IsFound; ++Step)
+    if (Job.Steps[Step].Waiting > 0)
+      visitOffers(Job, Step, questionFor(Job, Step, Now), Now,
+                  [&](const PlaceOffer &, std::optional<EndpointIndex>) { IsFound = true; });
+  return IsFound;
+}
+
 void PoolManager::dispatch(core::TimePoint Now) {
+  surveySpeeds(Now);
   std::vector<JobHandle> Round;
   for (const auto &Key : Queue_) {
     if (Round.size() >= JobsPerRound)
@@ -89,7 +104,9 @@
   PoolQuestion Question;
   Question.Step = &Job.Order->Steps[Step];
   Question.Terms = &Job.Order->Terms;
-  Question.TypicalRunTime = Job.Steps[Step].TypicalMilliseconds;
+  const auto &Progress = Job.Steps[Step];
+  Question.TypicalRunTime = Progress.ObservedMilliseconds > 0 ? Progress.ObservedMilliseconds
+                                                              : Progress.TypicalMilliseconds;
   Question.InTime = core::toMilliseconds(Job.ObjectiveAt - Now);
   Question.Useful = core::toMilliseconds(Job.UsefulUntil - Now);
   Question.RemoteFactor = Settings_.RemoteFactor;
@@ -99,7 +116,7 @@
 bool PoolManager::placeTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now) {
   auto Step = Job.stepOf(Task);
   auto Question = questionFor(Job, Step, Now);
-  PlaceChooser Chooser(Question, fastestSpeed(Now));
+  PlaceChooser Chooser(Question, FastestSpeed_);
   auto Own = choosePlace(Job, Step, Chooser, Question, Now);
   auto Elsewhere = Job.IsGuest ? std::nullopt : chooseRemote(Chooser, Question, Now);
   if (!Own && !Elsewhere)
@@ -211,43 +228,4 @@
   }
 }
 
-void PoolManager::moveStragglers(core::TimePoint Now) {
-  for (auto &[Handle, Job] : Jobs_) {
-    if (Job.IsEnding || Job.IsGuest || Now + JudgeTime > Job.UsefulUntil)
-      continue;
-    for (std::uint32_t Task = 0; Task < Job.Tasks.size(); ++Task) {
-      auto &Placed = Job.Tasks[Task];
-      if (Placed.State != TaskState::Placed)
-        continue;
-      auto Worker = Placed.Worker;
-      const auto &Runs = Fleet_.at(Worker).Runs;
-      auto Found = std::find_if(Runs.begin(), Runs.end(), [&](const Run &Candidate) {
-        return Candidate.Job == Handle && Candidate.TaskNumber == Task;
-      });
-      if (Found == Runs.end() || Found->State != RunState::Running ||
-          Found->PercentAt < Found->OrderedAt + JudgeTime)
-        continue;
-      double Elapsed = core::toMilliseconds(Found->PercentAt - Found->OrderedAt);
-      double Share = std::max(Found->PercentDone, 0.5) / 100;
-      double End = Elapsed / Share - core::toMilliseconds(Now - Found->OrderedAt);
-      auto Question = questionFor(Job, Job.stepOf(Task), Now);
-      double Fresh = MoveMilliseconds + Question.TypicalRunTime / std::max(0.01, fastestSpeed(Now));
-      if (End < Question.InTime || End < Fresh * MoveGain || Fresh > Question.Useful)
-        continue;
-      ++Counters_.StragglersMoved;
-      Log_.line(DecisionWeight::Notable, "moving a slow run", Job.key(),
-                {{"worker", std::string_view(Fleet_.at(Worker).Entry.Id)},
-                 {"index", static_cast<std::int64_t>(Found->Task.Index)},
-                 {"percent", Found->PercentDone},
-                 {"elapsed_ms", Elapsed},
-                 {"expected_ms", core::toMilliseconds(Found->ExpectedEnd - Found->OrderedAt)}});
-      if (Found->PercentDone <
-          100 * Elapsed /
-              std::max(1.0, 4 * core::toMilliseconds(Found->ExpectedEnd - Found->OrderedAt)))
-        Ratings_.ranBadly(Worker, Job.Kind, Job.key(), Now);
-      Fleet_.stopRun(Worker, Job.refOf(Task), Placed.LastRun, Now);
-    }
-  }
-}
-
 } // namespace cornellift::kernel
--- a/Kernel/Pool/PoolMessages.h
+++ b/Kernel/Pool/PoolMessages.h
@@ -48,6 +48,7 @@
   Done,
   Failed,
   Refused, ///< Not started.
+  TooLong, ///< Stopped, because it could not end while the caller waits, here or elsewhere.
   Lost     ///< Stopped, lapsed or lost with its worker; it does not run any more.
 };
 
--- a/Kernel/Pool/PoolPlacement.cpp
+++ b/Kernel/Pool/PoolPlacement.cpp
@@ -8,6 +8,9 @@
 /// Ends that differ by less than this share of the run time count as equal.
 constexpr double EqualShare = 0.05;
 constexpr double RoundingSlack = 1e-6;
+/// A task that would end a little too late is tried all the same: it may well take this share of
+/// the expected time only.
+constexpr double HopefulShare = 0.75;
 
 bool hasLabel(const WorkerEntry &Entry, const std::string &Label) {
   return std::find(Entry.Labels.begin(), Entry.Labels.end(), Label) != Entry.Labels.end();
@@ -41,7 +44,7 @@
 
 bool PlaceChooser::consider(const PlaceOffer &Offer) {
   double End = expectedMilliseconds(Question_, Offer);
-  if (End > (MayBeLate_ ? Question_.Useful : Question_.InTime))
+  if (MayBeLate_ ? End * HopefulShare > Question_.Useful : End > Question_.InTime)
     return false;
   double Rest = Offer.Room.Free.Processors - Question_.Step->Need.Processors;
   double Margin = EqualShare * Question_.TypicalRunTime;
--- a/Kernel/Pool/Worker.cpp
+++ b/Kernel/Pool/Worker.cpp
@@ -1,6 +1,7 @@
 #include "Kernel/Pool/Worker.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cornellift::kernel {
 namespace {
@@ -38,6 +39,10 @@
 }
 
 Run *Worker::find(const TaskRef &Task, std::uint32_t Number) {
+  return const_cast<Run *>(std::as_const(*this).find(Task, Number));
+}
+
+const Run *Worker::find(const TaskRef &Task, std::uint32_t Number) const {
   auto Found = std::find_if(Runs.begin(), Runs.end(), [&](const Run &Candidate) {
     return Candidate.Task == Task && Candidate.Number == Number;
   });
--- a/Kernel/Pool/Worker.h
+++ b/Kernel/Pool/Worker.h
@@ -75,6 +75,7 @@
   bool hasLabel(const std::string &Label) const;
 
   Run *find(const TaskRef &Task, std::uint32_t Number);
+  const Run *find(const TaskRef &Task, std::uint32_t Number) const;
   void add(Run Started);
   void remove(const TaskRef &Task, std::uint32_t Number);
 };
--- a/Kernel/Pool/WorkerFleet.cpp
+++ b/Kernel/Pool/WorkerFleet.cpp
@@ -453,6 +453,11 @@
     tickWorker(static_cast<EndpointIndex>(Position), Now);
 }
 
+const Run *WorkerFleet::findRun(EndpointIndex Worker, const TaskRef &Task,
+                                std::uint32_t Number) const {
+  return at(Worker).find(Task, Number);
+}
+
 std::size_t WorkerFleet::runCount() const {
   std::size_t Count = 0;
   for (const auto &Known : Workers_)
--- a/Kernel/Pool/WorkerFleet.h
+++ b/Kernel/Pool/WorkerFleet.h
@@ -78,6 +78,9 @@
 
   std::size_t runCount() const;
 
+  /// The run, or null when it has left the worker.
+  const Run *findRun(EndpointIndex Worker, const TaskRef &Task, std::uint32_t Number) const;
+
 private:
   Worker &edit(EndpointIndex Index) { return Workers_[static_cast<std::size_t>(Index)]; }
   EndpointIndex indexOf(const std::string &Id);
--- a/Services/PoolDaemon/DaemonSettings.cpp
+++ b/Services/PoolDaemon/DaemonSettings.cpp
@@ -32,6 +32,9 @@
      "10", 0.5, 3600},
     {"remote-factor", "Run time of a task away from its data, relative to near it",
      SettingType::Real, "1", 1, 100},
+    {"log-lines-per-second",
+     "Lines on served requests; failed ones and beliefs have three times as many",
+     SettingType::Integer, "20", 1, 100000},
     {"log-level", "debug, info, warn or error", SettingType::Text, "info"},
 };
 
@@ -72,6 +75,7 @@
       static_cast<std::uint32_t>(std::lround(Parsed->real("processor-share") * WeightPerCore));
   Result.StopTime = core::fromMilliseconds(Parsed->real("stop-seconds") * 1000);
   Result.RemoteFactor = Parsed->real("remote-factor");
+  Result.LogLinesPerSecond = static_cast<std::uint32_t>(Parsed->integer("log-lines-per-second"));
   Result.LogLevel = Parsed->text("log-level");
   return Result;
 }
--- a/Services/PoolDaemon/DaemonSettings.h
+++ b/Services/PoolDaemon/DaemonSettings.h
@@ -26,6 +26,7 @@
   core::Duration StopTime{0};             ///< From the request to stop to the end of the process.
   double RemoteFactor = 1;
   std::string LogLevel;
+  std::uint32_t LogLinesPerSecond = 0; ///< On served requests.
 
   /// Returns an empty optional with Malformed, naming the setting and the remedy.
   static std::optional<DaemonSettings> parse(std::span<const char *const> Arguments);
--- a/Services/PoolDaemon/DecisionLogWriter.cpp
+++ b/Services/PoolDaemon/DecisionLogWriter.cpp
@@ -3,14 +3,12 @@
 #include "Libraries/LibCore/Log.h"
 
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cornellift::pool {
 namespace {
 
-/// Lines a second, by weight: routine, notable, belief.
-constexpr std::array<std::uint32_t, 3> LinesPerSecond = {20, 60, 60};
-
 std::string toText(const kernel::DecisionField &Field) {
   if (const auto *Integer = std::get_if<std::int64_t>(&Field.Value))
     return std::to_string(*Integer);
@@ -30,7 +28,7 @@
 
 void DecisionLogWriter::renew(core::TimePoint Now) {
   RenewAt_ = Now + std::chrono::seconds(1);
-  Left_ = LinesPerSecond;
+  Left_ = LinesPerSecond_;
   auto Dropped = std::exchange(DroppedNow_, {});
   auto Sum = Dropped[0] + Dropped[1] + Dropped[2];
   if (Sum > 0)
--- a/Services/PoolDaemon/DecisionLogWriter.h
+++ b/Services/PoolDaemon/DecisionLogWriter.h
@@ -13,6 +13,11 @@
 /// reported once a second.
 class DecisionLogWriter final : public kernel::DecisionLog {
 public:
+  /// The bound holds for lines on served requests; each other weight has three times as many.
+  explicit DecisionLogWriter(std::uint32_t RoutineLinesPerSecond)
+      : LinesPerSecond_{RoutineLinesPerSecond, 3 * RoutineLinesPerSecond,
+                        3 * RoutineLinesPerSecond} {}
+
   void line(kernel::DecisionWeight Weight, std::string_view Event,
             std::optional<kernel::JobKey> Job,
             std::initializer_list<kernel::DecisionField> Fields) override;
@@ -26,6 +31,7 @@
   bool take(kernel::DecisionWeight Weight, core::TimePoint Now);
   void renew(core::TimePoint Now);
 
+  std::array<std::uint32_t, Weights> LinesPerSecond_;
   std::array<std::uint32_t, Weights> Left_{};
   std::array<std::uint32_t, Weights> DroppedNow_{};
   core::TimePoint RenewAt_;
--- a/Services/PoolDaemon/Ingress.cpp
+++ b/Services/PoolDaemon/Ingress.cpp
@@ -120,6 +120,11 @@
             {{"route", std::string_view(Route.Terms.Route)},
              {"configuration", static_cast<std::int64_t>(Configuration_->Version)},
              {"tasks", static_cast<std::int64_t>(Order->taskCount())},
+             {"declared_ms", Order->Steps.front().DeclaredMilliseconds},
+             {"cores", Order->Steps.front().Need.Processors},
+             {"rack", std::string_view(Order->Steps.front().DataRack)},
+             {"label", std::string_view(Order->Steps.front().RequiredLabel)},
+             {"per_worker", static_cast<std::int64_t>(Order->Steps.front().MaximumPerWorker)},
              {"wait_ms", core::toMilliseconds(Limit)}});
   auto &Job = Jobs_[Key];
   Job.Order = std::move(Order);
--- a/Services/PoolDaemon/PoolDaemon.cpp
+++ b/Services/PoolDaemon/PoolDaemon.cpp
@@ -57,8 +57,8 @@
                        std::span<const char *const> Arguments)
     : Settings_(std::move(Settings)), Arguments_(Arguments.begin(), Arguments.end()),
       Formats_(std::move(Formats)), Signals_(Reactor_), Timer_(Reactor_),
-      Store_(std::make_shared<store::StoreClient>(Reactor_, Settings_.StoreAddress,
-                                                  Formats_->store())),
+      Log_(Settings_.LogLinesPerSecond), Store_(std::make_shared<store::StoreClient>(
+                                             Reactor_, Settings_.StoreAddress, Formats_->store())),
       Configuration_(Formats_->store(), Log_,
                      [this](const auto &Changed) { configurationChanged(Changed); }),
       Workers_(
