Kernel: Notice lost orders and looks after 100 ms

A start that got no answer blocked its task for 250 ms, and a lost look hid the ends of all tasks of a worker for up to 520 ms. Starts are now valid for 100 ms, and a look that does not tell of an expected end is repeated on a second connection. Recovery after a loss of all VMs waited 700 ms before the first manager was chosen; it now listens for 250 ms.

--- a/Kernel/Pool/PoolElection.cpp
+++ b/Kernel/Pool/PoolElection.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// A process that has just started first listens to the others.
-constexpr core::Duration ListenTime = std::chrono::milliseconds(700);
+constexpr core::Duration ListenTime = std::chrono::milliseconds(250);
 /// A process is trusted with the workers of its data centre after this time.
 constexpr core::Duration ProvenTime = std::chrono::milliseconds(1500);
 /// The leases of a manager that fell silent have ended after this time; its loss is noticed when it
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -119,7 +119,8 @@
 
   // PoolManagerPlacing.cpp: where tasks go.
   void dispatch(core::TimePoint Now);
-  void placeJob(PoolJob &Job, core::TimePoint Now);
+  /// Returns whether any task was placed.
+  bool placeJob(PoolJob &Job, core::TimePoint Now);
   bool placeTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now);
   PoolQuestion questionFor(const PoolJob &Job, std::uint32_t Step, core::TimePoint Now) const;
   std::optional<EndpointIndex> choosePlace(const PoolJob &Job, std::uint32_t Step,
@@ -132,7 +133,9 @@
   void startOn(PoolJob &Job, std::uint32_t Task, EndpointIndex Worker, core::TimePoint Now);
   void flushDelegations(const PoolJob &Job);
   void surveySpeeds(core::TimePoint Now);
-  bool hasAnyRoom(core::TimePoint Now) const;
+  /// Free processors of the worker with most of them, here or elsewhere.
+  double largestRoom(core::TimePoint Now) const;
+  static bool mayFit(const PoolJob &Job, double LargestRoom);
   bool hasRoomFor(const PoolJob &Job, core::TimePoint Now) const;
   template <typename Visitor>
   void visitOffers(const PoolJob &Job, std::uint32_t Step, const PoolQuestion &Question,
--- a/Kernel/Pool/PoolManagerPlacing.cpp
+++ b/Kernel/Pool/PoolManagerPlacing.cpp
@@ -44,19 +44,21 @@
   MeanSlowness_ = Slowness / Count;
 }
 
-bool PoolManager::hasAnyRoom(core::TimePoint Now) const {
+double PoolManager::largestRoom(core::TimePoint Now) const {
+  double Largest = -1;
   for (std::size_t Position = 0; Position < Fleet_.size(); ++Position) {
     auto Room = roomOf(static_cast<EndpointIndex>(Position), Now);
-    if (Room.FreeSlots > 0 && Room.Free.Processors > 0)
-      return true;
+    if (Room.FreeSlots > 0)
+      Largest = std::max(Largest, Room.Free.Processors);
   }
-  return std::any_of(Remotes_.begin(), Remotes_.end(), [&](const auto &Entry) {
-    const auto &Workers = Entry.second.Pool.workers();
-    return Entry.second.Pool.takesTasks(Now) &&
-           std::any_of(Workers.begin(), Workers.end(), [](const RemoteWorker &Worker) {
-             return Worker.Room.FreeSlots > 0 && Worker.Room.Free.Processors > 0;
-           });
-  });
+  for (const auto &[Peer, Known] : Remotes_) {
+    if (!Known.IsManager || !Known.Pool.takesTasks(Now))
+      continue;
+    for (const auto &Worker : Known.Pool.workers())
+      if (Worker.Room.FreeSlots > 0 && Worker.Room.Speed > 0)
+        Largest = std::max(Largest, Worker.Room.Free.Processors);
+  }
+  return Largest;
 }
 
 bool PoolManager::hasRoomFor(const PoolJob &Job, core::TimePoint Now) const {
@@ -76,15 +78,25 @@
       break;
     Round.push_back(Key.Handle);
   }
+  auto Largest = largestRoom(Now);
   for (auto Handle : Round) {
-    if (!hasAnyRoom(Now))
-      return;
-    if (auto *Job = find(Handle))
-      placeJob(*Job, Now);
+    auto *Job = find(Handle);
+    if (!Job || !mayFit(*Job, Largest))
+      continue;
+    if (placeJob(*Job, Now))
+      Largest = largestRoom(Now);
   }
 }
 
-void PoolManager::placeJob(PoolJob &Job, core::TimePoint Now) {
+bool PoolManager::mayFit(const PoolJob &Job, double LargestRoom) {
+  for (std::size_t Step = 0; Step < Job.Steps.size(); ++Step)
+    if (Job.Steps[Step].Waiting > 0 && Job.Order->Steps[Step].Need.Processors <= LargestRoom)
+      return true;
+  return false;
+}
+
+bool PoolManager::placeJob(PoolJob &Job, core::TimePoint Now) {
+  auto Before = Job.waiting();
   for (std::uint32_t Step = 0; Step < Job.Steps.size(); ++Step) {
     auto &Progress = Job.Steps[Step];
     for (std::uint32_t Index = 0; Index < Job.Order->Steps[Step].Count && Progress.Waiting > 0;
@@ -95,8 +107,10 @@
     }
   }
   flushDelegations(Job);
-  if (Job.waiting() == 0)
+  auto After = Job.waiting();
+  if (After == 0)
     dequeue(Job.Handle);
+  return After < Before;
 }
 
 PoolQuestion PoolManager::questionFor(const PoolJob &Job, std::uint32_t Step,
--- a/Kernel/Pool/Worker.h
+++ b/Kernel/Pool/Worker.h
@@ -58,6 +58,7 @@
   /// When the lease has ended for certain, whatever became of the extensions sent so far.
   core::TimePoint LeaseEnd;
   bool IsLooking = false; ///< A look is under way.
+  std::uint64_t LookNumber = 0; ///< Of the last look sent; replies to earlier ones are ignored.
   core::TimePoint LookSentAt;
   core::TimePoint NextLookAt;
   core::TimePoint ClaimAt;       ///< Of a fenced worker: not claimed again before.
--- a/Kernel/Pool/WorkerFleet.cpp
+++ b/Kernel/Pool/WorkerFleet.cpp
@@ -13,10 +13,16 @@
 constexpr core::Duration LeaseSlack = std::chrono::milliseconds(40);
 /// How long a look waits for an end; leaves most of the lease for a late or repeated look.
 constexpr std::uint32_t LookWaitMilliseconds = 300;
+/// The same while tasks run, whose progress is to be seen.
+constexpr std::uint32_t ProgressWaitMilliseconds = 150;
 /// The same while something is expected to be gone soon.
 constexpr std::uint32_t ShortLookWaitMilliseconds = 30;
-/// How long a start order stays valid. An order that is carried out later is refused.
-constexpr core::Duration StartTime = std::chrono::milliseconds(250);
+/// How long a start order stays valid. An order that is carried out later is refused, so that the
+/// task can be started elsewhere after this time when no answer comes.
+constexpr core::Duration StartTime = std::chrono::milliseconds(100);
+/// A look that has not told of an expected end for this time may be lost; a second one is sent.
+constexpr core::Duration SecondLookTime = std::chrono::milliseconds(40);
+constexpr core::Duration BetweenSecondLooks = std::chrono::milliseconds(100);
 /// A stop takes at most 50 ms at the worker; it is repeated after this time.
 constexpr core::Duration StopRepeatTime = std::chrono::milliseconds(150);
 /// Between looks at a worker that does not answer.
@@ -157,9 +163,12 @@
                       return Candidate.State != RunState::Running;
                     });
   if (Known.Lease == LeaseState::Held && Known.FailedLooks == 0)
-    Order.WaitMilliseconds = ExpectsEnd ? ShortLookWaitMilliseconds : LookWaitMilliseconds;
+    Order.WaitMilliseconds = ExpectsEnd              ? ShortLookWaitMilliseconds
+                             : Known.Runs.empty() ? LookWaitMilliseconds
+                                                  : ProgressWaitMilliseconds;
   Known.IsLooking = true;
   Known.LookSentAt = Now;
+  Order.Number = ++Known.LookNumber;
   Output_.look(Index, Order);
 }
 
@@ -251,6 +260,8 @@
 void WorkerFleet::lookReplied(EndpointIndex Index, const LookOrder &Order, const LookReply &Reply,
                               core::TimePoint Now) {
   auto &Known = edit(Index);
+  if (Order.Number != Known.LookNumber)
+    return; // A later look replaces this one; it lists the same ends.
   Known.IsLooking = false;
   if (Known.Lease == LeaseState::Absent)
     return;
@@ -423,6 +434,17 @@
   }
 }
 
+bool WorkerFleet::needsSecondLook(EndpointIndex Index, core::TimePoint Now) const {
+  const auto &Known = at(Index);
+  if (!Known.IsLooking || Now < Known.LookSentAt + BetweenSecondLooks)
+    return false;
+  return std::any_of(Known.Runs.begin(), Known.Runs.end(), [&](const Run &Candidate) {
+    auto Expected = Candidate.State == RunState::Running ? Candidate.ExpectedEnd
+                                                         : Candidate.OrderedAt + StartTime;
+    return Now > Expected + SecondLookTime;
+  });
+}
+
 void WorkerFleet::tickWorker(EndpointIndex Index, core::TimePoint Now) {
   auto &Known = edit(Index);
   if (Known.Lease == LeaseState::Absent) {
@@ -444,6 +466,8 @@
     return;
   }
   repeatStops(Index, Now);
+  if (needsSecondLook(Index, Now))
+    sendLook(Index, Now);
   if (!edit(Index).IsLooking && Now >= edit(Index).NextLookAt)
     sendLook(Index, Now);
 }
--- a/Kernel/Pool/WorkerFleet.h
+++ b/Kernel/Pool/WorkerFleet.h
@@ -100,6 +100,8 @@
   void loseAll(EndpointIndex Index, core::TimePoint Now);
   void tickWorker(EndpointIndex Index, core::TimePoint Now);
   void repeatStops(EndpointIndex Index, core::TimePoint Now);
+  /// Whether the look under way has probably been lost.
+  bool needsSecondLook(EndpointIndex Index, core::TimePoint Now) const;
 
   PoolOutput &Output_;
   RunListener &Listener_;
--- a/Kernel/Pool/WorkerMessages.h
+++ b/Kernel/Pool/WorkerMessages.h
@@ -44,6 +44,7 @@
 
 /// Asks what runs and what has ended, and extends the lease of all that runs.
 struct LookOrder {
+  std::uint64_t Number = 0; ///< Tells this process's looks at one worker apart.
   std::uint64_t FencingToken = 0;
   std::uint64_t LastSeen = 0;             ///< Ends up to this number need not be listed again.
   std::optional<std::int64_t> LeaseUntil; ///< On the worker's clock, in milliseconds.
--- a/Services/PoolDaemon/WorkerCaller.cpp
+++ b/Services/PoolDaemon/WorkerCaller.cpp
@@ -7,10 +7,12 @@
 
 /// Connections for orders to one worker, beside the one for looks.
 constexpr std::size_t OrderConnections = 4;
-/// A start is refused by the worker when it is later than its order allows, 250 ms.
-constexpr core::Duration OrderTime = std::chrono::milliseconds(260);
+/// Connections for looks: one that waits, and one in case that its reply is lost.
+constexpr std::size_t LookConnections = 2;
+/// A start is refused by the worker when it is later than its order allows, 100 ms.
+constexpr core::Duration OrderTime = std::chrono::milliseconds(110);
 /// How much longer than asked a worker may take to answer a look.
-constexpr core::Duration LookSlack = std::chrono::milliseconds(220);
+constexpr core::Duration LookSlack = std::chrono::milliseconds(150);
 
 } // namespace
 
@@ -31,7 +33,7 @@
   auto Address = reactor::parseAddress(Entry.Address);
   if (!Address)
     return; // Calls fail as not sent, and the worker counts as unreachable.
-  Known.Looks = std::make_shared<reactor::HttpClient>(Reactor_, *Address, 1);
+  Known.Looks = std::make_shared<reactor::HttpClient>(Reactor_, *Address, LookConnections);
   Known.Orders = std::make_shared<reactor::HttpClient>(Reactor_, *Address, OrderConnections);
 }
 
--- a/Services/PoolDaemon/WorkerCaller.h
+++ b/Services/PoolDaemon/WorkerCaller.h
@@ -36,7 +36,7 @@
 private:
   struct Target {
     std::string Id;
-    std::shared_ptr<reactor::HttpClient> Looks; ///< Waits for ends; one connection.
+    std::shared_ptr<reactor::HttpClient> Looks;
     std::shared_ptr<reactor::HttpClient> Orders;
   };
 
