PoolDaemon: Let callers say how long they wait

Large batch jobs ended with 504 after the route's 1,500 ms although their callers wait for 2 to 13 s, as their requests say. The route's limit now holds only for requests that do not say.

--- a/Services/PoolDaemon/Ingress.cpp
+++ b/Services/PoolDaemon/Ingress.cpp
@@ -112,9 +112,8 @@
   Order->Terms = Route.Terms;
   Order->ReceivedAt = Request->receivedAt();
   auto Patience = parseNumber(Request->header(Format_.waitHeader()));
-  auto Limit = Route.Timeout;
-  if (Patience)
-    Limit = std::min(Limit, core::fromMilliseconds(*Patience));
+  // A caller that says how long it waits knows its job; the route's limit stands in for others.
+  auto Limit = Patience ? core::fromMilliseconds(*Patience) : Route.Timeout;
   Order->AnswerBy = Order->ReceivedAt + Limit - ReturnTime;
   Log_.line(kernel::DecisionWeight::Routine, "job received", Key,
             {{"route", std::string_view(Route.Terms.Route)},
