--- a/Libraries/LibStore/KeyMirror.cpp
+++ b/Libraries/LibStore/KeyMirror.cpp
@@ -33,6 +33,13 @@
   Timer_.cancel();
 }
 
+void KeyMirror::setPace(MirrorPace Pace) {
+  bool IsFaster = Pace.BetweenCalls < Pace_.BetweenCalls;
+  Pace_ = Pace;
+  if (IsFaster && Next_ && Failures_ == 0)
+    after(core::Duration(0), Next_);
+}
+
 void KeyMirror::load() {
   Store_->range(Prefix_, [Self = shared_from_this(), Round = Round_](StoreReply<StorePage> Reply) {
     if (Round == Self->Round_)
--- a/Libraries/LibStore/KeyMirror.h
+++ b/Libraries/LibStore/KeyMirror.h
@@ -31,6 +31,8 @@
 
   void start();
   void stop();
+  /// A faster pace holds at once, a slower one from the next call on.
+  void setPace(MirrorPace Pace);
 
   bool isLoaded() const { return IsLoaded_; }
   /// Highest revision of the store that the copy reflects.
@@ -55,7 +57,8 @@
   std::uint64_t Revision_ = 0;
   bool IsLoaded_ = false;
   bool IsStopped_ = true;
-  std::uint32_t Failures_ = 0; ///< In a row.
+  void (KeyMirror::*Next_)() = nullptr; ///< What follows the pause under way.
+  std::uint32_t Failures_ = 0;          ///< In a row.
   std::uint64_t Round_ = 0;    ///< Ignores replies to calls made before a restart.
   std::minstd_rand Random_;
 };
--- a/Services/PoolDaemon/PoolDaemon.cpp
+++ b/Services/PoolDaemon/PoolDaemon.cpp
@@ -120,8 +120,7 @@
   watchSignals();
   OperatorKeys_->start();
   Registration_->start();
-  // Any process may come to manage workers, also while the store is away.
-  Directory_.follow(true);
+  Directory_.start();
   for (const auto &Address : Settings_.SeedAddresses)
     Mesh_.learnAddress(Address);
   TickDueAt_ = core::MonotonicClock::now();
@@ -237,8 +236,10 @@
     ClaimAt_.erase(Stopped.DataCentre);
   }
   bool HasChanged = !Changes.Begun.empty() || !Changes.Stopped.empty();
-  if (HasChanged)
+  if (HasChanged) {
+    Directory_.followClosely(!Election_.managed().empty());
     workersChanged();
+  }
   for (const auto &Rest : Changes.Claims) {
     ClaimAt_[Rest.DataCentre] = Rest.ClaimAt;
     for (const auto &Entry : Directory_.listing().of({Rest.DataCentre}))
--- a/Services/PoolDaemon/WorkerDirectory.cpp
+++ b/Services/PoolDaemon/WorkerDirectory.cpp
@@ -7,8 +7,10 @@
 namespace cornellift::pool {
 namespace {
 
-/// Each worker writes its entry every one and a half seconds; the events of 400 ms arrive together.
-constexpr store::MirrorPace Pace = {std::chrono::seconds(3), std::chrono::milliseconds(400)};
+/// Each worker writes its entry every one and a half seconds; the events in between arrive together.
+/// A leaving worker gets no new task after two seconds.
+constexpr store::MirrorPace ClosePace = {std::chrono::seconds(3), std::chrono::milliseconds(600)};
+constexpr store::MirrorPace DistantPace = {std::chrono::seconds(3), std::chrono::seconds(4)};
 
 } // namespace
 
@@ -18,14 +20,11 @@
                                  ChangeHandler OnChange)
     : Store_(Store), Format_(Format), Log_(Log), OnChange_(std::move(OnChange)),
       Mirror_(std::make_shared<store::KeyMirror>(
-          Reactor, Store, std::string(Store->format().workerPrefix()), Pace,
+          Reactor, Store, std::string(Store->format().workerPrefix()), DistantPace,
           [this](const store::KeyMirror::Items &Items) { itemsChanged(Items); })) {}
 
-void WorkerDirectory::follow(bool IsWanted) {
-  if (IsWanted)
-    Mirror_->start();
-  else
-    Mirror_->stop();
+void WorkerDirectory::followClosely(bool IsWanted) {
+  Mirror_->setPace(IsWanted ? ClosePace : DistantPace);
 }
 
 void WorkerDirectory::itemsChanged(const store::KeyMirror::Items &Items) {
--- a/Services/PoolDaemon/WorkerDirectory.h
+++ b/Services/PoolDaemon/WorkerDirectory.h
@@ -13,7 +13,8 @@
 
 namespace cornellift::pool {
 
-/// Follows the workers' entries in the store while this process manages workers.
+/// Follows the workers' entries in the store: closely while this process manages workers, otherwise
+/// often enough to take over when the store is away.
 class WorkerDirectory {
 public:
   using ChangeHandler = std::function<void()>;
@@ -23,8 +24,8 @@
                   const platform::WorkerFormat &Format, kernel::DecisionLog &Log,
                   ChangeHandler OnChange);
 
-  /// Begins or ends to follow the store.
-  void follow(bool IsWanted);
+  void start() { Mirror_->start(); }
+  void followClosely(bool IsWanted);
   void tick(core::TimePoint Now);
 
   const kernel::WorkerListing &listing() const { return Listing_; }
