--- a/Kernel/Pool/PoolElection.cpp
+++ b/Kernel/Pool/PoolElection.cpp
@@ -13,12 +13,15 @@
 /// The leases of a manager that fell silent have ended after this time; its loss is noticed when it
 /// has been silent for 0.6 s, and a lease lasts 0.94 s at most.
 constexpr core::Duration LeaseRest = std::chrono::milliseconds(350);
+/// A process that reaches no other one is probably cut off itself, and would only take the workers
+/// away from those who serve. After this time it serves what it can.
+constexpr core::Duration AloneTime = std::chrono::seconds(3);
 constexpr core::Duration Never = std::chrono::hours(24 * 365);
 
 } // namespace
 
 PoolElection::PoolElection(CandidateState Self, core::TimePoint Now)
-    : Self_(std::move(Self)), StartedAt_(Now) {}
+    : Self_(std::move(Self)), StartedAt_(Now), AloneSince_(Now) {}
 
 void PoolElection::peerChanged(PeerIndex Index, CandidateState State, core::TimePoint Now) {
   auto [Position, IsNew] = Peers_.try_emplace(Index);
@@ -37,6 +40,8 @@
   for (const auto &DataCentre : Found->second.State.Released)
     Lost_[DataCentre] = {ClaimAt};
   Peers_.erase(Found);
+  if (Peers_.empty())
+    AloneSince_ = Now;
 }
 
 bool PoolElection::ranksBefore(const CandidateState &Left, const CandidateState &Right,
@@ -95,6 +100,8 @@
                                  ElectionChanges &Changes) {
   if (Self_.IsStopping || !Self_.IsReady || Now < StartedAt_ + ListenTime)
     return;
+  if (Peers_.empty() && OthersExist_ && Now < AloneSince_ + AloneTime)
+    return;
   if (managerAmongPeers(DataCentre) || Self_.Released.contains(DataCentre))
     return;
   for (const auto &[Index, Known] : Peers_)
--- a/Kernel/Pool/PoolElection.h
+++ b/Kernel/Pool/PoolElection.h
@@ -65,6 +65,8 @@
   void setDataCentres(std::set<std::string> Names) { DataCentres_ = std::move(Names); }
   void setReady(bool IsReady) { Self_.IsReady = IsReady; }
   void setStopping() { Self_.IsStopping = true; }
+  /// Whether other entry processes are known, reachable or not.
+  void setOthersExist(bool OthersExist) { OthersExist_ = OthersExist; }
 
   void peerChanged(PeerIndex Peer, CandidateState State, core::TimePoint Now);
   /// HasEnded: the process is gone for certain, and orders nothing any more.
@@ -104,6 +106,8 @@
 
   CandidateState Self_;
   core::TimePoint StartedAt_;
+  core::TimePoint AloneSince_; ///< When the last peer was lost, or the start.
+  bool OthersExist_ = false;
   std::set<std::string> DataCentres_;
   std::map<PeerIndex, Peer> Peers_;
   std::map<std::string, LostManager> Lost_;
--- a/Kernel/Pool/PoolManager.cpp
+++ b/Kernel/Pool/PoolManager.cpp
@@ -205,6 +205,7 @@
       ++JobsByRoute[Job.Order->Terms.Route];
   }
   std::vector<RouteBacklog> Result;
+  Result.reserve(JobsByRoute.size());
   for (auto &[Route, Count] : JobsByRoute)
     Result.push_back({Route, Count});
   return Result;
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -50,7 +50,8 @@
 
   /// Whether the peer manages workers of its own; it then gets this manager's reports.
   void setManager(PeerIndex Peer, bool IsManager, core::TimePoint Now);
-  void peerLost(PeerIndex Peer, core::TimePoint Now);
+  /// LastHeard is when the peer was last known to be alive.
+  void peerLost(PeerIndex Peer, core::TimePoint LastHeard, core::TimePoint Now);
 
   void startReplied(EndpointIndex Worker, const StartOrder &Order, const OrderReply &Reply,
                     core::TimePoint Now);
@@ -78,6 +79,7 @@
     bool HasMissed = false; ///< Can no longer meet its objective; comes after those that can.
     core::TimePoint LatestStart;
     JobHandle Handle{};
+    // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
     auto operator<=>(const QueueKey &) const = default;
   };
 
--- a/Kernel/Pool/PoolManagerJobs.cpp
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -19,9 +19,9 @@
 constexpr double HopeShare = 0.7;
 /// Bound on speeds, so that an unknown fleet does not look endlessly slow.
 constexpr double SlowestSpeed = 0.1;
-/// How long the runs of a job go on whose entry process is lost. Its client sends the job again
-/// 1.3 s after the connection broke, and the loss is noticed after 0.6 s at most.
-constexpr core::Duration OrphanTime = std::chrono::milliseconds(500);
+/// How long the runs of a job go on after its entry process was last heard of. Its client sends the
+/// job again 1.3 s after the connection broke, and a stop takes some time.
+constexpr core::Duration OrphanTime = std::chrono::milliseconds(1100);
 /// After this time nothing that a lost manager started runs any more: it stops its guests when it
 /// notices the loss, and otherwise their leases have ended.
 constexpr core::Duration LostManagerTime = std::chrono::milliseconds(950);
@@ -64,6 +64,8 @@
     if (std::find(Job.Origins.begin(), Job.Origins.end(), From) == Job.Origins.end())
       Job.Origins.push_back(From);
     Job.OrphanedUntil.reset();
+    enqueue(Job, Now);
+    NeedsDispatch_ = true;
     Job.UsefulUntil = std::max(Job.UsefulUntil, Order->AnswerBy);
     return true;
   }
@@ -182,7 +184,7 @@
 }
 
 void PoolManager::enqueue(const PoolJob &Job, core::TimePoint Now) {
-  if (Job.waiting() == 0 || QueueKeys_.contains(Job.Handle))
+  if (Job.waiting() == 0 || QueueKeys_.contains(Job.Handle) || Job.OrphanedUntil)
     return;
   QueueKey Key{Now > Job.LatestStart, Job.LatestStart, Job.Handle};
   QueueKeys_[Job.Handle] = Key;
@@ -371,7 +373,7 @@
   }
 }
 
-void PoolManager::peerLost(PeerIndex Peer, core::TimePoint Now) {
+void PoolManager::peerLost(PeerIndex Peer, core::TimePoint LastHeard, core::TimePoint Now) {
   std::vector<JobHandle> Guests;
   for (auto &[Handle, Job] : Jobs_) {
     if (Job.IsGuest) {
@@ -380,8 +382,10 @@
       continue;
     }
     bool WasAwaited = std::erase(Job.Origins, Peer) > 0;
-    if (WasAwaited && Job.Origins.empty() && !Job.IsEnding)
-      Job.OrphanedUntil = Now + OrphanTime;
+    if (WasAwaited && Job.Origins.empty() && !Job.IsEnding) {
+      Job.OrphanedUntil = LastHeard + OrphanTime;
+      dequeue(Handle); // What runs may end; nothing is started for a caller that has gone.
+    }
     for (auto &Task : Job.Tasks)
       if (Task.State == TaskState::Delegated && Task.Manager == Peer) {
         Task.State = TaskState::Settling;
--- a/Kernel/Pool/PoolManagerPlacing.cpp
+++ b/Kernel/Pool/PoolManagerPlacing.cpp
@@ -228,7 +228,7 @@
              {"speed", Offer.Room.Speed},
              {"expected_ms", core::toMilliseconds(Ordered.ExpectedEnd - Now)},
              {"objective_in_ms", Question.InTime}});
-  Fleet_.startRun(Worker, std::move(Ordered), Job.Order->Specification, Now);
+  Fleet_.startRun(Worker, Ordered, Job.Order->Specification, Now);
 }
 
 void PoolManager::flushDelegations(const PoolJob &Job) {
--- a/Kernel/Pool/Worker.cpp
+++ b/Kernel/Pool/Worker.cpp
@@ -49,11 +49,11 @@
   return Found == Runs.end() ? nullptr : &*Found;
 }
 
-void Worker::add(Run Started) {
+void Worker::add(const Run &Started) {
   Committed.Processors += Started.Need.Processors;
   Committed.MemoryMegabytes += Started.Need.MemoryMegabytes;
   Committed.Accelerators += Started.Need.Accelerators;
-  Runs.push_back(std::move(Started));
+  Runs.push_back(Started);
 }
 
 void Worker::remove(const TaskRef &Task, std::uint32_t Number) {
--- a/Kernel/Pool/Worker.h
+++ b/Kernel/Pool/Worker.h
@@ -57,7 +57,7 @@
   std::uint64_t LastSeen = 0; ///< Number of the last end that was handled.
   /// When the lease has ended for certain, whatever became of the extensions sent so far.
   core::TimePoint LeaseEnd;
-  bool IsLooking = false; ///< A look is under way.
+  bool IsLooking = false;       ///< A look is under way.
   std::uint64_t LookNumber = 0; ///< Of the last look sent; replies to earlier ones are ignored.
   core::TimePoint LookSentAt;
   core::TimePoint NextLookAt;
@@ -77,7 +77,7 @@
 
   Run *find(const TaskRef &Task, std::uint32_t Number);
   const Run *find(const TaskRef &Task, std::uint32_t Number) const;
-  void add(Run Started);
+  void add(const Run &Started);
   void remove(const TaskRef &Task, std::uint32_t Number);
 };
 
--- a/Kernel/Pool/WorkerFleet.cpp
+++ b/Kernel/Pool/WorkerFleet.cpp
@@ -163,7 +163,7 @@
                       return Candidate.State != RunState::Running;
                     });
   if (Known.Lease == LeaseState::Held && Known.FailedLooks == 0)
-    Order.WaitMilliseconds = ExpectsEnd              ? ShortLookWaitMilliseconds
+    Order.WaitMilliseconds = ExpectsEnd           ? ShortLookWaitMilliseconds
                              : Known.Runs.empty() ? LookWaitMilliseconds
                                                   : ProgressWaitMilliseconds;
   Known.IsLooking = true;
@@ -185,7 +185,7 @@
   Ordered.OrderedAt = Now;
   Ordered.State = RunState::Starting;
   Known.LeaseEnd = std::max(Known.LeaseEnd, Now + StartTime + LeaseSlack);
-  Known.add(std::move(Ordered));
+  Known.add(Ordered);
   Output_.start(Index, Order);
 }
 
@@ -277,7 +277,8 @@
   if (Report.BornMilliseconds != Known.Born)
     return reborn(Index, Report, Now);
   Known.Clock.observe(Report.ClockMilliseconds, Now);
-  if (Known.Lease == LeaseState::Claiming) {
+  bool IsClaim = Known.Lease == LeaseState::Claiming;
+  if (IsClaim) {
     Known.Lease = LeaseState::Held;
     Log_.line(DecisionWeight::Belief, "worker claimed", std::nullopt,
               {{"worker", std::string_view(Known.Entry.Id)},
@@ -286,7 +287,7 @@
   }
   applyRunning(Index, Report, Now);
   applyEnds(Index, Report, Now);
-  settleMissing(Index, Report, Now);
+  settleMissing(Index, Report, IsClaim, Now);
   stopForeign(Index, Report);
   if (!edit(Index).IsLooking)
     sendLook(Index, Now);
@@ -331,11 +332,11 @@
   if (!IsFirst) {
     Log_.line(DecisionWeight::Belief, "worker restarted", std::nullopt,
               {{"worker", std::string_view(Known.Entry.Id)},
-               {"lost_runs", static_cast<std::int64_t>(Known.Runs.size())}});
-    // Orders to the former incarnation that are still under way carry a lower token.
+               {"runs", static_cast<std::int64_t>(Known.Runs.size())}});
+    // The new incarnation may have taken a start already. Once it knows a higher token, it refuses
+    // the orders that are still under way, and its report tells which runs are left.
     Known.Token = Tokens_.next();
     Known.Lease = LeaseState::Claiming;
-    loseAll(Index, Now);
   }
   if (!edit(Index).IsLooking)
     sendLook(Index, Now);
@@ -371,7 +372,7 @@
   }
 }
 
-void WorkerFleet::settleMissing(EndpointIndex Index, const WorkerReport &Report,
+void WorkerFleet::settleMissing(EndpointIndex Index, const WorkerReport &Report, bool IsClaim,
                                 core::TimePoint Now) {
   auto IsListed = [&](const Run &Candidate) {
     return std::any_of(Report.Running.begin(), Report.Running.end(), [&](const auto &Listed) {
@@ -384,7 +385,9 @@
     if (IsListed(Candidate))
       continue;
     bool WasConfirmed = Candidate.ConfirmedAt != core::TimePoint();
-    if (WasConfirmed && Candidate.ConfirmedAt < Known.LookSentAt)
+    if (IsClaim) // Orders with the former token are refused from now on.
+      Gone.emplace_back(Candidate, RunOutcome::Lost);
+    else if (WasConfirmed && Candidate.ConfirmedAt < Known.LookSentAt)
       Gone.emplace_back(Candidate, Candidate.State == RunState::Stopping ? RunOutcome::Stopped
                                                                          : RunOutcome::Lost);
     else if (!WasConfirmed && Report.ClockMilliseconds > Candidate.StartBy)
--- a/Kernel/Pool/WorkerFleet.h
+++ b/Kernel/Pool/WorkerFleet.h
@@ -94,7 +94,9 @@
   void applyEnds(EndpointIndex Index, const WorkerReport &Report, core::TimePoint Now);
   void applyRunning(EndpointIndex Index, const WorkerReport &Report, core::TimePoint Now);
   void stopForeign(EndpointIndex Index, const WorkerReport &Report);
-  void settleMissing(EndpointIndex Index, const WorkerReport &Report, core::TimePoint Now);
+  /// Lets go of runs that the worker does not list and will not start any more.
+  void settleMissing(EndpointIndex Index, const WorkerReport &Report, bool IsClaim,
+                     core::TimePoint Now);
   void leave(EndpointIndex Index, const TaskRef &Task, std::uint32_t Number, RunOutcome How,
              core::TimePoint Now);
   void loseAll(EndpointIndex Index, core::TimePoint Now);
--- a/Libraries/LibCore/Time.cpp
+++ b/Libraries/LibCore/Time.cpp
@@ -1,10 +1,14 @@
 #include "Libraries/LibCore/Time.h"
 
+#include <ctime>
+
 namespace cornellift::core {
 
 MonotonicClock::time_point MonotonicClock::now() {
-  auto SinceStart = std::chrono::steady_clock::now().time_since_epoch();
-  return time_point(std::chrono::duration_cast<duration>(SinceStart));
+  timespec SinceBoot{};
+  clock_gettime(CLOCK_BOOTTIME, &SinceBoot);
+  return time_point(std::chrono::seconds(SinceBoot.tv_sec) +
+                    std::chrono::microseconds(SinceBoot.tv_nsec / 1000));
 }
 
 double toMilliseconds(Duration Span) { return static_cast<double>(Span.count()) / 1000.0; }
--- a/Libraries/LibCore/Time.h
+++ b/Libraries/LibCore/Time.h
@@ -6,8 +6,10 @@
 
 namespace cornellift::core {
 
-/// Monotonic clock of this process with microsecond ticks. The kernel never calls now(): it gets
-/// the time as an argument, so that a replay on a virtual clock makes the same decisions.
+/// Monotonic clock with microsecond ticks. It also counts the time for which the VM was suspended,
+/// so that leases and sessions that ended meanwhile are found to have ended. The kernel never calls
+/// now(): it gets the time as an argument, so that a replay on a virtual clock makes the same
+/// decisions.
 struct MonotonicClock {
   using duration = std::chrono::microseconds; // NOLINT(readability-identifier-naming)
   using rep = duration::rep;                  // NOLINT(readability-identifier-naming)
--- a/Libraries/LibMesh/MeshNode.cpp
+++ b/Libraries/LibMesh/MeshNode.cpp
@@ -136,7 +136,7 @@
 std::uint64_t MeshNode::newSession() { return Random_(); }
 
 void MeshNode::peerNamed(MeshPeer &Peer, const std::string &Vm) {
-  auto Address = Peer.address();
+  std::string Address(Peer.address()); // Outlives the link, which is dropped here.
   auto Known = Peers_.find(Peer.vm());
   auto Self = Known->second;
   Peers_.erase(Known);
--- a/Libraries/LibMesh/MeshPeer.cpp
+++ b/Libraries/LibMesh/MeshPeer.cpp
@@ -211,6 +211,10 @@
 
 void MeshPeer::incomingFrame(const Frame &Message) {
   auto Now = core::MonotonicClock::now();
+  // After a pause of this process, frames of a peer that has given up on it meanwhile may still lie
+  // in the socket. They are of a session that has ended.
+  if (IsUp_ && Now - LastHeard_ > silenceLimit(PeerInterval_))
+    return goDown(PeerLoss::Silent, Now);
   LastHeard_ = Now;
   bool IsRepeated = Message.sequence() != 0 && Message.sequence() <= Received_;
   if (Message.sequence() != 0 && !IsRepeated)
--- a/Libraries/LibReactor/HttpExchange.h
+++ b/Libraries/LibReactor/HttpExchange.h
@@ -23,7 +23,7 @@
   virtual core::TimePoint receivedAt() const = 0;
 
   /// Sends the reply. Only the first call has an effect.
-  virtual void reply(HttpReply Reply) = 0;
+  virtual void reply(const HttpReply &Reply) = 0;
 
   /// Registers what to do when the other side closes the connection before the reply. It is called
   /// at most once, and not after the reply.
--- a/Libraries/LibReactor/HttpSession.cpp
+++ b/Libraries/LibReactor/HttpSession.cpp
@@ -66,10 +66,10 @@
   std::string_view body() const override { return Request_.body(); }
   core::TimePoint receivedAt() const override { return ReceivedAt_; }
 
-  void reply(HttpReply Reply) override {
+  void reply(const HttpReply &Reply) override {
     OnAbandoned_ = nullptr;
     if (auto Session = std::exchange(Session_, nullptr))
-      Session->send(std::move(Reply));
+      Session->send(Reply);
   }
 
   void whenAbandoned(std::function<void()> Handler) override { OnAbandoned_ = std::move(Handler); }
@@ -149,7 +149,9 @@
   if (Error && IsProtocolError && Error != http::error::end_of_stream &&
       Error != http::error::partial_message)
     return refuse(400);
-  if (Error)
+  // After a pause of this process, requests may lie in sockets whose clients have left; they have
+  // sent their jobs elsewhere by now.
+  if (Error || isClosedByPeer())
     return close();
   Phase_ = Phase::Answering;
   ++TimerRound_;
@@ -180,12 +182,16 @@
                      });
 }
 
+bool HttpSession::isClosedByPeer() {
+  char Next = 0;
+  auto Count = ::recv(Socket_.native_handle(), &Next, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Count == 0 || (Count < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 void HttpSession::closeNoticed() {
   if (Phase_ != Phase::Answering)
     return;
-  char Next = 0;
-  auto Count = ::recv(Socket_.native_handle(), &Next, 1, MSG_PEEK | MSG_DONTWAIT);
-  if (Count > 0 || (Count < 0 && (errno == EAGAIN || errno == EINTR)))
+  if (!isClosedByPeer())
     return; // A further request waits; it is read after the reply.
   auto Exchange = Exchange_.lock();
   close();
@@ -193,7 +199,7 @@
     Exchange->abandon();
 }
 
-void HttpSession::send(HttpReply Reply) {
+void HttpSession::send(const HttpReply &Reply) {
   if (Phase_ != Phase::Answering)
     return;
   Phase_ = Phase::Writing;
--- a/Libraries/LibReactor/HttpSession.h
+++ b/Libraries/LibReactor/HttpSession.h
@@ -38,7 +38,9 @@
   void refuse(unsigned Status);
   void watchForClose();
   void closeNoticed();
-  void send(HttpReply Reply);
+  /// Whether the other side has closed the connection.
+  bool isClosedByPeer();
+  void send(const HttpReply &Reply);
   void sent(boost::system::error_code Error);
   void armTimer(core::Duration Span);
   void close();
--- a/Libraries/LibStore/StoreClient.cpp
+++ b/Libraries/LibStore/StoreClient.cpp
@@ -17,7 +17,7 @@
 
 StoreClient::StoreClient(asio::io_context &Reactor, const reactor::Tcp::endpoint &Address,
                          const platform::StoreFormat &Format)
-    : Reactor_(Reactor), Format_(Format),
+    : Format_(Format),
       Client_(std::make_shared<reactor::HttpClient>(Reactor, Address, Connections)) {}
 
 core::TimePoint StoreClient::deadline() const { return core::MonotonicClock::now() + CallTime; }
@@ -39,8 +39,8 @@
   nextPage(std::move(Prefix), std::make_shared<StorePage>(), {}, std::move(OnReply));
 }
 
-void StoreClient::nextPage(std::string Prefix, std::shared_ptr<StorePage> Gathered,
-                           std::string AfterKey, Handler<StorePage> OnReply) {
+void StoreClient::nextPage(std::string Prefix, const std::shared_ptr<StorePage> &Gathered,
+                           std::string_view AfterKey, Handler<StorePage> OnReply) {
   ++Counters_.Ranges;
   auto Request = Format_.rangeRequest(Prefix, AfterKey);
   Client_->call(std::move(Request), deadline(),
@@ -58,7 +58,7 @@
                   if (!HasMore)
                     return OnReply({std::move(*Gathered), {}, {}});
                   auto Last = Gathered->Items.back().Key;
-                  Self->nextPage(std::move(Prefix), Gathered, std::move(Last), std::move(OnReply));
+                  Self->nextPage(std::move(Prefix), Gathered, Last, std::move(OnReply));
                 });
 }
 
--- a/Libraries/LibStore/StoreClient.h
+++ b/Libraries/LibStore/StoreClient.h
@@ -61,12 +61,11 @@
   core::TimePoint lastAway() const { return LastAway_; }
 
 private:
-  void nextPage(std::string Prefix, std::shared_ptr<StorePage> Gathered, std::string AfterKey,
-                Handler<StorePage> OnReply);
+  void nextPage(std::string Prefix, const std::shared_ptr<StorePage> &Gathered,
+                std::string_view AfterKey, Handler<StorePage> OnReply);
   template <typename Value> void note(const StoreReply<Value> &Reply);
   core::TimePoint deadline() const;
 
-  asio::io_context &Reactor_;
   const platform::StoreFormat &Format_;
   std::shared_ptr<reactor::HttpClient> Client_;
   StoreCounters Counters_;
--- /dev/null
+++ b/Services/FleetStandIn/WorkerModel.cpp
@@ -0,0 +1,171 @@
+#include "Services/FleetStandIn/WorkerModel.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace cornellift::standin {
+namespace {
+
+using kernel::OrderVerdict;
+using kernel::RunEnd;
+
+/// Longest lease that a worker grants, and how long a stop takes.
+constexpr std::int64_t MaximumLeaseMilliseconds = 1000;
+constexpr core::Duration StopTime = std::chrono::milliseconds(20);
+/// A task starts on a worker's clock some time after the worker did.
+constexpr std::int64_t ClockAtBirth = 1000;
+constexpr double RoundingSlack = 1e-6;
+
+std::string nameOf(const kernel::TaskRef &Task) {
+  return kernel::formatJobKey(Task.Job) + "." + std::to_string(Task.Step) + "." +
+         std::to_string(Task.Index);
+}
+
+std::optional<double> numberAfter(std::string_view Text, std::string_view Word) {
+  auto Position = Text.find(Word);
+  if (Position == std::string_view::npos)
+    return std::nullopt;
+  double Value = 0;
+  auto Parsed =
+      std::from_chars(Text.data() + Position + Word.size(), Text.data() + Text.size(), Value);
+  return Parsed.ec == std::errc() ? std::optional(Value) : std::nullopt;
+}
+
+} // namespace
+
+TaskProfile TaskProfile::parse(std::string_view Specification) {
+  TaskProfile Profile;
+  Profile.RunMilliseconds = numberAfter(Specification, "run_ms=").value_or(Profile.RunMilliseconds);
+  Profile.Cores = numberAfter(Specification, "cores=").value_or(Profile.Cores);
+  Profile.Fails = Specification.find("fail") != std::string_view::npos;
+  return Profile;
+}
+
+WorkerModel::WorkerModel(kernel::WorkerEntry Entry, double Speed, core::TimePoint Now)
+    : Entry_(std::move(Entry)), Speed_(Speed), Born_(Now), AdvancedTo_(Now) {}
+
+std::int64_t WorkerModel::clock(core::TimePoint Now) const {
+  return ClockAtBirth + (Now - Born_).count() / 1000;
+}
+
+bool WorkerModel::passesFence(std::uint64_t Token) {
+  if (Token < Token_)
+    return false;
+  Token_ = Token;
+  return true;
+}
+
+void WorkerModel::extendLease(std::int64_t Until, core::TimePoint Now) {
+  LeaseUntil_ = std::max(LeaseUntil_, std::min(Until, clock(Now) + MaximumLeaseMilliseconds));
+}
+
+kernel::OrderReply WorkerModel::start(const kernel::StartOrder &Order, core::TimePoint Now) {
+  advance(Now);
+  auto Reply = [&](OrderVerdict Verdict) { return kernel::OrderReply{Verdict, clock(Now)}; };
+  if (Faults_.IsUnhealthy)
+    return {OrderVerdict::Unhealthy, std::nullopt};
+  if (!passesFence(Order.FencingToken))
+    return Reply(OrderVerdict::Fenced);
+  if (Order.StartBy < clock(Now))
+    return Reply(OrderVerdict::TooLate);
+  extendLease(Order.StartBy, Now);
+  for (const auto &Run : Running_)
+    if (record(Run).Task == Order.Task && record(Run).Number == Order.Run)
+      return Reply(OrderVerdict::Accepted);
+  auto Refused = RefusedUpTo_.find(nameOf(Order.Task));
+  if (Refused != RefusedUpTo_.end() && Order.Run <= Refused->second)
+    return Reply(OrderVerdict::Outdated);
+  auto Profile = TaskProfile::parse(Order.Specification);
+  double Used = 0;
+  for (const auto &Run : Running_)
+    Used += Run.Profile.Cores;
+  if (Used + Profile.Cores > Entry_.Capacity.Processors + RoundingSlack ||
+      Running_.size() >= Entry_.Slots)
+    return Reply(OrderVerdict::NoRoom);
+  History_.push_back({Order.Task, Order.Run, Now, std::nullopt, RunEnd::Done});
+  Running_.push_back({History_.size() - 1, Profile, 0, {}, false});
+  return Reply(OrderVerdict::Accepted);
+}
+
+kernel::OrderReply WorkerModel::stop(const kernel::StopOrder &Order, core::TimePoint Now) {
+  advance(Now);
+  if (!passesFence(Order.FencingToken))
+    return {OrderVerdict::Fenced, clock(Now)};
+  auto &Refused = RefusedUpTo_[nameOf(Order.Task)];
+  Refused = std::max(Refused, Order.Run);
+  for (auto &Run : Running_) {
+    if (record(Run).Task != Order.Task || record(Run).Number != Order.Run || Run.IsStopping)
+      continue;
+    Run.IsStopping = true;
+    Run.StoppingUntil = Now + StopTime;
+  }
+  return {OrderVerdict::Accepted, clock(Now)};
+}
+
+kernel::LookReply WorkerModel::look(const kernel::LookOrder &Order, core::TimePoint Now) {
+  advance(Now);
+  if (!passesFence(Order.FencingToken))
+    return {OrderVerdict::Fenced, std::nullopt};
+  if (Order.LeaseUntil && *Order.LeaseUntil >= clock(Now))
+    extendLease(*Order.LeaseUntil, Now);
+  while (!Ended_.empty() && Ended_.front().Number <= Order.LastSeen)
+    Ended_.pop_front();
+  kernel::WorkerReport Report;
+  Report.ClockMilliseconds = clock(Now);
+  Report.BornMilliseconds = 1 + Born_.time_since_epoch().count() / 1000;
+  for (const auto &Run : Running_)
+    Report.Running.push_back({record(Run).Task, record(Run).Number,
+                              std::floor(100 * Run.Progress / Run.Profile.RunMilliseconds)});
+  Report.Ended.assign(Ended_.begin(), Ended_.end());
+  return {OrderVerdict::Accepted, std::move(Report)};
+}
+
+bool WorkerModel::hasEndAfter(std::uint64_t Number) const {
+  return !Ended_.empty() && Ended_.back().Number > Number;
+}
+
+void WorkerModel::end(std::size_t Position, RunEnd How, core::TimePoint Now) {
+  auto &Ended = record(Running_[Position]);
+  Ended.EndedAt = Now;
+  Ended.How = How;
+  auto &Refused = RefusedUpTo_[nameOf(Ended.Task)];
+  Refused = std::max(Refused, Ended.Number);
+  Ended_.push_back({++LastEnd_, Ended.Task, Ended.Number, How});
+  Running_.erase(Running_.begin() + static_cast<std::ptrdiff_t>(Position));
+}
+
+void WorkerModel::advance(core::TimePoint Now) {
+  double Elapsed = core::toMilliseconds(Now - AdvancedTo_);
+  AdvancedTo_ = std::max(AdvancedTo_, Now);
+  for (std::size_t Position = 0; Position < Running_.size();) {
+    auto &Run = Running_[Position];
+    if (!Faults_.StandsStill)
+      Run.Progress += std::max(0.0, Elapsed) * Speed_ / Faults_.Slowdown;
+    if (Run.IsStopping && Now >= Run.StoppingUntil)
+      end(Position, RunEnd::Stopped, Now);
+    else if (clock(Now) > LeaseUntil_)
+      end(Position, RunEnd::Lapsed, Now);
+    else if (Run.Progress >= Run.Profile.RunMilliseconds)
+      end(Position, Run.Profile.Fails || Faults_.FailsAll ? RunEnd::Failed : RunEnd::Done, Now);
+    else
+      ++Position;
+  }
+}
+
+void WorkerModel::restart(core::TimePoint Now) {
+  for (const auto &Run : Running_) {
+    record(Run).EndedAt = Now;
+    record(Run).How = RunEnd::Broken;
+  }
+  Running_.clear();
+  Ended_.clear();
+  RefusedUpTo_.clear();
+  Token_ = 0;
+  LeaseUntil_ = 0;
+  LastEnd_ = 0;
+  Born_ = Now;
+  AdvancedTo_ = Now;
+}
+
+} // namespace cornellift::standin
--- /dev/null
+++ b/Services/FleetStandIn/WorkerModel.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "Kernel/Pool/WorkerMessages.h"
+#include "Libraries/LibCore/Time.h"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cornellift::standin {
+
+/// What a task does when it runs, as its specification tells: words such as `run_ms=60` and `fail`.
+struct TaskProfile {
+  double RunMilliseconds = 50; ///< On a worker of speed 1.
+  double Cores = 1;
+  bool Fails = false;
+
+  static TaskProfile parse(std::string_view Specification);
+};
+
+/// How a worker misbehaves.
+struct WorkerFaults {
+  double Slowdown = 1;      ///< Factor on run times.
+  bool FailsAll = false;    ///< Every run ends as failed.
+  bool StandsStill = false; ///< Runs make no progress.
+  bool IsUnhealthy = false; ///< Refuses orders.
+};
+
+/// A run that is going on or has ended, as tests look at it.
+struct ModelRun {
+  kernel::TaskRef Task;
+  std::uint32_t Number = 1;
+  core::TimePoint StartedAt;
+  std::optional<core::TimePoint> EndedAt;
+  kernel::RunEnd How = kernel::RunEnd::Done;
+};
+
+/// One incarnation after another of a worker that runs tasks under leases, without sockets or
+/// clocks. It obeys the highest fencing token, numbers its ends, and kills what has no lease.
+class WorkerModel {
+public:
+  WorkerModel(kernel::WorkerEntry Entry, double Speed, core::TimePoint Now);
+
+  kernel::OrderReply start(const kernel::StartOrder &Order, core::TimePoint Now);
+  kernel::OrderReply stop(const kernel::StopOrder &Order, core::TimePoint Now);
+  /// The report as of now, without waiting.
+  kernel::LookReply look(const kernel::LookOrder &Order, core::TimePoint Now);
+  /// Whether an end after that number is listed, so that a waiting look is to be answered.
+  bool hasEndAfter(std::uint64_t Number) const;
+
+  /// Ends runs that are finished or whose lease has lapsed.
+  void advance(core::TimePoint Now);
+
+  /// Crashes and starts again under the same id: knows nothing of before.
+  void restart(core::TimePoint Now);
+
+  WorkerFaults &faults() { return Faults_; }
+  kernel::WorkerEntry &entry() { return Entry_; }
+  const kernel::WorkerEntry &entry() const { return Entry_; }
+  /// Start of the present incarnation.
+  core::TimePoint born() const { return Born_; }
+  std::size_t running() const { return Running_.size(); }
+  /// All runs of all incarnations.
+  const std::vector<ModelRun> &history() const { return History_; }
+
+private:
+  struct ActiveRun {
+    std::size_t Record = 0; ///< Position in the history.
+    TaskProfile Profile;
+    double Progress = 0; ///< Milliseconds of work done.
+    core::TimePoint StoppingUntil;
+    bool IsStopping = false;
+  };
+
+  std::int64_t clock(core::TimePoint Now) const;
+  bool passesFence(std::uint64_t Token);
+  void extendLease(std::int64_t Until, core::TimePoint Now);
+  void end(std::size_t Position, kernel::RunEnd How, core::TimePoint Now);
+  ModelRun &record(const ActiveRun &Run) { return History_[Run.Record]; }
+
+  kernel::WorkerEntry Entry_;
+  double Speed_;
+  WorkerFaults Faults_;
+  core::TimePoint Born_;
+  core::TimePoint AdvancedTo_;
+  std::uint64_t Token_ = 0;
+  std::int64_t LeaseUntil_ = 0; ///< On the worker's clock.
+  std::uint64_t LastEnd_ = 0;
+  std::vector<ActiveRun> Running_;
+  std::deque<kernel::EndedTask> Ended_;
+  std::unordered_map<std::string, std::uint32_t> RefusedUpTo_; ///< Run numbers, by task.
+  std::vector<ModelRun> History_;
+};
+
+} // namespace cornellift::standin
--- a/Services/PoolDaemon/PoolDaemon.cpp
+++ b/Services/PoolDaemon/PoolDaemon.cpp
@@ -146,6 +146,7 @@
 
 void PoolDaemon::reload() {
   std::vector<const char *> Arguments;
+  Arguments.reserve(Arguments_.size());
   for (const auto &Argument : Arguments_)
     Arguments.push_back(Argument.c_str());
   auto Changed = DaemonSettings::parse(Arguments);
@@ -221,6 +222,7 @@
 
 void PoolDaemon::applyElection(core::TimePoint Now) {
   Election_.setReady(Configuration_.current() != nullptr && Directory_.isLoaded());
+  Election_.setOthersExist(!Mesh_.known().empty());
   auto Changes = Election_.evaluate(Now);
   for (const auto &Begun : Changes.Begun) {
     core::logLine(core::LogLevel::Information, "pool", "managing the workers of a data centre",
@@ -388,7 +390,7 @@
                  {"silent_ms", std::to_string(core::toMilliseconds(Now - Peer.lastHeard()))}});
   AskedVersions_.erase(Peer.Index);
   Election_.peerLost(Peer.Index, How == mesh::PeerLoss::Ended, Now);
-  Manager_.peerLost(Peer.Index, Now);
+  Manager_.peerLost(Peer.Index, Peer.lastHeard(), Now);
   Ingress_.peerLost(Peer.Index, Now);
   for (auto Entry = Successors_.begin(); Entry != Successors_.end();)
     Entry = Entry->second == Peer.Index ? Successors_.erase(Entry) : std::next(Entry);
@@ -441,6 +443,7 @@
   if (Message.has_backlog()) {
     std::vector<kernel::RouteBacklog> Backlog;
     auto Count = std::min(Message.backlog().routes_size(), Message.backlog().jobs_size());
+    Backlog.reserve(static_cast<std::size_t>(Count));
     for (int Position = 0; Position < Count; ++Position)
       Backlog.push_back({Message.backlog().routes(Position), Message.backlog().jobs(Position)});
     return Ingress_.setBacklog(Peer.Index, Backlog);
