--- a/Libraries/LibStore/KeyMirror.h
+++ b/Libraries/LibStore/KeyMirror.h
@@ -59,7 +59,7 @@
   bool IsStopped_ = true;
   void (KeyMirror::*Next_)() = nullptr; ///< What follows the pause under way.
   std::uint32_t Failures_ = 0;          ///< In a row.
-  std::uint64_t Round_ = 0;    ///< Ignores replies to calls made before a restart.
+  std::uint64_t Round_ = 0;             ///< Ignores replies to calls made before a restart.
   std::minstd_rand Random_;
 };
 
--- a/Services/PoolDaemon/WorkerDirectory.cpp
+++ b/Services/PoolDaemon/WorkerDirectory.cpp
@@ -7,8 +7,8 @@
 namespace cornellift::pool {
 namespace {
 
-/// Each worker writes its entry every one and a half seconds; the events in between arrive together.
-/// A leaving worker gets no new task after two seconds.
+/// Each worker writes its entry every one and a half seconds; the events in between arrive
+/// together. A leaving worker gets no new task after two seconds.
 constexpr store::MirrorPace ClosePace = {std::chrono::seconds(3), std::chrono::milliseconds(600)};
 constexpr store::MirrorPace DistantPace = {std::chrono::seconds(3), std::chrono::seconds(4)};
 
