--- a/Libraries/LibMesh/MeshNode.cpp
+++ b/Libraries/LibMesh/MeshNode.cpp
@@ -136,7 +136,7 @@
 std::uint64_t MeshNode::newSession() { return Random_(); }
 
 void MeshNode::peerNamed(MeshPeer &Peer, const std::string &Vm) {
-  std::string Address(Peer.address()); // Outlives the link, which is dropped here.
+  const auto &Address = Peer.address(); // The link lives as long as Self.
   auto Known = Peers_.find(Peer.vm());
   auto Self = Known->second;
   Peers_.erase(Known);
