FleetStandIn: Stand in for the platform's store and workers

A store with revisions, history, leases and watches, and workers with leases, fencing tokens, run numbers and late orders, as separate models that unit tests share. Ten integration tests run the pool daemon against it as separate processes, with a fault proxy before every mesh port and store connection.

LibStore: A faster pace takes effect at once: a new manager read the workers' changes up to 4 s late, and a leaving worker got tasks for 3 s.

--- a/Kernel/Pool/WorkerFleet.cpp
+++ b/Kernel/Pool/WorkerFleet.cpp
@@ -480,6 +480,12 @@
     tickWorker(static_cast<EndpointIndex>(Position), Now);
 }
 
+std::size_t WorkerFleet::held() const {
+  return static_cast<std::size_t>(
+      std::count_if(Workers_.begin(), Workers_.end(),
+                    [](const Worker &Known) { return Known.Lease == LeaseState::Held; }));
+}
+
 const Run *WorkerFleet::findRun(EndpointIndex Worker, const TaskRef &Task,
                                 std::uint32_t Number) const {
   return at(Worker).find(Task, Number);
--- a/Kernel/Pool/WorkerFleet.h
+++ b/Kernel/Pool/WorkerFleet.h
@@ -77,6 +77,8 @@
   void avoid(EndpointIndex Index, core::TimePoint Until) { edit(Index).AvoidUntil = Until; }
 
   std::size_t runCount() const;
+  /// Workers whose leases this manager extends.
+  std::size_t held() const;
 
   /// The run, or null when it has left the worker.
   const Run *findRun(EndpointIndex Worker, const TaskRef &Task, std::uint32_t Number) const;
--- a/Libraries/LibReactor/HttpServer.h
+++ b/Libraries/LibReactor/HttpServer.h
@@ -47,6 +47,9 @@
   /// Stops listening.
   void stopListening();
 
+  /// Where it listens, with the port that was taken.
+  Tcp::endpoint address() const { return Acceptor_.local_endpoint(); }
+
   std::size_t connections() const { return Sessions_.size(); }
 
   /// Requests that have been read and not answered.
--- a/Libraries/LibStore/KeyMirror.cpp
+++ b/Libraries/LibStore/KeyMirror.cpp
@@ -114,14 +114,12 @@
 void KeyMirror::after(core::Duration Pause, void (KeyMirror::*Next)()) {
   if (IsStopped_)
     return;
-  if (Pause.count() == 0)
-    return (this->*Next)();
+  Next_ = Next;
   Timer_.expires_after(Pause);
-  Timer_.async_wait(
-      [Self = shared_from_this(), Round = Round_, Next](boost::system::error_code Error) {
-        if (!Error && Round == Self->Round_)
-          (Self.get()->*Next)();
-      });
+  Timer_.async_wait([Self = shared_from_this(), Round = Round_](boost::system::error_code Error) {
+    if (!Error && Round == Self->Round_)
+      (Self.get()->*std::exchange(Self->Next_, nullptr))();
+  });
 }
 
 } // namespace cornellift::store
--- /dev/null
+++ b/Services/FleetStandIn/FleetStandIn.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "Libraries/LibReactor/HttpServer.h"
+#include "Services/FleetStandIn/StandInFormat.h"
+#include "Services/FleetStandIn/StandInSettings.h"
+#include "Services/FleetStandIn/StoreModel.h"
+#include "Services/FleetStandIn/WorkerModel.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace cornellift::standin {
+
+/// How the store misbehaves.
+struct StoreFaults {
+  enum class Mode { Serving, Silent, Busy };
+  Mode Now = Mode::Serving;
+  core::Duration Delay{0};
+  double LostShare = 0; ///< Changes that are made and not answered.
+};
+
+/// The store and the workers of a test, each on a port of its own, and a port for the test's calls:
+///
+///     POST /store?mode=silent|busy|serving&delay_ms=N&lost=SHARE   and   POST /store/compact
+///     POST /worker?id=ID&slowdown=X&fail=0|1&still=0|1&unhealthy=0|1&silent=0|1&late=SHARE&drain=1
+///     POST /worker/restart?id=ID
+///     POST /configuration   with a configuration as the body
+///     GET /runs             all runs, one JSON line each
+class FleetStandIn {
+public:
+  static std::unique_ptr<FleetStandIn> make(const StandInSettings &Settings);
+
+  explicit FleetStandIn(const StandInSettings &Settings);
+
+  void run();
+
+private:
+  struct WorkerSite {
+    std::unique_ptr<WorkerModel> Model;
+    std::shared_ptr<reactor::HttpServer> Server;
+    bool IsSilent = false;
+    double LateShare = 0;
+    std::uint64_t Sequence = 0;
+  };
+
+  using Exchange = std::shared_ptr<reactor::HttpExchange>;
+
+  bool listen();
+  bool addWorker(const std::string &DataCentre, std::size_t Number);
+  void serveStore(const Exchange &Call);
+  void answerStore(const Exchange &Call, const StoreCall &Content);
+  void answerWatch(const Exchange &Call, const WatchCall &Content, core::TimePoint Deadline);
+  void serveWorker(std::size_t Worker, const Exchange &Call);
+  void answerLook(std::size_t Worker, const Exchange &Call, const kernel::LookOrder &Order,
+                  core::TimePoint Deadline);
+  void serveControl(const Exchange &Call);
+  void setWorker(std::string_view Target);
+  void setStore(std::string_view Target);
+  std::string listRuns() const;
+  void tick();
+  void later(core::Duration Pause, std::function<void()> Act);
+  double chance();
+
+  StandInSettings Settings_;
+  reactor::asio::io_context Reactor_;
+  reactor::asio::steady_timer Timer_;
+  std::unique_ptr<StandInFormat> Format_;
+  StoreModel Store_;
+  StoreFaults StoreFaults_;
+  std::shared_ptr<reactor::HttpServer> StoreServer_;
+  std::shared_ptr<reactor::HttpServer> ControlServer_;
+  std::vector<WorkerSite> Workers_;
+  core::TimePoint HeartbeatAt_;
+  std::mt19937_64 Random_{1};
+};
+
+} // namespace cornellift::standin
--- a/Services/PoolDaemon/DaemonSettings.cpp
+++ b/Services/PoolDaemon/DaemonSettings.cpp
@@ -20,6 +20,9 @@
     {"caller-address", "IP number and port for callers", SettingType::Text, {}},
     {"readiness-address", "IP number and port for readiness checks", SettingType::Text, {}},
     {"mesh-address", "IP number and port for other entry processes", SettingType::Text, {}},
+    {"mesh-advertised-address",
+     "Address that others are told for the mesh address; the same when empty", SettingType::Text,
+     ""},
     {"metrics-port", "Port for metrics, on the IP number for callers", SettingType::Integer, "9464",
      1, 65535},
     {"seed-addresses", "Mesh addresses of other entry processes, separated by commas",
@@ -67,6 +70,12 @@
   for (auto &Name : Parsed->list("data-centres"))
     Result.DataCentres.insert(std::move(Name));
   Result.DataCentres.insert(Result.DataCentre);
+  Result.AdvertisedAddress = Parsed->text("mesh-advertised-address");
+  if (Result.AdvertisedAddress.empty())
+    Result.AdvertisedAddress = reactor::formatAddress(Result.MeshAddress);
+  if (!reactor::parseAddress(Result.AdvertisedAddress))
+    return core::fail(core::ErrorKind::Malformed,
+                      "--mesh-advertised-address: " + core::lastReason().Message);
   Result.MetricsAddress = reactor::Tcp::endpoint(
       Result.CallerAddress.address(), static_cast<unsigned short>(Parsed->integer("metrics-port")));
   Result.SeedAddresses = Parsed->list("seed-addresses");
--- a/Services/PoolDaemon/DaemonSettings.h
+++ b/Services/PoolDaemon/DaemonSettings.h
@@ -18,6 +18,7 @@
   reactor::Tcp::endpoint CallerAddress;
   reactor::Tcp::endpoint ReadinessAddress;
   reactor::Tcp::endpoint MeshAddress;
+  std::string AdvertisedAddress; ///< Where others reach the mesh address.
   reactor::Tcp::endpoint MetricsAddress;
   reactor::Tcp::endpoint StoreAddress;
   std::vector<std::string> SeedAddresses; ///< Mesh addresses of other entry processes.
--- a/Services/PoolDaemon/PoolDaemon.cpp
+++ b/Services/PoolDaemon/PoolDaemon.cpp
@@ -28,8 +28,8 @@
 }
 
 mesh::MeshIdentity identityOf(const DaemonSettings &Settings) {
-  return {Settings.VmName, Settings.DataCentre, reactor::formatAddress(Settings.MeshAddress),
-          randomIncarnation(), Settings.Weight};
+  return {Settings.VmName, Settings.DataCentre, Settings.AdvertisedAddress, randomIncarnation(),
+          Settings.Weight};
 }
 
 kernel::CandidateState candidateOf(const DaemonSettings &Settings) {
@@ -79,7 +79,7 @@
           Reactor_, Store_, std::string(Formats_->store().operatorPrefix()), OperatorPace,
           [this](const store::KeyMirror::Items &Items) { operatorKeysChanged(Items); })),
       Registration_(std::make_shared<VmRegistration>(
-          Reactor_, Store_, Settings_.VmName, reactor::formatAddress(Settings_.MeshAddress),
+          Reactor_, Store_, Settings_.VmName, Settings_.AdvertisedAddress,
           [this](const std::string &Vm, const std::string &Address) {
             Mesh_.learn(Vm, Address);
           })) {
@@ -470,6 +470,7 @@
   Counter("cornellift_open_jobs", [](auto &Self) { return Self.Ingress_.openJobs(); });
   Counter("cornellift_managed_jobs", [](auto &Self) { return Self.Manager_.jobCount(); });
   Counter("cornellift_waiting_tasks", [](auto &Self) { return Self.Manager_.waitingTasks(); });
+  Counter("cornellift_workers_held", [](auto &Self) { return Self.Manager_.fleet().held(); });
   Counter("cornellift_running_tasks", [](auto &Self) { return Self.Manager_.fleet().runCount(); });
   Counter("cornellift_starts_total",
           [](auto &Self) { return Self.Manager_.counters().StartsOrdered; });
--- /dev/null
+++ b/Tests/Integration/PoolDeployment.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "Tests/Integration/TestProcess.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+namespace cornellift::integration {
+
+/// One run of a task, as a worker saw it.
+struct ObservedRun {
+  std::string Job;
+  int Step = 0;
+  int Index = 0;
+  std::string Worker;
+  std::int64_t FromMicroseconds = 0;
+  std::int64_t ToMicroseconds = 0; ///< Zero while it runs.
+  std::string End;
+};
+
+/// An entry process of a deployment.
+struct PoolVm {
+  std::string Name;
+  std::string DataCentre;
+  std::uint16_t CallerPort = 0;
+  std::uint16_t ReadinessPort = 0;
+  std::uint16_t MeshPort = 0;
+  std::uint16_t MetricsPort = 0;
+  std::string LogFile;
+  std::optional<TestProcess> Process;
+};
+
+struct PoolDeploymentSettings {
+  std::vector<std::string> DataCentres = {"ikeja", "yaba"};
+  std::size_t VmsPerDataCentre = 2;
+  std::size_t WorkersPerDataCentre = 4;
+  std::string Speeds = "1";
+  double StopSeconds = 6;
+};
+
+/// Entry processes for leased workers, the stand-in of their platform, and a fault proxy before each
+/// process's mesh port and each one's way to the store, all on loopback.
+class PoolDeployment {
+public:
+  /// Name is that of the folder for logs.
+  PoolDeployment(const std::string &Name, const PoolDeploymentSettings &Settings);
+  ~PoolDeployment();
+
+  std::vector<PoolVm> &vms() { return Vms_; }
+  PoolVm &vm(const std::string &Name);
+  void startVm(PoolVm &Vm);
+
+  /// Waits until all running VMs are ready and each data centre's workers are held by its own VMs.
+  /// Returns false after the given seconds.
+  bool waitUntilReady(int Seconds = 15);
+  static bool isReady(const PoolVm &Vm);
+
+  /// One call to the stand-in's control port; returns the body.
+  std::string control(const std::string &Method, const std::string &Path,
+                      const std::string &Body = "") const;
+  /// One call for the proxy's links, such as `mesh-ikeja-1` or `store-yaba-*`.
+  bool link(const std::string &Pattern, const std::string &Verb,
+            const nlohmann::json &Body = nlohmann::json::object()) const;
+
+  /// Writes a configuration with that version and a route with each prefix.
+  void configure(std::uint64_t Version, const std::vector<std::string> &Prefixes) const;
+
+  std::vector<ObservedRun> runs() const;
+  /// Tasks with two runs at the same time, described.
+  std::vector<std::string> overlaps() const;
+
+  /// Value of a metric of the VM; empty when it is not shown.
+  static std::optional<double> metric(const PoolVm &Vm, const std::string &Name);
+
+  std::size_t workerCount() const {
+    return Settings_.DataCentres.size() * Settings_.WorkersPerDataCentre;
+  }
+
+private:
+  bool isSettled();
+  void startStandIn();
+  void startProxy();
+  void writeConfiguration(const std::string &Path) const;
+
+  PoolDeploymentSettings Settings_;
+  std::string Folder_;
+  std::optional<TestProcess> StandIn_;
+  std::optional<TestProcess> Proxy_;
+  std::uint16_t ControlPort_ = 0;
+  std::uint16_t StorePort_ = 0;
+  std::uint16_t ProxyPort_ = 0;
+  std::map<std::string, std::uint16_t> Links_;
+  std::vector<PoolVm> Vms_;
+};
+
+/// What a caller got for one job.
+struct JobReply {
+  int Status = 0;    ///< Zero when no whole answer came.
+  std::string State; ///< Of an answer 200.
+  int RetryAfterSeconds = 0;
+};
+
+/// Posts a job of equal tasks to a caller port and waits for its end, on a connection of its own.
+JobReply postJob(std::uint16_t Port, const std::string &Key, int Tasks, int RunMilliseconds,
+                 const std::string &Extra = "", int PatienceMilliseconds = 8000);
+
+/// Body of such a job, in the platform's format.
+std::string jobBody(int Tasks, int RunMilliseconds, const std::string &Extra);
+
+/// A job identifier that was not used before.
+std::string newJobKey();
+
+/// Host and path prefix of the deployment's first route.
+extern const char *const PoolHost;
+extern const char *const PoolPrefix;
+
+} // namespace cornellift::integration
--- /dev/null
+++ b/Tests/Integration/TestPoolDaemon.cpp
@@ -0,0 +1,311 @@
+#include "Tests/Integration/HttpCall.h"
+#include "Tests/Integration/PoolDeployment.h"
+
+#include <atomic>
+#include <chrono>
+#include <fstream>
+#include <mutex>
+#include <set>
+#include <sstream>
+#include <thread>
+
+#include <csignal>
+
+#include <httplib.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornellift::integration;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Callers that post jobs to given VMs in turn until they are told to stop.
+class Load {
+public:
+  Load(std::vector<std::uint16_t> Ports, int Callers, int RunMilliseconds) {
+    for (int Each = 0; Each < Callers; ++Each)
+      Threads_.emplace_back([this, Ports, Each, RunMilliseconds] {
+        for (std::size_t Turn = static_cast<std::size_t>(Each); !Stopping_; ++Turn)
+          note(postJob(Ports[Turn % Ports.size()], newJobKey(), 2, RunMilliseconds));
+      });
+  }
+  ~Load() { finish(); }
+
+  void finish() {
+    Stopping_ = true;
+    for (auto &Thread : Threads_)
+      if (Thread.joinable())
+        Thread.join();
+  }
+
+  int completed() const { return Completed_; }
+  /// Jobs that were neither completed nor rejected as not run, by status; 0 for no whole answer.
+  std::multiset<int> others() {
+    std::lock_guard Guard(Mutex_);
+    return Others_;
+  }
+
+private:
+  void note(const JobReply &Reply) {
+    if (Reply.Status == 200 && Reply.State == "completed") {
+      ++Completed_;
+      return;
+    }
+    if (Reply.Status == 503) {
+      std::this_thread::sleep_for(50ms);
+      return;
+    }
+    std::lock_guard Guard(Mutex_);
+    Others_.insert(Reply.Status);
+  }
+
+  std::vector<std::thread> Threads_;
+  std::atomic<bool> Stopping_{false};
+  std::atomic<int> Completed_{0};
+  std::mutex Mutex_;
+  std::multiset<int> Others_;
+};
+
+std::string managerOf(PoolDeployment &Deployment, const std::string &DataCentre) {
+  for (auto &Vm : Deployment.vms())
+    if (Vm.Process && Vm.Process->isRunning() && Vm.DataCentre == DataCentre &&
+        PoolDeployment::metric(Vm, "cornellift_workers_held").value_or(0) > 0)
+      return Vm.Name;
+  return {};
+}
+
+template <typename Condition> bool eventually(Condition Holds, std::chrono::seconds Limit) {
+  auto Deadline = std::chrono::steady_clock::now() + Limit;
+  while (std::chrono::steady_clock::now() < Deadline) {
+    if (Holds())
+      return true;
+    std::this_thread::sleep_for(50ms);
+  }
+  return false;
+}
+
+std::string contentOf(const std::string &File) {
+  std::ifstream In(File);
+  std::ostringstream Out;
+  Out << In.rdbuf();
+  return Out.str();
+}
+
+} // namespace
+
+// Guards the whole way of a job: every task runs once, on workers of both data centres if needed,
+// and the caller gets the end.
+BOOST_AUTO_TEST_CASE(JobRunsOnceAndIsAnswered) {
+  PoolDeployment Deployment("PoolJob", {});
+  BOOST_REQUIRE(Deployment.waitUntilReady());
+  auto Key = newJobKey();
+  // 40 tasks of 2 cores need more than the 32 cores of one data centre.
+  auto Reply = postJob(Deployment.vms().front().CallerPort, Key, 40, 200);
+  BOOST_TEST(Reply.Status == 200);
+  BOOST_TEST(Reply.State == "completed");
+  std::set<int> Indexes;
+  for (const auto &Run : Deployment.runs())
+    if (Run.Job == Key && Run.End == "done")
+      Indexes.insert(Run.Index);
+  BOOST_TEST(Indexes.size() == 40U);
+  BOOST_TEST(Deployment.overlaps().empty());
+}
+
+// Guards against a repeated submission that runs the tasks again: a caller whose answer was lost
+// sends the job again, to any VM.
+BOOST_AUTO_TEST_CASE(RepeatedSubmissionGetsTheSameAnswer) {
+  PoolDeployment Deployment("PoolRepeat", {});
+  BOOST_REQUIRE(Deployment.waitUntilReady());
+  auto Key = newJobKey();
+  BOOST_TEST(postJob(Deployment.vms()[0].CallerPort, Key, 3, 50).State == "completed");
+  BOOST_TEST(postJob(Deployment.vms()[1].CallerPort, Key, 3, 50).State == "completed");
+  int Starts = 0;
+  for (const auto &Run : Deployment.runs())
+    Starts += Run.Job == Key ? 1 : 0;
+  BOOST_TEST(Starts == 3);
+}
+
+// Guards the refusals: each says truly that nothing has run, and when to come back.
+BOOST_AUTO_TEST_CASE(RefusalsAreTrueAndSayWhenToComeBack) {
+  PoolDeployment Deployment("PoolRefusals", {});
+  BOOST_REQUIRE(Deployment.waitUntilReady());
+  auto Port = Deployment.vms().front().CallerPort;
+  BOOST_TEST(callHttp(Port, "POST", "/unknown/" + newJobKey(), "{}", "").Status == 404);
+  // A task that needs more than any worker has can never run.
+  httplib::Client Client("127.0.0.1", Port);
+  httplib::Headers Headers = {{"Host", PoolHost}, {"Deadline-Ms", "3000"}};
+  auto Post = [&](const std::string &Body) {
+    return Client.Post(PoolPrefix + newJobKey(), Headers, Body, "application/json");
+  };
+  auto TooLarge = Post(R"({"spec":"","bestEffort":true,"phases":[{"count":1,"cpu":99000}]})");
+  BOOST_REQUIRE(TooLarge);
+  BOOST_TEST(TooLarge->status == 503);
+  BOOST_TEST(TooLarge->has_header("Retry-After"));
+  auto Kept = Post(R"({"spec":"","phases":[{"count":1,"cpu":1000}]})");
+  BOOST_REQUIRE(Kept);
+  BOOST_TEST(Kept->status == 503);
+  auto Gang = Post(R"({"spec":"","bestEffort":true,"phases":[{"count":2,"cpu":1000,"gang":true}]})");
+  BOOST_REQUIRE(Gang);
+  BOOST_TEST(Gang->status == 503);
+  auto Malformed = Post("{");
+  BOOST_REQUIRE(Malformed);
+  BOOST_TEST(Malformed->status == 400);
+  BOOST_TEST(Deployment.runs().empty());
+}
+
+// Guards against jobs that run twice, or not at all, after the manager of their workers died.
+BOOST_AUTO_TEST_CASE(KilledManagerIsReplaced) {
+  PoolDeployment Deployment("PoolKill", {});
+  BOOST_REQUIRE(Deployment.waitUntilReady());
+  auto Manager = managerOf(Deployment, "ikeja");
+  BOOST_REQUIRE(!Manager.empty());
+  std::vector<std::uint16_t> Ports;
+  for (auto &Vm : Deployment.vms())
+    if (Vm.Name != Manager)
+      Ports.push_back(Vm.CallerPort);
+  Load Callers(Ports, 8, 60);
+  std::this_thread::sleep_for(1s);
+  Deployment.vm(Manager).Process->kill();
+  auto IsReplaced = [&] { return !managerOf(Deployment, "ikeja").empty(); };
+  BOOST_TEST(eventually(IsReplaced, 4s));
+  std::this_thread::sleep_for(1500ms);
+  auto Before = Callers.completed();
+  std::this_thread::sleep_for(1s);
+  BOOST_TEST(Callers.completed() > Before + 20);
+  Callers.finish();
+  BOOST_TEST(Deployment.overlaps().empty());
+}
+
+// Guards against planned stops that cut requests or leave workers without a manager. Every caller
+// of a stopping VM gets its answer, and those of the others notice nothing.
+BOOST_AUTO_TEST_CASE(PlannedStopCutsNoRequest) {
+  PoolDeployment Deployment("PoolStop", {});
+  BOOST_REQUIRE(Deployment.waitUntilReady());
+  auto Manager = managerOf(Deployment, "ikeja");
+  std::vector<std::uint16_t> Ports;
+  for (auto &Vm : Deployment.vms())
+    if (Vm.Name != Manager)
+      Ports.push_back(Vm.CallerPort);
+  Load Others(Ports, 6, 100);
+  std::vector<std::thread> Own;
+  std::atomic<int> Whole{0};
+  for (int Each = 0; Each < 6; ++Each)
+    Own.emplace_back([&] {
+      if (postJob(Deployment.vm(Manager).CallerPort, newJobKey(), 2, 700).State == "completed")
+        ++Whole;
+    });
+  std::this_thread::sleep_for(300ms);
+  Deployment.vm(Manager).Process->terminate();
+  for (auto &Thread : Own)
+    Thread.join();
+  BOOST_TEST(Whole == 6);
+  auto Status = Deployment.vm(Manager).Process->waitForExit(8);
+  BOOST_REQUIRE(Status);
+  BOOST_TEST(*Status == 0);
+  std::this_thread::sleep_for(500ms);
+  Others.finish();
+  BOOST_TEST(Others.others().empty());
+  BOOST_TEST(!managerOf(Deployment, "ikeja").empty());
+  BOOST_TEST(Deployment.overlaps().empty());
+}
+
+// Guards the configuration: a new route is served everywhere within two seconds, also by a VM that
+// does not reach the store, and an unreadable or older document changes nothing.
+BOOST_AUTO_TEST_CASE(ConfigurationReachesVmsWithoutStore) {
+  PoolDeployment Deployment("PoolConfiguration", {});
+  BOOST_REQUIRE(Deployment.waitUntilReady());
+  BOOST_REQUIRE(Deployment.link("store-yaba-2", "admission", {{"mode", "refuse"}}));
+  BOOST_REQUIRE(Deployment.link("store-yaba-2", "open", {{"action", "cut"}}));
+  Deployment.configure(5, {PoolPrefix, "/new/"});
+  auto HasVersion = [&](double Version) {
+    for (auto &Vm : Deployment.vms())
+      if (PoolDeployment::metric(Vm, "cornellift_configuration_version") != Version)
+        return false;
+    return true;
+  };
+  BOOST_TEST(eventually([&] { return HasVersion(5); }, 2s));
+  Deployment.configure(4, {PoolPrefix});
+  Deployment.control("POST", "/configuration", "not a configuration");
+  std::this_thread::sleep_for(500ms);
+  BOOST_TEST(HasVersion(5));
+  auto Log = contentOf(Deployment.vms().front().LogFile);
+  BOOST_TEST(Log.find("configuration cannot be read") != std::string::npos);
+}
+
+// Guards against a store outage that stops the service: running managers go on, and a replaced one
+// takes over from what it knew.
+BOOST_AUTO_TEST_CASE(StoreOutageStopsNothing) {
+  PoolDeployment Deployment("PoolStoreAway", {});
+  BOOST_REQUIRE(Deployment.waitUntilReady());
+  Deployment.control("POST", "/store?mode=silent");
+  auto Manager = managerOf(Deployment, "ikeja");
+  std::string Other = Manager == "ikeja-1" ? "ikeja-2" : "ikeja-1";
+  Load Callers({Deployment.vm(Other).CallerPort}, 4, 50);
+  std::this_thread::sleep_for(1500ms);
+  BOOST_TEST(Callers.completed() > 20);
+  Deployment.vm(Manager).Process->kill();
+  BOOST_TEST(eventually([&] { return managerOf(Deployment, "ikeja") == Other; }, 5s));
+  std::this_thread::sleep_for(1s);
+  auto Before = Callers.completed();
+  std::this_thread::sleep_for(1s);
+  BOOST_TEST(Callers.completed() > Before + 10);
+  Callers.finish();
+  BOOST_TEST(Deployment.overlaps().empty());
+}
+
+// Guards the leases: a paused manager that wakes up orders nothing on workers that another one has
+// claimed meanwhile, and no task runs twice at once.
+BOOST_AUTO_TEST_CASE(PausedManagerWakesUpHarmless) {
+  PoolDeployment Deployment("PoolPause", {});
+  BOOST_REQUIRE(Deployment.waitUntilReady());
+  auto Manager = managerOf(Deployment, "ikeja");
+  std::string Other = Manager == "ikeja-1" ? "ikeja-2" : "ikeja-1";
+  Load Callers({Deployment.vm(Other).CallerPort, Deployment.vm("yaba-1").CallerPort}, 8, 150);
+  for (auto Span : {500ms, 1500ms, 3000ms}) {
+    std::this_thread::sleep_for(700ms);
+    Deployment.vm(Manager).Process->pause();
+    std::this_thread::sleep_for(Span);
+    Deployment.vm(Manager).Process->resume();
+  }
+  std::this_thread::sleep_for(2s);
+  auto Before = Callers.completed();
+  std::this_thread::sleep_for(1s);
+  BOOST_TEST(Callers.completed() > Before + 10);
+  Callers.finish();
+  BOOST_TEST(Deployment.overlaps().empty());
+}
+
+// Guards against a worker that leaves and still gets tasks two seconds after its entry says so.
+BOOST_AUTO_TEST_CASE(LeavingWorkerGetsNoNewTasks) {
+  PoolDeployment Deployment("PoolDrain", {});
+  BOOST_REQUIRE(Deployment.waitUntilReady());
+  Load Callers({Deployment.vms()[0].CallerPort, Deployment.vms()[2].CallerPort}, 8, 40);
+  std::this_thread::sleep_for(500ms);
+  Deployment.control("POST", "/worker?id=w-1&drain=1");
+  std::this_thread::sleep_for(2s);
+  auto Count = [&] {
+    std::size_t Sum = 0;
+    for (const auto &Run : Deployment.runs())
+      Sum += Run.Worker == "w-1" ? 1 : 0;
+    return Sum;
+  };
+  auto Before = Count();
+  BOOST_TEST(Before > 0U);
+  std::this_thread::sleep_for(1500ms);
+  BOOST_TEST(Count() == Before);
+  Callers.finish();
+}
+
+// Guards the reload: wrong settings keep the old ones in force and say what is wrong.
+BOOST_AUTO_TEST_CASE(WrongSettingsKeepTheOldOnes) {
+  PoolDeployment Deployment("PoolReload", {{"ikeja"}, 1, 2, "1", 6});
+  BOOST_REQUIRE(Deployment.waitUntilReady());
+  auto &Vm = Deployment.vms().front();
+  BOOST_REQUIRE(::kill(Vm.Process->id(), SIGHUP) == 0);
+  auto HasRead = [&] {
+    return contentOf(Vm.LogFile).find("settings read again") != std::string::npos;
+  };
+  BOOST_TEST(eventually(HasRead, 2s));
+  BOOST_TEST(postJob(Vm.CallerPort, newJobKey(), 1, 20).State == "completed");
+}
