Tests: Take ports that no outgoing connection uses

Ports from the kernel's own range were taken again by other processes between the test's look and the daemon's start: in one of six runs a VM was missing without notice. A VM that ends early now fails the test with its status.

--- a/Tests/Integration/PoolDeployment.cpp
+++ b/Tests/Integration/PoolDeployment.cpp
@@ -29,17 +29,30 @@
   return std::string(CORNELLIFT_BUILD) + "/" + Path;
 }
 
-/// A port that is free at present.
-std::uint16_t freePort() {
+/// Below the ports that the kernel gives to outgoing connections.
+constexpr std::uint16_t FirstPort = 20000;
+constexpr std::uint16_t PortCount = 10000;
+
+bool isFree(std::uint16_t Port) {
   int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
+  Address.sin_port = htons(Port);
   Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t Length = sizeof(Address);
-  ::bind(Socket, reinterpret_cast<sockaddr *>(&Address), Length);
-  ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Length);
+  bool IsBound = ::bind(Socket, reinterpret_cast<sockaddr *>(&Address), sizeof(Address)) == 0;
   ::close(Socket);
-  return ntohs(Address.sin_port);
+  return IsBound;
+}
+
+/// A port that is free at present. Test programs that run beside each other begin at different ones.
+std::uint16_t freePort() {
+  static std::uint16_t Next = static_cast<std::uint16_t>(::getpid() * 64 % PortCount);
+  for (;;) {
+    Next = static_cast<std::uint16_t>((Next + 1) % PortCount);
+    auto Port = static_cast<std::uint16_t>(FirstPort + Next);
+    if (isFree(Port))
+      return Port;
+  }
 }
 
 /// The first line that a process has written, once there is one.
@@ -196,7 +209,10 @@
   auto Deadline = std::chrono::steady_clock::now() + std::chrono::seconds(Seconds);
   while (std::chrono::steady_clock::now() < Deadline) {
     bool AllReady = std::all_of(Vms_.begin(), Vms_.end(), [](PoolVm &Vm) {
-      return !Vm.Process || !Vm.Process->isRunning() || isReady(Vm);
+      if (Vm.Process && !Vm.Process->isRunning())
+        BOOST_FAIL(Vm.Name << " has ended with status " << Vm.Process->waitForExit(1).value_or(-1)
+                           << "; see " << Vm.LogFile);
+      return !Vm.Process || isReady(Vm);
     });
     if (AllReady && isSettled())
       return true;
--- a/Tests/Integration/TestPoolDaemon.cpp
+++ b/Tests/Integration/TestPoolDaemon.cpp
@@ -282,12 +282,15 @@
   BOOST_REQUIRE(Deployment.waitUntilReady());
   Load Callers({Deployment.vms()[0].CallerPort, Deployment.vms()[2].CallerPort}, 8, 40);
   std::this_thread::sleep_for(500ms);
-  Deployment.control("POST", "/worker?id=w-1&drain=1");
+  auto Early = Deployment.runs();
+  BOOST_REQUIRE(!Early.empty());
+  auto Leaving = Early.back().Worker;
+  Deployment.control("POST", "/worker?id=" + Leaving + "&drain=1");
   std::this_thread::sleep_for(2s);
   auto Count = [&] {
     std::size_t Sum = 0;
     for (const auto &Run : Deployment.runs())
-      Sum += Run.Worker == "w-1" ? 1 : 0;
+      Sum += Run.Worker == Leaving ? 1 : 0;
     return Sum;
   };
   auto Before = Count();
