Tests: Add a soak of real processes under random faults

Signals, a fault proxy, and a store and workers that misbehave, in series and overlapping; callers keep their connections and send lost jobs again. It checks that no task runs twice at once, that "not run" is true, that every job gets an answer, and that all is served again afterwards.

--- a/Services/FleetStandIn/FleetStandIn.cpp
+++ b/Services/FleetStandIn/FleetStandIn.cpp
@@ -71,9 +71,8 @@
   };
   StoreServer_ = reactor::HttpServer::listen(Reactor_, Local(Settings_.StorePort),
                                              [this](const Exchange &Call) { serveStore(Call); });
-  ControlServer_ =
-      reactor::HttpServer::listen(Reactor_, Local(Settings_.ControlPort),
-                                  [this](const Exchange &Call) { serveControl(Call); });
+  ControlServer_ = reactor::HttpServer::listen(
+      Reactor_, Local(Settings_.ControlPort), [this](const Exchange &Call) { serveControl(Call); });
   if (!StoreServer_ || !ControlServer_)
     return false;
   reactor::HttpServerLimits Limits;
@@ -94,8 +93,7 @@
     return core::failFalse(core::ErrorKind::NotFound, "--configuration-file: cannot read \"" +
                                                           Settings_.ConfigurationFile +
                                                           "\"; give its right path");
-  Store_.apply({{}, {{Format_->configurationKey(), Document, 0}}, {}},
-               core::MonotonicClock::now());
+  Store_.apply({{}, {{Format_->configurationKey(), Document, 0}}, {}}, core::MonotonicClock::now());
   return true;
 }
 
@@ -197,9 +195,8 @@
     return Call->reply(Format_->renderLease(Number, Lease->Milliseconds));
   }
   if (const auto *Renewal = std::get_if<RenewLeaseCall>(&Content))
-    return Call->reply(Store_.renewLease(Renewal->Lease, Now)
-                           ? reactor::HttpReply{200, "{}", {}}
-                           : reactor::HttpReply{404, {}, {}});
+    return Call->reply(Store_.renewLease(Renewal->Lease, Now) ? reactor::HttpReply{200, "{}", {}}
+                                                              : reactor::HttpReply{404, {}, {}});
   const auto &Ended = std::get<EndLeaseCall>(Content);
   Call->reply(Store_.endLease(Ended.Lease, Now) ? reactor::HttpReply{200, "{}", {}}
                                                 : reactor::HttpReply{404, {}, {}});
@@ -236,7 +233,11 @@
   if (!IsLate)
     return Call->reply(Format_->renderOrder(Carry()));
   // Carried out seconds later, without an answer.
-  later(std::chrono::milliseconds(2000 + Random_() % 4000), [Call, Carry] { Carry(); });
+  auto Intended = Site.Model->born();
+  later(std::chrono::milliseconds(2000 + Random_() % 4000), [this, Worker, Call, Carry, Intended] {
+    if (Workers_[Worker].Model->born() == Intended) // A later incarnation refuses the order.
+      Carry();
+  });
 }
 
 void FleetStandIn::answerLook(std::size_t Worker, const Exchange &Call,
--- a/Tests/Integration/PoolDeployment.cpp
+++ b/Tests/Integration/PoolDeployment.cpp
@@ -25,9 +25,7 @@
 
 constexpr int StartSeconds = 10;
 
-std::string program(const std::string &Path) {
-  return std::string(CORNELLIFT_BUILD) + "/" + Path;
-}
+std::string program(const std::string &Path) { return std::string(CORNELLIFT_BUILD) + "/" + Path; }
 
 /// Below the ports that the kernel gives to outgoing connections.
 constexpr std::uint16_t FirstPort = 20000;
@@ -44,7 +42,8 @@
   return IsBound;
 }
 
-/// A port that is free at present. Test programs that run beside each other begin at different ones.
+/// A port that is free at present. Test programs that run beside each other begin at different
+/// ones.
 std::uint16_t freePort() {
   static std::uint16_t Next = static_cast<std::uint16_t>(::getpid() * 64 % PortCount);
   for (;;) {
@@ -178,15 +177,30 @@
   for (const auto &Name : Settings_.DataCentres)
     Centres += (Centres.empty() ? "" : ",") + Name;
   auto Local = [](std::uint16_t Port) { return "127.0.0.1:" + std::to_string(Port); };
-  Vm.Process = TestProcess::start(
-      program("Services/PoolDaemon/cornellift-poold"),
-      {"--vm-name", Vm.Name, "--data-centre", Vm.DataCentre, "--data-centres", Centres,
-       "--caller-address", Local(Vm.CallerPort), "--readiness-address", Local(Vm.ReadinessPort),
-       "--mesh-address", Local(Vm.MeshPort), "--mesh-advertised-address",
-       Local(Links_.at("mesh-" + Vm.Name)), "--metrics-port", std::to_string(Vm.MetricsPort),
-       "--store-address", Local(Links_.at("store-" + Vm.Name)), "--stop-seconds",
-       std::to_string(Settings_.StopSeconds), "--log-lines-per-second", "1000"},
-      Vm.LogFile);
+  Vm.Process = TestProcess::start(program("Services/PoolDaemon/cornellift-poold"),
+                                  {"--vm-name",
+                                   Vm.Name,
+                                   "--data-centre",
+                                   Vm.DataCentre,
+                                   "--data-centres",
+                                   Centres,
+                                   "--caller-address",
+                                   Local(Vm.CallerPort),
+                                   "--readiness-address",
+                                   Local(Vm.ReadinessPort),
+                                   "--mesh-address",
+                                   Local(Vm.MeshPort),
+                                   "--mesh-advertised-address",
+                                   Local(Links_.at("mesh-" + Vm.Name)),
+                                   "--metrics-port",
+                                   std::to_string(Vm.MetricsPort),
+                                   "--store-address",
+                                   Local(Links_.at("store-" + Vm.Name)),
+                                   "--stop-seconds",
+                                   std::to_string(Settings_.StopSeconds),
+                                   "--log-lines-per-second",
+                                   "1000"},
+                                  Vm.LogFile);
   BOOST_REQUIRE_MESSAGE(Vm.Process, Vm.Name << " does not start");
 }
 
@@ -273,8 +287,7 @@
     });
     for (std::size_t Position = 1; Position < Runs.size(); ++Position) {
       const auto &Former = Runs[Position - 1];
-      if (Former.ToMicroseconds == 0 ||
-          Runs[Position].FromMicroseconds < Former.ToMicroseconds)
+      if (Former.ToMicroseconds == 0 || Runs[Position].FromMicroseconds < Former.ToMicroseconds)
         Found.push_back(Task + " on " + Former.Worker + " and " + Runs[Position].Worker);
     }
   }
@@ -303,13 +316,11 @@
 }
 
 std::string jobBody(int Tasks, int RunMilliseconds, const std::string &Extra) {
-  return json{{"spec", "run_ms=" + std::to_string(RunMilliseconds) + " cores=2 " + Extra},
-              {"bestEffort", true},
-              {"phases",
-               {{{"count", Tasks},
-                 {"cpu", 2000},
-                 {"memMb", 64},
-                 {"estRuntimeMs", RunMilliseconds}}}}}
+  return json{
+      {"spec", "run_ms=" + std::to_string(RunMilliseconds) + " cores=2 " + Extra},
+      {"bestEffort", true},
+      {"phases",
+       {{{"count", Tasks}, {"cpu", 2000}, {"memMb", 64}, {"estRuntimeMs", RunMilliseconds}}}}}
       .dump();
 }
 
--- a/Tests/Integration/PoolDeployment.h
+++ b/Tests/Integration/PoolDeployment.h
@@ -43,8 +43,8 @@
   double StopSeconds = 6;
 };
 
-/// Entry processes for leased workers, the stand-in of their platform, and a fault proxy before each
-/// process's mesh port and each one's way to the store, all on loopback.
+/// Entry processes for leased workers, the stand-in of their platform, and a fault proxy before
+/// each process's mesh port and each one's way to the store, all on loopback.
 class PoolDeployment {
 public:
   /// Name is that of the folder for logs.
--- a/Tests/Integration/TestPoolDaemon.cpp
+++ b/Tests/Integration/TestPoolDaemon.cpp
@@ -145,7 +145,8 @@
   auto Kept = Post(R"({"spec":"","phases":[{"count":1,"cpu":1000}]})");
   BOOST_REQUIRE(Kept);
   BOOST_TEST(Kept->status == 503);
-  auto Gang = Post(R"({"spec":"","bestEffort":true,"phases":[{"count":2,"cpu":1000,"gang":true}]})");
+  auto Gang =
+      Post(R"({"spec":"","bestEffort":true,"phases":[{"count":2,"cpu":1000,"gang":true}]})");
   BOOST_REQUIRE(Gang);
   BOOST_TEST(Gang->status == 503);
   auto Malformed = Post("{");
--- /dev/null
+++ b/Tests/Soak/SoakFaults.cpp
@@ -0,0 +1,183 @@
+#include "Tests/Soak/SoakFaults.h"
+
+#include <algorithm>
+#include <csignal>
+#include <iterator>
+#include <thread>
+
+namespace cornellift::soak {
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+} // namespace
+
+SoakFaults::SoakFaults(integration::PoolDeployment &Deployment, std::uint64_t Seed)
+    : Deployment_(Deployment), Random_(Seed) {}
+
+void SoakFaults::note(const std::string &Text) {
+  auto Since = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - StartedAt_);
+  Journal_.push_back(std::to_string(Since.count()) + " ms: " + Text);
+}
+
+std::chrono::milliseconds SoakFaults::span(int Least, int Most) {
+  return std::chrono::milliseconds(std::uniform_int_distribution<int>(Least, Most)(Random_));
+}
+
+integration::PoolVm &SoakFaults::anyVm() {
+  return Deployment_.vms()[pick(Deployment_.vms().size())];
+}
+
+void SoakFaults::undoAfter(std::chrono::milliseconds Span, std::function<void()> Act) {
+  Undos_.push_back({Clock::now() + Span, std::move(Act)});
+}
+
+void SoakFaults::undoDue(Clock::time_point Now) {
+  std::vector<Undo> Due;
+  auto IsDue = [&](const Undo &Candidate) { return Candidate.At <= Now; };
+  std::copy_if(Undos_.begin(), Undos_.end(), std::back_inserter(Due), IsDue);
+  std::erase_if(Undos_, IsDue);
+  for (const auto &Each : Due)
+    Each.Act();
+}
+
+void SoakFaults::run(std::chrono::milliseconds Span) {
+  auto End = Clock::now() + Span;
+  auto Next = Clock::now();
+  while (Clock::now() < End) {
+    undoDue(Clock::now());
+    if (Clock::now() >= Next) {
+      inject();
+      Next = Clock::now() + span(100, 1200);
+    }
+    std::this_thread::sleep_for(10ms);
+  }
+  undoDue(Clock::time_point::max());
+  note("all faults are undone");
+}
+
+void SoakFaults::inject() {
+  switch (pick(10)) {
+  case 0:
+  case 1:
+  case 2:
+    return signalFault();
+  case 3:
+  case 4:
+    return proxyFault();
+  case 5:
+  case 6:
+    return storeFault();
+  case 7:
+  case 8:
+    return workerFault();
+  default:
+    return changeConfiguration();
+  }
+}
+
+void SoakFaults::signalFault() {
+  auto &Vm = anyVm();
+  if (!Vm.Process || !Vm.Process->isRunning())
+    return;
+  switch (pick(4)) {
+  case 0: {
+    note("kill " + Vm.Name);
+    Vm.Process->kill();
+    return undoAfter(span(200, 2000), [this, &Vm] { Deployment_.startVm(Vm); });
+  }
+  case 1: {
+    auto Span = span(100, 3000);
+    note("pause " + Vm.Name + " for " + std::to_string(Span.count()) + " ms");
+    Vm.Process->pause();
+    return undoAfter(Span, [&Vm] {
+      if (Vm.Process->isRunning())
+        Vm.Process->resume();
+    });
+  }
+  case 2: {
+    note("stop " + Vm.Name);
+    Vm.Process->terminate();
+    return undoAfter(span(3000, 7000), [this, &Vm] {
+      Vm.Process->resume(); // It may have been paused meanwhile.
+      if (!Vm.Process->waitForExit(8))
+        Vm.Process->kill();
+      Deployment_.startVm(Vm);
+    });
+  }
+  default:
+    note("reload " + Vm.Name);
+    ::kill(Vm.Process->id(), SIGHUP);
+  }
+}
+
+void SoakFaults::proxyFault() {
+  auto Link = (pick(3) == 0 ? "store-" : "mesh-") + anyVm().Name;
+  auto Heal = [this, Link] { Deployment_.link(Link, "heal"); };
+  switch (pick(4)) {
+  case 0:
+    note("reset connections of " + Link);
+    Deployment_.link(Link, "open", {{"action", "cut"}});
+    return;
+  case 1: {
+    const char *Ways[] = {"silence", "silence_up", "silence_down"};
+    const char *Way = Ways[pick(std::size(Ways))];
+    note(std::string(Way) + " connections of " + Link);
+    Deployment_.link(Link, "open", {{"action", Way}});
+    return;
+  }
+  case 2: {
+    const char *Mode = pick(2) == 0 ? "refuse" : "hang";
+    note("cut " + Link + ", new connections " + Mode);
+    Deployment_.link(Link, "admission", {{"mode", Mode}});
+    Deployment_.link(Link, "open", {{"action", "silence"}});
+    return undoAfter(span(300, 4000), Heal);
+  }
+  default: {
+    note("delay " + Link);
+    Deployment_.link(Link, "delay", {{"milliseconds", 10 + pick(90)}});
+    return undoAfter(span(300, 4000), Heal);
+  }
+  }
+}
+
+void SoakFaults::storeFault() {
+  const char *Ways[] = {"mode=silent", "mode=busy", "delay_ms=200", "lost=0.5"};
+  if (pick(5) == 0) {
+    note("the store drops its history");
+    Deployment_.control("POST", "/store/compact");
+    return;
+  }
+  const char *Way = Ways[pick(std::size(Ways))];
+  note(std::string("store ") + Way);
+  Deployment_.control("POST", std::string("/store?") + Way);
+  undoAfter(span(300, 4000), [this] {
+    Deployment_.control("POST", "/store?mode=serving&delay_ms=0&lost=0");
+  });
+}
+
+void SoakFaults::workerFault() {
+  auto Id = "w-" + std::to_string(pick(Deployment_.workerCount()));
+  if (pick(4) == 0) {
+    note("restart " + Id);
+    Deployment_.control("POST", "/worker/restart?id=" + Id);
+    return;
+  }
+  const char *Ways[] = {"slowdown=8", "fail=1", "still=1", "unhealthy=1", "silent=1", "late=0.3"};
+  const char *Way = Ways[pick(std::size(Ways))];
+  note(Id + " " + Way);
+  Deployment_.control("POST", "/worker?id=" + Id + "&" + Way);
+  undoAfter(span(300, 4000), [this, Id] {
+    Deployment_.control("POST", "/worker?id=" + Id +
+                                    "&slowdown=1&fail=0&still=0&unhealthy=0&silent=0&late=0");
+  });
+}
+
+void SoakFaults::changeConfiguration() {
+  ++Version_;
+  note("configuration " + std::to_string(Version_));
+  Deployment_.configure(Version_, {integration::PoolPrefix, "/v" + std::to_string(Version_) + "/"});
+}
+
+} // namespace cornellift::soak
--- /dev/null
+++ b/Tests/Soak/SoakFaults.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "Tests/Integration/PoolDeployment.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace cornellift::soak {
+
+/// Injects faults into a deployment from outside its processes: signals, a proxy's faults, and a
+/// store and workers that misbehave. Faults come in series and overlap; each is undone after a while.
+class SoakFaults {
+public:
+  SoakFaults(integration::PoolDeployment &Deployment, std::uint64_t Seed);
+
+  /// Injects faults until the time is over, then undoes all of them.
+  void run(std::chrono::milliseconds Span);
+
+  /// What was done and when, for the log of a failed seed.
+  const std::vector<std::string> &journal() const { return Journal_; }
+
+private:
+  using Clock = std::chrono::steady_clock;
+  struct Undo {
+    Clock::time_point At;
+    std::function<void()> Act;
+  };
+
+  void inject();
+  void signalFault();
+  void proxyFault();
+  void storeFault();
+  void workerFault();
+  void changeConfiguration();
+  void undoDue(Clock::time_point Now);
+  void undoAfter(std::chrono::milliseconds Span, std::function<void()> Act);
+  void note(const std::string &Text);
+  std::chrono::milliseconds span(int Least, int Most);
+  integration::PoolVm &anyVm();
+  std::size_t pick(std::size_t Count) { return Random_() % Count; }
+
+  integration::PoolDeployment &Deployment_;
+  std::mt19937_64 Random_;
+  Clock::time_point StartedAt_ = Clock::now();
+  std::vector<Undo> Undos_;
+  std::vector<std::string> Journal_;
+  std::uint64_t Version_ = 10;
+};
+
+} // namespace cornellift::soak
--- /dev/null
+++ b/Tests/Soak/TestPoolSoak.cpp
@@ -0,0 +1,105 @@
+#include "Tests/Integration/PoolDeployment.h"
+#include "Tests/Soak/SoakCallers.h"
+#include "Tests/Soak/SoakFaults.h"
+
+#include <chrono>
+#include <cstdlib>
+#include <fstream>
+#include <map>
+#include <set>
+#include <thread>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornellift;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::uint64_t numberFromEnvironment(const char *Name, std::uint64_t Default) {
+  const char *Value = std::getenv(Name);
+  return Value ? std::strtoull(Value, nullptr, 10) : Default;
+}
+
+std::vector<std::string> brokenPromises(const integration::PoolDeployment &Deployment,
+                                        const std::vector<soak::JobFate> &Fates) {
+  auto Found = Deployment.overlaps();
+  std::set<std::string> HaveRun;
+  std::map<std::string, std::set<int>> Done;
+  for (const auto &Run : Deployment.runs()) {
+    HaveRun.insert(Run.Job);
+    if (Run.End == "done")
+      Done[Run.Job].insert(Run.Index);
+  }
+  for (const auto &Fate : Fates) {
+    if (!Fate.IsOpen && Fate.OnlyRejected && HaveRun.contains(Fate.Key))
+      Found.push_back("job " + Fate.Key + " was said not to have run, but it had");
+    if (Fate.IsCompleted && Done[Fate.Key].empty())
+      Found.push_back("job " + Fate.Key + " was said to be completed, and no task is done");
+    if (Fate.IsOpen)
+      Found.push_back("job " + Fate.Key + " has no final answer after " +
+                      std::to_string(Fate.Attempts) + " attempts");
+  }
+  return Found;
+}
+
+/// After all faults are undone, the deployment serves again as if nothing had been.
+std::vector<std::string> unservedAfterwards(integration::PoolDeployment &Deployment) {
+  std::vector<std::string> Found;
+  if (!Deployment.waitUntilReady(20))
+    Found.emplace_back("not all VMs are ready 20 s after the last fault");
+  for (auto &Vm : Deployment.vms()) {
+    auto Reply = integration::postJob(Vm.CallerPort, integration::newJobKey(), 4, 50);
+    if (Reply.State != "completed")
+      Found.push_back(Vm.Name + " answers " + std::to_string(Reply.Status) +
+                      " after the last fault");
+  }
+  return Found;
+}
+
+std::vector<std::string> playSeed(std::uint64_t Seed, std::chrono::milliseconds Span) {
+  integration::PoolDeploymentSettings Settings;
+  Settings.Speeds = "0.7,1.5";
+  Settings.StopSeconds = 5;
+  integration::PoolDeployment Deployment("PoolSoak-" + std::to_string(Seed), Settings);
+  if (!Deployment.waitUntilReady(20))
+    return {"the deployment does not start"};
+  soak::SoakCallers Callers(Deployment, Seed, 10);
+  soak::SoakFaults Faults(Deployment, Seed);
+  Faults.run(Span);
+  // Workers that failed tasks are tried again some seconds later.
+  std::this_thread::sleep_for(6s);
+  Callers.finish();
+  auto Found = brokenPromises(Deployment, Callers.fates());
+  for (auto &Each : unservedAfterwards(Deployment))
+    Found.push_back(std::move(Each));
+  std::size_t Completed = 0;
+  for (const auto &Fate : Callers.fates())
+    Completed += Fate.IsCompleted ? 1 : 0;
+  BOOST_TEST_MESSAGE("seed " << Seed << ": " << Faults.journal().size() << " events, "
+                             << Callers.fates().size() << " jobs, " << Completed << " completed, "
+                             << Found.size() << " broken promises");
+  std::ofstream Journal("integration-logs/PoolSoak-" + std::to_string(Seed) + "/faults.txt");
+  for (const auto &Line : Faults.journal())
+    Journal << Line << '\n';
+  for (const auto &Line : Found)
+    Journal << "BROKEN: " << Line << '\n';
+  return Found;
+}
+
+} // namespace
+
+// Guards every promise to callers under faults from outside that overlap: a task never runs twice at
+// once, "not run" is true, every job gets an answer, and all is served again afterwards.
+// CORNELLIFT_SEEDS and CORNELLIFT_FIRST_SEED choose the seeds, CORNELLIFT_SOAK_SECONDS their length.
+BOOST_AUTO_TEST_CASE(RandomFaultsOnProcesses) {
+  auto First = numberFromEnvironment("CORNELLIFT_FIRST_SEED", 1);
+  auto Count = numberFromEnvironment("CORNELLIFT_SEEDS", 2);
+  std::chrono::seconds Span(numberFromEnvironment("CORNELLIFT_SOAK_SECONDS", 12));
+  for (auto Seed = First; Seed < First + Count; ++Seed) {
+    auto Found = playSeed(Seed, Span);
+    BOOST_CHECK_MESSAGE(Found.empty(), "seed " << Seed << ": " << Found.size()
+                                               << " broken promises, the first: "
+                                               << (Found.empty() ? "" : Found.front()));
+  }
+}
