Kernel: Send work to other data centres for a gain of 15 ms only

Any gain above 4 ms sent a task abroad, where a cut between data centres loses it.

Workers that were never reached are asked for every 2.5 s: at the end of a cut the managers outside took 54 workers from their own manager before its heartbeats arrived (incident inc-790f).

--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -25,8 +25,9 @@
 
 struct PoolSettings {
   double RemoteFactor = 1; ///< Run time of a task away from its data, relative to near it.
-  /// Time from one data centre to another and back, in milliseconds.
-  double PeerRoundTripMilliseconds = 4;
+  /// How much sooner, in milliseconds, a task must be expected to end at another manager to go there:
+  /// the time of the messages, and the price of being cut off from it.
+  double RemotePenaltyMilliseconds = 15;
 };
 
 /// Runs the jobs that are handed to this process on the workers that it manages, and on those of
@@ -216,7 +217,7 @@
     if (!Known.IsManager || !Known.Pool.takesTasks(Now))
       continue;
     for (const auto &Worker : Known.Pool.workers()) {
-      PlaceOffer Offer{&Worker.Entry, Worker.Room, Settings_.PeerRoundTripMilliseconds};
+      PlaceOffer Offer{&Worker.Entry, Worker.Room, Settings_.RemotePenaltyMilliseconds};
       if (isEligible(Question, Offer))
         Visit(Offer, std::optional<EndpointIndex>());
     }
--- a/Kernel/Pool/WorkerFleet.cpp
+++ b/Kernel/Pool/WorkerFleet.cpp
@@ -27,6 +27,10 @@
 constexpr core::Duration StopRepeatTime = std::chrono::milliseconds(150);
 /// Between looks at a worker that does not answer.
 constexpr core::Duration FailedLookTime = std::chrono::milliseconds(200);
+/// The same for workers that this manager has never reached, after several failures: they may be
+/// cut off together with a manager of their own, whose heartbeats are to arrive first.
+constexpr core::Duration HopelessLookTime = std::chrono::milliseconds(2500);
+constexpr std::uint32_t HopelessLooks = 4;
 /// A worker that another manager has claimed is left to it for this time.
 constexpr core::Duration FencedTime = std::chrono::seconds(2);
 /// Pauses after a refusal that shows that the worker's room or clock is not as assumed.
@@ -303,7 +307,9 @@
                {"verdict", verdictName(Verdict)},
                {"runs", static_cast<std::int64_t>(Known.Runs.size())}});
   // The first failure may be that of one connection; the next look uses a new one.
-  Known.NextLookAt = Known.FailedLooks == 1 ? Now : Now + FailedLookTime;
+  bool IsHopeless = Known.Lease == LeaseState::Claiming && Known.FailedLooks > HopelessLooks;
+  auto Pause = IsHopeless ? HopelessLookTime : FailedLookTime;
+  Known.NextLookAt = Known.FailedLooks == 1 ? Now : Now + Pause;
 }
 
 void WorkerFleet::fenced(EndpointIndex Index, core::TimePoint Now) {
