--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -25,8 +25,8 @@
 
 struct PoolSettings {
   double RemoteFactor = 1; ///< Run time of a task away from its data, relative to near it.
-  /// How much sooner, in milliseconds, a task must be expected to end at another manager to go there:
-  /// the time of the messages, and the price of being cut off from it.
+  /// How much sooner, in milliseconds, a task must be expected to end at another manager to go
+  /// there: the time of the messages, and the price of being cut off from it.
   double RemotePenaltyMilliseconds = 15;
 };
 
--- a/Tests/Soak/SoakFaults.cpp
+++ b/Tests/Soak/SoakFaults.cpp
@@ -152,9 +152,8 @@
   const char *Way = Ways[pick(std::size(Ways))];
   note(std::string("store ") + Way);
   Deployment_.control("POST", std::string("/store?") + Way);
-  undoAfter(span(300, 4000), [this] {
-    Deployment_.control("POST", "/store?mode=serving&delay_ms=0&lost=0");
-  });
+  undoAfter(span(300, 4000),
+            [this] { Deployment_.control("POST", "/store?mode=serving&delay_ms=0&lost=0"); });
 }
 
 void SoakFaults::workerFault() {
--- a/Tests/Soak/SoakFaults.h
+++ b/Tests/Soak/SoakFaults.h
@@ -12,7 +12,8 @@
 namespace cornellift::soak {
 
 /// Injects faults into a deployment from outside its processes: signals, a proxy's faults, and a
-/// store and workers that misbehave. Faults come in series and overlap; each is undone after a while.
+/// store and workers that misbehave. Faults come in series and overlap; each is undone after a
+/// while.
 class SoakFaults {
 public:
   SoakFaults(integration::PoolDeployment &Deployment, std::uint64_t Seed);
--- a/Tests/Soak/TestPoolSoak.cpp
+++ b/Tests/Soak/TestPoolSoak.cpp
@@ -89,9 +89,10 @@
 
 } // namespace
 
-// Guards every promise to callers under faults from outside that overlap: a task never runs twice at
-// once, "not run" is true, every job gets an answer, and all is served again afterwards.
-// CORNELLIFT_SEEDS and CORNELLIFT_FIRST_SEED choose the seeds, CORNELLIFT_SOAK_SECONDS their length.
+// Guards every promise to callers under faults from outside that overlap: a task never runs twice
+// at once, "not run" is true, every job gets an answer, and all is served again afterwards.
+// CORNELLIFT_SEEDS and CORNELLIFT_FIRST_SEED choose the seeds, CORNELLIFT_SOAK_SECONDS their
+// length.
 BOOST_AUTO_TEST_CASE(RandomFaultsOnProcesses) {
   auto First = numberFromEnvironment("CORNELLIFT_FIRST_SEED", 1);
   auto Count = numberFromEnvironment("CORNELLIFT_SEEDS", 2);
