PoolDaemon: Explain failures from logs and metrics

Routine lines beyond the bound were lost, so a failed job often had no trail. The last 512 are held in memory now and written when a notable line on the same job follows. Every refused request, lost or regained store, delegated task and reload has its line, with the age of the beliefs that decided it. Metrics have labels, and histograms by route and outcome from Boost.Histogram. prometheus-cpp was ruled out: its Debian package installs a web server.

--- a/Kernel/Pool/DecisionLog.h
+++ b/Kernel/Pool/DecisionLog.h
@@ -23,7 +23,8 @@
   Belief   ///< Changes what the process believes of workers, peers, store or configuration.
 };
 
-/// Receives a line for each decision. The fields are read before line() returns.
+/// Receives a line for each decision. The fields are read before line() returns; the event is a
+/// string literal.
 class DecisionLog {
 public:
   virtual ~DecisionLog() = default;
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -46,6 +46,8 @@
   /// The complete list of the workers to be managed.
   void setWorkers(std::span<const WorkerEntry> Entries, core::TimePoint Now);
 
+  void setRemoteFactor(double Factor) { Settings_.RemoteFactor = Factor; }
+
   /// A message of a peer, or of this process as SelfPeer.
   void receive(PeerIndex From, const PoolMessage &Message, core::TimePoint Now);
 
@@ -134,7 +136,7 @@
   WorkerRoom roomOf(EndpointIndex Worker, core::TimePoint Now) const;
   bool exceedsWorkerBound(const PoolJob &Job, std::uint32_t Step, EndpointIndex Worker) const;
   void startOn(PoolJob &Job, std::uint32_t Task, EndpointIndex Worker, core::TimePoint Now);
-  void flushDelegations(const PoolJob &Job);
+  void flushDelegations(const PoolJob &Job, core::TimePoint Now);
   void surveySpeeds(core::TimePoint Now);
   /// Free processors of the worker with most of them, here or elsewhere.
   double largestRoom(core::TimePoint Now) const;
--- a/Kernel/Pool/PoolManagerJobs.cpp
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -270,6 +270,8 @@
                {"objective_in_ms", core::toMilliseconds(Job.ObjectiveAt - Now)},
                {"active_tasks", static_cast<std::int64_t>(Job.active())},
                {"tasks", static_cast<std::int64_t>(Job.Tasks.size())},
+               {"workers_held", static_cast<std::int64_t>(Fleet_.held())},
+               {"wait_estimate_ms", waitMilliseconds(Job)},
                {"queued_jobs", static_cast<std::int64_t>(Queue_.size())}});
   for (auto Origin : Job.Origins)
     Output_.send(Origin, PoolAnswer{Job.key(), Answer});
--- a/Kernel/Pool/PoolManagerPeers.cpp
+++ b/Kernel/Pool/PoolManagerPeers.cpp
@@ -9,6 +9,22 @@
 /// Least time between two reports to another manager while its view changes all the time.
 constexpr core::Duration ReportTime = std::chrono::milliseconds(20);
 
+std::string_view endName(DelegatedEnd How) {
+  switch (How) {
+  case DelegatedEnd::Done:
+    return "done";
+  case DelegatedEnd::Failed:
+    return "failed";
+  case DelegatedEnd::Refused:
+    return "refused";
+  case DelegatedEnd::TooLong:
+    return "too_long";
+  case DelegatedEnd::Lost:
+    return "lost";
+  }
+  return "unknown";
+}
+
 } // namespace
 
 void PoolManager::setManager(PeerIndex Peer, bool IsManager, core::TimePoint Now) {
@@ -66,15 +82,23 @@
     Known = GuestJobs_.emplace(Key, Created.Handle).first;
   }
   auto Handle = Known->second;
+  std::size_t Refused = 0;
   for (const auto &Delegated : Message.Tasks) {
     auto &Job = Jobs_.at(Handle);
     if (Delegated.Task >= Job.Tasks.size())
       continue;
     ++Counters_.GuestTasks;
     Job.Tasks[Delegated.Task].LastRun = Delegated.Run;
-    if (!placeTask(Job, Delegated.Task, Now))
-      reportGuest(Job, Delegated.Task, Delegated.Run, DelegatedEnd::Refused, {});
+    if (placeTask(Job, Delegated.Task, Now))
+      continue;
+    ++Refused;
+    reportGuest(Job, Delegated.Task, Delegated.Run, DelegatedEnd::Refused, {});
   }
+  Log_.line(DecisionWeight::Routine, "tasks taken for another manager", Message.Order->Key,
+            {{"peer", static_cast<std::int64_t>(From)},
+             {"tasks", static_cast<std::int64_t>(Message.Tasks.size())},
+             {"refused", static_cast<std::int64_t>(Refused)},
+             {"open_workers", static_cast<std::int64_t>(Fleet_.held())}});
   ReportIsDue_ = true;
   removeIfSettled(Handle, Now);
 }
@@ -96,6 +120,13 @@
   auto &Task = Job.Tasks[Message.Task];
   if (Task.State != TaskState::Delegated || Task.Manager != From || Task.LastRun != Message.Run)
     return;
+  Log_.line(Message.How == DelegatedEnd::Done ? DecisionWeight::Routine : DecisionWeight::Notable,
+            "delegated task ended", Message.Job,
+            {{"peer", static_cast<std::int64_t>(From)},
+             {"task", static_cast<std::int64_t>(Message.Task)},
+             {"run", static_cast<std::int64_t>(Message.Run)},
+             {"worker", std::string_view(Message.Worker)},
+             {"how", endName(Message.How)}});
   switch (Message.How) {
   case DelegatedEnd::Done:
     return finishTask(Job, Message.Task, Now);
@@ -129,9 +160,16 @@
     for (std::uint32_t Task = 0; Task < Job.Tasks.size(); ++Task)
       if (Job.Tasks[Task].State == TaskState::Settling && Now >= Job.Tasks[Task].SettledAt)
         Settled.emplace_back(Handle, Task);
-  for (auto [Handle, Task] : Settled)
-    if (auto *Job = find(Handle))
-      requeueTask(*Job, Task, Now);
+  for (auto [Handle, Task] : Settled) {
+    auto *Job = find(Handle);
+    if (!Job)
+      continue;
+    Log_.line(DecisionWeight::Notable, "task of a lost manager is free again", Job->key(),
+              {{"peer", static_cast<std::int64_t>(Job->Tasks[Task].Manager)},
+               {"task", static_cast<std::int64_t>(Task)},
+               {"run", static_cast<std::int64_t>(Job->Tasks[Task].LastRun)}});
+    requeueTask(*Job, Task, Now);
+  }
 }
 
 } // namespace cornellift::kernel
--- a/Kernel/Pool/PoolManagerPlacing.cpp
+++ b/Kernel/Pool/PoolManagerPlacing.cpp
@@ -106,7 +106,7 @@
         break;
     }
   }
-  flushDelegations(Job);
+  flushDelegations(Job, Now);
   auto After = Job.waiting();
   if (After == 0)
     dequeue(Job.Handle);
@@ -225,19 +225,21 @@
              {"index", static_cast<std::int64_t>(Ordered.Task.Index)},
              {"run", static_cast<std::int64_t>(Ordered.Number)},
              {"worker", std::string_view(Fleet_.at(Worker).Entry.Id)},
+             {"look_age_ms", core::toMilliseconds(Now - Fleet_.at(Worker).LookSentAt)},
              {"speed", Offer.Room.Speed},
              {"expected_ms", core::toMilliseconds(Ordered.ExpectedEnd - Now)},
              {"objective_in_ms", Question.InTime}});
   Fleet_.startRun(Worker, Ordered, Job.Order->Specification, Now);
 }
 
-void PoolManager::flushDelegations(const PoolJob &Job) {
+void PoolManager::flushDelegations(const PoolJob &Job, core::TimePoint Now) {
   for (auto &[Peer, Known] : Remotes_) {
     if (Known.Outgoing.empty())
       continue;
     Log_.line(DecisionWeight::Routine, "tasks delegated", Job.key(),
               {{"peer", static_cast<std::int64_t>(Peer)},
-               {"tasks", static_cast<std::int64_t>(Known.Outgoing.size())}});
+               {"tasks", static_cast<std::int64_t>(Known.Outgoing.size())},
+               {"report_age_ms", core::toMilliseconds(Now - Known.Pool.reportedAt())}});
     Output_.send(Peer, DelegateTasks{Job.Order, std::exchange(Known.Outgoing, {})});
   }
 }
--- a/Kernel/Pool/RemotePool.cpp
+++ b/Kernel/Pool/RemotePool.cpp
@@ -25,6 +25,7 @@
 
 void RemotePool::setReport(const PoolReport &Report, core::TimePoint Now) {
   WaitingTasks_ = Report.WaitingTasks;
+  ReportedAt_ = Now;
   if (Report.DirectoryVersion != DirectoryVersion_ || Report.Rooms.size() != Workers_.size())
     return;
   for (std::size_t Position = 0; Position < Workers_.size(); ++Position)
--- a/Kernel/Pool/RemotePool.h
+++ b/Kernel/Pool/RemotePool.h
@@ -33,6 +33,7 @@
   bool takesTasks(core::TimePoint Now) const { return Now >= AvoidUntil_; }
   const std::vector<RemoteWorker> &workers() const { return Workers_; }
   std::uint32_t waitingTasks() const { return WaitingTasks_; }
+  core::TimePoint reportedAt() const { return ReportedAt_; }
 
 private:
   struct Reservation {
@@ -48,6 +49,7 @@
   std::deque<Reservation> Reservations_;
   std::uint32_t WaitingTasks_ = 0;
   core::TimePoint AvoidUntil_;
+  core::TimePoint ReportedAt_; ///< When the last report came.
 };
 
 } // namespace cornellift::kernel
--- a/Kernel/Pool/WorkerFleet.cpp
+++ b/Kernel/Pool/WorkerFleet.cpp
@@ -486,10 +486,10 @@
     tickWorker(static_cast<EndpointIndex>(Position), Now);
 }
 
-std::size_t WorkerFleet::held() const {
+std::size_t WorkerFleet::countIn(LeaseState State) const {
   return static_cast<std::size_t>(
       std::count_if(Workers_.begin(), Workers_.end(),
-                    [](const Worker &Known) { return Known.Lease == LeaseState::Held; }));
+                    [State](const Worker &Known) { return Known.Lease == State; }));
 }
 
 const Run *WorkerFleet::findRun(EndpointIndex Worker, const TaskRef &Task,
--- a/Kernel/Pool/WorkerFleet.h
+++ b/Kernel/Pool/WorkerFleet.h
@@ -78,7 +78,8 @@
 
   std::size_t runCount() const;
   /// Workers whose leases this manager extends.
-  std::size_t held() const;
+  std::size_t held() const { return countIn(LeaseState::Held); }
+  std::size_t countIn(LeaseState State) const;
 
   /// The run, or null when it has left the worker.
   const Run *findRun(EndpointIndex Worker, const TaskRef &Task, std::uint32_t Number) const;
--- a/Libraries/LibCore/MetricsRegistry.h
+++ b/Libraries/LibCore/MetricsRegistry.h
@@ -3,11 +3,13 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <initializer_list>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace cornellift::core {
 
@@ -41,23 +43,53 @@
   std::unique_ptr<Accumulators> Accumulators_;
 };
 
+/// Counts of samples by size, from which quantiles over several processes can be told. Safe to use
+/// from every thread.
+class Histogram {
+public:
+  Histogram();
+  ~Histogram();
+  Histogram(const Histogram &) = delete;
+  Histogram &operator=(const Histogram &) = delete;
+
+  /// Milliseconds.
+  void add(double Sample);
+
+  /// Prometheus text lines of this histogram. Labels are as in a series, without braces.
+  std::string render(std::string_view Name, std::string_view Labels) const;
+
+private:
+  struct Bins;
+  mutable std::mutex Mutex_;
+  std::unique_ptr<Bins> Bins_;
+};
+
+/// Name and value that tell series of one metric apart.
+using MetricLabel = std::pair<std::string_view, std::string_view>;
+
 /// The metrics of one process, shown on its /metrics page in the Prometheus text format. References
 /// stay valid as long as the registry. Names are lower case with underscores and end in their unit.
 class MetricsRegistry {
 public:
-  Counter &counter(std::string_view Name);
+  Counter &counter(std::string_view Name, std::initializer_list<MetricLabel> Labels = {});
   Distribution &distribution(std::string_view Name);
+  Histogram &histogram(std::string_view Name, std::initializer_list<MetricLabel> Labels = {});
 
   /// Registers a value that is read when the page is rendered.
-  void gauge(std::string_view Name, std::function<double()> Read);
+  void gauge(std::string_view Name, std::function<double()> Read,
+             std::initializer_list<MetricLabel> Labels = {});
 
   std::string renderText() const;
 
 private:
+  /// Metric name and labels, without braces.
+  using Series = std::pair<std::string, std::string>;
+
   mutable std::mutex Mutex_;
-  std::map<std::string, std::unique_ptr<Counter>, std::less<>> Counters_;
+  std::map<Series, std::unique_ptr<Counter>> Counters_;
   std::map<std::string, std::unique_ptr<Distribution>, std::less<>> Distributions_;
-  std::map<std::string, std::function<double()>, std::less<>> Gauges_;
+  std::map<Series, std::unique_ptr<Histogram>> Histograms_;
+  std::map<Series, std::function<double()>> Gauges_;
 };
 
 } // namespace cornellift::core
--- a/Libraries/LibCore/Settings.cpp
+++ b/Libraries/LibCore/Settings.cpp
@@ -114,6 +114,10 @@
   return Spec.Default;
 }
 
+void addFault(std::string &Faults, std::string_view Fault) {
+  Faults.append(Faults.empty() ? "" : "\n").append(Fault);
+}
+
 } // namespace
 
 std::optional<Settings> Settings::parse(std::string_view Program, std::string_view Summary,
@@ -145,15 +149,19 @@
         return std::nullopt;
       File = std::move(*Read);
     }
+    std::string Faults;
     for (const auto &Spec : Specs) {
       auto Value = valueOf(Spec, Parsed, File);
       if (!Value)
-        return fail(ErrorKind::Malformed,
-                    "--" + Spec.Name + " is missing; give it or set " + environmentName(Spec.Name));
-      if (!checkValue(Spec, *Value))
-        return std::nullopt;
-      Result.Values_.emplace(Spec.Name, *Value);
+        addFault(Faults,
+                 "--" + Spec.Name + " is missing; give it or set " + environmentName(Spec.Name));
+      else if (!checkValue(Spec, *Value))
+        addFault(Faults, lastReason().Message);
+      else
+        Result.Values_.emplace(Spec.Name, *Value);
     }
+    if (!Faults.empty())
+      return fail(ErrorKind::Malformed, Faults);
   } catch (const std::exception &Error) {
     return fail(ErrorKind::Malformed, std::string(Error.what()) + "; see --help");
   }
@@ -170,6 +178,13 @@
 
 bool Settings::flag(std::string_view Name) const { return isTrueWord(text(Name)); }
 
+std::string Settings::format() const {
+  std::string Text;
+  for (const auto &[Name, Value] : Values_)
+    Text += Name + '=' + Value + '\n';
+  return Text;
+}
+
 std::vector<std::string> Settings::list(std::string_view Name) const {
   std::vector<std::string> Result;
   std::istringstream Stream(text(Name));
--- a/Libraries/LibCore/Settings.h
+++ b/Libraries/LibCore/Settings.h
@@ -37,9 +37,9 @@
 class Settings {
 public:
   /// Parses and checks. Prints --help or --version and exits with 0 when they are given. Returns an
-  /// empty optional with Malformed for an unknown flag, a bad value, or a missing setting. The
-  /// value of the setting FileSetting, when it is named and not empty, is the path of a settings
-  /// file; lines of the file that name no setting are ignored.
+  /// empty optional with Malformed for an unknown flag, or naming all bad values and missing
+  /// settings, a line each. The value of the setting FileSetting, when it is named and not empty,
+  /// is the path of a settings file; lines of the file that name no setting are ignored.
   static std::optional<Settings> parse(std::string_view Program, std::string_view Summary,
                                        std::span<const SettingSpec> Specs,
                                        std::span<const char *const> Arguments,
@@ -54,6 +54,9 @@
   /// Comma-separated text as a list; empty for an empty text.
   std::vector<std::string> list(std::string_view Name) const;
 
+  /// All settings in force as lines `name=value`, as a settings file has them.
+  std::string format() const;
+
   /// Arguments that are not flags, in order.
   std::span<const std::string> positional() const { return Positional_; }
 
--- a/Libraries/LibStore/StoreClient.cpp
+++ b/Libraries/LibStore/StoreClient.cpp
@@ -1,5 +1,7 @@
 #include "Libraries/LibStore/StoreClient.h"
 
+#include "Libraries/LibCore/Log.h"
+
 #include <iterator>
 #include <utility>
 
@@ -18,7 +20,8 @@
 StoreClient::StoreClient(asio::io_context &Reactor, const reactor::Tcp::endpoint &Address,
                          const platform::StoreFormat &Format)
     : Format_(Format),
-      Client_(std::make_shared<reactor::HttpClient>(Reactor, Address, Connections)) {}
+      Client_(std::make_shared<reactor::HttpClient>(Reactor, Address, Connections)),
+      LastAnswered_(core::MonotonicClock::now()) {}
 
 core::TimePoint StoreClient::deadline() const { return core::MonotonicClock::now() + CallTime; }
 
@@ -26,11 +29,18 @@
   auto Now = core::MonotonicClock::now();
   bool IsFailed = !Reply.Content && (Reply.Failure == StoreFailure::Unreachable ||
                                      Reply.Failure == StoreFailure::Refused);
-  IsAway_ = IsFailed;
+  bool WasAway = std::exchange(IsAway_, IsFailed);
   if (!IsFailed) {
+    if (WasAway)
+      core::logLine(core::LogLevel::Information, "store", "the store answers again",
+                    {{"unanswered_ms", std::to_string(core::toMilliseconds(Now - LastAnswered_))}});
     LastAnswered_ = Now;
     return;
   }
+  if (!WasAway)
+    core::logLine(core::LogLevel::Warning, "store", "the store does not answer",
+                  {{"answered_ms_ago", std::to_string(core::toMilliseconds(Now - LastAnswered_))},
+                   {"reason", Reply.Cause}});
   LastAway_ = Now;
   ++Counters_.Failures;
 }
--- a/Libraries/LibStore/StoreClient.h
+++ b/Libraries/LibStore/StoreClient.h
@@ -55,7 +55,8 @@
   const platform::StoreFormat &format() const { return Format_; }
   const StoreCounters &counters() const { return Counters_; }
 
-  /// When the store answered a call last, and whether it refused or lost the last one.
+  /// When the store answered a call last, or when this client was made; and whether it refused or
+  /// lost the last one.
   core::TimePoint lastAnswered() const { return LastAnswered_; }
   bool isAway() const { return IsAway_; }
   core::TimePoint lastAway() const { return LastAway_; }
--- a/Services/PoolDaemon/DaemonSettings.cpp
+++ b/Services/PoolDaemon/DaemonSettings.cpp
@@ -38,6 +38,9 @@
     {"log-lines-per-second",
      "Lines on served requests; failed ones and beliefs have three times as many",
      SettingType::Integer, "20", 1, 100000},
+    {"log-held-lines", "Lines left out that are kept in memory in case their request fails",
+     SettingType::Integer, "512", 0, 1000000},
+    {"check", "Check the settings, print those in force and exit", SettingType::Flag, {}},
     {"log-level", "debug, info, warn or error", SettingType::Text, "info"},
 };
 
@@ -85,7 +88,11 @@
   Result.StopTime = core::fromMilliseconds(Parsed->real("stop-seconds") * 1000);
   Result.RemoteFactor = Parsed->real("remote-factor");
   Result.LogLinesPerSecond = static_cast<std::uint32_t>(Parsed->integer("log-lines-per-second"));
+  Result.HeldLogLines = static_cast<std::uint32_t>(Parsed->integer("log-held-lines"));
   Result.LogLevel = Parsed->text("log-level");
+  Result.File = Parsed->text("node-file");
+  Result.IsCheckOnly = Parsed->flag("check");
+  Result.Text = Parsed->format();
   return Result;
 }
 
--- a/Services/PoolDaemon/DaemonSettings.h
+++ b/Services/PoolDaemon/DaemonSettings.h
@@ -28,6 +28,10 @@
   double RemoteFactor = 1;
   std::string LogLevel;
   std::uint32_t LogLinesPerSecond = 0; ///< On served requests.
+  std::uint32_t HeldLogLines = 0;      ///< Kept in memory in case their request fails.
+  std::string File;                    ///< Settings file; empty for none.
+  bool IsCheckOnly = false;            ///< Print the settings instead of serving.
+  std::string Text;                    ///< All settings, a line each.
 
   /// Returns an empty optional with Malformed, naming the setting and the remedy.
   static std::optional<DaemonSettings> parse(std::span<const char *const> Arguments);
--- a/Services/PoolDaemon/DecisionLogWriter.cpp
+++ b/Services/PoolDaemon/DecisionLogWriter.cpp
@@ -9,6 +9,9 @@
 namespace cornellift::pool {
 namespace {
 
+/// Lines that explain a failure, per line on served requests.
+constexpr std::uint32_t ExplanationFactor = 3;
+
 std::string toText(const kernel::DecisionField &Field) {
   if (const auto *Integer = std::get_if<std::int64_t>(&Field.Value))
     return std::to_string(*Integer);
@@ -19,6 +22,13 @@
   return std::string(Buffer, static_cast<std::size_t>(Length));
 }
 
+std::string toText(std::initializer_list<kernel::DecisionField> Fields) {
+  std::string Text;
+  for (const auto &Field : Fields)
+    Text.append(Text.empty() ? "" : " ").append(Field.Name).append("=").append(toText(Field));
+  return Text;
+}
+
 core::LogLevel levelOf(kernel::DecisionWeight Weight) {
   return Weight == kernel::DecisionWeight::Notable ? core::LogLevel::Warning
                                                    : core::LogLevel::Information;
@@ -26,6 +36,11 @@
 
 } // namespace
 
+void DecisionLogWriter::setBound(std::uint32_t RoutineLinesPerSecond) {
+  LinesPerSecond_ = {RoutineLinesPerSecond, ExplanationFactor * RoutineLinesPerSecond,
+                     ExplanationFactor * RoutineLinesPerSecond};
+}
+
 void DecisionLogWriter::renew(core::TimePoint Now) {
   RenewAt_ = Now + std::chrono::seconds(1);
   Left_ = LinesPerSecond_;
@@ -38,6 +53,17 @@
                    {"belief", std::to_string(Dropped[2])}});
 }
 
+void DecisionLogWriter::writeHeld(kernel::JobKey Job, core::TimePoint Now) {
+  for (const auto &Line : Held_.take(Job)) {
+    if (!take(kernel::DecisionWeight::Notable, Now))
+      return;
+    core::logLine(core::LogLevel::Information, "pool", Line.Event,
+                  {{"job", kernel::formatJobKey(Job)},
+                   {"held_ms", std::to_string(core::toMilliseconds(Now - Line.At))},
+                   {"inputs", Line.Inputs}});
+  }
+}
+
 bool DecisionLogWriter::take(kernel::DecisionWeight Weight, core::TimePoint Now) {
   if (Now >= RenewAt_)
     renew(Now);
@@ -55,8 +81,14 @@
 void DecisionLogWriter::line(kernel::DecisionWeight Weight, std::string_view Event,
                              std::optional<kernel::JobKey> Job,
                              std::initializer_list<kernel::DecisionField> Fields) {
-  if (!take(Weight, core::MonotonicClock::now()))
+  auto Now = core::MonotonicClock::now();
+  if (!take(Weight, Now)) {
+    if (Job && Weight == kernel::DecisionWeight::Routine)
+      Held_.add(*Job, Event, toText(Fields), Now);
     return;
+  }
+  if (Job && Weight == kernel::DecisionWeight::Notable)
+    writeHeld(*Job, Now);
   std::vector<core::LogField> Texts;
   Texts.reserve(Fields.size() + 1);
   if (Job)
--- a/Services/PoolDaemon/DecisionLogWriter.h
+++ b/Services/PoolDaemon/DecisionLogWriter.h
@@ -2,6 +2,7 @@
 
 #include "Kernel/Pool/DecisionLog.h"
 #include "Libraries/LibCore/Time.h"
+#include "Services/PoolDaemon/HeldLines.h"
 
 #include <array>
 #include <cstdint>
@@ -9,14 +10,18 @@
 namespace cornellift::pool {
 
 /// Writes decisions as lines of the log. Each weight has a bound on its lines a second, so that
-/// lines on served requests do not crowd out those on failed ones; what is left out is counted and
-/// reported once a second.
+/// lines on served requests do not crowd out those on failed ones. The last routine lines that are
+/// left out are held, and written when a notable line on the same job follows. What is left out is
+/// counted and reported once a second.
 class DecisionLogWriter final : public kernel::DecisionLog {
 public:
   /// The bound holds for lines on served requests; each other weight has three times as many.
-  explicit DecisionLogWriter(std::uint32_t RoutineLinesPerSecond)
-      : LinesPerSecond_{RoutineLinesPerSecond, 3 * RoutineLinesPerSecond,
-                        3 * RoutineLinesPerSecond} {}
+  DecisionLogWriter(std::uint32_t RoutineLinesPerSecond, std::size_t HeldLineCount)
+      : Held_(HeldLineCount) {
+    setBound(RoutineLinesPerSecond);
+  }
+
+  void setBound(std::uint32_t RoutineLinesPerSecond);
 
   void line(kernel::DecisionWeight Weight, std::string_view Event,
             std::optional<kernel::JobKey> Job,
@@ -30,8 +35,10 @@
 
   bool take(kernel::DecisionWeight Weight, core::TimePoint Now);
   void renew(core::TimePoint Now);
+  void writeHeld(kernel::JobKey Job, core::TimePoint Now);
 
-  std::array<std::uint32_t, Weights> LinesPerSecond_;
+  HeldLines Held_;
+  std::array<std::uint32_t, Weights> LinesPerSecond_{};
   std::array<std::uint32_t, Weights> Left_{};
   std::array<std::uint32_t, Weights> DroppedNow_{};
   core::TimePoint RenewAt_;
--- a/Services/PoolDaemon/Ingress.cpp
+++ b/Services/PoolDaemon/Ingress.cpp
@@ -1,5 +1,7 @@
 #include "Services/PoolDaemon/Ingress.h"
 
+#include "Libraries/LibCore/Reason.h"
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -68,18 +70,18 @@
 
 void Ingress::handle(const Exchange &Request) {
   if (!Configuration_)
-    return Request->reply(rejection(StartupRetryMilliseconds));
+    return refuse(Request, rejection(StartupRetryMilliseconds), "no configuration yet");
   auto Path = Request->target().substr(0, Request->target().find('?'));
   auto Host = Request->host().substr(0, Request->host().find(':'));
   const auto *Route = Configuration_->find(Host, Path);
   if (!Route)
-    return Request->reply({404, {}, {}});
+    return refuse(Request, {404, {}, {}}, "no such route");
   auto Rest = Path.substr(Route->Prefix.size());
   if (Rest.empty() && Request->method() == HttpMethod::Get)
     return showBacklog(Request, *Route);
   auto Key = kernel::parseJobKey(Rest);
   if (!Key)
-    return Request->reply({404, {}, {}});
+    return refuse(Request, {404, {}, {}}, "no job identifier");
   switch (Request->method()) {
   case HttpMethod::Post:
     return submit(Request, *Route, *Key);
@@ -92,13 +94,28 @@
   }
 }
 
+void Ingress::refuse(const Exchange &Request, const reactor::HttpReply &Reply, std::string_view Why,
+                     std::optional<kernel::JobKey> Key) {
+  Metrics_
+      .counter("cornellift_requests_refused_total",
+               {{"status", std::to_string(static_cast<unsigned>(Reply.Status))}})
+      .add();
+  Log_.line(
+      kernel::DecisionWeight::Notable, "request refused", Key,
+      {{"status", static_cast<std::int64_t>(Reply.Status)},
+       {"why", Why},
+       {"target", std::string_view(Request->target())},
+       {"configuration", static_cast<std::int64_t>(Configuration_ ? Configuration_->Version : 0)}});
+  Request->reply(Reply);
+}
+
 void Ingress::submit(const Exchange &Request, const kernel::Route &Route, kernel::JobKey Key) {
   Metrics_.counter("cornellift_jobs_submitted_total").add();
   if (auto Known = Jobs_.find(Key); Known != Jobs_.end())
     return attach(Known->second, Request);
   auto Submitted = Format_.parseJob(Request->body());
   if (!Submitted)
-    return Request->reply({400, {}, {}});
+    return refuse(Request, {400, {}, {}}, core::lastReason().Message, Key);
   if (!Submitted->IsAwaited || !Submitted->Unsupported.empty() || Route.NeedsAdvice) {
     Log_.line(kernel::DecisionWeight::Notable, "job of an unsupported kind rejected", Key,
               {{"feature", std::string_view(Submitted->Unsupported)},
@@ -210,8 +227,10 @@
   auto Job = std::move(Known->second);
   Jobs_.erase(Known);
   double Taken = core::toMilliseconds(Now - Job.Order->ReceivedAt);
-  Metrics_.counter("cornellift_jobs_" + std::string(Outcome) + "_total").add();
-  Metrics_.distribution("cornellift_job_" + std::string(Outcome) + "_milliseconds").add(Taken);
+  auto Labels = {core::MetricLabel("route", Job.Order->Terms.Route),
+                 core::MetricLabel("outcome", Outcome)};
+  Metrics_.counter("cornellift_jobs_total", Labels).add();
+  Metrics_.histogram("cornellift_job_milliseconds", Labels).add(Taken);
   Log_.line(Reply.Status == 200 ? kernel::DecisionWeight::Routine : kernel::DecisionWeight::Notable,
             "job answered", Key,
             {{"outcome", Outcome},
--- a/Services/PoolDaemon/Ingress.h
+++ b/Services/PoolDaemon/Ingress.h
@@ -53,6 +53,8 @@
 
   using Exchange = std::shared_ptr<reactor::HttpExchange>;
 
+  void refuse(const Exchange &Request, const reactor::HttpReply &Reply, std::string_view Why,
+              std::optional<kernel::JobKey> Key = std::nullopt);
   void submit(const Exchange &Request, const kernel::Route &Route, kernel::JobKey Key);
   void attach(OpenJob &Job, const Exchange &Request);
   void cancel(const Exchange &Request, kernel::JobKey Key);
--- a/Services/PoolDaemon/Main.cpp
+++ b/Services/PoolDaemon/Main.cpp
@@ -4,6 +4,7 @@
 #include "Services/PoolDaemon/PoolDaemon.h"
 
 #include <csignal>
+#include <iostream>
 #include <span>
 #include <string_view>
 
@@ -16,6 +17,10 @@
   auto Settings = pool::DaemonSettings::parse(Given);
   if (!Settings)
     return core::reportBadUsage(Program);
+  if (Settings->IsCheckOnly) {
+    std::cout << Settings->Text;
+    return static_cast<int>(core::ExitStatus::Success);
+  }
   core::configureLog(Settings->LogLevel, "-");
   auto Daemon = pool::PoolDaemon::make(std::move(*Settings), Given);
   if (!Daemon)
--- a/Services/PoolDaemon/PoolDaemon.cpp
+++ b/Services/PoolDaemon/PoolDaemon.cpp
@@ -21,6 +21,8 @@
 /// each to notice.
 constexpr core::Duration BalancerTime = std::chrono::milliseconds(2300);
 constexpr core::Duration BacklogTime = std::chrono::milliseconds(500);
+/// Between looks at the time of the settings file.
+constexpr core::Duration FileCheckTime = std::chrono::milliseconds(1000);
 
 std::uint64_t randomIncarnation() {
   std::random_device Source;
@@ -32,6 +34,17 @@
           Settings.Weight};
 }
 
+/// Whether a change comes into force with the next start only.
+bool needsRestart(const DaemonSettings &Former, const DaemonSettings &Changed) {
+  return Former.VmName != Changed.VmName || Former.DataCentre != Changed.DataCentre ||
+         Former.CallerAddress != Changed.CallerAddress ||
+         Former.ReadinessAddress != Changed.ReadinessAddress ||
+         Former.MeshAddress != Changed.MeshAddress ||
+         Former.MetricsAddress != Changed.MetricsAddress ||
+         Former.StoreAddress != Changed.StoreAddress || Former.Platform != Changed.Platform ||
+         Former.Weight != Changed.Weight;
+}
+
 kernel::CandidateState candidateOf(const DaemonSettings &Settings) {
   kernel::CandidateState State;
   State.Vm = Settings.VmName;
@@ -57,8 +70,9 @@
                        std::span<const char *const> Arguments)
     : Settings_(std::move(Settings)), Arguments_(Arguments.begin(), Arguments.end()),
       Formats_(std::move(Formats)), Signals_(Reactor_), Timer_(Reactor_),
-      Log_(Settings_.LogLinesPerSecond), Store_(std::make_shared<store::StoreClient>(
-                                             Reactor_, Settings_.StoreAddress, Formats_->store())),
+      Log_(Settings_.LogLinesPerSecond, Settings_.HeldLogLines),
+      Store_(std::make_shared<store::StoreClient>(Reactor_, Settings_.StoreAddress,
+                                                  Formats_->store())),
       Configuration_(Formats_->store(), Log_,
                      [this](const auto &Changed) { configurationChanged(Changed); }),
       Workers_(
@@ -152,17 +166,35 @@
   auto Changed = DaemonSettings::parse(Arguments);
   if (!Changed) {
     core::logLine(core::LogLevel::Error, "pool", "the settings are wrong; the old ones stay",
-                  {{"reason", core::lastReason().Message}});
+                  {{"file", Settings_.File}, {"reason", core::lastReason().Message}});
     return;
   }
-  core::logLine(core::LogLevel::Information, "pool", "settings read again");
+  core::logLine(core::LogLevel::Information, "pool", "settings read again",
+                {{"file", Settings_.File},
+                 {"after_restart", needsRestart(Settings_, *Changed) ? "true" : "false"}});
   Settings_.StopTime = Changed->StopTime;
   Settings_.DataCentres = Changed->DataCentres;
+  Log_.setBound(Changed->LogLinesPerSecond);
+  Manager_.setRemoteFactor(Changed->RemoteFactor);
   Election_.setDataCentres(Settings_.DataCentres);
   for (const auto &Address : Changed->SeedAddresses)
     Mesh_.learnAddress(Address);
 }
 
+void PoolDaemon::reloadIfChanged(core::TimePoint Now) {
+  if (Settings_.File.empty() || Now < FileCheckAt_)
+    return;
+  FileCheckAt_ = Now + FileCheckTime;
+  std::error_code Error;
+  auto Time = std::filesystem::last_write_time(Settings_.File, Error);
+  if (Error || Time == FileTime_)
+    return; // A file that is being replaced is there at the next look.
+  bool IsFirst = FileTime_ == std::filesystem::file_time_type();
+  FileTime_ = Time;
+  if (!IsFirst)
+    reload();
+}
+
 void PoolDaemon::beginStop() {
   if (StopBy_)
     return;
@@ -197,6 +229,7 @@
   Timer_.async_wait([this](boost::system::error_code Error) {
     if (Error)
       return;
+    Metrics_.histogram("cornellift_loop_delay_milliseconds").add(millisecondsSince(TickDueAt_));
     tick();
     scheduleTick();
   });
@@ -213,6 +246,7 @@
   Manager_.tick(Now);
   Ingress_.tick(Now);
   sendBacklog(Now);
+  reloadIfChanged(Now);
   stopIfDone(Now);
 }
 
@@ -298,6 +332,7 @@
 
 void PoolDaemon::configurationChanged(
     const std::shared_ptr<const kernel::PoolConfiguration> &Configuration) {
+  ConfiguredAt_ = core::MonotonicClock::now();
   Ingress_.setConfiguration(Configuration);
   reactor::HttpServerLimits Limits;
   Limits.HeaderBytes = Configuration->Limits.HeaderBytes;
@@ -347,111 +382,6 @@
     Mesh_.send(Peer->Index, Message);
 }
 
-mesh::Heartbeat PoolDaemon::heartbeatFor() {
-  mesh::Heartbeat Message;
-  Message.set_ready(Configuration_.current() != nullptr && Directory_.isLoaded());
-  Message.set_stopping(StopBy_.has_value());
-  for (const auto &Name : Election_.managed())
-    Message.add_managed(Name);
-  for (const auto &Name : Election_.releasing())
-    Message.add_released(Name);
-  for (const auto &Name : Election_.seen())
-    Message.add_seen(Name);
-  Message.set_takes_part(!Election_.managed().empty() || !Election_.releasing().empty() ||
-                         Manager_.jobCount() > 0);
-  Message.set_configuration_version(Configuration_.version());
-  Message.set_highest_token(Tokens_.highest());
-  return Message;
-}
-
-bool PoolDaemon::isClose(const mesh::MeshPeer &Peer) {
-  return Peer.dataCentre() == Settings_.DataCentre || !Election_.managed().empty() ||
-         Election_.homeManager() == Peer.Index;
-}
-
-void PoolDaemon::peerUp(const mesh::MeshPeer &Peer) {
-  core::logLine(core::LogLevel::Information, "mesh", "peer reached",
-                {{"vm", Peer.vm()},
-                 {"address", Peer.address()},
-                 {"index", std::to_string(static_cast<std::uint32_t>(Peer.Index))}});
-  mesh::Frame Message;
-  for (const auto *Known : Mesh_.known()) {
-    Message.mutable_peers()->add_vms(Known->vm());
-    Message.mutable_peers()->add_addresses(Known->address());
-  }
-  Mesh_.send(Peer.Index, Message);
-}
-
-void PoolDaemon::peerDown(const mesh::MeshPeer &Peer, mesh::PeerLoss How) {
-  auto Now = core::MonotonicClock::now();
-  core::logLine(core::LogLevel::Warning, "mesh", "peer lost",
-                {{"vm", Peer.vm()},
-                 {"ended", How == mesh::PeerLoss::Ended ? "true" : "false"},
-                 {"silent_ms", std::to_string(core::toMilliseconds(Now - Peer.lastHeard()))}});
-  AskedVersions_.erase(Peer.Index);
-  Election_.peerLost(Peer.Index, How == mesh::PeerLoss::Ended, Now);
-  Manager_.peerLost(Peer.Index, Peer.lastHeard(), Now);
-  Ingress_.peerLost(Peer.Index, Now);
-  for (auto Entry = Successors_.begin(); Entry != Successors_.end();)
-    Entry = Entry->second == Peer.Index ? Successors_.erase(Entry) : std::next(Entry);
-  applyElection(Now);
-}
-
-void PoolDaemon::heartbeatReceived(const mesh::MeshPeer &Peer, const mesh::Heartbeat &Message) {
-  auto Now = core::MonotonicClock::now();
-  kernel::CandidateState State;
-  State.Vm = Peer.vm();
-  State.DataCentre = Peer.dataCentre();
-  State.Weight = Peer.weight();
-  State.IsReady = Message.ready();
-  State.IsStopping = Message.stopping();
-  State.Managed.insert(Message.managed().begin(), Message.managed().end());
-  State.Released.insert(Message.released().begin(), Message.released().end());
-  State.Seen.insert(Message.seen().begin(), Message.seen().end());
-  Election_.peerChanged(Peer.Index, std::move(State), Now);
-  Tokens_.observe(Message.highest_token());
-  Manager_.setManager(Peer.Index, Message.takes_part(), Now);
-  if (Message.configuration_version() > Configuration_.version()) {
-    auto &Asked = AskedVersions_[Peer.Index];
-    if (Asked != Message.configuration_version()) {
-      Asked = Message.configuration_version();
-      mesh::Frame Request;
-      Request.mutable_fetch_configuration()->set_above_version(Configuration_.version());
-      Mesh_.send(Peer.Index, Request);
-    }
-  }
-  applyElection(Now);
-}
-
-void PoolDaemon::messageReceived(const mesh::MeshPeer &Peer, const mesh::Frame &Message) {
-  if (Message.has_peers()) {
-    auto Count = std::min(Message.peers().vms_size(), Message.peers().addresses_size());
-    for (int Position = 0; Position < Count; ++Position)
-      Mesh_.learn(Message.peers().vms(Position), Message.peers().addresses(Position));
-    return;
-  }
-  if (Message.has_fetch_configuration()) {
-    if (Configuration_.version() <= Message.fetch_configuration().above_version())
-      return;
-    mesh::Frame Reply;
-    Reply.mutable_configuration()->set_version(Configuration_.version());
-    Reply.mutable_configuration()->set_document(Configuration_.current()->Document);
-    return Mesh_.send(Peer.Index, Reply);
-  }
-  if (Message.has_configuration())
-    return Configuration_.offer(Message.configuration().document(), Peer.vm());
-  if (Message.has_backlog()) {
-    std::vector<kernel::RouteBacklog> Backlog;
-    auto Count = std::min(Message.backlog().routes_size(), Message.backlog().jobs_size());
-    Backlog.reserve(static_cast<std::size_t>(Count));
-    for (int Position = 0; Position < Count; ++Position)
-      Backlog.push_back({Message.backlog().routes(Position), Message.backlog().jobs(Position)});
-    return Ingress_.setBacklog(Peer.Index, Backlog);
-  }
-  if (auto Content = mesh::decode(Message, core::MonotonicClock::now()))
-    deliver(Peer.Index, *Content);
-}
-
 void PoolDaemon::serveReadiness(const std::shared_ptr<reactor::HttpExchange> &Exchange) {
   bool IsCheck = Exchange->target() == Formats_->callers().readinessPath();
   if (!IsCheck)
@@ -459,44 +389,4 @@
   Exchange->reply({isReady() ? 200U : 503U, {}, {}});
 }
 
-void PoolDaemon::serveMetrics(const std::shared_ptr<reactor::HttpExchange> &Exchange) {
-  Exchange->reply({200, Metrics_.renderText(), {}});
-}
-
-void PoolDaemon::registerMetrics() {
-  auto Counter = [this](const char *Name, auto Read) {
-    Metrics_.gauge(Name, [this, Read] { return static_cast<double>(Read(*this)); });
-  };
-  Counter("cornellift_open_jobs", [](auto &Self) { return Self.Ingress_.openJobs(); });
-  Counter("cornellift_managed_jobs", [](auto &Self) { return Self.Manager_.jobCount(); });
-  Counter("cornellift_waiting_tasks", [](auto &Self) { return Self.Manager_.waitingTasks(); });
-  Counter("cornellift_workers_held", [](auto &Self) { return Self.Manager_.fleet().held(); });
-  Counter("cornellift_running_tasks", [](auto &Self) { return Self.Manager_.fleet().runCount(); });
-  Counter("cornellift_starts_total",
-          [](auto &Self) { return Self.Manager_.counters().StartsOrdered; });
-  Counter("cornellift_starts_refused_total",
-          [](auto &Self) { return Self.Manager_.counters().StartsRefused; });
-  Counter("cornellift_runs_failed_total",
-          [](auto &Self) { return Self.Manager_.counters().RunsFailed; });
-  Counter("cornellift_runs_lost_total",
-          [](auto &Self) { return Self.Manager_.counters().RunsLost; });
-  Counter("cornellift_tasks_delegated_total",
-          [](auto &Self) { return Self.Manager_.counters().TasksDelegated; });
-  Counter("cornellift_delegations_refused_total",
-          [](auto &Self) { return Self.Manager_.counters().DelegationsRefused; });
-  Counter("cornellift_stragglers_moved_total",
-          [](auto &Self) { return Self.Manager_.counters().StragglersMoved; });
-  Counter("cornellift_worker_connections_total",
-          [](auto &Self) { return Self.Workers_.connectionsMade(); });
-  Counter("cornellift_configuration_version",
-          [](auto &Self) { return Self.Configuration_.version(); });
-  Counter("cornellift_peers", [](auto &Self) { return Self.Mesh_.peers().size(); });
-  Counter("cornellift_store_failures_total",
-          [](auto &Self) { return Self.Store_->counters().Failures; });
-  Counter("cornellift_store_watches_total",
-          [](auto &Self) { return Self.Store_->counters().Watches; });
-  Counter("cornellift_log_lines_dropped_total",
-          [](auto &Self) { return Self.Log_.linesDropped(); });
-}
-
 } // namespace cornellift::pool
--- a/Services/PoolDaemon/PoolDaemon.h
+++ b/Services/PoolDaemon/PoolDaemon.h
@@ -19,6 +19,7 @@
 
 #include <boost/asio/signal_set.hpp>
 
+#include <filesystem>
 #include <map>
 #include <memory>
 #include <optional>
@@ -47,6 +48,8 @@
   bool listen();
   void watchSignals();
   void reload();
+  /// Reads the settings again when their file has changed without a signal.
+  void reloadIfChanged(core::TimePoint Now);
   void beginStop();
   void stopIfDone(core::TimePoint Now);
   void tick();
@@ -63,6 +66,9 @@
   void sendBacklog(core::TimePoint Now);
   bool isReady() const;
   void registerMetrics();
+  void registerWorkerMetrics();
+  void registerStoreMetrics();
+  double millisecondsSince(core::TimePoint Moment) const;
   void serveReadiness(const std::shared_ptr<reactor::HttpExchange> &Exchange);
   void serveMetrics(const std::shared_ptr<reactor::HttpExchange> &Exchange);
 
@@ -102,6 +108,9 @@
   std::optional<core::TimePoint> StopBy_;
   core::TimePoint TickDueAt_;
   core::TimePoint BacklogAt_;
+  core::TimePoint FileCheckAt_; ///< Next look at the settings file.
+  std::filesystem::file_time_type FileTime_;
+  core::TimePoint ConfiguredAt_; ///< When the configuration in force came.
   bool HadBacklog_ = false;
 };
 
--- /dev/null
+++ b/Services/PoolDaemon/PoolDaemonMetrics.cpp
@@ -0,0 +1,97 @@
+#include "Services/PoolDaemon/PoolDaemon.h"
+
+namespace cornellift::pool {
+
+void PoolDaemon::serveMetrics(const std::shared_ptr<reactor::HttpExchange> &Exchange) {
+  Exchange->reply({200, Metrics_.renderText(), {}});
+}
+
+void PoolDaemon::registerMetrics() {
+  auto Counter = [this](const char *Name, auto Read) {
+    Metrics_.gauge(Name, [this, Read] { return static_cast<double>(Read(*this)); });
+  };
+  Counter("cornellift_open_jobs", [](auto &Self) { return Self.Ingress_.openJobs(); });
+  Counter("cornellift_managed_jobs", [](auto &Self) { return Self.Manager_.jobCount(); });
+  Counter("cornellift_waiting_tasks", [](auto &Self) { return Self.Manager_.waitingTasks(); });
+  Counter("cornellift_running_tasks", [](auto &Self) { return Self.Manager_.fleet().runCount(); });
+  Counter("cornellift_starts_total",
+          [](auto &Self) { return Self.Manager_.counters().StartsOrdered; });
+  Counter("cornellift_starts_refused_total",
+          [](auto &Self) { return Self.Manager_.counters().StartsRefused; });
+  Counter("cornellift_tasks_delegated_total",
+          [](auto &Self) { return Self.Manager_.counters().TasksDelegated; });
+  Counter("cornellift_delegations_refused_total",
+          [](auto &Self) { return Self.Manager_.counters().DelegationsRefused; });
+  Counter("cornellift_stragglers_moved_total",
+          [](auto &Self) { return Self.Manager_.counters().StragglersMoved; });
+  Counter("cornellift_worker_connections_total",
+          [](auto &Self) { return Self.Workers_.connectionsMade(); });
+  Counter("cornellift_configuration_version",
+          [](auto &Self) { return Self.Configuration_.version(); });
+  Counter("cornellift_peers", [](auto &Self) { return Self.Mesh_.peers().size(); });
+  Counter("cornellift_log_lines_dropped_total",
+          [](auto &Self) { return Self.Log_.linesDropped(); });
+  Counter("cornellift_log_lines_total", [](auto &Self) { return Self.Log_.linesWritten(); });
+  Counter("cornellift_configuration_age_milliseconds",
+          [](auto &Self) { return Self.millisecondsSince(Self.ConfiguredAt_); });
+  registerWorkerMetrics();
+  registerStoreMetrics();
+}
+
+void PoolDaemon::registerWorkerMetrics() {
+  Metrics_.gauge("cornellift_workers_held",
+                 [this] { return static_cast<double>(Manager_.fleet().held()); });
+  auto Workers = [this](const char *Name, kernel::LeaseState State) {
+    Metrics_.gauge(
+        "cornellift_workers",
+        [this, State] { return static_cast<double>(Manager_.fleet().countIn(State)); },
+        {{"lease", Name}});
+  };
+  Workers("absent", kernel::LeaseState::Absent);
+  Workers("claiming", kernel::LeaseState::Claiming);
+  Workers("held", kernel::LeaseState::Held);
+  Workers("fenced", kernel::LeaseState::Fenced);
+  auto Runs = [this](const char *End, std::uint64_t kernel::PoolCounters::*Count) {
+    Metrics_.gauge(
+        "cornellift_runs_total",
+        [this, Count] { return static_cast<double>(Manager_.counters().*Count); }, {{"end", End}});
+  };
+  Runs("done", &kernel::PoolCounters::RunsDone);
+  Runs("failed", &kernel::PoolCounters::RunsFailed);
+  Runs("stopped", &kernel::PoolCounters::RunsStopped);
+  Runs("lost", &kernel::PoolCounters::RunsLost);
+  auto Jobs = [this](const char *End, std::uint64_t kernel::PoolCounters::*Count) {
+    Metrics_.gauge(
+        "cornellift_managed_jobs_total",
+        [this, Count] { return static_cast<double>(Manager_.counters().*Count); }, {{"end", End}});
+  };
+  Jobs("completed", &kernel::PoolCounters::JobsCompleted);
+  Jobs("failed", &kernel::PoolCounters::JobsFailed);
+  Jobs("rejected", &kernel::PoolCounters::JobsRejected);
+  Jobs("given_up", &kernel::PoolCounters::JobsGivenUp);
+  Jobs("abandoned", &kernel::PoolCounters::JobsAbandoned);
+}
+
+void PoolDaemon::registerStoreMetrics() {
+  auto Calls = [this](const char *Kind, std::uint64_t store::StoreCounters::*Count) {
+    Metrics_.gauge(
+        "cornellift_store_calls_total",
+        [this, Count] { return static_cast<double>(Store_->counters().*Count); },
+        {{"kind", Kind}});
+  };
+  Calls("range", &store::StoreCounters::Ranges);
+  Calls("watch", &store::StoreCounters::Watches);
+  Calls("write", &store::StoreCounters::Writes);
+  Calls("lease", &store::StoreCounters::Leases);
+  Calls("renewal", &store::StoreCounters::Renewals);
+  Metrics_.gauge("cornellift_store_failures_total",
+                 [this] { return static_cast<double>(Store_->counters().Failures); });
+  Metrics_.gauge("cornellift_store_answer_age_milliseconds",
+                 [this] { return millisecondsSince(Store_->lastAnswered()); });
+}
+
+double PoolDaemon::millisecondsSince(core::TimePoint Moment) const {
+  return core::toMilliseconds(core::MonotonicClock::now() - Moment);
+}
+
+} // namespace cornellift::pool
--- /dev/null
+++ b/Services/PoolDaemon/PoolDaemonPeers.cpp
@@ -0,0 +1,115 @@
+#include "Libraries/LibCore/Log.h"
+#include "Libraries/LibMesh/MeshCoding.h"
+#include "Services/PoolDaemon/PoolDaemon.h"
+
+#include <iterator>
+#include <utility>
+
+namespace cornellift::pool {
+
+mesh::Heartbeat PoolDaemon::heartbeatFor() {
+  mesh::Heartbeat Message;
+  Message.set_ready(Configuration_.current() != nullptr && Directory_.isLoaded());
+  Message.set_stopping(StopBy_.has_value());
+  for (const auto &Name : Election_.managed())
+    Message.add_managed(Name);
+  for (const auto &Name : Election_.releasing())
+    Message.add_released(Name);
+  for (const auto &Name : Election_.seen())
+    Message.add_seen(Name);
+  Message.set_takes_part(!Election_.managed().empty() || !Election_.releasing().empty() ||
+                         Manager_.jobCount() > 0);
+  Message.set_configuration_version(Configuration_.version());
+  Message.set_highest_token(Tokens_.highest());
+  return Message;
+}
+
+bool PoolDaemon::isClose(const mesh::MeshPeer &Peer) {
+  return Peer.dataCentre() == Settings_.DataCentre || !Election_.managed().empty() ||
+         Election_.homeManager() == Peer.Index;
+}
+
+void PoolDaemon::peerUp(const mesh::MeshPeer &Peer) {
+  core::logLine(core::LogLevel::Information, "mesh", "peer reached",
+                {{"vm", Peer.vm()},
+                 {"address", Peer.address()},
+                 {"index", std::to_string(static_cast<std::uint32_t>(Peer.Index))}});
+  mesh::Frame Message;
+  for (const auto *Known : Mesh_.known()) {
+    Message.mutable_peers()->add_vms(Known->vm());
+    Message.mutable_peers()->add_addresses(Known->address());
+  }
+  Mesh_.send(Peer.Index, Message);
+}
+
+void PoolDaemon::peerDown(const mesh::MeshPeer &Peer, mesh::PeerLoss How) {
+  auto Now = core::MonotonicClock::now();
+  core::logLine(core::LogLevel::Warning, "mesh", "peer lost",
+                {{"vm", Peer.vm()},
+                 {"ended", How == mesh::PeerLoss::Ended ? "true" : "false"},
+                 {"silent_ms", std::to_string(core::toMilliseconds(Now - Peer.lastHeard()))}});
+  AskedVersions_.erase(Peer.Index);
+  Election_.peerLost(Peer.Index, How == mesh::PeerLoss::Ended, Now);
+  Manager_.peerLost(Peer.Index, Peer.lastHeard(), Now);
+  Ingress_.peerLost(Peer.Index, Now);
+  for (auto Entry = Successors_.begin(); Entry != Successors_.end();)
+    Entry = Entry->second == Peer.Index ? Successors_.erase(Entry) : std::next(Entry);
+  applyElection(Now);
+}
+
+void PoolDaemon::heartbeatReceived(const mesh::MeshPeer &Peer, const mesh::Heartbeat &Message) {
+  auto Now = core::MonotonicClock::now();
+  kernel::CandidateState State;
+  State.Vm = Peer.vm();
+  State.DataCentre = Peer.dataCentre();
+  State.Weight = Peer.weight();
+  State.IsReady = Message.ready();
+  State.IsStopping = Message.stopping();
+  State.Managed.insert(Message.managed().begin(), Message.managed().end());
+  State.Released.insert(Message.released().begin(), Message.released().end());
+  State.Seen.insert(Message.seen().begin(), Message.seen().end());
+  Election_.peerChanged(Peer.Index, std::move(State), Now);
+  Tokens_.observe(Message.highest_token());
+  Manager_.setManager(Peer.Index, Message.takes_part(), Now);
+  if (Message.configuration_version() > Configuration_.version()) {
+    auto &Asked = AskedVersions_[Peer.Index];
+    if (Asked != Message.configuration_version()) {
+      Asked = Message.configuration_version();
+      mesh::Frame Request;
+      Request.mutable_fetch_configuration()->set_above_version(Configuration_.version());
+      Mesh_.send(Peer.Index, Request);
+    }
+  }
+  applyElection(Now);
+}
+
+void PoolDaemon::messageReceived(const mesh::MeshPeer &Peer, const mesh::Frame &Message) {
+  if (Message.has_peers()) {
+    auto Count = std::min(Message.peers().vms_size(), Message.peers().addresses_size());
+    for (int Position = 0; Position < Count; ++Position)
+      Mesh_.learn(Message.peers().vms(Position), Message.peers().addresses(Position));
+    return;
+  }
+  if (Message.has_fetch_configuration()) {
+    if (Configuration_.version() <= Message.fetch_configuration().above_version())
+      return;
+    mesh::Frame Reply;
+    Reply.mutable_configuration()->set_version(Configuration_.version());
+    Reply.mutable_configuration()->set_document(Configuration_.current()->Document);
+    return Mesh_.send(Peer.Index, Reply);
+  }
+  if (Message.has_configuration())
+    return Configuration_.offer(Message.configuration().document(), Peer.vm());
+  if (Message.has_backlog()) {
+    std::vector<kernel::RouteBacklog> Backlog;
+    auto Count = std::min(Message.backlog().routes_size(), Message.backlog().jobs_size());
+    Backlog.reserve(static_cast<std::size_t>(Count));
+    for (int Position = 0; Position < Count; ++Position)
+      Backlog.push_back({Message.backlog().routes(Position), Message.backlog().jobs(Position)});
+    return Ingress_.setBacklog(Peer.Index, Backlog);
+  }
+  if (auto Content = mesh::decode(Message, core::MonotonicClock::now()))
+    deliver(Peer.Index, *Content);
+}
+
+} // namespace cornellift::pool
--- a/Tests/LibCore/TestSettings.cpp
+++ b/Tests/LibCore/TestSettings.cpp
@@ -42,3 +42,15 @@
   }
   BOOST_TEST(!parse({"--no-such-flag", "1"}));
 }
+
+// Guards against a correction that takes one attempt for each wrong value.
+BOOST_AUTO_TEST_CASE(AllWrongValuesAreNamedAtOnce) {
+  BOOST_TEST(!parse({"--http-port", "0", "--verbose=perhaps"}));
+  BOOST_TEST(lastReason().Message.find("--http-port") != std::string::npos);
+  BOOST_TEST(lastReason().Message.find("--verbose") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(SettingsInForceArePrintedAsAFileHasThem) {
+  BOOST_TEST(parse({"--http-port", "9001"})->format() ==
+             "data-centre=ikeja\nhttp-port=9001\nverbose=false\n");
+}
