Operator: Explain one request from the logs of several VMs

On-call engineers had to join log lines by hand. The command reads the logs, orders the lines on one job and puts between them what the processes learned of its workers, each other, the store and the configuration.

--- a/Services/PoolDaemon/PoolDaemonMetrics.cpp
+++ b/Services/PoolDaemon/PoolDaemonMetrics.cpp
@@ -42,28 +42,27 @@
   Metrics_.gauge("cornellift_workers_held",
                  [this] { return static_cast<double>(Manager_.fleet().held()); });
   auto Workers = [this](const char *Name, kernel::LeaseState State) {
-    Metrics_.gauge(
-        "cornellift_workers",
-        [this, State] { return static_cast<double>(Manager_.fleet().countIn(State)); },
-        {{"lease", Name}});
+    Metrics_.gauge("cornellift_workers",
+                   [this, State] { return static_cast<double>(Manager_.fleet().countIn(State)); },
+                   {{"lease", Name}});
   };
   Workers("absent", kernel::LeaseState::Absent);
   Workers("claiming", kernel::LeaseState::Claiming);
   Workers("held", kernel::LeaseState::Held);
   Workers("fenced", kernel::LeaseState::Fenced);
   auto Runs = [this](const char *End, std::uint64_t kernel::PoolCounters::*Count) {
-    Metrics_.gauge(
-        "cornellift_runs_total",
-        [this, Count] { return static_cast<double>(Manager_.counters().*Count); }, {{"end", End}});
+    Metrics_.gauge("cornellift_runs_total",
+                   [this, Count] { return static_cast<double>(Manager_.counters().*Count); },
+                   {{"end", End}});
   };
   Runs("done", &kernel::PoolCounters::RunsDone);
   Runs("failed", &kernel::PoolCounters::RunsFailed);
   Runs("stopped", &kernel::PoolCounters::RunsStopped);
   Runs("lost", &kernel::PoolCounters::RunsLost);
   auto Jobs = [this](const char *End, std::uint64_t kernel::PoolCounters::*Count) {
-    Metrics_.gauge(
-        "cornellift_managed_jobs_total",
-        [this, Count] { return static_cast<double>(Manager_.counters().*Count); }, {{"end", End}});
+    Metrics_.gauge("cornellift_managed_jobs_total",
+                   [this, Count] { return static_cast<double>(Manager_.counters().*Count); },
+                   {{"end", End}});
   };
   Jobs("completed", &kernel::PoolCounters::JobsCompleted);
   Jobs("failed", &kernel::PoolCounters::JobsFailed);
@@ -74,10 +73,9 @@
 
 void PoolDaemon::registerStoreMetrics() {
   auto Calls = [this](const char *Kind, std::uint64_t store::StoreCounters::*Count) {
-    Metrics_.gauge(
-        "cornellift_store_calls_total",
-        [this, Count] { return static_cast<double>(Store_->counters().*Count); },
-        {{"kind", Kind}});
+    Metrics_.gauge("cornellift_store_calls_total",
+                   [this, Count] { return static_cast<double>(Store_->counters().*Count); },
+                   {{"kind", Kind}});
   };
   Calls("range", &store::StoreCounters::Ranges);
   Calls("watch", &store::StoreCounters::Watches);
--- a/Utilities/Operator/Main.cpp
+++ b/Utilities/Operator/Main.cpp
@@ -30,7 +30,7 @@
       Program, "Reads and changes the configuration", Specs,
       std::span<const char *const>(Arguments, static_cast<std::size_t>(Count)),
       "patch FILE|- | seed FILE | undo VERSION | drain VM | drain-endpoint NAME | show | version | "
-      "status | diff [FROM TO] | audit [FROM TO] | check FILE");
+      "status | diff [FROM TO] | audit [FROM TO] | check FILE | explain JOB LOG|-...");
   if (!Settings)
     return core::reportBadUsage(Program);
   try {
--- a/Utilities/Operator/OperatorCommand.cpp
+++ b/Utilities/Operator/OperatorCommand.cpp
@@ -5,10 +5,12 @@
 #include "Libraries/LibConfiguration/StrictJson.h"
 #include "Libraries/LibCore/Reason.h"
 #include "Utilities/Operator/ChangeSender.h"
+#include "Utilities/Operator/Explanation.h"
 #include "Utilities/Operator/Tables.h"
 
 #include <algorithm>
 #include <chrono>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -75,6 +77,8 @@
     return audit(Words.subspan(1));
   if (Is("check", 1))
     return check(Words[1]);
+  if (Words.size() >= 3 && Words[0] == "explain")
+    return explain(Words[1], Words.subspan(2));
   return reportFailure(ExitStatus::BadUsage, "unknown command or arguments; see --help");
 }
 
@@ -274,4 +278,26 @@
   return Status;
 }
 
+ExitStatus OperatorCommand::explain(const std::string &Job,
+                                    std::span<const std::string> Paths) const {
+  Explanation Found(Job);
+  for (const auto &Path : Paths) {
+    if (Path == "-") {
+      Found.read(std::cin, "-");
+      continue;
+    }
+    std::ifstream Log(Path);
+    if (!Log)
+      return reportFailure(ExitStatus::BadUsage, "cannot read " + Path + "; give a log file");
+    Found.read(Log, std::filesystem::path(Path).stem().string());
+  }
+  std::cout << Found.render();
+  if (Found.unreadable() > 0)
+    std::cerr << Found.unreadable() << " lines are not log lines and were left out\n";
+  if (!Found.hasFound())
+    return reportFailure(ExitStatus::RequestFailed,
+                         "no line on job " + Job + "; look for \"lines left out\" at its time");
+  return ExitStatus::Success;
+}
+
 } // namespace cornellift::operators
--- a/Utilities/Operator/OperatorCommand.h
+++ b/Utilities/Operator/OperatorCommand.h
@@ -34,6 +34,7 @@
   core::ExitStatus audit(std::span<const std::string> Versions) const;
   core::ExitStatus status() const;
   core::ExitStatus check(const std::string &Path) const;
+  core::ExitStatus explain(const std::string &Job, std::span<const std::string> Paths) const;
 
   core::ExitStatus sendChange(std::uint64_t Base, const Json &Patch, const std::string &Why) const;
 
