Kernel: Keep early claims apart from the known workers

Cause: a message that another manager had released a worker made this one create an entry for a worker it had not listed, so that placing read a rating that did not exist.

The HTTP client calls no handler from within close(): a manager that changed a worker's address was called back in the midst of its own work. Bodies, workers' reports and configurations with numbers of any size are checked, with tests and a fuzz target for all that comes from outside. A soak that paused a paused process waited for ever; the harness is mended.

--- a/Kernel/Pool/WorkerFleet.cpp
+++ b/Kernel/Pool/WorkerFleet.cpp
@@ -83,8 +83,11 @@
 
 EndpointIndex WorkerFleet::indexOf(const std::string &Id) {
   auto [Position, IsNew] = IndexById_.emplace(Id, static_cast<EndpointIndex>(Workers_.size()));
-  if (IsNew)
-    Workers_.emplace_back();
+  if (!IsNew)
+    return Position->second;
+  auto &Known = Workers_.emplace_back();
+  if (auto Early = EarlyClaims_.extract(Id))
+    Known.ClaimAt = Early.mapped();
   return Position->second;
 }
 
@@ -127,18 +130,23 @@
 }
 
 void WorkerFleet::holdClaim(std::string_view Id, core::TimePoint Until) {
-  auto Index = indexOf(std::string(Id));
-  edit(Index).Entry.Id = Id;
-  edit(Index).ClaimAt = Until;
+  if (auto *Known = find(Id))
+    Known->ClaimAt = Until;
+  else
+    EarlyClaims_[std::string(Id)] = Until;
 }
 
 void WorkerFleet::claimNow(std::string_view Id, core::TimePoint Now) {
-  auto Index = indexOf(std::string(Id));
-  auto &Known = edit(Index);
-  Known.Entry.Id = Id;
-  Known.ClaimAt = Now;
-  if (Known.IsListed && (Known.Lease == LeaseState::Absent || Known.Lease == LeaseState::Fenced))
-    beginClaim(Index, Now);
+  holdClaim(Id, Now);
+  const auto *Known = find(Id);
+  if (Known && Known->IsListed &&
+      (Known->Lease == LeaseState::Absent || Known->Lease == LeaseState::Fenced))
+    beginClaim(IndexById_.at(std::string(Id)), Now);
+}
+
+Worker *WorkerFleet::find(std::string_view Id) {
+  auto Position = IndexById_.find(std::string(Id));
+  return Position == IndexById_.end() ? nullptr : &edit(Position->second);
 }
 
 void WorkerFleet::beginClaim(EndpointIndex Index, core::TimePoint Now) {
--- a/Kernel/Pool/WorkerFleet.h
+++ b/Kernel/Pool/WorkerFleet.h
@@ -87,6 +87,8 @@
 private:
   Worker &edit(EndpointIndex Index) { return Workers_[static_cast<std::size_t>(Index)]; }
   EndpointIndex indexOf(const std::string &Id);
+  /// Null for a worker that was never listed.
+  Worker *find(std::string_view Id);
   void list(const WorkerEntry &Entry, core::TimePoint Now);
   void unlist(EndpointIndex Index);
   void beginClaim(EndpointIndex Index, core::TimePoint Now);
@@ -114,6 +116,8 @@
   DecisionLog &Log_;
   std::vector<Worker> Workers_;
   std::unordered_map<std::string, EndpointIndex> IndexById_;
+  /// Earliest claims of workers that are not listed yet.
+  std::unordered_map<std::string, core::TimePoint> EarlyClaims_;
 };
 
 } // namespace cornellift::kernel
--- a/Libraries/LibCore/Time.cpp
+++ b/Libraries/LibCore/Time.cpp
@@ -1,8 +1,16 @@
 #include "Libraries/LibCore/Time.h"
 
+#include <algorithm>
+#include <cmath>
 #include <ctime>
 
 namespace cornellift::core {
+namespace {
+
+/// Ten years; sums of some such spans stay within the clock's range.
+constexpr double LongestMilliseconds = 10.0 * 365 * 24 * 3600 * 1000;
+
+} // namespace
 
 MonotonicClock::time_point MonotonicClock::now() {
   timespec SinceBoot{};
@@ -14,8 +22,10 @@
 double toMilliseconds(Duration Span) { return static_cast<double>(Span.count()) / 1000.0; }
 
 Duration fromMilliseconds(double Milliseconds) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, std::milli>(Milliseconds));
+  if (std::isnan(Milliseconds))
+    return Duration::zero();
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(
+      std::clamp(Milliseconds, -LongestMilliseconds, LongestMilliseconds)));
 }
 
 std::int64_t wallClockMilliseconds() {
--- a/Libraries/LibCore/Time.h
+++ b/Libraries/LibCore/Time.h
@@ -27,7 +27,8 @@
 /// Milliseconds of a duration, with fraction, for logs and JSON.
 double toMilliseconds(Duration Span);
 
-/// Rounds a count of milliseconds to the clock's microsecond ticks.
+/// Rounds a count of milliseconds to the clock's microsecond ticks. Numbers from outside may be of
+/// any size: spans of more than some years count as that, and what is not a number as zero.
 Duration fromMilliseconds(double Milliseconds);
 
 /// Current wall-clock time in milliseconds since 1970-01-01 UTC, for deadlines on the wire.
--- a/Libraries/LibReactor/HttpClient.cpp
+++ b/Libraries/LibReactor/HttpClient.cpp
@@ -11,7 +11,7 @@
 
 void HttpClient::call(HttpRequest Request, core::TimePoint Deadline, HttpHandler Handler) {
   if (Closed_)
-    return Handler({std::nullopt, HttpFailure::NotSent, "the client is closed"});
+    return failLater(std::move(Handler));
   if (Waiting_.empty()) {
     if (auto Connection = idleConnection())
       return Connection->call(Request, Deadline, std::move(Handler));
@@ -22,11 +22,18 @@
 
 void HttpClient::close() {
   Closed_ = true;
-  Waiting_.clear();
+  for (auto &Call : std::exchange(Waiting_, {}))
+    failLater(std::move(Call.Handler));
   for (const auto &Connection : std::exchange(Connections_, {}))
     Connection->close("the client is closed");
 }
 
+void HttpClient::failLater(HttpHandler Handler) {
+  asio::post(Reactor_, [Handler = std::move(Handler)] {
+    Handler({std::nullopt, HttpFailure::NotSent, "the client is closed"});
+  });
+}
+
 std::shared_ptr<HttpConnection> HttpClient::idleConnection() const {
   for (const auto &Connection : Connections_)
     if (Connection->state() == HttpConnection::State::Idle)
--- a/Libraries/LibReactor/HttpClient.h
+++ b/Libraries/LibReactor/HttpClient.h
@@ -14,11 +14,11 @@
 public:
   HttpClient(asio::io_context &Reactor, Tcp::endpoint Remote, std::size_t MaximumConnections);
 
-  /// The handler is called exactly once, at the deadline at the latest, unless the client is
-  /// closed.
+  /// The handler is called exactly once, at the deadline at the latest, and never before call() or
+  /// close() has returned.
   void call(HttpRequest Request, core::TimePoint Deadline, HttpHandler Handler);
 
-  /// Drops all connections and waiting calls without calling their handlers.
+  /// Drops all connections; open calls fail.
   void close();
 
   /// Connections made so far.
@@ -31,6 +31,7 @@
     HttpHandler Handler;
   };
 
+  void failLater(HttpHandler Handler);
   void serveWaiting();
   void connectionChanged(const std::shared_ptr<HttpConnection> &Connection);
   void open(core::TimePoint Deadline);
--- a/Libraries/LibReactor/HttpConnection.cpp
+++ b/Libraries/LibReactor/HttpConnection.cpp
@@ -83,8 +83,11 @@
   Timer_.cancel();
   boost::system::error_code Ignored; // The connection is given up in any case.
   Socket_.close(Ignored);
+  // Later, because the owner may be closing the connection in the midst of other work.
   if (WasBusy)
-    finishCall({std::nullopt, HttpFailure::NoReply, Cause});
+    asio::post(Socket_.get_executor(), [Self = shared_from_this(), Cause] {
+      Self->finishCall({std::nullopt, HttpFailure::NoReply, Cause});
+    });
   if (auto OnChange = std::exchange(OnChange_, nullptr))
     OnChange(shared_from_this());
 }
--- a/Services/PoolDaemon/Ingress.cpp
+++ b/Services/PoolDaemon/Ingress.cpp
@@ -25,7 +25,7 @@
 std::optional<double> parseNumber(std::string_view Text) {
   double Value = 0;
   auto Parsed = std::from_chars(Text.data(), Text.data() + Text.size(), Value);
-  if (Text.empty() || Parsed.ec != std::errc())
+  if (Text.empty() || Parsed.ec != std::errc() || !std::isfinite(Value))
     return std::nullopt;
   return Value;
 }
@@ -114,7 +114,7 @@
   if (auto Known = Jobs_.find(Key); Known != Jobs_.end())
     return attach(Known->second, Request);
   auto Submitted = Format_.parseJob(Request->body());
-  if (!Submitted)
+  if (!Submitted || !kernel::checkJob(*Submitted))
     return refuse(Request, {400, {}, {}}, core::lastReason().Message, Key);
   if (!Submitted->IsAwaited || !Submitted->Unsupported.empty() || Route.NeedsAdvice) {
     Log_.line(kernel::DecisionWeight::Notable, "job of an unsupported kind rejected", Key,
--- /dev/null
+++ b/Tests/Fuzz/FuzzPlatform.cpp
@@ -0,0 +1,75 @@
+#include "Kernel/Pool/SubmittedJob.h"
+#include "Libraries/LibMesh/MeshCoding.h"
+#include "platform/CallerMessages.h"
+#include "platform/StoreMessages.h"
+#include "platform/WorkerMessages.h"
+
+#include <cmath>
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+#include <string_view>
+
+using namespace cornellift;
+
+namespace {
+
+/// Ends the process, which the fuzzer reports with the input.
+void require(bool Holds) {
+  if (!Holds)
+    std::abort();
+}
+
+void readCallersBody(std::string_view Text) {
+  auto Job = platform::CallerMessages().parseJob(Text);
+  if (!Job || !kernel::checkJob(*Job))
+    return;
+  std::uint64_t Tasks = 0;
+  for (const auto &Step : Job->Steps)
+    Tasks += Step.Count;
+  require(Tasks > 0 && Tasks <= kernel::MaximumJobTasks);
+}
+
+void readWorkersAnswers(const reactor::HttpResult &Result, std::string_view Text) {
+  platform::WorkerMessages Messages;
+  auto Look = Messages.parseLookReply(Result);
+  require(Look.Report.has_value() == (Look.Verdict == kernel::OrderVerdict::Accepted));
+  if (Look.Report)
+    for (std::size_t Next = 1; Next < Look.Report->Ended.size(); ++Next)
+      require(Look.Report->Ended[Next - 1].Number <= Look.Report->Ended[Next].Number);
+  Messages.parseOrderReply(Result);
+  if (auto Entry = Messages.parseEntry("w", Text))
+    require(std::isfinite(Entry->Capacity.Processors) && Entry->Id == "w");
+}
+
+void readStoresAnswers(const reactor::HttpResult &Result, std::string_view Text) {
+  platform::StoreMessages Messages;
+  Messages.parsePage(Result);
+  Messages.parseEvents(Result);
+  Messages.parseWritten(Result);
+  Messages.parseLease(Result);
+  if (auto Read = Messages.parseConfiguration(Text))
+    Read->find("host", "/path");
+}
+
+void readPeersFrame(std::string_view Text) {
+  mesh::Frame Message;
+  if (Message.ParseFromArray(Text.data(), static_cast<int>(Text.size())))
+    mesh::decode(Message, core::TimePoint());
+}
+
+} // namespace
+
+// All that other processes send to an entry process of the users' platform.
+extern "C" int LLVMFuzzerTestOneInput( // NOLINT(readability-identifier-naming)
+    const std::uint8_t *Data, std::size_t Size) {
+  std::string_view Text(reinterpret_cast<const char *>(Data), Size);
+  reactor::HttpResult Result;
+  Result.Reply = reactor::HttpReply{200, std::string(Text), {}};
+  readCallersBody(Text);
+  readWorkersAnswers(Result, Text);
+  readStoresAnswers(Result, Text);
+  readPeersFrame(Text);
+  return 0;
+}
--- a/Tests/Integration/TestProcess.cpp
+++ b/Tests/Integration/TestProcess.cpp
@@ -45,11 +45,12 @@
 }
 
 TestProcess::TestProcess(TestProcess &&Other) noexcept
-    : Id_(std::exchange(Other.Id_, 0)), Status_(Other.Status_) {}
+    : Id_(std::exchange(Other.Id_, 0)), Status_(Other.Status_), IsPaused_(Other.IsPaused_) {}
 
 TestProcess &TestProcess::operator=(TestProcess &&Other) noexcept {
   std::swap(Id_, Other.Id_);
   std::swap(Status_, Other.Status_);
+  std::swap(IsPaused_, Other.IsPaused_);
   return *this;
 }
 
@@ -70,6 +71,8 @@
 }
 
 void TestProcess::pause() {
+  if (std::exchange(IsPaused_, true))
+    return; // The wait below would not end: a stop is reported once.
   ::kill(Id_, SIGSTOP);
   int WaitStatus = 0;
   waitpid(Id_, &WaitStatus, WUNTRACED);
@@ -77,7 +80,10 @@
     Status_ = toExitStatus(WaitStatus);
 }
 
-void TestProcess::resume() { ::kill(Id_, SIGCONT); }
+void TestProcess::resume() {
+  IsPaused_ = false;
+  ::kill(Id_, SIGCONT);
+}
 
 void TestProcess::terminate() { ::kill(Id_, SIGTERM); }
 
--- a/Tests/Integration/TestProcess.h
+++ b/Tests/Integration/TestProcess.h
@@ -39,6 +39,7 @@
 
   pid_t Id_ = 0;
   std::optional<int> Status_;
+  bool IsPaused_ = false;
 };
 
 } // namespace cornellift::integration
--- a/Tests/Operator/TestExplanation.cpp
+++ b/Tests/Operator/TestExplanation.cpp
@@ -9,10 +9,10 @@
 
 namespace {
 
-std::string line(const std::string &Second, const std::string &Message,
-                 const std::string &Fields) {
-  return R"({ "timestamp": "2026-05-18 17:55:)" + Second + R"(", "level": "INFO", "logger": "pool", )" +
-         R"("message": ")" + Message + R"(", "context_map": { )" + Fields + " } }\n";
+std::string line(const std::string &Second, const std::string &Message, const std::string &Fields) {
+  return R"({ "timestamp": "2026-05-18 17:55:)" + Second +
+         R"(", "level": "INFO", "logger": "pool", )" + R"("message": ")" + Message +
+         R"(", "context_map": { )" + Fields + " } }\n";
 }
 
 std::string explain(const std::string &Job, const std::string &First,
@@ -58,11 +58,11 @@
 
 // Guards against held lines that seem to come after what they caused.
 BOOST_AUTO_TEST_CASE(HeldLinesAreShownAtTheTimeOfTheirDecision) {
-  auto Text = explain(
-      "a1", line("01,200", "moving a slow run", R"("job": "a1")") +
-                line("01,200", "task started",
-                     R"("job": "a1", "held_ms": "150.0", "inputs": "worker=w1 run=1")") +
-                line("01,100", "worker does not answer", R"("worker": "w1")"));
+  auto Text =
+      explain("a1", line("01,200", "moving a slow run", R"("job": "a1")") +
+                        line("01,200", "task started",
+                             R"("job": "a1", "held_ms": "150.0", "inputs": "worker=w1 run=1")") +
+                        line("01,100", "worker does not answer", R"("worker": "w1")"));
   BOOST_TEST(isBefore(Text, "task started", "worker does not answer"));
   BOOST_TEST(isBefore(Text, "worker does not answer", "moving a slow run"));
 }
--- /dev/null
+++ b/Tests/Platform/TestCallerMessages.cpp
@@ -0,0 +1,72 @@
+#include "Kernel/Pool/SubmittedJob.h"
+#include "Libraries/LibCore/Reason.h"
+#include "platform/CallerMessages.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornellift;
+
+namespace {
+
+std::optional<kernel::SubmittedJob> parse(std::string_view Body) {
+  return platform::CallerMessages().parseJob(Body);
+}
+
+bool isAccepted(std::string_view Body) {
+  auto Job = parse(Body);
+  return Job && kernel::checkJob(*Job);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(AJobIsDecodedIntoTheProjectsTerms) {
+  auto Job = parse(R"({"spec":"s","bestEffort":true,"phases":[
+      {"count":3,"cpu":1500,"memMb":20,"gpus":1,"estRuntimeMs":120},
+      {"count":2,"cpu":100,"memMb":5,"after":[0],"constraints":"type-a","affinity":"rack-4",
+       "antiAffinity":2}],"somethingNew":{"x":1}})");
+  BOOST_REQUIRE(Job);
+  BOOST_TEST(Job->Specification == "s");
+  BOOST_TEST(Job->IsAwaited);
+  BOOST_TEST(Job->Unsupported.empty());
+  BOOST_REQUIRE(Job->Steps.size() == 2U);
+  BOOST_TEST(Job->Steps[0].Count == 3U);
+  BOOST_TEST(Job->Steps[0].Need.Processors == 1.5);
+  BOOST_TEST(Job->Steps[0].Need.MemoryMegabytes == 20);
+  BOOST_TEST(Job->Steps[0].Need.Accelerators == 1);
+  BOOST_TEST(Job->Steps[0].DeclaredMilliseconds == 120);
+  BOOST_REQUIRE(Job->Steps[1].After.size() == 1U);
+  BOOST_TEST(Job->Steps[1].RequiredLabel == "type-a");
+  BOOST_TEST(Job->Steps[1].DataRack == "rack-4");
+  BOOST_TEST(Job->Steps[1].MaximumPerWorker == 2U);
+  BOOST_TEST(kernel::checkJob(*Job));
+}
+
+// Guards against a job that is taken although the product cannot do what it asks for.
+BOOST_AUTO_TEST_CASE(UnsupportedKindsAreNamed) {
+  for (const char *Field : {"\"gang\":true", "\"longRunning\":true", "\"fills\":true",
+                            "\"repeatCount\":3"}) {
+    BOOST_TEST_CONTEXT(Field) {
+      auto Job = parse(std::string(R"({"bestEffort":true,"phases":[{"count":1,)") + Field + "}]}");
+      BOOST_REQUIRE(Job);
+      BOOST_TEST(!Job->Unsupported.empty());
+    }
+  }
+  BOOST_TEST(!parse(R"({"phases":[{"count":1}]})")->IsAwaited);
+}
+
+// Guards against a body that takes the process's memory, or waits for ever.
+BOOST_AUTO_TEST_CASE(JobsThatCannotBeRunAreRefusedWithTheRemedy) {
+  for (const char *Body :
+       {"", "[]", "{", R"({"phases":3})", R"({"phases":[]})", R"({"phases":[1]})",
+        R"({"phases":[{"count":0}]})", R"({"phases":[{"count":-1}]})",
+        R"({"phases":[{"count":4294967295}]})", R"({"phases":[{"count":1e300}]})",
+        R"({"phases":[{"count":9000},{"count":9000}]})", R"({"phases":[{"cpu":-1}]})",
+        R"({"phases":[{"after":[0]}]})", R"({"phases":[{"after":[1]},{"count":1}]})"}) {
+    BOOST_TEST_CONTEXT(Body) {
+      BOOST_TEST(!isAccepted(Body));
+      BOOST_TEST((core::lastReason().Kind == core::ErrorKind::Malformed));
+      BOOST_TEST(!core::lastReason().Message.empty());
+    }
+  }
+  BOOST_TEST(isAccepted(R"({"phases":[{"count":10000}]})"));
+}
--- /dev/null
+++ b/Tests/Platform/TestStoreMessages.cpp
@@ -0,0 +1,89 @@
+#include "platform/StoreMessages.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornellift;
+using platform::StoreFailure;
+
+namespace {
+
+const platform::StoreMessages Messages;
+
+reactor::HttpResult reply(unsigned Status, std::string Body) {
+  reactor::HttpResult Result;
+  Result.Reply = reactor::HttpReply{Status, std::move(Body), {}};
+  return Result;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(APageHoldsKeysWithDecodedValues) {
+  auto Page = Messages.parsePage(reply(
+      200, R"({"at":12,"hasMore":true,"items":[{"key":"a/1","value":"aGk=","revision":9},
+      {"key":"a/2","value":"not base64!","revision":10},{"value":"aGk="}]})"));
+  BOOST_REQUIRE(Page.Content);
+  BOOST_TEST(Page.Content->Revision == 12U);
+  BOOST_TEST(Page.Content->HasMore);
+  BOOST_REQUIRE(Page.Content->Items.size() == 2U);
+  BOOST_TEST(Page.Content->Items[0].Value == "hi");
+  BOOST_TEST(Page.Content->Items[1].Value.empty());
+}
+
+BOOST_AUTO_TEST_CASE(EventsTellRemovedKeysApart) {
+  auto Events = Messages.parseEvents(reply(
+      200, R"({"at":15,"events":[{"key":"a/1","revision":14,"deleted":true},
+      {"key":"a/2","value":"aGk=","revision":15}]})"));
+  BOOST_REQUIRE(Events.Content);
+  BOOST_TEST(Events.Content->Revision == 15U);
+  BOOST_REQUIRE(Events.Content->Events.size() == 2U);
+  BOOST_TEST(Events.Content->Events[0].IsRemoved);
+  BOOST_TEST(!Events.Content->Events[1].IsRemoved);
+}
+
+// Guards against a mirror that goes on from a history that is gone, and against a refused call
+// that counts as an empty answer.
+BOOST_AUTO_TEST_CASE(FailuresAreToldApart) {
+  auto Failure = [](unsigned Status) { return Messages.parsePage(reply(Status, "{}")).Failure; };
+  BOOST_TEST((Failure(410) == StoreFailure::Expired));
+  BOOST_TEST((Failure(412) == StoreFailure::Conflict));
+  BOOST_TEST((Failure(429) == StoreFailure::Refused));
+  BOOST_TEST((Failure(503) == StoreFailure::Refused));
+  BOOST_TEST((Failure(500) == StoreFailure::Unreachable));
+  BOOST_TEST((Failure(200) == StoreFailure::Malformed));
+  BOOST_TEST((Messages.parsePage({}).Failure == StoreFailure::Unreachable));
+}
+
+BOOST_AUTO_TEST_CASE(AConfigurationIsReadWhole) {
+  auto Read = Messages.parseConfiguration(
+      R"({"version":5,"routes":[{"name":"r","host":"h.example","prefix":"/a/","service":"s",
+      "timeoutMs":2000,"targetLatencyMs":30,"stretch":1.5,"maxAttempts":3,"priority":1}],
+      "services":[{"name":"s","maxConns":4}],"limits":{"maxBodyBytes":1000}})");
+  BOOST_REQUIRE(Read);
+  BOOST_TEST(Read->Version == 5U);
+  const auto *Route = Read->find("h.example", "/a/b");
+  BOOST_REQUIRE(Route);
+  BOOST_TEST(Route->Terms.Stretch == 1.5);
+  BOOST_TEST(Route->Terms.MaximumAttempts == 3U);
+  BOOST_TEST((Route->Timeout == std::chrono::seconds(2)));
+  BOOST_TEST(!Read->find("h.example", "/b"));
+  BOOST_TEST(!Read->find("other.example", "/a/b"));
+  BOOST_TEST(Read->Limits.BodyBytes == 1000U);
+}
+
+// Guards against a configuration that is half in force.
+BOOST_AUTO_TEST_CASE(AConfigurationThatCannotBeReadIsRefusedWhole) {
+  for (const char *Document :
+       {"", "[]", "{}", R"({"version":-1,"routes":[]})", R"({"version":1,"routes":{}})",
+        R"({"version":1,"routes":[{"name":"r"}]})",
+        R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/","service":"s"},3]})"})
+    BOOST_TEST_CONTEXT(Document) { BOOST_TEST(!Messages.parseConfiguration(Document)); }
+}
+
+// Guards against numbers whose conversion has no defined result.
+BOOST_AUTO_TEST_CASE(NumbersOfAnySizeAreRead) {
+  auto Read = Messages.parseConfiguration(
+      R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/","service":"s",
+      "timeoutMs":1e300,"targetLatencyMs":-1e300,"priority":1e200}]})");
+  BOOST_REQUIRE(Read);
+  BOOST_TEST((Read->Routes[0].Timeout > std::chrono::hours(24)));
+}
--- /dev/null
+++ b/Tests/Pool/TestPoolManager.cpp
@@ -0,0 +1,270 @@
+#include "Kernel/Pool/PoolManager.h"
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornellift;
+using namespace cornellift::kernel;
+using namespace std::chrono_literals;
+
+namespace {
+
+class NoLog final : public DecisionLog {
+  void line(DecisionWeight, std::string_view, std::optional<JobKey>,
+            std::initializer_list<DecisionField>) override {}
+};
+
+/// Keeps what a manager orders and sends.
+class Recorder final : public PoolOutput {
+public:
+  void workerAddressed(EndpointIndex, const WorkerEntry &) override {}
+  void workerDropped(EndpointIndex) override {}
+  void look(EndpointIndex Worker, const LookOrder &Order) override {
+    Looks.emplace_back(Worker, Order);
+  }
+  void start(EndpointIndex Worker, const StartOrder &Order) override {
+    Starts.emplace_back(Worker, Order);
+  }
+  void stop(EndpointIndex Worker, const StopOrder &Order) override {
+    Stops.emplace_back(Worker, Order);
+  }
+  void send(PeerIndex Peer, PoolMessage Message) override {
+    Sent.emplace_back(Peer, std::move(Message));
+  }
+
+  std::vector<JobAnswer> answers() const {
+    std::vector<JobAnswer> Found;
+    for (const auto &[Peer, Message] : Sent)
+      if (const auto *Answer = std::get_if<PoolAnswer>(&Message))
+        Found.push_back(Answer->Answer);
+    return Found;
+  }
+
+  std::vector<std::pair<EndpointIndex, LookOrder>> Looks;
+  std::vector<std::pair<EndpointIndex, StartOrder>> Starts;
+  std::vector<std::pair<EndpointIndex, StopOrder>> Stops;
+  std::vector<std::pair<PeerIndex, PoolMessage>> Sent;
+};
+
+WorkerEntry entry(const std::string &Id) {
+  WorkerEntry Entry;
+  Entry.Id = Id;
+  Entry.Address = "10.0.0.1:80";
+  Entry.DataCentre = "ikeja";
+  Entry.Service = "slips";
+  Entry.Capacity = {4, 1000, 0};
+  Entry.Slots = 4;
+  return Entry;
+}
+
+/// A manager with workers that answer when told to.
+struct Bench {
+  Bench() : Manager({}, Out, Tokens, Log) {}
+
+  /// All open looks are answered; nothing runs but what is given.
+  void answerLooks(const std::vector<RunningTask> &Running = {},
+                   const std::vector<EndedTask> &Ended = {}) {
+    for (const auto &[Worker, Order] : std::exchange(Out.Looks, {})) {
+      LookReply Reply;
+      Reply.Verdict = OrderVerdict::Accepted;
+      Reply.Report.emplace();
+      Reply.Report->ClockMilliseconds = 1000 + (Now - core::TimePoint()) / 1ms;
+      Reply.Report->BornMilliseconds = 7;
+      Reply.Report->Running = Running;
+      Reply.Report->Ended = Ended;
+      Manager.lookReplied(Worker, Order, Reply, Now);
+    }
+  }
+
+  void list(const std::vector<std::string> &Ids) {
+    std::vector<WorkerEntry> Entries;
+    for (const auto &Id : Ids)
+      Entries.push_back(entry(Id));
+    Manager.setWorkers(Entries, Now);
+    answerLooks(); // The first look tells when the worker was born.
+    answerLooks();
+  }
+
+  JobKey submit(std::uint32_t Tasks, double Milliseconds, core::Duration Patience = 3s) {
+    auto Order = std::make_shared<JobOrder>();
+    Order->Key = static_cast<JobKey>(++LastKey);
+    Order->Steps.resize(1);
+    Order->Steps[0].Count = Tasks;
+    Order->Steps[0].Need = {2, 10, 0};
+    Order->Steps[0].DeclaredMilliseconds = Milliseconds;
+    Order->Terms.Route = "r";
+    Order->Terms.Service = "slips";
+    Order->Terms.MaximumAttempts = 2;
+    Order->Terms.Stretch = 1.5;
+    Order->Terms.TargetLatencyMilliseconds = 30;
+    Order->ReceivedAt = Now;
+    Order->AnswerBy = Now + Patience;
+    Manager.receive(SelfPeer, SubmitToPool{Order}, Now);
+    return Order->Key;
+  }
+
+  void pass(core::Duration Span) {
+    Now += Span;
+    Manager.tick(Now);
+  }
+
+  core::TimePoint Now = core::TimePoint(1h);
+  std::uint64_t LastKey = 0;
+  NoLog Log;
+  TokenSource Tokens;
+  Recorder Out;
+  PoolManager Manager;
+};
+
+} // namespace
+
+// Guards against a crash that the soak found with seed 105: another manager released a worker that
+// this one had not listed yet, and placing then looked up a rating that did not exist.
+BOOST_AUTO_TEST_CASE(AReleasedWorkerThatIsNotListedYetChangesNothing) {
+  Bench World;
+  World.list({"w-0"});
+  World.Manager.fleet().claimNow("w-9", World.Now);
+  World.Manager.fleet().holdClaim("w-8", World.Now + 1s);
+  World.submit(4, 100);
+  World.pass(20ms);
+  BOOST_TEST(World.Out.Starts.size() == 2U); // As many as fit on the listed worker.
+}
+
+// Guards against a claim before the former manager has let go, and one that is put off although it
+// has.
+BOOST_AUTO_TEST_CASE(TimesOfClaimsHoldForWorkersThatAreListedLater) {
+  Bench World;
+  World.Manager.fleet().holdClaim("w-0", World.Now + 1s);
+  World.Manager.fleet().holdClaim("w-1", World.Now + 1s);
+  World.Manager.fleet().claimNow("w-1", World.Now);
+  World.Manager.setWorkers(std::vector{entry("w-0"), entry("w-1")}, World.Now);
+  BOOST_REQUIRE(World.Out.Looks.size() == 1U);
+  BOOST_TEST((World.Out.Looks[0].first == EndpointIndex{1}));
+  World.pass(1s);
+  BOOST_TEST(World.Out.Looks.size() == 2U);
+}
+
+// Guards against a task that starts on a worker whose lease is not held.
+BOOST_AUTO_TEST_CASE(NothingStartsBeforeTheWorkerHasAnsweredTheClaim) {
+  Bench World;
+  World.Manager.setWorkers(std::vector{entry("w-0")}, World.Now);
+  World.submit(1, 100);
+  BOOST_TEST(World.Out.Starts.empty());
+  World.answerLooks();
+  World.answerLooks();
+  World.pass(10ms);
+  BOOST_TEST(World.Out.Starts.size() == 1U);
+}
+
+// Guards against a start order without reply that is repeated at once: the first one may still be
+// carried out.
+BOOST_AUTO_TEST_CASE(AStartWithoutReplyIsNotRepeatedWhileItMayStillRun) {
+  Bench World;
+  World.list({"w-0", "w-1"});
+  World.submit(1, 100);
+  BOOST_REQUIRE(World.Out.Starts.size() == 1U);
+  auto [Worker, Order] = World.Out.Starts[0];
+  World.Manager.startReplied(Worker, Order, {OrderVerdict::NoReply, {}}, World.Now);
+  World.pass(50ms);
+  World.answerLooks();
+  BOOST_TEST(World.Out.Starts.size() == 1U);
+  // The worker's clock is past the time by which the order had to be carried out.
+  World.pass(60ms);
+  World.answerLooks();
+  World.pass(10ms);
+  BOOST_TEST(World.Out.Starts.size() == 2U);
+  BOOST_TEST(World.Out.Starts.back().second.Run == 2U);
+}
+
+// Guards against a job that waits until its deadline although it can no longer be done.
+BOOST_AUTO_TEST_CASE(AJobThatCannotBeDoneIsRejectedWithATimeToComeBack) {
+  Bench World;
+  World.list({"w-0"});
+  for (int Job = 0; Job < 40; ++Job)
+    World.submit(4, 400);
+  auto Answers = World.Out.answers();
+  BOOST_REQUIRE(!Answers.empty());
+  BOOST_TEST((Answers.back().Verdict == JobVerdict::Rejected));
+  BOOST_TEST(Answers.back().RetryAfterMilliseconds > 0);
+  BOOST_TEST(!Answers.back().Why.empty());
+}
+
+// Guards against work that goes on after its caller has left.
+BOOST_AUTO_TEST_CASE(RunsOfAnAbandonedJobAreStopped) {
+  Bench World;
+  World.list({"w-0"});
+  auto Key = World.submit(2, 300);
+  BOOST_REQUIRE(World.Out.Starts.size() == 2U);
+  World.Manager.receive(SelfPeer, AbandonJob{Key}, World.Now);
+  BOOST_TEST(World.Out.Stops.size() == 2U);
+}
+
+// Guards against a task that is counted twice because its end is listed again.
+BOOST_AUTO_TEST_CASE(AnEndIsAppliedOnce) {
+  Bench World;
+  World.list({"w-0"});
+  World.submit(2, 100);
+  BOOST_REQUIRE(World.Out.Starts.size() == 2U);
+  const auto &First = World.Out.Starts[0].second;
+  const auto &Second = World.Out.Starts[1].second;
+  for (const auto &[Worker, Order] : World.Out.Starts)
+    World.Manager.startReplied(Worker, Order, {OrderVerdict::Accepted, {}}, World.Now);
+  World.pass(100ms);
+  EndedTask End{1, First.Task, First.Run, RunEnd::Done};
+  RunningTask Rest{Second.Task, Second.Run, 80};
+  World.answerLooks({Rest}, {End});
+  World.pass(10ms);
+  World.answerLooks({Rest}, {End});
+  BOOST_TEST(World.Out.answers().empty());
+  World.pass(10ms);
+  World.answerLooks({}, {End, {2, Second.Task, Second.Run, RunEnd::Done}});
+  BOOST_REQUIRE(World.Out.answers().size() == 1U);
+  BOOST_TEST((World.Out.answers()[0].Verdict == JobVerdict::Completed));
+}
+
+// Guards against a repeated submission that runs a finished job again.
+BOOST_AUTO_TEST_CASE(ARepeatedSubmissionGetsTheFormerAnswer) {
+  Bench World;
+  World.list({"w-0"});
+  World.submit(1, 100);
+  BOOST_REQUIRE(World.Out.Starts.size() == 1U);
+  const auto &[Worker, Order] = World.Out.Starts[0];
+  World.Manager.startReplied(Worker, Order, {OrderVerdict::Accepted, {}}, World.Now);
+  World.pass(100ms);
+  World.answerLooks({}, {{1, Order.Task, Order.Run, RunEnd::Done}});
+  BOOST_REQUIRE(World.Out.answers().size() == 1U);
+  --World.LastKey;
+  World.submit(1, 100);
+  BOOST_TEST(World.Out.answers().size() == 2U);
+  BOOST_TEST(World.Out.Starts.size() == 1U);
+}
+
+// Guards against a job that is failed at its first failed run, or tried for ever.
+BOOST_AUTO_TEST_CASE(AJobFailsAfterItsAttempts) {
+  Bench World;
+  World.list({"w-0", "w-1"});
+  World.submit(1, 100);
+  for (std::uint64_t Attempt = 1; Attempt <= 2; ++Attempt) {
+    BOOST_REQUIRE(World.Out.Starts.size() == Attempt);
+    auto [Worker, Order] = World.Out.Starts.back();
+    World.Manager.startReplied(Worker, Order, {OrderVerdict::Accepted, {}}, World.Now);
+    World.pass(20ms);
+    for (const auto &[Looked, Look] : std::exchange(World.Out.Looks, {})) {
+      LookReply Reply;
+      Reply.Verdict = OrderVerdict::Accepted;
+      Reply.Report.emplace();
+      Reply.Report->ClockMilliseconds = 1000 + (World.Now - core::TimePoint()) / 1ms;
+      Reply.Report->BornMilliseconds = 7;
+      if (Looked == Worker)
+        Reply.Report->Ended = {{Attempt, Order.Task, Order.Run, RunEnd::Failed}};
+      World.Manager.lookReplied(Looked, Look, Reply, World.Now);
+    }
+    World.pass(1ms);
+  }
+  BOOST_REQUIRE(World.Out.answers().size() == 1U);
+  BOOST_TEST((World.Out.answers()[0].Verdict == JobVerdict::Failed));
+}
--- a/Tests/Soak/TestPoolSoak.cpp
+++ b/Tests/Soak/TestPoolSoak.cpp
@@ -87,6 +87,14 @@
   return Found;
 }
 
+void checkSeed(std::uint64_t Seed) {
+  std::chrono::seconds Span(numberFromEnvironment("CORNELLIFT_SOAK_SECONDS", 12));
+  auto Found = playSeed(Seed, Span);
+  BOOST_CHECK_MESSAGE(Found.empty(), "seed " << Seed << ": " << Found.size()
+                                             << " broken promises, the first: "
+                                             << (Found.empty() ? "" : Found.front()));
+}
+
 } // namespace
 
 // Guards every promise to callers under faults from outside that overlap: a task never runs twice
@@ -95,12 +103,15 @@
 // length.
 BOOST_AUTO_TEST_CASE(RandomFaultsOnProcesses) {
   auto First = numberFromEnvironment("CORNELLIFT_FIRST_SEED", 1);
-  auto Count = numberFromEnvironment("CORNELLIFT_SEEDS", 2);
-  std::chrono::seconds Span(numberFromEnvironment("CORNELLIFT_SOAK_SECONDS", 12));
-  for (auto Seed = First; Seed < First + Count; ++Seed) {
-    auto Found = playSeed(Seed, Span);
-    BOOST_CHECK_MESSAGE(Found.empty(), "seed " << Seed << ": " << Found.size()
-                                               << " broken promises, the first: "
-                                               << (Found.empty() ? "" : Found.front()));
-  }
+  auto Count = numberFromEnvironment("CORNELLIFT_SEEDS", 1);
+  for (auto Seed = First; Seed < First + Count; ++Seed)
+    checkSeed(Seed);
+}
+
+// Seeds that failed before. The times of processes vary, so that a seed does not always meet the
+// same interleaving; each cause has a test of its own too.
+BOOST_AUTO_TEST_CASE(SeedsThatFailedBefore) {
+  // A worker that another manager had released, and that was not listed yet, ended the process:
+  // TestPoolManager, AReleasedWorkerThatIsNotListedYetChangesNothing.
+  checkSeed(105);
 }
--- a/Utilities/Operator/Explanation.cpp
+++ b/Utilities/Operator/Explanation.cpp
@@ -43,7 +43,8 @@
 
 std::optional<LogLine> parseLine(const std::string &Text) {
   auto Begin = Text.find('{');
-  auto Parsed = Begin == std::string::npos ? Json() : Json::parse(Text.substr(Begin), nullptr, false);
+  auto Parsed =
+      Begin == std::string::npos ? Json() : Json::parse(Text.substr(Begin), nullptr, false);
   if (!Parsed.is_object() || !Parsed.contains("timestamp") || !Parsed.contains("message"))
     return std::nullopt;
   auto At = parseTime(Parsed.value("timestamp", ""));
@@ -140,9 +141,8 @@
     if (Worker == Line.Fields.end() || Workers.contains(Worker->second))
       Lines.push_back(&Line);
   }
-  std::stable_sort(Lines.begin(), Lines.end(), [](const LogLine *Left, const LogLine *Right) {
-    return Left->At < Right->At;
-  });
+  std::stable_sort(Lines.begin(), Lines.end(),
+                   [](const LogLine *Left, const LogLine *Right) { return Left->At < Right->At; });
   return Lines;
 }
 
@@ -151,9 +151,8 @@
     return {};
   std::ostringstream Out;
   auto Lines = selected();
-  auto First = std::find_if(Lines.begin(), Lines.end(), [](const LogLine *Line) {
-    return Line->Fields.contains("job");
-  });
+  auto First = std::find_if(Lines.begin(), Lines.end(),
+                            [](const LogLine *Line) { return Line->Fields.contains("job"); });
   for (const auto *Line : Lines)
     renderLine(Out, *Line, (*First)->At, Line->Fields.contains("job"));
   return Out.str();
