PoolDaemon: Keep the trail of late answers and bound lines on failures by 200 a second

A late answer counted as served, so its lines were dropped with those of served requests, and 60 lines a second were not enough for refusals at overload. The manager now tells the entry process that an answer is late.

--- a/Kernel/Pool/JobOrder.h
+++ b/Kernel/Pool/JobOrder.h
@@ -61,6 +61,7 @@
   JobVerdict Verdict = JobVerdict::GivenUp;
   std::string Why;                   ///< Of every verdict but Completed.
   double RetryAfterMilliseconds = 0; ///< Of Rejected: when a new attempt is likely to be served.
+  bool IsLate = false;               ///< Of Completed: the objective was missed.
 };
 
 } // namespace cornellift::kernel
--- a/Kernel/Pool/PoolManagerJobs.cpp
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -263,8 +263,11 @@
     ++Counters_.JobsGivenUp;
     break;
   }
-  if (Answer.Verdict != JobVerdict::Completed)
-    Log_.line(DecisionWeight::Notable, "job ended without success", Job.key(),
+  Answer.IsLate = Answer.Verdict == JobVerdict::Completed && Now > Job.ObjectiveAt;
+  if (Answer.IsLate)
+    Answer.Why = "completed late";
+  if (!Answer.Why.empty())
+    Log_.line(DecisionWeight::Notable, "job ended without success in time", Job.key(),
               {{"why", std::string_view(Answer.Why)},
                {"age_ms", core::toMilliseconds(Now - Job.Order->ReceivedAt)},
                {"objective_in_ms", core::toMilliseconds(Job.ObjectiveAt - Now)},
--- a/Libraries/LibMesh/MeshCoding.cpp
+++ b/Libraries/LibMesh/MeshCoding.cpp
@@ -142,6 +142,7 @@
     Message.set_verdict(static_cast<std::uint32_t>(Value.Answer.Verdict));
     Message.set_why(Value.Answer.Why);
     Message.set_retry_after_ms(Value.Answer.RetryAfterMilliseconds);
+    Message.set_late(Value.Answer.IsLate);
   }
   void operator()(const AbandonJob &Value) const {
     Out_.mutable_abandon()->set_job(static_cast<std::uint64_t>(Value.Job));
@@ -204,7 +205,7 @@
     const auto &Value = Message.answer();
     return PoolAnswer{static_cast<JobKey>(Value.job()),
                       {decodeEnumeration(Value.verdict(), JobVerdict::GivenUp), Value.why(),
-                       Value.retry_after_ms()}};
+                       Value.retry_after_ms(), Value.late()}};
   }
   case Frame::kAbandon:
     return AbandonJob{static_cast<JobKey>(Message.abandon().job())};
--- a/Services/PoolDaemon/DaemonSettings.cpp
+++ b/Services/PoolDaemon/DaemonSettings.cpp
@@ -36,7 +36,7 @@
     {"remote-factor", "Run time of a task away from its data, relative to near it",
      SettingType::Real, "1", 1, 100},
     {"log-lines-per-second",
-     "Lines on served requests; failed ones and beliefs have three times as many",
+     "Lines on served requests; failed ones and beliefs have ten times as many each",
      SettingType::Integer, "20", 1, 100000},
     {"log-held-lines", "Lines left out that are kept in memory in case their request fails",
      SettingType::Integer, "512", 0, 1000000},
--- a/Services/PoolDaemon/DecisionLogWriter.cpp
+++ b/Services/PoolDaemon/DecisionLogWriter.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// Lines that explain a failure, per line on served requests.
-constexpr std::uint32_t ExplanationFactor = 3;
+constexpr std::uint32_t ExplanationFactor = 10;
 
 std::string toText(const kernel::DecisionField &Field) {
   if (const auto *Integer = std::get_if<std::int64_t>(&Field.Value))
@@ -54,6 +54,10 @@
 }
 
 void DecisionLogWriter::writeHeld(kernel::JobKey Job, core::TimePoint Now) {
+  // Other jobs' own lines come before the held ones of this job.
+  auto Notable = static_cast<std::size_t>(kernel::DecisionWeight::Notable);
+  if (Left_[Notable] < LinesPerSecond_[Notable] / 2)
+    return;
   for (const auto &Line : Held_.take(Job)) {
     if (!take(kernel::DecisionWeight::Notable, Now))
       return;
--- a/Services/PoolDaemon/DecisionLogWriter.h
+++ b/Services/PoolDaemon/DecisionLogWriter.h
@@ -15,7 +15,7 @@
 /// counted and reported once a second.
 class DecisionLogWriter final : public kernel::DecisionLog {
 public:
-  /// The bound holds for lines on served requests; each other weight has three times as many.
+  /// The bound holds for lines on served requests; each other weight has ten times as many.
   DecisionLogWriter(std::uint32_t RoutineLinesPerSecond, std::size_t HeldLineCount)
       : Held_(HeldLineCount) {
     setBound(RoutineLinesPerSecond);
--- a/Services/PoolDaemon/Ingress.cpp
+++ b/Services/PoolDaemon/Ingress.cpp
@@ -207,7 +207,7 @@
   switch (Answer.Answer.Verdict) {
   case kernel::JobVerdict::Completed:
     return finish(Answer.Job, {200, Format_.renderProgress(platform::JobProgress::Completed), {}},
-                  verdictWord(Answer.Answer.Verdict), Now);
+                  Answer.Answer.IsLate ? "completed_late" : "completed", Now);
   case kernel::JobVerdict::Failed:
     return finish(Answer.Job, {200, Format_.renderProgress(platform::JobProgress::Failed), {}},
                   verdictWord(Answer.Answer.Verdict), Now);
@@ -231,7 +231,8 @@
                  core::MetricLabel("outcome", Outcome)};
   Metrics_.counter("cornellift_jobs_total", Labels).add();
   Metrics_.histogram("cornellift_job_milliseconds", Labels).add(Taken);
-  Log_.line(Reply.Status == 200 ? kernel::DecisionWeight::Routine : kernel::DecisionWeight::Notable,
+  bool IsServed = Outcome == "completed" || Outcome == "cancelled";
+  Log_.line(IsServed ? kernel::DecisionWeight::Routine : kernel::DecisionWeight::Notable,
             "job answered", Key,
             {{"outcome", Outcome},
              {"status", static_cast<std::int64_t>(Reply.Status)},
--- a/Tests/Platform/TestCallerMessages.cpp
+++ b/Tests/Platform/TestCallerMessages.cpp
@@ -43,8 +43,8 @@
 
 // Guards against a job that is taken although the product cannot do what it asks for.
 BOOST_AUTO_TEST_CASE(UnsupportedKindsAreNamed) {
-  for (const char *Field : {"\"gang\":true", "\"longRunning\":true", "\"fills\":true",
-                            "\"repeatCount\":3"}) {
+  for (const char *Field :
+       {"\"gang\":true", "\"longRunning\":true", "\"fills\":true", "\"repeatCount\":3"}) {
     BOOST_TEST_CONTEXT(Field) {
       auto Job = parse(std::string(R"({"bestEffort":true,"phases":[{"count":1,)") + Field + "}]}");
       BOOST_REQUIRE(Job);
--- a/Tests/Platform/TestStoreMessages.cpp
+++ b/Tests/Platform/TestStoreMessages.cpp
@@ -18,8 +18,8 @@
 } // namespace
 
 BOOST_AUTO_TEST_CASE(APageHoldsKeysWithDecodedValues) {
-  auto Page = Messages.parsePage(reply(
-      200, R"({"at":12,"hasMore":true,"items":[{"key":"a/1","value":"aGk=","revision":9},
+  auto Page = Messages.parsePage(
+      reply(200, R"({"at":12,"hasMore":true,"items":[{"key":"a/1","value":"aGk=","revision":9},
       {"key":"a/2","value":"not base64!","revision":10},{"value":"aGk="}]})"));
   BOOST_REQUIRE(Page.Content);
   BOOST_TEST(Page.Content->Revision == 12U);
@@ -30,8 +30,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(EventsTellRemovedKeysApart) {
-  auto Events = Messages.parseEvents(reply(
-      200, R"({"at":15,"events":[{"key":"a/1","revision":14,"deleted":true},
+  auto Events = Messages.parseEvents(
+      reply(200, R"({"at":15,"events":[{"key":"a/1","revision":14,"deleted":true},
       {"key":"a/2","value":"aGk=","revision":15}]})"));
   BOOST_REQUIRE(Events.Content);
   BOOST_TEST(Events.Content->Revision == 15U);
--- a/Tests/Platform/TestWorkerMessages.cpp
+++ b/Tests/Platform/TestWorkerMessages.cpp
@@ -22,8 +22,8 @@
 } // namespace
 
 BOOST_AUTO_TEST_CASE(AReportListsWhatRunsAndWhatHasEndedInOrder) {
-  auto Look = Messages.parseLookReply(reply(
-      200, R"({"clockMs":5000,"born":77,"running":[["00000000000000aa.0.1.2",3,0,40.5]],
+  auto Look = Messages.parseLookReply(
+      reply(200, R"({"clockMs":5000,"born":77,"running":[["00000000000000aa.0.1.2",3,0,40.5]],
       "finished":[[9,"00000000000000ab.0.0.0",1,"failed",0],
                   [8,"00000000000000ac.0.0.1",2,"done",0],[10,"not a task",1,"done",0]]})"));
   BOOST_REQUIRE((Look.Verdict == OrderVerdict::Accepted));
