--- a/Tests/Integration/TestPoolDaemon.cpp
+++ b/Tests/Integration/TestPoolDaemon.cpp
@@ -23,7 +23,7 @@
 /// Callers that post jobs to given VMs in turn until they are told to stop.
 class Load {
 public:
-  Load(std::vector<std::uint16_t> Ports, int Callers, int RunMilliseconds) {
+  Load(const std::vector<std::uint16_t> &Ports, int Callers, int RunMilliseconds) {
     for (int Each = 0; Each < Callers; ++Each)
       Threads_.emplace_back([this, Ports, Each, RunMilliseconds] {
         for (std::size_t Turn = static_cast<std::size_t>(Each); !Stopping_; ++Turn)
@@ -189,9 +189,11 @@
     if (Vm.Name != Manager)
       Ports.push_back(Vm.CallerPort);
   Load Others(Ports, 6, 100);
+  constexpr int OwnCallers = 6;
   std::vector<std::thread> Own;
+  Own.reserve(OwnCallers);
   std::atomic<int> Whole{0};
-  for (int Each = 0; Each < 6; ++Each)
+  for (int Each = 0; Each < OwnCallers; ++Each)
     Own.emplace_back([&] {
       if (postJob(Deployment.vm(Manager).CallerPort, newJobKey(), 2, 700).State == "completed")
         ++Whole;
--- a/Tests/Pool/TestPoolManager.cpp
+++ b/Tests/Pool/TestPoolManager.cpp
@@ -82,6 +82,7 @@
 
   void list(const std::vector<std::string> &Ids) {
     std::vector<WorkerEntry> Entries;
+    Entries.reserve(Ids.size());
     for (const auto &Id : Ids)
       Entries.push_back(entry(Id));
     Manager.setWorkers(Entries, Now);
