--- a/Kernel/Pool/PoolElection.cpp
+++ b/Kernel/Pool/PoolElection.cpp
@@ -8,6 +8,9 @@
 
 /// A process that has just started first listens to the others.
 constexpr core::Duration ListenTime = std::chrono::milliseconds(250);
+/// The same before it takes the workers of another data centre, whose VMs may be starting too: a
+/// hand-over to them while all callers come back would leave workers idle.
+constexpr core::Duration ForeignListenTime = std::chrono::milliseconds(1000);
 /// A process is trusted with the workers of its data centre after this time.
 constexpr core::Duration ProvenTime = std::chrono::milliseconds(1500);
 /// The leases of a manager that fell silent have ended after this time; its loss is noticed when it
@@ -98,7 +101,9 @@
 
 void PoolElection::considerBegin(const std::string &DataCentre, core::TimePoint Now,
                                  ElectionChanges &Changes) {
-  if (Self_.IsStopping || !Self_.IsReady || Now < StartedAt_ + ListenTime)
+  bool IsOwn = Self_.DataCentre == DataCentre;
+  if (Self_.IsStopping || !Self_.IsReady ||
+      Now < StartedAt_ + (IsOwn ? ListenTime : ForeignListenTime))
     return;
   if (Peers_.empty() && OthersExist_ && Now < AloneSince_ + AloneTime)
     return;
