--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Installs what is missing, builds, starts a whole deployment on loopback (two data centres with two
-# entry VMs and six endpoints each, and a stand-in of the platform) and runs one job end to end.
+# entry VMs and six endpoints each, and a stand-in of the platform) and runs one job end to end; then the
+# same on the route of the users' platform.
 # With --keep it leaves everything running until it is interrupted.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -80,6 +81,7 @@
   curl -s 127.0.0.1:7301/metrics
 Logs are in build/demo. Documentation: README.md.
 TEXT
+echo; Meta/demo-platform.sh
 if [ "${1:-}" = "--keep" ]; then
   echo "running; interrupt to stop"
   wait
--- /dev/null
+++ b/Tests/LibMesh/TestMeshNode.cpp
@@ -0,0 +1,222 @@
+#include "Libraries/LibMesh/MeshNode.h"
+
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornellift;
+using namespace cornellift::mesh;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::uint16_t freePort() {
+  asio::io_context Reactor;
+  Tcp::acceptor Acceptor(Reactor, {asio::ip::address_v4::loopback(), 0});
+  return Acceptor.local_endpoint().port();
+}
+
+/// One direction of a relayed connection.
+struct Pump : std::enable_shared_from_this<Pump> {
+  Pump(std::shared_ptr<Tcp::socket> Source, std::shared_ptr<Tcp::socket> Sink, const bool &Silent)
+      : From(std::move(Source)), To(std::move(Sink)), IsSilent(Silent) {}
+
+  void run() {
+    From->async_read_some(asio::buffer(Bytes), [Self = shared_from_this()](auto Error, auto Count) {
+      boost::system::error_code Broken;
+      if (!Error && !Self->IsSilent)
+        asio::write(*Self->To, asio::buffer(Self->Bytes, Count), Broken);
+      if (Error || Broken)
+        return Self->To->close(Broken);
+      Self->run();
+    });
+  }
+
+  std::shared_ptr<Tcp::socket> From;
+  std::shared_ptr<Tcp::socket> To;
+  const bool &IsSilent;
+  std::array<char, 4096> Bytes{};
+};
+
+/// Forwards connections to another port; it can reset them all and let them fall silent.
+class Relay {
+public:
+  Relay(asio::io_context &Reactor, std::uint16_t Target)
+      : Reactor_(Reactor), Target_(asio::ip::address_v4::loopback(), Target),
+        Acceptor_(Reactor, {asio::ip::address_v4::loopback(), 0}) {
+    accept();
+  }
+
+  std::string address() const { return reactor::formatAddress(Acceptor_.local_endpoint()); }
+  void setSilent(bool IsSilent) { IsSilent_ = IsSilent; }
+  void reset() {
+    boost::system::error_code Ignored; // The sockets may be closed already.
+    for (const auto &Socket : Sockets_) {
+      Socket->set_option(asio::socket_base::linger(true, 0), Ignored);
+      Socket->close(Ignored);
+    }
+    Sockets_.clear();
+  }
+
+private:
+  void accept() {
+    Acceptor_.async_accept([this](boost::system::error_code Error, Tcp::socket Socket) {
+      if (Error)
+        return;
+      auto Near = std::make_shared<Tcp::socket>(std::move(Socket));
+      auto Far = std::make_shared<Tcp::socket>(Reactor_);
+      boost::system::error_code Refused;
+      Far->connect(Target_, Refused);
+      if (!Refused) {
+        Sockets_.push_back(Near);
+        Sockets_.push_back(Far);
+        std::make_shared<Pump>(Near, Far, IsSilent_)->run();
+        std::make_shared<Pump>(Far, Near, IsSilent_)->run();
+      }
+      accept();
+    });
+  }
+
+  asio::io_context &Reactor_;
+  Tcp::endpoint Target_;
+  Tcp::acceptor Acceptor_;
+  std::vector<std::shared_ptr<Tcp::socket>> Sockets_;
+  bool IsSilent_ = false;
+};
+
+/// A node that remembers what it was told.
+class Node final : public MeshListener {
+public:
+  Node(asio::io_context &Reactor, const std::string &Vm, std::uint16_t Port,
+       std::uint64_t Incarnation, const std::string &Advertised)
+      : Mesh(Reactor, {Vm, "ikeja", Advertised, Incarnation, 1}, *this) {
+    Mesh.listen({asio::ip::address_v4::loopback(), Port});
+  }
+
+  Heartbeat heartbeatFor() override { return {}; }
+  bool isClose(const MeshPeer &) override { return true; }
+  void peerUp(const MeshPeer &Peer) override {
+    Index = Peer.Index;
+    ++Ups;
+  }
+  void peerDown(const MeshPeer &, PeerLoss How) override { Downs.push_back(How); }
+  void heartbeatReceived(const MeshPeer &, const Heartbeat &) override {}
+  void messageReceived(const MeshPeer &, const Frame &Message) override {
+    Received.push_back(Message.abandon().job());
+  }
+
+  void send(std::uint64_t Job) {
+    Frame Message;
+    Message.mutable_abandon()->set_job(Job);
+    Mesh.send(Index, Message);
+  }
+
+  kernel::PeerIndex Index{};
+  int Ups = 0;
+  std::vector<PeerLoss> Downs;
+  std::vector<std::uint64_t> Received;
+  MeshNode Mesh;
+};
+
+/// Two nodes; what the first one sends goes through a relay.
+struct Pair {
+  Pair()
+      : SecondPort(freePort()), Way(Reactor, SecondPort),
+        First(std::make_unique<Node>(Reactor, "ikeja-1", FirstPort, 1,
+                                     "127.0.0.1:" + std::to_string(FirstPort))),
+        Second(std::make_unique<Node>(Reactor, "ikeja-2", SecondPort, 2, Way.address())) {
+    First->Mesh.learn("ikeja-2", Way.address());
+  }
+
+  bool until(const std::function<bool()> &Holds, std::chrono::milliseconds Limit = 3000ms) {
+    auto End = std::chrono::steady_clock::now() + Limit;
+    while (!Holds() && std::chrono::steady_clock::now() < End) {
+      Reactor.run_for(5ms);
+      First->Mesh.tick(core::MonotonicClock::now());
+      if (Second)
+        Second->Mesh.tick(core::MonotonicClock::now());
+    }
+    return Holds();
+  }
+
+  bool areUp() { return First->Mesh.peers().size() == 1 && Second->Mesh.peers().size() == 1; }
+
+  asio::io_context Reactor;
+  std::uint16_t FirstPort = freePort();
+  std::uint16_t SecondPort;
+  Relay Way;
+  std::unique_ptr<Node> First;
+  std::unique_ptr<Node> Second;
+};
+
+} // namespace
+
+// Guards against messages that are lost, repeated or out of order when connections are reset.
+BOOST_AUTO_TEST_CASE(MessagesArriveOnceAndInOrderOverResetConnections) {
+  Pair World;
+  BOOST_REQUIRE(World.until([&] { return World.areUp(); }));
+  constexpr std::uint64_t Count = 200;
+  for (std::uint64_t Job = 1; Job <= Count; ++Job) {
+    World.First->send(Job);
+    if (Job % 50 == 0) {
+      World.Way.reset();
+      World.until([] { return false; }, 100ms);
+    }
+  }
+  BOOST_REQUIRE(World.until([&] { return World.Second->Received.size() >= Count; }));
+  for (std::uint64_t Job = 1; Job <= Count; ++Job)
+    BOOST_TEST(World.Second->Received[Job - 1] == Job);
+  BOOST_TEST(World.Second->Received.size() == Count);
+  BOOST_TEST(World.First->Downs.empty());
+}
+
+// Guards against a connection that has gone silent and is believed to work.
+BOOST_AUTO_TEST_CASE(ASilentWayIsNoticedAndReplaced) {
+  Pair World;
+  BOOST_REQUIRE(World.until([&] { return World.areUp(); }));
+  World.Way.setSilent(true);
+  World.First->send(1);
+  BOOST_TEST(World.until([&] { return !World.First->Downs.empty(); }));
+  BOOST_TEST((World.First->Downs.at(0) == PeerLoss::Silent));
+  World.Way.setSilent(false);
+  World.Way.reset();
+  BOOST_REQUIRE(World.until([&] { return World.areUp() && World.First->Ups >= 2; }));
+  World.First->send(2);
+  BOOST_TEST(World.until(
+      [&] { return !World.Second->Received.empty() && World.Second->Received.back() == 2; }));
+}
+
+// Guards against messages for a former process that reach its successor.
+BOOST_AUTO_TEST_CASE(ANewIncarnationIsANewPeer) {
+  Pair World;
+  BOOST_REQUIRE(World.until([&] { return World.areUp(); }));
+  World.Second->Mesh.close();
+  World.Second.reset();
+  World.Way.reset();
+  World.First->send(1);
+  BOOST_TEST(World.until([&] { return !World.First->Downs.empty(); }));
+  World.Second =
+      std::make_unique<Node>(World.Reactor, "ikeja-2", World.SecondPort, 3, World.Way.address());
+  BOOST_REQUIRE(World.until([&] { return World.areUp(); }));
+  World.First->send(2);
+  BOOST_REQUIRE(World.until([&] { return !World.Second->Received.empty(); }));
+  BOOST_TEST(World.Second->Received.front() == 2U);
+}
+
+// Guards against a process that cannot find the others because it knows addresses only.
+BOOST_AUTO_TEST_CASE(ASeedAddressTellsItsName) {
+  Pair World;
+  auto Third = std::make_unique<Node>(World.Reactor, "ikeja-3", freePort(), 4, "127.0.0.1:1");
+  Third->Mesh.learnAddress(World.Way.address());
+  BOOST_TEST(World.until([&] {
+    Third->Mesh.tick(core::MonotonicClock::now());
+    auto Known = Third->Mesh.known();
+    return Known.size() == 1 && Known.front()->vm() == "ikeja-2";
+  }));
+}
