LibStore: Let only the last pause of a mirror go on

A pause that is over when a faster pace is asked for has its handler queued already; the second handler then called a null pointer to a member. That happens when a paused process wakes up and begins to manage workers.

--- a/Libraries/LibStore/KeyMirror.cpp
+++ b/Libraries/LibStore/KeyMirror.cpp
@@ -116,10 +116,13 @@
     return;
   Next_ = Next;
   Timer_.expires_after(Pause);
-  Timer_.async_wait([Self = shared_from_this(), Round = Round_](boost::system::error_code Error) {
-    if (!Error && Round == Self->Round_)
-      (Self.get()->*std::exchange(Self->Next_, nullptr))();
-  });
+  // A wait that is over already ends without an error although a later one has replaced it.
+  auto Wait = ++Wait_;
+  Timer_.async_wait(
+      [Self = shared_from_this(), Round = Round_, Wait](boost::system::error_code Error) {
+        if (!Error && Round == Self->Round_ && Wait == Self->Wait_ && Self->Next_)
+          (Self.get()->*std::exchange(Self->Next_, nullptr))();
+      });
 }
 
 } // namespace cornellift::store
--- a/Libraries/LibStore/KeyMirror.h
+++ b/Libraries/LibStore/KeyMirror.h
@@ -58,6 +58,7 @@
   bool IsLoaded_ = false;
   bool IsStopped_ = true;
   void (KeyMirror::*Next_)() = nullptr; ///< What follows the pause under way.
+  std::uint64_t Wait_ = 0;              ///< Of the pauses; only the last one counts.
   std::uint32_t Failures_ = 0;          ///< In a row.
   std::uint64_t Round_ = 0;             ///< Ignores replies to calls made before a restart.
   std::minstd_rand Random_;
--- a/Tests/Pool/TestPoolLoads.cpp
+++ b/Tests/Pool/TestPoolLoads.cpp
@@ -4,9 +4,8 @@
 
 using namespace cornellift;
 using namespace std::chrono_literals;
-using test::submitEvenly;
 using test::shareInTime;
-
+using test::submitEvenly;
 
 // Eight workers with room for two such tasks each serve 40 jobs/s at most. Guards against waste at
 // a load that leaves room.
--- a/Tests/Pool/TestPoolManager.cpp
+++ b/Tests/Pool/TestPoolManager.cpp
@@ -123,8 +123,8 @@
 
 } // namespace
 
-// Guards against a crash that the soak found with seed 105: another manager released a worker that
-// this one had not listed yet, and placing then looked up a rating that did not exist.
+// Guards against a rating that is looked up and does not exist: another manager released a worker
+// that this one had not listed yet.
 BOOST_AUTO_TEST_CASE(AReleasedWorkerThatIsNotListedYetChangesNothing) {
   Bench World;
   World.list({"w-0"});
--- a/Tests/Soak/TestPoolSoak.cpp
+++ b/Tests/Soak/TestPoolSoak.cpp
@@ -111,8 +111,8 @@
 // Seeds that failed before. The times of processes vary, so that a seed does not always meet the
 // same interleaving; each cause has a test of its own too.
 BOOST_AUTO_TEST_CASE(SeedsThatFailedBefore) {
-  // A worker that another manager had released, and that was not listed yet, ended the process:
-  // TestPoolManager, AReleasedWorkerThatIsNotListedYetChangesNothing.
+  // A pause of a mirror that was over when a faster pace was asked for ended the process:
+  // TestKeyMirror.
   checkSeed(105);
   // SIGHUP ended a process that had just started: it is ignored from the first line of main() on.
   checkSeed(409);
