--- a/Tests/LibStore/TestKeyMirror.cpp
+++ b/Tests/LibStore/TestKeyMirror.cpp
@@ -30,8 +30,7 @@
   while (!Mirror->isLoaded())
     Reactor.run_one_for(10ms);
   reactor::asio::steady_timer Earlier(Reactor, 50ms);
-  Earlier.async_wait(
-      [&](boost::system::error_code) { Mirror->setPace({100ms, 10ms}); });
+  Earlier.async_wait([&](boost::system::error_code) { Mirror->setPace({100ms, 10ms}); });
   std::this_thread::sleep_for(300ms); // Both waits end before either is handled.
   Reactor.run_for(100ms);
   BOOST_TEST(Mirror->isLoaded());
