--- a/Meta/check-style.sh
+++ b/Meta/check-style.sh
@@ -2,7 +2,7 @@
 # Runs the formatter and the linter; with --fix the formatter rewrites the files. Needs build/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mapfile -t files < <(git ls-files '*.h' '*.cpp' | grep -v /Generated/)
+mapfile -t files < <(git ls-files --cached --others --exclude-standard '*.h' '*.cpp' | grep -v /Generated/)
 if [ "${1:-}" = "--fix" ]; then
   clang-format -i "${files[@]}"
   exit 0
