Tests: Give each test program ports of its own

Two of 42 runs of RollingRestartUnderLoadCutsNothing, seven at a time, failed because a restarting process found its port taken. Cause: programs that run at the same time began at blocks chosen by their process number, and a port counts as free while its server is being restarted. The search for free ports stood twice and is one class now.

--- a/Tests/Integration/Deployment.cpp
+++ b/Tests/Integration/Deployment.cpp
@@ -1,5 +1,7 @@
 #include "Tests/Integration/Deployment.h"
 
+#include "Tests/Integration/PortPool.h"
+
 #include <algorithm>
 #include <chrono>
 #include <filesystem>
@@ -9,33 +11,15 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 namespace cornellift::integration {
 namespace {
 
 using Json = nlohmann::json;
 
-constexpr std::uint16_t FirstPort = 20000; // Below Linux' range for outgoing connections.
-constexpr unsigned PortBlocks = 120;
-constexpr std::uint16_t PortsPerBlock = 100;
 constexpr const char *TeamKey = "counter-key";
 constexpr const char *OperatorKey = "operator-key";
 constexpr auto PollInterval = std::chrono::milliseconds(20);
 
-bool isFree(std::uint16_t Port) {
-  int Socket = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  Address.sin_port = htons(Port);
-  bool Free = bind(Socket, reinterpret_cast<sockaddr *>(&Address), sizeof Address) == 0;
-  close(Socket);
-  return Free;
-}
-
 std::string binary(const std::string &Room, const std::string &Name) {
   return std::string(CORNELLIFT_BUILD) + "/" + Room + "/" + Name;
 }
@@ -98,13 +82,8 @@
     for (unsigned Number = 1; Number <= Options_.EndpointsPerDataCentre; ++Number)
       for (const char *Kind : {"endpoint-", "link-endpoint-"})
         Names.push_back(Kind + DataCentre + "-" + std::to_string(Number));
-  // Tests that run at the same time start in different blocks of ports.
-  auto Next = static_cast<std::uint16_t>(FirstPort + (getpid() % PortBlocks) * PortsPerBlock);
-  for (const auto &Name : Names) {
-    while (!isFree(Next))
-      ++Next;
-    Ports_[Name] = Next++;
-  }
+  for (const auto &Name : Names)
+    Ports_[Name] = PortPool::instance().next();
 }
 
 void Deployment::startProxy() {
--- a/Tests/Integration/PoolDeployment.cpp
+++ b/Tests/Integration/PoolDeployment.cpp
@@ -1,5 +1,7 @@
 #include "Tests/Integration/PoolDeployment.h"
 
+#include "Tests/Integration/PortPool.h"
+
 #include <algorithm>
 #include <atomic>
 #include <chrono>
@@ -9,11 +11,7 @@
 #include <sstream>
 #include <thread>
 
-#include <arpa/inet.h>
 #include <httplib.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <boost/test/unit_test.hpp>
 
@@ -27,33 +25,6 @@
 
 std::string program(const std::string &Path) { return std::string(CORNELLIFT_BUILD) + "/" + Path; }
 
-/// Below the ports that the kernel gives to outgoing connections.
-constexpr std::uint16_t FirstPort = 20000;
-constexpr std::uint16_t PortCount = 10000;
-
-bool isFree(std::uint16_t Port) {
-  int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_port = htons(Port);
-  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  bool IsBound = ::bind(Socket, reinterpret_cast<sockaddr *>(&Address), sizeof(Address)) == 0;
-  ::close(Socket);
-  return IsBound;
-}
-
-/// A port that is free at present. Test programs that run beside each other begin at different
-/// ones.
-std::uint16_t freePort() {
-  static std::uint16_t Next = static_cast<std::uint16_t>(::getpid() * 64 % PortCount);
-  for (;;) {
-    Next = static_cast<std::uint16_t>((Next + 1) % PortCount);
-    auto Port = static_cast<std::uint16_t>(FirstPort + Next);
-    if (isFree(Port))
-      return Port;
-  }
-}
-
 /// The first line that a process has written, once there is one.
 std::string firstLine(const std::string &File) {
   auto Deadline = std::chrono::steady_clock::now() + std::chrono::seconds(StartSeconds);
@@ -109,10 +80,10 @@
       PoolVm Vm;
       Vm.Name = DataCentre + "-" + std::to_string(Each);
       Vm.DataCentre = DataCentre;
-      Vm.CallerPort = freePort();
-      Vm.ReadinessPort = freePort();
-      Vm.MeshPort = freePort();
-      Vm.MetricsPort = freePort();
+      Vm.CallerPort = PortPool::instance().next();
+      Vm.ReadinessPort = PortPool::instance().next();
+      Vm.MeshPort = PortPool::instance().next();
+      Vm.MetricsPort = PortPool::instance().next();
       Vm.LogFile = Folder_ + "/" + Vm.Name + ".log";
       Vms_.push_back(std::move(Vm));
     }
