Kernel: Reject waiting jobs that the work ahead leaves no time

TestPoolOverload, listed as red: at five times the capacity 131 of 800 jobs waited until 1.4 s and were rejected then. Cause: a job that had missed its objective stayed last in the queue until its answer was of no use, although the work ahead of it took longer. The manager measures now how much work it places while work waits, here and at other managers, and rejects what cannot be reached. Ruled out: the estimate from its own workers' speeds, which knows nothing of the room elsewhere.

Before, after: TestPoolOverload 131 failures, none.

--- a/Kernel/Pool/PoolManager.cpp
+++ b/Kernel/Pool/PoolManager.cpp
@@ -96,6 +96,8 @@
   settleDelegated(Now);
   if (Now >= NextExpiry_) {
     NextExpiry_ = Now + ExpiryTime;
+    PlacingRate_.observe(!Queue_.empty(), Now);
+    rejectHopeless(Now);
     expire(Now);
     forgetAnswers(Now);
   }
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -2,6 +2,7 @@
 
 #include "Kernel/Pool/DecisionLog.h"
 #include "Kernel/Pool/KindBook.h"
+#include "Kernel/Pool/PlacingRate.h"
 #include "Kernel/Pool/PoolCounters.h"
 #include "Kernel/Pool/PoolJob.h"
 #include "Kernel/Pool/PoolOutput.h"
@@ -114,6 +115,8 @@
   void removeIfSettled(JobHandle Handle, core::TimePoint Now);
   void abandon(PeerIndex From, JobKey Key, core::TimePoint Now);
   void expire(core::TimePoint Now);
+  /// Rejects jobs of which nothing has started and that the work ahead of them leaves no time.
+  void rejectHopeless(core::TimePoint Now);
   void forgetAnswers(core::TimePoint Now);
   void enqueue(const PoolJob &Job, core::TimePoint Now);
   void dequeue(JobHandle Handle);
@@ -194,7 +197,8 @@
   /// stated for the workers as they are, not for those that are used most.
   double MeanSlowness_ = 1;
   double WaitingMilliseconds_ = 0; ///< Typical run time of all waiting tasks.
-  core::TimePoint ReportAt_;       ///< Earliest next report.
+  PlacingRate PlacingRate_;
+  core::TimePoint ReportAt_; ///< Earliest next report.
   bool NeedsDispatch_ = false;
   bool ReportIsDue_ = false;
   bool MayStart_ = true;
--- a/Kernel/Pool/PoolManagerJobs.cpp
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -334,6 +334,28 @@
   endJob(Job, {JobVerdict::GivenUp, "the caller has left", 0}, Now);
 }
 
+void PoolManager::rejectHopeless(core::TimePoint Now) {
+  auto Rate = PlacingRate_.value();
+  if (Rate <= 0)
+    return;
+  std::vector<JobHandle> Hopeless;
+  double Ahead = 0;
+  for (const auto &Key : Queue_) {
+    const auto &Job = Jobs_.at(Key.Handle);
+    auto Start = Now + milliseconds(Ahead / Rate);
+    if (!Job.HasStarted && Start + milliseconds(shortestRun(Job) * HopeShare) > Job.UsefulUntil) {
+      Hopeless.push_back(Key.Handle);
+      continue;
+    }
+    for (const auto &Step : Job.Steps)
+      Ahead += Step.Waiting * Step.TypicalMilliseconds;
+  }
+  double Retry = std::clamp(Ahead / Rate, ShortestRetry, LongestRetry);
+  for (auto Handle : Hopeless)
+    if (auto *Job = find(Handle))
+      endJob(*Job, {JobVerdict::Rejected, "the work ahead leaves no time for it", Retry}, Now);
+}
+
 void PoolManager::expire(core::TimePoint Now) {
   std::vector<std::pair<JobHandle, JobAnswer>> Ended;
   for (const auto &[Handle, Job] : Jobs_) {
--- a/Kernel/Pool/PoolManagerPlacing.cpp
+++ b/Kernel/Pool/PoolManagerPlacing.cpp
@@ -139,6 +139,7 @@
   if (!Job.IsGuest) {
     --Job.Steps[Step].Waiting;
     WaitingMilliseconds_ -= Job.Steps[Step].TypicalMilliseconds;
+    PlacingRate_.placed(Job.Steps[Step].TypicalMilliseconds);
   }
   if (!Elsewhere) {
     startOn(Job, Task, *Own, Now);
