--- a/Kernel/Pool/WorkerMessages.cpp
+++ b/Kernel/Pool/WorkerMessages.cpp
@@ -11,4 +11,30 @@
          Labels == Other.Labels && BornMilliseconds == Other.BornMilliseconds;
 }
 
+std::string_view verdictName(OrderVerdict Verdict) {
+  switch (Verdict) {
+  case OrderVerdict::Accepted:
+    return "accepted";
+  case OrderVerdict::Fenced:
+    return "fenced";
+  case OrderVerdict::Outdated:
+    return "outdated";
+  case OrderVerdict::TooLate:
+    return "too_late";
+  case OrderVerdict::NoRoom:
+    return "no_room";
+  case OrderVerdict::Unhealthy:
+    return "unhealthy";
+  case OrderVerdict::Stranger:
+    return "stranger";
+  case OrderVerdict::Invalid:
+    return "invalid";
+  case OrderVerdict::NoReply:
+    return "no_reply";
+  case OrderVerdict::NotSent:
+    return "not_sent";
+  }
+  return "unknown";
+}
+
 } // namespace cornellift::kernel
--- a/Kernel/Pool/WorkerMessages.h
+++ b/Kernel/Pool/WorkerMessages.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cornellift::kernel {
@@ -64,6 +65,9 @@
   NotSent    ///< The worker was not reached.
 };
 
+/// The verdict's name, for logs.
+std::string_view verdictName(OrderVerdict Verdict);
+
 /// Reply to a StartOrder or StopOrder.
 struct OrderReply {
   OrderVerdict Verdict = OrderVerdict::NoReply;
--- a/Services/PoolDaemon/PoolDaemon.h
+++ b/Services/PoolDaemon/PoolDaemon.h
@@ -62,6 +62,8 @@
   void operatorKeysChanged(const store::KeyMirror::Items &Items);
   void configurationChanged(const std::shared_ptr<const kernel::PoolConfiguration> &Configuration);
   void send(kernel::PeerIndex Peer, kernel::PoolMessage Message);
+  /// Asks a peer once for a version that this process lacks.
+  void fetchConfiguration(kernel::PeerIndex Peer, std::uint64_t Version);
   void deliver(kernel::PeerIndex From, const kernel::PoolMessage &Message);
   void sendBacklog(core::TimePoint Now);
   bool isReady() const;
--- a/Services/PoolDaemon/PoolDaemonPeers.cpp
+++ b/Services/PoolDaemon/PoolDaemonPeers.cpp
@@ -71,18 +71,20 @@
   Election_.peerChanged(Peer.Index, std::move(State), Now);
   Tokens_.observe(Message.highest_token());
   Manager_.setManager(Peer.Index, Message.takes_part(), Now);
-  if (Message.configuration_version() > Configuration_.version()) {
-    auto &Asked = AskedVersions_[Peer.Index];
-    if (Asked != Message.configuration_version()) {
-      Asked = Message.configuration_version();
-      mesh::Frame Request;
-      Request.mutable_fetch_configuration()->set_above_version(Configuration_.version());
-      Mesh_.send(Peer.Index, Request);
-    }
-  }
+  fetchConfiguration(Peer.Index, Message.configuration_version());
   applyElection(Now);
 }
 
+void PoolDaemon::fetchConfiguration(kernel::PeerIndex Peer, std::uint64_t Version) {
+  auto &Asked = AskedVersions_[Peer];
+  if (Version <= Configuration_.version() || Asked == Version)
+    return;
+  Asked = Version;
+  mesh::Frame Request;
+  Request.mutable_fetch_configuration()->set_above_version(Configuration_.version());
+  Mesh_.send(Peer, Request);
+}
+
 void PoolDaemon::messageReceived(const mesh::MeshPeer &Peer, const mesh::Frame &Message) {
   if (Message.has_peers()) {
     auto Count = std::min(Message.peers().vms_size(), Message.peers().addresses_size());
