EndpointStandIn: Refuse starts for three seconds before leaving

TestDelegationFaults, LeavingEndpointsCutNothing, ended one task may_have_run in 1 of 20 runs four at a time. Cause: the stand-in ended as soon as its tasks had ended, while a start was on its way; entry VMs may send starts for three seconds after an endpoint has begun to leave.

--- a/Services/EndpointStandIn/Main.cpp
+++ b/Services/EndpointStandIn/Main.cpp
@@ -3,10 +3,12 @@
 #include "Services/EndpointStandIn/StandInApi.h"
 
 #include <charconv>
+#include <chrono>
 #include <csignal>
 #include <iostream>
 #include <memory>
 #include <span>
+#include <thread>
 #include <vector>
 
 using namespace cornellift;
@@ -58,6 +60,10 @@
   return true;
 }
 
+/// How long leaving endpoints refuse starts before they end: entry VMs send none after three
+/// seconds, and one that is cut off by the end has an unknown fate.
+constexpr auto RefusalTime = std::chrono::seconds(3);
+
 } // namespace
 
 int main(int Count, char **Arguments) {
@@ -87,6 +93,7 @@
   sigwait(&Signals, &Signal);
   for (auto &Endpoint : Endpoints)
     Endpoint->leave();
+  std::this_thread::sleep_for(RefusalTime);
   for (auto &Endpoint : Endpoints)
     Endpoint->stop();
   return 0;
