Kernel: Report a data centre as cut off although no record of it ever arrived

Cause: a relay probed only data centres of which it had a record; one that was cut off before its first record arrived, as on a busy machine whose processes start slowly, was never probed and never reported. The platform's list names it, so that the relay now probes listed data centres too. Ruled out: the fault proxy, since the cut held all the while.

TestMembership, CutBeforeTheFirstContactIsNoticed: 4 failures before, none after.

--- a/Kernel/Membership/Membership.cpp
+++ b/Kernel/Membership/Membership.cpp
@@ -155,11 +155,11 @@
       continue;
     Item.Token.reset();
     Item.LastReplyAt = Now;
-    const auto *Sender = Table_.find(Reply.Process);
-    auto Candidates = gatewayCandidates(Name);
-    const auto *Asked = Candidates.empty() ? Sender : Candidates[Item.Choice % Candidates.size()];
-    if (Asked)
-      checkDigest(Reply, Asked->Address, Item.DigestMismatches, Now, Out);
+    auto Addresses = gatewayAddresses(Name);
+    // A new list may have dropped the data centre since it was asked.
+    if (!Addresses.empty())
+      checkDigest(Reply, Addresses[Item.Choice % Addresses.size()], Item.DigestMismatches, Now,
+                  Out);
     return;
   }
   auto Contact = ContactProbes_.extract(Token);
--- a/Kernel/Membership/Membership.h
+++ b/Kernel/Membership/Membership.h
@@ -165,7 +165,8 @@
   void runGateway(const std::string &DataCentre, Gateway &Item, core::TimePoint Now,
                   MembershipActions &Out);
   void missGateway(Gateway &Item, core::TimePoint Now) const;
-  std::vector<const MemberRecord *> gatewayCandidates(std::string_view DataCentre) const;
+  std::set<std::string> otherDataCentres() const;
+  std::vector<std::string> gatewayAddresses(std::string_view DataCentre) const;
   void updateUnreachable(core::TimePoint Now, MembershipActions &Out);
   void contact(core::TimePoint Now, MembershipActions &Out);
   void checkDigest(const Heartbeat &Reply, const std::string &Address, int &Mismatches,
--- a/Kernel/Membership/MembershipRecords.cpp
+++ b/Kernel/Membership/MembershipRecords.cpp
@@ -104,10 +104,10 @@
     if (Record.DataCentre != Own_.DataCentre && Record.Standing != MemberStanding::Dead)
       Centres.insert(Record.DataCentre);
   for (const auto &Centre : Centres) {
-    auto Candidates = gatewayCandidates(Centre);
+    auto Addresses = gatewayAddresses(Centre);
     auto Known = Gateways_.find(Centre);
     std::size_t Choice = Known == Gateways_.end() ? 0 : Known->second.Choice;
-    Out.emplace_back(SendAnnouncement{Candidates[Choice % Candidates.size()]->Address, News});
+    Out.emplace_back(SendAnnouncement{Addresses[Choice % Addresses.size()], News});
   }
 }
 
@@ -199,10 +199,7 @@
   if (!isRelay()) {
     Gateways_.clear();
   } else {
-    std::set<std::string> Centres;
-    for (const auto &[Name, Record] : Table_.members())
-      if (Record.DataCentre != Own_.DataCentre)
-        Centres.insert(Record.DataCentre);
+    auto Centres = otherDataCentres();
     std::erase_if(Gateways_, [&](auto &Item) { return !Centres.contains(Item.first); });
     for (const auto &Centre : Centres)
       Gateways_.try_emplace(Centre, Gateway{.NextAt = Now, .LastReplyAt = Now});
@@ -218,12 +215,12 @@
     missGateway(Item, Now);
   if (Now < Item.NextAt)
     return;
-  auto Candidates = gatewayCandidates(DataCentre);
+  auto Addresses = gatewayAddresses(DataCentre);
   Item.NextAt = Now + Settings_.GatewayInterval;
   Item.Deadline = Now + Settings_.GatewayTimeout;
   Item.Token = newToken();
-  Out.emplace_back(SendProbe{*Item.Token, Candidates[Item.Choice % Candidates.size()]->Address,
-                             Item.Deadline, heartbeat(Now)});
+  Out.emplace_back(SendProbe{*Item.Token, Addresses[Item.Choice % Addresses.size()], Item.Deadline,
+                             heartbeat(Now)});
 }
 
 void Membership::missGateway(Gateway &Item, core::TimePoint Now) const {
@@ -234,16 +231,30 @@
     Item.NextAt = std::min(Item.NextAt, Item.Deadline);
 }
 
-std::vector<const MemberRecord *> Membership::gatewayCandidates(std::string_view DataCentre) const {
-  std::vector<const MemberRecord *> Live;
-  std::vector<const MemberRecord *> All;
+std::set<std::string> Membership::otherDataCentres() const {
+  std::set<std::string> Result;
+  for (const auto &[Name, Record] : Table_.members())
+    Result.insert(Record.DataCentre);
+  // A data centre that was cut off before its first record arrived is known from the list alone.
+  for (const auto &Vm : Listed_)
+    Result.insert(Vm.DataCentre);
+  Result.erase(Own_.DataCentre);
+  return Result;
+}
+
+std::vector<std::string> Membership::gatewayAddresses(std::string_view DataCentre) const {
+  std::vector<std::string> Live;
+  std::vector<std::string> All;
   for (const auto &[Name, Record] : Table_.members()) {
     if (Record.DataCentre != DataCentre)
       continue;
-    All.push_back(&Record);
+    All.push_back(Record.Address);
     if (Record.Standing != MemberStanding::Dead)
-      Live.push_back(&Record);
+      Live.push_back(Record.Address);
   }
+  for (const auto &Vm : Listed_)
+    if (All.empty() && Vm.DataCentre == DataCentre)
+      Live.push_back(Vm.Address);
   return Live.empty() ? All : Live;
 }
 
--- a/Tests/Kernel/TestMembership.cpp
+++ b/Tests/Kernel/TestMembership.cpp
@@ -146,6 +146,31 @@
   BOOST_TEST(Net.at("a-1").isUnreachable("b"));
 }
 
+// Guards against a data centre that is cut off before its first record arrives and is therefore
+// never reported as cut off, although the platform lists it.
+BOOST_AUTO_TEST_CASE(CutBeforeTheFirstContactIsNoticed) {
+  MembershipNetwork Net;
+  Net.Lost = [](auto &From, auto &To) { return From[0] != To[0]; };
+  Net.addCentre("a", 2);
+  Net.addCentre("b", 2);
+  std::vector<ListedVm> Listed;
+  for (const auto *Name : {"a-1", "a-2", "b-1", "b-2"})
+    Listed.push_back({Name, Name, {Name[0]}, ListedVm::Mark::Live});
+  for (auto &[Name, Item] : Net.Nodes)
+    Net.act(Name, [&](auto &Out) { Item.Detector->platformList(Listed, Net.Now, Out); });
+  Net.runFor(11s);
+  for (const auto *Viewer : {"a-1", "a-2"})
+    BOOST_TEST(Net.at(Viewer).isUnreachable("b"), Viewer);
+  for (const auto *Viewer : {"b-1", "b-2"})
+    BOOST_TEST(Net.at(Viewer).isUnreachable("a"), Viewer);
+  Net.Lost = [](auto &, auto &) { return false; };
+  Net.runFor(8s);
+  for (auto &[Name, Item] : Net.Nodes) {
+    BOOST_TEST(!Item.Detector->isUnreachable(Name[0] == 'a' ? "b" : "a"), Name);
+    BOOST_TEST(Item.Detector->table().size() == 4, Name);
+  }
+}
+
 // Guards against a whole data centre being mistaken for seven dead VMs, whose incarnations peers
 // would then treat as ended.
 BOOST_AUTO_TEST_CASE(LostDataCentreIsUnreachable) {
