LibStore: Keep the copy of the workers' entries up to date when many are written

Cause: the store returns at most 500 events a watch. A VM that manages nothing asked every 4 s while 933 entries were written, so that its copy fell 10 s behind by second 25, and when it took over a data centre it needed 7 s to catch up. Ruled out: the handover between managers (claims took 50 ms) and lost calls to the store.

A large reply is continued at once, a distant mirror reads all 350 entries every 4 s instead of the events, and a VM that takes over reads them again before it uses its new workers.

TestKeyMirror failed first (copy at 11,500 of 15,000).

--- a/Libraries/LibStore/KeyMirror.cpp
+++ b/Libraries/LibStore/KeyMirror.cpp
@@ -12,6 +12,9 @@
 constexpr core::Duration FirstPause = std::chrono::milliseconds(100);
 constexpr core::Duration LongestPause = std::chrono::milliseconds(800);
 constexpr std::uint32_t MaximumDoublings = 3;
+/// A watch returns at most some 500 events. A reply of this size may have left some out, and a
+/// mirror that then paused would fall behind further with each call.
+constexpr std::size_t LargeReplyEvents = 250;
 
 } // namespace
 
@@ -59,8 +62,9 @@
     Items_[Item.Key] = std::move(Item);
   Revision_ = Reply.Content->Revision;
   IsLoaded_ = true;
+  RefreshedAt_ = core::MonotonicClock::now();
   OnChange_(Items_);
-  after(Pace_.BetweenCalls, &KeyMirror::follow);
+  proceed(Pace_.BetweenCalls);
 }
 
 void KeyMirror::follow() {
@@ -80,8 +84,11 @@
   if (!Reply.Content)
     return retryLater(Reply.Cause);
   Failures_ = 0;
+  bool MayHaveMore = Reply.Content->Events.size() >= LargeReplyEvents;
+  if (!MayHaveMore)
+    RefreshedAt_ = core::MonotonicClock::now();
   apply(std::move(*Reply.Content));
-  after(Pace_.BetweenCalls, &KeyMirror::follow);
+  proceed(MayHaveMore ? core::Duration(0) : Pace_.BetweenCalls);
 }
 
 void KeyMirror::apply(StoreEvents Changes) {
@@ -108,7 +115,12 @@
   ++Failures_;
   std::uniform_real_distribution<double> Jitter(0.5, 1.0);
   Pause = std::chrono::duration_cast<core::Duration>(Pause * Jitter(Random_));
-  after(Pause, IsLoaded_ ? &KeyMirror::follow : &KeyMirror::load);
+  proceed(Pause);
+}
+
+void KeyMirror::proceed(core::Duration Pause) {
+  bool ReadsAll = !IsLoaded_ || Pace_.Reading == MirrorReading::Everything;
+  after(Pause, ReadsAll ? &KeyMirror::load : &KeyMirror::follow);
 }
 
 void KeyMirror::after(core::Duration Pause, void (KeyMirror::*Next)()) {
--- a/Libraries/LibStore/KeyMirror.h
+++ b/Libraries/LibStore/KeyMirror.h
@@ -12,14 +12,22 @@
 
 namespace cornellift::store {
 
+/// What a mirror asks the store for, once it has read all keys.
+enum class MirrorReading : std::uint8_t {
+  Changes,    ///< Each change, from a watch.
+  Everything, ///< All keys again; less to read when most of them change between two calls.
+};
+
 /// How a mirror follows the store.
 struct MirrorPace {
   core::Duration Wait{0};         ///< Of one watch.
   core::Duration BetweenCalls{0}; ///< Events that come in between arrive together.
+  MirrorReading Reading = MirrorReading::Changes;
 };
 
-/// Keeps a copy of all keys with a prefix. It reads them once and then follows a watch; when the
-/// history has been dropped it reads them again. While the store is away the copy stays as it is.
+/// Keeps a copy of all keys with a prefix. It reads them once and then follows a watch or reads
+/// them again; it also reads them again when the history has been dropped. While the store is away
+/// the copy stays as it is.
 class KeyMirror : public std::enable_shared_from_this<KeyMirror> {
 public:
   using Items = std::map<std::string, StoreItem>;
@@ -38,6 +46,8 @@
   /// Highest revision of the store that the copy reflects.
   std::uint64_t revision() const { return Revision_; }
   const Items &items() const { return Items_; }
+  /// When the copy last reflected all that the store had at that time.
+  core::TimePoint refreshedAt() const { return RefreshedAt_; }
 
 private:
   void load();
@@ -45,6 +55,8 @@
   void follow();
   void followed(StoreReply<StoreEvents> Reply);
   void apply(StoreEvents Changes);
+  /// Pauses and makes the next call of the pace.
+  void proceed(core::Duration Pause);
   void retryLater(const std::string &Cause);
   void after(core::Duration Pause, void (KeyMirror::*Next)());
 
@@ -55,6 +67,7 @@
   ChangeHandler OnChange_;
   Items Items_;
   std::uint64_t Revision_ = 0;
+  core::TimePoint RefreshedAt_;
   bool IsLoaded_ = false;
   bool IsStopped_ = true;
   void (KeyMirror::*Next_)() = nullptr; ///< What follows the pause under way.
--- a/Services/PoolDaemon/PoolDaemon.cpp
+++ b/Services/PoolDaemon/PoolDaemon.cpp
@@ -20,6 +20,11 @@
 /// A stopping process goes on for at least this time: the balancer needs two checks of one second
 /// each to notice.
 constexpr core::Duration BalancerTime = std::chrono::milliseconds(2300);
+/// A worker gets no new task two seconds after it began to leave; an older listing may not show it.
+constexpr core::Duration ListingAge = std::chrono::milliseconds(1000);
+/// How long a new manager waits for a fresh listing; then the store is away, and the one it has
+/// must do.
+constexpr core::Duration ListingWait = std::chrono::milliseconds(300);
 constexpr core::Duration BacklogTime = std::chrono::milliseconds(500);
 /// Between looks at the time of the settings file.
 constexpr core::Duration FileCheckTime = std::chrono::milliseconds(1000);
@@ -264,18 +269,21 @@
                    {"claim_in_ms", std::to_string(core::toMilliseconds(Begun.ClaimAt - Now))}});
     Successors_.erase(Begun.DataCentre);
     ClaimAt_[Begun.DataCentre] = Begun.ClaimAt;
+    if (Now - Directory_.refreshedAt() > ListingAge)
+      AwaitsListing_[Begun.DataCentre] = Now + ListingWait;
   }
   for (const auto &Stopped : Changes.Stopped) {
     core::logLine(core::LogLevel::Information, "pool", "letting go of a data centre's workers",
                   {{"data_centre", Stopped.DataCentre}});
     Successors_[Stopped.DataCentre] = Stopped.Successor;
     ClaimAt_.erase(Stopped.DataCentre);
+    AwaitsListing_.erase(Stopped.DataCentre);
   }
   bool HasChanged = !Changes.Begun.empty() || !Changes.Stopped.empty();
-  if (HasChanged) {
+  if (HasChanged)
     Directory_.followClosely(!Election_.managed().empty());
+  if (HasChanged || !AwaitsListing_.empty())
     workersChanged();
-  }
   for (const auto &Rest : Changes.Claims) {
     ClaimAt_[Rest.DataCentre] = Rest.ClaimAt;
     for (const auto &Entry : Directory_.listing().of({Rest.DataCentre}))
@@ -290,7 +298,7 @@
 
 void PoolDaemon::workersChanged() {
   auto Now = core::MonotonicClock::now();
-  auto Entries = Directory_.listing().of(Election_.managed());
+  auto Entries = Directory_.listing().of(usableDataCentres(Now));
   for (const auto &Entry : Entries) {
     auto ClaimAt = ClaimAt_.find(Entry.DataCentre);
     if (ClaimAt != ClaimAt_.end() && ClaimAt->second > Now)
@@ -299,6 +307,24 @@
   Manager_.setWorkers(Entries, Now);
 }
 
+std::set<std::string> PoolDaemon::usableDataCentres(core::TimePoint Now) {
+  std::erase_if(AwaitsListing_, [&](const auto &Awaiting) {
+    if (Directory_.refreshedAt() + ListingWait >= Awaiting.second)
+      return true; // Read after the data centre was taken over.
+    if (Now < Awaiting.second)
+      return false;
+    core::logLine(
+        core::LogLevel::Warning, "pool", "using an old listing of the workers",
+        {{"data_centre", Awaiting.first},
+         {"age_ms", std::to_string(core::toMilliseconds(Now - Directory_.refreshedAt()))}});
+    return true;
+  });
+  auto Usable = Election_.managed();
+  for (const auto &[DataCentre, Until] : AwaitsListing_)
+    Usable.erase(DataCentre);
+  return Usable;
+}
+
 void PoolDaemon::workerDropped(kernel::EndpointIndex Worker) {
   const auto &Entry = Manager_.fleet().at(Worker).Entry;
   auto Successor = Successors_.find(Entry.DataCentre);
--- a/Services/PoolDaemon/PoolDaemon.h
+++ b/Services/PoolDaemon/PoolDaemon.h
@@ -57,6 +57,9 @@
 
   void applyElection(core::TimePoint Now);
   void workersChanged();
+  /// The managed data centres whose workers may be used: not those that were taken over with a
+  /// listing too old to tell which workers are leaving.
+  std::set<std::string> usableDataCentres(core::TimePoint Now);
   void workerDropped(kernel::EndpointIndex Worker);
   void reportReleased(core::TimePoint Now);
   void operatorKeysChanged(const store::KeyMirror::Items &Items);
@@ -106,6 +109,8 @@
 
   std::map<std::string, kernel::PeerIndex> Successors_; ///< Of data centres that are released.
   std::map<std::string, core::TimePoint> ClaimAt_;      ///< Of data centres that are managed.
+  /// Data centres that wait for a fresh listing, and until when.
+  std::map<std::string, core::TimePoint> AwaitsListing_;
   std::map<kernel::PeerIndex, std::uint64_t> AskedVersions_;
   std::optional<core::TimePoint> StopBy_;
   core::TimePoint TickDueAt_;
--- a/Services/PoolDaemon/WorkerDirectory.cpp
+++ b/Services/PoolDaemon/WorkerDirectory.cpp
@@ -10,7 +10,9 @@
 /// Each worker writes its entry every one and a half seconds; the events in between arrive
 /// together. A leaving worker gets no new task after two seconds.
 constexpr store::MirrorPace ClosePace = {std::chrono::seconds(3), std::chrono::milliseconds(600)};
-constexpr store::MirrorPace DistantPace = {std::chrono::seconds(3), std::chrono::seconds(4)};
+/// In four seconds each entry is written two or three times, so that reading all of them is less.
+constexpr store::MirrorPace DistantPace = {std::chrono::seconds(3), std::chrono::seconds(4),
+                                           store::MirrorReading::Everything};
 
 } // namespace
 
--- a/Services/PoolDaemon/WorkerDirectory.h
+++ b/Services/PoolDaemon/WorkerDirectory.h
@@ -30,6 +30,8 @@
 
   const kernel::WorkerListing &listing() const { return Listing_; }
   bool isLoaded() const { return Mirror_->isLoaded(); }
+  /// When the listing was last up to date.
+  core::TimePoint refreshedAt() const { return Mirror_->refreshedAt(); }
   std::uint64_t revision() const { return Mirror_->revision(); }
 
 private:
--- a/Tests/LibStore/TestKeyMirror.cpp
+++ b/Tests/LibStore/TestKeyMirror.cpp
@@ -2,8 +2,11 @@
 #include "Libraries/LibStore/KeyMirror.h"
 #include "platform/StoreMessages.h"
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
+#include <string>
+#include <string_view>
 #include <thread>
 
 #include <boost/test/unit_test.hpp>
@@ -11,6 +14,105 @@
 using namespace cornellift;
 using namespace std::chrono_literals;
 
+namespace {
+
+/// A store whose keys are written all the time; it returns at most PageEvents events a watch.
+class BusyStore {
+public:
+  explicit BusyStore(store::asio::io_context &Reactor)
+      : Server_(reactor::HttpServer::listen(
+            Reactor, {store::asio::ip::address_v4::loopback(), 0},
+            [this](const std::shared_ptr<reactor::HttpExchange> &Exchange) {
+              bool IsWatch = Exchange->target().find("kv-watch") != std::string_view::npos;
+              IsWatch ? sendEvents(*Exchange) : sendItems(*Exchange);
+            })) {}
+
+  void write(std::uint64_t Count) { Revision_ += Count; }
+  std::uint64_t revision() const { return Revision_; }
+  std::shared_ptr<store::StoreClient> connect(store::asio::io_context &Reactor) {
+    return std::make_shared<store::StoreClient>(Reactor, Server_->address(), Format_);
+  }
+
+private:
+  static constexpr std::uint64_t PageEvents = 500;
+  static constexpr std::uint64_t Keys = 350;
+
+  /// The write that led to the revision.
+  static std::string item(std::uint64_t Revision) {
+    return R"({"key":"servers/w)" + std::to_string(Revision % Keys) +
+           R"(","value":"","created":1,"lease":0,"revision":)" + std::to_string(Revision) + "}";
+  }
+
+  void sendEvents(reactor::HttpExchange &Exchange) {
+    auto Target = std::string(Exchange.target());
+    auto Position = Target.find("after=");
+    std::uint64_t After = std::stoull(Target.substr(Position + 6));
+    std::uint64_t End = std::min(Revision_, After + PageEvents);
+    std::string Events;
+    for (auto Next = After + 1; Next <= End; ++Next)
+      Events += (Events.empty() ? "" : ",") + item(Next);
+    Exchange.reply({200, R"({"at":)" + std::to_string(End) + R"(,"events":[)" + Events + "]}", {}});
+  }
+
+  void sendItems(reactor::HttpExchange &Exchange) const {
+    std::string Items;
+    for (auto Next = Revision_ - Keys + 1; Next <= Revision_; ++Next)
+      Items += (Items.empty() ? "" : ",") + item(Next);
+    Exchange.reply({200,
+                    R"({"at":)" + std::to_string(Revision_) + R"(,"items":[)" + Items +
+                        R"(],"hasMore":false})",
+                    {}});
+  }
+
+  platform::StoreMessages Format_;
+  std::uint64_t Revision_ = 1000;
+  std::shared_ptr<reactor::HttpServer> Server_;
+};
+
+struct BusyMirror {
+  explicit BusyMirror(store::MirrorPace Pace)
+      : Mirror(std::make_shared<store::KeyMirror>(Reactor, Store.connect(Reactor), "servers/", Pace,
+                                                  [](const store::KeyMirror::Items &) {})) {
+    Mirror->start();
+    while (!Mirror->isLoaded())
+      Reactor.run_one_for(10ms);
+  }
+  ~BusyMirror() { Mirror->stop(); }
+
+  store::asio::io_context Reactor;
+  BusyStore Store{Reactor};
+  std::shared_ptr<store::KeyMirror> Mirror;
+};
+
+} // namespace
+
+// Guards against a copy that falls behind for good when more is written between two calls than one
+// reply holds: a manager's copy was 12 s old, and it started tasks on workers that were leaving.
+BOOST_AUTO_TEST_CASE(WritesBeyondOneReplyAreCaughtUp) {
+  BusyMirror Busy({100ms, 50ms});
+  for (int Round = 0; Round < 10; ++Round) {
+    Busy.Store.write(1400);
+    Busy.Reactor.run_for(100ms);
+  }
+  Busy.Reactor.run_for(100ms);
+  BOOST_TEST(Busy.Mirror->revision() == Busy.Store.revision());
+}
+
+// Guards against a process that takes over with a copy from before: a closer pace reads everything
+// at once, and the copy says how old it is.
+BOOST_AUTO_TEST_CASE(ACloserPaceRefreshesTheCopyAtOnce) {
+  BusyMirror Busy({100ms, 60s, store::MirrorReading::Everything});
+  Busy.Store.write(5000);
+  Busy.Reactor.run_for(100ms);
+  BOOST_TEST(Busy.Mirror->revision() < Busy.Store.revision());
+  auto AskedAt = core::MonotonicClock::now();
+  BOOST_TEST((Busy.Mirror->refreshedAt() < AskedAt));
+  Busy.Mirror->setPace({100ms, 20ms});
+  Busy.Reactor.run_for(100ms);
+  BOOST_TEST(Busy.Mirror->revision() == Busy.Store.revision());
+  BOOST_TEST((Busy.Mirror->refreshedAt() >= AskedAt));
+}
+
 // Guards against a crash that the soak found with seed 105: a paused process found the pause of a
 // mirror over and, before that was handled, asked for a faster pace; the second wait then had
 // nothing to do and called a null pointer.
