Tests: Find the causes of failed requests by the documented steps, and bound the log

TestPoolExplanations fails three requests on real processes (refused under load, late after a worker restarted twice, manager killed) and reads the cause from the logs as OPERATIONS.md tells. The store's stand-in returns at most 500 events a watch, as the users' store was seen to do.

--- a/Services/FleetStandIn/StoreModel.cpp
+++ b/Services/FleetStandIn/StoreModel.cpp
@@ -48,9 +48,15 @@
     return std::nullopt;
   platform::StoreEvents Result;
   Result.Revision = Revision_;
-  for (const auto &Event : History_)
-    if (Event.Item.Revision > Revision && Event.Item.Key.starts_with(Prefix))
-      Result.Events.push_back(Event);
+  for (const auto &Event : History_) {
+    if (Event.Item.Revision <= Revision || !Event.Item.Key.starts_with(Prefix))
+      continue;
+    if (Result.Events.size() == PageSize) {
+      Result.Revision = Result.Events.back().Item.Revision;
+      break;
+    }
+    Result.Events.push_back(Event);
+  }
   return Result;
 }
 
--- /dev/null
+++ b/Tests/Integration/TestPoolExplanations.cpp
@@ -0,0 +1,153 @@
+#include "Tests/Integration/HttpCall.h"
+#include "Tests/Integration/PoolDeployment.h"
+#include "Utilities/Operator/Explanation.h"
+
+#include <algorithm>
+#include <chrono>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornellift::integration;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A job that is posted on a thread of its own.
+class PostedJob {
+public:
+  PostedJob(std::uint16_t Port, int Tasks, int RunMilliseconds, int PatienceMilliseconds)
+      : Key(newJobKey()), Thread_([this, Port, Tasks, RunMilliseconds, PatienceMilliseconds] {
+          Reply_ = postJob(Port, Key, Tasks, RunMilliseconds, "", PatienceMilliseconds);
+        }) {}
+  ~PostedJob() {
+    if (Thread_.joinable())
+      Thread_.join();
+  }
+
+  const JobReply &reply() {
+    if (Thread_.joinable())
+      Thread_.join();
+    return Reply_;
+  }
+
+  const std::string Key;
+
+private:
+  JobReply Reply_;
+  std::thread Thread_;
+};
+
+/// What `cornellift-operator explain` prints, from the logs of all VMs as OPERATIONS.md tells.
+std::string explain(PoolDeployment &Deployment, const std::string &Job) {
+  cornellift::operators::Explanation Told(Job);
+  for (const auto &Vm : Deployment.vms()) {
+    std::ifstream Log(Vm.LogFile);
+    Told.read(Log, Vm.Name);
+  }
+  return Told.render();
+}
+
+/// Whether the log has the texts on the job within two seconds; lines are written after the answer.
+void checkExplained(PoolDeployment &Deployment, const std::string &Job,
+                    const std::vector<std::string> &Texts) {
+  std::string Told;
+  for (int Try = 0; Try < 20; ++Try) {
+    Told = explain(Deployment, Job);
+    bool HasAll = true;
+    for (const auto &Text : Texts)
+      HasAll = HasAll && Told.find(Text) != std::string::npos;
+    if (HasAll)
+      return;
+    std::this_thread::sleep_for(100ms);
+  }
+  for (const auto &Text : Texts)
+    BOOST_CHECK_MESSAGE(Told.find(Text) != std::string::npos, "not found: " << Text);
+  BOOST_TEST_MESSAGE(Told);
+}
+
+std::string managerOf(PoolDeployment &Deployment, const std::string &DataCentre) {
+  for (auto &Vm : Deployment.vms())
+    if (Vm.DataCentre == DataCentre &&
+        PoolDeployment::metric(Vm, "cornellift_workers_held").value_or(0) > 0)
+      return Vm.Name;
+  return {};
+}
+
+/// The worker of the job's last run, once it has had that many; empty after two seconds.
+std::string workerOfRun(PoolDeployment &Deployment, const std::string &Job, std::size_t Count) {
+  for (int Try = 0; Try < 100; ++Try) {
+    std::vector<ObservedRun> Runs;
+    for (auto &Run : Deployment.runs())
+      if (Run.Job == Job)
+        Runs.push_back(std::move(Run));
+    if (Runs.size() == Count)
+      return std::max_element(Runs.begin(), Runs.end(),
+                              [](const auto &One, const auto &Other) {
+                                return One.FromMicroseconds < Other.FromMicroseconds;
+                              })
+          ->Worker;
+    std::this_thread::sleep_for(20ms);
+  }
+  return {};
+}
+
+} // namespace
+
+// Guards against a refusal under load whose cause cannot be found from the request's id.
+BOOST_AUTO_TEST_CASE(ARefusalUnderLoadIsExplained) {
+  PoolDeployment Deployment("PoolExplainRefusal", {});
+  BOOST_REQUIRE(Deployment.waitUntilReady());
+  std::vector<std::unique_ptr<PostedJob>> Jobs;
+  // Each job needs a third of all workers for 400 ms.
+  constexpr int Count = 40;
+  Jobs.reserve(Count);
+  for (int Number = 0; Number < Count; ++Number)
+    Jobs.push_back(std::make_unique<PostedJob>(Deployment.vms()[0].CallerPort, 10, 400, 1500));
+  const PostedJob *Refused = nullptr;
+  for (auto &Job : Jobs)
+    if (Job->reply().Status == 503)
+      Refused = Job.get();
+  BOOST_REQUIRE(Refused);
+  checkExplained(Deployment, Refused->Key,
+                 {"job received", "wait_ms=", "job ended without success in time",
+                  "why=too much work waits for the workers", "outcome=rejected", "status=503"});
+}
+
+// Guards against a late answer whose cause, a worker that restarted under the run, stays hidden.
+BOOST_AUTO_TEST_CASE(ALateAnswerAfterALostWorkerIsExplained) {
+  PoolDeployment Deployment("PoolExplainLate", {});
+  BOOST_REQUIRE(Deployment.waitUntilReady());
+  PostedJob Job(Deployment.vms()[0].CallerPort, 1, 1000, 8000);
+  std::string Worker;
+  for (std::size_t Runs = 1; Runs <= 2; ++Runs) {
+    Worker = workerOfRun(Deployment, Job.Key, Runs);
+    BOOST_REQUIRE(!Worker.empty());
+    std::this_thread::sleep_for(700ms);
+    Deployment.control("POST", "/worker/restart?id=" + Worker);
+  }
+  BOOST_TEST(Job.reply().Status == 200);
+  checkExplained(Deployment, Job.Key,
+                 {"task started", "worker restarted", "outcome=lost", "worker=" + Worker,
+                  "why=completed late", "status=200"});
+}
+
+// Guards against a failure without a cause after the process that managed the job was killed.
+BOOST_AUTO_TEST_CASE(AJobOfAKilledManagerIsExplained) {
+  PoolDeployment Deployment("PoolExplainKill", {});
+  BOOST_REQUIRE(Deployment.waitUntilReady());
+  auto Manager = managerOf(Deployment, "ikeja");
+  BOOST_REQUIRE(!Manager.empty());
+  auto Receiver = Manager == "ikeja-1" ? "ikeja-2" : "ikeja-1";
+  PostedJob Job(Deployment.vm(Receiver).CallerPort, 2, 1500, 8000);
+  std::this_thread::sleep_for(500ms);
+  Deployment.vm(Manager).Process->kill();
+  BOOST_TEST(Job.reply().Status == 504);
+  checkExplained(
+      Deployment, Job.Key,
+      {"job received", "peer lost", "vm=" + Manager, "outcome=manager_lost", "status=504"});
+}
--- /dev/null
+++ b/Tests/PoolDaemon/TestDecisionLog.cpp
@@ -0,0 +1,116 @@
+#include "Libraries/LibCore/Log.h"
+#include "Services/PoolDaemon/DecisionLogWriter.h"
+
+#include <chrono>
+#include <cstdint>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace cornellift;
+using namespace std::chrono_literals;
+using kernel::DecisionWeight;
+
+namespace {
+
+constexpr std::uint32_t RoutineBound = 100; ///< Lines a second.
+constexpr std::size_t HeldLines = 512;
+
+/// The log of this test program.
+class LogFile {
+public:
+  static LogFile &instance() {
+    static LogFile Only;
+    return Only;
+  }
+
+  /// The lines written since the last call.
+  std::vector<nlohmann::json> newLines() {
+    std::vector<nlohmann::json> Lines;
+    std::ifstream In(Path_);
+    In.seekg(Position_);
+    for (std::string Text; std::getline(In, Text);) {
+      Position_ += static_cast<std::streamoff>(Text.size()) + 1;
+      Lines.push_back(nlohmann::json::parse(Text));
+    }
+    return Lines;
+  }
+
+private:
+  LogFile() : Path_(std::filesystem::current_path() / "decision-log.jsonl") {
+    std::filesystem::remove(Path_);
+    core::configureLog("info", Path_.string());
+  }
+
+  std::filesystem::path Path_;
+  std::streamoff Position_ = 0;
+};
+
+kernel::JobKey job(std::uint64_t Number) { return static_cast<kernel::JobKey>(Number); }
+
+/// What a manager writes for a job: nine lines on its way, and one more when it fails.
+void writeJob(pool::DecisionLogWriter &Writer, std::uint64_t Number, bool Fails) {
+  for (std::int64_t Line = 0; Line < 9; ++Line)
+    Writer.line(DecisionWeight::Routine, "task started", job(Number),
+                {{"index", Line}, {"worker", std::string_view("w-1")}, {"expected_ms", 60.0}});
+  if (Fails)
+    Writer.line(DecisionWeight::Notable, "job ended without success in time", job(Number),
+                {{"why", std::string_view("a task failed in every attempt")}});
+}
+
+} // namespace
+
+// Guards against a log whose volume grows with the load, and against lines on failed requests that
+// are lost among those on served ones. The load is five times what the bound lets through and more.
+BOOST_AUTO_TEST_CASE(LinesAreBoundedAndFailuresKept) {
+  auto &File = LogFile::instance();
+  pool::DecisionLogWriter Writer(RoutineBound, HeldLines);
+  constexpr std::uint64_t Jobs = 5000;
+  // Lines on failures may be ten times as many as routine ones, and held lines take half of them:
+  // 40 jobs of nine lines fit into a second.
+  constexpr std::uint64_t FailEach = 125;
+  auto Begin = core::MonotonicClock::now();
+  for (std::uint64_t Number = 1; Number <= Jobs; ++Number)
+    writeJob(Writer, Number, Number % FailEach == 0);
+  auto Span = core::MonotonicClock::now() - Begin;
+  BOOST_TEST_MESSAGE(Jobs * 9 << " lines offered in " << core::toMilliseconds(Span) << " ms");
+  auto Seconds = static_cast<std::size_t>(Span / 1s) + 1;
+  std::map<std::string, std::size_t> Written;
+  std::set<std::string> Failed;
+  for (const auto &Line : File.newLines()) {
+    std::string Event = Line.at("message");
+    ++Written[Event];
+    if (Event == "job ended without success in time")
+      Failed.insert(Line.at("context_map").at("job").get<std::string>());
+  }
+  BOOST_TEST(Failed.size() == Jobs / FailEach);
+  // Of each failed job the lines that were left out follow, so that its way can be read.
+  std::size_t Held = Jobs / FailEach * 9;
+  BOOST_TEST(Written["task started"] >= Held);
+  BOOST_TEST(Written["task started"] <= Held + Seconds * RoutineBound);
+  BOOST_TEST(Writer.linesDropped() + Writer.linesWritten() >= Jobs * 9);
+}
+
+// Guards against lines that vanish without a trace: the next second tells how many were left out.
+BOOST_AUTO_TEST_CASE(WhatIsLeftOutIsReported) {
+  auto &File = LogFile::instance();
+  pool::DecisionLogWriter Writer(RoutineBound, 0);
+  for (std::uint64_t Number = 1; Number <= 100; ++Number)
+    writeJob(Writer, Number, false);
+  auto Dropped = Writer.linesDropped();
+  BOOST_TEST(Dropped >= 900U - 2 * RoutineBound);
+  std::this_thread::sleep_for(1100ms);
+  writeJob(Writer, 101, false);
+  std::uint64_t Reported = 0;
+  for (const auto &Line : File.newLines())
+    if (Line.at("message") == "lines left out")
+      Reported += std::stoull(Line.at("context_map").at("routine").get<std::string>());
+  BOOST_TEST(Reported == Dropped);
+}
