Kernel: Split the waiting jobs from the life of a job; PoolDaemon: Split the workers

The queue of waiting jobs with its refusals, and what follows from an election, have files of their own. No behaviour changes; the tests of the pool pass.

--- a/Kernel/Pool/PoolManagerJobs.cpp
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -14,11 +14,6 @@
 /// Share of its run time by which the longest of a step's tasks exceeds the typical one, per
 /// doubling of the number of tasks; declared sizes are the same for all.
 constexpr double LongestPerDoubling = 0.06;
-/// A job is given up when even this share of its expected run time is left only; estimates are
-/// rough.
-constexpr double HopeShare = 0.7;
-/// Bound on speeds, so that an unknown fleet does not look endlessly slow.
-constexpr double SlowestSpeed = 0.1;
 /// How long the runs of a job go on after its entry process was last heard of. Its client sends the
 /// job again 1.3 s after the connection broke, and a stop takes some time.
 constexpr core::Duration OrphanTime = std::chrono::milliseconds(1100);
@@ -27,11 +22,6 @@
 constexpr core::Duration LostManagerTime = std::chrono::milliseconds(950);
 /// How long an answer is kept for a repeated submission.
 constexpr core::Duration AnswerMemory = std::chrono::seconds(15);
-/// Bounds on the time after which a rejected caller is asked to come back.
-constexpr double ShortestRetry = 200;
-constexpr double LongestRetry = 5000;
-
-core::Duration milliseconds(double Value) { return core::fromMilliseconds(Value); }
 
 } // namespace
 
@@ -117,50 +107,11 @@
   }
   double Objective = Order.Terms.Stretch * Longest + Order.Terms.TargetLatencyMilliseconds;
   // An answer after the caller's limit is none, however long the objective of a large job.
-  Job.ObjectiveAt =
-      std::min(Order.AnswerBy, Order.ReceivedAt + milliseconds(Objective - ClientMilliseconds));
+  Job.ObjectiveAt = std::min(
+      Order.AnswerBy, Order.ReceivedAt + core::fromMilliseconds(Objective - ClientMilliseconds));
   Job.UsefulUntil =
-      std::min(Order.AnswerBy, Order.ReceivedAt + milliseconds(Objective * UsefulFactor));
-  Job.LatestStart = Job.ObjectiveAt - milliseconds(Longest);
-}
-
-double PoolManager::shortestRun(const PoolJob &Job) const {
-  double Longest = 0;
-  for (const auto &Step : Job.Steps)
-    if (Step.Waiting > 0)
-      Longest = std::max(Longest, Step.TypicalMilliseconds);
-  return Longest / std::max(FastestSpeed_, SlowestSpeed);
-}
-
-std::optional<JobAnswer> PoolManager::refusal(const PoolJob &Job, core::TimePoint Now) const {
-  if (hasRoomFor(Job, Now))
-    return std::nullopt;
-  double Wait = waitMilliseconds(Job);
-  auto Start = Now + milliseconds(Wait);
-  auto Run = milliseconds(shortestRun(Job));
-  if (Wait <= 0 || Start + Run <= Job.UsefulUntil)
-    return std::nullopt;
-  return JobAnswer{JobVerdict::Rejected, "too much work waits for the workers",
-                   std::clamp(Wait, ShortestRetry, LongestRetry)};
-}
-
-double PoolManager::waitMilliseconds(const PoolJob &Job) const {
-  // Work ahead over the rate at which the workers do work, each with as many tasks as fit.
-  if (Queue_.empty())
-    return 0;
-  const auto &Need = Job.Order->Steps.front().Need;
-  double Rate = 0;
-  for (std::size_t Position = 0; Position < Fleet_.size(); ++Position) {
-    auto Index = static_cast<EndpointIndex>(Position);
-    const auto &Known = Fleet_.at(Index);
-    if (Known.Lease != LeaseState::Held || Known.FailedLooks > 0)
-      continue;
-    double Places = Need.Processors > 0
-                        ? std::floor(Known.Entry.Capacity.Processors / Need.Processors)
-                        : Known.Entry.Slots;
-    Rate += std::min<double>(Places, Known.Entry.Slots) * Ratings_.speed(Index);
-  }
-  return Rate > 0 ? WaitingMilliseconds_ / Rate : 0;
+      std::min(Order.AnswerBy, Order.ReceivedAt + core::fromMilliseconds(Objective * UsefulFactor));
+  Job.LatestStart = Job.ObjectiveAt - core::fromMilliseconds(Longest);
 }
 
 void PoolManager::unblockSteps(PoolJob &Job) {
@@ -183,22 +134,6 @@
   }
 }
 
-void PoolManager::enqueue(const PoolJob &Job, core::TimePoint Now) {
-  if (Job.waiting() == 0 || QueueKeys_.contains(Job.Handle) || Job.OrphanedUntil)
-    return;
-  QueueKey Key{Now > Job.LatestStart, Job.LatestStart, Job.Handle};
-  QueueKeys_[Job.Handle] = Key;
-  Queue_.insert(Key);
-}
-
-void PoolManager::dequeue(JobHandle Handle) {
-  auto Found = QueueKeys_.find(Handle);
-  if (Found == QueueKeys_.end())
-    return;
-  Queue_.erase(Found->second);
-  QueueKeys_.erase(Found);
-}
-
 void PoolManager::finishTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now) {
   auto &Done = Job.Tasks[Task];
   if (Done.State == TaskState::Done)
@@ -334,61 +269,6 @@
   endJob(Job, {JobVerdict::GivenUp, "the caller has left", 0}, Now);
 }
 
-void PoolManager::rejectHopeless(core::TimePoint Now) {
-  auto Rate = PlacingRate_.value();
-  if (Rate <= 0)
-    return;
-  std::vector<JobHandle> Hopeless;
-  double Ahead = 0;
-  for (const auto &Key : Queue_) {
-    const auto &Job = Jobs_.at(Key.Handle);
-    auto Start = Now + milliseconds(Ahead / Rate);
-    if (!Job.HasStarted && Start + milliseconds(shortestRun(Job) * HopeShare) > Job.UsefulUntil) {
-      Hopeless.push_back(Key.Handle);
-      continue;
-    }
-    for (const auto &Step : Job.Steps)
-      Ahead += Step.Waiting * Step.TypicalMilliseconds;
-  }
-  double Retry = std::clamp(Ahead / Rate, ShortestRetry, LongestRetry);
-  for (auto Handle : Hopeless)
-    if (auto *Job = find(Handle))
-      endJob(*Job, {JobVerdict::Rejected, "the work ahead leaves no time for it", Retry}, Now);
-}
-
-void PoolManager::expire(core::TimePoint Now) {
-  std::vector<std::pair<JobHandle, JobAnswer>> Ended;
-  for (const auto &[Handle, Job] : Jobs_) {
-    if (Job.IsEnding || Job.IsGuest)
-      continue;
-    if (Job.OrphanedUntil && Now >= *Job.OrphanedUntil) {
-      Ended.push_back({Handle, {JobVerdict::GivenUp, "its entry process is lost", 0}});
-      continue;
-    }
-    // A task that still waits needs its run time on the fastest worker.
-    auto Limit = Job.waiting() > 0 ? Job.UsefulUntil - milliseconds(shortestRun(Job) * HopeShare)
-                                   : Job.UsefulUntil;
-    if (Now < Limit)
-      continue;
-    auto Verdict = Job.HasStarted ? JobVerdict::GivenUp : JobVerdict::Rejected;
-    double Retry = std::clamp(waitMilliseconds(Job), ShortestRetry, LongestRetry);
-    Ended.push_back({Handle, {Verdict, "cannot be done while the caller waits", Retry}});
-  }
-  for (auto &[Handle, Answer] : Ended)
-    if (auto *Job = find(Handle))
-      endJob(*Job, std::move(Answer), Now);
-  std::vector<JobHandle> Missed;
-  for (const auto &Key : Queue_) {
-    if (Key.HasMissed || Key.LatestStart >= Now)
-      break;
-    Missed.push_back(Key.Handle);
-  }
-  for (auto Handle : Missed) {
-    dequeue(Handle);
-    enqueue(Jobs_.at(Handle), Now);
-  }
-}
-
 void PoolManager::forgetAnswers(core::TimePoint Now) {
   while (!AnsweredOrder_.empty()) {
     auto Found = Answered_.find(AnsweredOrder_.front());
--- a/Services/PoolDaemon/PoolDaemon.cpp
+++ b/Services/PoolDaemon/PoolDaemon.cpp
@@ -20,11 +20,6 @@
 /// A stopping process goes on for at least this time: the balancer needs two checks of one second
 /// each to notice.
 constexpr core::Duration BalancerTime = std::chrono::milliseconds(2300);
-/// A worker gets no new task two seconds after it began to leave; an older listing may not show it.
-constexpr core::Duration ListingAge = std::chrono::milliseconds(1000);
-/// How long a new manager waits for a fresh listing; then the store is away, and the one it has
-/// must do.
-constexpr core::Duration ListingWait = std::chrono::milliseconds(300);
 constexpr core::Duration BacklogTime = std::chrono::milliseconds(500);
 /// Between looks at the time of the settings file.
 constexpr core::Duration FileCheckTime = std::chrono::milliseconds(1000);
@@ -259,97 +254,6 @@
   return Configuration_.current() != nullptr && !StopBy_ && Election_.homeManager().has_value();
 }
 
-void PoolDaemon::applyElection(core::TimePoint Now) {
-  Election_.setReady(Configuration_.current() != nullptr && Directory_.isLoaded());
-  Election_.setOthersExist(!Mesh_.known().empty());
-  auto Changes = Election_.evaluate(Now);
-  for (const auto &Begun : Changes.Begun) {
-    core::logLine(core::LogLevel::Information, "pool", "managing the workers of a data centre",
-                  {{"data_centre", Begun.DataCentre},
-                   {"claim_in_ms", std::to_string(core::toMilliseconds(Begun.ClaimAt - Now))}});
-    Successors_.erase(Begun.DataCentre);
-    ClaimAt_[Begun.DataCentre] = Begun.ClaimAt;
-    if (Now - Directory_.refreshedAt() > ListingAge)
-      AwaitsListing_[Begun.DataCentre] = Now + ListingWait;
-  }
-  for (const auto &Stopped : Changes.Stopped) {
-    core::logLine(core::LogLevel::Information, "pool", "letting go of a data centre's workers",
-                  {{"data_centre", Stopped.DataCentre}});
-    Successors_[Stopped.DataCentre] = Stopped.Successor;
-    ClaimAt_.erase(Stopped.DataCentre);
-    AwaitsListing_.erase(Stopped.DataCentre);
-  }
-  bool HasChanged = !Changes.Begun.empty() || !Changes.Stopped.empty();
-  if (HasChanged)
-    Directory_.followClosely(!Election_.managed().empty());
-  if (HasChanged || !AwaitsListing_.empty())
-    workersChanged();
-  for (const auto &Rest : Changes.Claims) {
-    ClaimAt_[Rest.DataCentre] = Rest.ClaimAt;
-    for (const auto &Entry : Directory_.listing().of({Rest.DataCentre}))
-      Manager_.fleet().holdClaim(Entry.Id, Rest.ClaimAt);
-  }
-  Ingress_.setHome(Election_.homeManager(), Now);
-  if (HasChanged) {
-    reportReleased(Now);
-    Mesh_.beatNow(Now);
-  }
-}
-
-void PoolDaemon::workersChanged() {
-  auto Now = core::MonotonicClock::now();
-  auto Entries = Directory_.listing().of(usableDataCentres(Now));
-  for (const auto &Entry : Entries) {
-    auto ClaimAt = ClaimAt_.find(Entry.DataCentre);
-    if (ClaimAt != ClaimAt_.end() && ClaimAt->second > Now)
-      Manager_.fleet().holdClaim(Entry.Id, ClaimAt->second);
-  }
-  Manager_.setWorkers(Entries, Now);
-}
-
-std::set<std::string> PoolDaemon::usableDataCentres(core::TimePoint Now) {
-  std::erase_if(AwaitsListing_, [&](const auto &Awaiting) {
-    if (Directory_.refreshedAt() + ListingWait >= Awaiting.second)
-      return true; // Read after the data centre was taken over.
-    if (Now < Awaiting.second)
-      return false;
-    core::logLine(
-        core::LogLevel::Warning, "pool", "using an old listing of the workers",
-        {{"data_centre", Awaiting.first},
-         {"age_ms", std::to_string(core::toMilliseconds(Now - Directory_.refreshedAt()))}});
-    return true;
-  });
-  auto Usable = Election_.managed();
-  for (const auto &[DataCentre, Until] : AwaitsListing_)
-    Usable.erase(DataCentre);
-  return Usable;
-}
-
-void PoolDaemon::workerDropped(kernel::EndpointIndex Worker) {
-  const auto &Entry = Manager_.fleet().at(Worker).Entry;
-  auto Successor = Successors_.find(Entry.DataCentre);
-  if (Successor != Successors_.end())
-    send(Successor->second, kernel::ReleaseWorkers{{Entry.Id}});
-}
-
-void PoolDaemon::reportReleased(core::TimePoint Now) {
-  auto Releasing = Election_.releasing();
-  for (const auto &DataCentre : Releasing) {
-    bool IsHeld = false;
-    for (std::size_t Position = 0; Position < Manager_.fleet().size(); ++Position) {
-      const auto &Known = Manager_.fleet().at(static_cast<kernel::EndpointIndex>(Position));
-      IsHeld = IsHeld ||
-               (Known.Entry.DataCentre == DataCentre && Known.Lease != kernel::LeaseState::Absent);
-    }
-    if (IsHeld)
-      continue;
-    core::logLine(core::LogLevel::Information, "pool", "let go of all workers",
-                  {{"data_centre", DataCentre}});
-    Election_.released(DataCentre);
-    Mesh_.beatNow(Now);
-  }
-}
-
 void PoolDaemon::operatorKeysChanged(const store::KeyMirror::Items &Items) {
   auto Found = Items.find(std::string(Formats_->store().configurationKey()));
   if (Found != Items.end())
--- a/Tests/Integration/PoolDeployment.cpp
+++ b/Tests/Integration/PoolDeployment.cpp
@@ -246,6 +246,14 @@
   return Result;
 }
 
+std::string PoolDeployment::managerOf(const std::string &DataCentre) {
+  for (auto &Vm : Vms_)
+    if (Vm.Process && Vm.Process->isRunning() && Vm.DataCentre == DataCentre &&
+        metric(Vm, "cornellift_workers_held").value_or(0) > 0)
+      return Vm.Name;
+  return {};
+}
+
 std::vector<std::string> PoolDeployment::overlaps() const {
   std::map<std::string, std::vector<ObservedRun>> ByTask;
   for (auto &Run : runs())
--- a/Tests/Integration/PoolDeployment.h
+++ b/Tests/Integration/PoolDeployment.h
@@ -77,6 +77,9 @@
   /// Value of a metric of the VM; empty when it is not shown.
   static std::optional<double> metric(const PoolVm &Vm, const std::string &Name);
 
+  /// Name of the running VM that holds the data centre's workers; empty when none does.
+  std::string managerOf(const std::string &DataCentre);
+
   std::size_t workerCount() const {
     return Settings_.DataCentres.size() * Settings_.WorkersPerDataCentre;
   }
--- a/Tests/Integration/TestPoolDaemon.cpp
+++ b/Tests/Integration/TestPoolDaemon.cpp
@@ -67,14 +67,6 @@
   std::multiset<int> Others_;
 };
 
-std::string managerOf(PoolDeployment &Deployment, const std::string &DataCentre) {
-  for (auto &Vm : Deployment.vms())
-    if (Vm.Process && Vm.Process->isRunning() && Vm.DataCentre == DataCentre &&
-        PoolDeployment::metric(Vm, "cornellift_workers_held").value_or(0) > 0)
-      return Vm.Name;
-  return {};
-}
-
 template <typename Condition> bool eventually(Condition Holds, std::chrono::seconds Limit) {
   auto Deadline = std::chrono::steady_clock::now() + Limit;
   while (std::chrono::steady_clock::now() < Deadline) {
@@ -159,7 +151,7 @@
 BOOST_AUTO_TEST_CASE(KilledManagerIsReplaced) {
   PoolDeployment Deployment("PoolKill", {});
   BOOST_REQUIRE(Deployment.waitUntilReady());
-  auto Manager = managerOf(Deployment, "ikeja");
+  auto Manager = Deployment.managerOf("ikeja");
   BOOST_REQUIRE(!Manager.empty());
   std::vector<std::uint16_t> Ports;
   for (auto &Vm : Deployment.vms())
@@ -168,7 +160,7 @@
   Load Callers(Ports, 8, 60);
   std::this_thread::sleep_for(1s);
   Deployment.vm(Manager).Process->kill();
-  auto IsReplaced = [&] { return !managerOf(Deployment, "ikeja").empty(); };
+  auto IsReplaced = [&] { return !Deployment.managerOf("ikeja").empty(); };
   BOOST_TEST(eventually(IsReplaced, 4s));
   std::this_thread::sleep_for(1500ms);
   auto Before = Callers.completed();
@@ -183,7 +175,7 @@
 BOOST_AUTO_TEST_CASE(PlannedStopCutsNoRequest) {
   PoolDeployment Deployment("PoolStop", {});
   BOOST_REQUIRE(Deployment.waitUntilReady());
-  auto Manager = managerOf(Deployment, "ikeja");
+  auto Manager = Deployment.managerOf("ikeja");
   std::vector<std::uint16_t> Ports;
   for (auto &Vm : Deployment.vms())
     if (Vm.Name != Manager)
@@ -209,7 +201,7 @@
   std::this_thread::sleep_for(500ms);
   Others.finish();
   BOOST_TEST(Others.others().empty());
-  BOOST_TEST(!managerOf(Deployment, "ikeja").empty());
+  BOOST_TEST(!Deployment.managerOf("ikeja").empty());
   BOOST_TEST(Deployment.overlaps().empty());
 }
 
@@ -242,13 +234,13 @@
   PoolDeployment Deployment("PoolStoreAway", {});
   BOOST_REQUIRE(Deployment.waitUntilReady());
   Deployment.control("POST", "/store?mode=silent");
-  auto Manager = managerOf(Deployment, "ikeja");
+  auto Manager = Deployment.managerOf("ikeja");
   std::string Other = Manager == "ikeja-1" ? "ikeja-2" : "ikeja-1";
   Load Callers({Deployment.vm(Other).CallerPort}, 4, 50);
   std::this_thread::sleep_for(1500ms);
   BOOST_TEST(Callers.completed() > 20);
   Deployment.vm(Manager).Process->kill();
-  BOOST_TEST(eventually([&] { return managerOf(Deployment, "ikeja") == Other; }, 5s));
+  BOOST_TEST(eventually([&] { return Deployment.managerOf("ikeja") == Other; }, 5s));
   std::this_thread::sleep_for(1s);
   auto Before = Callers.completed();
   std::this_thread::sleep_for(1s);
@@ -262,7 +254,7 @@
 BOOST_AUTO_TEST_CASE(PausedManagerWakesUpHarmless) {
   PoolDeployment Deployment("PoolPause", {});
   BOOST_REQUIRE(Deployment.waitUntilReady());
-  auto Manager = managerOf(Deployment, "ikeja");
+  auto Manager = Deployment.managerOf("ikeja");
   std::string Other = Manager == "ikeja-1" ? "ikeja-2" : "ikeja-1";
   Load Callers({Deployment.vm(Other).CallerPort, Deployment.vm("yaba-1").CallerPort}, 8, 150);
   for (auto Span : {500ms, 1500ms, 3000ms}) {
--- a/Tests/Integration/TestPoolExplanations.cpp
+++ b/Tests/Integration/TestPoolExplanations.cpp
@@ -70,14 +70,6 @@
   BOOST_TEST_MESSAGE(Told);
 }
 
-std::string managerOf(PoolDeployment &Deployment, const std::string &DataCentre) {
-  for (auto &Vm : Deployment.vms())
-    if (Vm.DataCentre == DataCentre &&
-        PoolDeployment::metric(Vm, "cornellift_workers_held").value_or(0) > 0)
-      return Vm.Name;
-  return {};
-}
-
 /// The worker of the job's last run, once it has had that many; empty after two seconds.
 std::string workerOfRun(PoolDeployment &Deployment, const std::string &Job, std::size_t Count) {
   for (int Try = 0; Try < 100; ++Try) {
@@ -140,7 +132,7 @@
 BOOST_AUTO_TEST_CASE(AJobOfAKilledManagerIsExplained) {
   PoolDeployment Deployment("PoolExplainKill", {});
   BOOST_REQUIRE(Deployment.waitUntilReady());
-  auto Manager = managerOf(Deployment, "ikeja");
+  auto Manager = Deployment.managerOf("ikeja");
   BOOST_REQUIRE(!Manager.empty());
   auto Receiver = Manager == "ikeja-1" ? "ikeja-2" : "ikeja-1";
   PostedJob Job(Deployment.vm(Receiver).CallerPort, 2, 1500, 8000);
