LibMesh: Let links and elections cost less when there are many VMs

Causes, from a profile of one of 80 idle processes on loopback (38.6 ms of processor time a second): each round of 10 ms copied the map of links and looked for the home manager once for each of them, each heartbeat evaluated the election, each process told each other one of all VMs, and a process that got no answer within 300 ms opened all its connections again at once.

At most 16 connections are opened at a time, in turn; the list of links and the heartbeat are made once a round; the election is evaluated when a state changes; a new peer is told of 32 VMs; beyond 48 links a manager beats often to its own data centre and to other managers only.

TestMeshNode failed first: 100 connections at once, and, while the bound was new, a live peer that waited behind 100 silent ones.

--- a/Kernel/Pool/PoolElection.cpp
+++ b/Kernel/Pool/PoolElection.cpp
@@ -26,11 +26,14 @@
 PoolElection::PoolElection(CandidateState Self, core::TimePoint Now)
     : Self_(std::move(Self)), StartedAt_(Now), AloneSince_(Now) {}
 
-void PoolElection::peerChanged(PeerIndex Index, CandidateState State, core::TimePoint Now) {
+bool PoolElection::peerChanged(PeerIndex Index, CandidateState State, core::TimePoint Now) {
   auto [Position, IsNew] = Peers_.try_emplace(Index);
   if (IsNew)
     Position->second.UpSince = Now;
+  if (!IsNew && Position->second.State == State)
+    return false;
   Position->second.State = std::move(State);
+  return true;
 }
 
 void PoolElection::peerLost(PeerIndex Index, bool HasEnded, core::TimePoint Now) {
@@ -166,6 +169,11 @@
   return Changes;
 }
 
+bool PoolElection::isManager(PeerIndex Peer) const {
+  auto Found = Peers_.find(Peer);
+  return Found != Peers_.end() && !Found->second.State.Managed.empty();
+}
+
 std::set<std::string> PoolElection::seen() const {
   auto Result = Self_.Managed;
   for (const auto &[Index, Known] : Peers_)
--- a/Kernel/Pool/PoolElection.h
+++ b/Kernel/Pool/PoolElection.h
@@ -22,6 +22,8 @@
   std::set<std::string> Managed;  ///< Data centres whose workers it manages.
   std::set<std::string> Released; ///< Data centres whose workers it is letting go of.
   std::set<std::string> Seen;     ///< Data centres of whose manager it hears.
+
+  bool operator==(const CandidateState &) const = default;
 };
 
 /// This process is to manage the workers of a data centre.
@@ -68,7 +70,8 @@
   /// Whether other entry processes are known, reachable or not.
   void setOthersExist(bool OthersExist) { OthersExist_ = OthersExist; }
 
-  void peerChanged(PeerIndex Peer, CandidateState State, core::TimePoint Now);
+  /// Returns whether the state differs from the one known before.
+  bool peerChanged(PeerIndex Peer, CandidateState State, core::TimePoint Now);
   /// HasEnded: the process is gone for certain, and orders nothing any more.
   void peerLost(PeerIndex Peer, bool HasEnded, core::TimePoint Now);
 
@@ -77,6 +80,7 @@
   /// All workers of the data centre have been let go of.
   void released(const std::string &DataCentre) { Self_.Released.erase(DataCentre); }
 
+  bool isManager(PeerIndex Peer) const;
   const std::set<std::string> &managed() const { return Self_.Managed; }
   const std::set<std::string> &releasing() const { return Self_.Released; }
   /// Data centres of whose manager this process hears, its own included.
--- a/Kernel/Pool/WorkerListing.cpp
+++ b/Kernel/Pool/WorkerListing.cpp
@@ -1,5 +1,6 @@
 #include "Kernel/Pool/WorkerListing.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cornellift::kernel {
@@ -27,10 +28,18 @@
     return;
   bool MayReturn = StoreAwayAt != core::TimePoint() && Now - StoreAwayAt < AwayMemory &&
                    Found->second.Entry.Standing == WorkerStanding::Ready;
-  Found->second.DropAt = MayReturn ? Now + ReturnTime : Now;
+  auto DropAt = MayReturn ? Now + ReturnTime : Now;
+  Found->second.DropAt = DropAt;
+  NextDropAt_ = std::min(NextDropAt_.value_or(DropAt), DropAt);
 }
 
 bool WorkerListing::tick(core::TimePoint Now) {
+  if (!NextDropAt_ || Now < *NextDropAt_)
+    return false;
+  NextDropAt_.reset();
+  for (const auto &[Id, Entry] : Entries_)
+    if (Entry.DropAt && Now < *Entry.DropAt)
+      NextDropAt_ = std::min(NextDropAt_.value_or(*Entry.DropAt), *Entry.DropAt);
   auto Dropped = std::erase_if(Entries_, [&](const auto &Entry) {
     return Entry.second.DropAt && Now >= *Entry.second.DropAt;
   });
--- a/Kernel/Pool/WorkerListing.h
+++ b/Kernel/Pool/WorkerListing.h
@@ -38,6 +38,8 @@
   };
 
   std::map<std::string, Known> Entries_;
+  /// When the next entry is to be dropped; empty when none is.
+  std::optional<core::TimePoint> NextDropAt_;
 };
 
 } // namespace cornellift::kernel
--- a/Libraries/LibMesh/MeshNode.cpp
+++ b/Libraries/LibMesh/MeshNode.cpp
@@ -12,6 +12,9 @@
 /// Between heartbeats to a peer with which work is shared, and to others.
 constexpr core::Duration CloseInterval = std::chrono::milliseconds(120);
 constexpr core::Duration DistantInterval = std::chrono::milliseconds(700);
+/// Connections that are opened at the same time. Without a bound, some hundred processes that start
+/// together keep each other too busy to answer within the time for a connection.
+constexpr std::ptrdiff_t MaximumDials = 16;
 
 } // namespace
 
@@ -66,8 +69,10 @@
 
 std::shared_ptr<MeshPeer> MeshNode::obtain(const std::string &Vm) {
   auto &Peer = Peers_[Vm];
-  if (!Peer)
-    Peer = std::make_shared<MeshPeer>(Reactor_, static_cast<MeshPeerOwner &>(*this), Vm);
+  if (Peer)
+    return Peer;
+  Peer = std::make_shared<MeshPeer>(Reactor_, static_cast<MeshPeerOwner &>(*this), Vm);
+  List_.reset();
   return Peer;
 }
 
@@ -91,18 +96,45 @@
     Found->second->send(std::move(Message));
 }
 
-void MeshNode::beatNow(core::TimePoint Now) {
+std::shared_ptr<const MeshNode::PeerList> MeshNode::peerList() {
+  if (List_)
+    return List_;
+  PeerList Now;
+  Now.reserve(Peers_.size());
   for (const auto &[Vm, Peer] : Peers_)
+    Now.push_back(Peer);
+  List_ = std::make_shared<const PeerList>(std::move(Now));
+  return List_;
+}
+
+void MeshNode::beatNow(core::TimePoint Now) {
+  RoundBeat_ = Listener_.heartbeatFor();
+  for (const auto &Peer : *peerList())
     Peer->beat(Now);
+  RoundBeat_.reset();
 }
 
 void MeshNode::tick(core::TimePoint Now) {
-  auto Copy = Peers_; // A loss may make further peers known.
-  for (const auto &[Vm, Peer] : Copy) {
+  auto List = peerList(); // A loss may make further peers known.
+  RoundBeat_ = Listener_.heartbeatFor();
+  auto Dialing =
+      std::count_if(List->begin(), List->end(), [](const auto &Peer) { return Peer->isDialing(); });
+  // The next round begins with the first peer that had to wait, so that those that do not answer
+  // leave room for others.
+  std::optional<std::size_t> FirstWaiting;
+  for (std::size_t Offset = 0; Offset < List->size(); ++Offset) {
+    auto Position = (TickFrom_ + Offset) % List->size();
+    const auto &Peer = (*List)[Position];
     if (Peer->isUp())
       Peer->setInterval(Listener_.isClose(*Peer) ? CloseInterval : DistantInterval, Now);
-    Peer->tick(Now);
+    Dialing -= Peer->isDialing() ? 1 : 0;
+    Peer->tick(Now, Dialing < MaximumDials ? DialPermission::Granted : DialPermission::Withheld);
+    Dialing += Peer->isDialing() ? 1 : 0;
+    if (!FirstWaiting && Peer->wantsToDial(Now))
+      FirstWaiting = Position;
   }
+  TickFrom_ = FirstWaiting.value_or(TickFrom_);
+  RoundBeat_.reset();
 }
 
 void MeshNode::close() {
@@ -128,6 +160,11 @@
   return Result;
 }
 
+bool MeshNode::knowsOthers() const {
+  return std::any_of(Peers_.begin(), Peers_.end(),
+                     [](const auto &Entry) { return Entry.second->isNamed(); });
+}
+
 const MeshPeer *MeshNode::find(kernel::PeerIndex Index) const {
   auto Found = ByIndex_.find(Index);
   return Found == ByIndex_.end() ? nullptr : Found->second;
@@ -140,11 +177,14 @@
   auto Known = Peers_.find(Peer.vm());
   auto Self = Known->second;
   Peers_.erase(Known);
+  List_.reset();
   Self->shutDown();
   learn(Vm, Address);
 }
 
-Heartbeat MeshNode::currentHeartbeat() { return Listener_.heartbeatFor(); }
+Heartbeat MeshNode::currentHeartbeat() {
+  return RoundBeat_ ? *RoundBeat_ : Listener_.heartbeatFor();
+}
 
 void MeshNode::peerUp(MeshPeer &Peer) {
   Peer.Index = static_cast<kernel::PeerIndex>(NextIndex_++);
@@ -155,6 +195,7 @@
 void MeshNode::peerDown(MeshPeer &Peer, PeerLoss How) {
   ByIndex_.erase(Peer.Index);
   Listener_.peerDown(Peer, How);
+  RoundBeat_.reset(); // What this process manages may have changed.
 }
 
 void MeshNode::peerHeartbeat(MeshPeer &Peer, const Heartbeat &Message) {
--- a/Libraries/LibMesh/MeshNode.h
+++ b/Libraries/LibMesh/MeshNode.h
@@ -54,10 +54,17 @@
   std::vector<const MeshPeer *> peers() const;
   /// All VMs that are known by name, reachable or not.
   std::vector<const MeshPeer *> known() const;
+  bool knowsOthers() const;
+  /// Links, up or not.
+  std::size_t size() const { return Peers_.size(); }
   const MeshPeer *find(kernel::PeerIndex Index) const;
   const MeshIdentity &identity() const override { return Identity_; }
 
 private:
+  using PeerList = std::vector<std::shared_ptr<MeshPeer>>;
+
+  /// The peers as they are now; the list stays as it is while peers come and go.
+  std::shared_ptr<const PeerList> peerList();
   void acceptNext();
   void helloReceived(const std::shared_ptr<MeshConnection> &Connection, const Frame &Message);
   std::shared_ptr<MeshPeer> obtain(const std::string &Vm);
@@ -77,6 +84,10 @@
   std::map<std::string, std::shared_ptr<MeshPeer>> Peers_;
   std::unordered_map<kernel::PeerIndex, MeshPeer *> ByIndex_;
   std::uint32_t NextIndex_ = 1;
+  std::shared_ptr<const PeerList> List_; ///< Of Peers_; empty when these have changed.
+  std::size_t TickFrom_ = 0;             ///< Position of the peer that may dial first.
+  /// The heartbeat of the round under way, which is the same for all peers.
+  std::optional<Heartbeat> RoundBeat_;
 };
 
 } // namespace cornellift::mesh
--- a/Libraries/LibMesh/MeshPeer.cpp
+++ b/Libraries/LibMesh/MeshPeer.cpp
@@ -262,16 +262,17 @@
     Owner_.peerDown(*this, How);
 }
 
-void MeshPeer::tick(core::TimePoint Now) {
+void MeshPeer::tick(core::TimePoint Now, DialPermission Permission) {
   bool IsSilent = Now - LastHeard_ > silenceLimit(PeerInterval_) ||
                   (AwaitsSince_ && Now - *AwaitsSince_ > SilenceTime);
   if (IsUp_ && IsSilent)
     return goDown(PeerLoss::Silent, Now);
   if (Outgoing_ && !IsGreeted_ && Now >= DialUntil_)
-    dropOutgoing(Now);
+    return dropOutgoing(Now); // Others may dial first.
   if (IsGreeted_ && AwaitsSince_ && Now - std::max(*AwaitsSince_, GreetedAt_) > StaleTime)
     dropOutgoing(Now);
-  if (!Outgoing_ && Now >= DialAt_)
+  // A peer that has connected to this process is alive and answers soon.
+  if (wantsToDial(Now) && (Incoming_ || Permission == DialPermission::Granted))
     dial(Now);
   if (Now >= BeatAt_)
     beat(Now);
--- a/Libraries/LibMesh/MeshPeer.h
+++ b/Libraries/LibMesh/MeshPeer.h
@@ -29,6 +29,9 @@
 
 class MeshPeer;
 
+/// Whether a peer may open a connection now.
+enum class DialPermission : std::uint8_t { Granted, Withheld };
+
 /// Learns what happens to the peers.
 class MeshPeerOwner {
 public:
@@ -60,6 +63,10 @@
   std::uint32_t weight() const { return Weight_; }
   std::uint64_t incarnation() const { return Incarnation_; }
   bool isUp() const { return IsUp_; }
+  /// A connection to the peer is being opened.
+  bool isDialing() const { return Outgoing_ && !IsGreeted_; }
+  /// A connection to the peer is to be opened.
+  bool wantsToDial(core::TimePoint Now) const { return !Outgoing_ && Now >= DialAt_; }
   /// When anything was heard of the peer last.
   core::TimePoint lastHeard() const { return LastHeard_; }
   /// Set by the owner when the peer comes up.
@@ -77,7 +84,7 @@
 
   void accept(const std::shared_ptr<MeshConnection> &Connection, const Hello &Message,
               core::TimePoint Now);
-  void tick(core::TimePoint Now);
+  void tick(core::TimePoint Now, DialPermission Permission);
   void shutDown();
 
 private:
--- a/Services/PoolDaemon/PoolDaemon.cpp
+++ b/Services/PoolDaemon/PoolDaemon.cpp
@@ -251,7 +251,7 @@
 }
 
 bool PoolDaemon::isReady() const {
-  return Configuration_.current() != nullptr && !StopBy_ && Election_.homeManager().has_value();
+  return Configuration_.current() != nullptr && !StopBy_ && Home_.has_value();
 }
 
 void PoolDaemon::operatorKeysChanged(const store::KeyMirror::Items &Items) {
--- a/Services/PoolDaemon/PoolDaemon.h
+++ b/Services/PoolDaemon/PoolDaemon.h
@@ -23,6 +23,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <span>
 #include <string>
@@ -107,6 +108,9 @@
   std::shared_ptr<reactor::HttpServer> Readiness_;
   std::shared_ptr<reactor::HttpServer> MetricsServer_;
 
+  std::minstd_rand Random_{std::random_device()()};
+  /// The manager that gets the jobs of this process's callers, as of the last look at the election.
+  std::optional<kernel::PeerIndex> Home_;
   std::map<std::string, kernel::PeerIndex> Successors_; ///< Of data centres that are released.
   std::map<std::string, core::TimePoint> ClaimAt_;      ///< Of data centres that are managed.
   /// Data centres that wait for a fresh listing, and until when.
--- a/Services/PoolDaemon/PoolDaemonPeers.cpp
+++ b/Services/PoolDaemon/PoolDaemonPeers.cpp
@@ -2,10 +2,21 @@
 #include "Libraries/LibMesh/MeshCoding.h"
 #include "Services/PoolDaemon/PoolDaemon.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
+#include <vector>
 
 namespace cornellift::pool {
+namespace {
+
+/// Up to this many links a manager beats to all VMs as often as to those of its data centre. Beyond
+/// it, that alone would take a large part of its processor.
+constexpr std::size_t SmallFleet = 48;
+/// How many VMs a new peer is told of. Each VM is told by all its peers, so that a part is enough.
+constexpr std::size_t MaximumToldPeers = 32;
+
+} // namespace
 
 mesh::Heartbeat PoolDaemon::heartbeatFor() {
   mesh::Heartbeat Message;
@@ -25,8 +36,12 @@
 }
 
 bool PoolDaemon::isClose(const mesh::MeshPeer &Peer) {
-  return Peer.dataCentre() == Settings_.DataCentre || !Election_.managed().empty() ||
-         Election_.homeManager() == Peer.Index;
+  if (Peer.dataCentre() == Settings_.DataCentre || Home_ == Peer.Index)
+    return true;
+  if (Election_.managed().empty())
+    return false;
+  // In a small fleet any VM may take over the workers of another data centre soon after a loss.
+  return Mesh_.size() <= SmallFleet || Election_.isManager(Peer.Index);
 }
 
 void PoolDaemon::peerUp(const mesh::MeshPeer &Peer) {
@@ -34,10 +49,13 @@
                 {{"vm", Peer.vm()},
                  {"address", Peer.address()},
                  {"index", std::to_string(static_cast<std::uint32_t>(Peer.Index))}});
+  std::vector<const mesh::MeshPeer *> Told;
+  auto Known = Mesh_.known();
+  std::sample(Known.begin(), Known.end(), std::back_inserter(Told), MaximumToldPeers, Random_);
   mesh::Frame Message;
-  for (const auto *Known : Mesh_.known()) {
-    Message.mutable_peers()->add_vms(Known->vm());
-    Message.mutable_peers()->add_addresses(Known->address());
+  for (const auto *Other : Told) {
+    Message.mutable_peers()->add_vms(Other->vm());
+    Message.mutable_peers()->add_addresses(Other->address());
   }
   Mesh_.send(Peer.Index, Message);
 }
@@ -68,11 +86,12 @@
   State.Managed.insert(Message.managed().begin(), Message.managed().end());
   State.Released.insert(Message.released().begin(), Message.released().end());
   State.Seen.insert(Message.seen().begin(), Message.seen().end());
-  Election_.peerChanged(Peer.Index, std::move(State), Now);
+  bool HasChanged = Election_.peerChanged(Peer.Index, std::move(State), Now);
   Tokens_.observe(Message.highest_token());
   Manager_.setManager(Peer.Index, Message.takes_part(), Now);
   fetchConfiguration(Peer.Index, Message.configuration_version());
-  applyElection(Now);
+  if (HasChanged)
+    applyElection(Now);
 }
 
 void PoolDaemon::fetchConfiguration(kernel::PeerIndex Peer, std::uint64_t Version) {
--- a/Services/PoolDaemon/PoolDaemonWorkers.cpp
+++ b/Services/PoolDaemon/PoolDaemonWorkers.cpp
@@ -15,7 +15,7 @@
 
 void PoolDaemon::applyElection(core::TimePoint Now) {
   Election_.setReady(Configuration_.current() != nullptr && Directory_.isLoaded());
-  Election_.setOthersExist(!Mesh_.known().empty());
+  Election_.setOthersExist(Mesh_.knowsOthers());
   auto Changes = Election_.evaluate(Now);
   for (const auto &Begun : Changes.Begun) {
     core::logLine(core::LogLevel::Information, "pool", "managing the workers of a data centre",
@@ -43,7 +43,8 @@
     for (const auto &Entry : Directory_.listing().of({Rest.DataCentre}))
       Manager_.fleet().holdClaim(Entry.Id, Rest.ClaimAt);
   }
-  Ingress_.setHome(Election_.homeManager(), Now);
+  Home_ = Election_.homeManager();
+  Ingress_.setHome(Home_, Now);
   if (HasChanged) {
     reportReleased(Now);
     Mesh_.beatNow(Now);
--- a/Tests/LibMesh/TestMeshNode.cpp
+++ b/Tests/LibMesh/TestMeshNode.cpp
@@ -220,3 +220,32 @@
     return Known.size() == 1 && Known.front()->vm() == "ikeja-2";
   }));
 }
+
+// Guards against some hundred processes that start together and keep each other too busy to answer:
+// each opened connections to all the others at once, and again when they timed out. Those that do
+// not answer keep nobody from reaching one that does.
+BOOST_AUTO_TEST_CASE(AFewConnectionsAreOpenedAtATime) {
+  Pair World;
+  std::vector<Tcp::socket> Accepted;
+  Tcp::acceptor Mute(World.Reactor, {asio::ip::address_v4::loopback(), 0});
+  std::function<void()> AcceptNext = [&] {
+    Mute.async_accept([&](boost::system::error_code Error, Tcp::socket Socket) {
+      if (Error)
+        return;
+      Accepted.push_back(std::move(Socket));
+      AcceptNext();
+    });
+  };
+  AcceptNext();
+  auto Begin = std::chrono::steady_clock::now();
+  for (int Number = 0; Number < 100; ++Number)
+    World.First->Mesh.learn("apapa-" + std::to_string(Number),
+                            reactor::formatAddress(Mute.local_endpoint()));
+  // The first connections time out after 300 ms.
+  World.until([&] { return std::chrono::steady_clock::now() - Begin > 200ms; });
+  BOOST_TEST(Accepted.size() >= 8U);
+  BOOST_TEST(Accepted.size() <= 16U);
+  BOOST_TEST(World.until([&] { return World.areUp(); }));
+  Mute.close();
+  World.Reactor.poll();
+}
