PoolDaemon: Spend less on links and on the workers' list in large fleets

Causes: each VM read 3,000 entries every 4 s, and beat every 120 ms to 75 VMs of its data centre. VMs that manage nothing read the list less often the longer it is (4 s up to 400 workers, 30 s at most; a VM that takes over reads it again first). Beyond 48 links only managers and the VMs that send them jobs beat often to each other; the loss of any other VM is noticed after 2.8 s then, unless its process has ended.

Deployments of up to 48 VMs and 400 workers run as before.

--- a/Services/PoolDaemon/PoolDaemonPeers.cpp
+++ b/Services/PoolDaemon/PoolDaemonPeers.cpp
@@ -10,8 +10,9 @@
 namespace cornellift::pool {
 namespace {
 
-/// Up to this many links a manager beats to all VMs as often as to those of its data centre. Beyond
-/// it, that alone would take a large part of its processor.
+/// Up to this many links a VM beats often to all VMs of its data centre, and a manager to all VMs.
+/// Beyond it, that alone would take a large part of the processor, and only managers and the VMs
+/// that send them jobs beat often to each other.
 constexpr std::size_t SmallFleet = 48;
 /// How many VMs a new peer is told of. Each VM is told by all its peers, so that a part is enough.
 constexpr std::size_t MaximumToldPeers = 32;
@@ -36,12 +37,12 @@
 }
 
 bool PoolDaemon::isClose(const mesh::MeshPeer &Peer) {
-  if (Peer.dataCentre() == Settings_.DataCentre || Home_ == Peer.Index)
-    return true;
-  if (Election_.managed().empty())
-    return false;
-  // In a small fleet any VM may take over the workers of another data centre soon after a loss.
-  return Mesh_.size() <= SmallFleet || Election_.isManager(Peer.Index);
+  bool IsNear = Peer.dataCentre() == Settings_.DataCentre;
+  bool IsManager = !Election_.managed().empty();
+  // In a small fleet any VM may take over any workers soon after a loss.
+  if (Mesh_.size() <= SmallFleet)
+    return IsNear || IsManager || Home_ == Peer.Index;
+  return Home_ == Peer.Index || (IsManager && (IsNear || Election_.isManager(Peer.Index)));
 }
 
 void PoolDaemon::peerUp(const mesh::MeshPeer &Peer) {
--- a/Services/PoolDaemon/WorkerDirectory.cpp
+++ b/Services/PoolDaemon/WorkerDirectory.cpp
@@ -2,6 +2,7 @@
 
 #include "Libraries/LibCore/Reason.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cornellift::pool {
@@ -11,22 +12,38 @@
 /// together. A leaving worker gets no new task after two seconds.
 constexpr store::MirrorPace ClosePace = {std::chrono::seconds(3), std::chrono::milliseconds(600)};
 /// In four seconds each entry is written two or three times, so that reading all of them is less.
-constexpr store::MirrorPace DistantPace = {std::chrono::seconds(3), std::chrono::seconds(4),
-                                           store::MirrorReading::Everything};
+constexpr core::Duration ShortestReading = std::chrono::seconds(4);
+constexpr core::Duration LongestReading = std::chrono::seconds(30);
+/// Workers that are read at the shortest interval, some 35 KB a second.
+constexpr std::size_t OftenReadWorkers = 400;
 
 } // namespace
 
+core::Duration readingInterval(std::size_t WorkerCount) {
+  auto Scaled = ShortestReading * static_cast<std::int64_t>(WorkerCount) /
+                static_cast<std::int64_t>(OftenReadWorkers);
+  return std::clamp(std::chrono::duration_cast<core::Duration>(Scaled), ShortestReading,
+                    LongestReading);
+}
+
 WorkerDirectory::WorkerDirectory(store::asio::io_context &Reactor,
                                  const std::shared_ptr<store::StoreClient> &Store,
                                  const platform::WorkerFormat &Format, kernel::DecisionLog &Log,
                                  ChangeHandler OnChange)
     : Store_(Store), Format_(Format), Log_(Log), OnChange_(std::move(OnChange)),
       Mirror_(std::make_shared<store::KeyMirror>(
-          Reactor, Store, std::string(Store->format().workerPrefix()), DistantPace,
+          Reactor, Store, std::string(Store->format().workerPrefix()), pace(),
           [this](const store::KeyMirror::Items &Items) { itemsChanged(Items); })) {}
 
 void WorkerDirectory::followClosely(bool IsWanted) {
-  Mirror_->setPace(IsWanted ? ClosePace : DistantPace);
+  IsClose_ = IsWanted;
+  Mirror_->setPace(pace());
+}
+
+store::MirrorPace WorkerDirectory::pace() const {
+  if (IsClose_)
+    return ClosePace;
+  return {ClosePace.Wait, readingInterval(Revisions_.size()), store::MirrorReading::Everything};
 }
 
 void WorkerDirectory::itemsChanged(const store::KeyMirror::Items &Items) {
@@ -51,6 +68,7 @@
     Revisions_.erase(Id);
     Listing_.removed(Id, Store_->lastAway(), Now);
   }
+  Mirror_->setPace(pace());
   Listing_.tick(Now);
   OnChange_();
 }
--- a/Services/PoolDaemon/WorkerDirectory.h
+++ b/Services/PoolDaemon/WorkerDirectory.h
@@ -13,6 +13,11 @@
 
 namespace cornellift::pool {
 
+/// Between two readings of all entries by a process that manages none of the workers. Many workers
+/// are read less often, so that the bytes a second do not grow with their number; a process that
+/// takes over reads them again before it uses them.
+core::Duration readingInterval(std::size_t WorkerCount);
+
 /// Follows the workers' entries in the store: closely while this process manages workers, otherwise
 /// often enough to take over when the store is away.
 class WorkerDirectory {
@@ -35,6 +40,7 @@
   std::uint64_t revision() const { return Mirror_->revision(); }
 
 private:
+  store::MirrorPace pace() const;
   void itemsChanged(const store::KeyMirror::Items &Items);
 
   std::shared_ptr<store::StoreClient> Store_;
@@ -43,6 +49,7 @@
   ChangeHandler OnChange_;
   kernel::WorkerListing Listing_;
   std::unordered_map<std::string, std::uint64_t> Revisions_; ///< Of the entries read, by id.
+  bool IsClose_ = false; ///< Some of the workers are managed by this process.
   std::shared_ptr<store::KeyMirror> Mirror_;
 };
 
