--- a/Tests/Kernel/TestMembership.cpp
+++ b/Tests/Kernel/TestMembership.cpp
@@ -156,8 +156,8 @@
   std::vector<ListedVm> Listed;
   for (const auto *Name : {"a-1", "a-2", "b-1", "b-2"})
     Listed.push_back({Name, Name, {Name[0]}, ListedVm::Mark::Live});
-  for (auto &[Name, Item] : Net.Nodes)
-    Net.act(Name, [&](auto &Out) { Item.Detector->platformList(Listed, Net.Now, Out); });
+  for (const auto *Name : {"a-1", "a-2", "b-1", "b-2"})
+    Net.act(Name, [&](auto &Out) { Net.at(Name).platformList(Listed, Net.Now, Out); });
   Net.runFor(11s);
   for (const auto *Viewer : {"a-1", "a-2"})
     BOOST_TEST(Net.at(Viewer).isUnreachable("b"), Viewer);
