LibMesh: Hold the list of peers while heartbeats are sent to it

The loop over a temporary's list relied on the member that keeps it alive; a peer that becomes known meanwhile would drop that. Not reachable today, as sending makes no peer known; found by reading the change.

--- a/Libraries/LibMesh/MeshNode.cpp
+++ b/Libraries/LibMesh/MeshNode.cpp
@@ -108,8 +108,9 @@
 }
 
 void MeshNode::beatNow(core::TimePoint Now) {
+  auto List = peerList();
   RoundBeat_ = Listener_.heartbeatFor();
-  for (const auto &Peer : *peerList())
+  for (const auto &Peer : *List)
     Peer->beat(Now);
   RoundBeat_.reset();
 }
