PoolDaemon: Link the VMs of large fleets to hubs only

Cause: each VM kept a link to each other one, 89,700 connections in all, with heartbeats and acknowledgements on each. While the processes were busy with these, links were found silent and opened again, 250 new connections a second a VM.

In fleets of more than 48 VMs a VM keeps links to the managers and to the first four VMs of each data centre in the order of the election; those are linked to all. Failing hubs are replaced after a second. A link that neither side needs is closed. A VM takes no data centre while a better one that does not fail is known, though not linked yet. The key of a VM in the store tells its data centre and weight, and has a new prefix, as older processes cannot read it.

--- a/Kernel/Pool/PoolElection.cpp
+++ b/Kernel/Pool/PoolElection.cpp
@@ -1,6 +1,7 @@
 #include "Kernel/Pool/PoolElection.h"
 
-#include <tuple>
+#include "Kernel/Pool/CandidateRank.h"
+
 #include <utility>
 
 namespace cornellift::kernel {
@@ -52,11 +53,7 @@
 
 bool PoolElection::ranksBefore(const CandidateState &Left, const CandidateState &Right,
                                const std::string &DataCentre) const {
-  auto Key = [&](const CandidateState &State) {
-    return std::tuple(State.DataCentre != DataCentre, -static_cast<std::int64_t>(State.Weight),
-                      State.Vm);
-  };
-  return Key(Left) < Key(Right);
+  return rankIn(DataCentre, Left) < rankIn(DataCentre, Right);
 }
 
 std::optional<PeerIndex> PoolElection::managerAmongPeers(const std::string &DataCentre) const {
@@ -110,7 +107,8 @@
     return;
   if (Peers_.empty() && OthersExist_ && Now < AloneSince_ + AloneTime)
     return;
-  if (managerAmongPeers(DataCentre) || Self_.Released.contains(DataCentre))
+  if (managerAmongPeers(DataCentre) || Self_.Released.contains(DataCentre) ||
+      BetterKnown_.contains(DataCentre))
     return;
   for (const auto &[Index, Known] : Peers_)
     if (Known.State.IsReady && !Known.State.IsStopping &&
--- a/Kernel/Pool/PoolElection.h
+++ b/Kernel/Pool/PoolElection.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cornellift::kernel {
@@ -69,6 +70,9 @@
   void setStopping() { Self_.IsStopping = true; }
   /// Whether other entry processes are known, reachable or not.
   void setOthersExist(bool OthersExist) { OthersExist_ = OthersExist; }
+  /// Data centres that another process is to manage, although there is no link to it yet. Empty
+  /// where all processes are linked.
+  void setBetterKnown(std::set<std::string> DataCentres) { BetterKnown_ = std::move(DataCentres); }
 
   /// Returns whether the state differs from the one known before.
   bool peerChanged(PeerIndex Peer, CandidateState State, core::TimePoint Now);
@@ -113,6 +117,7 @@
   core::TimePoint AloneSince_; ///< When the last peer was lost, or the start.
   bool OthersExist_ = false;
   std::set<std::string> DataCentres_;
+  std::set<std::string> BetterKnown_;
   std::map<PeerIndex, Peer> Peers_;
   std::map<std::string, LostManager> Lost_;
   /// Data centres that this process manages while another one still releases their workers.
--- a/Libraries/LibMesh/MeshNode.cpp
+++ b/Libraries/LibMesh/MeshNode.cpp
@@ -76,9 +76,9 @@
   return Peer;
 }
 
-void MeshNode::learn(const std::string &Vm, const std::string &Address) {
-  if (Vm != Identity_.Vm && Address != Identity_.Address)
-    obtain(Vm)->setAddress(Address);
+void MeshNode::learn(const PeerRecord &Record) {
+  if (Record.Vm != Identity_.Vm && Record.Address != Identity_.Address)
+    obtain(Record.Vm)->setRecord(Record);
 }
 
 void MeshNode::learnAddress(const std::string &Address) {
@@ -128,6 +128,7 @@
     const auto &Peer = (*List)[Position];
     if (Peer->isUp())
       Peer->setInterval(Listener_.isClose(*Peer) ? CloseInterval : DistantInterval, Now);
+    Peer->setNeeded(!Peer->isNamed() || Listener_.isNeeded(*Peer));
     Dialing -= Peer->isDialing() ? 1 : 0;
     Peer->tick(Now, Dialing < MaximumDials ? DialPermission::Granted : DialPermission::Withheld);
     Dialing += Peer->isDialing() ? 1 : 0;
@@ -180,7 +181,7 @@
   Peers_.erase(Known);
   List_.reset();
   Self->shutDown();
-  learn(Vm, Address);
+  learn({Vm, Address, {}});
 }
 
 Heartbeat MeshNode::currentHeartbeat() {
--- a/Libraries/LibMesh/MeshNode.h
+++ b/Libraries/LibMesh/MeshNode.h
@@ -21,6 +21,8 @@
   virtual Heartbeat heartbeatFor() = 0;
   /// Whether work is shared with the VM, so that its loss has to be noticed soon.
   virtual bool isClose(const MeshPeer &Peer) = 0;
+  /// Whether this process needs a link to the VM. A link stays while either side needs it.
+  virtual bool isNeeded(const MeshPeer &Peer) = 0;
   virtual void peerUp(const MeshPeer &Peer) = 0;
   virtual void peerDown(const MeshPeer &Peer, PeerLoss How) = 0;
   virtual void heartbeatReceived(const MeshPeer &Peer, const Heartbeat &Message) = 0;
@@ -37,7 +39,7 @@
   bool listen(const Tcp::endpoint &Address);
 
   /// A VM exists at that address, as told by the store, the settings or another peer.
-  void learn(const std::string &Vm, const std::string &Address);
+  void learn(const PeerRecord &Record);
 
   /// An address without a name, such as one of the settings; its process tells its name.
   void learnAddress(const std::string &Address);
--- a/Libraries/LibMesh/MeshPeer.cpp
+++ b/Libraries/LibMesh/MeshPeer.cpp
@@ -18,6 +18,8 @@
 constexpr core::Duration DialTime = std::chrono::milliseconds(300);
 constexpr core::Duration FirstDialPause = std::chrono::milliseconds(40);
 constexpr core::Duration LongestDialPause = std::chrono::milliseconds(500);
+/// A peer is failing when it was tried in vain for this time, some three attempts.
+constexpr core::Duration FailingTime = std::chrono::milliseconds(1000);
 
 core::Duration silenceLimit(core::Duration Interval) {
   return std::max(SilenceTime, Interval * MissedBeats);
@@ -30,6 +32,24 @@
   beginSession();
 }
 
+void MeshPeer::setRecord(const PeerRecord &Record) {
+  if (!IsUp_ && !Record.DataCentre.empty()) {
+    DataCentre_ = Record.DataCentre;
+    Weight_ = std::max(1U, Record.Weight);
+  }
+  setAddress(Record.Address);
+}
+
+void MeshPeer::setNeeded(bool IsNeeded) {
+  if (IsNeeded && !IsNeeded_)
+    IsSpareTold_ = false;
+  IsNeeded_ = IsNeeded;
+}
+
+bool MeshPeer::isFailing(core::TimePoint Now) const {
+  return FailingSince_ && Now - *FailingSince_ >= FailingTime;
+}
+
 void MeshPeer::setAddress(const std::string &Address) {
   if (Address.empty() || Address == Address_)
     return;
@@ -69,6 +89,8 @@
   *Message.mutable_heartbeat() = Owner_.currentHeartbeat();
   Message.mutable_heartbeat()->set_interval_ms(
       static_cast<std::uint32_t>(core::toMilliseconds(Interval_)));
+  Message.mutable_heartbeat()->set_spare_link(!IsNeeded_);
+  IsSpareTold_ = !IsNeeded_;
   Outgoing_->send(Message);
   BeatAt_ = Now + Interval_;
   if (!AwaitsSince_)
@@ -79,6 +101,8 @@
   auto Remote = reactor::parseAddress(Address_);
   DialUntil_ = Now + DialTime;
   DialAt_ = DialUntil_;
+  if (!FailingSince_)
+    FailingSince_ = Now;
   if (!Remote)
     return;
   Outgoing_ = std::make_shared<MeshConnection>(Reactor_, Tcp::socket(Reactor_));
@@ -157,6 +181,8 @@
   bool Refused = Error == asio::error::connection_refused;
   if (Refused && IsUp_)
     return goDown(PeerLoss::Ended, Now);
+  if (IsUp_ && !IsNeeded_ && IsSpareToPeer_)
+    return goDown(PeerLoss::Unneeded, Now);
   dropOutgoing(Now + DialPause_);
 }
 
@@ -225,6 +251,7 @@
   Connection->send(Reply);
   if (Message.has_heartbeat()) {
     PeerInterval_ = std::chrono::milliseconds(Message.heartbeat().interval_ms());
+    IsSpareToPeer_ = Message.heartbeat().spare_link();
     if (IsUp_)
       Owner_.peerHeartbeat(*this, Message.heartbeat());
     return;
@@ -246,6 +273,7 @@
   if (IsUp_ || !IsGreeted_ || !Incoming_ || !PeerSessionIsAlive_)
     return;
   IsUp_ = true;
+  FailingSince_.reset();
   LastHeard_ = Now;
   Owner_.peerUp(*this);
 }
@@ -253,6 +281,12 @@
 void MeshPeer::goDown(PeerLoss How, core::TimePoint Now) {
   bool WasUp = std::exchange(IsUp_, false);
   PeerSessionIsAlive_ = false;
+  IsSpareToPeer_ = false;
+  IsSpareTold_ = false;
+  if (WasUp && How == PeerLoss::Silent)
+    FailingSince_ = LastHeard_;
+  if (WasUp && How == PeerLoss::Ended)
+    FailingSince_ = Now - FailingTime;
   if (Incoming_)
     Incoming_->close();
   Incoming_.reset();
@@ -267,6 +301,8 @@
                   (AwaitsSince_ && Now - *AwaitsSince_ > SilenceTime);
   if (IsUp_ && IsSilent)
     return goDown(PeerLoss::Silent, Now);
+  if (IsUp_ && IsSpareTold_ && IsSpareToPeer_)
+    return goDown(PeerLoss::Unneeded, Now);
   if (Outgoing_ && !IsGreeted_ && Now >= DialUntil_)
     return dropOutgoing(Now); // Others may dial first.
   if (IsGreeted_ && AwaitsSince_ && Now - std::max(*AwaitsSince_, GreetedAt_) > StaleTime)
--- a/Libraries/LibMesh/MeshPeer.h
+++ b/Libraries/LibMesh/MeshPeer.h
@@ -23,8 +23,17 @@
 };
 
 enum class PeerLoss {
-  Silent, ///< Nothing was heard for too long; the process may go on somewhere.
-  Ended   ///< Its process has ended or was replaced by a new one.
+  Silent,  ///< Nothing was heard for too long; the process may go on somewhere.
+  Ended,   ///< Its process has ended or was replaced by a new one.
+  Unneeded ///< Neither side needs the link.
+};
+
+/// What is known of an entry process before there is a link to it.
+struct PeerRecord {
+  std::string Vm;
+  std::string Address;      ///< IP number and port of its mesh port.
+  std::string DataCentre;   ///< Empty when unknown; the weight says nothing then.
+  std::uint32_t Weight = 1; ///< Relative processing power.
 };
 
 class MeshPeer;
@@ -66,13 +75,21 @@
   /// A connection to the peer is being opened.
   bool isDialing() const { return Outgoing_ && !IsGreeted_; }
   /// A connection to the peer is to be opened.
-  bool wantsToDial(core::TimePoint Now) const { return !Outgoing_ && Now >= DialAt_; }
+  bool wantsToDial(core::TimePoint Now) const {
+    return !Outgoing_ && Now >= DialAt_ && (IsNeeded_ || Incoming_);
+  }
+  /// Attempts to reach the peer have failed for some time.
+  bool isFailing(core::TimePoint Now) const;
   /// When anything was heard of the peer last.
   core::TimePoint lastHeard() const { return LastHeard_; }
   /// Set by the owner when the peer comes up.
   kernel::PeerIndex Index{};
 
+  /// An unknown data centre changes nothing.
+  void setRecord(const PeerRecord &Record);
   void setAddress(const std::string &Address);
+  /// A link that neither side needs is closed.
+  void setNeeded(bool IsNeeded);
   /// Time between heartbeats to this peer.
   void setInterval(core::Duration Interval, core::TimePoint Now);
 
@@ -110,6 +127,11 @@
   std::uint64_t Incarnation_ = 0;
   core::Duration Interval_ = std::chrono::milliseconds(600);
   bool IsUp_ = false;
+  bool IsNeeded_ = true;
+  bool IsSpareToPeer_ = false; ///< The peer's last heartbeat said that it does not need the link.
+  bool IsSpareTold_ = false;   ///< So did the last heartbeat to the peer.
+  /// When the peer was last heard or first tried in vain; empty when there was no failure.
+  std::optional<core::TimePoint> FailingSince_;
 
   // The direction from this process to the peer.
   std::shared_ptr<MeshConnection> Outgoing_;
--- a/Services/PoolDaemon/PoolDaemon.cpp
+++ b/Services/PoolDaemon/PoolDaemon.cpp
@@ -93,10 +93,10 @@
           Reactor_, Store_, std::string(Formats_->store().operatorPrefix()), OperatorPace,
           [this](const store::KeyMirror::Items &Items) { operatorKeysChanged(Items); })),
       Registration_(std::make_shared<VmRegistration>(
-          Reactor_, Store_, Settings_.VmName, Settings_.AdvertisedAddress,
-          [this](const std::string &Vm, const std::string &Address) {
-            Mesh_.learn(Vm, Address);
-          })) {
+          Reactor_, Store_,
+          mesh::PeerRecord{Settings_.VmName, Settings_.AdvertisedAddress, Settings_.DataCentre,
+                           Settings_.Weight},
+          [this](const mesh::PeerRecord &Record) { Mesh_.learn(Record); })) {
   Workers_.setManager(Manager_);
   Election_.setDataCentres(Settings_.DataCentres);
   registerMetrics();
@@ -239,6 +239,7 @@
   auto Now = core::MonotonicClock::now();
   // The mesh comes first: after a pause of the process, peers that were lost meanwhile count as
   // lost before anything is started for them.
+  planLinks(Now);
   Mesh_.tick(Now);
   Tokens_.observeRevision(Directory_.revision());
   Directory_.tick(Now);
--- a/Services/PoolDaemon/PoolDaemon.h
+++ b/Services/PoolDaemon/PoolDaemon.h
@@ -65,6 +65,8 @@
   void reportReleased(core::TimePoint Now);
   void operatorKeysChanged(const store::KeyMirror::Items &Items);
   void configurationChanged(const std::shared_ptr<const kernel::PoolConfiguration> &Configuration);
+  /// Decides to which other entry processes links are needed.
+  void planLinks(core::TimePoint Now);
   void send(kernel::PeerIndex Peer, kernel::PoolMessage Message);
   /// Asks a peer once for a version that this process lacks.
   void fetchConfiguration(kernel::PeerIndex Peer, std::uint64_t Version);
@@ -80,6 +82,7 @@
 
   mesh::Heartbeat heartbeatFor() override;
   bool isClose(const mesh::MeshPeer &Peer) override;
+  bool isNeeded(const mesh::MeshPeer &Peer) override;
   void peerUp(const mesh::MeshPeer &Peer) override;
   void peerDown(const mesh::MeshPeer &Peer, mesh::PeerLoss How) override;
   void heartbeatReceived(const mesh::MeshPeer &Peer, const mesh::Heartbeat &Message) override;
@@ -116,6 +119,9 @@
   /// Data centres that wait for a fresh listing, and until when.
   std::map<std::string, core::TimePoint> AwaitsListing_;
   std::map<kernel::PeerIndex, std::uint64_t> AskedVersions_;
+  bool NeedsAllLinks_ = true;
+  std::set<std::string> Hubs_; ///< Empty in a small fleet, where all links are needed.
+  core::TimePoint LinksPlannedAt_;
   std::optional<core::TimePoint> StopBy_;
   core::TimePoint TickDueAt_;
   core::TimePoint BacklogAt_;
--- a/Services/PoolDaemon/PoolDaemonPeers.cpp
+++ b/Services/PoolDaemon/PoolDaemonPeers.cpp
@@ -1,3 +1,4 @@
+#include "Kernel/Pool/HubChoice.h"
 #include "Libraries/LibCore/Log.h"
 #include "Libraries/LibMesh/MeshCoding.h"
 #include "Services/PoolDaemon/PoolDaemon.h"
@@ -10,12 +11,15 @@
 namespace cornellift::pool {
 namespace {
 
-/// Up to this many links a VM beats often to all VMs of its data centre, and a manager to all VMs.
-/// Beyond it, that alone would take a large part of the processor, and only managers and the VMs
-/// that send them jobs beat often to each other.
+/// Up to this many other VMs, all are linked to each other, a VM beats often to all VMs of its data
+/// centre, and a manager to all VMs. Beyond it, that alone would take a large part of the
+/// processor: links lead to hubs and managers, and only managers and the VMs that send them jobs
+/// beat often to each other.
 constexpr std::size_t SmallFleet = 48;
 /// How many VMs a new peer is told of. Each VM is told by all its peers, so that a part is enough.
 constexpr std::size_t MaximumToldPeers = 32;
+/// Between choices of the hubs; a lost one is replaced after a second or more.
+constexpr core::Duration LinkPlanInterval = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -45,6 +49,36 @@
   return Home_ == Peer.Index || (IsManager && (IsNear || Election_.isManager(Peer.Index)));
 }
 
+void PoolDaemon::planLinks(core::TimePoint Now) {
+  if (Now < LinksPlannedAt_ + LinkPlanInterval)
+    return;
+  LinksPlannedAt_ = Now;
+  Hubs_.clear();
+  std::set<std::string> BetterKnown;
+  bool IsSmall = Mesh_.size() <= SmallFleet;
+  if (!IsSmall) {
+    std::vector<kernel::HubCandidate> Candidates;
+    for (const auto *Peer : Mesh_.known())
+      if (!Peer->dataCentre().empty())
+        Candidates.push_back(
+            {Peer->vm(), Peer->dataCentre(), Peer->weight(), Peer->isFailing(Now)});
+    kernel::HubCandidate Self{Settings_.VmName, Settings_.DataCentre, Settings_.Weight};
+    BetterKnown = kernel::dataCentresWithBetterHub(Candidates, Self);
+    Candidates.push_back(std::move(Self));
+    Hubs_ = kernel::chooseHubs(Candidates);
+  }
+  bool IsManaging =
+      !Election_.managed().empty() || !Election_.releasing().empty() || Manager_.jobCount() > 0;
+  NeedsAllLinks_ = IsSmall || IsManaging || Hubs_.contains(Settings_.VmName);
+  Election_.setBetterKnown(std::move(BetterKnown));
+}
+
+bool PoolDaemon::isNeeded(const mesh::MeshPeer &Peer) {
+  // The data centre of a VM that only its address is known of is learned over a link.
+  return NeedsAllLinks_ || Peer.dataCentre().empty() || Hubs_.contains(Peer.vm()) ||
+         (Peer.isUp() && Home_ == Peer.Index);
+}
+
 void PoolDaemon::peerUp(const mesh::MeshPeer &Peer) {
   core::logLine(core::LogLevel::Information, "mesh", "peer reached",
                 {{"vm", Peer.vm()},
@@ -57,13 +91,17 @@
   for (const auto *Other : Told) {
     Message.mutable_peers()->add_vms(Other->vm());
     Message.mutable_peers()->add_addresses(Other->address());
+    Message.mutable_peers()->add_data_centres(Other->dataCentre());
+    Message.mutable_peers()->add_weights(Other->weight());
   }
   Mesh_.send(Peer.Index, Message);
 }
 
 void PoolDaemon::peerDown(const mesh::MeshPeer &Peer, mesh::PeerLoss How) {
   auto Now = core::MonotonicClock::now();
-  core::logLine(core::LogLevel::Warning, "mesh", "peer lost",
+  bool IsUnneeded = How == mesh::PeerLoss::Unneeded;
+  core::logLine(IsUnneeded ? core::LogLevel::Information : core::LogLevel::Warning, "mesh",
+                IsUnneeded ? "link to a peer closed" : "peer lost",
                 {{"vm", Peer.vm()},
                  {"ended", How == mesh::PeerLoss::Ended ? "true" : "false"},
                  {"silent_ms", std::to_string(core::toMilliseconds(Now - Peer.lastHeard()))}});
@@ -107,9 +145,13 @@
 
 void PoolDaemon::messageReceived(const mesh::MeshPeer &Peer, const mesh::Frame &Message) {
   if (Message.has_peers()) {
-    auto Count = std::min(Message.peers().vms_size(), Message.peers().addresses_size());
+    const auto &Told = Message.peers();
+    auto Count = std::min(Told.vms_size(), Told.addresses_size());
+    bool AreDescribed = Told.data_centres_size() >= Count && Told.weights_size() >= Count;
     for (int Position = 0; Position < Count; ++Position)
-      Mesh_.learn(Message.peers().vms(Position), Message.peers().addresses(Position));
+      Mesh_.learn({Told.vms(Position), Told.addresses(Position),
+                   AreDescribed ? Told.data_centres(Position) : std::string(),
+                   AreDescribed ? Told.weights(Position) : 1});
     return;
   }
   if (Message.has_fetch_configuration()) {
--- a/Services/PoolDaemon/VmRegistration.cpp
+++ b/Services/PoolDaemon/VmRegistration.cpp
@@ -1,25 +1,34 @@
 #include "Services/PoolDaemon/VmRegistration.h"
 
 #include "Libraries/LibCore/Log.h"
+#include "Libraries/LibMesh/Generated/Mesh.pb.h"
 
 #include <utility>
 
 namespace cornellift::pool {
 namespace {
 
-constexpr std::string_view Prefix = "cornellift/vms/";
+constexpr std::string_view Prefix = "cornellift/entries/";
 constexpr core::Duration LeaseTime = std::chrono::seconds(10);
 constexpr core::Duration RenewTime = std::chrono::seconds(3);
 constexpr core::Duration RetryTime = std::chrono::milliseconds(500);
 constexpr store::MirrorPace Pace = {std::chrono::seconds(8), std::chrono::milliseconds(100)};
 
+std::string encode(const mesh::PeerRecord &Record) {
+  mesh::VmRecord Message;
+  Message.set_address(Record.Address);
+  Message.set_data_centre(Record.DataCentre);
+  Message.set_weight(Record.Weight);
+  return Message.SerializeAsString();
+}
+
 } // namespace
 
 VmRegistration::VmRegistration(store::asio::io_context &Reactor,
-                               std::shared_ptr<store::StoreClient> Store, std::string Vm,
-                               std::string Address, PeerHandler OnPeer)
-    : Timer_(Reactor), Store_(std::move(Store)), Vm_(std::move(Vm)), Address_(std::move(Address)),
-      OnPeer_(std::move(OnPeer)),
+                               std::shared_ptr<store::StoreClient> Store,
+                               const mesh::PeerRecord &Self, PeerHandler OnPeer)
+    : Timer_(Reactor), Store_(std::move(Store)), Key_(std::string(Prefix) + Self.Vm),
+      Value_(encode(Self)), OnPeer_(std::move(OnPeer)),
       Mirror_(std::make_shared<store::KeyMirror>(
           Reactor, Store_, std::string(Prefix), Pace,
           [this](const store::KeyMirror::Items &Items) { itemsChanged(Items); })) {}
@@ -38,11 +47,17 @@
 }
 
 void VmRegistration::itemsChanged(const store::KeyMirror::Items &Items) {
-  for (const auto &[Key, Item] : Items)
-    if (!Item.Value.empty())
-      OnPeer_(Key.substr(Prefix.size()), Item.Value);
-  auto Own = Items.find(std::string(Prefix) + Vm_);
-  bool IsGone = Own == Items.end() || Own->second.Value != Address_;
+  for (const auto &[Key, Item] : Items) {
+    mesh::VmRecord Message;
+    if (Message.ParseFromString(Item.Value))
+      OnPeer_(
+          {Key.substr(Prefix.size()), Message.address(), Message.data_centre(), Message.weight()});
+    else
+      core::logLine(core::LogLevel::Warning, "registration", "the key of a VM cannot be read",
+                    {{"key", Key}});
+  }
+  auto Own = Items.find(Key_);
+  bool IsGone = Own == Items.end() || Own->second.Value != Value_;
   if (IsGone && std::exchange(IsWritten_, false)) {
     core::logLine(core::LogLevel::Warning, "registration", "the own key is gone; writing it again");
     openLease();
@@ -62,8 +77,7 @@
 }
 
 void VmRegistration::writeKey() {
-  auto Key = std::string(Prefix) + Vm_;
-  Store_->write({Key, Address_, Lease_},
+  Store_->write({Key_, Value_, Lease_},
                 [Self = shared_from_this()](const store::StoreReply<std::uint64_t> &Reply) {
                   if (!Reply.Content)
                     return Self->after(RetryTime, &VmRegistration::openLease);
--- a/Services/PoolDaemon/VmRegistration.h
+++ b/Services/PoolDaemon/VmRegistration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Libraries/LibMesh/MeshPeer.h"
 #include "Libraries/LibStore/KeyMirror.h"
 #include "Libraries/LibStore/StoreClient.h"
 
@@ -13,11 +14,11 @@
 /// theirs. The key is written again when it has gone while the process lives.
 class VmRegistration : public std::enable_shared_from_this<VmRegistration> {
 public:
-  /// Called with name and mesh address of each other entry process in the store.
-  using PeerHandler = std::function<void(const std::string &Vm, const std::string &Address)>;
+  /// Called with the record of each entry process in the store.
+  using PeerHandler = std::function<void(const mesh::PeerRecord &Record)>;
 
   VmRegistration(store::asio::io_context &Reactor, std::shared_ptr<store::StoreClient> Store,
-                 std::string Vm, std::string Address, PeerHandler OnPeer);
+                 const mesh::PeerRecord &Self, PeerHandler OnPeer);
 
   void start();
   /// Removes the key.
@@ -32,8 +33,8 @@
 
   store::asio::steady_timer Timer_;
   std::shared_ptr<store::StoreClient> Store_;
-  std::string Vm_;
-  std::string Address_;
+  std::string Key_;
+  std::string Value_; ///< Of the own key.
   PeerHandler OnPeer_;
   std::shared_ptr<store::KeyMirror> Mirror_;
   std::uint64_t Lease_ = 0;
--- a/Tests/LibMesh/TestMeshNode.cpp
+++ b/Tests/LibMesh/TestMeshNode.cpp
@@ -101,6 +101,7 @@
 
   Heartbeat heartbeatFor() override { return {}; }
   bool isClose(const MeshPeer &) override { return true; }
+  bool isNeeded(const MeshPeer &) override { return NeedsLinks; }
   void peerUp(const MeshPeer &Peer) override {
     Index = Peer.Index;
     ++Ups;
@@ -118,6 +119,7 @@
   }
 
   kernel::PeerIndex Index{};
+  bool NeedsLinks = true;
   int Ups = 0;
   std::vector<PeerLoss> Downs;
   std::vector<std::uint64_t> Received;
@@ -131,7 +133,7 @@
         First(std::make_unique<Node>(Reactor, "ikeja-1", FirstPort, 1,
                                      "127.0.0.1:" + std::to_string(FirstPort))),
         Second(std::make_unique<Node>(Reactor, "ikeja-2", SecondPort, 2, Way.address())) {
-    First->Mesh.learn("ikeja-2", Way.address());
+    First->Mesh.learn({"ikeja-2", Way.address(), "ikeja", 1});
   }
 
   bool until(const std::function<bool()> &Holds, std::chrono::milliseconds Limit = 3000ms) {
@@ -239,8 +241,8 @@
   AcceptNext();
   auto Begin = std::chrono::steady_clock::now();
   for (int Number = 0; Number < 100; ++Number)
-    World.First->Mesh.learn("apapa-" + std::to_string(Number),
-                            reactor::formatAddress(Mute.local_endpoint()));
+    World.First->Mesh.learn({"apapa-" + std::to_string(Number),
+                             reactor::formatAddress(Mute.local_endpoint()), "apapa", 1});
   // The first connections time out after 300 ms.
   World.until([&] { return std::chrono::steady_clock::now() - Begin > 200ms; });
   BOOST_TEST(Accepted.size() >= 8U);
@@ -249,3 +251,38 @@
   Mute.close();
   World.Reactor.poll();
 }
+
+// Guards against links that stay although nobody needs them, and against one that is closed while
+// one side still needs it.
+BOOST_AUTO_TEST_CASE(ALinkIsClosedWhenNeitherSideNeedsIt) {
+  Pair World;
+  BOOST_REQUIRE(World.until([&] { return World.areUp(); }));
+  World.First->NeedsLinks = false;
+  World.until([] { return false; }, 500ms);
+  BOOST_TEST(World.areUp());
+  World.Second->NeedsLinks = false;
+  BOOST_REQUIRE(World.until(
+      [&] { return World.First->Mesh.peers().empty() && World.Second->Mesh.peers().empty(); }));
+  World.until([] { return false; }, 500ms);
+  BOOST_TEST(World.First->Mesh.peers().empty());
+  BOOST_TEST(World.First->Downs.size() == 1U);
+  BOOST_TEST((World.First->Downs.at(0) == PeerLoss::Unneeded));
+  World.Second->NeedsLinks = true;
+  BOOST_TEST(World.until([&] { return World.areUp(); }));
+}
+
+// Guards against a peer that is given up after one slow answer, or never.
+BOOST_AUTO_TEST_CASE(APeerIsFailingAfterASecondOfAttempts) {
+  Pair World;
+  World.Way.setSilent(true);
+  auto IsFailing = [&] {
+    return World.First->Mesh.known().front()->isFailing(core::MonotonicClock::now());
+  };
+  World.until([] { return false; }, 700ms);
+  BOOST_TEST(!IsFailing());
+  BOOST_TEST(World.until(IsFailing));
+  World.Way.setSilent(false);
+  World.Way.reset();
+  BOOST_REQUIRE(World.until([&] { return World.areUp(); }));
+  BOOST_TEST(!IsFailing());
+}
