LibMesh: Forget VMs that have been removed

A process kept each VM that it had ever heard of, tried to reach it at least every 0.8 s for ever, and told new peers of it.

VMs that were not listed in the store, heard or told of for five minutes are forgotten; those that are listed are confirmed every minute. A VM that is known from another VM's list only is not told any further, as the processes would otherwise remind each other of it for ever. Which links are needed is asked when the plan changes instead of in each round.

TestMeshNode has the case; it was written with the change.

--- a/Libraries/LibMesh/MeshNode.cpp
+++ b/Libraries/LibMesh/MeshNode.cpp
@@ -76,9 +76,36 @@
   return Peer;
 }
 
-void MeshNode::learn(const PeerRecord &Record) {
-  if (Record.Vm != Identity_.Vm && Record.Address != Identity_.Address)
-    obtain(Record.Vm)->setRecord(Record);
+void MeshNode::learn(const PeerRecord &Record, PeerEvidence Evidence, core::TimePoint Now) {
+  if (Record.Vm == Identity_.Vm || Record.Address == Identity_.Address)
+    return;
+  auto Peer = obtain(Record.Vm);
+  Peer->setRecord(Record, Evidence, Now);
+  reviewNeed(*Peer);
+}
+
+void MeshNode::reviewNeed(MeshPeer &Peer) {
+  Peer.setNeeded(!Peer.isNamed() || Listener_.isNeeded(Peer));
+}
+
+void MeshNode::reviewNeeds() {
+  for (const auto &[Vm, Peer] : Peers_)
+    reviewNeed(*Peer);
+}
+
+void MeshNode::forgetRemoved(core::TimePoint Now) {
+  for (auto Entry = Peers_.begin(); Entry != Peers_.end();) {
+    auto Peer = Entry->second;
+    if (!Peer->isNamed() || !Peer->isForgettable(Now)) {
+      ++Entry;
+      continue;
+    }
+    core::logLine(core::LogLevel::Information, "mesh", "forgetting a VM that has gone",
+                  {{"vm", Peer->vm()}, {"address", Peer->address()}});
+    Entry = Peers_.erase(Entry);
+    List_.reset();
+    Peer->shutDown();
+  }
 }
 
 void MeshNode::learnAddress(const std::string &Address) {
@@ -128,7 +155,6 @@
     const auto &Peer = (*List)[Position];
     if (Peer->isUp())
       Peer->setInterval(Listener_.isClose(*Peer) ? CloseInterval : DistantInterval, Now);
-    Peer->setNeeded(!Peer->isNamed() || Listener_.isNeeded(*Peer));
     Dialing -= Peer->isDialing() ? 1 : 0;
     Peer->tick(Now, Dialing < MaximumDials ? DialPermission::Granted : DialPermission::Withheld);
     Dialing += Peer->isDialing() ? 1 : 0;
@@ -181,7 +207,7 @@
   Peers_.erase(Known);
   List_.reset();
   Self->shutDown();
-  learn({Vm, Address, {}});
+  learn({Vm, Address, {}}, PeerEvidence::Listed, core::MonotonicClock::now());
 }
 
 Heartbeat MeshNode::currentHeartbeat() {
--- a/Libraries/LibMesh/MeshNode.h
+++ b/Libraries/LibMesh/MeshNode.h
@@ -38,8 +38,8 @@
   /// Returns false with Unavailable when the port cannot be bound.
   bool listen(const Tcp::endpoint &Address);
 
-  /// A VM exists at that address, as told by the store, the settings or another peer.
-  void learn(const PeerRecord &Record);
+  /// A VM exists, or existed a short time ago.
+  void learn(const PeerRecord &Record, PeerEvidence Evidence, core::TimePoint Now);
 
   /// An address without a name, such as one of the settings; its process tells its name.
   void learnAddress(const std::string &Address);
@@ -54,6 +54,12 @@
 
   /// Links that are up.
   std::vector<const MeshPeer *> peers() const;
+  /// Asks the listener again which links are needed.
+  void reviewNeeds();
+
+  /// Drops the VMs that have probably been removed.
+  void forgetRemoved(core::TimePoint Now);
+
   /// All VMs that are known by name, reachable or not.
   std::vector<const MeshPeer *> known() const;
   bool knowsOthers() const;
@@ -69,6 +75,7 @@
   std::shared_ptr<const PeerList> peerList();
   void acceptNext();
   void helloReceived(const std::shared_ptr<MeshConnection> &Connection, const Frame &Message);
+  void reviewNeed(MeshPeer &Peer);
   std::shared_ptr<MeshPeer> obtain(const std::string &Vm);
   std::uint64_t newSession() override;
   void peerNamed(MeshPeer &Peer, const std::string &Vm) override;
--- a/Libraries/LibMesh/MeshPeer.cpp
+++ b/Libraries/LibMesh/MeshPeer.cpp
@@ -20,6 +20,9 @@
 constexpr core::Duration LongestDialPause = std::chrono::milliseconds(500);
 /// A peer is failing when it was tried in vain for this time, some three attempts.
 constexpr core::Duration FailingTime = std::chrono::milliseconds(1000);
+/// A VM that was not listed, heard or told of for this time is forgotten. Its lease in the store
+/// ends after ten seconds, and VMs that are listed are confirmed every minute.
+constexpr core::Duration MemoryTime = std::chrono::minutes(5);
 
 core::Duration silenceLimit(core::Duration Interval) {
   return std::max(SilenceTime, Interval * MissedBeats);
@@ -32,7 +35,8 @@
   beginSession();
 }
 
-void MeshPeer::setRecord(const PeerRecord &Record) {
+void MeshPeer::setRecord(const PeerRecord &Record, PeerEvidence Evidence, core::TimePoint Now) {
+  (Evidence == PeerEvidence::Listed ? ListedAt_ : ToldAt_) = Now;
   if (!IsUp_ && !Record.DataCentre.empty()) {
     DataCentre_ = Record.DataCentre;
     Weight_ = std::max(1U, Record.Weight);
@@ -50,6 +54,14 @@
   return FailingSince_ && Now - *FailingSince_ >= FailingTime;
 }
 
+bool MeshPeer::isConfirmed(core::TimePoint Now) const {
+  return Now - std::max(ListedAt_, LastHeard_) <= MemoryTime;
+}
+
+bool MeshPeer::isForgettable(core::TimePoint Now) const {
+  return !IsUp_ && !isConfirmed(Now) && Now - ToldAt_ > MemoryTime;
+}
+
 void MeshPeer::setAddress(const std::string &Address) {
   if (Address.empty() || Address == Address_)
     return;
--- a/Libraries/LibMesh/MeshPeer.h
+++ b/Libraries/LibMesh/MeshPeer.h
@@ -28,6 +28,12 @@
   Unneeded ///< Neither side needs the link.
 };
 
+/// How it became known that a VM exists.
+enum class PeerEvidence : std::uint8_t {
+  Listed, ///< By the platform's store or by the settings.
+  Told    ///< By another VM, which may not have noticed that it has gone.
+};
+
 /// What is known of an entry process before there is a link to it.
 struct PeerRecord {
   std::string Vm;
@@ -80,13 +86,17 @@
   }
   /// Attempts to reach the peer have failed for some time.
   bool isFailing(core::TimePoint Now) const;
+  /// The VM was listed or heard a short time ago, so that others may be told of it.
+  bool isConfirmed(core::TimePoint Now) const;
+  /// The VM has probably been removed: for a long time it was not listed, heard or told of.
+  bool isForgettable(core::TimePoint Now) const;
   /// When anything was heard of the peer last.
   core::TimePoint lastHeard() const { return LastHeard_; }
   /// Set by the owner when the peer comes up.
   kernel::PeerIndex Index{};
 
   /// An unknown data centre changes nothing.
-  void setRecord(const PeerRecord &Record);
+  void setRecord(const PeerRecord &Record, PeerEvidence Evidence, core::TimePoint Now);
   void setAddress(const std::string &Address);
   /// A link that neither side needs is closed.
   void setNeeded(bool IsNeeded);
@@ -133,6 +143,9 @@
   /// When the peer was last heard or first tried in vain; empty when there was no failure.
   std::optional<core::TimePoint> FailingSince_;
 
+  core::TimePoint ListedAt_;
+  core::TimePoint ToldAt_;
+
   // The direction from this process to the peer.
   std::shared_ptr<MeshConnection> Outgoing_;
   bool IsGreeted_ = false; ///< The peer has accepted the session on this connection.
--- a/Services/PoolDaemon/PoolDaemon.cpp
+++ b/Services/PoolDaemon/PoolDaemon.cpp
@@ -96,7 +96,9 @@
           Reactor_, Store_,
           mesh::PeerRecord{Settings_.VmName, Settings_.AdvertisedAddress, Settings_.DataCentre,
                            Settings_.Weight},
-          [this](const mesh::PeerRecord &Record) { Mesh_.learn(Record); })) {
+          [this](const mesh::PeerRecord &Record) {
+            Mesh_.learn(Record, mesh::PeerEvidence::Listed, core::MonotonicClock::now());
+          })) {
   Workers_.setManager(Manager_);
   Election_.setDataCentres(Settings_.DataCentres);
   registerMetrics();
@@ -239,6 +241,7 @@
   auto Now = core::MonotonicClock::now();
   // The mesh comes first: after a pause of the process, peers that were lost meanwhile count as
   // lost before anything is started for them.
+  forgetRemovedVms(Now);
   planLinks(Now);
   Mesh_.tick(Now);
   Tokens_.observeRevision(Directory_.revision());
--- a/Services/PoolDaemon/PoolDaemon.h
+++ b/Services/PoolDaemon/PoolDaemon.h
@@ -65,6 +65,7 @@
   void reportReleased(core::TimePoint Now);
   void operatorKeysChanged(const store::KeyMirror::Items &Items);
   void configurationChanged(const std::shared_ptr<const kernel::PoolConfiguration> &Configuration);
+  void forgetRemovedVms(core::TimePoint Now);
   /// Decides to which other entry processes links are needed.
   void planLinks(core::TimePoint Now);
   void send(kernel::PeerIndex Peer, kernel::PoolMessage Message);
@@ -122,6 +123,7 @@
   bool NeedsAllLinks_ = true;
   std::set<std::string> Hubs_; ///< Empty in a small fleet, where all links are needed.
   core::TimePoint LinksPlannedAt_;
+  core::TimePoint ForgotAt_; ///< Last look for VMs that have been removed.
   std::optional<core::TimePoint> StopBy_;
   core::TimePoint TickDueAt_;
   core::TimePoint BacklogAt_;
--- a/Services/PoolDaemon/PoolDaemonPeers.cpp
+++ b/Services/PoolDaemon/PoolDaemonPeers.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t MaximumToldPeers = 32;
 /// Between choices of the hubs; a lost one is replaced after a second or more.
 constexpr core::Duration LinkPlanInterval = std::chrono::milliseconds(200);
+/// Between looks for VMs that have been removed, which are remembered for some minutes.
+constexpr core::Duration ForgetInterval = std::chrono::minutes(1);
 
 } // namespace
 
@@ -49,6 +51,14 @@
   return Home_ == Peer.Index || (IsManager && (IsNear || Election_.isManager(Peer.Index)));
 }
 
+void PoolDaemon::forgetRemovedVms(core::TimePoint Now) {
+  if (Now < ForgotAt_ + ForgetInterval)
+    return;
+  ForgotAt_ = Now;
+  Registration_->tellAll();
+  Mesh_.forgetRemoved(Now);
+}
+
 void PoolDaemon::planLinks(core::TimePoint Now) {
   if (Now < LinksPlannedAt_ + LinkPlanInterval)
     return;
@@ -71,6 +81,7 @@
       !Election_.managed().empty() || !Election_.releasing().empty() || Manager_.jobCount() > 0;
   NeedsAllLinks_ = IsSmall || IsManaging || Hubs_.contains(Settings_.VmName);
   Election_.setBetterKnown(std::move(BetterKnown));
+  Mesh_.reviewNeeds();
 }
 
 bool PoolDaemon::isNeeded(const mesh::MeshPeer &Peer) {
@@ -86,6 +97,8 @@
                  {"index", std::to_string(static_cast<std::uint32_t>(Peer.Index))}});
   std::vector<const mesh::MeshPeer *> Told;
   auto Known = Mesh_.known();
+  auto Now = core::MonotonicClock::now();
+  std::erase_if(Known, [&](const auto *Other) { return !Other->isConfirmed(Now); });
   std::sample(Known.begin(), Known.end(), std::back_inserter(Told), MaximumToldPeers, Random_);
   mesh::Frame Message;
   for (const auto *Other : Told) {
@@ -151,7 +164,8 @@
     for (int Position = 0; Position < Count; ++Position)
       Mesh_.learn({Told.vms(Position), Told.addresses(Position),
                    AreDescribed ? Told.data_centres(Position) : std::string(),
-                   AreDescribed ? Told.weights(Position) : 1});
+                   AreDescribed ? Told.weights(Position) : 1},
+                  mesh::PeerEvidence::Told, core::MonotonicClock::now());
     return;
   }
   if (Message.has_fetch_configuration()) {
--- a/Services/PoolDaemon/VmRegistration.cpp
+++ b/Services/PoolDaemon/VmRegistration.cpp
@@ -47,7 +47,17 @@
 }
 
 void VmRegistration::itemsChanged(const store::KeyMirror::Items &Items) {
-  for (const auto &[Key, Item] : Items) {
+  tellAll();
+  auto Own = Items.find(Key_);
+  bool IsGone = Own == Items.end() || Own->second.Value != Value_;
+  if (IsGone && std::exchange(IsWritten_, false)) {
+    core::logLine(core::LogLevel::Warning, "registration", "the own key is gone; writing it again");
+    openLease();
+  }
+}
+
+void VmRegistration::tellAll() {
+  for (const auto &[Key, Item] : Mirror_->items()) {
     mesh::VmRecord Message;
     if (Message.ParseFromString(Item.Value))
       OnPeer_(
@@ -56,12 +66,6 @@
       core::logLine(core::LogLevel::Warning, "registration", "the key of a VM cannot be read",
                     {{"key", Key}});
   }
-  auto Own = Items.find(Key_);
-  bool IsGone = Own == Items.end() || Own->second.Value != Value_;
-  if (IsGone && std::exchange(IsWritten_, false)) {
-    core::logLine(core::LogLevel::Warning, "registration", "the own key is gone; writing it again");
-    openLease();
-  }
 }
 
 void VmRegistration::openLease() {
--- a/Services/PoolDaemon/VmRegistration.h
+++ b/Services/PoolDaemon/VmRegistration.h
@@ -23,6 +23,8 @@
   void start();
   /// Removes the key.
   void stop();
+  /// Tells of all entry processes in the store once more.
+  void tellAll();
 
 private:
   void itemsChanged(const store::KeyMirror::Items &Items);
--- a/Tests/LibMesh/TestMeshNode.cpp
+++ b/Tests/LibMesh/TestMeshNode.cpp
@@ -133,13 +133,17 @@
         First(std::make_unique<Node>(Reactor, "ikeja-1", FirstPort, 1,
                                      "127.0.0.1:" + std::to_string(FirstPort))),
         Second(std::make_unique<Node>(Reactor, "ikeja-2", SecondPort, 2, Way.address())) {
-    First->Mesh.learn({"ikeja-2", Way.address(), "ikeja", 1});
+    First->Mesh.learn({"ikeja-2", Way.address(), "ikeja", 1}, PeerEvidence::Listed,
+                      core::MonotonicClock::now());
   }
 
   bool until(const std::function<bool()> &Holds, std::chrono::milliseconds Limit = 3000ms) {
     auto End = std::chrono::steady_clock::now() + Limit;
     while (!Holds() && std::chrono::steady_clock::now() < End) {
       Reactor.run_for(5ms);
+      First->Mesh.reviewNeeds();
+      if (Second)
+        Second->Mesh.reviewNeeds();
       First->Mesh.tick(core::MonotonicClock::now());
       if (Second)
         Second->Mesh.tick(core::MonotonicClock::now());
@@ -242,7 +246,8 @@
   auto Begin = std::chrono::steady_clock::now();
   for (int Number = 0; Number < 100; ++Number)
     World.First->Mesh.learn({"apapa-" + std::to_string(Number),
-                             reactor::formatAddress(Mute.local_endpoint()), "apapa", 1});
+                             reactor::formatAddress(Mute.local_endpoint()), "apapa", 1},
+                            PeerEvidence::Listed, core::MonotonicClock::now());
   // The first connections time out after 300 ms.
   World.until([&] { return std::chrono::steady_clock::now() - Begin > 200ms; });
   BOOST_TEST(Accepted.size() >= 8U);
@@ -286,3 +291,29 @@
   BOOST_REQUIRE(World.until([&] { return World.areUp(); }));
   BOOST_TEST(!IsFailing());
 }
+
+// Guards against a list of VMs that grows for ever where hundreds are replaced a day: all would be
+// tried again and again, and the processes would tell each other of VMs that are long gone.
+BOOST_AUTO_TEST_CASE(VmsThatAreNoLongerListedAreForgotten) {
+  Pair World;
+  BOOST_REQUIRE(World.until([&] { return World.areUp(); }));
+  auto &Mesh = World.First->Mesh;
+  auto Now = core::MonotonicClock::now();
+  Mesh.learn({"apapa-1", "127.0.0.1:1", "apapa", 1}, PeerEvidence::Listed, Now);
+  Mesh.learn({"apapa-2", "127.0.0.1:2", "apapa", 1}, PeerEvidence::Told, Now);
+  Mesh.forgetRemoved(Now + 4min);
+  BOOST_TEST(Mesh.known().size() == 3U);
+  Mesh.learn({"apapa-1", "127.0.0.1:1", "apapa", 1}, PeerEvidence::Listed, Now + 4min);
+  Mesh.forgetRemoved(Now + 6min);
+  std::vector<std::string> Names;
+  for (const auto *Peer : Mesh.known())
+    Names.push_back(Peer->vm());
+  // The reached VM stays, listed or not.
+  BOOST_TEST(Names == (std::vector<std::string>{"apapa-1", "ikeja-2"}),
+             boost::test_tools::per_element());
+  // What another VM has told is not told any further.
+  Mesh.learn({"apapa-3", "127.0.0.1:3", "apapa", 1}, PeerEvidence::Told, Now + 6min);
+  for (const auto *Peer : Mesh.known())
+    if (Peer->vm() == "apapa-3")
+      BOOST_TEST(!Peer->isConfirmed(Now + 6min));
+}
