Kernel: Tell other managers only which rooms have changed

A manager told each other manager the room of all its workers up to 50 times a second: 9 bytes a worker, 1 MB a second with 750 workers and three other managers, by calculation. It now tells the rooms that have changed since its last report to that peer; links deliver reports once and in order, and a new directory begins anew. The receiver keeps what was reported apart from what its own delegations took off. The index of each listed worker is found when the list changes instead of for each report; an unused field is gone.

--- a/Kernel/Job.h
+++ b/Kernel/Job.h
@@ -16,6 +16,8 @@
   double Processors = 0;
   double MemoryMegabytes = 0;
   double Accelerators = 0;
+
+  bool operator==(const Resources &) const = default;
 };
 
 /// What the caller declares of one task. Declarations are often wrong by a factor of ten.
--- a/Kernel/Pool/PoolManager.cpp
+++ b/Kernel/Pool/PoolManager.cpp
@@ -40,10 +40,15 @@
   Listed_.assign(Entries.begin(), Entries.end());
   ++DirectoryVersion_;
   Fleet_.setListed(Entries, Now);
+  std::unordered_map<std::string_view, EndpointIndex> IndexById;
   for (std::size_t Position = 0; Position < Fleet_.size(); ++Position) {
     auto Index = static_cast<EndpointIndex>(Position);
     Ratings_.enlist(Index, Fleet_.at(Index).Entry);
+    IndexById.emplace(Fleet_.at(Index).Entry.Id, Index);
   }
+  ListedIndexes_.clear();
+  for (const auto &Entry : Listed_)
+    ListedIndexes_.push_back(IndexById.at(Entry.Id));
   for (const auto &[Peer, Known] : Remotes_)
     if (Known.IsManager)
       sendDirectory(Peer);
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -91,6 +91,8 @@
     bool IsManager = false;
     RemotePool Pool;
     std::vector<DelegatedTask> Outgoing; ///< Of the job being placed.
+    /// What the peer was told of this manager's workers; empty after a new directory.
+    std::vector<WorkerRoom> ToldRooms;
   };
 
   struct AnsweredJob {
@@ -165,7 +167,8 @@
                    std::string_view Worker);
   void settleDelegated(core::TimePoint Now);
   void sendReports(core::TimePoint Now);
-  PoolReport makeReport(core::TimePoint Now) const;
+  /// Room of the listed workers, in the order of the directory.
+  std::vector<WorkerRoom> listedRooms(core::TimePoint Now) const;
   void sendDirectory(PeerIndex Peer);
 
   void runLeft(EndpointIndex Worker, const Run &Left, RunOutcome How, core::TimePoint Now) override;
@@ -190,7 +193,8 @@
   std::set<QueueKey> Queue_;
   std::unordered_map<JobHandle, QueueKey> QueueKeys_;
   std::map<PeerIndex, Remote> Remotes_;
-  std::vector<WorkerEntry> Listed_; ///< As in the directory sent to other managers.
+  std::vector<WorkerEntry> Listed_;          ///< As in the directory sent to other managers.
+  std::vector<EndpointIndex> ListedIndexes_; ///< Of Listed_, in its order.
   std::uint64_t DirectoryVersion_ = 0;
   std::uint64_t NextHandle_ = 1;
   double FastestSpeed_ = 1; ///< Of the open workers, as of the last round of placing.
--- a/Kernel/Pool/PoolManagerPeers.cpp
+++ b/Kernel/Pool/PoolManagerPeers.cpp
@@ -41,21 +41,16 @@
 }
 
 void PoolManager::sendDirectory(PeerIndex Peer) {
+  Remotes_[Peer].ToldRooms.clear();
   Output_.send(Peer, PoolDirectory{DirectoryVersion_, Listed_});
 }
 
-PoolReport PoolManager::makeReport(core::TimePoint Now) const {
-  PoolReport Report;
-  Report.DirectoryVersion = DirectoryVersion_;
-  Report.WaitingTasks = waitingTasks();
-  std::unordered_map<std::string_view, EndpointIndex> IndexById;
-  for (std::size_t Position = 0; Position < Fleet_.size(); ++Position) {
-    auto Index = static_cast<EndpointIndex>(Position);
-    IndexById.emplace(Fleet_.at(Index).Entry.Id, Index);
-  }
-  for (const auto &Entry : Listed_)
-    Report.Rooms.push_back(roomOf(IndexById.at(Entry.Id), Now));
-  return Report;
+std::vector<WorkerRoom> PoolManager::listedRooms(core::TimePoint Now) const {
+  std::vector<WorkerRoom> Rooms;
+  Rooms.reserve(ListedIndexes_.size());
+  for (auto Index : ListedIndexes_)
+    Rooms.push_back(roomOf(Index, Now));
+  return Rooms;
 }
 
 void PoolManager::sendReports(core::TimePoint Now) {
@@ -67,10 +62,18 @@
                                 [](const auto &Entry) { return Entry.second.IsManager; });
   if (!HasReaders)
     return;
-  auto Report = makeReport(Now);
-  for (const auto &[Peer, Known] : Remotes_)
-    if (Known.IsManager)
-      Output_.send(Peer, Report);
+  auto Rooms = listedRooms(Now);
+  for (auto &[Peer, Known] : Remotes_) {
+    if (!Known.IsManager)
+      continue;
+    PoolReport Report{DirectoryVersion_, {}, waitingTasks()};
+    bool IsNew = Known.ToldRooms.size() != Rooms.size();
+    for (std::size_t Position = 0; Position < Rooms.size(); ++Position)
+      if (IsNew || Known.ToldRooms[Position] != Rooms[Position])
+        Report.Rooms.push_back({static_cast<std::uint32_t>(Position), Rooms[Position]});
+    Known.ToldRooms = Rooms;
+    Output_.send(Peer, std::move(Report));
+  }
 }
 
 void PoolManager::acceptDelegated(PeerIndex From, const DelegateTasks &Message,
--- a/Kernel/Pool/PoolMessages.h
+++ b/Kernel/Pool/PoolMessages.h
@@ -72,6 +72,8 @@
   Resources Free;
   std::uint32_t FreeSlots = 0;
   double Speed = 1; ///< Relative to a typical worker; zero when the worker takes no tasks.
+
+  bool operator==(const WorkerRoom &) const = default;
 };
 
 /// The workers that a manager holds. Sent when it changes.
@@ -86,12 +88,18 @@
   std::uint32_t Jobs = 0; ///< Of which no task has started.
 };
 
-/// The room of a manager's workers, in the order of its directory.
+/// The room of one of a manager's workers.
+struct RoomChange {
+  std::uint32_t Position = 0; ///< In the manager's directory.
+  WorkerRoom Room;
+};
+
+/// What has changed in a manager's view since the last report to the same peer, or since its
+/// directory was sent.
 struct PoolReport {
   std::uint64_t DirectoryVersion = 0;
-  std::vector<WorkerRoom> Rooms;
+  std::vector<RoomChange> Rooms;
   std::uint32_t WaitingTasks = 0;
-  std::vector<RouteBacklog> Backlog;
 };
 
 /// A manager has let go of workers, which run nothing any more.
--- a/Kernel/Pool/RemotePool.cpp
+++ b/Kernel/Pool/RemotePool.cpp
@@ -21,15 +21,24 @@
     Workers_.push_back({std::move(Entry), {}});
   for (auto &Worker : Workers_)
     Worker.Room.Speed = 0; // Takes no tasks before the first report.
+  Reported_.clear();
+  for (const auto &Worker : Workers_)
+    Reported_.push_back(Worker.Room);
 }
 
 void RemotePool::setReport(const PoolReport &Report, core::TimePoint Now) {
   WaitingTasks_ = Report.WaitingTasks;
   ReportedAt_ = Now;
-  if (Report.DirectoryVersion != DirectoryVersion_ || Report.Rooms.size() != Workers_.size())
+  if (Report.DirectoryVersion != DirectoryVersion_)
     return;
-  for (std::size_t Position = 0; Position < Workers_.size(); ++Position)
-    Workers_[Position].Room = Report.Rooms[Position];
+  for (const auto &Taken : Reservations_)
+    Workers_[Taken.Worker].Room = Reported_[Taken.Worker];
+  for (const auto &Change : Report.Rooms) {
+    if (Change.Position >= Workers_.size())
+      continue;
+    Reported_[Change.Position] = Change.Room;
+    Workers_[Change.Position].Room = Change.Room;
+  }
   AvoidUntil_ = {};
   while (!Reservations_.empty() && Reservations_.front().At + ReportLag < Now)
     Reservations_.pop_front();
--- a/Kernel/Pool/RemotePool.h
+++ b/Kernel/Pool/RemotePool.h
@@ -46,6 +46,7 @@
 
   std::uint64_t DirectoryVersion_ = 0;
   std::vector<RemoteWorker> Workers_;
+  std::vector<WorkerRoom> Reported_; ///< Room of Workers_ as the manager has told it.
   std::deque<Reservation> Reservations_;
   std::uint32_t WaitingTasks_ = 0;
   core::TimePoint AvoidUntil_;
--- a/Libraries/LibMesh/MeshCoding.cpp
+++ b/Libraries/LibMesh/MeshCoding.cpp
@@ -102,7 +102,8 @@
 
 void encodeReport(const PoolReport &Value, Report &Out) {
   Out.set_directory_version(Value.DirectoryVersion);
-  for (const auto &Room : Value.Rooms) {
+  for (const auto &[Position, Room] : Value.Rooms) {
+    Out.add_positions(Position);
     Out.add_free_millicores(toCount(Room.Free.Processors * MillicoresPerCore));
     Out.add_free_memory_mb(toCount(Room.Free.MemoryMegabytes));
     Out.add_free_accelerators(toCount(Room.Free.Accelerators));
@@ -118,13 +119,15 @@
   Value.WaitingTasks = Message.waiting_tasks();
   auto Count = std::min({Message.free_millicores_size(), Message.free_memory_mb_size(),
                          Message.free_accelerators_size(), Message.free_slots_size(),
-                         Message.speed_percent_size()});
-  for (int Position = 0; Position < Count; ++Position)
-    Value.Rooms.push_back({{Message.free_millicores(Position) / MillicoresPerCore,
-                            static_cast<double>(Message.free_memory_mb(Position)),
-                            static_cast<double>(Message.free_accelerators(Position))},
-                           Message.free_slots(Position),
-                           Message.speed_percent(Position) / Percent});
+                         Message.speed_percent_size(), Message.positions_size()});
+  Value.Rooms.reserve(static_cast<std::size_t>(Count));
+  for (int Row = 0; Row < Count; ++Row)
+    Value.Rooms.push_back({Message.positions(Row),
+                           {{Message.free_millicores(Row) / MillicoresPerCore,
+                             static_cast<double>(Message.free_memory_mb(Row)),
+                             static_cast<double>(Message.free_accelerators(Row))},
+                            Message.free_slots(Row),
+                            Message.speed_percent(Row) / Percent}});
   return Value;
 }
 
--- a/Tests/Pool/TestPoolManager.cpp
+++ b/Tests/Pool/TestPoolManager.cpp
@@ -300,3 +300,50 @@
   BOOST_REQUIRE(World.Out.answers().size() == 1U);
   BOOST_TEST((World.Out.answers()[0].Verdict == JobVerdict::Failed));
 }
+
+// Guards against reports that grow with the number of workers instead of with what happens on them:
+// 750 workers, told 50 times a second to each other manager, were 1 MB a second.
+BOOST_AUTO_TEST_CASE(AReportTellsOnlyWhatHasChanged) {
+  Bench World;
+  auto Neighbour = static_cast<PeerIndex>(7);
+  World.list({"w-0", "w-1", "w-2"});
+  World.Manager.setManager(Neighbour, true, World.Now);
+  auto ReportedRooms = [&] {
+    std::vector<std::size_t> Sizes;
+    for (const auto &[Peer, Message] : std::exchange(World.Out.Sent, {}))
+      if (const auto *Report = std::get_if<PoolReport>(&Message))
+        Sizes.push_back(Report->Rooms.size());
+    return Sizes;
+  };
+  BOOST_TEST(ReportedRooms() == std::vector<std::size_t>{3}, boost::test_tools::per_element());
+  World.pass(20ms);
+  World.submit(1, 100);
+  World.pass(20ms);
+  BOOST_TEST(ReportedRooms().front() == 1U);
+  // A new list of workers has new positions.
+  World.list({"w-0", "w-2"});
+  World.pass(20ms);
+  auto Sizes = ReportedRooms();
+  BOOST_REQUIRE(!Sizes.empty());
+  BOOST_TEST(Sizes.front() == 2U);
+}
+
+// Guards against room that a delegated task took off for good, or that comes back while the
+// task is still on its way: the report does not name workers on which nothing has changed.
+BOOST_AUTO_TEST_CASE(AReservationEndsWithAReportThatDoesNotNameTheWorker) {
+  core::TimePoint Now(1h);
+  RemotePool Pool;
+  Pool.setDirectory({1, {entry("w-0"), entry("w-1")}});
+  Pool.setReport({1, {{0, {{4, 1000, 0}, 4, 1}}, {1, {{4, 1000, 0}, 4, 1}}}, 0}, Now);
+  Pool.reserve(0, {2, 10, 0}, Now);
+  BOOST_TEST(Pool.workers()[0].Room.Free.Processors == 2);
+  Pool.setReport({1, {{1, {{3, 1000, 0}, 3, 1}}}, 0}, Now + 5ms);
+  BOOST_TEST(Pool.workers()[0].Room.Free.Processors == 2);
+  BOOST_TEST(Pool.workers()[1].Room.Free.Processors == 3);
+  Pool.setReport({1, {}, 0}, Now + 50ms);
+  BOOST_TEST(Pool.workers()[0].Room.Free.Processors == 4);
+  BOOST_TEST(Pool.workers()[0].Room.FreeSlots == 4U);
+  // Positions that the directory does not have change nothing.
+  Pool.setReport({1, {{9, {{1, 1, 0}, 1, 1}}}, 0}, Now + 60ms);
+  BOOST_TEST(Pool.workers().size() == 2U);
+}
