Kernel: Count the round trip in the price of another manager

Cause: a task was sent to another data centre for a gain of 15 ms, whatever the messages take; the same 12 ms were assumed for how far a report lags.

Heartbeats carry a moment that their acknowledgement echoes, so that each link has a smoothed round trip. A task elsewhere costs the round trip and 10 ms more, which is the former 15 ms where the round trip is 5 ms; a report lags by the round trip and 8 ms.

--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -26,9 +26,9 @@
 
 struct PoolSettings {
   double RemoteFactor = 1; ///< Run time of a task away from its data, relative to near it.
-  /// How much sooner, in milliseconds, a task must be expected to end at another manager to go
-  /// there: the time of the messages, and the price of being cut off from it.
-  double RemotePenaltyMilliseconds = 15;
+  /// How much sooner, in milliseconds and beside the round trip, a task must be expected to end at
+  /// another manager to go there: the price of being cut off from it.
+  double RemotePriceMilliseconds = 10;
 };
 
 /// Runs the jobs that are handed to this process on the workers that it manages, and on those of
@@ -54,6 +54,10 @@
 
   /// Whether the peer manages workers of its own; it then gets this manager's reports.
   void setManager(PeerIndex Peer, bool IsManager, core::TimePoint Now);
+  /// Time of a message to the peer and its answer.
+  void setRoundTrip(PeerIndex Peer, core::Duration RoundTrip) {
+    Remotes_[Peer].Pool.setRoundTrip(RoundTrip);
+  }
   /// LastHeard is when the peer was last known to be alive.
   void peerLost(PeerIndex Peer, core::TimePoint LastHeard, core::TimePoint Now);
 
@@ -138,6 +142,10 @@
                                            core::TimePoint Now) const;
   std::optional<std::pair<PeerIndex, std::size_t>>
   chooseRemote(PlaceChooser &Chooser, const PoolQuestion &Question, core::TimePoint Now) const;
+  /// What a task elsewhere costs beside its run time.
+  double remoteMilliseconds(const RemotePool &Pool) const {
+    return Settings_.RemotePriceMilliseconds + core::toMilliseconds(Pool.roundTrip());
+  }
   WorkerRoom roomOf(EndpointIndex Worker, core::TimePoint Now) const;
   bool exceedsWorkerBound(const PoolJob &Job, std::uint32_t Step, EndpointIndex Worker) const;
   void startOn(PoolJob &Job, std::uint32_t Task, EndpointIndex Worker, core::TimePoint Now);
@@ -228,7 +236,7 @@
     if (!Known.IsManager || !Known.Pool.takesTasks(Now))
       continue;
     for (const auto &Worker : Known.Pool.workers()) {
-      PlaceOffer Offer{&Worker.Entry, Worker.Room, Settings_.RemotePenaltyMilliseconds};
+      PlaceOffer Offer{&Worker.Entry, Worker.Room, remoteMilliseconds(Known.Pool)};
       if (isEligible(Question, Offer))
         Visit(Offer, std::optional<EndpointIndex>());
     }
--- a/Kernel/Pool/PoolManagerPlacing.cpp
+++ b/Kernel/Pool/PoolManagerPlacing.cpp
@@ -182,7 +182,7 @@
     const auto &Workers = Known.Pool.workers();
     for (std::size_t Position = 0; Position < Workers.size(); ++Position) {
       PlaceOffer Offer{&Workers[Position].Entry, Workers[Position].Room,
-                       Settings_.RemotePenaltyMilliseconds};
+                       remoteMilliseconds(Known.Pool)};
       if (isEligible(Question, Offer) && Chooser.consider(Offer))
         Best = {Peer, Position};
     }
--- a/Kernel/Pool/RemotePool.cpp
+++ b/Kernel/Pool/RemotePool.cpp
@@ -5,9 +5,9 @@
 namespace cornellift::kernel {
 namespace {
 
-/// A delegation that is younger than this may not be counted in a report that arrives now: the
-/// time of two messages and of the work at both ends.
-constexpr core::Duration ReportLag = std::chrono::milliseconds(12);
+/// A delegation that is younger than this and a round trip may not be counted in a report that
+/// arrives now: the time of the work at both ends.
+constexpr core::Duration ReportLag = std::chrono::milliseconds(8);
 /// A refusal shows that another manager was faster; its report follows soon.
 constexpr core::Duration RefusalTime = std::chrono::milliseconds(20);
 
@@ -40,7 +40,7 @@
     Workers_[Change.Position].Room = Change.Room;
   }
   AvoidUntil_ = {};
-  while (!Reservations_.empty() && Reservations_.front().At + ReportLag < Now)
+  while (!Reservations_.empty() && Reservations_.front().At + ReportLag + RoundTrip_ < Now)
     Reservations_.pop_front();
   for (const auto &Recent : Reservations_)
     take(Recent);
--- a/Kernel/Pool/RemotePool.h
+++ b/Kernel/Pool/RemotePool.h
@@ -4,6 +4,7 @@
 #include "Kernel/Pool/PoolMessages.h"
 #include "Libraries/LibCore/Time.h"
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <vector>
@@ -30,6 +31,9 @@
   /// passed.
   void refused(core::TimePoint Now);
 
+  void setRoundTrip(core::Duration RoundTrip) { RoundTrip_ = RoundTrip; }
+  core::Duration roundTrip() const { return RoundTrip_; }
+
   bool takesTasks(core::TimePoint Now) const { return Now >= AvoidUntil_; }
   const std::vector<RemoteWorker> &workers() const { return Workers_; }
   std::uint32_t waitingTasks() const { return WaitingTasks_; }
@@ -50,6 +54,8 @@
   std::deque<Reservation> Reservations_;
   std::uint32_t WaitingTasks_ = 0;
   core::TimePoint AvoidUntil_;
+  /// Until it is measured, that of two data centres of one region whose processes are busy.
+  core::Duration RoundTrip_ = std::chrono::milliseconds(5);
   core::TimePoint ReportedAt_; ///< When the last report came.
 };
 
--- a/Libraries/LibMesh/MeshPeer.cpp
+++ b/Libraries/LibMesh/MeshPeer.cpp
@@ -24,6 +24,14 @@
 /// ends after ten seconds, and VMs that are listed are confirmed every minute.
 constexpr core::Duration MemoryTime = std::chrono::minutes(5);
 
+/// How many acknowledgements the smoothed round trip reflects, about a second of them.
+constexpr int RoundTripSamples = 8;
+
+std::uint64_t microseconds(core::TimePoint Moment) {
+  auto Elapsed = std::chrono::duration_cast<std::chrono::microseconds>(Moment.time_since_epoch());
+  return static_cast<std::uint64_t>(Elapsed.count());
+}
+
 core::Duration silenceLimit(core::Duration Interval) {
   return std::max(SilenceTime, Interval * MissedBeats);
 }
@@ -102,6 +110,7 @@
   Message.mutable_heartbeat()->set_interval_ms(
       static_cast<std::uint32_t>(core::toMilliseconds(Interval_)));
   Message.mutable_heartbeat()->set_spare_link(!IsNeeded_);
+  Message.mutable_heartbeat()->set_sent_us(microseconds(Now));
   IsSpareTold_ = !IsNeeded_;
   Outgoing_->send(Message);
   BeatAt_ = Now + Interval_;
@@ -151,8 +160,16 @@
   auto Now = core::MonotonicClock::now();
   if (Message.has_hello_reply())
     return greeted(Message.hello_reply(), Now);
-  if (Message.has_acknowledge() && IsGreeted_)
-    acknowledged(Message.acknowledge().received(), Now);
+  if (!Message.has_acknowledge() || !IsGreeted_)
+    return;
+  acknowledged(Message.acknowledge().received(), Now);
+  auto SentAt = Message.acknowledge().echoed_us();
+  if (SentAt != 0 && SentAt <= microseconds(Now))
+    observeRoundTrip(std::chrono::microseconds(microseconds(Now) - SentAt));
+}
+
+void MeshPeer::observeRoundTrip(core::Duration Taken) {
+  RoundTrip_ = RoundTrip_ ? *RoundTrip_ + (Taken - *RoundTrip_) / RoundTripSamples : Taken;
 }
 
 void MeshPeer::greeted(const HelloReply &Message, core::TimePoint Now) {
@@ -259,6 +276,8 @@
     Received_ = Message.sequence();
   Frame Reply;
   Reply.mutable_acknowledge()->set_received(Received_);
+  if (Message.has_heartbeat())
+    Reply.mutable_acknowledge()->set_echoed_us(Message.heartbeat().sent_us());
   auto Connection = Incoming_;
   Connection->send(Reply);
   if (Message.has_heartbeat()) {
--- a/Libraries/LibMesh/MeshPeer.h
+++ b/Libraries/LibMesh/MeshPeer.h
@@ -92,6 +92,8 @@
   bool isForgettable(core::TimePoint Now) const;
   /// When anything was heard of the peer last.
   core::TimePoint lastHeard() const { return LastHeard_; }
+  /// Smoothed time from a heartbeat to its acknowledgement; empty before the first one.
+  std::optional<core::Duration> roundTrip() const { return RoundTrip_; }
   /// Set by the owner when the peer comes up.
   kernel::PeerIndex Index{};
 
@@ -122,6 +124,7 @@
   void incomingFrame(const Frame &Message);
   void greeted(const HelloReply &Message, core::TimePoint Now);
   void acknowledged(std::uint64_t Received, core::TimePoint Now);
+  void observeRoundTrip(core::Duration Taken);
   void dropOutgoing(core::TimePoint RedialAt);
   void learnIncarnation(std::uint64_t Incarnation, core::TimePoint Now);
   void comeUp(core::TimePoint Now);
@@ -160,6 +163,7 @@
   /// When the first frame was sent after which nothing was acknowledged, on any connection.
   std::optional<core::TimePoint> AwaitsSince_;
   core::TimePoint GreetedAt_;
+  std::optional<core::Duration> RoundTrip_;
 
   // The direction from the peer to this process.
   std::shared_ptr<MeshConnection> Incoming_;
--- a/Services/PoolDaemon/PoolDaemonPeers.cpp
+++ b/Services/PoolDaemon/PoolDaemonPeers.cpp
@@ -141,6 +141,8 @@
   bool HasChanged = Election_.peerChanged(Peer.Index, std::move(State), Now);
   Tokens_.observe(Message.highest_token());
   Manager_.setManager(Peer.Index, Message.takes_part(), Now);
+  if (Peer.roundTrip())
+    Manager_.setRoundTrip(Peer.Index, *Peer.roundTrip());
   fetchConfiguration(Peer.Index, Message.configuration_version());
   if (HasChanged)
     applyElection(Now);
--- a/Tests/LibMesh/TestMeshNode.cpp
+++ b/Tests/LibMesh/TestMeshNode.cpp
@@ -257,6 +257,17 @@
   World.Reactor.poll();
 }
 
+// Guards against a placement that does not know how far away another manager is.
+BOOST_AUTO_TEST_CASE(HeartbeatsMeasureTheRoundTrip) {
+  Pair World;
+  BOOST_REQUIRE(World.until([&] { return World.areUp(); }));
+  auto IsMeasured = [&] { return World.First->Mesh.peers().front()->roundTrip().has_value(); };
+  BOOST_REQUIRE(World.until(IsMeasured));
+  auto RoundTrip = *World.First->Mesh.peers().front()->roundTrip();
+  BOOST_TEST((RoundTrip > 0ms));
+  BOOST_TEST((RoundTrip < 1000ms));
+}
+
 // Guards against links that stay although nobody needs them, and against one that is closed while
 // one side still needs it.
 BOOST_AUTO_TEST_CASE(ALinkIsClosedWhenNeitherSideNeedsIt) {
--- a/Tests/Pool/TestPoolManager.cpp
+++ b/Tests/Pool/TestPoolManager.cpp
@@ -1,5 +1,6 @@
 #include "Kernel/Pool/PoolManager.h"
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <utility>
@@ -347,3 +348,23 @@
   Pool.setReport({1, {{9, {{1, 1, 0}, 1, 1}}}, 0}, Now + 60ms);
   BOOST_TEST(Pool.workers().size() == 2U);
 }
+
+// Guards against tasks that go to a region so far away that the messages alone make them late; they
+// were sent there for a gain of 15 ms.
+BOOST_AUTO_TEST_CASE(ADistantManagerGetsNoTaskThatTheRoundTripMakesLate) {
+  for (auto RoundTrip : {5ms, 90ms}) {
+    Bench World;
+    auto Neighbour = static_cast<PeerIndex>(7);
+    World.list({"w-0"});
+    World.Manager.setManager(Neighbour, true, World.Now);
+    World.Manager.setRoundTrip(Neighbour, RoundTrip);
+    World.Manager.receive(Neighbour, PoolDirectory{1, {entry("x-0")}}, World.Now);
+    World.Manager.receive(Neighbour, PoolReport{1, {{0, {{4, 1000, 0}, 4, 1}}}, 0}, World.Now);
+    World.submit(3, 100); // Two fit on the own worker; the objective is at 180 ms.
+    BOOST_TEST(World.Out.Starts.size() == 2U);
+    auto Delegated = std::count_if(World.Out.Sent.begin(), World.Out.Sent.end(), [](auto &Sent) {
+      return std::holds_alternative<DelegateTasks>(Sent.second);
+    });
+    BOOST_TEST(Delegated == (RoundTrip < 50ms ? 1 : 0));
+  }
+}
