--- a/Kernel/Pool/HubChoice.cpp
+++ b/Kernel/Pool/HubChoice.cpp
@@ -14,8 +14,8 @@
     ByDataCentre[Candidate.DataCentre].push_back(&Candidate);
   std::set<std::string> Hubs;
   for (auto &[DataCentre, Members] : ByDataCentre) {
-    std::sort(Members.begin(), Members.end(), [&](const auto *Left, const auto *Right) {
-      return rankIn(DataCentre, *Left) < rankIn(DataCentre, *Right);
+    std::sort(Members.begin(), Members.end(), [](const auto *Left, const auto *Right) {
+      return rankIn(Left->DataCentre, *Left) < rankIn(Left->DataCentre, *Right);
     });
     std::size_t Reachable = 0;
     for (const auto *Member : Members) {
--- a/Libraries/LibMesh/MeshPeer.cpp
+++ b/Libraries/LibMesh/MeshPeer.cpp
@@ -169,6 +169,8 @@
 }
 
 void MeshPeer::observeRoundTrip(core::Duration Taken) {
+  // A pause of a process says nothing of the way between the two.
+  Taken = std::min(Taken, StaleTime);
   RoundTrip_ = RoundTrip_ ? *RoundTrip_ + (Taken - *RoundTrip_) / RoundTripSamples : Taken;
 }
 
