--- a/Kernel/Pool/HubChoice.cpp
+++ b/Kernel/Pool/HubChoice.cpp
@@ -28,11 +28,11 @@
   return Hubs;
 }
 
-std::set<std::string> dataCentresWithBetterHub(std::span<const HubCandidate> Candidates,
-                                               const HubCandidate &Self) {
+std::set<std::string> dataCentresToLeave(std::span<const HubCandidate> Candidates,
+                                         const HubCandidate &Self) {
   std::set<std::string> Result;
   for (const auto &Candidate : Candidates)
-    if (!Candidate.IsFailing &&
+    if (!Candidate.IsFailing && !Candidate.IsLinked &&
         rankIn(Candidate.DataCentre, Candidate) < rankIn(Candidate.DataCentre, Self))
       Result.insert(Candidate.DataCentre);
   return Result;
--- a/Kernel/Pool/HubChoice.h
+++ b/Kernel/Pool/HubChoice.h
@@ -14,6 +14,7 @@
   std::string DataCentre;
   std::uint32_t Weight = 1; ///< Relative processing power.
   bool IsFailing = false;   ///< Attempts to reach it have failed for some time.
+  bool IsLinked = false;    ///< Its heartbeats arrive.
 };
 
 /// Hubs of a data centre that are to be reachable at the same time.
@@ -27,8 +28,10 @@
 /// to be reached again, and the next in order takes its place beside it.
 std::set<std::string> chooseHubs(std::span<const HubCandidate> Candidates);
 
-/// Data centres of which a hub that is not failing comes before the process in the election.
-std::set<std::string> dataCentresWithBetterHub(std::span<const HubCandidate> Candidates,
-                                               const HubCandidate &Self);
+/// Data centres that another process is to manage although there is no link to it yet: it comes
+/// before Self in the election and is not failing. Of linked ones the election itself knows whether
+/// they are ready or stopping.
+std::set<std::string> dataCentresToLeave(std::span<const HubCandidate> Candidates,
+                                         const HubCandidate &Self);
 
 } // namespace cornellift::kernel
--- a/Services/PoolDaemon/PoolDaemonPeers.cpp
+++ b/Services/PoolDaemon/PoolDaemonPeers.cpp
@@ -71,9 +71,9 @@
     for (const auto *Peer : Mesh_.known())
       if (!Peer->dataCentre().empty())
         Candidates.push_back(
-            {Peer->vm(), Peer->dataCentre(), Peer->weight(), Peer->isFailing(Now)});
+            {Peer->vm(), Peer->dataCentre(), Peer->weight(), Peer->isFailing(Now), Peer->isUp()});
     kernel::HubCandidate Self{Settings_.VmName, Settings_.DataCentre, Settings_.Weight};
-    BetterKnown = kernel::dataCentresWithBetterHub(Candidates, Self);
+    BetterKnown = kernel::dataCentresToLeave(Candidates, Self);
     Candidates.push_back(std::move(Self));
     Hubs_ = kernel::chooseHubs(Candidates);
   }
@@ -85,7 +85,7 @@
 }
 
 bool PoolDaemon::isNeeded(const mesh::MeshPeer &Peer) {
-  // The data centre of a VM that only its address is known of is learned over a link.
+  // The data centre of a VM of which only the address is known is learned over a link.
   return NeedsAllLinks_ || Peer.dataCentre().empty() || Hubs_.contains(Peer.vm()) ||
          (Peer.isUp() && Home_ == Peer.Index);
 }
--- a/Services/PoolDaemon/VmRegistration.cpp
+++ b/Services/PoolDaemon/VmRegistration.cpp
@@ -62,7 +62,7 @@
     if (Message.ParseFromString(Item.Value))
       OnPeer_(
           {Key.substr(Prefix.size()), Message.address(), Message.data_centre(), Message.weight()});
-    else
+    else if (std::exchange(Unreadable_[Key], Item.Revision) != Item.Revision)
       core::logLine(core::LogLevel::Warning, "registration", "the key of a VM cannot be read",
                     {{"key", Key}});
   }
--- a/Services/PoolDaemon/VmRegistration.h
+++ b/Services/PoolDaemon/VmRegistration.h
@@ -4,7 +4,9 @@
 #include "Libraries/LibStore/KeyMirror.h"
 #include "Libraries/LibStore/StoreClient.h"
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -39,6 +41,8 @@
   std::string Value_; ///< Of the own key.
   PeerHandler OnPeer_;
   std::shared_ptr<store::KeyMirror> Mirror_;
+  /// Revisions of the keys that could not be read, each of which is logged once.
+  std::map<std::string, std::uint64_t> Unreadable_;
   std::uint64_t Lease_ = 0;
   bool IsWritten_ = false;
   bool IsStopped_ = false;
