PoolDaemon: Watch the configuration for one second at a time

Chain, from the logs: the store was silent from 5.24 to 8.27 s; the watches of all nine VMs ended at 7.64 s and were sent again into the silence, where their connections died; each was waited for until 16.5 s, 8 s and a second of slack. As none of them had the version, none could tell the others. Ruled out: the new links and reports, which do not touch this path; the wait is as old as the mirror.

A watch of the operators' keys now waits one second, so that one that hangs is replaced after two. Other watches stay longer: their staleness is bounded by the other calls of the same process.

TestKeyMirror failed first (copy not up to date within 3 s).

--- a/Services/PoolDaemon/ConfigurationKeeper.h
+++ b/Services/PoolDaemon/ConfigurationKeeper.h
@@ -3,6 +3,7 @@
 #include "Kernel/Pool/DecisionLog.h"
 #include "Kernel/Pool/PoolConfiguration.h"
 #include "Libraries/LibPlatform/StoreFormat.h"
+#include "Libraries/LibStore/KeyMirror.h"
 
 #include <functional>
 #include <memory>
@@ -10,6 +11,12 @@
 
 namespace cornellift::pool {
 
+/// How the operators' keys are followed; a change ends the watch at once. A watch may hang for good
+/// on a connection that has gone silent, for a second more than its wait, and in all processes when
+/// the store was away; a configuration is to be in force 2 s after it was accepted.
+constexpr store::MirrorPace ConfigurationPace = {std::chrono::milliseconds(1000),
+                                                 std::chrono::milliseconds(0)};
+
 /// The configuration in force. It comes from the store or from a peer and never goes back to an
 /// older version. A document that cannot be read changes nothing.
 class ConfigurationKeeper {
--- a/Services/PoolDaemon/PoolDaemon.cpp
+++ b/Services/PoolDaemon/PoolDaemon.cpp
@@ -13,8 +13,6 @@
 namespace {
 
 constexpr core::Duration TickTime = std::chrono::milliseconds(10);
-/// Operators' keys change some thousand times a day; a change ends the watch at once.
-constexpr store::MirrorPace OperatorPace = {std::chrono::seconds(8), std::chrono::milliseconds(0)};
 /// Time kept at the end of a planned stop for the last replies.
 constexpr core::Duration StopReserve = std::chrono::milliseconds(700);
 /// A stopping process goes on for at least this time: the balancer needs two checks of one second
@@ -90,7 +88,7 @@
                }),
       Directory_(Reactor_, Store_, Formats_->workers(), Log_, [this] { workersChanged(); }),
       OperatorKeys_(std::make_shared<store::KeyMirror>(
-          Reactor_, Store_, std::string(Formats_->store().operatorPrefix()), OperatorPace,
+          Reactor_, Store_, std::string(Formats_->store().operatorPrefix()), ConfigurationPace,
           [this](const store::KeyMirror::Items &Items) { operatorKeysChanged(Items); })),
       Registration_(std::make_shared<VmRegistration>(
           Reactor_, Store_,
--- a/Tests/LibStore/TestKeyMirror.cpp
+++ b/Tests/LibStore/TestKeyMirror.cpp
@@ -1,5 +1,6 @@
 #include "Libraries/LibReactor/HttpServer.h"
 #include "Libraries/LibStore/KeyMirror.h"
+#include "Services/PoolDaemon/ConfigurationKeeper.h"
 #include "platform/StoreMessages.h"
 
 #include <algorithm>
@@ -8,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <thread>
+#include <vector>
 
 #include <boost/test/unit_test.hpp>
 
@@ -24,10 +26,15 @@
             Reactor, {store::asio::ip::address_v4::loopback(), 0},
             [this](const std::shared_ptr<reactor::HttpExchange> &Exchange) {
               bool IsWatch = Exchange->target().find("kv-watch") != std::string_view::npos;
+              if (IsWatch && IsSilent_)
+                return Held_.push_back(Exchange);
               IsWatch ? sendEvents(*Exchange) : sendItems(*Exchange);
             })) {}
 
   void write(std::uint64_t Count) { Revision_ += Count; }
+  /// A watch that arrives meanwhile is never answered.
+  void setSilent(bool IsSilent) { IsSilent_ = IsSilent; }
+  std::size_t heldWatches() const { return Held_.size(); }
   std::uint64_t revision() const { return Revision_; }
   std::shared_ptr<store::StoreClient> connect(store::asio::io_context &Reactor) {
     return std::make_shared<store::StoreClient>(Reactor, Server_->address(), Format_);
@@ -66,6 +73,8 @@
 
   platform::StoreMessages Format_;
   std::uint64_t Revision_ = 1000;
+  bool IsSilent_ = false;
+  std::vector<std::shared_ptr<reactor::HttpExchange>> Held_;
   std::shared_ptr<reactor::HttpServer> Server_;
 };
 
@@ -139,3 +148,23 @@
   BOOST_TEST(Client->counters().Watches >= 1U);
   Mirror->stop();
 }
+
+// Guards against a configuration that is not in force for seconds after the store has come back:
+// the watches of all processes hung on connections from the time when it was away, and each was
+// waited for until 9 s were over. A process that has reached the store for 3 s has to know the
+// version.
+BOOST_AUTO_TEST_CASE(AWatchThatHangsForGoodIsReplacedSoon) {
+  BusyMirror Busy(pool::ConfigurationPace);
+  Busy.Store.setSilent(true);
+  auto Begin = std::chrono::steady_clock::now();
+  while (Busy.Store.heldWatches() == 0 && std::chrono::steady_clock::now() - Begin < 1s)
+    Busy.Reactor.run_one_for(10ms);
+  BOOST_REQUIRE(Busy.Store.heldWatches() == 1U);
+  Busy.Store.setSilent(false);
+  Busy.Store.write(1);
+  Begin = std::chrono::steady_clock::now();
+  while (Busy.Mirror->revision() < Busy.Store.revision() &&
+         std::chrono::steady_clock::now() - Begin < 3s)
+    Busy.Reactor.run_one_for(10ms);
+  BOOST_TEST(Busy.Mirror->revision() == Busy.Store.revision());
+}
