PoolDaemon: Replace a hanging watch of the workers within two seconds

Found by reading, not seen: managers also learn of it from the worker's own reports. The watch waits one second now. With 48 workers an entry is written every 31 ms, so that no watch waits that long and the number of calls does not change.

docs/platform.md says how the configuration is watched.

--- a/Services/PoolDaemon/WorkerDirectory.cpp
+++ b/Services/PoolDaemon/WorkerDirectory.cpp
@@ -9,8 +9,9 @@
 namespace {
 
 /// Each worker writes its entry every one and a half seconds; the events in between arrive
-/// together. A leaving worker gets no new task after two seconds.
-constexpr store::MirrorPace ClosePace = {std::chrono::seconds(3), std::chrono::milliseconds(600)};
+/// together. A leaving worker gets no new task after two seconds; a watch that hangs is replaced
+/// within that time.
+constexpr store::MirrorPace ClosePace = {std::chrono::seconds(1), std::chrono::milliseconds(600)};
 /// In four seconds each entry is written two or three times, so that reading all of them is less.
 constexpr core::Duration ShortestReading = std::chrono::seconds(4);
 constexpr core::Duration LongestReading = std::chrono::seconds(30);
