PoolDaemon: Log and count what a change of the configuration costs

The logs of the configuration incident told versions and times, but neither how large a document was, how long a reply of the store and its parsing took, how many versions a reply held, nor who copied documents to whom. Added: the lines "operators' keys read", "configuration requested from a peer" and "configuration sent to a peer", bytes and parse time in "configuration in force", and three counters of copies.

No behaviour changed.

--- a/Libraries/LibPlatform/StoreFormat.h
+++ b/Libraries/LibPlatform/StoreFormat.h
@@ -30,11 +30,13 @@
   std::vector<StoreItem> Items;
   bool HasMore = false;
   std::uint64_t Revision = 0; ///< Revision of the store when it read the page.
+  std::size_t ReplyBytes = 0; ///< Size of the reply's body.
 };
 
 struct StoreEvents {
   std::vector<StoreEvent> Events;
   std::uint64_t Revision = 0; ///< Revision from which to continue the watch.
+  std::size_t ReplyBytes = 0; ///< Size of the reply's body.
 };
 
 /// Why a request to the store failed.
--- a/Libraries/LibStore/KeyMirror.cpp
+++ b/Libraries/LibStore/KeyMirror.cpp
@@ -45,7 +45,12 @@
     scheduleStep(core::Duration(0), Next_);
 }
 
+void KeyMirror::recordReply(std::string_view Call, std::size_t Entries, std::size_t Bytes) {
+  LastReply_ = {Call, CalledAt_, core::MonotonicClock::now(), Entries, Bytes};
+}
+
 void KeyMirror::load() {
+  CalledAt_ = core::MonotonicClock::now();
   Store_->range(Prefix_,
                 [Self = shared_from_this(), Generation = Generation_](StoreReply<StorePage> Reply) {
                   if (Generation == Self->Generation_)
@@ -57,6 +62,7 @@
   if (!Reply.Content)
     return retryLater(Reply.Cause);
   Failures_ = 0;
+  recordReply("range", Reply.Content->Items.size(), Reply.Content->ReplyBytes);
   // After a compaction, a delayed reply may be older than the copy, which must never go back to an
   // earlier revision.
   if (Reply.Content->Revision < Revision_)
@@ -72,6 +78,7 @@
 }
 
 void KeyMirror::watchChanges() {
+  CalledAt_ = core::MonotonicClock::now();
   Store_->watch(
       Prefix_, Revision_, Options_.WatchTimeout,
       [Self = shared_from_this(), Generation = Generation_](StoreReply<StoreEvents> Reply) {
@@ -89,6 +96,7 @@
   if (!Reply.Content)
     return retryLater(Reply.Cause);
   Failures_ = 0;
+  recordReply("watch", Reply.Content->Events.size(), Reply.Content->ReplyBytes);
   bool MayHaveMore = Reply.Content->Events.size() >= LargeReplyEvents;
   if (!MayHaveMore)
     RefreshedAt_ = core::MonotonicClock::now();
--- a/Libraries/LibStore/KeyMirror.h
+++ b/Libraries/LibStore/KeyMirror.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <string_view>
 
 namespace cornellift::store {
 
@@ -25,6 +26,15 @@
   MirrorMode Mode = MirrorMode::Watch;
 };
 
+/// The reply that brought the latest change, for logs.
+struct MirrorReply {
+  std::string_view Call; ///< "range" or "watch".
+  core::TimePoint CalledAt;
+  core::TimePoint ReceivedAt;
+  std::size_t Entries = 0; ///< Items or events in the reply.
+  std::size_t Bytes = 0;
+};
+
 /// Keeps a local copy of all keys with a prefix. It reads all of them once and then watches for
 /// changes or polls. It reads all of them again if the store has compacted the history that a watch
 /// needs. While the store is unavailable, the copy stays unchanged.
@@ -48,9 +58,11 @@
   const Items &items() const { return Items_; }
   /// When the copy was last completely up to date.
   core::TimePoint refreshedAt() const { return RefreshedAt_; }
+  const MirrorReply &lastReply() const { return LastReply_; }
 
 private:
   void load();
+  void recordReply(std::string_view Call, std::size_t Entries, std::size_t Bytes);
   void loaded(StoreReply<StorePage> Reply);
   void watchChanges();
   void watchReturned(StoreReply<StoreEvents> Reply);
@@ -68,6 +80,8 @@
   Items Items_;
   std::uint64_t Revision_ = 0;
   core::TimePoint RefreshedAt_;
+  core::TimePoint CalledAt_; ///< When the latest call was made.
+  MirrorReply LastReply_;
   bool IsLoaded_ = false;
   bool IsStopped_ = true;
   void (KeyMirror::*Next_)() = nullptr; ///< Step that the pending timer runs.
--- a/Libraries/LibStore/StoreClient.cpp
+++ b/Libraries/LibStore/StoreClient.cpp
@@ -64,6 +64,7 @@
                     return OnReply(std::move(Reply));
                   if (Gathered->Items.empty())
                     Gathered->Revision = Reply.Content->Revision;
+                  Gathered->ReplyBytes += Reply.Content->ReplyBytes;
                   std::move(Reply.Content->Items.begin(), Reply.Content->Items.end(),
                             std::back_inserter(Gathered->Items));
                   bool HasMore = Reply.Content->HasMore && !Gathered->Items.empty();
--- a/Services/PoolDaemon/ActiveConfiguration.cpp
+++ b/Services/PoolDaemon/ActiveConfiguration.cpp
@@ -13,6 +13,7 @@
 void ActiveConfiguration::updateIfNewer(std::string_view Document, std::string_view Source) {
   if (Current_ && Document == Current_->Document)
     return;
+  auto ParsedFrom = core::MonotonicClock::now();
   auto Parsed = Format_.parseConfiguration(Document);
   if (!Parsed) {
     Log_.line(kernel::DecisionPriority::StateChange, "configuration cannot be read", std::nullopt,
@@ -27,6 +28,8 @@
             {{"source", Source},
              {"version", static_cast<std::int64_t>(Parsed->Version)},
              {"former", static_cast<std::int64_t>(version())},
+             {"bytes", static_cast<std::int64_t>(Document.size())},
+             {"parse_ms", core::toMilliseconds(core::MonotonicClock::now() - ParsedFrom)},
              {"routes", static_cast<std::int64_t>(Parsed->Routes.size())}});
   Current_ = std::make_shared<const kernel::PoolConfiguration>(std::move(*Parsed));
   OnChange_(Current_);
--- a/Services/PoolDaemon/PoolDaemon.cpp
+++ b/Services/PoolDaemon/PoolDaemon.cpp
@@ -260,6 +260,13 @@
 }
 
 void PoolDaemon::operatorKeysChanged(const store::KeyMirror::Items &Items) {
+  const auto &Reply = OperatorKeys_->lastReply();
+  Log_.line(kernel::DecisionPriority::StateChange, "operators' keys read", std::nullopt,
+            {{"call", Reply.Call},
+             {"entries", static_cast<std::int64_t>(Reply.Entries)},
+             {"bytes", static_cast<std::int64_t>(Reply.Bytes)},
+             {"taken_ms", core::toMilliseconds(Reply.ReceivedAt - Reply.CalledAt)},
+             {"revision", static_cast<std::int64_t>(OperatorKeys_->revision())}});
   auto Found = Items.find(std::string(Formats_->store().configurationKey()));
   if (Found != Items.end())
     Configuration_.updateIfNewer(Found->second.Value, "store");
--- a/Services/PoolDaemon/PoolDaemonPeers.cpp
+++ b/Services/PoolDaemon/PoolDaemonPeers.cpp
@@ -156,6 +156,12 @@
   if (Version <= Configuration_.version() || Requested == Version)
     return;
   Requested = Version;
+  Log_.line(kernel::DecisionPriority::StateChange, "configuration requested from a peer",
+            std::nullopt,
+            {{"version", static_cast<std::int64_t>(Version)},
+             {"in_force", static_cast<std::int64_t>(Configuration_.version())},
+             {"peer", static_cast<std::int64_t>(Peer)}});
+  Metrics_.counter("cornellift_configuration_copies_requested_total").add();
   mesh::Frame Request;
   Request.mutable_fetch_configuration()->set_above_version(Configuration_.version());
   Mesh_.send(Peer, Request);
@@ -179,10 +185,19 @@
     mesh::Frame Reply;
     Reply.mutable_configuration()->set_version(Configuration_.version());
     Reply.mutable_configuration()->set_document(Configuration_.current()->Document);
+    auto Bytes = Configuration_.current()->Document.size();
+    Log_.line(kernel::DecisionPriority::StateChange, "configuration sent to a peer", std::nullopt,
+              {{"version", static_cast<std::int64_t>(Configuration_.version())},
+               {"bytes", static_cast<std::int64_t>(Bytes)},
+               {"vm", std::string_view(Peer.vm())}});
+    Metrics_.counter("cornellift_configuration_copies_sent_total").add();
+    Metrics_.counter("cornellift_configuration_copy_bytes_sent_total").add(Bytes);
     return Mesh_.send(Peer.Index, Reply);
   }
-  if (Message.has_configuration())
+  if (Message.has_configuration()) {
+    Metrics_.counter("cornellift_configuration_copies_received_total").add();
     return Configuration_.updateIfNewer(Message.configuration().document(), Peer.vm());
+  }
   if (Message.has_backlog()) {
     std::vector<kernel::RouteBacklog> Backlog;
     auto Count = std::min(Message.backlog().routes_size(), Message.backlog().jobs_size());
