--- a/Tests/LibStore/TestKeyMirror.cpp
+++ b/Tests/LibStore/TestKeyMirror.cpp
@@ -78,6 +78,57 @@
   std::shared_ptr<reactor::HttpServer> Server_;
 };
 
+/// Fake store with one large document that is replaced again and again. As on the platform, a watch
+/// returns the versions in order, and a reply holds no more than one of them. Each reply takes
+/// ReplyTime, as over a slow link.
+class DocumentStore {
+public:
+  static constexpr auto ReplyTime = 150ms;
+
+  explicit DocumentStore(store::asio::io_context &Reactor)
+      : Reactor_(Reactor),
+        Server_(reactor::HttpServer::listen(
+            Reactor, {store::asio::ip::address_v4::loopback(), 0},
+            [this](const std::shared_ptr<reactor::HttpExchange> &Exchange) { serve(Exchange); })) {}
+
+  void write() { ++Revision_; }
+  std::uint64_t revision() const { return Revision_; }
+  std::shared_ptr<store::StoreClient> connect(store::asio::io_context &Reactor) {
+    return std::make_shared<store::StoreClient>(Reactor, Server_->address(), Format_);
+  }
+
+private:
+  static constexpr std::size_t DocumentBytes = 500000;
+
+  static std::string item(std::uint64_t Revision) {
+    return R"({"key":"op/config","value":")" + std::string(DocumentBytes, 'A') +
+           R"(","created":1,"lease":0,"revision":)" + std::to_string(Revision) + "}";
+  }
+
+  void serve(const std::shared_ptr<reactor::HttpExchange> &Exchange) {
+    auto Target = std::string(Exchange->target());
+    if (Target.find("kv-watch") == std::string::npos)
+      return replyLater(Exchange, R"({"at":)" + std::to_string(Revision_) + R"(,"items":[)" +
+                                      item(Revision_) + R"(],"hasMore":false})");
+    auto Next = std::stoull(Target.substr(Target.find("after=") + 6)) + 1;
+    if (Next > Revision_)
+      return replyLater(Exchange, R"({"at":)" + std::to_string(Revision_) + R"(,"events":[]})");
+    replyLater(Exchange, R"({"at":)" + std::to_string(Next) + R"(,"events":[)" + item(Next) + "]}");
+  }
+
+  void replyLater(const std::shared_ptr<reactor::HttpExchange> &Exchange, std::string Body) {
+    auto Timer = std::make_shared<store::asio::steady_timer>(Reactor_, ReplyTime);
+    Timer->async_wait([Timer, Exchange, Body = std::move(Body)](boost::system::error_code) {
+      Exchange->reply({200, Body, {}});
+    });
+  }
+
+  store::asio::io_context &Reactor_;
+  platform::StoreMessages Format_;
+  std::uint64_t Revision_ = 1000;
+  std::shared_ptr<reactor::HttpServer> Server_;
+};
+
 /// A mirror of a BusyStore that has read all keys.
 struct BusyMirror {
   explicit BusyMirror(store::MirrorOptions Options)
@@ -169,3 +220,27 @@
     Busy.Reactor.run_one_for(10ms);
   BOOST_TEST(Busy.Mirror->revision() == Busy.Store.revision());
 }
+
+// Guards against issue 18: a large configuration that changes faster than one version is received.
+// The copy took each version in turn and was further behind with each.
+BOOST_AUTO_TEST_CASE(ASeriesOfLargeDocumentsIsNotReadVersionByVersion) {
+  store::asio::io_context Reactor;
+  DocumentStore Store(Reactor);
+  auto Mirror = std::make_shared<store::KeyMirror>(Reactor, Store.connect(Reactor), "op/",
+                                                   pool::ConfigurationMirrorOptions,
+                                                   [](const store::KeyMirror::Items &) {});
+  Mirror->start();
+  while (!Mirror->isLoaded())
+    Reactor.run_one_for(10ms);
+  for (int Version = 0; Version < 40; ++Version) {
+    Store.write();
+    Reactor.run_for(50ms);
+  }
+  // A change has to be in force 2 s after it was accepted.
+  auto Deadline = std::chrono::steady_clock::now() + 2s;
+  while (Mirror->items().at("op/config").Revision < Store.revision() &&
+         std::chrono::steady_clock::now() < Deadline)
+    Reactor.run_one_for(10ms);
+  BOOST_TEST(Mirror->items().at("op/config").Revision == Store.revision());
+  Mirror->stop();
+}
