LibStore: Read the newest keys where their history is larger

Cause, first part: after each change the copy of the operators' keys continued the watch, which returns the versions in order and one large document a reply, although only the newest counts. A VM that receives a version more slowly than the operator writes the next fell behind without limit. Class: following a history where only the state counts.

A reply that may be incomplete and that is, twice over, as large as all keys is now followed by a read of all keys. The workers' entries keep the watch where they are many: there the history is smaller than the state.

--- a/Libraries/LibStore/KeyMirror.cpp
+++ b/Libraries/LibStore/KeyMirror.cpp
@@ -13,10 +13,11 @@
 constexpr core::Duration InitialBackoff = std::chrono::milliseconds(100);
 constexpr core::Duration MaximumBackoff = std::chrono::milliseconds(800);
 constexpr std::uint32_t MaximumDoublings = 3;
-/// A watch returns at most some 500 events. A reply of at least this size may be incomplete, so
-/// that the next call follows at once; a mirror that waited would fall further behind with each
-/// call.
+/// A watch returns at most some 500 events or 1 MB. A reply that reaches one of these sizes may be
+/// incomplete, so that the next call follows at once; a mirror that waited would fall further
+/// behind with each call.
 constexpr std::size_t LargeReplyEvents = 250;
+constexpr std::size_t LargeReplyBytes = 64U << 10;
 
 } // namespace
 
@@ -71,6 +72,7 @@
   for (auto &Item : Reply.Content->Items)
     Items_[Item.Key] = std::move(Item);
   Revision_ = Reply.Content->Revision;
+  BytesOfAllKeys_ = Reply.Content->ReplyBytes;
   IsLoaded_ = true;
   RefreshedAt_ = core::MonotonicClock::now();
   OnChange_(Items_);
@@ -97,11 +99,17 @@
     return retryLater(Reply.Cause);
   Failures_ = 0;
   recordReply("watch", Reply.Content->Events.size(), Reply.Content->ReplyBytes);
-  bool MayHaveMore = Reply.Content->Events.size() >= LargeReplyEvents;
+  auto Bytes = Reply.Content->ReplyBytes;
+  bool MayHaveMore = Reply.Content->Events.size() >= LargeReplyEvents || Bytes >= LargeReplyBytes;
   if (!MayHaveMore)
     RefreshedAt_ = core::MonotonicClock::now();
   apply(std::move(*Reply.Content));
-  scheduleNextCall(MayHaveMore ? core::Duration(0) : Options_.CallInterval);
+  if (!MayHaveMore)
+    return scheduleNextCall(Options_.CallInterval);
+  // If this reply and another one like it are as large as all keys, following the history would
+  // fall behind a series of changes: the keys are read as they are now.
+  bool IsHistoryLarger = 2 * Bytes >= BytesOfAllKeys_;
+  scheduleStep(core::Duration(0), IsHistoryLarger ? &KeyMirror::load : &KeyMirror::watchChanges);
 }
 
 void KeyMirror::apply(StoreEvents Changes) {
--- a/Libraries/LibStore/KeyMirror.h
+++ b/Libraries/LibStore/KeyMirror.h
@@ -37,7 +37,8 @@
 
 /// Keeps a local copy of all keys with a prefix. It reads all of them once and then watches for
 /// changes or polls. It reads all of them again if the store has compacted the history that a watch
-/// needs. While the store is unavailable, the copy stays unchanged.
+/// needs, and if reading the history takes more than reading the keys. While the store is
+/// unavailable, the copy stays unchanged.
 class KeyMirror : public std::enable_shared_from_this<KeyMirror> {
 public:
   using Items = std::map<std::string, StoreItem>;
@@ -79,6 +80,7 @@
   ChangeHandler OnChange_;
   Items Items_;
   std::uint64_t Revision_ = 0;
+  std::size_t BytesOfAllKeys_ = 0; ///< Size of the latest reply that held all keys.
   core::TimePoint RefreshedAt_;
   core::TimePoint CalledAt_; ///< When the latest call was made.
   MirrorReply LastReply_;
