--- a/Tests/Integration/TestPoolDaemon.cpp
+++ b/Tests/Integration/TestPoolDaemon.cpp
@@ -1,3 +1,4 @@
+#include "Tests/Integration/Eventually.h"
 #include "Tests/Integration/HttpCall.h"
 #include "Tests/Integration/PoolDeployment.h"
 
@@ -67,16 +68,6 @@
   std::multiset<int> Others_;
 };
 
-template <typename Condition> bool eventually(Condition Holds, std::chrono::seconds Limit) {
-  auto Deadline = std::chrono::steady_clock::now() + Limit;
-  while (std::chrono::steady_clock::now() < Deadline) {
-    if (Holds())
-      return true;
-    std::this_thread::sleep_for(50ms);
-  }
-  return false;
-}
-
 std::string contentOf(const std::string &File) {
   std::ifstream In(File);
   std::ostringstream Out;
