PoolDaemon: Copy a configuration from one peer at a time, in parts

Cause, second part: a VM that heard of a newer version requested the document from every peer that reported it, at once, although the store was sending it to every VM anyway. With 2,000 routes (389 KB) one change meant hundreds of copies on links of 19 Mbit/s: replies of the store took 1.5 s instead of 0.27 s or timed out and began again, and links on which a whole document was one frame were taken for lost. Class: amplification: one event lets every process send bulk data to every other one, and that on the connection of the heartbeats.

A VM now waits 400 ms for the store, then asks one peer that has the newest version, in parts of 64 KB that it requests in turn, and another peer if none arrives for 500 ms. ConfigurationFetch decides that, without clock and sockets. A transfer keeps its version although a newer one comes into force. Processes of the former release still get and send whole documents.

--- a/Services/PoolDaemon/PoolDaemon.cpp
+++ b/Services/PoolDaemon/PoolDaemon.cpp
@@ -250,6 +250,7 @@
   applyElection(Now);
   Manager_.tick(Now);
   Ingress_.tick(Now);
+  requestConfiguration(Now);
   sendBacklog(Now);
   reloadIfChanged(Now);
   stopIfDone(Now);
@@ -259,32 +260,6 @@
   return Configuration_.current() != nullptr && !StopDeadline_ && AssignedManager_.has_value();
 }
 
-void PoolDaemon::operatorKeysChanged(const store::KeyMirror::Items &Items) {
-  const auto &Reply = OperatorKeys_->lastReply();
-  Log_.line(kernel::DecisionPriority::StateChange, "operators' keys read", std::nullopt,
-            {{"call", Reply.Call},
-             {"entries", static_cast<std::int64_t>(Reply.Entries)},
-             {"bytes", static_cast<std::int64_t>(Reply.Bytes)},
-             {"taken_ms", core::toMilliseconds(Reply.ReceivedAt - Reply.CalledAt)},
-             {"revision", static_cast<std::int64_t>(OperatorKeys_->revision())}});
-  auto Found = Items.find(std::string(Formats_->store().configurationKey()));
-  if (Found != Items.end())
-    Configuration_.updateIfNewer(Found->second.Value, "store");
-}
-
-void PoolDaemon::configurationChanged(
-    const std::shared_ptr<const kernel::PoolConfiguration> &Configuration) {
-  ConfigurationReceivedAt_ = core::MonotonicClock::now();
-  Ingress_.setConfiguration(Configuration);
-  reactor::HttpServerLimits Limits;
-  Limits.HeaderBytes = Configuration->Limits.HeaderBytes;
-  Limits.BodyBytes = Configuration->Limits.BodyBytes;
-  Limits.HeaderTime = Configuration->Limits.HeaderTime;
-  Limits.IdleTime = Configuration->Limits.IdleTime;
-  CallerServer_->setLimits(Limits);
-  Mesh_.sendHeartbeats(core::MonotonicClock::now());
-}
-
 void PoolDaemon::send(kernel::PeerIndex Peer, kernel::PoolMessage Message) {
   if (Peer != kernel::SelfPeer)
     return Mesh_.send(Peer, mesh::encode(Message, core::MonotonicClock::now()));
--- a/Services/PoolDaemon/PoolDaemon.h
+++ b/Services/PoolDaemon/PoolDaemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Kernel/Pool/ConfigurationFetch.h"
 #include "Kernel/Pool/PoolElection.h"
 #include "Kernel/Pool/PoolManager.h"
 #include "Kernel/Pool/TokenSource.h"
@@ -46,6 +47,12 @@
   void run();
 
 private:
+  /// A version that a peer receives part by part, whatever is in force meanwhile.
+  struct SentDocument {
+    std::shared_ptr<const kernel::PoolConfiguration> Configuration;
+    core::TimePoint Deadline; ///< For the peer's next request.
+  };
+
   bool listen();
   void watchSignals();
   void reload();
@@ -69,8 +76,10 @@
   /// Decides which other entry processes this one needs links to.
   void planLinks(core::TimePoint Now);
   void send(kernel::PeerIndex Peer, kernel::PoolMessage Message);
-  /// Requests the peer's configuration if it is newer; once for each version.
-  void fetchConfiguration(kernel::PeerIndex Peer, std::uint64_t Version);
+  /// Requests a newer configuration from a peer if that is due.
+  void requestConfiguration(core::TimePoint Now);
+  void sendConfiguration(const mesh::MeshPeer &Peer, const mesh::FetchConfiguration &Request);
+  void configurationReceived(const mesh::MeshPeer &Peer, const mesh::Configuration &Message);
   void deliver(kernel::PeerIndex From, const kernel::PoolMessage &Message);
   void sendBacklog(core::TimePoint Now);
   bool isReady() const;
@@ -120,7 +129,9 @@
   std::map<std::string, core::TimePoint> ClaimAt_;      ///< By managed data centre.
   /// Until when to wait for a fresh listing, by data centre.
   std::map<std::string, core::TimePoint> FreshListingDeadlines_;
-  std::map<kernel::PeerIndex, std::uint64_t> RequestedVersions_;
+  kernel::ConfigurationFetch ConfigurationFetch_{std::random_device()()};
+  /// Configurations of which peers have received some parts.
+  std::map<kernel::PeerIndex, SentDocument> DocumentsBeingSent_;
   bool NeedsAllLinks_ = true;
   std::set<std::string> Hubs_; ///< Empty in a full mesh, where all links are needed.
   core::TimePoint LinksPlannedAt_;
--- a/Services/PoolDaemon/PoolDaemonPeers.cpp
+++ b/Services/PoolDaemon/PoolDaemonPeers.cpp
@@ -121,7 +121,8 @@
                 {{"vm", Peer.vm()},
                  {"ended", Reason == mesh::PeerLossReason::Ended ? "true" : "false"},
                  {"silent_ms", std::to_string(core::toMilliseconds(Now - Peer.lastHeard()))}});
-  RequestedVersions_.erase(Peer.Index);
+  ConfigurationFetch_.peerLost(Peer.Index);
+  DocumentsBeingSent_.erase(Peer.Index);
   Election_.peerLost(Peer.Index, Reason == mesh::PeerLossReason::Ended, Now);
   Manager_.peerLost(Peer.Index, Peer.lastHeard(), Now);
   Ingress_.peerLost(Peer.Index, Now);
@@ -146,27 +147,11 @@
   Manager_.setManager(Peer.Index, Message.takes_part(), Now);
   if (Peer.roundTrip())
     Manager_.setRoundTrip(Peer.Index, *Peer.roundTrip());
-  fetchConfiguration(Peer.Index, Message.configuration_version());
+  ConfigurationFetch_.peerReported(Peer.Index, Message.configuration_version(), Now);
   if (HasChanged)
     applyElection(Now);
 }
 
-void PoolDaemon::fetchConfiguration(kernel::PeerIndex Peer, std::uint64_t Version) {
-  auto &Requested = RequestedVersions_[Peer];
-  if (Version <= Configuration_.version() || Requested == Version)
-    return;
-  Requested = Version;
-  Log_.line(kernel::DecisionPriority::StateChange, "configuration requested from a peer",
-            std::nullopt,
-            {{"version", static_cast<std::int64_t>(Version)},
-             {"in_force", static_cast<std::int64_t>(Configuration_.version())},
-             {"peer", static_cast<std::int64_t>(Peer)}});
-  Metrics_.counter("cornellift_configuration_copies_requested_total").add();
-  mesh::Frame Request;
-  Request.mutable_fetch_configuration()->set_above_version(Configuration_.version());
-  Mesh_.send(Peer, Request);
-}
-
 void PoolDaemon::messageReceived(const mesh::MeshPeer &Peer, const mesh::Frame &Message) {
   if (Message.has_peers()) {
     const auto &Gossiped = Message.peers();
@@ -179,25 +164,10 @@
                             mesh::PeerSource::Gossiped, core::MonotonicClock::now());
     return;
   }
-  if (Message.has_fetch_configuration()) {
-    if (Configuration_.version() <= Message.fetch_configuration().above_version())
-      return;
-    mesh::Frame Reply;
-    Reply.mutable_configuration()->set_version(Configuration_.version());
-    Reply.mutable_configuration()->set_document(Configuration_.current()->Document);
-    auto Bytes = Configuration_.current()->Document.size();
-    Log_.line(kernel::DecisionPriority::StateChange, "configuration sent to a peer", std::nullopt,
-              {{"version", static_cast<std::int64_t>(Configuration_.version())},
-               {"bytes", static_cast<std::int64_t>(Bytes)},
-               {"vm", std::string_view(Peer.vm())}});
-    Metrics_.counter("cornellift_configuration_copies_sent_total").add();
-    Metrics_.counter("cornellift_configuration_copy_bytes_sent_total").add(Bytes);
-    return Mesh_.send(Peer.Index, Reply);
-  }
-  if (Message.has_configuration()) {
-    Metrics_.counter("cornellift_configuration_copies_received_total").add();
-    return Configuration_.updateIfNewer(Message.configuration().document(), Peer.vm());
-  }
+  if (Message.has_fetch_configuration())
+    return sendConfiguration(Peer, Message.fetch_configuration());
+  if (Message.has_configuration())
+    return configurationReceived(Peer, Message.configuration());
   if (Message.has_backlog()) {
     std::vector<kernel::RouteBacklog> Backlog;
     auto Count = std::min(Message.backlog().routes_size(), Message.backlog().jobs_size());
