Soak, FleetStandIn: Change large configurations in series and check what is in force

Every second change is now a series of five documents of 2,000 routes, 100 ms apart, and 6 s after the last fault each running VM must have the latest version.

--- a/Services/FleetStandIn/StoreModel.cpp
+++ b/Services/FleetStandIn/StoreModel.cpp
@@ -48,13 +48,16 @@
     return std::nullopt;
   platform::StoreEvents Result;
   Result.Revision = Revision_;
+  std::size_t Bytes = 0;
   for (const auto &Event : History_) {
     if (Event.Item.Revision <= Revision || !Event.Item.Key.starts_with(Prefix))
       continue;
-    if (Result.Events.size() == PageSize) {
+    bool IsFull = Result.Events.size() == PageSize || Bytes + Event.Item.Value.size() > PageBytes;
+    if (IsFull && !Result.Events.empty()) {
       Result.Revision = Result.Events.back().Item.Revision;
       break;
     }
+    Bytes += Event.Item.Value.size();
     Result.Events.push_back(Event);
   }
   return Result;
--- a/Services/FleetStandIn/StoreModel.h
+++ b/Services/FleetStandIn/StoreModel.h
@@ -71,6 +71,7 @@
   void remove(const std::string &Key);
 
   static constexpr std::size_t PageSize = 500;
+  static constexpr std::size_t PageBytes = 750000; ///< 1 MB of base64.
   std::map<std::string, Entry, std::less<>> Entries_;
   std::deque<platform::StoreEvent> History_;
   std::uint64_t HistoryFrom_ = 1; ///< Revisions up to this one were compacted.
--- a/Tests/Integration/PoolDeployment.cpp
+++ b/Tests/Integration/PoolDeployment.cpp
@@ -235,6 +235,22 @@
   control("POST", "/configuration", configurationText(Version, Prefixes));
 }
 
+void PoolDeployment::configureManyRoutes(std::uint64_t Version, int Count) const {
+  std::vector<std::string> Prefixes = {PoolPrefix};
+  for (int Each = 0; Each < Count; ++Each)
+    Prefixes.push_back("/added-" + std::to_string(Each) + "/");
+  configure(Version, Prefixes);
+}
+
+std::vector<std::string> PoolDeployment::vmsWithoutVersion(std::uint64_t Version) {
+  std::vector<std::string> Names;
+  for (auto &Vm : Vms_)
+    if (Vm.Process && Vm.Process->isRunning() &&
+        metric(Vm, "cornellift_configuration_version") != static_cast<double>(Version))
+      Names.push_back(Vm.Name);
+  return Names;
+}
+
 std::vector<ObservedRun> PoolDeployment::runs() const {
   std::vector<ObservedRun> Result;
   std::istringstream Lines(control("GET", "/runs"));
--- a/Tests/Integration/PoolDeployment.h
+++ b/Tests/Integration/PoolDeployment.h
@@ -70,6 +70,10 @@
 
   /// Writes a configuration with that version and a route with each prefix.
   void configure(std::uint64_t Version, const std::vector<std::string> &Prefixes) const;
+  /// Writes a configuration with the usual route and Count added ones, of some 190 bytes each.
+  void configureManyRoutes(std::uint64_t Version, int Count) const;
+  /// Running VMs on which another version is in force.
+  std::vector<std::string> vmsWithoutVersion(std::uint64_t Version);
 
   std::vector<ObservedRun> runs() const;
   /// Describes each task that had two runs at the same time.
--- a/Tests/Integration/TestConfigurationCopies.cpp
+++ b/Tests/Integration/TestConfigurationCopies.cpp
@@ -5,7 +5,6 @@
 #include <fstream>
 #include <sstream>
 #include <string>
-#include <vector>
 
 #include <boost/test/unit_test.hpp>
 
@@ -19,13 +18,6 @@
 constexpr int BlockDelay = 50;     ///< Milliseconds for each block of at most 64 KB on a slow link.
 constexpr auto InForceTarget = 5s; ///< From the acceptance of a change.
 
-void configureManyRoutes(const PoolDeployment &Deployment, std::uint64_t Version) {
-  std::vector<std::string> Prefixes = {PoolPrefix};
-  for (int Each = 0; Each < LargeRoutes; ++Each)
-    Prefixes.push_back("/added-" + std::to_string(Each) + "/");
-  Deployment.configure(Version, Prefixes);
-}
-
 bool hasVersion(const PoolVm &Vm, double Version) {
   return PoolDeployment::metric(Vm, "cornellift_configuration_version") == Version;
 }
@@ -61,7 +53,7 @@
   BOOST_REQUIRE(Deployment.controlLink("store-yaba-4", "admission", {{"mode", "refuse"}}));
   BOOST_REQUIRE(Deployment.controlLink("store-yaba-4", "open", {{"action", "cut"}}));
   BOOST_REQUIRE(Deployment.controlLink("mesh-yaba-4", "delay", {{"milliseconds", BlockDelay}}));
-  configureManyRoutes(Deployment, 2);
+  Deployment.configureManyRoutes(2, LargeRoutes);
   BOOST_TEST(eventually([&] { return hasVersion(Late, 2); }, InForceTarget));
   std::this_thread::sleep_for(1s);
   // One copy; a second one only if the first VM that was asked did not answer in time.
@@ -80,7 +72,7 @@
   BOOST_REQUIRE(Deployment.controlLink("mesh-*", "delay", {{"milliseconds", BlockDelay}}));
   std::this_thread::sleep_for(1s);
   auto LostBefore = linesWith(Deployment, "peer lost");
-  configureManyRoutes(Deployment, 2);
+  Deployment.configureManyRoutes(2, LargeRoutes);
   BOOST_TEST(eventually([&] { return hasVersion(Late, 2); }, InForceTarget));
   BOOST_TEST(linesWith(Deployment, "peer lost") == LostBefore);
 }
--- a/Tests/Soak/SoakFaults.cpp
+++ b/Tests/Soak/SoakFaults.cpp
@@ -11,6 +11,11 @@
 using namespace std::chrono_literals;
 using nlohmann::json;
 
+/// Routes that large configurations add: a document of some 380 KB.
+constexpr int LargeSeriesRoutes = 2000;
+constexpr int LargeSeriesVersions = 5;
+constexpr auto LargeSeriesInterval = 100ms;
+
 } // namespace
 
 SoakFaults::SoakFaults(integration::PoolDeployment &Deployment, std::uint64_t Seed)
@@ -177,9 +182,17 @@
 }
 
 void SoakFaults::changeConfiguration() {
-  ++Version_;
-  record("configuration " + std::to_string(Version_));
-  Deployment_.configure(Version_, {integration::PoolPrefix, "/v" + std::to_string(Version_) + "/"});
+  // Decided without a random number, so that earlier seeds inject the faults that they did.
+  bool IsLargeSeries = ++Version_ % 2 == 0;
+  record((IsLargeSeries ? "large configurations from " : "configuration ") +
+         std::to_string(Version_));
+  if (!IsLargeSeries)
+    return Deployment_.configure(Version_,
+                                 {integration::PoolPrefix, "/v" + std::to_string(Version_) + "/"});
+  Deployment_.configureManyRoutes(Version_, LargeSeriesRoutes);
+  for (int Each = 1; Each < LargeSeriesVersions; ++Each)
+    undoAfter(LargeSeriesInterval * Each,
+              [this] { Deployment_.configureManyRoutes(++Version_, LargeSeriesRoutes); });
 }
 
 } // namespace cornellift::soak
--- a/Tests/Soak/SoakFaults.h
+++ b/Tests/Soak/SoakFaults.h
@@ -23,6 +23,8 @@
 
   /// Injected faults with their times since construction, for the log folder of the seed.
   const std::vector<std::string> &journal() const { return Journal_; }
+  /// Version of the latest configuration.
+  std::uint64_t version() const { return Version_; }
 
 private:
   using Clock = std::chrono::steady_clock;
--- a/Tests/Soak/TestPoolSoak.cpp
+++ b/Tests/Soak/TestPoolSoak.cpp
@@ -69,8 +69,12 @@
   Faults.run(Span);
   // Workers that failed tasks are used again only after some seconds.
   std::this_thread::sleep_for(6s);
+  // More than the 5 s within which a change has to be in force.
+  auto Outdated = Deployment.vmsWithoutVersion(Faults.version());
   Callers.finish();
   auto Found = findViolations(Deployment, Callers.outcomes());
+  for (const auto &Name : Outdated)
+    Found.push_back(Name + " does not have the configuration " + std::to_string(Faults.version()));
   for (auto &Each : findRecoveryFailures(Deployment))
     Found.push_back(std::move(Each));
   std::size_t Completed = 0;
@@ -99,8 +103,8 @@
 
 // Checks the guarantees to callers under overlapping external faults: a task never runs twice at
 // the same time, a job reported as "not run" has not run, every job gets a final answer, and the
-// deployment recovers afterwards. CORNELLIFT_SEEDS and CORNELLIFT_FIRST_SEED choose the seeds,
-// CORNELLIFT_SOAK_SECONDS the duration of each.
+// deployment recovers afterwards, with the latest configuration on all VMs. CORNELLIFT_SEEDS and
+// CORNELLIFT_FIRST_SEED choose the seeds, CORNELLIFT_SOAK_SECONDS the duration of each.
 BOOST_AUTO_TEST_CASE(RandomFaultsOnProcesses) {
   auto First = numberFromEnvironment("CORNELLIFT_FIRST_SEED", 1);
   auto Count = numberFromEnvironment("CORNELLIFT_SEEDS", 1);
