--- a/Tests/Soak/SoakFaults.h
+++ b/Tests/Soak/SoakFaults.h
@@ -51,7 +51,7 @@
   Clock::time_point StartedAt_ = Clock::now();
   std::vector<Undo> Undos_;
   std::vector<std::string> Journal_;
-  std::uint64_t Version_ = 10;
+  std::uint64_t Version_ = 1; ///< The deployment starts with this one.
 };
 
 } // namespace cornellift::soak
