--- a/Libraries/LibStore/KeyMirror.cpp
+++ b/Libraries/LibStore/KeyMirror.cpp
@@ -73,6 +73,7 @@
     Items_[Item.Key] = std::move(Item);
   Revision_ = Reply.Content->Revision;
   BytesOfAllKeys_ = Reply.Content->ReplyBytes;
+  WasLargeReply_ = false;
   IsLoaded_ = true;
   RefreshedAt_ = core::MonotonicClock::now();
   OnChange_(Items_);
@@ -104,12 +105,14 @@
   if (!MayHaveMore)
     RefreshedAt_ = core::MonotonicClock::now();
   apply(std::move(*Reply.Content));
+  bool IsSeries = std::exchange(WasLargeReply_, MayHaveMore) && MayHaveMore;
   if (!MayHaveMore)
     return scheduleNextCall(Options_.CallInterval);
   // If this reply and another one like it are as large as all keys, following the history would
   // fall behind a series of changes: the keys are read as they are now.
   bool IsHistoryLarger = 2 * Bytes >= BytesOfAllKeys_;
-  scheduleStep(core::Duration(0), IsHistoryLarger ? &KeyMirror::load : &KeyMirror::watchChanges);
+  scheduleStep(core::Duration(0),
+               IsSeries && IsHistoryLarger ? &KeyMirror::load : &KeyMirror::watchChanges);
 }
 
 void KeyMirror::apply(StoreEvents Changes) {
--- a/Libraries/LibStore/KeyMirror.h
+++ b/Libraries/LibStore/KeyMirror.h
@@ -81,6 +81,7 @@
   Items Items_;
   std::uint64_t Revision_ = 0;
   std::size_t BytesOfAllKeys_ = 0; ///< Size of the latest reply that held all keys.
+  bool WasLargeReply_ = false; ///< The reply before the latest one was that of a watch, and large.
   core::TimePoint RefreshedAt_;
   core::TimePoint CalledAt_; ///< When the latest call was made.
   MirrorReply LastReply_;
--- a/Tests/LibStore/TestKeyMirror.cpp
+++ b/Tests/LibStore/TestKeyMirror.cpp
@@ -93,6 +93,8 @@
 
   void write() { ++Revision_; }
   std::uint64_t revision() const { return Revision_; }
+  /// Number of replies that held the document.
+  int documentsSent() const { return DocumentsSent_; }
   std::shared_ptr<store::StoreClient> connect(store::asio::io_context &Reactor) {
     return std::make_shared<store::StoreClient>(Reactor, Server_->address(), Format_);
   }
@@ -100,7 +102,8 @@
 private:
   static constexpr std::size_t DocumentBytes = 500000;
 
-  static std::string item(std::uint64_t Revision) {
+  std::string item(std::uint64_t Revision) {
+    ++DocumentsSent_;
     return R"({"key":"op/config","value":")" + std::string(DocumentBytes, 'A') +
            R"(","created":1,"lease":0,"revision":)" + std::to_string(Revision) + "}";
   }
@@ -124,6 +127,7 @@
   }
 
   store::asio::io_context &Reactor_;
+  int DocumentsSent_ = 0;
   platform::StoreMessages Format_;
   std::uint64_t Revision_ = 1000;
   std::shared_ptr<reactor::HttpServer> Server_;
@@ -221,26 +225,50 @@
   BOOST_TEST(Busy.Mirror->revision() == Busy.Store.revision());
 }
 
+namespace {
+
+/// A mirror of a DocumentStore that has read the document.
+struct DocumentMirror {
+  DocumentMirror()
+      : Mirror(std::make_shared<store::KeyMirror>(Reactor, Store.connect(Reactor), "op/",
+                                                  pool::ConfigurationMirrorOptions,
+                                                  [](const store::KeyMirror::Items &) {})) {
+    Mirror->start();
+    while (!Mirror->isLoaded())
+      Reactor.run_one_for(10ms);
+  }
+  ~DocumentMirror() { Mirror->stop(); }
+
+  std::uint64_t revision() const { return Mirror->items().at("op/config").Revision; }
+
+  store::asio::io_context Reactor;
+  DocumentStore Store{Reactor};
+  std::shared_ptr<store::KeyMirror> Mirror;
+};
+
+} // namespace
+
 // Guards against issue 18: a large configuration that changes faster than one version is received.
 // The copy took each version in turn and was further behind with each.
 BOOST_AUTO_TEST_CASE(ASeriesOfLargeDocumentsIsNotReadVersionByVersion) {
-  store::asio::io_context Reactor;
-  DocumentStore Store(Reactor);
-  auto Mirror = std::make_shared<store::KeyMirror>(Reactor, Store.connect(Reactor), "op/",
-                                                   pool::ConfigurationMirrorOptions,
-                                                   [](const store::KeyMirror::Items &) {});
-  Mirror->start();
-  while (!Mirror->isLoaded())
-    Reactor.run_one_for(10ms);
+  DocumentMirror Copy;
   for (int Version = 0; Version < 40; ++Version) {
-    Store.write();
-    Reactor.run_for(50ms);
+    Copy.Store.write();
+    Copy.Reactor.run_for(50ms);
   }
   // A change has to be in force 2 s after it was accepted.
   auto Deadline = std::chrono::steady_clock::now() + 2s;
-  while (Mirror->items().at("op/config").Revision < Store.revision() &&
-         std::chrono::steady_clock::now() < Deadline)
-    Reactor.run_one_for(10ms);
-  BOOST_TEST(Mirror->items().at("op/config").Revision == Store.revision());
-  Mirror->stop();
+  while (Copy.revision() < Copy.Store.revision() && std::chrono::steady_clock::now() < Deadline)
+    Copy.Reactor.run_one_for(10ms);
+  BOOST_TEST(Copy.revision() == Copy.Store.revision());
+}
+
+// Guards against a large document that is received twice for a single change.
+BOOST_AUTO_TEST_CASE(ASingleChangeOfALargeDocumentIsReadOnce) {
+  DocumentMirror Copy;
+  Copy.Reactor.run_for(300ms);
+  Copy.Store.write();
+  Copy.Reactor.run_for(1s);
+  BOOST_TEST(Copy.revision() == Copy.Store.revision());
+  BOOST_TEST(Copy.Store.documentsSent() == 2); // At the start, and for the change.
 }
