ConfigurationFetch: Drop a transfer that the store has overtaken

Seen while reading the diff: a transfer whose version came into force from the store meanwhile went on; the sender does not answer it any more, so that the request for a newer version waited for its timeout of 500 ms.

TestConfigurationFetch, AnOvertakenTransferIsDropped: the next part of the old version was requested before; now the new version, from the peer that has it.

--- a/Kernel/Pool/ConfigurationFetch.cpp
+++ b/Kernel/Pool/ConfigurationFetch.cpp
@@ -40,7 +40,8 @@
                                   [&](const auto &Entry) { return Entry.second > InForce_; });
   if (IsNewerKnown)
     AskAt_ = Now + StoreTime;
-  else
+  bool IsOvertaken = Transfer_ && Transfer_->Version != 0 && Transfer_->Version <= InForce_;
+  if (!IsNewerKnown || IsOvertaken)
     Transfer_.reset();
 }
 
--- a/Tests/Pool/TestConfigurationFetch.cpp
+++ b/Tests/Pool/TestConfigurationFetch.cpp
@@ -87,6 +87,20 @@
   BOOST_TEST(*Document == "abcdef");
 }
 
+// Guards against a transfer that goes on although the store has delivered the version meanwhile,
+// and holds up the request for a newer one.
+BOOST_AUTO_TEST_CASE(AnOvertakenTransferIsDropped) {
+  LateProcess Process;
+  auto Peer = Process.requestsUntil(500ms).at(0).Peer;
+  BOOST_TEST(!Process.Fetch.partReceived(Peer, {2, 0, 6, "abc"}, Process.Now));
+  Process.Fetch.peerReported(Third, 3, Process.Now);
+  Process.Fetch.versionInForce(2, Process.Now);
+  auto Requests = Process.requestsUntil(1s);
+  BOOST_REQUIRE(Requests.size() == 1U);
+  BOOST_TEST((Requests.front().Peer == Third));
+  BOOST_TEST(Requests.front().Offset == 0U);
+}
+
 // Guards against a document that cannot be read and is copied without end.
 BOOST_AUTO_TEST_CASE(AnUnusableDocumentIsRequestedRarely) {
   LateProcess Process;
