LibReactor: Drop replies that state a length beyond the limit

Cause: the parser of Boost 1.74 doesn't apply body_limit() to a reply that states its length, though it does for requests, and reserves memory for the stated length. A reply with 'Content-Length:' from anything that listens at a worker's address threw std::bad_alloc through the reactor and ended the process; one of 72 MB was read whole. Change: the body checks the stated length itself before it reserves memory. Seen: AReplyThatIsTooLongIsDropped and AReplyOfAnAbsurdLengthIsDropped failed before (the second with an unexpected exception from the reactor) and pass now. Conclusion: one malformed reply could end a process of the platform's route. Requests were refused correctly.

--- a/Libraries/LibReactor/HttpConnection.cpp
+++ b/Libraries/LibReactor/HttpConnection.cpp
@@ -9,9 +9,6 @@
 namespace cornellift::reactor {
 namespace {
 
-/// Upper bound on the body of a reply. The largest replies are pages of the platform's store.
-constexpr std::uint64_t MaximumReplyBytes = 16U << 20;
-
 std::string_view methodName(HttpMethod Method) {
   switch (Method) {
   case HttpMethod::Post:
@@ -94,7 +91,7 @@
 
 void HttpConnection::readNext() {
   Parser_.emplace();
-  Parser_->body_limit(MaximumReplyBytes);
+  Parser_->body_limit(MaximumReplyBytes); // For replies that do not state their length.
   boost::beast::http::async_read(
       Socket_, Buffer_, *Parser_,
       [Self = shared_from_this()](boost::system::error_code Error, std::size_t) {
--- a/Libraries/LibReactor/HttpConnection.h
+++ b/Libraries/LibReactor/HttpConnection.h
@@ -1,12 +1,13 @@
 #pragma once
 
 #include "Libraries/LibReactor/Asio.h"
+#include "Libraries/LibReactor/BoundedBody.h"
 #include "Libraries/LibReactor/HttpResult.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -42,7 +43,9 @@
   bool wasOpened() const { return WasOpened_; }
 
 private:
-  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+  /// Upper bound on the body of a reply. The largest replies are pages of the platform's store.
+  static constexpr std::uint64_t MaximumReplyBytes = 16U << 20;
+  using Parser = boost::beast::http::response_parser<BoundedBody<MaximumReplyBytes>>;
 
   void readNext();
   void readDone(boost::system::error_code Error);
--- a/Tests/LibReactor/TestReactorHttp.cpp
+++ b/Tests/LibReactor/TestReactorHttp.cpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -142,3 +143,32 @@
   Held.reset();
   BOOST_TEST(World.until([&] { return World.Server->connections() == 0; }));
 }
+
+// Guards against a reply that uses up the memory of the process.
+BOOST_AUTO_TEST_CASE(AReplyThatIsTooLongIsDropped) {
+  constexpr std::size_t TooLong = 20U << 20;
+  Loopback World([](const std::shared_ptr<HttpExchange> &Exchange) {
+    Exchange->reply({200, std::string(TooLong, 'x'), {}});
+  });
+  World.call("/");
+  BOOST_REQUIRE(World.until([&] { return !World.Results.empty(); }));
+  BOOST_TEST(!World.Results[0].Reply);
+}
+
+// Guards against a process that ends because a reply states a length beyond its memory.
+BOOST_AUTO_TEST_CASE(AReplyOfAnAbsurdLengthIsDropped) {
+  asio::io_context Reactor;
+  Tcp::acceptor Acceptor(Reactor, AnyPort);
+  Tcp::socket Server(Reactor);
+  Acceptor.async_accept(Server, [&](boost::system::error_code) {
+    asio::write(Server, asio::buffer(std::string_view(
+                            "HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\nx")));
+  });
+  auto Client = std::make_shared<HttpClient>(Reactor, Acceptor.local_endpoint(), 1);
+  std::optional<HttpResult> Result;
+  Client->call({HttpMethod::Get, "/", {}, {}}, core::MonotonicClock::now() + 1s,
+               [&](HttpResult Returned) { Result = std::move(Returned); });
+  BOOST_CHECK_NO_THROW(Reactor.run_for(1500ms));
+  BOOST_REQUIRE(Result.has_value());
+  BOOST_TEST(!Result->Reply);
+}
