LibStore: Let a reply that still arrives go on after the timeout of a call

Cause: a call to the store had one deadline for the whole reply (1.5 s, 2 s for a watch). On a link that is full of callers' data a large document takes longer; it was dropped while it still arrived and read again, without end. Change: the deadline of a call moves on by 500 ms with each part of the reply, up to six seconds later (CallDeadline). Seen: ADocumentThatStillArrivesIsNotReadAgain (400 KB in 3.2 s) failed on the code before and passes; a reply that goes silent in the middle is dropped after 500 ms, one that never ends at the last deadline (TestReactorHttp).

--- a/Libraries/LibReactor/HttpClient.cpp
+++ b/Libraries/LibReactor/HttpClient.cpp
@@ -9,7 +9,7 @@
                        std::size_t MaximumConnections)
     : Reactor_(Reactor), Remote_(std::move(Remote)), MaximumConnections_(MaximumConnections) {}
 
-void HttpClient::call(HttpRequest Request, core::TimePoint Deadline, HttpResultHandler Handler) {
+void HttpClient::call(HttpRequest Request, CallDeadline Deadline, HttpResultHandler Handler) {
   if (Closed_)
     return failLater(std::move(Handler));
   if (Waiting_.empty()) {
@@ -50,7 +50,7 @@
 
 void HttpClient::failExpiredCalls() {
   auto Now = core::MonotonicClock::now();
-  while (!Waiting_.empty() && Waiting_.front().Deadline <= Now) {
+  while (!Waiting_.empty() && Waiting_.front().Deadline.next() <= Now) {
     auto Handler = std::move(Waiting_.front().Handler);
     Waiting_.pop_front();
     Handler({std::nullopt, HttpFailure::NotSent, "timeout while waiting for a connection"});
@@ -68,7 +68,7 @@
   }
   while (!Closed_ && connectingCount() < Waiting_.size() &&
          Connections_.size() < MaximumConnections_)
-    open(Waiting_[connectingCount()].Deadline);
+    open(Waiting_[connectingCount()].Deadline.next());
 }
 
 void HttpClient::open(core::TimePoint Deadline) {
--- a/Libraries/LibReactor/HttpClient.h
+++ b/Libraries/LibReactor/HttpClient.h
@@ -14,9 +14,9 @@
 public:
   HttpClient(asio::io_context &Reactor, Tcp::endpoint Remote, std::size_t MaximumConnections);
 
-  /// Sends a request. The handler is called exactly once, at the deadline at the latest, and never
-  /// before call() or close() has returned.
-  void call(HttpRequest Request, core::TimePoint Deadline, HttpResultHandler Handler);
+  /// Sends a request. The handler is called exactly once, at the last deadline at the latest, and
+  /// never before call() or close() has returned.
+  void call(HttpRequest Request, CallDeadline Deadline, HttpResultHandler Handler);
 
   /// Closes all connections; pending calls fail.
   void close();
@@ -27,7 +27,7 @@
 private:
   struct WaitingCall {
     HttpRequest Request;
-    core::TimePoint Deadline;
+    CallDeadline Deadline;
     HttpResultHandler Handler;
   };
 
--- a/Libraries/LibReactor/HttpConnection.cpp
+++ b/Libraries/LibReactor/HttpConnection.cpp
@@ -59,7 +59,7 @@
   });
 }
 
-void HttpConnection::call(const HttpRequest &Request, core::TimePoint Deadline,
+void HttpConnection::call(const HttpRequest &Request, CallDeadline Deadline,
                           HttpResultHandler Handler) {
   State_ = State::Busy;
   Handler_ = std::move(Handler);
@@ -92,13 +92,25 @@
 void HttpConnection::readNext() {
   Parser_.emplace();
   Parser_->body_limit(MaximumReplyBytes); // For replies that do not state their length.
-  boost::beast::http::async_read(
+  Parser_->eager(true); // Parses a reply of one part, head and body, in one step.
+  readPart();
+}
+
+void HttpConnection::readPart() {
+  boost::beast::http::async_read_some(
       Socket_, Buffer_, *Parser_,
       [Self = shared_from_this()](boost::system::error_code Error, std::size_t) {
-        Self->readDone(Error);
+        Self->partRead(Error);
       });
 }
 
+void HttpConnection::partRead(boost::system::error_code Error) {
+  if (Error || Parser_->is_done() || State_ == State::Closed)
+    return readDone(Error);
+  Deadline_.partReceived(core::MonotonicClock::now());
+  readPart();
+}
+
 void HttpConnection::readDone(boost::system::error_code Error) {
   if (State_ == State::Closed)
     return;
@@ -123,15 +135,23 @@
     setState(State::Idle);
 }
 
-void HttpConnection::armTimer(core::TimePoint Deadline) {
+void HttpConnection::armTimer(CallDeadline Deadline) {
+  Deadline_ = Deadline;
   auto Generation = ++TimerGeneration_;
-  Timer_.expires_at(timerDeadline(Deadline));
+  Timer_.expires_at(timerDeadline(Deadline.next()));
   Timer_.async_wait([Self = shared_from_this(), Generation](boost::system::error_code Error) {
     if (!Error && Generation == Self->TimerGeneration_)
-      Self->close("timeout while waiting for the reply");
+      Self->timerExpired();
   });
 }
 
+void HttpConnection::timerExpired() {
+  // Parts of the reply have moved the deadline on; setting the timer for each would cost more.
+  if (core::MonotonicClock::now() < Deadline_.next())
+    return armTimer(Deadline_);
+  close("timeout while waiting for the reply");
+}
+
 void HttpConnection::finishCall(HttpResult Result) {
   if (auto Handler = std::exchange(Handler_, nullptr))
     Handler(std::move(Result));
--- a/Libraries/LibReactor/HttpConnection.h
+++ b/Libraries/LibReactor/HttpConnection.h
@@ -2,6 +2,7 @@
 
 #include "Libraries/LibReactor/Asio.h"
 #include "Libraries/LibReactor/BoundedBody.h"
+#include "Libraries/LibReactor/CallDeadline.h"
 #include "Libraries/LibReactor/HttpResult.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -30,9 +31,9 @@
   /// Connects, until the deadline at most. Calls OnChange when it has succeeded or failed.
   void open(core::TimePoint Deadline);
 
-  /// Sends a request. The connection must be idle. The handler is called exactly once, at the
+  /// Sends a request. The connection must be idle. The handler is called exactly once, at the last
   /// deadline at the latest. A call that is aborted closes the connection.
-  void call(const HttpRequest &Request, core::TimePoint Deadline, HttpResultHandler Handler);
+  void call(const HttpRequest &Request, CallDeadline Deadline, HttpResultHandler Handler);
 
   /// Closes the connection; a pending call fails with NoReply.
   void close(const std::string &Cause);
@@ -48,8 +49,11 @@
   using Parser = boost::beast::http::response_parser<BoundedBody<MaximumReplyBytes>>;
 
   void readNext();
+  void readPart();
+  void partRead(boost::system::error_code Error);
   void readDone(boost::system::error_code Error);
-  void armTimer(core::TimePoint Deadline);
+  void armTimer(CallDeadline Deadline);
+  void timerExpired();
   void finishCall(HttpResult Result);
   void setState(State Next);
 
@@ -63,6 +67,7 @@
   std::optional<Parser> Parser_;
   std::string Outgoing_;
   HttpResultHandler Handler_;
+  CallDeadline Deadline_{core::TimePoint()}; ///< Of the connection attempt or the call.
   std::uint64_t TimerGeneration_ = 0; ///< Identifies the current timer; earlier ones are ignored.
 };
 
--- a/Libraries/LibStore/StoreClient.cpp
+++ b/Libraries/LibStore/StoreClient.cpp
@@ -15,6 +15,9 @@
 constexpr core::Duration CallTimeout = std::chrono::milliseconds(1500);
 /// How much longer than the requested time a watch without events may take.
 constexpr core::Duration WatchSlack = std::chrono::milliseconds(1000);
+/// Timeout of a reply that is still arriving, beyond the timeout for its beginning. A large
+/// document takes some seconds on a link that is full of callers' data.
+constexpr core::Duration TransferTimeout = std::chrono::seconds(6);
 
 } // namespace
 
@@ -24,7 +27,10 @@
       Client_(std::make_shared<reactor::HttpClient>(Reactor, Address, Connections)),
       LastAnsweredAt_(core::MonotonicClock::now()) {}
 
-core::TimePoint StoreClient::deadline() const { return core::MonotonicClock::now() + CallTimeout; }
+reactor::CallDeadline StoreClient::deadlineAfter(core::Duration Timeout) {
+  auto First = core::MonotonicClock::now() + Timeout;
+  return {First, First + TransferTimeout};
+}
 
 template <typename Value> void StoreClient::recordReply(const StoreReply<Value> &Reply) {
   auto Now = core::MonotonicClock::now();
@@ -55,7 +61,7 @@
                            std::string_view AfterKey, Handler<StorePage> OnReply) {
   ++Counters_.Ranges;
   auto Request = Format_.rangeRequest(Prefix, AfterKey);
-  Client_->call(std::move(Request), deadline(),
+  Client_->call(std::move(Request), deadlineAfter(CallTimeout),
                 [Self = shared_from_this(), Prefix, Gathered,
                  OnReply = std::move(OnReply)](const reactor::HttpResult &Result) mutable {
                   auto Reply = Self->Format_.parsePage(Result);
@@ -79,9 +85,8 @@
                         Handler<StoreEvents> OnReply) {
   ++Counters_.Watches;
   auto Milliseconds = static_cast<std::uint32_t>(core::toMilliseconds(Wait));
-  auto Deadline = core::MonotonicClock::now() + Wait + WatchSlack;
   Client_->call(
-      Format_.watchRequest(Prefix, AfterRevision, Milliseconds), Deadline,
+      Format_.watchRequest(Prefix, AfterRevision, Milliseconds), deadlineAfter(Wait + WatchSlack),
       [Self = shared_from_this(), OnReply = std::move(OnReply)](const reactor::HttpResult &Result) {
         auto Reply = Self->Format_.parseEvents(Result);
         Self->recordReply(Reply);
@@ -92,7 +97,7 @@
 void StoreClient::write(const StoreWrite &Write, Handler<std::uint64_t> OnReply) {
   ++Counters_.Writes;
   Client_->call(
-      Format_.writeRequest(Write), deadline(),
+      Format_.writeRequest(Write), deadlineAfter(CallTimeout),
       [Self = shared_from_this(), OnReply = std::move(OnReply)](const reactor::HttpResult &Result) {
         auto Reply = Self->Format_.parseWriteReply(Result);
         Self->recordReply(Reply);
@@ -104,7 +109,7 @@
   ++Counters_.Leases;
   auto Milliseconds = static_cast<std::uint32_t>(core::toMilliseconds(Time));
   Client_->call(
-      Format_.leaseRequest(Milliseconds), deadline(),
+      Format_.leaseRequest(Milliseconds), deadlineAfter(CallTimeout),
       [Self = shared_from_this(), OnReply = std::move(OnReply)](const reactor::HttpResult &Result) {
         auto Reply = Self->Format_.parseLease(Result);
         Self->recordReply(Reply);
@@ -115,7 +120,7 @@
 void StoreClient::renewLease(std::uint64_t Lease, Handler<std::uint64_t> OnReply) {
   ++Counters_.Renewals;
   Client_->call(
-      Format_.renewLeaseRequest(Lease), deadline(),
+      Format_.renewLeaseRequest(Lease), deadlineAfter(CallTimeout),
       [Self = shared_from_this(), OnReply = std::move(OnReply)](const reactor::HttpResult &Result) {
         auto Reply = Self->Format_.parseLeaseUpdate(Result);
         Self->recordReply(Reply);
@@ -126,7 +131,8 @@
 void StoreClient::endLease(std::uint64_t Lease) {
   ++Counters_.Leases;
   // The reply is ignored: the lease expires if it is not renewed.
-  Client_->call(Format_.revokeLeaseRequest(Lease), deadline(), [](const reactor::HttpResult &) {});
+  Client_->call(Format_.revokeLeaseRequest(Lease), deadlineAfter(CallTimeout),
+                [](const reactor::HttpResult &) {});
 }
 
 } // namespace cornellift::store
--- a/Libraries/LibStore/StoreClient.h
+++ b/Libraries/LibStore/StoreClient.h
@@ -31,7 +31,8 @@
 };
 
 /// Asynchronous client of the platform's key-value store. Handlers are called on the reactor's
-/// thread, exactly once, at the call's deadline at the latest.
+/// thread, exactly once. A call times out when its reply does not
+/// begin, or stops arriving.
 class StoreClient : public std::enable_shared_from_this<StoreClient> {
 public:
   template <typename Value> using Handler = std::function<void(StoreReply<Value>)>;
@@ -67,7 +68,7 @@
   void nextPage(std::string Prefix, const std::shared_ptr<StorePage> &Gathered,
                 std::string_view AfterKey, Handler<StorePage> OnReply);
   template <typename Value> void recordReply(const StoreReply<Value> &Reply);
-  core::TimePoint deadline() const;
+  static reactor::CallDeadline deadlineAfter(core::Duration Timeout);
 
   const platform::StoreFormat &Format_;
   std::shared_ptr<reactor::HttpClient> Client_;
--- a/Tests/LibReactor/TestReactorHttp.cpp
+++ b/Tests/LibReactor/TestReactorHttp.cpp
@@ -172,3 +172,89 @@
   BOOST_REQUIRE(Result.has_value());
   BOOST_TEST(!Result->Reply);
 }
+
+namespace {
+
+/// Sends the head of a reply of BodyBytes bytes and then one part of the body per interval, as over
+/// a slow or full link.
+class SlowServer {
+public:
+  static constexpr std::size_t BodyBytes = 20000;
+  static constexpr std::size_t PartBytes = 2000;
+
+  /// PartsSent is the number of parts after which nothing more is sent.
+  SlowServer(asio::io_context &Reactor, core::Duration PartInterval, std::size_t PartsSent)
+      : Acceptor_(Reactor, AnyPort), Socket_(Reactor), Timer_(Reactor), PartInterval_(PartInterval),
+        PartsLeft_(PartsSent) {
+    Acceptor_.async_accept(Socket_, [this](boost::system::error_code Error) {
+      if (!Error)
+        send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(BodyBytes) + "\r\n\r\n");
+    });
+  }
+
+  Tcp::endpoint address() const { return Acceptor_.local_endpoint(); }
+
+private:
+  void send(const std::string &Part) {
+    boost::system::error_code Ignored; // The client may have closed the connection.
+    asio::write(Socket_, asio::buffer(Part), Ignored);
+    if (PartsLeft_ == 0)
+      return;
+    --PartsLeft_;
+    Timer_.expires_after(PartInterval_);
+    Timer_.async_wait([this](boost::system::error_code) { send(std::string(PartBytes, 'x')); });
+  }
+
+  Tcp::acceptor Acceptor_;
+  Tcp::socket Socket_;
+  asio::steady_timer Timer_;
+  core::Duration PartInterval_;
+  std::size_t PartsLeft_;
+};
+
+/// Calls the server and returns the result, and how long it took.
+std::pair<HttpResult, core::Duration> callSlowServer(core::Duration PartInterval,
+                                                     std::size_t PartsSent, core::Duration Begin,
+                                                     core::Duration End) {
+  asio::io_context Reactor;
+  SlowServer Server(Reactor, PartInterval, PartsSent);
+  auto Client = std::make_shared<HttpClient>(Reactor, Server.address(), 1);
+  auto CalledAt = core::MonotonicClock::now();
+  std::optional<HttpResult> Result;
+  Client->call({HttpMethod::Get, "/", {}, {}}, CallDeadline(CalledAt + Begin, CalledAt + End),
+               [&](HttpResult Returned) { Result = std::move(Returned); });
+  auto GiveUpAt = std::chrono::steady_clock::now() + 10s;
+  while (!Result && std::chrono::steady_clock::now() < GiveUpAt)
+    Reactor.run_one_for(10ms);
+  BOOST_REQUIRE(Result.has_value());
+  return {std::move(*Result), core::MonotonicClock::now() - CalledAt};
+}
+
+} // namespace
+
+// Guards against a large reply that is dropped while it still arrives, and requested again from its
+// beginning, without end, when the link is full of other data.
+BOOST_AUTO_TEST_CASE(AReplyThatStillArrivesIsNotDropped) {
+  auto [Result, Taken] =
+      callSlowServer(50ms, SlowServer::BodyBytes / SlowServer::PartBytes, 200ms, 5s);
+  BOOST_REQUIRE(Result.Reply.has_value());
+  BOOST_TEST(Result.Reply->Body.size() == SlowServer::BodyBytes);
+  BOOST_TEST((Taken > 200ms));
+}
+
+// Guards against a call that waits until its last deadline for a server that has gone silent in the
+// middle of its reply.
+BOOST_AUTO_TEST_CASE(AReplyThatStopsArrivingIsDroppedSoon) {
+  auto [Result, Taken] = callSlowServer(50ms, 2, 200ms, 5s);
+  BOOST_TEST(!Result.Reply);
+  BOOST_TEST((Result.Failure == HttpFailure::NoReply));
+  BOOST_TEST((Taken < 2s));
+}
+
+// Guards against a server that occupies a connection for ever with a reply that never ends.
+BOOST_AUTO_TEST_CASE(AReplyThatArrivesTooSlowlyIsDroppedAtTheLastDeadline) {
+  auto [Result, Taken] =
+      callSlowServer(100ms, SlowServer::BodyBytes / SlowServer::PartBytes, 200ms, 400ms);
+  BOOST_TEST(!Result.Reply);
+  BOOST_TEST((Taken < 800ms));
+}
--- a/Tests/LibStore/TestKeyMirror.cpp
+++ b/Tests/LibStore/TestKeyMirror.cpp
@@ -11,6 +11,7 @@
 #include <thread>
 #include <vector>
 
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace cornellift;
@@ -272,3 +273,74 @@
   BOOST_TEST(Copy.revision() == Copy.Store.revision());
   BOOST_TEST(Copy.Store.documentsSent() == 2); // At the start, and for the change.
 }
+
+namespace {
+
+/// Fake store whose replies to reads arrive in parts, as over a link that is full of other data.
+class SlowLinkStore {
+public:
+  static constexpr std::size_t DocumentBytes = 400000;
+  static constexpr auto PartInterval = 200ms;
+  static constexpr std::size_t PartBytes = 25000; ///< A reply takes 3.2 s.
+
+  explicit SlowLinkStore(store::asio::io_context &Reactor)
+      : Acceptor_(Reactor, {store::asio::ip::address_v4::loopback(), 0}), Timer_(Reactor) {
+    accept();
+  }
+
+  std::shared_ptr<store::StoreClient> connect(store::asio::io_context &Reactor) {
+    return std::make_shared<store::StoreClient>(Reactor, Acceptor_.local_endpoint(), Format_);
+  }
+
+private:
+  using Socket = store::asio::ip::tcp::socket;
+
+  void accept() {
+    Acceptor_.async_accept([this](boost::system::error_code Error, Socket Accepted) {
+      if (Error)
+        return;
+      auto Client = std::make_shared<Socket>(std::move(Accepted));
+      auto Body = R"({"at":7,"hasMore":false,"items":[{"key":"op/config","revision":7,"value":")" +
+                  std::string(DocumentBytes, 'A') + "\"}]}";
+      send(Client,
+           "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body);
+      accept();
+    });
+  }
+
+  void send(const std::shared_ptr<Socket> &Client, std::string Rest) {
+    boost::system::error_code Error;
+    store::asio::write(*Client, store::asio::buffer(Rest.data(), std::min(PartBytes, Rest.size())),
+                       Error);
+    if (Error || Rest.size() <= PartBytes)
+      return;
+    Rest.erase(0, PartBytes);
+    Timer_.expires_after(PartInterval);
+    Timer_.async_wait([this, Client, Rest = std::move(Rest)](boost::system::error_code Ended) {
+      if (!Ended)
+        send(Client, Rest);
+    });
+  }
+
+  platform::StoreMessages Format_;
+  store::asio::ip::tcp::acceptor Acceptor_;
+  store::asio::steady_timer Timer_;
+};
+
+} // namespace
+
+// Guards against issue 18: on a link that is full of callers' data, a document took longer than the
+// timeout of a call. It was dropped while it still arrived and read again, without end.
+BOOST_AUTO_TEST_CASE(ADocumentThatStillArrivesIsNotReadAgain) {
+  store::asio::io_context Reactor;
+  SlowLinkStore Store(Reactor);
+  auto Mirror = std::make_shared<store::KeyMirror>(Reactor, Store.connect(Reactor), "op/",
+                                                   pool::ConfigurationMirrorOptions,
+                                                   [](const store::KeyMirror::Items &) {});
+  Mirror->start();
+  auto Deadline = std::chrono::steady_clock::now() + 5s;
+  while (!Mirror->isLoaded() && std::chrono::steady_clock::now() < Deadline)
+    Reactor.run_one_for(10ms);
+  BOOST_TEST(Mirror->isLoaded());
+  Mirror->stop();
+}
