PoolDaemon: Keep long values of other writers out of memory

Report of other operators: one odd entry among the workers' ended the readers again and again. Cause: the copies of the workers' and the VMs' keys kept every value and parsed it, up to the megabyte that the store takes. Ids that were never readable were remembered for ever. Change: a value longer than the reader accepts (16 KB for a worker, 4 KB for a VM) is left out while the reply is parsed; its key and revision are kept, so that it is reported once. A VM's key without a usable address counts as unreadable. The stand-in's pages end after a megabyte, as the platform's do.

--- a/Libraries/LibPlatform/StoreFormat.h
+++ b/Libraries/LibPlatform/StoreFormat.h
@@ -17,6 +17,7 @@
   std::string Key;
   std::string Value;
   std::uint64_t Revision = 0; ///< Revision of its last change.
+  bool IsTooLong = false;     ///< The value was longer than the reader accepts and was left out.
 };
 
 /// A key that was written or removed.
@@ -68,11 +69,15 @@
 
   virtual reactor::HttpRequest rangeRequest(std::string_view Prefix,
                                             std::string_view AfterKey) const = 0;
-  virtual StoreReply<StorePage> parsePage(const reactor::HttpResult &Result) const = 0;
+  /// Values of more than MaximumValueBytes are left out.
+  virtual StoreReply<StorePage> parsePage(const reactor::HttpResult &Result,
+                                          std::size_t MaximumValueBytes) const = 0;
 
   virtual reactor::HttpRequest watchRequest(std::string_view Prefix, std::uint64_t AfterRevision,
                                             std::uint32_t WaitMilliseconds) const = 0;
-  virtual StoreReply<StoreEvents> parseEvents(const reactor::HttpResult &Result) const = 0;
+  /// Values of more than MaximumValueBytes are left out.
+  virtual StoreReply<StoreEvents> parseEvents(const reactor::HttpResult &Result,
+                                              std::size_t MaximumValueBytes) const = 0;
 
   virtual reactor::HttpRequest writeRequest(const StoreWrite &Write) const = 0;
   /// The content is the revision of the change.
--- a/Libraries/LibStore/KeyMirror.cpp
+++ b/Libraries/LibStore/KeyMirror.cpp
@@ -52,7 +52,7 @@
 
 void KeyMirror::load() {
   CalledAt_ = core::MonotonicClock::now();
-  Store_->range(Prefix_,
+  Store_->range(Prefix_, Options_.MaximumValueBytes,
                 [Self = shared_from_this(), Generation = Generation_](StoreReply<StorePage> Reply) {
                   if (Generation == Self->Generation_)
                     Self->loaded(std::move(Reply));
@@ -83,7 +83,7 @@
 void KeyMirror::watchChanges() {
   CalledAt_ = core::MonotonicClock::now();
   Store_->watch(
-      Prefix_, Revision_, Options_.WatchTimeout,
+      Prefix_, Revision_, Options_.WatchTimeout, Options_.MaximumValueBytes,
       [Self = shared_from_this(), Generation = Generation_](StoreReply<StoreEvents> Reply) {
         if (Generation == Self->Generation_)
           Self->watchReturned(std::move(Reply));
--- a/Libraries/LibStore/KeyMirror.h
+++ b/Libraries/LibStore/KeyMirror.h
@@ -24,6 +24,12 @@
   core::Duration WatchTimeout{0}; ///< Time after which the store ends a watch without events.
   core::Duration CallInterval{0}; ///< Delay after each call; events meanwhile arrive in one batch.
   MirrorMode Mode = MirrorMode::Watch;
+  /// Longer values are not kept, only their keys and revisions: those of another writer could
+  /// otherwise take more memory than the process has.
+  std::size_t MaximumValueBytes = LongestValueBytes;
+
+  /// The longest value that the store takes.
+  static constexpr std::size_t LongestValueBytes = 1U << 20;
 };
 
 /// The reply that brought the latest change, for logs.
--- a/Libraries/LibStore/StoreClient.cpp
+++ b/Libraries/LibStore/StoreClient.cpp
@@ -53,18 +53,21 @@
   ++Counters_.Failures;
 }
 
-void StoreClient::range(std::string Prefix, Handler<StorePage> OnReply) {
-  nextPage(std::move(Prefix), std::make_shared<StorePage>(), {}, std::move(OnReply));
+void StoreClient::range(std::string Prefix, std::size_t MaximumValueBytes,
+                        Handler<StorePage> OnReply) {
+  nextPage(std::move(Prefix), MaximumValueBytes, std::make_shared<StorePage>(), {},
+           std::move(OnReply));
 }
 
-void StoreClient::nextPage(std::string Prefix, const std::shared_ptr<StorePage> &Gathered,
-                           std::string_view AfterKey, Handler<StorePage> OnReply) {
+void StoreClient::nextPage(std::string Prefix, std::size_t MaximumValueBytes,
+                           const std::shared_ptr<StorePage> &Gathered, std::string_view AfterKey,
+                           Handler<StorePage> OnReply) {
   ++Counters_.Ranges;
   auto Request = Format_.rangeRequest(Prefix, AfterKey);
   Client_->call(std::move(Request), deadlineAfter(CallTimeout),
-                [Self = shared_from_this(), Prefix, Gathered,
+                [Self = shared_from_this(), Prefix, MaximumValueBytes, Gathered,
                  OnReply = std::move(OnReply)](const reactor::HttpResult &Result) mutable {
-                  auto Reply = Self->Format_.parsePage(Result);
+                  auto Reply = Self->Format_.parsePage(Result, MaximumValueBytes);
                   Self->recordReply(Reply);
                   if (!Reply.Content)
                     return OnReply(std::move(Reply));
@@ -77,21 +80,23 @@
                   if (!HasMore)
                     return OnReply({std::move(*Gathered), {}, {}});
                   auto Last = Gathered->Items.back().Key;
-                  Self->nextPage(std::move(Prefix), Gathered, Last, std::move(OnReply));
+                  Self->nextPage(std::move(Prefix), MaximumValueBytes, Gathered, Last,
+                                 std::move(OnReply));
                 });
 }
 
 void StoreClient::watch(std::string_view Prefix, std::uint64_t AfterRevision, core::Duration Wait,
-                        Handler<StoreEvents> OnReply) {
+                        std::size_t MaximumValueBytes, Handler<StoreEvents> OnReply) {
   ++Counters_.Watches;
   auto Milliseconds = static_cast<std::uint32_t>(core::toMilliseconds(Wait));
-  Client_->call(
-      Format_.watchRequest(Prefix, AfterRevision, Milliseconds), deadlineAfter(Wait + WatchSlack),
-      [Self = shared_from_this(), OnReply = std::move(OnReply)](const reactor::HttpResult &Result) {
-        auto Reply = Self->Format_.parseEvents(Result);
-        Self->recordReply(Reply);
-        OnReply(std::move(Reply));
-      });
+  Client_->call(Format_.watchRequest(Prefix, AfterRevision, Milliseconds),
+                deadlineAfter(Wait + WatchSlack),
+                [Self = shared_from_this(), MaximumValueBytes,
+                 OnReply = std::move(OnReply)](const reactor::HttpResult &Result) {
+                  auto Reply = Self->Format_.parseEvents(Result, MaximumValueBytes);
+                  Self->recordReply(Reply);
+                  OnReply(std::move(Reply));
+                });
 }
 
 void StoreClient::write(const StoreWrite &Write, Handler<std::uint64_t> OnReply) {
--- a/Libraries/LibStore/StoreClient.h
+++ b/Libraries/LibStore/StoreClient.h
@@ -41,13 +41,14 @@
               const platform::StoreFormat &Format);
 
   /// Reads all keys with the prefix, page by page. The revision in the reply is that of the first
-  /// page, so that a watch from there misses no change.
-  void range(std::string Prefix, Handler<StorePage> OnReply);
+  /// page, so that a watch from there misses no change. Values of more than MaximumValueBytes are
+  /// left out.
+  void range(std::string Prefix, std::size_t MaximumValueBytes, Handler<StorePage> OnReply);
 
   /// Waits for changes of keys with the prefix after the given revision. Replies without events
-  /// when Wait is over.
+  /// when Wait is over. Values of more than MaximumValueBytes are left out.
   void watch(std::string_view Prefix, std::uint64_t AfterRevision, core::Duration Wait,
-             Handler<StoreEvents> OnReply);
+             std::size_t MaximumValueBytes, Handler<StoreEvents> OnReply);
 
   void write(const StoreWrite &Write, Handler<std::uint64_t> OnReply);
   void openLease(core::Duration Time, Handler<std::uint64_t> OnReply);
@@ -65,8 +66,9 @@
   core::TimePoint lastFailedAt() const { return LastFailedAt_; }
 
 private:
-  void nextPage(std::string Prefix, const std::shared_ptr<StorePage> &Gathered,
-                std::string_view AfterKey, Handler<StorePage> OnReply);
+  void nextPage(std::string Prefix, std::size_t MaximumValueBytes,
+                const std::shared_ptr<StorePage> &Gathered, std::string_view AfterKey,
+                Handler<StorePage> OnReply);
   template <typename Value> void recordReply(const StoreReply<Value> &Reply);
   static reactor::CallDeadline deadlineAfter(core::Duration Timeout);
 
--- a/Services/FleetStandIn/FleetStandIn.cpp
+++ b/Services/FleetStandIn/FleetStandIn.cpp
@@ -267,6 +267,9 @@
     return Call->reply({200, listRuns(), {}});
   if (Target == "/store/compact")
     Store_.compact();
+  else if (Target.starts_with("/store/put"))
+    Store_.apply({{}, {{std::string(parameter(Target, "key")), std::string(Call->body()), 0}}, {}},
+                 Now);
   else if (Target.starts_with("/store"))
     setStore(Target);
   else if (Target.starts_with("/worker"))
--- a/Services/FleetStandIn/StoreModel.cpp
+++ b/Services/FleetStandIn/StoreModel.cpp
@@ -31,9 +31,12 @@
 platform::StorePage StoreModel::range(std::string_view Prefix, std::string_view AfterKey) const {
   platform::StorePage Page;
   Page.Revision = Revision_;
+  std::size_t Bytes = 0;
   auto Entry = AfterKey.empty() ? Entries_.lower_bound(Prefix) : Entries_.upper_bound(AfterKey);
   for (; Entry != Entries_.end() && Entry->first.starts_with(Prefix); ++Entry) {
-    if (Page.Items.size() == PageSize) {
+    Bytes += Entry->second.Value.size();
+    bool IsFull = Page.Items.size() == PageSize || Bytes > PageBytes;
+    if (IsFull && !Page.Items.empty()) {
       Page.HasMore = true;
       break;
     }
--- a/Services/PoolDaemon/VmRegistration.cpp
+++ b/Services/PoolDaemon/VmRegistration.cpp
@@ -12,8 +12,11 @@
 constexpr core::Duration LeaseDuration = std::chrono::seconds(10);
 constexpr core::Duration RenewInterval = std::chrono::seconds(3);
 constexpr core::Duration RetryDelay = std::chrono::milliseconds(500);
-constexpr store::MirrorOptions RegistrationMirrorOptions = {std::chrono::seconds(8),
-                                                            std::chrono::milliseconds(100)};
+/// A key of a VM has its address and the name of its data centre.
+constexpr std::size_t MaximumRecordBytes = 4U << 10;
+constexpr store::MirrorOptions RegistrationMirrorOptions = {
+    std::chrono::seconds(8), std::chrono::milliseconds(100), store::MirrorMode::Watch,
+    MaximumRecordBytes};
 
 std::string encode(const mesh::PeerRecord &Record) {
   mesh::VmRecord Message;
@@ -61,7 +64,8 @@
 void VmRegistration::reportAllPeers() {
   for (const auto &[Key, Item] : Mirror_->items()) {
     mesh::VmRecord Message;
-    if (Message.ParseFromString(Item.Value))
+    if (!Item.IsTooLong && Message.ParseFromString(Item.Value) &&
+        reactor::parseAddress(Message.address()))
       OnPeer_(
           {Key.substr(Prefix.size()), Message.address(), Message.data_centre(), Message.weight()});
     else if (std::exchange(Unreadable_[Key], Item.Revision) != Item.Revision)
--- a/Services/PoolDaemon/WorkerDirectory.cpp
+++ b/Services/PoolDaemon/WorkerDirectory.cpp
@@ -11,8 +11,11 @@
 /// Timing of the watch. Each worker writes its entry every one and a half seconds; events between
 /// two calls arrive together. A draining worker must get no new task after two seconds, and a watch
 /// that hangs is replaced within that time.
-constexpr store::MirrorOptions WatchOptions = {std::chrono::seconds(1),
-                                               std::chrono::milliseconds(600)};
+constexpr core::Duration WatchTimeout = std::chrono::seconds(1);
+constexpr core::Duration WatchInterval = std::chrono::milliseconds(600);
+/// Upper bound on the length of an entry. Workers write a few hundred bytes; some dozen entries of
+/// another writer, as long as the store takes them, would use up the memory of the smallest VMs.
+constexpr std::size_t MaximumEntryBytes = 16U << 10;
 /// Each entry is written two or three times in four seconds, so that a full read transfers less
 /// than a watch.
 constexpr core::Duration MinimumFullReadInterval = std::chrono::seconds(4);
@@ -44,9 +47,21 @@
 }
 
 store::MirrorOptions WorkerDirectory::mirrorOptions() const {
-  if (IsWatching_)
-    return WatchOptions;
-  return {WatchOptions.WatchTimeout, fullReadInterval(Revisions_.size()), store::MirrorMode::Poll};
+  store::MirrorOptions Options;
+  Options.WatchTimeout = WatchTimeout;
+  Options.CallInterval = IsWatching_ ? WatchInterval : fullReadInterval(Revisions_.size());
+  Options.Mode = IsWatching_ ? store::MirrorMode::Watch : store::MirrorMode::Poll;
+  Options.MaximumValueBytes = MaximumEntryBytes;
+  return Options;
+}
+
+std::optional<kernel::WorkerEntry> WorkerDirectory::parseEntry(std::string_view Id,
+                                                               const store::StoreItem &Item) const {
+  if (Item.IsTooLong)
+    return core::fail(core::ErrorKind::Malformed, "the value has more than " +
+                                                      std::to_string(MaximumEntryBytes) +
+                                                      " bytes; check the process that writes it");
+  return Format_.parseEntry(Id, Item.Value);
 }
 
 void WorkerDirectory::itemsChanged(const store::KeyMirror::Items &Items) {
@@ -58,19 +73,18 @@
     if (Read == Item.Revision)
       continue;
     Read = Item.Revision;
-    auto Entry = Format_.parseEntry(Id, Item.Value);
+    auto Entry = parseEntry(Id, Item);
     if (!Entry)
       Log_.line(kernel::DecisionPriority::StateChange, "worker entry cannot be read", std::nullopt,
                 {{"worker", std::string_view(Id)},
                  {"reason", std::string_view(core::lastReason().Message)}});
     Listing_.written(Id, std::move(Entry));
   }
-  for (const auto &Id : Listing_.ids()) {
-    if (Items.contains(std::string(Store_->format().workerPrefix()) + Id))
-      continue;
-    Revisions_.erase(Id);
-    Listing_.removed(Id, Store_->lastFailedAt(), Now);
-  }
+  std::string Prefix(Store_->format().workerPrefix());
+  std::erase_if(Revisions_, [&](const auto &Read) { return !Items.contains(Prefix + Read.first); });
+  for (const auto &Id : Listing_.ids())
+    if (!Items.contains(Prefix + Id))
+      Listing_.removed(Id, Store_->lastFailedAt(), Now);
   Mirror_->setOptions(mirrorOptions());
   Listing_.tick(Now);
   OnChange_();
--- a/Services/PoolDaemon/WorkerDirectory.h
+++ b/Services/PoolDaemon/WorkerDirectory.h
@@ -42,6 +42,8 @@
 
 private:
   store::MirrorOptions mirrorOptions() const;
+  std::optional<kernel::WorkerEntry> parseEntry(std::string_view Id,
+                                                const store::StoreItem &Item) const;
   void itemsChanged(const store::KeyMirror::Items &Items);
 
   std::shared_ptr<store::StoreClient> Store_;
--- a/Tests/Fuzz/FuzzPlatform.cpp
+++ b/Tests/Fuzz/FuzzPlatform.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+constexpr std::size_t MaximumValueBytes = 64;
+
 /// Aborts when the property does not hold; the fuzzer then reports the input.
 void require(bool Holds) {
   if (!Holds)
@@ -45,8 +47,14 @@
 
 void readStoresAnswers(const reactor::HttpResult &Result, std::string_view Text) {
   platform::StoreMessages Messages;
-  Messages.parsePage(Result);
-  Messages.parseEvents(Result);
+  auto Page = Messages.parsePage(Result, MaximumValueBytes);
+  if (Page.Content)
+    for (const auto &Item : Page.Content->Items)
+      require(Item.Value.size() <= MaximumValueBytes);
+  auto Events = Messages.parseEvents(Result, MaximumValueBytes);
+  if (Events.Content)
+    for (const auto &Event : Events.Content->Events)
+      require(Event.Item.Value.size() <= MaximumValueBytes);
   Messages.parseWriteReply(Result);
   Messages.parseLease(Result);
   if (auto Read = Messages.parseConfiguration(Text))
--- /dev/null
+++ b/Tests/Integration/TestOddEntries.cpp
@@ -0,0 +1,117 @@
+#include "Libraries/LibCore/Time.h"
+#include "Tests/Integration/PoolDeployment.h"
+
+#include <algorithm>
+#include <chrono>
+#include <fstream>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornellift::integration;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int LongEntries = 60;
+constexpr std::size_t LongEntryBytes = 900000; ///< The store takes values of 1 MiB.
+constexpr std::size_t NestedLevels = 300000;
+/// What the control of an entry VM may take; its smallest VMs have 120 MB in all.
+constexpr long MemoryTargetKilobytes = 64 * 1024;
+/// A draining worker must get no new task after two seconds.
+constexpr auto DrainTarget = 2s;
+
+/// Largest resident memory of the process so far, in kilobytes.
+long peakMemory(const PoolVm &Vm) {
+  std::ifstream Status("/proc/" + std::to_string(Vm.Process->id()) + "/status");
+  for (std::string Line; std::getline(Status, Line);)
+    if (Line.starts_with("VmHWM:"))
+      return std::stol(Line.substr(sizeof("VmHWM:") - 1));
+  return 0;
+}
+
+void put(const PoolDeployment &Deployment, const std::string &Id, const std::string &Value) {
+  Deployment.control("POST", "/store/put?key=servers/" + Id, Value);
+}
+
+std::string nested(std::size_t Levels) {
+  return R"({"address":)" + std::string(Levels, '[') + std::string(Levels, ']') + "}";
+}
+
+/// An entry like that of a worker, in which one field has the given value.
+std::string entryWith(const std::string &Field, const std::string &Value) {
+  std::vector<std::pair<std::string, std::string>> Fields = {
+      {"service", R"("print")"},
+      {"address", R"("127.0.0.1:9")"},
+      {"zone", R"("ikeja")"},
+      {"version", R"("1")"},
+      {"slots", "8"},
+      {"state", R"("ready")"},
+      {"coldLeftMs", "0"},
+      {"seqNo", "1"},
+      {"born", "1"},
+      {"capacity", R"({"cpu":4000,"memMb":4096})"},
+      {"labels", R"(["r-1"])"},
+  };
+  std::string Text;
+  for (const auto &[Name, Usual] : Fields)
+    Text += (Text.empty() ? "{\"" : ",\"") + Name + "\":" + (Name == Field ? Value : Usual);
+  return Text + "}";
+}
+
+void putOddEntries(const PoolDeployment &Deployment) {
+  auto Padded = nested(NestedLevels);
+  Padded.insert(Padded.size() - 1, LongEntryBytes - Padded.size(), ' ');
+  for (int Each = 0; Each < LongEntries; ++Each)
+    put(Deployment, "long-" + std::to_string(Each), Padded);
+  put(Deployment, "nested", nested(5000));
+  put(Deployment, "number", entryWith("slots", "1e999"));
+  put(Deployment, "huge", entryWith("slots", std::string(300, '9')));
+  put(Deployment, "negative", entryWith("capacity", R"({"cpu":-4000,"memMb":-1})"));
+  put(Deployment, "port", entryWith("address", R"("127.0.0.1:65537")"));
+  put(Deployment, "zero", entryWith("address", R"("127.0.0.1:0")"));
+  put(Deployment, "state", entryWith("state", R"("resting")"));
+  put(Deployment, "type", entryWith("zone", "[7]"));
+  put(Deployment, "bytes", std::string("\xff\x00\xfe{", 4));
+  put(Deployment, "", entryWith("slots", "8"));
+}
+
+} // namespace
+
+// Guards against a process that ends, or no longer follows the workers' entries, because another
+// writer left entries among them that are very long, deeply nested or out of range.
+BOOST_AUTO_TEST_CASE(OddEntriesAmongTheWorkersHarmNothing) {
+  PoolDeployment Deployment("OddEntries", {});
+  BOOST_REQUIRE(Deployment.waitUntilReady());
+  putOddEntries(Deployment);
+  int Served = 0;
+  constexpr int Jobs = 40;
+  for (int Job = 0; Job < Jobs; ++Job) {
+    auto &Vm = Deployment.vms()[static_cast<std::size_t>(Job) % Deployment.vms().size()];
+    Served += postJob(Vm.CallerPort, newJobKey(), 2, 50).State == "completed" ? 1 : 0;
+    std::this_thread::sleep_for(100ms); // Together longer than the interval of full reads.
+  }
+  BOOST_TEST(Served == Jobs);
+  for (auto &Vm : Deployment.vms()) {
+    BOOST_TEST(Vm.Process->isRunning());
+    BOOST_TEST(peakMemory(Vm) > 0);
+    BOOST_TEST(peakMemory(Vm) < MemoryTargetKilobytes);
+  }
+  // The entries of the others are still followed.
+  std::string Drained = "w-1";
+  Deployment.control("POST", "/worker?id=" + Drained + "&drain=1");
+  std::this_thread::sleep_for(DrainTarget);
+  auto DrainedAt = cornellift::core::MonotonicClock::now().time_since_epoch().count();
+  for (int Job = 0; Job < Jobs; ++Job)
+    postJob(Deployment.vms()[0].CallerPort, newJobKey(), 4, 20);
+  auto Runs = Deployment.runs();
+  BOOST_TEST(std::none_of(Runs.begin(), Runs.end(), [&](const ObservedRun &Run) {
+    return Run.Worker == Drained && Run.FromMicroseconds > DrainedAt;
+  }));
+  BOOST_TEST(std::any_of(Runs.begin(), Runs.end(), [&](const ObservedRun &Run) {
+    return Run.Worker != Drained && Run.FromMicroseconds > DrainedAt;
+  }));
+}
--- a/Tests/Platform/TestStoreMessages.cpp
+++ b/Tests/Platform/TestStoreMessages.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 const platform::StoreMessages Messages;
+constexpr std::size_t MaximumValueBytes = 100;
 
 reactor::HttpResult reply(unsigned Status, std::string Body) {
   reactor::HttpResult Result;
@@ -20,7 +21,8 @@
 BOOST_AUTO_TEST_CASE(PageValuesAreDecoded) {
   auto Page = Messages.parsePage(
       reply(200, R"({"at":12,"hasMore":true,"items":[{"key":"a/1","value":"aGk=","revision":9},
-      {"key":"a/2","value":"not base64!","revision":10},{"value":"aGk="}]})"));
+      {"key":"a/2","value":"not base64!","revision":10},{"value":"aGk="}]})"),
+      MaximumValueBytes);
   BOOST_REQUIRE(Page.Content);
   BOOST_TEST(Page.Content->Revision == 12U);
   BOOST_TEST(Page.Content->HasMore);
@@ -29,10 +31,28 @@
   BOOST_TEST(Page.Content->Items[1].Value.empty());
 }
 
+// Guards against long values of another writer that use up a reader's memory.
+BOOST_AUTO_TEST_CASE(ValuesThatAreTooLongAreLeftOut) {
+  std::string Fitting(132, 'A'); // 99 bytes in base64.
+  std::string TooLong(136, 'A'); // 102 bytes in base64.
+  auto Page = Messages.parsePage(
+      reply(200, R"({"at":12,"items":[{"key":"a/1","revision":9,"value":")" + Fitting +
+                     R"("},{"key":"a/2","revision":10,"value":")" + TooLong + R"("}]})"),
+      MaximumValueBytes);
+  BOOST_REQUIRE(Page.Content);
+  BOOST_REQUIRE(Page.Content->Items.size() == 2U);
+  BOOST_TEST(Page.Content->Items[0].Value.size() == 99U);
+  BOOST_TEST(!Page.Content->Items[0].IsTooLong);
+  BOOST_TEST(Page.Content->Items[1].Value.empty());
+  BOOST_TEST(Page.Content->Items[1].IsTooLong);
+  BOOST_TEST(Page.Content->Items[1].Revision == 10U);
+}
+
 BOOST_AUTO_TEST_CASE(EventsDistinguishRemovedKeys) {
   auto Events = Messages.parseEvents(
       reply(200, R"({"at":15,"events":[{"key":"a/1","revision":14,"deleted":true},
-      {"key":"a/2","value":"aGk=","revision":15}]})"));
+      {"key":"a/2","value":"aGk=","revision":15}]})"),
+      MaximumValueBytes);
   BOOST_REQUIRE(Events.Content);
   BOOST_TEST(Events.Content->Revision == 15U);
   BOOST_REQUIRE(Events.Content->Events.size() == 2U);
@@ -43,14 +63,16 @@
 // Guards against a mirror that continues from a history that the store has dropped, and against a
 // refused request that counts as an empty reply.
 BOOST_AUTO_TEST_CASE(StatusCodesMapToFailures) {
-  auto Failure = [](unsigned Status) { return Messages.parsePage(reply(Status, "{}")).Failure; };
+  auto Failure = [](unsigned Status) {
+    return Messages.parsePage(reply(Status, "{}"), MaximumValueBytes).Failure;
+  };
   BOOST_TEST((Failure(410) == StoreFailure::Expired));
   BOOST_TEST((Failure(412) == StoreFailure::Conflict));
   BOOST_TEST((Failure(429) == StoreFailure::Refused));
   BOOST_TEST((Failure(503) == StoreFailure::Refused));
   BOOST_TEST((Failure(500) == StoreFailure::Unreachable));
   BOOST_TEST((Failure(200) == StoreFailure::Malformed));
-  BOOST_TEST((Messages.parsePage({}).Failure == StoreFailure::Unreachable));
+  BOOST_TEST((Messages.parsePage({}, MaximumValueBytes).Failure == StoreFailure::Unreachable));
 }
 
 BOOST_AUTO_TEST_CASE(ConfigurationIsParsed) {
