Kernel: End leases of runs whose entry process is silent before its callers return

Cause: a manager renewed a worker's lease for 0.9 s although the entry process of a run there was silent. Paused or killed before it stopped that run, the lease outlasted the 1.3 s after which the caller comes again. Tasks that were delegated for such a job had the same gap: the other manager notices the loss of its delegator 0.6 s later. Change: a lease is extended to 1.2 s after the entry process of each run was last heard, at most; runs of a lost entry process are stopped after 1.0 s instead of 1.1 s, so that an unanswered stop is repeated in time (75 ms instead of 150 ms); delegated tasks of its jobs are stopped as soon as it is lost. Conclusion: who may renew a lease now depends on the process for whose caller the work is done.

--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -58,6 +58,8 @@
   void setRoundTrip(PeerIndex Peer, core::Duration RoundTrip) {
     Remotes_[Peer].Pool.setRoundTrip(RoundTrip);
   }
+  /// Records that the peer is alive.
+  void peerHeard(PeerIndex Peer, core::TimePoint Now) { HeardAt_[Peer] = Now; }
   /// Handles the loss of a peer. LastHeard is when the peer was last known to be alive.
   void peerLost(PeerIndex Peer, core::TimePoint LastHeard, core::TimePoint Now);
 
@@ -187,6 +189,7 @@
   void runEnded(EndpointIndex Worker, const Run &Ended, RunOutcome How,
                 core::TimePoint Now) override;
   std::optional<std::string> specificationOf(const Run &Started) override;
+  std::optional<core::TimePoint> leaseLimitOf(const Run &Each) const override;
   void availabilityIncreased(core::TimePoint Now) override;
   void recordOutcome(EndpointIndex Worker, const PoolJob &Job, const Run &Ended, RunOutcome How,
                      core::TimePoint Now);
@@ -207,6 +210,7 @@
   std::set<QueueKey> Queue_;
   std::unordered_map<JobHandle, QueueKey> QueueKeys_;
   std::map<PeerIndex, Remote> Remotes_;
+  std::unordered_map<PeerIndex, core::TimePoint> HeardAt_; ///< When each peer was last alive.
   std::vector<WorkerEntry> Listed_;          ///< As in the directory that other managers get.
   std::vector<EndpointIndex> ListedIndexes_; ///< Indexes of Listed_, in the same order.
   std::uint64_t DirectoryVersion_ = 0;
--- a/Kernel/Pool/PoolManagerJobs.cpp
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -16,7 +16,10 @@
 constexpr double LongestPerDoubling = 0.06;
 /// How long the runs of a job continue after the last heartbeat of its entry process. The client
 /// resubmits the job 1.3 s after its connection broke, and stopping the runs takes some time.
-constexpr core::Duration OrphanedJobLifetime = std::chrono::milliseconds(1100);
+constexpr core::Duration OrphanedJobLifetime = std::chrono::milliseconds(1000);
+/// How long the leases of these runs last after that heartbeat, if this process is paused or killed
+/// before it has stopped the runs.
+constexpr core::Duration OrphanedLeaseLifetime = std::chrono::milliseconds(1200);
 /// Time after which tasks delegated to a lost manager no longer run. Either it has noticed the loss
 /// too and has stopped them, or their leases have expired.
 constexpr core::Duration LostManagerDelay = std::chrono::milliseconds(950);
@@ -287,7 +290,27 @@
   }
 }
 
+std::optional<core::TimePoint> PoolManager::leaseLimitOf(const Run &Each) const {
+  auto Found = Jobs_.find(Each.Job);
+  if (Found == Jobs_.end() || Found->second.IsDelegation)
+    return std::nullopt;
+  const auto &Job = Found->second;
+  if (Job.OrphanedUntil)
+    return *Job.OrphanedUntil - OrphanedJobLifetime + OrphanedLeaseLifetime;
+  std::optional<core::TimePoint> HeardAt;
+  for (auto Origin : Job.Origins) {
+    auto Heard = HeardAt_.find(Origin);
+    if (Heard == HeardAt_.end())
+      return std::nullopt; // This process, or a peer whose first heartbeat has not arrived.
+    HeardAt = std::max(HeardAt.value_or(Heard->second), Heard->second);
+  }
+  if (!HeardAt)
+    return std::nullopt;
+  return *HeardAt + OrphanedLeaseLifetime;
+}
+
 void PoolManager::peerLost(PeerIndex Peer, core::TimePoint LastHeard, core::TimePoint Now) {
+  HeardAt_.erase(Peer);
   std::vector<JobHandle> Delegations;
   for (auto &[Handle, Job] : Jobs_) {
     if (Job.IsDelegation) {
@@ -296,7 +319,8 @@
       continue;
     }
     bool WasAwaited = std::erase(Job.Origins, Peer) > 0;
-    if (WasAwaited && Job.Origins.empty() && !Job.IsEnding) {
+    bool IsOrphaned = WasAwaited && Job.Origins.empty() && !Job.IsEnding;
+    if (IsOrphaned) {
       Job.OrphanedUntil = LastHeard + OrphanedJobLifetime;
       dequeue(Handle); // Its runs may end, but no more are started for a disconnected caller.
     }
@@ -305,6 +329,11 @@
         Task.State = TaskState::PossiblyRunning;
         Task.EndedBy = Now + LostManagerDelay;
       }
+    // Only this process can end its delegated tasks in time: should it be paused, too, the other
+    // manager notices that after the client has resubmitted the job.
+    for (std::uint32_t Task = 0; IsOrphaned && Task < Job.Tasks.size(); ++Task)
+      if (Job.Tasks[Task].State == TaskState::Delegated)
+        stopTask(Job, Task, Now);
   }
   for (auto Handle : Delegations) {
     auto &Job = Jobs_.at(Handle);
--- a/Kernel/Pool/WorkerFleet.cpp
+++ b/Kernel/Pool/WorkerFleet.cpp
@@ -30,7 +30,7 @@
 constexpr core::Duration SecondPollDelay = std::chrono::milliseconds(40);
 constexpr core::Duration MinimumPollInterval = std::chrono::milliseconds(100);
 /// A stop takes at most 50 ms on the worker; the command is repeated after this time.
-constexpr core::Duration StopRepeatDelay = std::chrono::milliseconds(150);
+constexpr core::Duration StopRepeatDelay = std::chrono::milliseconds(75);
 /// Backoff after a refusal that shows that the worker's free capacity or clock differ from the
 /// assumed ones.
 constexpr core::Duration NoCapacityBackoff = std::chrono::milliseconds(30);
@@ -116,17 +116,29 @@
     sendPoll(Index, Now);
 }
 
+std::optional<core::TimePoint> WorkerFleet::leaseExtension(const Worker &Known,
+                                                           core::TimePoint Now) const {
+  if (Known.Lease != LeaseState::Held || !Known.Clock.isKnown())
+    return std::nullopt;
+  // Runs of another manager must end with the lease that it granted.
+  if (Known.HasForeignRuns && Known.Runs.empty())
+    return std::nullopt;
+  auto Until = Now + LeaseDuration;
+  for (const auto &Each : Known.Runs)
+    Until = std::min(Until, Listener_.leaseLimitOf(Each).value_or(Until));
+  if (Until <= Now)
+    return std::nullopt;
+  return Until;
+}
+
 void WorkerFleet::sendPoll(EndpointIndex Index, core::TimePoint Now) {
   auto &Known = mutableAt(Index);
   PollCommand Command;
   Command.FencingToken = Known.Token;
   Command.LastSeen = Known.LastSeen;
-  // Runs of another manager must end with the lease that it granted.
-  bool Extends = Known.Lease == LeaseState::Held && Known.Clock.isKnown() &&
-                 (!Known.HasForeignRuns || !Known.Runs.empty());
-  if (Extends) {
-    Command.LeaseUntil = Known.Clock.at(Now + LeaseDuration);
-    Known.LeaseEnd = std::max(Known.LeaseEnd, Now + LeaseDuration + LeaseSlack);
+  if (auto Until = leaseExtension(Known, Now)) {
+    Command.LeaseUntil = Known.Clock.at(*Until);
+    Known.LeaseEnd = std::max(Known.LeaseEnd, *Until + LeaseSlack);
   }
   bool ExpectsEnd = Known.HasForeignRuns ||
                     std::any_of(Known.Runs.begin(), Known.Runs.end(), [](const Run &Candidate) {
--- a/Kernel/Pool/WorkerFleet.h
+++ b/Kernel/Pool/WorkerFleet.h
@@ -36,6 +36,8 @@
                         core::TimePoint Now) = 0;
   /// The specification of the run's task; empty if the job no longer exists.
   virtual std::optional<std::string> specificationOf(const Run &Started) = 0;
+  /// Until when the worker's lease may be extended while it has this run; empty if without limit.
+  virtual std::optional<core::TimePoint> leaseLimitOf(const Run &Each) const = 0;
   /// A worker has started to accept tasks.
   virtual void availabilityIncreased(core::TimePoint Now) = 0;
 };
@@ -99,6 +101,8 @@
   void unlist(EndpointIndex Index);
   void beginClaim(EndpointIndex Index, core::TimePoint Now);
   void sendPoll(EndpointIndex Index, core::TimePoint Now);
+  /// Until when a poll that is sent now extends the worker's lease; empty if it must not.
+  std::optional<core::TimePoint> leaseExtension(const Worker &Known, core::TimePoint Now) const;
   void pollFailed(EndpointIndex Index, CommandVerdict Verdict, core::TimePoint Now);
   void markFenced(EndpointIndex Index, core::TimePoint Now);
   void workerRestarted(EndpointIndex Index, const WorkerReport &Report, core::TimePoint Now);
--- a/Services/PoolDaemon/PoolDaemonPeers.cpp
+++ b/Services/PoolDaemon/PoolDaemonPeers.cpp
@@ -133,6 +133,7 @@
 
 void PoolDaemon::heartbeatReceived(const mesh::MeshPeer &Peer, const mesh::Heartbeat &Message) {
   auto Now = core::MonotonicClock::now();
+  Manager_.peerHeard(Peer.Index, Now);
   kernel::CandidateState State;
   State.Vm = Peer.vm();
   State.DataCentre = Peer.dataCentre();
--- a/Tests/Pool/PoolSimulationVm.h
+++ b/Tests/Pool/PoolSimulationVm.h
@@ -59,6 +59,8 @@
 
   void tick() {
     auto Now = Simulation_.Now_;
+    for (const auto &[Other, Peer] : PeerOf_)
+      Manager_.peerHeard(Peer, Simulation_.lastHeard(Index_, Other));
     applyElection();
     Manager_.tick(Now);
     for (auto Entry = Open_.begin(); Entry != Open_.end();) {
--- a/Tests/Pool/TestPoolManager.cpp
+++ b/Tests/Pool/TestPoolManager.cpp
@@ -73,7 +73,7 @@
       PollReply Reply;
       Reply.Verdict = CommandVerdict::Accepted;
       Reply.Report.emplace();
-      Reply.Report->ClockMilliseconds = 1000 + (Now - core::TimePoint()) / 1ms;
+      Reply.Report->ClockMilliseconds = workerClock(Now);
       Reply.Report->StartedMilliseconds = 7;
       Reply.Report->Running = Running;
       Reply.Report->Ended = Ended;
@@ -81,6 +81,11 @@
     }
   }
 
+  /// Time on the workers' clocks, in milliseconds.
+  static std::int64_t workerClock(core::TimePoint At) {
+    return 1000 + (At - core::TimePoint()) / 1ms;
+  }
+
   void list(const std::vector<std::string> &Ids) {
     std::vector<WorkerEntry> Entries;
     Entries.reserve(Ids.size());
@@ -91,7 +96,8 @@
     answerPolls();
   }
 
-  JobKey submit(std::uint32_t Tasks, double Milliseconds, core::Duration Timeout = 3s) {
+  JobKey submit(std::uint32_t Tasks, double Milliseconds, core::Duration Timeout = 3s,
+                PeerIndex From = SelfPeer) {
     auto Submission = std::make_shared<JobSubmission>();
     Submission->Key = static_cast<JobKey>(++LastKey);
     Submission->Steps.resize(1);
@@ -105,7 +111,7 @@
     Submission->Policy.TargetLatencyMilliseconds = 30;
     Submission->ReceivedAt = Now;
     Submission->AnswerBy = Now + Timeout;
-    Manager.receive(SelfPeer, SubmitToPool{Submission}, Now);
+    Manager.receive(From, SubmitToPool{Submission}, Now);
     return Submission->Key;
   }
 
@@ -370,3 +376,41 @@
     BOOST_TEST(Delegated == (RoundTrip < 50ms ? 1 : 0));
   }
 }
+
+// Guards against a lease that outlasts the return of the caller: its entry process has been silent,
+// and this manager may be paused before it stops the job's runs.
+BOOST_AUTO_TEST_CASE(NoLeaseOutlastsASilentEntryProcess) {
+  constexpr PeerIndex Entry{1};
+  constexpr auto CallerReturnsAfter = 1300ms;
+  ManagerFixture Fixture;
+  Fixture.list({"w-0"});
+  auto HeardAt = Fixture.Now;
+  Fixture.Manager.peerHeard(Entry, HeardAt);
+  Fixture.submit(1, 5000, 30s, Entry);
+  for (int Round = 0; Round < 9; ++Round) {
+    Fixture.pass(100ms);
+    Fixture.answerPolls({{{JobKey{1}, 0, 0}, 1, 2.0 * (Round + 1)}});
+  }
+  std::optional<std::int64_t> LeaseUntil;
+  for (const auto &[Worker, Command] : Fixture.Out.Polls)
+    LeaseUntil = Command.LeaseUntil;
+  BOOST_REQUIRE(LeaseUntil.has_value());
+  BOOST_TEST(*LeaseUntil < Fixture.workerClock(HeardAt + CallerReturnsAfter));
+}
+
+// Guards against delegated tasks that outlast the return of the caller: should this manager be
+// paused after the loss of the entry process, the other manager notices it too late.
+BOOST_AUTO_TEST_CASE(DelegatedTasksOfALostEntryProcessAreStopped) {
+  constexpr PeerIndex Entry{1};
+  constexpr PeerIndex Other{2};
+  ManagerFixture Fixture;
+  Fixture.Manager.setManager(Other, true, Fixture.Now);
+  Fixture.Manager.receive(Other, PoolDirectory{1, {entry("v-0")}}, Fixture.Now);
+  Fixture.Manager.receive(Other, PoolReport{1, {{0, {{4, 1000, 0}, 4, 1}}}, 0}, Fixture.Now);
+  Fixture.submit(1, 500, 3s, Entry);
+  Fixture.pass(20ms);
+  Fixture.Out.Sent.clear();
+  Fixture.Manager.peerLost(Entry, Fixture.Now, Fixture.Now);
+  auto IsStop = [](const auto &Sent) { return std::holds_alternative<StopDelegated>(Sent.second); };
+  BOOST_TEST(std::count_if(Fixture.Out.Sent.begin(), Fixture.Out.Sent.end(), IsStop) == 1);
+}
--- a/Tests/Pool/TestPoolSafety.cpp
+++ b/Tests/Pool/TestPoolSafety.cpp
@@ -94,3 +94,39 @@
                                                << (Found.empty() ? "" : Found.front()));
   }
 }
+
+namespace {
+
+/// Kills one VM of the callers' data centre while a job runs and pauses the other one some time
+/// later; returns the violations.
+std::vector<std::string> killAndPause(std::uint64_t Seed, core::Duration PauseAfter) {
+  test::SimulationSettings Settings;
+  Settings.Seed = Seed;
+  Settings.CallersAt = 0;
+  test::PoolSimulation Simulation(Settings);
+  Simulation.run(1500ms);
+  std::size_t Killed = Seed % 2;
+  for (int Job = 0; Job < 4; ++Job)
+    Simulation.submit(1, 2500);
+  Simulation.run(200ms);
+  Simulation.kill(Killed, 300ms);
+  Simulation.run(PauseAfter);
+  Simulation.freeze(1 - Killed, 1500ms);
+  Simulation.run(8s);
+  return Simulation.violations();
+}
+
+} // namespace
+
+// Guards against a task that runs twice at the same time, found by the soak with seed 20000: the
+// entry process of a job was killed and its manager was paused before it had stopped the job's
+// runs. The manager had extended their leases beyond the time after which the caller comes again.
+BOOST_AUTO_TEST_CASE(AManagerPausedAfterTheLossOfAnEntryProcessLeavesNoRun) {
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed)
+    for (auto PauseAfter = 100ms; PauseAfter <= 1200ms; PauseAfter += 100ms) {
+      auto Found = killAndPause(Seed, PauseAfter);
+      BOOST_CHECK_MESSAGE(Found.empty(),
+                          "seed " << Seed << ", paused after " << core::toMilliseconds(PauseAfter)
+                                  << " ms: " << (Found.empty() ? "" : Found.front()));
+    }
+}
