Kernel: Place jobs that can be in time before those that cannot

Load pattern: more work arrives than the workers can do, as in a burst or after an outage. Cause: waiting jobs were placed by their latest start, so that each began when it was just too late, while others behind it could still be in time; a started job that became late fell behind jobs that had not begun, so that its finished tasks were wasted; and a new job was refused for work that would be placed after it. A job that the work ahead of it makes late leaves its place to those that can be in time; started jobs keep theirs and come before other late ones. A new job is weighed against the work ahead of it only. Before the rate of placements is known, that of the workers is used. The queue is a class of its own (PoolQueue).

--- a/Kernel/Pool/PoolJob.cpp
+++ b/Kernel/Pool/PoolJob.cpp
@@ -23,6 +23,13 @@
   return Sum;
 }
 
+double PoolJob::waitingMilliseconds() const {
+  double Sum = 0;
+  for (const auto &Step : Steps)
+    Sum += Step.Waiting * Step.TypicalMilliseconds;
+  return Sum;
+}
+
 std::uint32_t PoolJob::active() const {
   return static_cast<std::uint32_t>(
       std::count_if(Tasks.begin(), Tasks.end(), [](const PoolTask &Task) {
--- a/Kernel/Pool/PoolJob.h
+++ b/Kernel/Pool/PoolJob.h
@@ -67,6 +67,8 @@
   std::uint32_t stepOf(std::uint32_t Task) const;
   TaskRef refOf(std::uint32_t Task) const;
   std::uint32_t waiting() const;
+  /// Expected run time of all waiting tasks on typical workers, in milliseconds.
+  double waitingMilliseconds() const;
   /// Number of tasks that run or may run.
   std::uint32_t active() const;
   bool isFinished() const;
--- a/Kernel/Pool/PoolManager.cpp
+++ b/Kernel/Pool/PoolManager.cpp
@@ -102,7 +102,7 @@
   if (Now >= NextExpiry_) {
     NextExpiry_ = Now + ExpiryInterval;
     PlacementRate_.observe(!Queue_.empty(), Now);
-    rejectUnattainable(Now);
+    reviewWaitingJobs(Now);
     expireJobs(Now);
     forgetAnswers(Now);
   }
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -7,6 +7,7 @@
 #include "Kernel/Pool/PoolJob.h"
 #include "Kernel/Pool/PoolOutput.h"
 #include "Kernel/Pool/PoolPlacement.h"
+#include "Kernel/Pool/PoolQueue.h"
 #include "Kernel/Pool/RemotePool.h"
 #include "Kernel/Pool/TokenSource.h"
 #include "Kernel/Pool/WorkerFleet.h"
@@ -84,15 +85,6 @@
   const PoolCounters &counters() const { return Counters_; }
 
 private:
-  /// Orders waiting jobs by the priority of their placement.
-  struct QueueKey {
-    bool HasMissed = false; ///< Likely to miss its objective; such jobs come last.
-    core::TimePoint LatestStart;
-    JobHandle Handle{};
-    // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
-    auto operator<=>(const QueueKey &) const = default;
-  };
-
   struct Remote {
     bool IsManager = false;
     RemotePool Pool;
@@ -124,12 +116,17 @@
   void removeIfInactive(JobHandle Handle, core::TimePoint Now);
   void abandon(PeerIndex From, JobKey Key, core::TimePoint Now);
   void expireJobs(core::TimePoint Now);
-  /// Rejects jobs that have not started and that the jobs ahead of them leave too little time.
-  void rejectUnattainable(core::TimePoint Now);
+  /// Puts jobs that the work ahead makes late behind the others, and rejects those to which it
+  /// leaves no time at all.
+  void reviewWaitingJobs(core::TimePoint Now);
   void forgetAnswers(core::TimePoint Now);
   void enqueue(const PoolJob &Job, core::TimePoint Now);
-  void dequeue(JobHandle Handle);
-  double waitMilliseconds(const PoolJob &Job) const;
+  static PoolQueue::Key placeInQueue(const PoolJob &Job, core::TimePoint Now);
+  /// Time that this manager's workers need for the work ahead of the job.
+  double waitMilliseconds(const PoolJob &Job, core::TimePoint Now) const;
+  /// Typical run time that this manager's workers work off per unit of time, each with as many
+  /// tasks of that need as fit.
+  double workRate(const Resources &Need) const;
   /// Expected run time of the job's longest waiting task on the fastest worker, in milliseconds.
   double shortestRunTime(const PoolJob &Job) const;
   PoolJob *find(JobHandle Handle);
@@ -207,8 +204,7 @@
   std::map<std::pair<PeerIndex, JobKey>, JobHandle> Delegations_;
   std::unordered_map<JobKey, AnsweredJob> Answered_;
   std::deque<JobKey> AnsweredOrder_;
-  std::set<QueueKey> Queue_;
-  std::unordered_map<JobHandle, QueueKey> QueueKeys_;
+  PoolQueue Queue_;
   std::map<PeerIndex, Remote> Remotes_;
   std::unordered_map<PeerIndex, core::TimePoint> HeardAt_; ///< When each peer was last alive.
   std::vector<WorkerEntry> Listed_;          ///< As in the directory that other managers get.
--- a/Kernel/Pool/PoolManagerJobs.cpp
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -187,7 +187,7 @@
 
 void PoolManager::endJob(PoolJob &Job, JobAnswer Answer, core::TimePoint Now) {
   Job.IsEnding = true;
-  dequeue(Job.Handle);
+  Queue_.remove(Job.Handle);
   for (auto &Step : Job.Steps) {
     WaitingMilliseconds_ -= Step.Waiting * Step.TypicalMilliseconds;
     Step.Waiting = 0;
@@ -219,7 +219,7 @@
                {"active_tasks", static_cast<std::int64_t>(Job.active())},
                {"tasks", static_cast<std::int64_t>(Job.Tasks.size())},
                {"workers_held", static_cast<std::int64_t>(Fleet_.heldCount())},
-               {"wait_estimate_ms", waitMilliseconds(Job)},
+               {"wait_estimate_ms", waitMilliseconds(Job, Now)},
                {"queued_jobs", static_cast<std::int64_t>(Queue_.size())}});
   for (auto Origin : Job.Origins)
     Output_.send(Origin, PoolAnswer{Job.key(), Answer});
@@ -259,7 +259,7 @@
     Delegations_.erase({Job->Origins.front(), Job->key()});
   else
     OwnJobs_.erase(Job->key());
-  dequeue(Handle);
+  Queue_.remove(Handle);
   Jobs_.erase(Handle);
   if (Successor)
     submit(Origin, Successor, Now);
@@ -322,7 +322,7 @@
     bool IsOrphaned = WasAwaited && Job.Origins.empty() && !Job.IsEnding;
     if (IsOrphaned) {
       Job.OrphanedUntil = LastHeard + OrphanedJobLifetime;
-      dequeue(Handle); // Its runs may end, but no more are started for a disconnected caller.
+      Queue_.remove(Handle); // Its runs may end, but no more are started for a disconnected caller.
     }
     for (auto &Task : Job.Tasks)
       if (Task.State == TaskState::Delegated && Task.Manager == Peer) {
--- a/Kernel/Pool/PoolManagerPlacement.cpp
+++ b/Kernel/Pool/PoolManagerPlacement.cpp
@@ -110,8 +110,10 @@
   }
   flushDelegations(Job, Now);
   auto After = Job.waiting();
-  if (After == 0)
-    dequeue(Job.Handle);
+  if (After < Before) {
+    Queue_.remove(Job.Handle);
+    enqueue(Job, Now); // With the prospect of a job that has started.
+  }
   return After < Before;
 }
 
--- a/Kernel/Pool/PoolManagerQueue.cpp
+++ b/Kernel/Pool/PoolManagerQueue.cpp
@@ -29,7 +29,7 @@
 std::optional<JobAnswer> PoolManager::rejectionFor(const PoolJob &Job, core::TimePoint Now) const {
   if (hasCapacityFor(Job, Now))
     return std::nullopt;
-  double Wait = waitMilliseconds(Job);
+  double Wait = waitMilliseconds(Job, Now);
   auto Start = Now + core::fromMilliseconds(Wait);
   auto Run = core::fromMilliseconds(shortestRunTime(Job));
   if (Wait <= 0 || Start + Run <= Job.UsefulUntil)
@@ -38,11 +38,20 @@
                    std::clamp(Wait, MinimumRetryMilliseconds, MaximumRetryMilliseconds)};
 }
 
-double PoolManager::waitMilliseconds(const PoolJob &Job) const {
-  // Divides the waiting work by the rate of the workers, each with as many tasks as fit.
-  if (Queue_.empty())
-    return 0;
-  const auto &Need = Job.Submission->Steps.front().Need;
+double PoolManager::waitMilliseconds(const PoolJob &Job, core::TimePoint Now) const {
+  auto Place = placeInQueue(Job, Now);
+  double Ahead = 0;
+  for (const auto &Key : Queue_) {
+    if (Place < Key)
+      break;
+    if (Key.Handle != Job.Handle)
+      Ahead += Jobs_.at(Key.Handle).waitingMilliseconds();
+  }
+  double Rate = workRate(Job.Submission->Steps.front().Need);
+  return Rate > 0 ? Ahead / Rate : 0;
+}
+
+double PoolManager::workRate(const Resources &Need) const {
   double Rate = 0;
   for (std::size_t Position = 0; Position < Fleet_.size(); ++Position) {
     auto Index = static_cast<EndpointIndex>(Position);
@@ -54,45 +63,44 @@
                         : Known.Entry.Slots;
     Rate += std::min<double>(Places, Known.Entry.Slots) * Ratings_.speed(Index);
   }
-  return Rate > 0 ? WaitingMilliseconds_ / Rate : 0;
+  return Rate;
 }
 
 void PoolManager::enqueue(const PoolJob &Job, core::TimePoint Now) {
-  if (Job.waiting() == 0 || QueueKeys_.contains(Job.Handle) || Job.OrphanedUntil)
+  if (Job.waiting() == 0 || Queue_.contains(Job.Handle) || Job.OrphanedUntil)
     return;
-  QueueKey Key{Now > Job.LatestStart, Job.LatestStart, Job.Handle};
-  QueueKeys_[Job.Handle] = Key;
-  Queue_.insert(Key);
+  Queue_.set(placeInQueue(Job, Now));
 }
 
-void PoolManager::dequeue(JobHandle Handle) {
-  auto Found = QueueKeys_.find(Handle);
-  if (Found == QueueKeys_.end())
-    return;
-  Queue_.erase(Found->second);
-  QueueKeys_.erase(Found);
+PoolQueue::Key PoolManager::placeInQueue(const PoolJob &Job, core::TimePoint Now) {
+  auto Prospect = Now <= Job.LatestStart ? JobProspect::InTime
+                  : Job.HasStarted       ? JobProspect::StartedLate
+                                         : JobProspect::Late;
+  return {Prospect, Job.LatestStart, Job.Handle};
 }
 
-void PoolManager::rejectUnattainable(core::TimePoint Now) {
+void PoolManager::reviewWaitingJobs(core::TimePoint Now) {
+  if (Queue_.empty())
+    return;
   auto Rate = PlacementRate_.value();
+  if (Rate <= 0) // Work has begun to wait just now, as after an outage.
+    Rate = workRate(Jobs_.at(Queue_.begin()->Handle).Submission->Steps.front().Need);
   if (Rate <= 0)
     return;
-  std::vector<JobHandle> Unattainable;
-  double Ahead = 0;
+  std::vector<ReviewedJob> Waiting;
+  Waiting.reserve(Queue_.size());
   for (const auto &Key : Queue_) {
     const auto &Job = Jobs_.at(Key.Handle);
-    auto Start = Now + core::fromMilliseconds(Ahead / Rate);
-    if (!Job.HasStarted &&
-        Start + core::fromMilliseconds(shortestRunTime(Job) * MinimumRunTimeShare) >
-            Job.UsefulUntil) {
-      Unattainable.push_back(Key.Handle);
-      continue;
-    }
-    for (const auto &Step : Job.Steps)
-      Ahead += Step.Waiting * Step.TypicalMilliseconds;
+    Waiting.push_back({Key.Handle, Key.Prospect, Job.HasStarted, Job.waitingMilliseconds(),
+                       core::fromMilliseconds(shortestRunTime(Job)), Job.LatestStart,
+                       Job.UsefulUntil});
   }
-  double Retry = std::clamp(Ahead / Rate, MinimumRetryMilliseconds, MaximumRetryMilliseconds);
-  for (auto Handle : Unattainable)
+  auto Review = reviewQueue(Waiting, Rate, Now);
+  for (auto Handle : Review.Late)
+    Queue_.set({JobProspect::Late, Jobs_.at(Handle).LatestStart, Handle});
+  double Retry = std::clamp(Review.WaitingMilliseconds / Rate, MinimumRetryMilliseconds,
+                            MaximumRetryMilliseconds);
+  for (auto Handle : Review.Unattainable)
     if (auto *Job = find(Handle))
       endJob(*Job, {JobVerdict::Rejected, "the work ahead leaves no time for it", Retry}, Now);
 }
@@ -115,7 +123,7 @@
       continue;
     auto Verdict = Job.HasStarted ? JobVerdict::GivenUp : JobVerdict::Rejected;
     double Retry =
-        std::clamp(waitMilliseconds(Job), MinimumRetryMilliseconds, MaximumRetryMilliseconds);
+        std::clamp(waitMilliseconds(Job, Now), MinimumRetryMilliseconds, MaximumRetryMilliseconds);
     Ended.push_back({Handle, {Verdict, "cannot be done while the caller waits", Retry}});
   }
   for (auto &[Handle, Answer] : Ended)
@@ -123,12 +131,12 @@
       endJob(*Job, std::move(Answer), Now);
   std::vector<JobHandle> Missed;
   for (const auto &Key : Queue_) {
-    if (Key.HasMissed || Key.LatestStart >= Now)
+    if (Key.Prospect != JobProspect::InTime || Key.LatestStart >= Now)
       break;
     Missed.push_back(Key.Handle);
   }
   for (auto Handle : Missed) {
-    dequeue(Handle);
+    Queue_.remove(Handle);
     enqueue(Jobs_.at(Handle), Now);
   }
 }
--- a/Tests/Pool/TestPoolManager.cpp
+++ b/Tests/Pool/TestPoolManager.cpp
@@ -414,3 +414,17 @@
   auto IsStop = [](const auto &Sent) { return std::holds_alternative<StopDelegated>(Sent.second); };
   BOOST_TEST(std::count_if(Fixture.Out.Sent.begin(), Fixture.Out.Sent.end(), IsStop) == 1);
 }
+
+// Guards against refusing a job because of work that will be placed after it: under overload, late
+// jobs wait behind those that can be in time.
+BOOST_AUTO_TEST_CASE(LateJobsDoNotKeepOutAnUrgentOne) {
+  ManagerFixture Fixture;
+  Fixture.list({"w-0"});
+  for (int Job = 0; Job < 4; ++Job)
+    Fixture.submit(2, 800, 10s);
+  for (int Tick = 0; Tick < 60; ++Tick)
+    Fixture.pass(20ms);
+  BOOST_REQUIRE(Fixture.Out.answers().empty());
+  Fixture.submit(1, 100, 10s);
+  BOOST_TEST(Fixture.Out.answers().empty());
+}
