Kernel: Reject a job truthfully when every start of its tasks was refused

Cause: a job counted as started from its first start command on, also when the worker or the other manager had refused it, so that the caller got 504 ('may have run') and could not send a non-idempotent request again. Change: a job may have run once one of its runs has ended in another way than refused or never begun, or while a task is active.

--- a/Kernel/Pool/PoolJob.h
+++ b/Kernel/Pool/PoolJob.h
@@ -56,7 +56,7 @@
   core::TimePoint ObjectiveAt; ///< Time by which the job should be answered.
   core::TimePoint UsefulUntil; ///< Later answers are of no use to the caller.
   core::TimePoint LatestStart; ///< Starting later is likely to miss the objective.
-  bool HasStarted = false;     ///< A start command was sent or delegated, so a task may have run.
+  bool HasRun = false;         ///< One of its runs has ended, or was lost after its start.
   bool IsEnding = false;       ///< Answered; the remaining runs are being stopped.
   std::optional<core::TimePoint> OrphanedUntil;
   std::shared_ptr<const JobSubmission>
@@ -71,6 +71,9 @@
   double waitingMilliseconds() const;
   /// Number of tasks that run or may run.
   std::uint32_t active() const;
+  /// Returns whether any task has run or may run. Otherwise the job can be rejected truthfully,
+  /// even if workers have refused starts of its tasks.
+  bool mayHaveRun() const { return HasRun || active() > 0; }
   bool isFinished() const;
 };
 
--- a/Kernel/Pool/PoolManager.cpp
+++ b/Kernel/Pool/PoolManager.cpp
@@ -163,6 +163,7 @@
     reportDelegatedEnd(*Job, Ended.TaskNumber, Ended.Number, End, WorkerId);
     return removeIfInactive(Job->Handle, Now);
   }
+  Job->HasRun = Job->HasRun || (How != RunOutcome::NotStarted && How != RunOutcome::Outdated);
   if (How == RunOutcome::Done)
     return finishTask(*Job, Ended.TaskNumber, Now);
   if (How == RunOutcome::Failed)
@@ -215,7 +216,7 @@
   std::map<std::string, std::uint32_t> JobsByRoute;
   for (const auto &Key : Queue_) {
     const auto &Job = Jobs_.at(Key.Handle);
-    if (!Job.HasStarted)
+    if (!Job.mayHaveRun())
       ++JobsByRoute[Job.Submission->Policy.Route];
   }
   std::vector<RouteBacklog> Result;
--- a/Kernel/Pool/PoolManagerJobs.cpp
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -326,6 +326,7 @@
     }
     for (auto &Task : Job.Tasks)
       if (Task.State == TaskState::Delegated && Task.Manager == Peer) {
+        Job.HasRun = true;
         Task.State = TaskState::PossiblyRunning;
         Task.EndedBy = Now + LostManagerDelay;
       }
--- a/Kernel/Pool/PoolManagerPeers.cpp
+++ b/Kernel/Pool/PoolManagerPeers.cpp
@@ -132,6 +132,7 @@
              {"run", static_cast<std::int64_t>(Message.Run)},
              {"worker", std::string_view(Message.Worker)},
              {"how", delegatedEndName(Message.How)}});
+  Job.HasRun = Job.HasRun || Message.How != DelegatedEnd::Refused;
   switch (Message.How) {
   case DelegatedEnd::Done:
     return finishTask(Job, Message.Task, Now);
--- a/Kernel/Pool/PoolManagerPlacement.cpp
+++ b/Kernel/Pool/PoolManagerPlacement.cpp
@@ -15,7 +15,7 @@
   const auto &Known = Fleet_.at(Index);
   auto TaskLimit = Ratings_.taskLimit(Index);
   auto Running = static_cast<std::uint32_t>(Known.Runs.size());
-  bool AcceptsTasks = MayStart_ && Known.acceptsTasks(Now) && Running < TaskLimit;
+  bool AcceptsTasks = Known.acceptsTasks(Now) && Running < TaskLimit;
   auto Slots = AcceptsTasks ? std::min(Known.freeSlots(), TaskLimit - Running) : 0;
   return {Known.free(), Slots, AcceptsTasks ? Ratings_.speed(Index) : 0};
 }
@@ -139,7 +139,6 @@
   auto AtPeer = Job.IsDelegation ? std::nullopt : chooseRemote(Chooser, Request, Now);
   if (!Own && !AtPeer)
     return false;
-  Job.HasStarted = true;
   if (!Job.IsDelegation) {
     --Job.Steps[Step].Waiting;
     WaitingMilliseconds_ -= Job.Steps[Step].TypicalMilliseconds;
--- a/Kernel/Pool/PoolManagerQueue.cpp
+++ b/Kernel/Pool/PoolManagerQueue.cpp
@@ -74,7 +74,7 @@
 
 PoolQueue::Key PoolManager::placeInQueue(const PoolJob &Job, core::TimePoint Now) {
   auto Prospect = Now <= Job.LatestStart ? JobProspect::InTime
-                  : Job.HasStarted       ? JobProspect::StartedLate
+                  : Job.mayHaveRun()     ? JobProspect::StartedLate
                                          : JobProspect::Late;
   return {Prospect, Job.LatestStart, Job.Handle};
 }
@@ -91,7 +91,7 @@
   Waiting.reserve(Queue_.size());
   for (const auto &Key : Queue_) {
     const auto &Job = Jobs_.at(Key.Handle);
-    Waiting.push_back({Key.Handle, Key.Prospect, Job.HasStarted, Job.waitingMilliseconds(),
+    Waiting.push_back({Key.Handle, Key.Prospect, Job.mayHaveRun(), Job.waitingMilliseconds(),
                        core::fromMilliseconds(shortestRunTime(Job)), Job.LatestStart,
                        Job.UsefulUntil});
   }
@@ -121,7 +121,7 @@
             : Job.UsefulUntil;
     if (Now < Limit)
       continue;
-    auto Verdict = Job.HasStarted ? JobVerdict::GivenUp : JobVerdict::Rejected;
+    auto Verdict = Job.mayHaveRun() ? JobVerdict::GivenUp : JobVerdict::Rejected;
     double Retry =
         std::clamp(waitMilliseconds(Job, Now), MinimumRetryMilliseconds, MaximumRetryMilliseconds);
     Ended.push_back({Handle, {Verdict, "cannot be done while the caller waits", Retry}});
--- a/Kernel/Pool/PoolQueue.cpp
+++ b/Kernel/Pool/PoolQueue.cpp
@@ -30,7 +30,7 @@
   for (const auto &Job : Jobs) {
     auto LastStart = Now + core::fromMilliseconds((Ahead + Job.WaitingMilliseconds) / Rate);
     bool BecomesLate =
-        Job.Prospect == JobProspect::InTime && !Job.HasStarted && LastStart > Job.LatestStart;
+        Job.Prospect == JobProspect::InTime && !Job.MayHaveRun && LastStart > Job.LatestStart;
     if (BecomesLate)
       Review.Late.push_back(Job.Handle);
     if (Job.Prospect == JobProspect::InTime && !BecomesLate)
@@ -41,7 +41,7 @@
   for (const auto *Job : Remaining) {
     auto Start = Now + core::fromMilliseconds(Ahead / Rate);
     auto Run = core::fromMilliseconds(core::toMilliseconds(Job->ShortestRun) * MinimumRunTimeShare);
-    if (!Job->HasStarted && Start + Run > Job->UsefulUntil)
+    if (!Job->MayHaveRun && Start + Run > Job->UsefulUntil)
       Review.Unattainable.push_back(Job->Handle);
     else
       Ahead += Job->WaitingMilliseconds;
--- a/Kernel/Pool/PoolQueue.h
+++ b/Kernel/Pool/PoolQueue.h
@@ -51,7 +51,7 @@
 struct ReviewedJob {
   JobHandle Handle{};
   JobProspect Prospect = JobProspect::InTime;
-  bool HasStarted = false;
+  bool MayHaveRun = false; ///< Some of its tasks run or have run.
   double WaitingMilliseconds =
       0;                         ///< Expected run time of all its waiting tasks on typical workers.
   core::Duration ShortestRun{0}; ///< Expected run time of its longest waiting task, at the fastest.
--- a/Tests/Pool/TestPoolManager.cpp
+++ b/Tests/Pool/TestPoolManager.cpp
@@ -428,3 +428,41 @@
   Fixture.submit(1, 100, 10s);
   BOOST_TEST(Fixture.Out.answers().empty());
 }
+
+// Guards against telling a caller that its job may have run, so that it can't be sent again, though
+// every worker has refused it.
+BOOST_AUTO_TEST_CASE(AJobThatEveryWorkerRefusedHasNotRun) {
+  ManagerFixture Fixture;
+  Fixture.list({"w-0"});
+  Fixture.submit(1, 100, 600ms);
+  while (Fixture.Out.answers().empty() && Fixture.Now < core::TimePoint(1h) + 2s) {
+    for (const auto &[Worker, Command] : std::exchange(Fixture.Out.Starts, {})) {
+      CommandReply Refused;
+      Refused.Verdict = CommandVerdict::NoCapacity;
+      Fixture.Manager.startReplied(Worker, Command, Refused, Fixture.Now);
+    }
+    Fixture.pass(10ms);
+    Fixture.answerPolls();
+  }
+  BOOST_REQUIRE(Fixture.Out.answers().size() == 1U);
+  BOOST_TEST((Fixture.Out.answers()[0].Verdict == JobVerdict::Rejected));
+  BOOST_TEST(Fixture.Out.answers()[0].RetryAfterMilliseconds > 0);
+}
+
+// Guards against the opposite: a job of which a run was lost after its start may have run.
+BOOST_AUTO_TEST_CASE(AJobWhoseRunWasLostMayHaveRun) {
+  ManagerFixture Fixture;
+  Fixture.list({"w-0"});
+  auto Key = Fixture.submit(1, 100, 600ms);
+  BOOST_REQUIRE(Fixture.Out.Starts.size() == 1U);
+  auto [Worker, Command] = Fixture.Out.Starts[0];
+  Fixture.Manager.startReplied(Worker, Command, {CommandVerdict::Accepted, std::nullopt},
+                               Fixture.Now);
+  Fixture.pass(10ms);
+  Fixture.answerPolls({}, {{1, {Key, 0, 0}, Command.Run, RunEnd::Lapsed}});
+  Fixture.Manager.setWorkers({}, Fixture.Now); // It cannot start again.
+  for (int Tick = 0; Tick < 100 && Fixture.Out.answers().empty(); ++Tick)
+    Fixture.pass(10ms);
+  BOOST_REQUIRE(Fixture.Out.answers().size() == 1U);
+  BOOST_TEST((Fixture.Out.answers()[0].Verdict == JobVerdict::GivenUp));
+}
--- a/Tests/Pool/TestPoolQueue.cpp
+++ b/Tests/Pool/TestPoolQueue.cpp
@@ -38,7 +38,7 @@
 // Guards against tasks that have run in vain, because the rest of their job is put behind others.
 BOOST_AUTO_TEST_CASE(AStartedJobKeepsItsPlace) {
   std::vector<ReviewedJob> Jobs = {job(1, 120ms), job(2, 130ms), job(3, 250ms)};
-  Jobs[1].HasStarted = true;
+  Jobs[1].MayHaveRun = true;
   auto Review = reviewQueue(Jobs, 2, Now);
   BOOST_REQUIRE(Review.Late.size() == 1U);
   BOOST_TEST((Review.Late[0] == JobHandle{3}));
@@ -49,7 +49,7 @@
   std::vector<ReviewedJob> Jobs = {job(1, 120ms), job(2, -900ms), job(3, -950ms)};
   Jobs[1].Prospect = JobProspect::Late;
   Jobs[2].Prospect = JobProspect::Late;
-  Jobs[2].HasStarted = true;
+  Jobs[2].MayHaveRun = true;
   auto Review = reviewQueue(Jobs, 2, Now);
   BOOST_TEST(Review.Late.empty());
   BOOST_REQUIRE(Review.Unattainable.size() == 1U);
