--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -74,9 +74,6 @@
   /// Does periodic work; to be called at least every 20 ms.
   void tick(core::TimePoint Now);
 
-  /// Starts no further tasks on this manager's workers; jobs continue at other managers.
-  void stopStartingTasks() { MayStart_ = false; }
-
   /// Number of jobs that have not ended, including delegations from other managers.
   std::size_t jobCount() const { return Jobs_.size(); }
   std::uint32_t waitingTasks() const;
@@ -221,7 +218,6 @@
   core::TimePoint ReportAt_; ///< Earliest time of the next report.
   bool NeedsDispatch_ = false;
   bool ReportIsDue_ = false;
-  bool MayStart_ = true;
   core::TimePoint NextExpiry_;
   core::TimePoint NextStragglerCheck_;
 };
--- a/Kernel/Pool/Worker.cpp
+++ b/Kernel/Pool/Worker.cpp
@@ -4,12 +4,6 @@
 #include <utility>
 
 namespace cornellift::kernel {
-namespace {
-
-/// Needs are multiples of a thousandth; smaller differences from the capacity are rounding errors.
-constexpr double RoundingSlack = 1e-6;
-
-} // namespace
 
 bool Worker::acceptsTasks(core::TimePoint Now) const {
   return Lease == LeaseState::Held && IsListed && Entry.State == WorkerState::Ready &&
@@ -27,17 +21,6 @@
   return Used < Entry.Slots ? Entry.Slots - Used : 0;
 }
 
-bool Worker::fits(const Resources &Need) const {
-  auto Free = free();
-  return freeSlots() > 0 && Need.Processors <= Free.Processors + RoundingSlack &&
-         Need.MemoryMegabytes <= Free.MemoryMegabytes + RoundingSlack &&
-         Need.Accelerators <= Free.Accelerators + RoundingSlack;
-}
-
-bool Worker::hasLabel(const std::string &Label) const {
-  return std::find(Entry.Labels.begin(), Entry.Labels.end(), Label) != Entry.Labels.end();
-}
-
 Run *Worker::find(const TaskRef &Task, std::uint32_t Number) {
   return const_cast<Run *>(std::as_const(*this).find(Task, Number));
 }
--- a/Kernel/Pool/Worker.h
+++ b/Kernel/Pool/Worker.h
@@ -72,10 +72,8 @@
 
   /// Returns whether the worker accepts tasks, regardless of its free capacity.
   bool acceptsTasks(core::TimePoint Now) const;
-  bool fits(const Resources &Need) const;
   Resources free() const;
   std::uint32_t freeSlots() const;
-  bool hasLabel(const std::string &Label) const;
 
   Run *find(const TaskRef &Task, std::uint32_t Number);
   const Run *find(const TaskRef &Task, std::uint32_t Number) const;
--- a/Kernel/Pool/WorkerClock.h
+++ b/Kernel/Pool/WorkerClock.h
@@ -18,8 +18,6 @@
     At_ = ReceivedAt;
   }
 
-  void forget() { Clock_.reset(); }
-
   bool isKnown() const { return Clock_.has_value(); }
 
   /// Converts to the worker's clock, in milliseconds. Requires isKnown().
--- a/Kernel/Pool/WorkerFleet.h
+++ b/Kernel/Pool/WorkerFleet.h
@@ -79,8 +79,6 @@
 
   std::size_t size() const { return Workers_.size(); }
   const Worker &at(EndpointIndex Index) const { return Workers_[static_cast<std::size_t>(Index)]; }
-  /// Starts no tasks on the worker until then; for callers that doubt its health.
-  void avoid(EndpointIndex Index, core::TimePoint Until) { mutableAt(Index).BackoffUntil = Until; }
 
   /// Number of runs on all workers.
   std::size_t runCount() const;
