PoolDaemon: Do not register a VM that has stopped

Cause: a lease that was being opened when the process stopped was used to write the VM's key, so that the VM was listed for ten seconds after it had left. Change: the lease is ended instead. Seen: AStoppedVmDoesNotRegister failed before.

--- a/Services/PoolDaemon/VmRegistration.cpp
+++ b/Services/PoolDaemon/VmRegistration.cpp
@@ -82,6 +82,8 @@
                       if (!Reply.Content)
                         return Self->scheduleAfter(RetryDelay, &VmRegistration::openLease);
                       Self->Lease_ = *Reply.Content;
+                      if (Self->IsStopped_)
+                        return Self->Store_->endLease(Self->Lease_);
                       Self->writeKey();
                     });
 }
