PoolDaemon: Tell other VMs that no job waits any more

Cause: the note that the last report had waiting jobs was never set, so that the empty report which follows it was not sent; other VMs counted these jobs for ever.

--- a/Services/PoolDaemon/PoolDaemon.cpp
+++ b/Services/PoolDaemon/PoolDaemon.cpp
@@ -287,7 +287,8 @@
   reportReleased(Now);
   auto Backlog = Manager_.backlog();
   Ingress_.setBacklog(kernel::SelfPeer, Backlog);
-  if (Backlog.empty() && !std::exchange(HadBacklog_, !Backlog.empty()))
+  bool HadBacklog = std::exchange(HadBacklog_, !Backlog.empty());
+  if (Backlog.empty() && !HadBacklog)
     return;
   mesh::Frame Message;
   for (const auto &Entry : Backlog) {
--- a/Tests/Integration/TestPoolDaemon.cpp
+++ b/Tests/Integration/TestPoolDaemon.cpp
@@ -298,3 +298,20 @@
   BOOST_TEST(eventually(HasRead, 2s));
   BOOST_TEST(postJob(Vm.CallerPort, newJobKey(), 1, 20).State == "completed");
 }
+
+// Guards against a number of waiting jobs that other VMs report after the jobs have ended.
+BOOST_AUTO_TEST_CASE(OtherVmsLearnThatNoJobWaits) {
+  PoolDeployment Deployment("PoolBacklog", {});
+  BOOST_REQUIRE(Deployment.waitUntilReady());
+  auto WaitingJobs = [&](const PoolVm &Vm) {
+    httplib::Client Caller("127.0.0.1", Vm.CallerPort);
+    auto Reply = Caller.Get(PoolPrefix, {{"Host", PoolHost}});
+    return Reply ? nlohmann::json::parse(Reply->body).value("queuedCount", -1) : -1;
+  };
+  const auto &Other = Deployment.vms().back();
+  constexpr int Callers = 80; // More tasks than the workers run at a time.
+  Load Waiting({Deployment.vms()[0].CallerPort}, Callers, 600);
+  BOOST_TEST(eventually([&] { return WaitingJobs(Other) > 0; }, 10s));
+  Waiting.finish();
+  BOOST_TEST(eventually([&] { return WaitingJobs(Other) == 0; }, 5s));
+}
