--- a/Tests/Integration/TestOddEntries.cpp
+++ b/Tests/Integration/TestOddEntries.cpp
@@ -2,13 +2,19 @@
 #include "Tests/Integration/PoolDeployment.h"
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <fstream>
+#include <memory>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <vector>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace cornellift::integration;
@@ -33,6 +39,47 @@
   return 0;
 }
 
+/// Answers whatever connects with a reply that states a length beyond any memory.
+class AbsurdWorker {
+public:
+  AbsurdWorker() : Acceptor_(Reactor_, {boost::asio::ip::address_v4::loopback(), 0}) {
+    accept();
+    Thread_ = std::thread([this] { Reactor_.run(); });
+  }
+  ~AbsurdWorker() {
+    Reactor_.stop();
+    Thread_.join();
+  }
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(Acceptor_.local_endpoint().port());
+  }
+  bool wasCalled() const { return WasCalled_; }
+
+private:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  void accept() {
+    Acceptor_.async_accept([this](boost::system::error_code Error, Socket Accepted) {
+      if (Error)
+        return;
+      auto Client = std::make_shared<Socket>(std::move(Accepted));
+      Client->async_wait(Socket::wait_read, [this, Client](boost::system::error_code) {
+        WasCalled_ = true;
+        boost::system::error_code Ignored; // The caller may have closed the connection.
+        boost::asio::write(*Client, boost::asio::buffer(Reply), Ignored);
+      });
+      accept();
+    });
+  }
+
+  static constexpr std::string_view Reply =
+      "HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n{";
+  boost::asio::io_context Reactor_;
+  boost::asio::ip::tcp::acceptor Acceptor_;
+  std::atomic<bool> WasCalled_ = false;
+  std::thread Thread_;
+};
+
 void put(const PoolDeployment &Deployment, const std::string &Id, const std::string &Value) {
   Deployment.control("POST", "/store/put?key=servers/" + Id, Value);
 }
@@ -115,3 +162,18 @@
     return Run.Worker != Drained && Run.FromMicroseconds > DrainedAt;
   }));
 }
+
+// Guards against a process that ends because something at a worker's address answers with a reply
+// that states an absurd length.
+BOOST_AUTO_TEST_CASE(AnAbsurdReplyEndsNoProcess) {
+  AbsurdWorker Worker;
+  PoolDeployment Deployment("OddReplies", {});
+  BOOST_REQUIRE(Deployment.waitUntilReady());
+  put(Deployment, "absurd", entryWith("address", "\"" + Worker.address() + "\""));
+  std::this_thread::sleep_for(2s);
+  BOOST_TEST(Worker.wasCalled());
+  for (auto &Vm : Deployment.vms()) {
+    BOOST_TEST(Vm.Process->isRunning());
+    BOOST_TEST(postJob(Vm.CallerPort, newJobKey(), 2, 50).State == "completed");
+  }
+}
