Kernel: Date what workers report by their own clocks

No task ran twice at the same time and no caller was told wrongly, but work was repeated without need: a manager that had been paused for 0.3 s (0.6 s) started 4 (28) of 160 tasks again. Causes: replies that waited for the process were dated by when it read them. A run's progress then looked slow, so that the run was moved to another worker; and the estimate of the worker's clock was set back by the pause, so that leases ended that much sooner. Run times were learned with the pause in them, too. Change: progress and ends are dated by the worker's clock since the start of the run; a reply that is read late doesn't change a recent estimate of the worker's clock (two seconds, in which a clock that is 2% slow stays within the slack of a lease). Conclusion: a paused process no longer takes its own delay for that of its workers.

--- a/Kernel/Pool/PoolManager.cpp
+++ b/Kernel/Pool/PoolManager.cpp
@@ -196,7 +196,7 @@
   const auto &Entry = Fleet_.at(Worker).Entry;
   bool IsNear = Step.DataRack.empty() || std::find(Entry.Labels.begin(), Entry.Labels.end(),
                                                    Step.DataRack) != Entry.Labels.end();
-  double Taken = std::max(1.0, core::toMilliseconds(Now - Ended.StartSentAt));
+  double Taken = std::max(1.0, core::toMilliseconds(Ended.EndedAt - Ended.StartSentAt));
   if (!IsNear)
     Taken /= Settings_.RemoteFactor;
   auto Estimate = Kinds_.estimate(Job.Kind, Step);
--- a/Kernel/Pool/Worker.h
+++ b/Kernel/Pool/Worker.h
@@ -37,7 +37,8 @@
   core::TimePoint ConfirmedAt; ///< When the start was first confirmed.
   core::TimePoint ExpectedEnd;
   double PercentDone = 0;
-  core::TimePoint PercentAt; ///< When PercentDone was reported.
+  core::TimePoint PercentAt; ///< When the worker reported PercentDone.
+  core::TimePoint EndedAt;   ///< When the worker reported the end; empty without such a report.
   core::TimePoint RepeatStopAt;
 };
 
--- a/Kernel/Pool/WorkerClock.h
+++ b/Kernel/Pool/WorkerClock.h
@@ -12,10 +12,14 @@
 /// more.
 class WorkerClock {
 public:
-  /// Records the worker's clock from a reply that arrived at ReceivedAt.
-  void observe(std::int64_t ClockMilliseconds, core::TimePoint ReceivedAt) {
+  /// Records the worker's clock from a reply that was read at ReadAt and expected until ExpectedBy.
+  /// A reply that is read later, because this process was paused, would set the estimate back and
+  /// shorten leases; it is ignored while the estimate is recent.
+  void observe(std::int64_t ClockMilliseconds, core::TimePoint ReadAt, core::TimePoint ExpectedBy) {
+    if (ReadAt > ExpectedBy && isKnown() && ReadAt <= At_ + RecentTime)
+      return;
     Clock_ = ClockMilliseconds;
-    At_ = ReceivedAt;
+    At_ = ReadAt;
   }
 
   bool isKnown() const { return Clock_.has_value(); }
@@ -24,6 +28,9 @@
   std::int64_t at(core::TimePoint Time) const { return *Clock_ + (Time - At_).count() / 1000; }
 
 private:
+  /// In this time a clock that is 2% slow falls behind by less than the slack of a lease.
+  static constexpr core::Duration RecentTime = std::chrono::seconds(2);
+
   std::optional<std::int64_t> Clock_;
   core::TimePoint At_;
 };
--- a/Kernel/Pool/WorkerFleet.cpp
+++ b/Kernel/Pool/WorkerFleet.cpp
@@ -18,9 +18,6 @@
 constexpr std::uint32_t ProgressWaitMilliseconds = 150;
 /// The same while a start is unconfirmed or a run is expected to end soon.
 constexpr std::uint32_t ShortPollWaitMilliseconds = 30;
-/// How long a start command is valid. The worker refuses it later, so that a task without a reply
-/// can be started elsewhere after this time.
-constexpr core::Duration StartValidity = std::chrono::milliseconds(100);
 /// A start command without a reply for this time is sent again, as workers reply within a few
 /// milliseconds. A worker executes a command at most once, because of its run number.
 constexpr core::Duration StartRepeatDelay = std::chrono::milliseconds(25);
@@ -185,11 +182,11 @@
 void WorkerFleet::startReplied(EndpointIndex Index, const StartCommand &Command,
                                const CommandReply &Reply, core::TimePoint Now) {
   auto &Known = mutableAt(Index);
-  if (Reply.ClockMilliseconds && Known.Lease == LeaseState::Held)
-    Known.Clock.observe(*Reply.ClockMilliseconds, Now);
   auto *Found = Known.find(Command.Task, Command.Run);
   if (!Found)
     return;
+  if (Reply.ClockMilliseconds && Known.Lease == LeaseState::Held)
+    Known.Clock.observe(*Reply.ClockMilliseconds, Now, Found->StartSentAt + MaximumReplyTime);
   if (Reply.Verdict == CommandVerdict::Accepted) {
     if (Found->State == RunState::Starting)
       Found->State = RunState::Running;
--- a/Kernel/Pool/WorkerFleet.h
+++ b/Kernel/Pool/WorkerFleet.h
@@ -16,6 +16,13 @@
 
 namespace cornellift::kernel {
 
+/// How long a start command is valid. The worker refuses it later, so that a task without a reply
+/// can be started elsewhere after this time.
+constexpr std::chrono::milliseconds StartValidity{100};
+
+/// A reply that is read this long after the worker should have sent it was held up in this process.
+constexpr core::Duration MaximumReplyTime = std::chrono::milliseconds(100);
+
 /// Why a run that was started does not run, or no longer runs.
 enum class RunOutcome {
   Done,
--- a/Kernel/Pool/WorkerFleetPolls.cpp
+++ b/Kernel/Pool/WorkerFleetPolls.cpp
@@ -14,6 +14,17 @@
 constexpr std::uint32_t PollsBeforeUnreached = 4;
 /// How long a worker that another manager has claimed is not claimed again.
 constexpr core::Duration FencedBackoff = std::chrono::seconds(2);
+/// Upper bound on the age of a run, for clocks of workers that make no sense.
+constexpr std::int64_t MaximumRunMilliseconds = 3'600'000;
+
+/// When the worker sent the report, by its clock since the start of the run. A process that was
+/// paused reads a report long after that.
+core::TimePoint sentAt(const Run &Reported, const WorkerReport &Report, core::TimePoint Now) {
+  auto StartClock = Reported.StartBy - StartValidity.count();
+  auto Since = std::chrono::milliseconds(
+      std::clamp<std::int64_t>(Report.ClockMilliseconds - StartClock, 0, MaximumRunMilliseconds));
+  return std::min(Now, Reported.StartSentAt + Since);
+}
 
 RunOutcome outcomeOf(RunEnd How) {
   switch (How) {
@@ -51,7 +62,9 @@
   Known.FailedPolls = 0;
   if (Report.StartedMilliseconds != Known.StartedMilliseconds)
     return workerRestarted(Index, Report, Now);
-  Known.Clock.observe(Report.ClockMilliseconds, Now);
+  Known.Clock.observe(Report.ClockMilliseconds, Now,
+                      Known.PollSentAt + std::chrono::milliseconds(Command.WaitMilliseconds) +
+                          MaximumReplyTime);
   bool IsClaim = Known.Lease == LeaseState::Claiming;
   if (IsClaim) {
     Known.Lease = LeaseState::Held;
@@ -107,7 +120,8 @@
   bool IsFirst = Known.StartedMilliseconds == 0;
   Known.StartedMilliseconds = Report.StartedMilliseconds;
   Known.LastSeen = 0;
-  Known.Clock.observe(Report.ClockMilliseconds, Now);
+  Known.Clock = {};
+  Known.Clock.observe(Report.ClockMilliseconds, Now, Now);
   if (!IsFirst) {
     Log_.line(DecisionPriority::StateChange, "worker restarted", std::nullopt,
               {{"worker", std::string_view(Known.Entry.Id)},
@@ -136,7 +150,7 @@
       Found->ConfirmedAt = Now;
     }
     Found->PercentDone = Listed.PercentDone;
-    Found->PercentAt = Now;
+    Found->PercentAt = sentAt(*Found, Report, Now);
   }
 }
 
@@ -146,8 +160,11 @@
     if (End.Number <= Known.LastSeen)
       continue;
     Known.LastSeen = End.Number;
-    if (Known.find(End.Task, End.Run))
-      endRun(Index, End.Task, End.Run, outcomeOf(End.How), Now);
+    auto *Ended = Known.find(End.Task, End.Run);
+    if (!Ended)
+      continue;
+    Ended->EndedAt = sentAt(*Ended, Report, Now);
+    endRun(Index, End.Task, End.Run, outcomeOf(End.How), Now);
   }
 }
 
--- a/Libraries/LibReactor/HttpConnection.cpp
+++ b/Libraries/LibReactor/HttpConnection.cpp
@@ -92,7 +92,7 @@
 void HttpConnection::readNext() {
   Parser_.emplace();
   Parser_->body_limit(MaximumReplyBytes); // For replies that do not state their length.
-  Parser_->eager(true); // Parses a reply of one part, head and body, in one step.
+  Parser_->eager(true);                   // Parses a reply of one part, head and body, in one step.
   readPart();
 }
 
--- a/Tests/Integration/TestOddEntries.cpp
+++ b/Tests/Integration/TestOddEntries.cpp
@@ -26,7 +26,7 @@
 constexpr std::size_t LongEntryBytes = 900000; ///< The store takes values of 1 MiB.
 constexpr std::size_t NestedLevels = 300000;
 /// What the control of an entry VM may take; its smallest VMs have 120 MB in all.
-constexpr long MemoryTargetKilobytes = 64 * 1024;
+constexpr long MemoryTargetKilobytes = 65536;
 /// A draining worker must get no new task after two seconds.
 constexpr auto DrainTarget = 2s;
 
