Kernel: Review the queue by steps, and remove what the new queue made needless

Read through as a newcomer would: the sum of all waiting work was kept but no longer read; the share of the run time below which a job is given up stood twice; mayHaveRun() looked at each task, 200 times a second for each waiting job; a report's age was computed in integers that the clock of a faulty worker could overflow; and with an estimate of a worker's clock of up to two seconds, a clock that is 2% slow could exceed the slack of a lease by 18 ms, so that it is one second now.

--- a/Kernel/Pool/PoolJob.cpp
+++ b/Kernel/Pool/PoolJob.cpp
@@ -30,6 +30,18 @@
   return Sum;
 }
 
+bool PoolJob::mayHaveRun() const {
+  if (HasRun)
+    return true;
+  // By step rather than by task, as the queue is reviewed often; all tasks of a step become ready
+  // together.
+  return std::any_of(Steps.begin(), Steps.end(), [this](const StepProgress &Step) {
+    bool IsReady =
+        Step.FirstTask < Tasks.size() && Tasks[Step.FirstTask].State != TaskState::Blocked;
+    return IsReady && Step.Unfinished > Step.Waiting;
+  });
+}
+
 std::uint32_t PoolJob::active() const {
   return static_cast<std::uint32_t>(
       std::count_if(Tasks.begin(), Tasks.end(), [](const PoolTask &Task) {
--- a/Kernel/Pool/PoolJob.h
+++ b/Kernel/Pool/PoolJob.h
@@ -28,8 +28,8 @@
   std::uint32_t LastRun = 0; ///< Highest run number used so far.
   std::uint32_t Moves = 0;   ///< How often a straggling run was stopped to restart it elsewhere.
   EndpointIndex Worker{};    ///< If Placed.
-  PeerIndex Manager{};       ///< If Delegated or Settling.
-  core::TimePoint EndedBy;   ///< If Settling: the task no longer runs for certain.
+  PeerIndex Manager{};       ///< If Delegated or PossiblyRunning.
+  core::TimePoint EndedBy;   ///< If PossiblyRunning: the task no longer runs for certain.
 };
 
 struct StepProgress {
@@ -73,7 +73,7 @@
   std::uint32_t active() const;
   /// Returns whether any task has run or may run. Otherwise the job can be rejected truthfully,
   /// even if workers have refused starts of its tasks.
-  bool mayHaveRun() const { return HasRun || active() > 0; }
+  bool mayHaveRun() const;
   bool isFinished() const;
 };
 
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -213,7 +213,6 @@
   /// Mean run time over all workers, relative to that on a typical worker. The objective of a job
   /// is defined for the average worker, not for those that are used most.
   double MeanSlowness_ = 1;
-  double WaitingMilliseconds_ = 0; ///< Sum of the typical run times of all waiting tasks.
   PlacementRate PlacementRate_;
   core::TimePoint ReportAt_; ///< Earliest time of the next report.
   bool NeedsDispatch_ = false;
--- a/Kernel/Pool/PoolManagerJobs.cpp
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -139,7 +139,6 @@
         continue;
       Task.State = TaskState::Waiting;
       ++Progress.Waiting;
-      WaitingMilliseconds_ += Progress.TypicalMilliseconds;
     }
   }
 }
@@ -180,7 +179,6 @@
   Job.Tasks[Task].State = TaskState::Waiting;
   auto &Step = Job.Steps[Job.stepOf(Task)];
   ++Step.Waiting;
-  WaitingMilliseconds_ += Step.TypicalMilliseconds;
   enqueue(Job, Now);
   NeedsDispatch_ = true;
 }
@@ -188,12 +186,8 @@
 void PoolManager::endJob(PoolJob &Job, JobAnswer Answer, core::TimePoint Now) {
   Job.IsEnding = true;
   Queue_.remove(Job.Handle);
-  for (auto &Step : Job.Steps) {
-    WaitingMilliseconds_ -= Step.Waiting * Step.TypicalMilliseconds;
+  for (auto &Step : Job.Steps)
     Step.Waiting = 0;
-  }
-  if (Queue_.empty())
-    WaitingMilliseconds_ = 0; // Keeps rounding errors from accumulating.
   switch (Answer.Verdict) {
   case JobVerdict::Completed:
     ++Counters_.JobsCompleted;
--- a/Kernel/Pool/PoolManagerPlacement.cpp
+++ b/Kernel/Pool/PoolManagerPlacement.cpp
@@ -141,7 +141,6 @@
     return false;
   if (!Job.IsDelegation) {
     --Job.Steps[Step].Waiting;
-    WaitingMilliseconds_ -= Job.Steps[Step].TypicalMilliseconds;
     PlacementRate_.placed(Job.Steps[Step].TypicalMilliseconds);
   }
   if (!AtPeer) {
--- a/Kernel/Pool/PoolManagerQueue.cpp
+++ b/Kernel/Pool/PoolManagerQueue.cpp
@@ -7,9 +7,6 @@
 namespace cornellift::kernel {
 namespace {
 
-/// A job is given up or rejected only when the remaining time is less than this share of its
-/// expected run time, because estimates are rough.
-constexpr double MinimumRunTimeShare = 0.7;
 /// Lower bound on the assumed speed, for workers whose speed is unknown.
 constexpr double MinimumSpeed = 0.1;
 /// Bounds on the retry time given to rejected callers, in milliseconds.
--- a/Kernel/Pool/PoolQueue.cpp
+++ b/Kernel/Pool/PoolQueue.cpp
@@ -1,13 +1,6 @@
 #include "Kernel/Pool/PoolQueue.h"
 
 namespace cornellift::kernel {
-namespace {
-
-/// A job is rejected only when the remaining time is less than this share of its expected run time,
-/// because estimates are rough.
-constexpr double MinimumRunTimeShare = 0.7;
-
-} // namespace
 
 void PoolQueue::set(const Key &Entry) {
   remove(Entry.Handle);
--- a/Kernel/Pool/PoolQueue.h
+++ b/Kernel/Pool/PoolQueue.h
@@ -13,6 +13,10 @@
 
 namespace cornellift::kernel {
 
+/// A job is given up or rejected only when the remaining time is less than this share of its
+/// expected run time, because estimates are rough.
+constexpr double MinimumRunTimeShare = 0.7;
+
 /// Whether a waiting job can still meet its objective. Jobs are placed in the order of these
 /// values.
 enum class JobProspect : std::uint8_t {
--- a/Kernel/Pool/WorkerClock.h
+++ b/Kernel/Pool/WorkerClock.h
@@ -28,8 +28,9 @@
   std::int64_t at(core::TimePoint Time) const { return *Clock_ + (Time - At_).count() / 1000; }
 
 private:
-  /// In this time a clock that is 2% slow falls behind by less than the slack of a lease.
-  static constexpr core::Duration RecentTime = std::chrono::seconds(2);
+  /// In this time and that of a lease, a clock that is 2% slow falls behind by less than the slack
+  /// of a lease.
+  static constexpr core::Duration RecentTime = std::chrono::seconds(1);
 
   std::optional<std::int64_t> Clock_;
   core::TimePoint At_;
--- a/Kernel/Pool/WorkerFleetPolls.cpp
+++ b/Kernel/Pool/WorkerFleetPolls.cpp
@@ -14,15 +14,14 @@
 constexpr std::uint32_t PollsBeforeUnreached = 4;
 /// How long a worker that another manager has claimed is not claimed again.
 constexpr core::Duration FencedBackoff = std::chrono::seconds(2);
-/// Upper bound on the age of a run, for clocks of workers that make no sense.
-constexpr std::int64_t MaximumRunMilliseconds = 3'600'000;
 
 /// When the worker sent the report, by its clock since the start of the run. A process that was
 /// paused reads a report long after that.
 core::TimePoint sentAt(const Run &Reported, const WorkerReport &Report, core::TimePoint Now) {
-  auto StartClock = Reported.StartBy - StartValidity.count();
-  auto Since = std::chrono::milliseconds(
-      std::clamp<std::int64_t>(Report.ClockMilliseconds - StartClock, 0, MaximumRunMilliseconds));
+  // In floating point, because the clock of a faulty worker may show any time.
+  auto Milliseconds = static_cast<double>(Report.ClockMilliseconds) -
+                      static_cast<double>(Reported.StartBy - StartValidity.count());
+  auto Since = core::fromMilliseconds(std::max(0.0, Milliseconds));
   return std::min(Now, Reported.StartSentAt + Since);
 }
 
