--- a/Tests/Pool/TestPoolSilence.cpp
+++ b/Tests/Pool/TestPoolSilence.cpp
@@ -41,6 +41,7 @@
   test::PoolSimulation Simulation(Settings);
   Simulation.run(1500ms);
   std::vector<kernel::JobKey> Keys;
+  Keys.reserve(Jobs);
   for (int Job = 0; Job < Jobs; ++Job)
     Keys.push_back(Simulation.submit(1, RunTime));
   Simulation.run(Offset);
