--- a/review/tools/Harness.hh
+++ b/review/tools/Harness.hh
@@ -200,6 +200,17 @@
   pid_t Process = 0;
 };
 
+inline std::string configuration() {
+  return R"({"version": 1,
+ "routes": [{"name": "slips", "host": "slips.example", "prefix": "/slips/", "kind": "non_idempotent",
+   "timeoutMs": 15000, "targetLatencyMs": 60, "priority": 0, "service": "slip-service",
+   "maxAttempts": 3, "stretch": 1.6}],
+ "services": [{"name": "slip-service", "maxConns": 64, "enforcesCapacity": true}],
+ "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
+   "idleTimeoutMs": 15000}}
+)";
+}
+
 struct DeploymentSettings {
   std::vector<std::string> Zones = {"ikeja", "yaba", "apapa"};
   std::map<std::string, int> VmsByZone; ///< One in each zone that is not named.
@@ -207,6 +218,7 @@
   int Cores = 16;
   /// Relative to a typical worker; the slower kind of the site slipworks-hq.
   std::string Speed = "0.7";
+  int StorePort = 0; ///< Of a store that the case serves itself; zero starts the stand-in.
 };
 
 class Deployment {
@@ -214,9 +226,9 @@
   Deployment(const DeploymentSettings &Settings, Record &Out) : Settings_(Settings), Out_(Out) {
     char Pattern[] = "/tmp/cornellift-review-XXXXXX";
     Folder_ = ::mkdtemp(Pattern);
-    StorePort_ = freePort();
-    ControlPort_ = freePort();
-    startPlatform();
+    StorePort_ = Settings.StorePort;
+    if (StorePort_ == 0)
+      startPlatform();
     for (const auto &Zone : Settings.Zones) {
       auto Count = Settings.VmsByZone.contains(Zone) ? Settings.VmsByZone.at(Zone) : 1;
       for (int Number = 1; Number <= Count; ++Number)
@@ -361,14 +373,9 @@
   }
 
   void startPlatform() {
-    std::ofstream(Folder_ + "/configuration.json") << R"({"version": 1,
- "routes": [{"name": "slips", "host": "slips.example", "prefix": "/slips/", "kind": "non_idempotent",
-   "timeoutMs": 15000, "targetLatencyMs": 60, "priority": 0, "service": "slip-service",
-   "maxAttempts": 3, "stretch": 1.6}],
- "services": [{"name": "slip-service", "maxConns": 64, "enforcesCapacity": true}],
- "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
-   "idleTimeoutMs": 15000}}
-)";
+    StorePort_ = freePort();
+    ControlPort_ = freePort();
+    std::ofstream(Folder_ + "/configuration.json") << configuration();
     std::string Zones;
     for (const auto &Zone : Settings_.Zones)
       Zones += (Zones.empty() ? "" : ",") + Zone;
