--- a/review/tools/Harness.hh
+++ b/review/tools/Harness.hh
@@ -272,6 +272,10 @@
                           "CORNELLIFT_NODE_FILE=" + Each.Settings, Each.Log);
   }
   void signal(Vm &Each, int Signal) { ::kill(Each.Process, Signal); }
+  void kill(Vm &Each) {
+    end(Each.Process);
+    Each.Process = 0;
+  }
   /// Returns whether the process has ended by now.
   bool hasEnded(Vm &Each) {
     if (Each.Process > 0 && ::waitpid(Each.Process, nullptr, WNOHANG) == Each.Process)
