--- a/review/build.sh
+++ b/review/build.sh
@@ -7,5 +7,5 @@
 for source in review/*/case.cc; do
   [ -e "$source" ] || continue
   name=$(basename "$(dirname "$source")")
-  g++ -std=c++20 -O1 -Wall -Wextra -I review/tools "$source" -o "target/review/case-$name" -pthread
+  g++ -std=c++20 -O1 -Wall -Wextra -I review "$source" -o "target/review/case-$name" -pthread
 done
