--- a/review/Harness.hh
+++ b/review/Harness.hh
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -88,18 +89,21 @@
   return Address;
 }
 
-/// Ports that were free when asked for; no port is returned twice.
+/// Ports that were free when asked for; no port is returned twice. They lie below those that the
+/// system gives to outgoing connections, and cases that run at the same time begin at different
+/// ones.
 inline int freePort() {
-  static std::map<int, bool> Taken;
+  constexpr int First = 10000;
+  constexpr int Ports = 20000;
+  constexpr int PortsOfCase = 61;
+  static int Offset = static_cast<int>(::getpid()) * PortsOfCase % Ports;
   for (;;) {
+    int Port = First + Offset++ % Ports;
     int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    auto Address = loopback(0);
-    socklen_t Size = sizeof(Address);
-    bool IsBound = ::bind(Socket, reinterpret_cast<sockaddr *>(&Address), Size) == 0 &&
-                   ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Size) == 0;
+    auto Address = loopback(Port);
+    bool IsBound = ::bind(Socket, reinterpret_cast<sockaddr *>(&Address), sizeof(Address)) == 0;
     ::close(Socket);
-    int Port = ntohs(Address.sin_port);
-    if (IsBound && !std::exchange(Taken[Port], true))
+    if (IsBound)
       return Port;
   }
 }
@@ -352,6 +356,7 @@
     pid_t Child = ::fork();
     if (Child != 0)
       return Child;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL); // Nothing outlives a case that is ended from outside.
     int Out = ::open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(Out, 1);
     ::dup2(Out, 2);
--- a/review/Platform.hh
+++ b/review/Platform.hh
@@ -582,20 +582,20 @@
       if (Refused_.contains(Task) && Number <= Refused_[Task])
         return Refuse("old");
       auto Specification = Body["spec"].get<std::string>();
-      auto Number2 = [&](const std::string &Word, double Default) {
+      auto numberAfter = [&](const std::string &Word, double Default) {
         auto At = Specification.find(Word);
         return At == std::string::npos ? Default
                                        : std::strtod(&Specification[At + Word.size()], nullptr);
       };
-      double Cores = Number2("cores=", 1);
+      double Cores = numberAfter("cores=", 1);
       double Used = Cores;
       for (const auto &Each : Running_)
         Used += Each.Cores;
       if (Used > Kind_.Cores + 1e-6 || Running_.size() >= static_cast<std::size_t>(Kind_.Slots))
         return Refuse("room");
       History_.push_back({Task, Number, Id_, Kind_.Labels, now(), -1, "running"});
-      Running_.push_back(
-          {History_.size() - 1, Cores, now() + Number2("run_ms=", 50) / 1000 / Kind_.Speed, -1});
+      Running_.push_back({History_.size() - 1, Cores,
+                          now() + numberAfter("run_ms=", 50) / 1000 / Kind_.Speed, -1});
       return Accepted();
     }
     if (Call.Path != "/v1/hold")
