LibMesh: End a session whose message the receiver cannot read

Cause: a receiver that could not parse a frame closed the connection. The sender resumed the session on a new one and sent the same frame first, without end: each resumption counted as a sign of life on both sides, so that neither took the link for lost, and no later message (delegations, stops, heartbeats) ever arrived.

Change: the receiver ends the session when a frame cannot be read; a sender ends it when its oldest message was sent on three connections in succession without being acknowledged, which also serves a receiver of a former release and a message that never gets through. Both sides then know the link as lost and settle what was promised over it, and open a new session after a second. The frame's kind, length and sequence number are logged and counted (cornellift_unreadable_frames_total, cornellift_messages_not_accepted_total); before, no line told a rejected frame from a broken connection.

--- a/Libraries/LibMesh/MeshConnection.cpp
+++ b/Libraries/LibMesh/MeshConnection.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
+#include <google/protobuf/io/coded_stream.h>
+#include <google/protobuf/wire_format_lite.h>
 
 #include <cstring>
 #include <utility>
@@ -29,6 +31,25 @@
 
 } // namespace
 
+UnreadableFrame describeFrame(std::string_view Serialised) {
+  using google::protobuf::internal::WireFormatLite;
+  UnreadableFrame Described{Serialised.size(), 0, 0};
+  google::protobuf::io::CodedInputStream Input(
+      reinterpret_cast<const std::uint8_t *>(Serialised.data()),
+      static_cast<int>(Serialised.size()));
+  while (auto Tag = Input.ReadTag()) {
+    int Field = WireFormatLite::GetTagFieldNumber(Tag);
+    bool IsSequence = Field == Frame::kSequenceFieldNumber;
+    if (!IsSequence)
+      Described.ContentField = Field;
+    bool IsRead = IsSequence ? Input.ReadVarint64(&Described.Sequence)
+                             : WireFormatLite::SkipField(&Input, Tag);
+    if (!IsRead)
+      break;
+  }
+  return Described;
+}
+
 MeshConnection::MeshConnection(asio::io_context &Reactor, Tcp::socket Socket)
     : Reactor_(Reactor), Socket_(std::move(Socket)) {}
 
@@ -90,14 +111,14 @@
     const auto *Bytes = static_cast<const unsigned char *>(Incoming_.data().data());
     auto Length = readPrefix(Bytes);
     if (Length > MaximumFrameBytes)
-      return fail(asio::error::message_size);
+      return rejectFrame({Length, 0, 0}, asio::error::message_size);
     if (Incoming_.size() < PrefixBytes + Length)
       return;
     Frame Message;
-    bool IsValid = Message.ParseFromArray(Bytes + PrefixBytes, static_cast<int>(Length));
+    std::string_view Serialised(reinterpret_cast<const char *>(Bytes) + PrefixBytes, Length);
+    if (!Message.ParseFromArray(Serialised.data(), static_cast<int>(Length)))
+      return rejectFrame(describeFrame(Serialised), asio::error::invalid_argument);
     Incoming_.consume(PrefixBytes + Length);
-    if (!IsValid)
-      return fail(asio::error::invalid_argument);
     if (Handlers_.OnFrame) {
       auto OnFrame = Handlers_.OnFrame; // Copied, since the handler may replace the handlers.
       OnFrame(Message);
@@ -105,6 +126,12 @@
   }
 }
 
+void MeshConnection::rejectFrame(const UnreadableFrame &Rejected,
+                                 const boost::system::error_code &Error) {
+  UnreadableFrame_ = Rejected;
+  fail(Error);
+}
+
 void MeshConnection::scheduleFlush() {
   if (IsFlushScheduled_ || !Writing_.empty() || !IsOpen_)
     return;
--- a/Libraries/LibMesh/MeshNode.cpp
+++ b/Libraries/LibMesh/MeshNode.cpp
@@ -238,4 +238,23 @@
   Listener_.messageReceived(Peer, Message);
 }
 
+void MeshNode::unreadableFrameReceived(const MeshPeer &Peer, const UnreadableFrame &Rejected) {
+  ++UnreadableFrames_;
+  core::logLine(core::LogLevel::Warning, "mesh", "unreadable frame received; ending the session",
+                {{"vm", Peer.vm()},
+                 {"sequence", std::to_string(Rejected.Sequence)},
+                 {"content_field", std::to_string(Rejected.ContentField)},
+                 {"bytes", std::to_string(Rejected.Bytes)}});
+}
+
+void MeshNode::messageNotAccepted(const MeshPeer &Peer, const std::string &Serialised) {
+  ++MessagesNotAccepted_;
+  auto Message = describeFrame(Serialised);
+  core::logLine(core::LogLevel::Warning, "mesh", "message not accepted; ending the session",
+                {{"vm", Peer.vm()},
+                 {"sequence", std::to_string(Message.Sequence)},
+                 {"content_field", std::to_string(Message.ContentField)},
+                 {"bytes", std::to_string(Message.Bytes)}});
+}
+
 } // namespace cornellift::mesh
--- a/Libraries/LibMesh/MeshNode.h
+++ b/Libraries/LibMesh/MeshNode.h
@@ -71,6 +71,10 @@
   std::size_t size() const { return Peers_.size(); }
   const MeshPeer *find(kernel::PeerIndex Index) const;
   const MeshIdentity &identity() const override { return Identity_; }
+  /// Number of received frames that could not be read.
+  std::uint64_t unreadableFrames() const { return UnreadableFrames_; }
+  /// Number of messages that a peer has not accepted although they were sent repeatedly.
+  std::uint64_t messagesNotAccepted() const { return MessagesNotAccepted_; }
 
 private:
   using PeerList = std::vector<std::shared_ptr<MeshPeer>>;
@@ -88,6 +92,8 @@
   void peerDown(MeshPeer &Peer, PeerLossReason Reason) override;
   void peerHeartbeat(MeshPeer &Peer, const Heartbeat &Message) override;
   void peerMessage(MeshPeer &Peer, const Frame &Message) override;
+  void unreadableFrameReceived(const MeshPeer &Peer, const UnreadableFrame &Rejected) override;
+  void messageNotAccepted(const MeshPeer &Peer, const std::string &Serialised) override;
 
   asio::io_context &Reactor_;
   MeshIdentity Identity_;
@@ -97,6 +103,8 @@
   std::map<std::string, std::shared_ptr<MeshPeer>> Peers_;
   std::unordered_map<kernel::PeerIndex, MeshPeer *> ByIndex_;
   std::uint32_t NextIndex_ = 1;
+  std::uint64_t UnreadableFrames_ = 0;
+  std::uint64_t MessagesNotAccepted_ = 0;
   std::shared_ptr<const PeerList> List_; ///< Snapshot of Peers_; empty when outdated.
   std::size_t FirstDialPosition_ = 0;    ///< Position of the peer that may dial first.
   /// Heartbeat of the current tick, which is the same for all peers.
--- a/Libraries/LibMesh/MeshPeer.cpp
+++ b/Libraries/LibMesh/MeshPeer.cpp
@@ -25,6 +25,13 @@
 /// time. Its lease in the store expires after 10 s, and listed VMs are confirmed once a minute.
 constexpr core::Duration PeerExpiryTime = std::chrono::minutes(5);
 
+/// A message that the peer has not acknowledged on this many connections in succession cannot be
+/// delivered: the peer closes the connection because of it, or it never arrives.
+constexpr std::uint32_t MaximumRepetitions = 3;
+/// How long no session is opened after one that ended because of a message. The cause, such as a
+/// message that is sent whenever the link comes up, may persist.
+constexpr core::Duration RejectionBackoff = std::chrono::seconds(1);
+
 /// Divisor of the moving average of the round-trip time; it covers about one second of heartbeats.
 constexpr int RoundTripSamples = 8;
 
@@ -91,6 +98,8 @@
   NextSequence_ = 1;
   Unacknowledged_.clear();
   UnacknowledgedSince_.reset();
+  RepeatedSequence_ = 0;
+  Repetitions_ = 0;
 }
 
 void MeshPeer::send(Frame Message) {
@@ -192,6 +201,10 @@
   EstablishedAt_ = Now;
   DialBackoff_ = core::Duration(0);
   acknowledged(Message.received(), Now);
+  if (!mayRepeatOldest()) {
+    Owner_.messageNotAccepted(*this, Unacknowledged_.front().second);
+    return rejectSession(Now);
+  }
   for (const auto &[Sequence, Bytes] : Unacknowledged_)
     Outgoing_->sendBytes(Bytes);
   sendHeartbeat(Now);
@@ -206,6 +219,19 @@
     UnacknowledgedSince_ = Now;
 }
 
+bool MeshPeer::mayRepeatOldest() {
+  auto Oldest = Unacknowledged_.empty() ? 0 : Unacknowledged_.front().first;
+  bool IsSame = Oldest != 0 && Oldest == std::exchange(RepeatedSequence_, Oldest);
+  Repetitions_ = IsSame ? Repetitions_ + 1 : 0;
+  return Repetitions_ < MaximumRepetitions;
+}
+
+void MeshPeer::rejectSession(core::TimePoint Now) {
+  NextSessionAt_ = Now + RejectionBackoff;
+  markDown(PeerLossReason::Rejected, Now);
+  NextDialAt_ = NextSessionAt_;
+}
+
 void MeshPeer::outgoingClosed(const boost::system::error_code &Error) {
   auto Now = core::MonotonicClock::now();
   Outgoing_.reset();
@@ -234,7 +260,7 @@
   setAddress(Message.address());
   updateIncarnation(Message.incarnation(), Now);
   bool IsCurrent = IsPeerSessionOpen_ && Message.session() == PeerSession_;
-  bool IsAccepted = IsCurrent || !Message.resumes();
+  bool IsAccepted = IsCurrent || (!Message.resumes() && Now >= NextSessionAt_);
   if (IsAccepted && !IsCurrent && IsPeerSessionOpen_ && IsUp_)
     markDown(PeerLossReason::Silent, Now); // The peer has closed the previous session.
   if (IsAccepted && !IsCurrent) {
@@ -260,10 +286,13 @@
                              if (auto Self = Weak.lock())
                                Self->incomingFrame(Received);
                            },
-                           {}});
+                           [Weak, Raw = Connection.get()](const boost::system::error_code &) {
+                             if (auto Self = Weak.lock(); Self && Self->Incoming_.get() == Raw)
+                               Self->incomingClosed(Self->Incoming_);
+                           }});
   // The peer has just connected, so it is alive: retry without waiting for the backoff.
   if (!Outgoing_)
-    NextDialAt_ = Now;
+    NextDialAt_ = std::max(Now, NextSessionAt_);
   markUpIfEstablished(Now);
 }
 
@@ -294,6 +323,14 @@
     Owner_.peerMessage(*this, Message);
 }
 
+void MeshPeer::incomingClosed(const std::shared_ptr<MeshConnection> &Connection) {
+  const auto &Rejected = Connection->unreadableFrame();
+  if (!Rejected)
+    return; // The peer connects again and resumes the session.
+  Owner_.unreadableFrameReceived(*this, *Rejected);
+  rejectSession(core::MonotonicClock::now());
+}
+
 void MeshPeer::updateIncarnation(std::uint64_t Incarnation, core::TimePoint Now) {
   if (Incarnation == Incarnation_)
     return;
--- a/Libraries/LibMesh/MeshPeer.h
+++ b/Libraries/LibMesh/MeshPeer.h
@@ -23,9 +23,10 @@
 };
 
 enum class PeerLossReason {
-  Silent,  ///< Timeout: nothing was received for too long. The process may still be running.
-  Ended,   ///< The process has ended or was replaced by a new one.
-  Unneeded ///< Neither side needs the link, so that it was closed.
+  Silent,   ///< Timeout: nothing was received for too long. The process may still be running.
+  Ended,    ///< The process has ended or was replaced by a new one.
+  Unneeded, ///< Neither side needs the link, so that it was closed.
+  Rejected  ///< One side could not read a message, so that the session was ended.
 };
 
 /// Where the knowledge that a VM exists comes from.
@@ -61,13 +62,18 @@
   virtual void peerDown(MeshPeer &Peer, PeerLossReason Reason) = 0;
   virtual void peerHeartbeat(MeshPeer &Peer, const Heartbeat &Message) = 0;
   virtual void peerMessage(MeshPeer &Peer, const Frame &Message) = 0;
+  /// The peer has sent a frame that cannot be read.
+  virtual void unreadableFrameReceived(const MeshPeer &Peer, const UnreadableFrame &Rejected) = 0;
+  /// The peer has not accepted a message, although it was sent repeatedly.
+  virtual void messageNotAccepted(const MeshPeer &Peer, const std::string &Serialised) = 0;
 };
 
 /// The link to one other VM. It delivers messages exactly once and in order within a session, which
 /// may span several TCP connections. Each side connects to the other and sends on the connection
 /// that it opened. A connection that is reset or stops responding is replaced, and unacknowledged
 /// messages are retransmitted. The peer is considered lost only if nothing is received from it on
-/// any connection, or if its process has ended.
+/// any connection, or if its process has ended. A message that the receiver cannot read ends the
+/// session on both sides, so that what was promised in it counts as lost.
 class MeshPeer : public std::enable_shared_from_this<MeshPeer> {
 public:
   MeshPeer(asio::io_context &Reactor, MeshPeerOwner &Owner, std::string Vm);
@@ -128,8 +134,13 @@
   void outgoingFrame(const Frame &Message);
   void outgoingClosed(const boost::system::error_code &Error);
   void incomingFrame(const Frame &Message);
+  void incomingClosed(const std::shared_ptr<MeshConnection> &Connection);
   void helloReplyReceived(const HelloReply &Message, core::TimePoint Now);
   void acknowledged(std::uint64_t Received, core::TimePoint Now);
+  /// Counts the connections on which the oldest message is sent. Returns whether it may be sent on
+  /// another one.
+  bool mayRepeatOldest();
+  void rejectSession(core::TimePoint Now);
   void observeRoundTrip(core::Duration Taken);
   void dropOutgoing(core::TimePoint NextDialAt);
   void updateIncarnation(std::uint64_t Incarnation, core::TimePoint Now);
@@ -163,6 +174,8 @@
   bool IsSessionAccepted_ = false;
   std::uint64_t NextSequence_ = 1;
   std::deque<std::pair<std::uint64_t, std::string>> Unacknowledged_;
+  std::uint64_t RepeatedSequence_ = 0; ///< Oldest message at the last change of connection.
+  std::uint32_t Repetitions_ = 0;      ///< Connections in succession on which it was sent again.
   core::TimePoint NextDialAt_;
   core::TimePoint DialDeadline_;
   core::Duration DialBackoff_{0};
@@ -174,6 +187,7 @@
 
   // State of the direction from the peer to this process.
   std::shared_ptr<MeshConnection> Incoming_;
+  core::TimePoint NextSessionAt_; ///< New sessions are refused until then.
   std::uint64_t PeerSession_ = 0;
   bool IsPeerSessionOpen_ = false;
   std::uint64_t LastReceivedSequence_ = 0;
--- a/Services/PoolDaemon/PoolDaemonMetrics.cpp
+++ b/Services/PoolDaemon/PoolDaemonMetrics.cpp
@@ -29,6 +29,10 @@
   Counter("cornellift_configuration_version",
           [](auto &Self) { return Self.Configuration_.version(); });
   Counter("cornellift_peers", [](auto &Self) { return Self.Mesh_.connectedPeers().size(); });
+  Counter("cornellift_unreadable_frames_total",
+          [](auto &Self) { return Self.Mesh_.unreadableFrames(); });
+  Counter("cornellift_messages_not_accepted_total",
+          [](auto &Self) { return Self.Mesh_.messagesNotAccepted(); });
   Counter("cornellift_log_lines_dropped_total",
           [](auto &Self) { return Self.Log_.linesDropped(); });
   Counter("cornellift_log_lines_total", [](auto &Self) { return Self.Log_.linesWritten(); });
--- a/Tests/LibMesh/TestMeshNode.cpp
+++ b/Tests/LibMesh/TestMeshNode.cpp
@@ -127,6 +127,71 @@
   MeshNode Mesh;
 };
 
+/// Peer of a former release, which closes the connection at each message that it cannot read and
+/// then accepts the session again. Here it reads no message.
+class PeerThatReadsNoMessage {
+public:
+  PeerThatReadsNoMessage(asio::io_context &Reactor, std::uint16_t Target)
+      : Reactor_(Reactor), Acceptor_(Reactor, {asio::ip::address_v4::loopback(), 0}),
+        Outgoing_(std::make_shared<MeshConnection>(Reactor, Tcp::socket(Reactor))) {
+    accept();
+    Outgoing_->connect({asio::ip::address_v4::loopback(), Target}, [this] {
+      Frame Message;
+      Message.mutable_hello()->set_vm("ikeja-2");
+      Message.mutable_hello()->set_address(address());
+      Message.mutable_hello()->set_incarnation(Incarnation);
+      Message.mutable_hello()->set_session(1);
+      Outgoing_->send(Message);
+    });
+  }
+  ~PeerThatReadsNoMessage() { Outgoing_->close(); }
+
+  std::string address() const { return reactor::formatAddress(Acceptor_.local_endpoint()); }
+  int rejections() const { return Rejections_; }
+  void sendHeartbeat() {
+    if (!Outgoing_->isOpen())
+      return; // The first frame has to be the Hello.
+    Frame Message;
+    Message.mutable_heartbeat()->set_interval_ms(100);
+    Outgoing_->send(Message);
+  }
+
+private:
+  void accept() {
+    Acceptor_.async_accept([this](boost::system::error_code Error, Tcp::socket Socket) {
+      if (Error)
+        return;
+      auto Connection = std::make_shared<MeshConnection>(Reactor_, std::move(Socket));
+      Connection->setHandlers(
+          {[this, Connection](const Frame &Message) { received(Connection, Message); }, {}});
+      Connection->start();
+      accept();
+    });
+  }
+
+  void received(const std::shared_ptr<MeshConnection> &Connection, const Frame &Message) {
+    if (Message.sequence() != 0) {
+      ++Rejections_;
+      return Connection->close();
+    }
+    Frame Reply;
+    if (Message.has_hello()) {
+      Reply.mutable_hello_reply()->set_vm("ikeja-2");
+      Reply.mutable_hello_reply()->set_incarnation(Incarnation);
+      Reply.mutable_hello_reply()->set_accepted(true);
+    } else {
+      Reply.mutable_acknowledge()->set_received(0);
+    }
+    Connection->send(Reply);
+  }
+
+  static constexpr std::uint64_t Incarnation = 9;
+  asio::io_context &Reactor_;
+  Tcp::acceptor Acceptor_;
+  std::shared_ptr<MeshConnection> Outgoing_;
+  int Rejections_ = 0;
+};
+
 /// Two nodes. The connections that the first one opens to the second pass through a proxy.
 struct Pair {
   Pair()
@@ -185,6 +250,55 @@
   BOOST_TEST(World.First->Downs.empty());
 }
 
+// Guards against a message that the receiver cannot read and that is sent again without end: no
+// later message arrived, and neither side took the link for lost.
+BOOST_AUTO_TEST_CASE(AMessageThatCannotBeReadEndsTheSessionOnBothSides) {
+  std::string NotUtf8 = "\xff\xfe";
+  std::string TooLong(9U << 20, 'x');
+  for (const auto &Text : {NotUtf8, TooLong})
+    BOOST_TEST_CONTEXT("text of " << Text.size() << " bytes") {
+      Pair World;
+      BOOST_REQUIRE(World.until([&] { return World.areUp(); }));
+      World.First->send(1);
+      BOOST_REQUIRE(World.until([&] { return World.Second->Received.size() == 1; }));
+      Frame Unreadable;
+      Unreadable.mutable_release()->add_ids(Text);
+      World.First->Mesh.send(World.First->Index, Unreadable);
+      World.First->send(2);
+      BOOST_TEST(World.until(
+          [&] { return !World.First->Downs.empty() && !World.Second->Downs.empty(); }, 1000ms));
+      BOOST_REQUIRE(World.until([&] { return World.areUp(); }));
+      World.First->send(3);
+      BOOST_TEST(World.until([&] { return World.Second->Received.back() == 3; }));
+      BOOST_TEST(World.Second->Received == (std::vector<std::uint64_t>{1, 3}),
+                 boost::test_tools::per_element());
+      BOOST_TEST(World.Second->Mesh.unreadableFrames() == 1U);
+    }
+}
+
+// Guards against the same with a receiver of a former release, which only closes the connection.
+BOOST_AUTO_TEST_CASE(AMessageThatIsNeverAcceptedEndsTheSession) {
+  asio::io_context Reactor;
+  auto Port = freePort();
+  Node Sender(Reactor, "ikeja-1", Port, 1, "127.0.0.1:" + std::to_string(Port));
+  PeerThatReadsNoMessage Receiver(Reactor, Port);
+  auto Until = [&](const std::function<bool()> &Holds) {
+    auto End = std::chrono::steady_clock::now() + 2s;
+    while (!Holds() && std::chrono::steady_clock::now() < End) {
+      Receiver.sendHeartbeat();
+      Reactor.run_for(10ms);
+      Sender.Mesh.tick(core::MonotonicClock::now());
+    }
+    return Holds();
+  };
+  BOOST_REQUIRE(Until([&] { return Sender.Ups == 1; }));
+  Sender.send(1);
+  BOOST_REQUIRE(Until([&] { return !Sender.Downs.empty(); }));
+  BOOST_TEST((Sender.Downs.front() == PeerLossReason::Rejected));
+  BOOST_TEST(Receiver.rejections() > 1); // A single reset of the connection ends no session.
+  BOOST_TEST(Receiver.rejections() < 6);
+}
+
 // Guards against a connection that stays in use although it no longer delivers data.
 BOOST_AUTO_TEST_CASE(ASilentConnectionIsDetectedAndReplaced) {
   Pair World;
