platform: Accept only texts that other entry processes can read

Cause: texts were taken as any bytes from entries of workers, keys of VMs, callers' jobs and routes, and then put into string fields of messages between entry processes, which the receiver's parser checks. Escape sequences gave the same: RapidJSON decodes a lone low surrogate (\udc00) to bytes that are not UTF-8.

Change: what is read from outside and passed on is checked once, where it enters, against UTF-8: entries, ids and VM names that fail are left out and logged like other unreadable ones, a job gets 400 with the remedy, a route makes its configuration invalid. Replies of workers and of the store, of which no text is passed on, are read as before, so that an odd byte there hides no end of a task and no other key.

Related paths read, not run: the own route parses strictly (nlohmann) and sends one RPC a message, so that an unreadable text fails its own call only.

--- a/Services/PoolDaemon/VmRegistration.cpp
+++ b/Services/PoolDaemon/VmRegistration.cpp
@@ -1,6 +1,7 @@
 #include "Services/PoolDaemon/VmRegistration.h"
 
 #include "Libraries/LibCore/Log.h"
+#include "Libraries/LibCore/Utf8.h"
 #include "Libraries/LibMesh/Generated/Mesh.pb.h"
 
 #include <utility>
@@ -64,7 +65,7 @@
 void VmRegistration::reportAllPeers() {
   for (const auto &[Key, Item] : Mirror_->items()) {
     mesh::VmRecord Message;
-    if (!Item.IsTooLong && Message.ParseFromString(Item.Value) &&
+    if (!Item.IsTooLong && core::isUtf8(Key) && Message.ParseFromString(Item.Value) &&
         reactor::parseAddress(Message.address()))
       OnPeer_(
           {Key.substr(Prefix.size()), Message.address(), Message.data_centre(), Message.weight()});
--- a/Tests/Fuzz/FuzzPlatform.cpp
+++ b/Tests/Fuzz/FuzzPlatform.cpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <cstdlib>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -23,6 +24,12 @@
     std::abort();
 }
 
+/// Whatever is accepted from outside must be readable for other entry processes.
+void requireThatPeersRead(const kernel::PoolMessage &Message) {
+  mesh::Frame Received;
+  require(Received.ParseFromString(mesh::encode(Message, {}).SerializeAsString()));
+}
+
 void readCallersBody(std::string_view Text) {
   auto Job = platform::CallerMessages().parseJob(Text);
   if (!Job || !kernel::checkJob(*Job))
@@ -31,6 +38,10 @@
   for (const auto &Step : Job->Steps)
     Tasks += Step.Count;
   require(Tasks > 0 && Tasks <= kernel::MaximumJobTasks);
+  auto Submission = std::make_shared<kernel::JobSubmission>();
+  Submission->Steps = Job->Steps;
+  Submission->Specification = Job->Specification;
+  requireThatPeersRead(kernel::SubmitToPool{Submission});
 }
 
 void readWorkersAnswers(const reactor::HttpResult &Result, std::string_view Text) {
@@ -41,8 +52,11 @@
     for (std::size_t Next = 1; Next < Poll.Report->Ended.size(); ++Next)
       require(Poll.Report->Ended[Next - 1].Number <= Poll.Report->Ended[Next].Number);
   Messages.parseCommandReply(Result);
-  if (auto Entry = Messages.parseEntry("w", Text))
-    require(std::isfinite(Entry->Capacity.Processors) && Entry->Id == "w");
+  auto Entry = Messages.parseEntry("w", Text);
+  if (!Entry)
+    return;
+  require(std::isfinite(Entry->Capacity.Processors) && Entry->Id == "w");
+  requireThatPeersRead(kernel::PoolDirectory{1, {*Entry}});
 }
 
 void readStoresAnswers(const reactor::HttpResult &Result, std::string_view Text) {
--- a/Tests/Integration/TestOddEntries.cpp
+++ b/Tests/Integration/TestOddEntries.cpp
@@ -16,6 +16,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
+#include <httplib.h>
 
 using namespace cornellift::integration;
 using namespace std::chrono_literals;
@@ -109,6 +110,16 @@
   return Text + "}";
 }
 
+/// Posts a short job with one more field in its step; returns the status, or 0 without an answer.
+int statusOfJobWith(const PoolVm &Vm, const std::string &Field) {
+  auto Body = jobBody(1, 50, "");
+  Body.insert(Body.find("\"count\""), Field + ",");
+  httplib::Client Client("127.0.0.1", Vm.CallerPort);
+  auto Reply =
+      Client.Post(PoolPrefix + newJobKey(), {{"Host", PoolHost}}, Body, "application/json");
+  return Reply ? Reply->status : 0;
+}
+
 void putOddEntries(const PoolDeployment &Deployment) {
   auto Padded = nested(NestedLevels);
   Padded.insert(Padded.size() - 1, LongEntryBytes - Padded.size(), ' ');
@@ -163,6 +174,29 @@
   }));
 }
 
+// Guards against links between entry processes that one odd entry blocks for good: tasks delegated
+// over them didn't run, and couldn't be stopped.
+BOOST_AUTO_TEST_CASE(OddTextsBlockNoLink) {
+  PoolDeployment Deployment("OddTexts", {});
+  BOOST_REQUIRE(Deployment.waitUntilReady());
+  put(Deployment, "not-utf8", entryWith("service", "\"pr\xff\xfent\""));
+  put(Deployment, "surrogate", entryWith("labels", R"(["\udc00"])"));
+  std::this_thread::sleep_for(1s); // The directories are read and sent meanwhile.
+  constexpr int JobTasks = 60;     // More than fit on the workers of one data centre.
+  for (auto &Vm : Deployment.vms()) {
+    BOOST_TEST(statusOfJobWith(Vm, R"("affinity":"\udc00")") == 400);
+    BOOST_TEST(postJob(Vm.CallerPort, newJobKey(), JobTasks, 300).State == "completed");
+  }
+  for (auto &Vm : Deployment.vms()) {
+    BOOST_TEST(PoolDeployment::metric(Vm, "cornellift_unreadable_frames_total").value_or(-1) == 0);
+    BOOST_TEST(PoolDeployment::metric(Vm, "cornellift_peers").value_or(-1) == 3);
+  }
+  double Delegated = 0;
+  for (auto &Vm : Deployment.vms())
+    Delegated += PoolDeployment::metric(Vm, "cornellift_tasks_delegated_total").value_or(0);
+  BOOST_TEST(Delegated > 0);
+}
+
 // Guards against a process that ends because something at a worker's address answers with a reply
 // that states an absurd length.
 BOOST_AUTO_TEST_CASE(AnAbsurdReplyEndsNoProcess) {
--- a/Tests/Platform/TestCallerMessages.cpp
+++ b/Tests/Platform/TestCallerMessages.cpp
@@ -70,3 +70,16 @@
   }
   BOOST_TEST(isAccepted(R"({"phases":[{"count":10000}]})"));
 }
+
+// Guards against a job whose text the manager cannot read: it blocked the link of its VM to the
+// manager, so that no later job of that VM was served.
+BOOST_AUTO_TEST_CASE(JobsWithTextThatIsNotUtf8AreRejected) {
+  for (const char *Field : {"spec", "constraints", "affinity"})
+    for (const char *Odd : {"\xff\xfe", "\xed\xa0\x80", "\\udc00"})
+      BOOST_TEST_CONTEXT(Field << " " << Odd) {
+        auto Member = std::string("\"") + Field + "\":\"" + Odd + "\"";
+        BOOST_TEST(
+            !parse("{" + Member + R"(,"bestEffort":true,"phases":[{"count":1,)" + Member + "}]}"));
+        BOOST_TEST(!core::lastReason().Message.empty());
+      }
+}
--- a/Tests/Platform/TestStoreMessages.cpp
+++ b/Tests/Platform/TestStoreMessages.cpp
@@ -109,3 +109,26 @@
   BOOST_REQUIRE(Read);
   BOOST_TEST((Read->Routes[0].Timeout > std::chrono::hours(24)));
 }
+
+// Guards against a page of the store that is lost as a whole because one key of another writer has
+// odd bytes.
+BOOST_AUTO_TEST_CASE(AnOddKeyHidesNoOtherItem) {
+  auto Page = Messages.parsePage(
+      reply(200, "{\"at\":12,\"items\":[{\"key\":\"a/\xff\",\"value\":\"aGk=\",\"revision\":9},"
+                 "{\"key\":\"a/2\",\"value\":\"aGk=\",\"revision\":10}]}"),
+      MaximumValueBytes);
+  BOOST_REQUIRE(Page.Content);
+  BOOST_TEST(Page.Content->Items.back().Key == "a/2");
+}
+
+// Guards against a configuration whose routes' names cannot be passed on to other entry processes,
+// and against one that is refused for a text that nobody uses.
+BOOST_AUTO_TEST_CASE(RoutesNeedUtf8Names) {
+  auto Configuration = [](const std::string &Name, const std::string &Note) {
+    return R"({"version":4,"note":")" + Note + R"(","routes":[{"name":")" + Name +
+           R"(","host":"h","prefix":"/p/","service":"s"}]})";
+  };
+  BOOST_TEST(Messages.parseConfiguration(Configuration("r", "\xff")).has_value());
+  BOOST_TEST(!Messages.parseConfiguration(Configuration("\xff", "")));
+  BOOST_TEST(!Messages.parseConfiguration(Configuration("\\udc00", "")));
+}
--- a/Tests/Platform/TestWorkerMessages.cpp
+++ b/Tests/Platform/TestWorkerMessages.cpp
@@ -119,3 +119,31 @@
             "capacity":{"cpu":1,"memMb":1}})"})
     BOOST_TEST_CONTEXT(Value) { BOOST_TEST(!Messages.parseEntry("w", Value)); }
 }
+
+// Guards against an entry of another writer whose text other entry processes cannot read: it
+// blocked the links from the manager of its data centre, so that delegated tasks ran twice.
+BOOST_AUTO_TEST_CASE(EntriesWithTextThatIsNotUtf8AreRejected) {
+  auto EntryWith = [](const std::string &Service, const std::string &Label) {
+    return R"({"address":"10.0.0.1:80","zone":"ikeja","service":")" + Service +
+           R"(","state":"ready","slots":4,"capacity":{"cpu":2500,"memMb":64},"labels":[")" + Label +
+           R"("],"born":5})";
+  };
+  BOOST_TEST(
+      Messages.parseEntry("w", EntryWith("slip", "\xc3\xa9\\u00e9\\ud83d\\ude00")).has_value());
+  // Any bytes, a surrogate, an overlong encoding, a cut sequence, and an escaped lone surrogate.
+  for (const char *Odd : {"\xff\xfe", "\xed\xa0\x80", "\xc0\xaf", "a\xc3", "\\udc00"})
+    BOOST_TEST_CONTEXT(Odd) {
+      BOOST_TEST(!Messages.parseEntry("w", EntryWith(Odd, "type-a")));
+      BOOST_TEST(!Messages.parseEntry("w", EntryWith("slip", Odd)));
+    }
+  BOOST_TEST(!Messages.parseEntry("w\xff", EntryWith("slip", "type-a")));
+}
+
+// Guards against a worker whose ends of tasks are lost because of bytes that nobody uses.
+BOOST_AUTO_TEST_CASE(RepliesWithOddBytesAreRead) {
+  auto Poll = Messages.parsePollReply(
+      reply(200, "{\"clockMs\":1,\"note\":\"\xff\",\"running\":[],"
+                 "\"finished\":[[1,\"00000000000000ab.0.0.0\",1,\"done\",\"\xfe\"]]}"));
+  BOOST_REQUIRE(Poll.Report);
+  BOOST_TEST(Poll.Report->Ended.size() == 1U);
+}
