Kernel: Use a returned worker only by the entry of its new incarnation

Cause: a worker that had restarted was noticed by the start time in its reports, claimed at once and given tasks, while its labels, capacity, rack and service were those of the former incarnation until the next watch of the entries: 600 ms, or as long as the store is away.

Change: a worker gets tasks only if its entry states the same start as its reports, whichever arrives first; its free capacity is reported to other managers as none until then. A worker that returns with another size or other labels loses its learned speed. The stand-in worker states one start time in both places, as workers do, and the simulation publishes the entry of a restarted worker up to 650 ms later.

Evidence: TestPoolManager/AReturnedWorkerGetsTasksOnlyByItsNewEntry started three tasks instead of one without the check (both for a stale entry and for one that is read before the first report); passes with it. TestPoolSafety and TestPoolCancelling pass with late entries.

Remains: a start that is on its way while the worker restarts reaches the new incarnation, which has the same id; how long a returned worker stays unused was not measured.

--- a/Kernel/Pool/Worker.cpp
+++ b/Kernel/Pool/Worker.cpp
@@ -5,9 +5,16 @@
 
 namespace cornellift::kernel {
 
+bool Worker::isEntryCurrent() const {
+  // A worker of another release may state no start time in one of the two.
+  bool IsComparable = Entry.StartedMilliseconds != 0 && StartedMilliseconds != 0;
+  return !IsComparable || Entry.StartedMilliseconds == StartedMilliseconds;
+}
+
 bool Worker::acceptsTasks(core::TimePoint Now) const {
-  return Lease == LeaseState::Held && IsListed && Entry.State == WorkerState::Ready &&
-         FailedPolls == 0 && !HasForeignRuns && Clock.isKnown() && Now >= BackoffUntil;
+  return isEntryCurrent() && Lease == LeaseState::Held && IsListed &&
+         Entry.State == WorkerState::Ready && FailedPolls == 0 && !HasForeignRuns &&
+         Clock.isKnown() && Now >= BackoffUntil;
 }
 
 Resources Worker::free() const {
--- a/Kernel/Pool/Worker.h
+++ b/Kernel/Pool/Worker.h
@@ -71,6 +71,9 @@
   std::vector<Run> Runs;
   Resources Committed; ///< Sum of the needs of Runs.
 
+  /// Returns whether the entry is that of the incarnation that answered last. Until then the
+  /// worker's labels, capacity and service are unknown: it may have returned as another kind.
+  bool isEntryCurrent() const;
   /// Returns whether the worker accepts tasks, regardless of its free capacity.
   bool acceptsTasks(core::TimePoint Now) const;
   Resources free() const;
--- a/Kernel/Pool/WorkerRatings.cpp
+++ b/Kernel/Pool/WorkerRatings.cpp
@@ -13,18 +13,33 @@
 
 } // namespace
 
+std::string WorkerRatings::machineTypeOf(const WorkerEntry &Entry) {
+  auto Type = std::to_string(std::llround(Entry.Capacity.Processors));
+  for (const auto &Label : Entry.Labels)
+    Type += " " + Label;
+  return Type;
+}
+
 void WorkerRatings::addOrUpdateWorker(EndpointIndex Worker, const WorkerEntry &Entry) {
   auto Position = static_cast<std::size_t>(Worker);
-  if (Position >= Configuration_.Endpoints.size())
+  if (Position >= Configuration_.Endpoints.size()) {
     Configuration_.Endpoints.resize(Position + 1);
+    MachineTypes_.resize(Position + 1);
+  }
   auto &Known = Configuration_.Endpoints[Position];
-  if (Known.Name == Entry.Id && Known.DataCentre == Entry.DataCentre)
+  auto Type = machineTypeOf(Entry);
+  bool IsSame = Known.Name == Entry.Id && Known.DataCentre == Entry.DataCentre;
+  if (IsSame && MachineTypes_[Position] == Type)
     return;
+  bool HasReturnedAsAnother = IsSame;
+  MachineTypes_[Position] = std::move(Type);
   Known.Name = Entry.Id;
   Known.DataCentre = Entry.DataCentre;
   Health_.configure(Configuration_);
   Health_.setHeld(Worker, true);
   Speeds_.resize(Configuration_.Endpoints.size());
+  if (HasReturnedAsAnother)
+    Speeds_.forget(Worker);
   // Workers of the same size are usually of the same machine type.
   auto Size = std::to_string(std::llround(Entry.Capacity.Processors));
   auto Group =
--- a/Kernel/Pool/WorkerRatings.h
+++ b/Kernel/Pool/WorkerRatings.h
@@ -38,10 +38,14 @@
   void tick(core::TimePoint Now);
 
 private:
+  /// What a worker's speed depends on, from its entry.
+  static std::string machineTypeOf(const WorkerEntry &Entry);
+
   KernelConfiguration Configuration_;
   HealthTracker Health_;
   SpeedEstimator Speeds_;
   std::unordered_map<std::string, std::uint32_t> GroupBySize_;
+  std::vector<std::string> MachineTypes_; ///< By worker.
 };
 
 } // namespace cornellift::kernel
--- a/Kernel/Scheduling/SpeedEstimator.cpp
+++ b/Kernel/Scheduling/SpeedEstimator.cpp
@@ -44,6 +44,14 @@
   addToTotals(Known);
 }
 
+void SpeedEstimator::forget(EndpointIndex Endpoint) {
+  auto &Known = Endpoints_[static_cast<std::size_t>(Endpoint)];
+  removeFromTotals(Known);
+  auto Group = Known.Group;
+  Known = {};
+  Known.Group = Group;
+}
+
 double SpeedEstimator::groupMeanLogRatio(const GroupEvidence &Group) const {
   // With a single group, its mean adds nothing to the mean over all endpoints.
   if (Groups_.size() == 1)
--- a/Kernel/Scheduling/SpeedEstimator.h
+++ b/Kernel/Scheduling/SpeedEstimator.h
@@ -22,6 +22,9 @@
   /// gets the speed of its group. All endpoints start in group zero.
   void assignGroup(EndpointIndex Endpoint, std::uint32_t Group);
 
+  /// Drops the evidence for an endpoint that has been replaced by another machine.
+  void forget(EndpointIndex Endpoint);
+
   /// Returns the natural logarithm of the speed; zero without any evidence.
   double logSpeed(EndpointIndex Endpoint) const;
 
--- a/Services/FleetStandIn/FleetStandIn.cpp
+++ b/Services/FleetStandIn/FleetStandIn.cpp
@@ -106,7 +106,6 @@
   Entry.Capacity = {Settings_.Cores, Settings_.Cores * MemoryPerCore, 0};
   Entry.Slots = Slots;
   Entry.Labels = {"r-" + std::to_string(Number / 6)};
-  Entry.StartedMilliseconds = core::wallClockMilliseconds();
   double Speed = Settings_.Speeds.empty() ? 1 : Settings_.Speeds[Number % Settings_.Speeds.size()];
   auto Port = Settings_.FirstWorkerPort == 0
                   ? 0
@@ -300,6 +299,7 @@
     auto Now = core::MonotonicClock::now();
     if (Target.starts_with("/worker/restart")) {
       Instance.Model->restart(Now);
+      HeartbeatAt_ = Now;
       return;
     }
     auto &Faults = Instance.Model->faults();
--- a/Services/FleetStandIn/WorkerModel.cpp
+++ b/Services/FleetStandIn/WorkerModel.cpp
@@ -43,7 +43,13 @@
 }
 
 WorkerModel::WorkerModel(kernel::WorkerEntry Entry, double Speed, core::TimePoint Now)
-    : Entry_(std::move(Entry)), Speed_(Speed), StartedAt_(Now), AdvancedTo_(Now) {}
+    : Entry_(std::move(Entry)), Speed_(Speed), StartedAt_(Now), AdvancedTo_(Now) {
+  Entry_.StartedMilliseconds = startedMilliseconds();
+}
+
+std::int64_t WorkerModel::startedMilliseconds() const {
+  return 1 + StartedAt_.time_since_epoch().count() / 1000;
+}
 
 std::int64_t WorkerModel::clock(core::TimePoint Now) const {
   return InitialClockMilliseconds + (Now - StartedAt_).count() / 1000;
@@ -113,7 +119,7 @@
     Ended_.pop_front();
   kernel::WorkerReport Report;
   Report.ClockMilliseconds = clock(Now);
-  Report.StartedMilliseconds = 1 + StartedAt_.time_since_epoch().count() / 1000;
+  Report.StartedMilliseconds = startedMilliseconds();
   for (const auto &Run : Running_)
     Report.Running.push_back({record(Run).Task, record(Run).Number,
                               std::floor(100 * Run.Progress / Run.Profile.RunMilliseconds)});
@@ -166,6 +172,7 @@
   LastEnd_ = 0;
   StartedAt_ = Now;
   AdvancedTo_ = Now;
+  Entry_.StartedMilliseconds = startedMilliseconds();
 }
 
 } // namespace cornellift::standin
--- a/Services/FleetStandIn/WorkerModel.h
+++ b/Services/FleetStandIn/WorkerModel.h
@@ -64,6 +64,8 @@
   const kernel::WorkerEntry &entry() const { return Entry_; }
   /// Start of the current incarnation.
   core::TimePoint startedAt() const { return StartedAt_; }
+  /// The same as the worker states it, in its entry and in its reports.
+  std::int64_t startedMilliseconds() const;
   std::size_t running() const { return Running_.size(); }
   /// All runs of all incarnations.
   const std::vector<ModelRun> &history() const { return History_; }
--- a/Tests/Pool/PoolSimulation.cpp
+++ b/Tests/Pool/PoolSimulation.cpp
@@ -7,6 +7,9 @@
 namespace cornellift::test {
 namespace {
 
+/// The watch of the workers' entries calls the store every 600 ms.
+constexpr core::Duration MaximumListingLag = std::chrono::milliseconds(650);
+
 std::string formatTime(core::TimePoint At) {
   return std::to_string(core::toMilliseconds(At.time_since_epoch()));
 }
@@ -40,6 +43,7 @@
       Entry.Slots = 8;
       double Speed = Each % 3 == 0 ? 0.7 : 1.5;
       Workers_.push_back(std::make_unique<standin::WorkerModel>(Entry, Speed, Now_));
+      Published_.push_back(Workers_.back()->entry());
     }
   Vms_.resize(Settings.DataCentres * Settings.VmsPerDataCentre);
   for (std::size_t Index = 0; Index < Vms_.size(); ++Index)
@@ -281,6 +285,8 @@
   Log_.line(DecisionPriority::StateChange, "worker restarts", std::nullopt,
             {{"worker", static_cast<std::int64_t>(Worker)}});
   Workers_[Worker]->restart(Now_);
+  auto Lag = std::chrono::duration_cast<core::Duration>(MaximumListingLag * randomShare());
+  after(Lag, [this, Worker] { Published_[Worker] = Workers_[Worker]->entry(); });
 }
 
 std::size_t PoolSimulation::holderCount(std::size_t Worker) const {
--- a/Tests/Pool/PoolSimulation.h
+++ b/Tests/Pool/PoolSimulation.h
@@ -63,6 +63,7 @@
   void stopGracefully(std::size_t Vm, core::Duration DownTime);
   void cutVms(std::size_t One, std::size_t Other, core::Duration Span);
   void cutWorker(std::size_t Vm, std::size_t Worker, core::Duration Span);
+  /// Restarts a worker, whose new entry is published up to MaximumListingLag later.
   void restartWorker(std::size_t Worker);
   standin::WorkerModel &worker(std::size_t Index) { return *Workers_[Index]; }
   std::size_t vmCount() const { return Vms_.size(); }
@@ -125,6 +126,7 @@
   std::uint64_t NextEvent_ = 0;
   std::priority_queue<Event> Events_;
   std::vector<std::unique_ptr<standin::WorkerModel>> Workers_;
+  std::vector<WorkerEntry> Published_; ///< Entries of Workers_ as the VMs read them.
   std::vector<std::unique_ptr<Vm>> Vms_;
   std::map<std::pair<std::size_t, std::size_t>, core::TimePoint> CutVms_;
   std::map<std::pair<std::size_t, std::size_t>, core::TimePoint> CutWorkers_;
--- a/Tests/Pool/PoolSimulationVm.h
+++ b/Tests/Pool/PoolSimulationVm.h
@@ -218,12 +218,12 @@
 
   void listWorkers() {
     std::vector<WorkerEntry> Entries;
-    for (const auto &Worker : Simulation_.Workers_)
-      if (Election_.managed().contains(Worker->entry().DataCentre)) {
-        Entries.push_back(Worker->entry());
-        auto ClaimAt = ClaimAt_[Worker->entry().DataCentre];
+    for (const auto &Entry : Simulation_.Published_)
+      if (Election_.managed().contains(Entry.DataCentre)) {
+        Entries.push_back(Entry);
+        auto ClaimAt = ClaimAt_[Entry.DataCentre];
         if (ClaimAt > Simulation_.Now_)
-          Manager_.fleet().deferClaim(Worker->entry().Id, ClaimAt);
+          Manager_.fleet().deferClaim(Entry.Id, ClaimAt);
       }
     Manager_.setWorkers(Entries, Simulation_.Now_);
   }
--- a/Tests/Pool/TestPoolManager.cpp
+++ b/Tests/Pool/TestPoolManager.cpp
@@ -74,7 +74,7 @@
       Reply.Verdict = CommandVerdict::Accepted;
       Reply.Report.emplace();
       Reply.Report->ClockMilliseconds = workerClock(Now);
-      Reply.Report->StartedMilliseconds = 7;
+      Reply.Report->StartedMilliseconds = Incarnation;
       Reply.Report->Running = Running;
       Reply.Report->Ended = Ended;
       Manager.pollReplied(Worker, Command, Reply, Now);
@@ -98,12 +98,18 @@
 
   JobKey submit(std::uint32_t Tasks, double Milliseconds, core::Duration Timeout = 3s,
                 PeerIndex From = SelfPeer) {
+    return submitAs(static_cast<JobKey>(++LastKey), Tasks, Milliseconds, Timeout, From);
+  }
+
+  JobKey submitAs(JobKey Key, std::uint32_t Tasks, double Milliseconds, core::Duration Timeout = 3s,
+                  PeerIndex From = SelfPeer) {
     auto Submission = std::make_shared<JobSubmission>();
-    Submission->Key = static_cast<JobKey>(++LastKey);
+    Submission->Key = Key;
     Submission->Steps.resize(1);
     Submission->Steps[0].Count = Tasks;
     Submission->Steps[0].Need = {2, 10, 0};
     Submission->Steps[0].DeclaredMilliseconds = Milliseconds;
+    Submission->Steps[0].RequiredLabel = RequiredLabel;
     Submission->Policy.Route = "r";
     Submission->Policy.Service = "slips";
     Submission->Policy.MaximumAttempts = 2;
@@ -121,6 +127,8 @@
   }
 
   core::TimePoint Now = core::TimePoint(1h);
+  std::int64_t Incarnation = 7; ///< Start of the workers that answer polls.
+  std::string RequiredLabel;    ///< Of submitted tasks.
   std::uint64_t LastKey = 0;
   NoLog Log;
   TokenSource Tokens;
@@ -466,3 +474,37 @@
   BOOST_REQUIRE(Fixture.Out.answers().size() == 1U);
   BOOST_TEST((Fixture.Out.answers()[0].Verdict == JobVerdict::GivenUp));
 }
+
+// Guards against tasks that are started on a worker of the wrong kind: it had returned under its id
+// as another kind, and its former entry was still in use.
+BOOST_AUTO_TEST_CASE(AReturnedWorkerGetsTasksOnlyByItsNewEntry) {
+  ManagerFixture Fixture;
+  auto List = [&](const std::string &Label, std::int64_t Incarnation) {
+    auto Entry = entry("w-0");
+    Entry.Labels = {Label};
+    Entry.StartedMilliseconds = Incarnation;
+    Fixture.Manager.setWorkers(std::vector{Entry}, Fixture.Now);
+  };
+  List("a", 7);
+  Fixture.answerPolls();
+  Fixture.answerPolls();
+  Fixture.RequiredLabel = "a";
+  Fixture.submit(1, 50);
+  BOOST_TEST(Fixture.Out.Starts.size() == 1U);
+  Fixture.Incarnation = 8;
+  Fixture.answerPolls(); // Shows that the worker has restarted.
+  Fixture.answerPolls();
+  Fixture.submit(1, 50);
+  BOOST_TEST(Fixture.Out.Starts.size() == 1U);
+  List("b", 8);
+  Fixture.pass(10ms);
+  BOOST_TEST(Fixture.Out.Starts.size() == 1U);
+  List("a", 9); // Read before the worker's first report.
+  Fixture.pass(10ms);
+  BOOST_TEST(Fixture.Out.Starts.size() == 1U);
+  Fixture.Incarnation = 9;
+  Fixture.answerPolls();
+  Fixture.answerPolls();
+  Fixture.pass(10ms);
+  BOOST_TEST(Fixture.Out.Starts.size() > 1U);
+}
