PoolDaemon: Cancel a job wherever it is open, and remember that

Cause: an entry process looked only among the requests that are open at itself, and asked nobody else; the manager ended a job only for the process that sent the message; and nothing kept a cancelling, as only the answers of completed and failed jobs were kept.

Change: a cancelling goes to all connected processes. Each ends the job if one of its callers awaits it or if it manages it, for all who await it, and remembers the cancelling for 120 s (as long as callers may ask for a job's state), at most 50,000 of them, the oldest dropped first. A copy, or a request that arrives after its cancelling, is answered "cancelled" and does not run. DELETE gets 200 as soon as one process had the job open, 410 when all have replied that they had not, and 503 with Retry-After when that is not known within a second or no manager is known. Answers and cancellings are kept by one class, RecentJobs, which also bounds the former.

Remains: in fleets of more than 48 VMs plain VMs are linked to managers and hubs only, so that a process that becomes a manager later may not know of a cancelling; one that restarts forgets all.

--- a/Kernel/Pool/JobSubmission.h
+++ b/Kernel/Pool/JobSubmission.h
@@ -53,7 +53,8 @@
   Completed,
   Failed,   ///< A task failed in all attempts that the route allows.
   Rejected, ///< No task has started, and none will.
-  GivenUp   ///< Tasks may have run; those still running are being stopped, and none will start.
+  GivenUp,  ///< Tasks may have run; those still running are being stopped, and none will start.
+  Cancelled ///< The same, because a caller has cancelled the job.
 };
 
 /// Final answer to a job's caller.
--- a/Kernel/Pool/PoolCounters.h
+++ b/Kernel/Pool/PoolCounters.h
@@ -12,6 +12,7 @@
   std::uint64_t JobsRejected = 0;
   std::uint64_t JobsGivenUp = 0;
   std::uint64_t JobsAbandoned = 0;
+  std::uint64_t JobsCancelled = 0;
   std::uint64_t StartsSent = 0;
   std::uint64_t RunsDone = 0;
   std::uint64_t RunsFailed = 0;
--- a/Kernel/Pool/PoolManager.cpp
+++ b/Kernel/Pool/PoolManager.cpp
@@ -9,6 +9,14 @@
 /// Interval between checks for waiting jobs that can no longer be served.
 constexpr core::Duration ExpiryInterval = std::chrono::milliseconds(5);
 constexpr core::Duration StragglerCheckInterval = std::chrono::milliseconds(20);
+/// How long an answer is kept for resubmissions of the job.
+constexpr core::Duration AnswerRetention = std::chrono::seconds(15);
+constexpr std::size_t MaximumAnswers = 1000000;
+/// How long a cancelling is kept for late copies of the job; callers may ask for a job's state for
+/// that long.
+constexpr core::Duration CancellingRetention = std::chrono::seconds(120);
+/// Some 100 bytes each, on VMs of 120 MB.
+constexpr std::size_t MaximumCancellings = 50000;
 
 std::string_view runOutcomeName(RunOutcome How) {
   switch (How) {
@@ -32,7 +40,9 @@
 
 PoolManager::PoolManager(const PoolSettings &Settings, PoolOutput &Output, TokenSource &Tokens,
                          DecisionLog &Log)
-    : Settings_(Settings), Output_(Output), Log_(Log), Fleet_(Output, *this, Tokens, Log) {}
+    : Settings_(Settings), Output_(Output), Log_(Log), Fleet_(Output, *this, Tokens, Log),
+      Answered_(AnswerRetention, MaximumAnswers),
+      Cancelled_(CancellingRetention, MaximumCancellings) {}
 
 void PoolManager::setWorkers(std::span<const WorkerEntry> Entries, core::TimePoint Now) {
   if (std::equal(Entries.begin(), Entries.end(), Listed_.begin(), Listed_.end()))
@@ -104,7 +114,8 @@
     PlacementRate_.observe(!Queue_.empty(), Now);
     reviewWaitingJobs(Now);
     expireJobs(Now);
-    forgetAnswers(Now);
+    Answered_.forgetExpired(Now);
+    Cancelled_.forgetExpired(Now);
   }
   if (Now >= NextStragglerCheck_) {
     NextStragglerCheck_ = Now + StragglerCheckInterval;
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -8,12 +8,12 @@
 #include "Kernel/Pool/PoolOutput.h"
 #include "Kernel/Pool/PoolPlacement.h"
 #include "Kernel/Pool/PoolQueue.h"
+#include "Kernel/Pool/RecentJobs.h"
 #include "Kernel/Pool/RemotePool.h"
 #include "Kernel/Pool/TokenSource.h"
 #include "Kernel/Pool/WorkerFleet.h"
 #include "Kernel/Pool/WorkerRatings.h"
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -53,6 +53,10 @@
   /// Handles a message from a peer, or from this process as SelfPeer.
   void receive(PeerIndex From, const PoolMessage &Message, core::TimePoint Now);
 
+  /// Cancels the job at a caller's request, for all who await it. A copy of it that arrives later
+  /// gets the same answer and does not run. Returns whether the job was open here.
+  bool cancel(JobKey Key, core::TimePoint Now);
+
   /// Sets whether the peer manages workers; such peers get this manager's directory and reports.
   void setManager(PeerIndex Peer, bool IsManager, core::TimePoint Now);
   /// Sets the round trip time to the peer.
@@ -90,14 +94,11 @@
     std::vector<WorkerAvailability> LastReported;
   };
 
-  struct AnsweredJob {
-    JobAnswer Answer;
-    core::TimePoint ForgetAt;
-  };
-
   // PoolManagerJobs.cpp and PoolManagerQueue.cpp: the life cycle of jobs, and the queue.
   void submit(PeerIndex From, const std::shared_ptr<const JobSubmission> &Submission,
               core::TimePoint Now);
+  /// Sends the answer that the job got earlier, if that is remembered.
+  bool repeatAnswer(PeerIndex From, JobKey Key, core::TimePoint Now);
   bool attachToExisting(PeerIndex From, const std::shared_ptr<const JobSubmission> &Submission,
                         core::TimePoint Now);
   PoolJob &createJob(PeerIndex From, const std::shared_ptr<const JobSubmission> &Submission,
@@ -116,7 +117,6 @@
   /// Puts jobs that the work ahead makes late behind the others, and rejects those to which it
   /// leaves no time at all.
   void reviewWaitingJobs(core::TimePoint Now);
-  void forgetAnswers(core::TimePoint Now);
   void enqueue(const PoolJob &Job, core::TimePoint Now);
   static PoolQueue::Key placeInQueue(const PoolJob &Job, core::TimePoint Now);
   /// Time that this manager's workers need for the work ahead of the job.
@@ -199,8 +199,8 @@
   std::unordered_map<JobHandle, PoolJob> Jobs_;
   std::unordered_map<JobKey, JobHandle> OwnJobs_;
   std::map<std::pair<PeerIndex, JobKey>, JobHandle> Delegations_;
-  std::unordered_map<JobKey, AnsweredJob> Answered_;
-  std::deque<JobKey> AnsweredOrder_;
+  RecentJobs<JobAnswer> Answered_;
+  RecentJobs<JobAnswer> Cancelled_;
   PoolQueue Queue_;
   std::map<PeerIndex, Remote> Remotes_;
   std::unordered_map<PeerIndex, core::TimePoint> HeardAt_; ///< When each peer was last alive.
--- a/Kernel/Pool/PoolManagerJobs.cpp
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -23,15 +23,13 @@
 /// Time after which tasks delegated to a lost manager no longer run. Either it has noticed the loss
 /// too and has stopped them, or their leases have expired.
 constexpr core::Duration LostManagerDelay = std::chrono::milliseconds(950);
-/// How long an answer is kept for resubmissions of the job.
-constexpr core::Duration AnswerRetention = std::chrono::seconds(15);
 
 } // namespace
 
 void PoolManager::submit(PeerIndex From, const std::shared_ptr<const JobSubmission> &Submission,
                          core::TimePoint Now) {
   ++Counters_.JobsReceived;
-  if (attachToExisting(From, Submission, Now))
+  if (repeatAnswer(From, Submission->Key, Now) || attachToExisting(From, Submission, Now))
     return;
   auto &Job = createJob(From, Submission, false, Now);
   OwnJobs_[Submission->Key] = Job.Handle;
@@ -41,33 +39,38 @@
   NeedsDispatch_ = true;
 }
 
+bool PoolManager::repeatAnswer(PeerIndex From, JobKey Key, core::TimePoint Now) {
+  const auto *Earlier = Answered_.find(Key, Now);
+  if (!Earlier)
+    Earlier = Cancelled_.find(Key, Now);
+  if (!Earlier)
+    return false;
+  Log_.line(DecisionPriority::Notable, "job resubmitted after its end", Key, {});
+  Output_.send(From, PoolAnswer{Key, *Earlier});
+  return true;
+}
+
 bool PoolManager::attachToExisting(PeerIndex From,
                                    const std::shared_ptr<const JobSubmission> &Submission,
                                    core::TimePoint Now) {
   auto Known = OwnJobs_.find(Submission->Key);
-  if (Known != OwnJobs_.end()) {
-    auto &Job = Jobs_.at(Known->second);
-    Log_.line(DecisionPriority::Notable, "job resubmitted", Submission->Key,
-              {{"ending", std::int64_t{Job.IsEnding}},
-               {"active_tasks", static_cast<std::int64_t>(Job.active())}});
-    if (Job.IsEnding) {
-      Job.Successor = Submission;
-      Job.SuccessorOrigin = From;
-      return true;
-    }
-    if (std::find(Job.Origins.begin(), Job.Origins.end(), From) == Job.Origins.end())
-      Job.Origins.push_back(From);
-    Job.OrphanedUntil.reset();
-    enqueue(Job, Now);
-    NeedsDispatch_ = true;
-    Job.UsefulUntil = std::max(Job.UsefulUntil, Submission->AnswerBy);
+  if (Known == OwnJobs_.end())
+    return false;
+  auto &Job = Jobs_.at(Known->second);
+  Log_.line(DecisionPriority::Notable, "job resubmitted", Submission->Key,
+            {{"ending", std::int64_t{Job.IsEnding}},
+             {"active_tasks", static_cast<std::int64_t>(Job.active())}});
+  if (Job.IsEnding) {
+    Job.Successor = Submission;
+    Job.SuccessorOrigin = From;
     return true;
   }
-  auto Earlier = Answered_.find(Submission->Key);
-  if (Earlier == Answered_.end() || Now >= Earlier->second.ForgetAt)
-    return false;
-  Log_.line(DecisionPriority::Notable, "job resubmitted after its end", Submission->Key, {});
-  Output_.send(From, PoolAnswer{Submission->Key, Earlier->second.Answer});
+  if (std::find(Job.Origins.begin(), Job.Origins.end(), From) == Job.Origins.end())
+    Job.Origins.push_back(From);
+  Job.OrphanedUntil.reset();
+  enqueue(Job, Now);
+  NeedsDispatch_ = true;
+  Job.UsefulUntil = std::max(Job.UsefulUntil, Submission->AnswerBy);
   return true;
 }
 
@@ -201,6 +204,9 @@
   case JobVerdict::GivenUp:
     ++Counters_.JobsGivenUp;
     break;
+  case JobVerdict::Cancelled:
+    ++Counters_.JobsCancelled;
+    break;
   }
   Answer.IsLate = Answer.Verdict == JobVerdict::Completed && Now > Job.ObjectiveAt;
   if (Answer.IsLate)
@@ -217,10 +223,8 @@
                {"queued_jobs", static_cast<std::int64_t>(Queue_.size())}});
   for (auto Origin : Job.Origins)
     Output_.send(Origin, PoolAnswer{Job.key(), Answer});
-  if (Answer.Verdict == JobVerdict::Completed || Answer.Verdict == JobVerdict::Failed) {
-    Answered_[Job.key()] = {std::move(Answer), Now + AnswerRetention};
-    AnsweredOrder_.push_back(Job.key());
-  }
+  if (Answer.Verdict == JobVerdict::Completed || Answer.Verdict == JobVerdict::Failed)
+    Answered_.add(Job.key(), std::move(Answer), Now);
   for (std::uint32_t Task = 0; Task < Job.Tasks.size(); ++Task)
     stopTask(Job, Task, Now);
   removeIfInactive(Job.Handle, Now);
@@ -273,15 +277,23 @@
   endJob(Job, {JobVerdict::GivenUp, "the caller has disconnected", 0}, Now);
 }
 
-void PoolManager::forgetAnswers(core::TimePoint Now) {
-  while (!AnsweredOrder_.empty()) {
-    auto Found = Answered_.find(AnsweredOrder_.front());
-    if (Found != Answered_.end() && Found->second.ForgetAt > Now)
-      return;
-    if (Found != Answered_.end())
-      Answered_.erase(Found);
-    AnsweredOrder_.pop_front();
+bool PoolManager::cancel(JobKey Key, core::TimePoint Now) {
+  JobAnswer Answer{JobVerdict::Cancelled, {}, 0};
+  Cancelled_.add(Key, Answer, Now);
+  auto Found = OwnJobs_.find(Key);
+  if (Found == OwnJobs_.end())
+    return false;
+  auto &Job = Jobs_.at(Found->second);
+  if (auto Successor = std::exchange(Job.Successor, nullptr)) {
+    ++Counters_.JobsCancelled;
+    Output_.send(Job.SuccessorOrigin, PoolAnswer{Key, Answer});
+    return true;
   }
+  if (Job.IsEnding)
+    return false;
+  endJob(Job, std::move(Answer), Now);
+  afterEvent(Now);
+  return true;
 }
 
 std::optional<core::TimePoint> PoolManager::leaseLimitOf(const Run &Each) const {
--- a/Kernel/Pool/PoolMessages.h
+++ b/Kernel/Pool/PoolMessages.h
@@ -29,11 +29,21 @@
   JobAnswer Answer;
 };
 
-/// Cancels a job, because its caller no longer waits.
+/// Ends a job if no other entry process awaits it, because its caller no longer waits.
 struct AbandonJob {
   JobKey Job{};
 };
 
+/// Cancels a job at a caller's request, wherever it is open; each receiver replies.
+struct CancelJob {
+  JobKey Job{};
+};
+
+struct CancelReply {
+  JobKey Job{};
+  bool WasOpen = false; ///< The job was open at the replying process.
+};
+
 /// A task that another manager is to start immediately or refuse.
 struct DelegatedTask {
   std::uint32_t Task = 0; ///< Position among all tasks of the job, in the order of the steps.
@@ -110,7 +120,7 @@
 };
 
 using PoolMessage =
-    std::variant<SubmitToPool, PoolAnswer, AbandonJob, DelegateTasks, DelegatedTaskEnded,
-                 StopDelegated, PoolDirectory, PoolReport, ReleaseWorkers>;
+    std::variant<SubmitToPool, PoolAnswer, AbandonJob, CancelJob, CancelReply, DelegateTasks,
+                 DelegatedTaskEnded, StopDelegated, PoolDirectory, PoolReport, ReleaseWorkers>;
 
 } // namespace cornellift::kernel
--- a/Libraries/LibMesh/MeshCoding.cpp
+++ b/Libraries/LibMesh/MeshCoding.cpp
@@ -150,6 +150,13 @@
   void operator()(const AbandonJob &Value) const {
     Out_.mutable_abandon()->set_job(static_cast<std::uint64_t>(Value.Job));
   }
+  void operator()(const kernel::CancelJob &Value) const {
+    Out_.mutable_cancel_job()->set_job(static_cast<std::uint64_t>(Value.Job));
+  }
+  void operator()(const kernel::CancelReply &Value) const {
+    Out_.mutable_cancel_reply()->set_job(static_cast<std::uint64_t>(Value.Job));
+    Out_.mutable_cancel_reply()->set_was_open(Value.WasOpen);
+  }
   void operator()(const DelegateTasks &Value) const {
     auto &Message = *Out_.mutable_delegate();
     encodeOrder(*Value.Submission, Now_, *Message.mutable_order());
@@ -207,11 +214,16 @@
   case Frame::kAnswer: {
     const auto &Value = Message.answer();
     return PoolAnswer{static_cast<JobKey>(Value.job()),
-                      {decodeEnumeration(Value.verdict(), JobVerdict::GivenUp), Value.why(),
+                      {decodeEnumeration(Value.verdict(), JobVerdict::Cancelled), Value.why(),
                        Value.retry_after_ms(), Value.late()}};
   }
   case Frame::kAbandon:
     return AbandonJob{static_cast<JobKey>(Message.abandon().job())};
+  case Frame::kCancelJob:
+    return kernel::CancelJob{static_cast<JobKey>(Message.cancel_job().job())};
+  case Frame::kCancelReply:
+    return kernel::CancelReply{static_cast<JobKey>(Message.cancel_reply().job()),
+                               Message.cancel_reply().was_open()};
   case Frame::kDelegate: {
     DelegateTasks Value{decodeOrder(Message.delegate().order(), Now), {}};
     for (const auto &Task : Message.delegate().tasks())
--- a/Services/PoolDaemon/Ingress.cpp
+++ b/Services/PoolDaemon/Ingress.cpp
@@ -40,6 +40,8 @@
     return "rejected";
   case kernel::JobVerdict::GivenUp:
     return "given_up";
+  case kernel::JobVerdict::Cancelled:
+    return "cancelled";
   }
   return "given_up";
 }
@@ -47,8 +49,9 @@
 } // namespace
 
 Ingress::Ingress(const platform::CallerFormat &Format, kernel::DecisionLog &Log,
-                 core::MetricsRegistry &Metrics, Sender Send)
-    : Format_(Format), Log_(Log), Metrics_(Metrics), Send_(std::move(Send)) {}
+                 core::MetricsRegistry &Metrics, Sender Send, Cancellations::ProcessList Processes)
+    : Format_(Format), Log_(Log), Metrics_(Metrics), Send_(std::move(Send)),
+      Cancellations_(Log, Send_, std::move(Processes)) {}
 
 void Ingress::setConfiguration(std::shared_ptr<const kernel::PoolConfiguration> Configuration) {
   Configuration_ = std::move(Configuration);
@@ -179,14 +182,24 @@
 }
 
 void Ingress::cancel(const Exchange &Request, kernel::JobKey Key) {
+  auto Now = core::MonotonicClock::now();
+  if (!cancelOpenJob(Key, Now))
+    return Cancellations_.announceAndReply(Key, Request, AssignedManager_.has_value(), Now);
+  Cancellations_.announce(Key);
+  Request->reply({200, {}, {}});
+}
+
+bool Ingress::cancelOpenJob(kernel::JobKey Key, core::TimePoint Now) {
   auto Known = Jobs_.find(Key);
   if (Known == Jobs_.end())
-    return Request->reply({410, {}, {}});
-  if (Known->second.Manager)
-    Send_(*Known->second.Manager, kernel::AbandonJob{Key});
-  finish(Key, {200, Format_.renderProgress(platform::JobProgress::Cancelled), {}}, "cancelled",
-         core::MonotonicClock::now());
-  Request->reply({200, {}, {}});
+    return false;
+  if (auto Manager = Known->second.Manager) {
+    Send_(*Manager, kernel::AbandonJob{Key}); // All that a manager of a former release understands.
+    Send_(*Manager, kernel::CancelJob{Key});
+  }
+  finish(Key, {200, Format_.renderProgress(platform::JobProgress::Cancelled), {}},
+         outcomeName(kernel::JobVerdict::Cancelled), Now);
+  return true;
 }
 
 void Ingress::replyWithProgress(const Exchange &Request, kernel::JobKey Key) {
@@ -218,6 +231,9 @@
                   outcomeName(Answer.Answer.Verdict), Now);
   case kernel::JobVerdict::GivenUp:
     return finish(Answer.Job, {504, {}, {}}, outcomeName(Answer.Answer.Verdict), Now);
+  case kernel::JobVerdict::Cancelled:
+    return finish(Answer.Job, {200, Format_.renderProgress(platform::JobProgress::Cancelled), {}},
+                  outcomeName(Answer.Answer.Verdict), Now);
   }
 }
 
@@ -246,6 +262,7 @@
 
 void Ingress::peerLost(kernel::PeerIndex Peer, core::TimePoint Now) {
   Backlogs_.erase(Peer);
+  Cancellations_.peerLost(Peer);
   std::vector<kernel::JobKey> Lost;
   for (const auto &[Key, Job] : Jobs_)
     if (Job.Manager == Peer)
@@ -260,6 +277,7 @@
 }
 
 void Ingress::tick(core::TimePoint Now) {
+  Cancellations_.tick(Now);
   std::vector<std::pair<kernel::JobKey, bool>> Ended;
   for (const auto &[Key, Job] : Jobs_) {
     if (!Job.Manager && Now >= Job.ManagerDeadline)
--- a/Services/PoolDaemon/Ingress.h
+++ b/Services/PoolDaemon/Ingress.h
@@ -6,6 +6,7 @@
 #include "Libraries/LibCore/MetricsRegistry.h"
 #include "Libraries/LibPlatform/CallerFormat.h"
 #include "Libraries/LibReactor/HttpExchange.h"
+#include "Services/PoolDaemon/Cancellations.h"
 
 #include <functional>
 #include <map>
@@ -25,7 +26,7 @@
   using Sender = std::function<void(kernel::PeerIndex, kernel::PoolMessage)>;
 
   Ingress(const platform::CallerFormat &Format, kernel::DecisionLog &Log,
-          core::MetricsRegistry &Metrics, Sender Send);
+          core::MetricsRegistry &Metrics, Sender Send, Cancellations::ProcessList Processes);
 
   void setConfiguration(std::shared_ptr<const kernel::PoolConfiguration> Configuration);
 
@@ -34,6 +35,11 @@
 
   void handle(const std::shared_ptr<reactor::HttpExchange> &Exchange);
   void answered(const kernel::PoolAnswer &Answer, core::TimePoint Now);
+  /// Cancels the job if a caller awaits it here; returns whether that is so.
+  bool cancelOpenJob(kernel::JobKey Key, core::TimePoint Now);
+  void cancelReplied(kernel::PeerIndex From, const kernel::CancelReply &Reply) {
+    Cancellations_.replied(From, Reply);
+  }
   void peerLost(kernel::PeerIndex Peer, core::TimePoint Now);
 
   /// Sets the number of jobs that wait at a manager, by route.
@@ -74,6 +80,7 @@
   std::optional<kernel::PeerIndex> AssignedManager_;
   std::unordered_map<kernel::JobKey, OpenJob> Jobs_;
   std::map<kernel::PeerIndex, std::vector<kernel::RouteBacklog>> Backlogs_;
+  Cancellations Cancellations_;
 };
 
 } // namespace cornellift::pool
--- a/Services/PoolDaemon/PoolDaemon.cpp
+++ b/Services/PoolDaemon/PoolDaemon.cpp
@@ -82,10 +82,12 @@
       Manager_({Settings_.RemoteFactor}, WorkerClient_, Tokens_, Log_),
       Election_(candidateOf(Settings_), core::MonotonicClock::now()),
       Mesh_(Reactor_, identityOf(Settings_), *this),
-      Ingress_(Formats_->callers(), Log_, Metrics_,
-               [this](kernel::PeerIndex Peer, kernel::PoolMessage Message) {
-                 send(Peer, std::move(Message));
-               }),
+      Ingress_(
+          Formats_->callers(), Log_, Metrics_,
+          [this](kernel::PeerIndex Peer, kernel::PoolMessage Message) {
+            send(Peer, std::move(Message));
+          },
+          [this] { return connectedProcesses(); }),
       Directory_(Reactor_, Store_, Formats_->workers(), Log_, [this] { workersChanged(); }),
       OperatorKeys_(std::make_shared<store::KeyMirror>(
           Reactor_, Store_, std::string(Formats_->store().operatorPrefix()),
@@ -272,6 +274,10 @@
   auto Now = core::MonotonicClock::now();
   if (const auto *Answer = std::get_if<kernel::PoolAnswer>(&Message))
     return Ingress_.answered(*Answer, Now);
+  if (const auto *Cancelled = std::get_if<kernel::CancelJob>(&Message))
+    return cancelJob(From, Cancelled->Job, Now);
+  if (const auto *Reply = std::get_if<kernel::CancelReply>(&Message))
+    return Ingress_.cancelReplied(From, *Reply);
   if (const auto *Released = std::get_if<kernel::ReleaseWorkers>(&Message)) {
     for (const auto &Id : Released->Ids)
       Manager_.fleet().claimNow(Id, Now);
@@ -280,6 +286,19 @@
   Manager_.receive(From, Message, Now);
 }
 
+void PoolDaemon::cancelJob(kernel::PeerIndex From, kernel::JobKey Key, core::TimePoint Now) {
+  bool IsAwaited = Ingress_.cancelOpenJob(Key, Now);
+  bool IsManaged = Manager_.cancel(Key, Now);
+  send(From, kernel::CancelReply{Key, IsAwaited || IsManaged});
+}
+
+std::vector<kernel::PeerIndex> PoolDaemon::connectedProcesses() const {
+  std::vector<kernel::PeerIndex> Processes = {kernel::SelfPeer};
+  for (const auto *Peer : Mesh_.connectedPeers())
+    Processes.push_back(Peer->Index);
+  return Processes;
+}
+
 void PoolDaemon::sendBacklog(core::TimePoint Now) {
   if (Now < NextBacklogAt_)
     return;
--- a/Services/PoolDaemon/PoolDaemon.h
+++ b/Services/PoolDaemon/PoolDaemon.h
@@ -81,6 +81,9 @@
   void sendConfiguration(const mesh::MeshPeer &Peer, const mesh::FetchConfiguration &Request);
   void configurationReceived(const mesh::MeshPeer &Peer, const mesh::Configuration &Message);
   void deliver(kernel::PeerIndex From, const kernel::PoolMessage &Message);
+  void cancelJob(kernel::PeerIndex From, kernel::JobKey Key, core::TimePoint Now);
+  /// This process and those to which a link is up.
+  std::vector<kernel::PeerIndex> connectedProcesses() const;
   void sendBacklog(core::TimePoint Now);
   bool isReady() const;
   void registerMetrics();
--- a/Services/PoolDaemon/PoolDaemonMetrics.cpp
+++ b/Services/PoolDaemon/PoolDaemonMetrics.cpp
@@ -73,6 +73,7 @@
   Jobs("rejected", &kernel::PoolCounters::JobsRejected);
   Jobs("given_up", &kernel::PoolCounters::JobsGivenUp);
   Jobs("abandoned", &kernel::PoolCounters::JobsAbandoned);
+  Jobs("cancelled", &kernel::PoolCounters::JobsCancelled);
 }
 
 void PoolDaemon::registerStoreMetrics() {
--- a/Tests/Integration/TestPoolDaemon.cpp
+++ b/Tests/Integration/TestPoolDaemon.cpp
@@ -315,3 +315,33 @@
   Waiting.finish();
   BOOST_TEST(eventually([&] { return WaitingJobs(Other) == 0; }, 5s));
 }
+
+// Guards against a cancelling that is answered with 410 because it arrives at another VM than the
+// job, which then runs on, and against a late copy of the job that runs after it.
+BOOST_AUTO_TEST_CASE(ACancellingHoldsWhereverItArrives) {
+  PoolDeployment Deployment("Cancelling", {});
+  BOOST_REQUIRE(Deployment.waitUntilReady());
+  auto Cancel = [](const PoolVm &Vm, const std::string &Key) {
+    httplib::Client Client("127.0.0.1", Vm.CallerPort);
+    auto Reply = Client.Delete(PoolPrefix + Key, {{"Host", PoolHost}});
+    return Reply ? Reply->status : 0;
+  };
+  for (auto &Vm : Deployment.vms()) {
+    auto Key = newJobKey();
+    auto &First = Deployment.vms().front();
+    JobReply Posted;
+    std::thread Caller([&] { Posted = postJob(First.CallerPort, Key, 4, 3000); });
+    std::this_thread::sleep_for(300ms);
+    BOOST_TEST(Cancel(Vm, Key) == 200, Vm.Name);
+    Caller.join();
+    BOOST_TEST(Posted.Status == 200);
+    BOOST_TEST(Posted.State == "cancelled");
+    for (auto &Copied : Deployment.vms())
+      BOOST_TEST(postJob(Copied.CallerPort, Key, 4, 3000).State == "cancelled");
+  }
+  std::this_thread::sleep_for(300ms); // A stop takes up to 50 ms.
+  for (const auto &Run : Deployment.runs())
+    BOOST_TEST(Run.End == "stopped");
+  BOOST_TEST(Deployment.runs().size() == 4 * Deployment.vms().size());
+  BOOST_TEST(Cancel(Deployment.vms().back(), newJobKey()) == 410);
+}
--- a/Tests/Pool/PoolSimulation.cpp
+++ b/Tests/Pool/PoolSimulation.cpp
@@ -289,6 +289,26 @@
   after(Lag, [this, Worker] { Published_[Worker] = Workers_[Worker]->entry(); });
 }
 
+void PoolSimulation::cancel(JobKey Key, std::size_t Vm) {
+  if (!Vms_[Vm])
+    return;
+  at(Vms_[Vm]->frozenUntil(), [this, Key, Vm] {
+    if (Vms_[Vm])
+      Vms_[Vm]->cancel(Key);
+  });
+}
+
+void PoolSimulation::resubmit(JobKey Key) { attempt(*Callers_.at(Key)); }
+
+std::optional<core::TimePoint> PoolSimulation::lastEndOf(JobKey Key) const {
+  std::optional<core::TimePoint> Last;
+  for (const auto &Worker : Workers_)
+    for (const auto &Run : Worker->history())
+      if (Run.Task.Job == Key)
+        Last = std::max(Last.value_or(Run.StartedAt), Run.EndedAt.value_or(Now_));
+  return Last;
+}
+
 std::size_t PoolSimulation::holderCount(std::size_t Worker) const {
   std::size_t Count = 0;
   for (const auto &Each : Vms_)
--- a/Tests/Pool/PoolSimulation.h
+++ b/Tests/Pool/PoolSimulation.h
@@ -57,6 +57,13 @@
   JobKey submit(std::uint32_t Tasks, double RunMilliseconds, std::string_view Extra = "",
                 double Cores = 2);
 
+  /// Sends a caller's request to cancel the job to a VM.
+  void cancel(JobKey Key, std::size_t Vm);
+  /// Sends the job's request once more, to a random VM of the caller's data centre.
+  void resubmit(JobKey Key);
+  /// When the last run of one of the job's tasks ended; now, if it goes on. Empty if none started.
+  std::optional<core::TimePoint> lastEndOf(JobKey Key) const;
+
   // Fault injection. VMs and workers are identified by their indexes.
   void kill(std::size_t Vm, core::Duration DownTime);
   void freeze(std::size_t Vm, core::Duration Span);
--- a/Tests/Pool/PoolSimulationVm.h
+++ b/Tests/Pool/PoolSimulationVm.h
@@ -93,6 +93,13 @@
     Open_.erase(Known);
   }
 
+  /// Handles a caller's request to cancel a job: all linked VMs are told.
+  void cancel(JobKey Key) {
+    cancelHere(Key);
+    for (const auto &[Other, Peer] : PeerOf_)
+      deliver(Other, [Key](Vm &Receiver, PeerIndex) { Receiver.cancelHere(Key); });
+  }
+
   void peerUp(std::size_t Other) { PeerOf_[Other] = static_cast<PeerIndex>(NextPeer_++); }
   bool isLinkedTo(std::size_t Other) const { return PeerOf_.contains(Other); }
   void peerDown(std::size_t Other, bool HasEnded) {
@@ -138,6 +145,12 @@
     core::TimePoint Since;
   };
 
+  void cancelHere(JobKey Key) {
+    if (Open_.erase(Key) > 0)
+      Simulation_.callerAnswered(Index_, Key, {JobVerdict::Cancelled, {}, 0});
+    Manager_.cancel(Key, Simulation_.Now_);
+  }
+
   CandidateState self() const {
     CandidateState State;
     State.Vm = "vm" + std::to_string(Index_);
--- a/Tests/Pool/TestPoolManager.cpp
+++ b/Tests/Pool/TestPoolManager.cpp
@@ -508,3 +508,57 @@
   Fixture.pass(10ms);
   BOOST_TEST(Fixture.Out.Starts.size() > 1U);
 }
+
+// Guards against a cancelled job that a late copy of its request starts again, and against a
+// cancelling that reaches only one of the processes that await the job.
+BOOST_AUTO_TEST_CASE(ACancelledJobStaysCancelled) {
+  ManagerFixture Fixture;
+  Fixture.list({"w-0"});
+  constexpr PeerIndex Other{1};
+  auto Key = Fixture.submit(2, 500);
+  Fixture.submitAs(Key, 2, 500, 3s, Other);
+  BOOST_TEST(Fixture.Out.Starts.size() == 2U);
+  BOOST_TEST(Fixture.Manager.cancel(Key, Fixture.Now));
+  BOOST_TEST(Fixture.Out.Stops.size() == 2U);
+  auto Answers = Fixture.Out.answers();
+  BOOST_REQUIRE(Answers.size() == 2U);
+  for (const auto &Answer : Answers)
+    BOOST_TEST((Answer.Verdict == JobVerdict::Cancelled));
+  for (int Copy = 0; Copy < 2; ++Copy) { // While the runs are being stopped, and later.
+    Fixture.submitAs(Key, 2, 500);
+    BOOST_TEST((Fixture.Out.answers().back().Verdict == JobVerdict::Cancelled));
+    Fixture.answerPolls();
+    Fixture.pass(60s);
+  }
+  BOOST_TEST(Fixture.Out.answers().size() == 4U);
+  BOOST_TEST(Fixture.Out.Starts.size() == 2U);
+  BOOST_TEST(!Fixture.Manager.cancel(Key, Fixture.Now));
+}
+
+// Guards against a job that runs although it was cancelled before its request arrived.
+BOOST_AUTO_TEST_CASE(AJobThatArrivesAfterItsCancellingDoesNotRun) {
+  ManagerFixture Fixture;
+  Fixture.list({"w-0"});
+  constexpr JobKey Key{77};
+  BOOST_TEST(!Fixture.Manager.cancel(Key, Fixture.Now));
+  Fixture.submitAs(Key, 1, 50);
+  BOOST_TEST(Fixture.Out.Starts.empty());
+  BOOST_REQUIRE(Fixture.Out.answers().size() == 1U);
+  BOOST_TEST((Fixture.Out.answers().front().Verdict == JobVerdict::Cancelled));
+}
+
+// Guards against memory that a storm of cancellings uses up; the oldest ones are dropped first.
+BOOST_AUTO_TEST_CASE(RecentJobsAreBounded) {
+  RecentJobs<int> Jobs(10s, 3);
+  core::TimePoint Now(1h);
+  for (std::uint64_t Job = 1; Job <= 4; ++Job)
+    Jobs.add(static_cast<JobKey>(Job), static_cast<int>(Job), Now);
+  BOOST_TEST(Jobs.size() == 3U);
+  BOOST_TEST(Jobs.find(JobKey{1}, Now) == nullptr);
+  BOOST_TEST(*Jobs.find(JobKey{4}, Now) == 4);
+  BOOST_TEST(Jobs.find(JobKey{4}, Now + 10s) == nullptr);
+  Jobs.add(JobKey{2}, 5, Now + 5s); // Added again, so that it is kept for longer.
+  Jobs.forgetExpired(Now + 10s);
+  BOOST_TEST(Jobs.size() == 1U);
+  BOOST_TEST(*Jobs.find(JobKey{2}, Now + 10s) == 5);
+}
