DecisionLogWriter: Write large numbers whole

A caller's number such as 1e308 made a log line show some 300 bytes of the process's stack.

Cause: the number was written into 32 bytes, and the length that snprintf would have needed was taken for that of the text. Now std::to_chars writes into a buffer for the largest double. The only other snprintf in the product writes 16 digits of fixed width.

Evidence: TestDecisionLog/LargeNumbersAreWrittenWhole showed bytes that are no digits before, and passes now.

--- a/Services/PoolDaemon/DecisionLogWriter.cpp
+++ b/Services/PoolDaemon/DecisionLogWriter.cpp
@@ -2,6 +2,9 @@
 
 #include "Libraries/LibCore/Log.h"
 
+#include <array>
+#include <charconv>
+#include <limits>
 #include <string>
 #include <utility>
 #include <vector>
@@ -11,15 +14,20 @@
 
 /// Rate limit of each other priority, relative to that of routine lines.
 constexpr std::uint32_t NonRoutineLimitFactor = 10;
+constexpr int DecimalPlaces = 1;
+/// Length of the largest number: its digits, a sign, a point and the decimal places.
+constexpr std::size_t MaximumNumberLength =
+    std::numeric_limits<double>::max_exponent10 + 3 + DecimalPlaces;
 
 std::string toText(const kernel::DecisionField &Field) {
   if (const auto *Integer = std::get_if<std::int64_t>(&Field.Value))
     return std::to_string(*Integer);
   if (const auto *Text = std::get_if<std::string_view>(&Field.Value))
     return std::string(*Text);
-  char Buffer[32];
-  auto Length = std::snprintf(Buffer, sizeof(Buffer), "%.1f", std::get<double>(Field.Value));
-  return std::string(Buffer, static_cast<std::size_t>(Length));
+  std::array<char, MaximumNumberLength> Buffer;
+  auto Written = std::to_chars(Buffer.begin(), Buffer.end(), std::get<double>(Field.Value),
+                               std::chars_format::fixed, DecimalPlaces);
+  return std::string(Buffer.begin(), Written.ptr);
 }
 
 std::string toText(std::initializer_list<kernel::DecisionField> Fields) {
--- a/Tests/PoolDaemon/TestDecisionLog.cpp
+++ b/Tests/PoolDaemon/TestDecisionLog.cpp
@@ -114,3 +114,18 @@
       Reported += std::stoull(Line.at("context_map").at("routine").get<std::string>());
   BOOST_TEST(Reported == Dropped);
 }
+
+// Guards against a line that shows memory of the process: the length of a large number was taken
+// for that of the text in a buffer that it did not fit into.
+BOOST_AUTO_TEST_CASE(LargeNumbersAreWrittenWhole) {
+  pool::DecisionLogWriter Writer(RoutineLinesPerSecond, SuppressedLineCapacity);
+  LogFile::instance().newLines();
+  for (double Value : {1e308, -1e308, 0.5}) {
+    Writer.line(DecisionPriority::Notable, "large number", std::nullopt, {{"value", Value}});
+    auto Lines = LogFile::instance().newLines();
+    BOOST_REQUIRE(Lines.size() == 1U);
+    auto Text = Lines.front()["context_map"]["value"].get<std::string>();
+    BOOST_TEST(Text.find_first_not_of("-.0123456789") == std::string::npos, Text);
+    BOOST_TEST(std::stod(Text) == Value);
+  }
+}
