WorkerDirectory: Bound what other writers' entries cost

Cause: a label takes 32 bytes and more in memory for three in the entry, and the parsed entry is kept several times: by the registry, the manager, its fleet, and in frames to each peer. Nothing bounded the labels, and entries of services that no configuration has were kept and passed on like those of workers.

What is left out is counted (cornellift_worker_entries_left_out) and logged once for each entry, with the reason, until it is right again.

Remains: the text of entries that are left out is kept by the copy of the store's keys; its sum has no bound.

--- a/Kernel/Pool/PoolConfiguration.cpp
+++ b/Kernel/Pool/PoolConfiguration.cpp
@@ -13,4 +13,13 @@
   return Best;
 }
 
+std::set<std::string> PoolConfiguration::services() const {
+  std::set<std::string> Names;
+  for (const auto &[Name, Connections] : ConnectionsByService)
+    Names.insert(Name);
+  for (const auto &Each : Routes)
+    Names.insert(Each.Policy.Service);
+  return Names;
+}
+
 } // namespace cornellift::kernel
--- a/Kernel/Pool/PoolConfiguration.h
+++ b/Kernel/Pool/PoolConfiguration.h
@@ -4,6 +4,7 @@
 #include "Libraries/LibCore/Time.h"
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -38,6 +39,9 @@
 
   /// Returns the host's route with the longest matching path prefix, or null if there is none.
   const Route *find(std::string_view Host, std::string_view Path) const;
+
+  /// Names of the services that it lists or that its routes name.
+  std::set<std::string> services() const;
 };
 
 } // namespace cornellift::kernel
--- a/Services/PoolDaemon/PoolDaemonConfiguration.cpp
+++ b/Services/PoolDaemon/PoolDaemonConfiguration.cpp
@@ -33,6 +33,7 @@
   ConfigurationReceivedAt_ = Now;
   ConfigurationFetch_.versionInForce(Configuration->Version, Now);
   Ingress_.setConfiguration(Configuration);
+  Directory_.setServices(Configuration->services());
   reactor::HttpServerLimits Limits;
   Limits.HeaderBytes = Configuration->Limits.HeaderBytes;
   Limits.BodyBytes = Configuration->Limits.BodyBytes;
--- a/Services/PoolDaemon/PoolDaemonMetrics.cpp
+++ b/Services/PoolDaemon/PoolDaemonMetrics.cpp
@@ -43,6 +43,8 @@
 }
 
 void PoolDaemon::registerWorkerMetrics() {
+  Metrics_.gauge("cornellift_worker_entries_left_out",
+                 [this] { return static_cast<double>(Directory_.leftOut()); });
   Metrics_.gauge("cornellift_workers_held",
                  [this] { return static_cast<double>(Manager_.fleet().heldCount()); });
   auto Workers = [this](const char *Name, kernel::LeaseState State) {
--- a/Services/PoolDaemon/WorkerDirectory.cpp
+++ b/Services/PoolDaemon/WorkerDirectory.cpp
@@ -13,9 +13,12 @@
 /// that hangs is replaced within that time.
 constexpr core::Duration WatchTimeout = std::chrono::seconds(1);
 constexpr core::Duration WatchInterval = std::chrono::milliseconds(600);
-/// Upper bound on the length of an entry. Workers write a few hundred bytes; some dozen entries of
-/// another writer, as long as the store takes them, would use up the memory of the smallest VMs.
-constexpr std::size_t MaximumEntryBytes = 16U << 10;
+/// Upper bound on the length of an entry. Workers write a few hundred bytes; entries of another
+/// writer, as long as the store takes them, would use up the memory of the smallest VMs.
+constexpr std::size_t MaximumEntryBytes = 4U << 10;
+/// Upper bound on the length of all entries in use together, some 20,000 of the usual length. They
+/// have to fit into one message to other managers.
+constexpr std::size_t MaximumListingBytes = 6U << 20;
 /// Each entry is written two or three times in four seconds, so that a full read transfers less
 /// than a watch.
 constexpr core::Duration MinimumFullReadInterval = std::chrono::seconds(4);
@@ -49,42 +52,73 @@
 store::MirrorOptions WorkerDirectory::mirrorOptions() const {
   store::MirrorOptions Options;
   Options.WatchTimeout = WatchTimeout;
-  Options.CallInterval = IsWatching_ ? WatchInterval : fullReadInterval(Revisions_.size());
+  Options.CallInterval = IsWatching_ ? WatchInterval : fullReadInterval(Read_.size());
   Options.Mode = IsWatching_ ? store::MirrorMode::Watch : store::MirrorMode::Poll;
   Options.MaximumValueBytes = MaximumEntryBytes;
   return Options;
 }
 
-std::optional<kernel::WorkerEntry> WorkerDirectory::parseEntry(std::string_view Id,
-                                                               const store::StoreItem &Item) const {
+void WorkerDirectory::setServices(std::set<std::string> Services) {
+  if (Services == Services_)
+    return;
+  Services_ = std::move(Services);
+  Read_.clear();
+  ListingBytes_ = 0;
+  itemsChanged(Mirror_->items());
+}
+
+std::optional<kernel::WorkerEntry> WorkerDirectory::readEntry(const std::string &Id,
+                                                              const store::StoreItem &Item) const {
   if (Item.IsTooLong)
-    return core::fail(core::ErrorKind::Malformed, "the value has more than " +
-                                                      std::to_string(MaximumEntryBytes) +
-                                                      " bytes; check the process that writes it");
-  return Format_.parseEntry(Id, Item.Value);
+    return core::fail(core::ErrorKind::TooLarge, "the value has more than " +
+                                                     std::to_string(MaximumEntryBytes) +
+                                                     " bytes; check the process that writes it");
+  auto Entry = Format_.parseEntry(Id, Item.Value);
+  if (!Entry)
+    return std::nullopt;
+  if (!Services_.empty() && !Services_.contains(Entry->Service))
+    return core::fail(core::ErrorKind::NotFound,
+                      "no configuration in force has the service \"" + Entry->Service +
+                          "\"; add it or check the process that writes the entry");
+  if (ListingBytes_ + Item.Value.size() > MaximumListingBytes)
+    return core::fail(core::ErrorKind::TooLarge, "all entries together have more than " +
+                                                     std::to_string(MaximumListingBytes) +
+                                                     " bytes; remove those without a worker");
+  return Entry;
+}
+
+void WorkerDirectory::entryChanged(const std::string &Id, const store::StoreItem &Item) {
+  auto &Read = Read_[Id];
+  if (Read.Revision == Item.Revision)
+    return;
+  Read.Revision = Item.Revision;
+  ListingBytes_ -= std::exchange(Read.Bytes, 0);
+  auto Entry = readEntry(Id, Item);
+  Read.Bytes = Entry ? Item.Value.size() : 0;
+  ListingBytes_ += Read.Bytes;
+  bool WasLeftOut = std::exchange(Read.IsLeftOut, !Entry);
+  if (!Entry && !WasLeftOut)
+    Log_.line(kernel::DecisionPriority::StateChange, "worker entry left out", std::nullopt,
+              {{"worker", std::string_view(Id)},
+               {"reason", std::string_view(core::lastReason().Message)}});
+  Listing_.written(Id, std::move(Entry));
 }
 
 void WorkerDirectory::itemsChanged(const store::KeyMirror::Items &Items) {
   auto Now = core::MonotonicClock::now();
-  auto PrefixSize = Store_->format().workerPrefix().size();
-  for (const auto &[Key, Item] : Items) {
-    auto Id = Key.substr(PrefixSize);
-    auto &Read = Revisions_[Id];
-    if (Read == Item.Revision)
-      continue;
-    Read = Item.Revision;
-    auto Entry = parseEntry(Id, Item);
-    if (!Entry)
-      Log_.line(kernel::DecisionPriority::StateChange, "worker entry cannot be read", std::nullopt,
-                {{"worker", std::string_view(Id)},
-                 {"reason", std::string_view(core::lastReason().Message)}});
-    Listing_.written(Id, std::move(Entry));
-  }
   std::string Prefix(Store_->format().workerPrefix());
-  std::erase_if(Revisions_, [&](const auto &Read) { return !Items.contains(Prefix + Read.first); });
+  for (const auto &[Key, Item] : Items)
+    entryChanged(Key.substr(Prefix.size()), Item);
+  std::erase_if(Read_, [&](const auto &Read) {
+    bool IsGone = !Items.contains(Prefix + Read.first);
+    ListingBytes_ -= IsGone ? Read.second.Bytes : 0;
+    return IsGone;
+  });
   for (const auto &Id : Listing_.ids())
     if (!Items.contains(Prefix + Id))
       Listing_.removed(Id, Store_->lastFailedAt(), Now);
+  LeftOut_ = static_cast<std::size_t>(std::count_if(
+      Read_.begin(), Read_.end(), [](const auto &Read) { return Read.second.IsLeftOut; }));
   Mirror_->setOptions(mirrorOptions());
   Listing_.tick(Now);
   OnChange_();
--- a/Services/PoolDaemon/WorkerDirectory.h
+++ b/Services/PoolDaemon/WorkerDirectory.h
@@ -8,6 +8,8 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -30,29 +32,46 @@
                   ChangeHandler OnChange);
 
   void start() { Mirror_->start(); }
+  /// Sets the services of the configuration in force. The entries of others name no worker to use
+  /// and are left out until a configuration has their service. An empty set admits all.
+  void setServices(std::set<std::string> Services);
   /// Watches the store for changes if IsWanted, otherwise reads all entries at intervals.
   void setWatching(bool IsWanted);
   void tick(core::TimePoint Now);
 
   const kernel::WorkerRegistry &listing() const { return Listing_; }
+  /// Number of entries in the store that name no worker to use.
+  std::size_t leftOut() const { return LeftOut_; }
   bool isLoaded() const { return Mirror_->isLoaded(); }
   /// When the listing was last up to date.
   core::TimePoint refreshedAt() const { return Mirror_->refreshedAt(); }
   std::uint64_t revision() const { return Mirror_->revision(); }
 
 private:
+  /// What was read of one entry.
+  struct ReadEntry {
+    std::uint64_t Revision = 0;
+    std::size_t Bytes = 0; ///< Length of its value; zero if it is left out.
+    bool IsLeftOut = false;
+  };
+
   store::MirrorOptions mirrorOptions() const;
-  std::optional<kernel::WorkerEntry> parseEntry(std::string_view Id,
-                                                const store::StoreItem &Item) const;
+  /// Returns an empty optional with the reason for an entry that names no worker to use.
+  std::optional<kernel::WorkerEntry> readEntry(const std::string &Id,
+                                               const store::StoreItem &Item) const;
   void itemsChanged(const store::KeyMirror::Items &Items);
+  void entryChanged(const std::string &Id, const store::StoreItem &Item);
 
   std::shared_ptr<store::StoreClient> Store_;
   const platform::WorkerFormat &Format_;
   kernel::DecisionLog &Log_;
   ChangeHandler OnChange_;
   kernel::WorkerRegistry Listing_;
-  std::unordered_map<std::string, std::uint64_t> Revisions_; ///< Entries read, by id.
-  bool IsWatching_ = false; ///< Some of the workers are managed by this process.
+  std::unordered_map<std::string, ReadEntry> Read_; ///< Entries read, by id.
+  std::set<std::string> Services_;
+  std::size_t LeftOut_ = 0;
+  std::size_t ListingBytes_ = 0; ///< Length of all values that are in use.
+  bool IsWatching_ = false;      ///< Some of the workers are managed by this process.
   std::shared_ptr<store::KeyMirror> Mirror_;
 };
 
--- a/Tests/Integration/TestOddEntries.cpp
+++ b/Tests/Integration/TestOddEntries.cpp
@@ -174,6 +174,29 @@
   }));
 }
 
+// Guards against processes that go over their memory because another writer left hundreds of
+// entries with thousands of labels, or thousands of short entries of a service that no
+// configuration has.
+BOOST_AUTO_TEST_CASE(ManyOddEntriesCostBoundedMemory) {
+  PoolDeployment Deployment("ManyOddEntries", {});
+  BOOST_REQUIRE(Deployment.waitUntilReady());
+  std::string Labels = R"([""])";
+  Labels.pop_back();
+  for (int Each = 1; Each < 5300; ++Each)
+    Labels += ",\"\"";
+  for (int Each = 0; Each < 450; ++Each)
+    put(Deployment, "labels-" + std::to_string(Each), entryWith("labels", Labels + "]"));
+  for (int Each = 0; Each < 3000; ++Each)
+    put(Deployment, "service-" + std::to_string(Each), entryWith("service", R"("none")"));
+  std::this_thread::sleep_for(5s); // Each process reads all entries at least once.
+  for (auto &Vm : Deployment.vms()) {
+    BOOST_TEST(postJob(Vm.CallerPort, newJobKey(), 2, 50).State == "completed");
+    BOOST_TEST(peakMemory(Vm) < MemoryTargetKilobytes, Vm.Name << ": " << peakMemory(Vm) << " KB");
+    BOOST_TEST(PoolDeployment::metric(Vm, "cornellift_worker_entries_left_out").value_or(0) ==
+               3450);
+  }
+}
+
 // Guards against links between entry processes that one odd entry blocks for good: tasks delegated
 // over them didn't run, and couldn't be stopped.
 BOOST_AUTO_TEST_CASE(OddTextsBlockNoLink) {
--- a/Tests/Platform/TestWorkerMessages.cpp
+++ b/Tests/Platform/TestWorkerMessages.cpp
@@ -139,6 +139,19 @@
   BOOST_TEST(!Messages.parseEntry("w\xff", EntryWith("slip", "type-a")));
 }
 
+// Guards against entries of another writer that take a hundred times their length in memory.
+BOOST_AUTO_TEST_CASE(EntriesWithThousandsOfLabelsAreRejected) {
+  auto EntryWith = [](std::size_t Labels) {
+    std::string Text = R"({"address":"10.0.0.1:80","zone":"ikeja","service":"slip","state":"ready",
+      "slots":4,"capacity":{"cpu":2500,"memMb":64},"labels":["")";
+    for (std::size_t Each = 1; Each < Labels; ++Each)
+      Text += ",\"\"";
+    return Text + "]}";
+  };
+  BOOST_TEST(Messages.parseEntry("w", EntryWith(8)).has_value());
+  BOOST_TEST(!Messages.parseEntry("w", EntryWith(5300)));
+}
+
 // Guards against a worker whose ends of tasks are lost because of bytes that nobody uses.
 BOOST_AUTO_TEST_CASE(RepliesWithOddBytesAreRead) {
   auto Poll = Messages.parsePollReply(
