WorkerFleet: Start the runs of a silent worker elsewhere when its lease has ended

Cause: every poll that was sent extended the worker's lease in the manager's books, answered or not; and a worker counted as unreachable only after a poll had failed. Polls of an overdue run are replaced by further ones every 100 ms, before their timeout, and a replaced poll isn't counted, so that none ever failed.

Change: a worker that has answered no poll for 500 ms counts as silent. Polls to it no longer extend the lease, so that the lease ends, on the worker and in the books, at most 1.44 s after its last answer; its runs are then taken for lost and start elsewhere. A poll whose timeout has not passed is still answered with an extension, so that a single lost answer ends no lease.

Evidence: TestPoolManager/RunsOfASilentWorkerStartElsewhereWhenItsLeaseHasEnded waited 5 s in vain before, and checks that the second start comes after the last lease that can have arrived; it passes now.

--- a/Kernel/Pool/Worker.h
+++ b/Kernel/Pool/Worker.h
@@ -66,6 +66,9 @@
   core::TimePoint NextPollAt;
   core::TimePoint ClaimAt;       ///< Earliest next claim.
   std::uint32_t FailedPolls = 0; ///< Consecutive failed polls.
+  /// The worker counts as silent from then on, unless it answers a poll before. Failed polls do not
+  /// show that: polls that are replaced by further ones before their timeout are not counted.
+  core::TimePoint SilentAt;
   core::TimePoint BackoffUntil;  ///< End of the backoff after a refused start.
   bool HasForeignRuns = false;   ///< It has runs that this manager did not start.
   std::vector<Run> Runs;
--- a/Kernel/Pool/WorkerFleet.cpp
+++ b/Kernel/Pool/WorkerFleet.cpp
@@ -117,6 +117,10 @@
                                                            core::TimePoint Now) const {
   if (Known.Lease != LeaseState::Held || !Known.Clock.isKnown())
     return std::nullopt;
+  // The runs of a silent worker start elsewhere when its lease has ended. Polls that it may still
+  // receive must not put that off.
+  if (Now >= Known.SilentAt)
+    return std::nullopt;
   // Runs of another manager must end with the lease that it granted.
   if (Known.HasForeignRuns && Known.Runs.empty())
     return std::nullopt;
@@ -298,7 +302,8 @@
       beginClaim(Index, Now);
     return;
   }
-  bool IsUnreachable = Known.FailedPolls > 0 || Known.Lease != LeaseState::Held;
+  bool IsUnreachable =
+      Known.FailedPolls > 0 || Known.Lease != LeaseState::Held || Now >= Known.SilentAt;
   if (IsUnreachable && !Known.Runs.empty() && Now > Known.LeaseEnd)
     markAllRunsLost(Index, Now);
   if (!mutableAt(Index).IsListed && mutableAt(Index).Runs.empty()) {
--- a/Kernel/Pool/WorkerFleetPolls.cpp
+++ b/Kernel/Pool/WorkerFleetPolls.cpp
@@ -12,6 +12,9 @@
 /// cut off together with their own manager, whose heartbeats should arrive before the claim.
 constexpr core::Duration UnreachedPollRetryInterval = std::chrono::milliseconds(2500);
 constexpr std::uint32_t PollsBeforeUnreached = 4;
+/// Time without an answer after which a worker counts as silent; longer than one poll and its
+/// timeout.
+constexpr core::Duration SilenceTimeout = std::chrono::milliseconds(500);
 /// How long a worker that another manager has claimed is not claimed again.
 constexpr core::Duration FencedBackoff = std::chrono::seconds(2);
 
@@ -59,6 +62,7 @@
   const auto &Report = *Reply.Report;
   bool DidAcceptTasks = Known.acceptsTasks(Now);
   Known.FailedPolls = 0;
+  Known.SilentAt = Now + SilenceTimeout;
   if (Report.StartedMilliseconds != Known.StartedMilliseconds)
     return workerRestarted(Index, Report, Now);
   Known.Clock.observe(Report.ClockMilliseconds, Now,
--- a/Tests/Pool/TestPoolManager.cpp
+++ b/Tests/Pool/TestPoolManager.cpp
@@ -1,6 +1,7 @@
 #include "Kernel/Pool/PoolManager.h"
 
 #include <algorithm>
+#include <deque>
 #include <memory>
 #include <string>
 #include <utility>
@@ -562,3 +563,41 @@
   BOOST_TEST(Jobs.size() == 1U);
   BOOST_TEST(*Jobs.find(JobKey{2}, Now + 10s) == 5);
 }
+
+// Guards against a job that waits until its deadline for runs on a worker that no longer answers,
+// although others are free: each unanswered poll counted as an extension of the lease. No run may
+// start elsewhere before the last lease that can have arrived has ended.
+BOOST_AUTO_TEST_CASE(RunsOfASilentWorkerStartElsewhereWhenItsLeaseHasEnded) {
+  ManagerFixture Fixture;
+  Fixture.list({"w-0", "w-1"});
+  Fixture.submit(1, 500, 8s);
+  BOOST_REQUIRE(Fixture.Out.Starts.size() == 1U);
+  auto [Silent, Command] = Fixture.Out.Starts.front();
+  Fixture.Manager.startReplied(Silent, Command, {CommandVerdict::Accepted, {}}, Fixture.Now);
+  auto SilentSince = Fixture.Now;
+  std::int64_t LeaseUntil = Command.StartBy;
+  constexpr auto PollTimeout = 450ms;
+  std::deque<std::pair<core::TimePoint, PollCommand>> Unanswered;
+  while (Fixture.Out.Starts.size() == 1 && Fixture.Now < SilentSince + 5s) {
+    for (const auto &[Worker, Poll] : std::exchange(Fixture.Out.Polls, {})) {
+      if (Worker != Silent) {
+        PollReply Idle{CommandVerdict::Accepted, WorkerReport()};
+        Idle.Report->ClockMilliseconds = ManagerFixture::workerClock(Fixture.Now);
+        Idle.Report->StartedMilliseconds = Fixture.Incarnation;
+        Fixture.Manager.pollReplied(Worker, Poll, Idle, Fixture.Now);
+        continue;
+      }
+      LeaseUntil = std::max(LeaseUntil, Poll.LeaseUntil.value_or(0));
+      Unanswered.emplace_back(Fixture.Now + PollTimeout, Poll);
+    }
+    Fixture.pass(10ms);
+    while (!Unanswered.empty() && Fixture.Now >= Unanswered.front().first) {
+      Fixture.Manager.pollReplied(Silent, Unanswered.front().second, {}, Fixture.Now);
+      Unanswered.pop_front();
+    }
+  }
+  BOOST_REQUIRE(Fixture.Out.Starts.size() == 2U);
+  BOOST_TEST((Fixture.Out.Starts.back().first != Silent));
+  BOOST_TEST(ManagerFixture::workerClock(Fixture.Now) > LeaseUntil);
+  BOOST_TEST((Fixture.Now - SilentSince < 1500ms));
+}
