Soak: Cancel jobs at random VMs and leave odd entries among the workers'

One of six jobs of a caller is now cancelled at a random VM of its data centre; no task of it may run 3.05 s after an acknowledged cancelling. Each restart of a worker brings an odd entry: text that is not UTF-8, a lone surrogate, an unknown service. Neither draws from the random numbers of the faults, so that earlier seeds inject the faults that they did.

Late copies are played on the virtual clock only (TestPoolCancelling): a process that was killed forgets what was cancelled, which the soak could not tell from a fault.

--- a/Tests/Soak/SoakCallers.cpp
+++ b/Tests/Soak/SoakCallers.cpp
@@ -1,5 +1,7 @@
 #include "Tests/Soak/SoakCallers.h"
 
+#include "Libraries/LibCore/Time.h"
+
 #include <algorithm>
 #include <chrono>
 #include <map>
@@ -16,6 +18,9 @@
 constexpr auto ReadTimeout = 4s;
 constexpr int MaximumAttempts = 12;
 constexpr int StatusNotRun = 503;
+constexpr int StatusCancelled = 200;
+/// One of this many jobs of a caller is cancelled.
+constexpr int JobsPerCancelling = 6;
 
 /// Returns the calling thread's persistent connection to the port.
 httplib::Client &clientFor(std::uint16_t Port) {
@@ -60,8 +65,10 @@
 void SoakCallers::serve(std::size_t Caller, std::uint64_t Seed) {
   std::mt19937_64 Random(Seed * 1000 + Caller);
   auto Ports = PortsByDataCentre_[Caller % PortsByDataCentre_.size()];
-  while (!Stopping_) {
-    auto Outcome = runJob(Random, Ports);
+  std::mt19937_64 CancellingRandom(Seed * 1000 + 500 + Caller); // Leaves earlier seeds' jobs alone.
+  for (int Job = 1; !Stopping_; ++Job) {
+    auto Outcome = Job % JobsPerCancelling == 0 ? runCancelledJob(CancellingRandom, Ports)
+                                                : runJob(Random, Ports);
     std::lock_guard Guard(Mutex_);
     Outcomes_.push_back(std::move(Outcome));
   }
@@ -95,4 +102,22 @@
   return Outcome;
 }
 
+JobOutcome SoakCallers::runCancelledJob(std::mt19937_64 &Random,
+                                        std::vector<std::uint16_t> &Ports) {
+  JobOutcome Outcome;
+  Outcome.Key = integration::newJobKey();
+  Outcome.OnlyRejected = false;
+  Outcome.IsPending = false; // Whatever the answer is, the job is not sent again.
+  auto PostPort = Ports[Random() % Ports.size()];
+  std::thread Poster([&] { integration::postJob(PostPort, Outcome.Key, 4, 3500, "", 4000); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(Random() % 400));
+  auto Reply = clientFor(Ports[Random() % Ports.size()])
+                   .Delete(integration::PoolPrefix + Outcome.Key,
+                           httplib::Headers{{"Host", integration::PoolHost}});
+  if (Reply && Reply->status == StatusCancelled)
+    Outcome.CancelledAtMicroseconds = core::MonotonicClock::now().time_since_epoch().count();
+  Poster.join();
+  return Outcome;
+}
+
 } // namespace cornellift::soak
--- a/Tests/Soak/SoakCallers.h
+++ b/Tests/Soak/SoakCallers.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <cstdint>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <string>
 #include <thread>
@@ -20,10 +21,12 @@
   bool IsFailed = false;
   bool OnlyRejected = true; ///< Every attempt was answered "not run".
   bool IsPending = true;    ///< No final answer.
+  /// When the cancelling of the job was acknowledged, on the steady clock; empty if it was not.
+  std::optional<std::int64_t> CancelledAtMicroseconds;
 };
 
 /// Callers with persistent connections. When an answer is lost, a caller sends the job again after
-/// 1.3 s, to a random VM of its data centre.
+/// 1.3 s, to a random VM of its data centre. Some jobs are cancelled at a random VM instead.
 class SoakCallers {
 public:
   SoakCallers(integration::PoolDeployment &Deployment, std::uint64_t Seed, std::size_t Count);
@@ -37,6 +40,7 @@
 private:
   void serve(std::size_t Caller, std::uint64_t Seed);
   JobOutcome runJob(std::mt19937_64 &Random, std::vector<std::uint16_t> &Ports);
+  static JobOutcome runCancelledJob(std::mt19937_64 &Random, std::vector<std::uint16_t> &Ports);
 
   std::vector<std::vector<std::uint16_t>> PortsByDataCentre_;
   std::vector<std::thread> Threads_;
--- a/Tests/Soak/SoakFaults.cpp
+++ b/Tests/Soak/SoakFaults.cpp
@@ -1,8 +1,10 @@
 #include "Tests/Soak/SoakFaults.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <iterator>
+#include <string_view>
 #include <thread>
 
 namespace cornellift::soak {
@@ -15,6 +17,9 @@
 constexpr int LargeSeriesRoutes = 2000;
 constexpr int LargeSeriesVersions = 5;
 constexpr auto LargeSeriesInterval = 100ms;
+/// Entries among the workers' that name no worker to use: text that is not UTF-8, a lone surrogate,
+/// an unknown service.
+constexpr std::array<std::string_view, 3> OddEntryServices = {"pr\xff\xfent", "\\udc00", "none"};
 
 } // namespace
 
@@ -169,7 +174,7 @@
   if (randomBelow(4) == 0) {
     record("restart " + Id);
     Deployment_.control("POST", "/worker/restart?id=" + Id);
-    return;
+    return putOddEntry();
   }
   const char *Ways[] = {"slowdown=8", "fail=1", "still=1", "unhealthy=1", "silent=1", "late=0.3"};
   const char *Way = Ways[randomBelow(std::size(Ways))];
@@ -181,6 +186,17 @@
   });
 }
 
+void SoakFaults::putOddEntry() {
+  // Decided without a random number, as below.
+  auto Number = OddEntries_++;
+  auto Service = std::string(OddEntryServices[Number % OddEntryServices.size()]);
+  record("odd entry " + std::to_string(Number));
+  Deployment_.control("POST", "/store/put?key=servers/odd-" + std::to_string(Number),
+                      R"({"service":")" + Service +
+                          R"(","address":"127.0.0.1:9","zone":"ikeja","slots":8,"state":"ready",)"
+                          R"("capacity":{"cpu":4000,"memMb":4096},"labels":[],"born":1})");
+}
+
 void SoakFaults::changeConfiguration() {
   // Decided without a random number, so that earlier seeds inject the faults that they did.
   bool IsLargeSeries = ++Version_ % 2 == 0;
--- a/Tests/Soak/SoakFaults.h
+++ b/Tests/Soak/SoakFaults.h
@@ -38,6 +38,7 @@
   void proxyFault();
   void storeFault();
   void workerFault();
+  void putOddEntry();
   void changeConfiguration();
   void undoDue(Clock::time_point Now);
   void undoAfter(std::chrono::milliseconds Span, std::function<void()> Act);
@@ -52,6 +53,7 @@
   std::vector<Undo> Undos_;
   std::vector<std::string> Journal_;
   std::uint64_t Version_ = 1; ///< The deployment starts with this one.
+  std::size_t OddEntries_ = 0;
 };
 
 } // namespace cornellift::soak
--- a/Tests/Soak/TestPoolSoak.cpp
+++ b/Tests/Soak/TestPoolSoak.cpp
@@ -1,3 +1,4 @@
+#include "Libraries/LibCore/Time.h"
 #include "Tests/Integration/PoolDeployment.h"
 #include "Tests/Soak/SoakCallers.h"
 #include "Tests/Soak/SoakFaults.h"
@@ -21,6 +22,28 @@
   return Value ? std::strtoull(Value, nullptr, 10) : Default;
 }
 
+/// Time after an acknowledged cancelling in which the job's tasks have to be gone.
+constexpr std::int64_t CancellingMicroseconds = 3'000'000 + 50'000;
+
+/// Describes each task that ran on after its job's cancelling was acknowledged.
+std::vector<std::string> findCancelledRuns(const integration::PoolDeployment &Deployment,
+                                           const std::vector<soak::JobOutcome> &Outcomes) {
+  std::map<std::string, std::int64_t> EndBy;
+  for (const auto &Outcome : Outcomes)
+    if (Outcome.CancelledAtMicroseconds)
+      EndBy[Outcome.Key] = *Outcome.CancelledAtMicroseconds + CancellingMicroseconds;
+  std::vector<std::string> Found;
+  auto Now = core::MonotonicClock::now().time_since_epoch().count();
+  for (const auto &Run : Deployment.runs()) {
+    auto Cancelled = EndBy.find(Run.Job);
+    auto End = Run.ToMicroseconds == 0 ? Now : Run.ToMicroseconds;
+    if (Cancelled != EndBy.end() && End > Cancelled->second)
+      Found.push_back("job " + Run.Job + " ran on " + Run.Worker +
+                      " for too long after its cancelling");
+  }
+  return Found;
+}
+
 std::vector<std::string> findViolations(const integration::PoolDeployment &Deployment,
                                         const std::vector<soak::JobOutcome> &Outcomes) {
   auto Found = Deployment.overlaps();
@@ -73,16 +96,22 @@
   auto Outdated = Deployment.vmsWithoutVersion(Faults.version());
   Callers.finish();
   auto Found = findViolations(Deployment, Callers.outcomes());
+  for (auto &Each : findCancelledRuns(Deployment, Callers.outcomes()))
+    Found.push_back(std::move(Each));
   for (const auto &Name : Outdated)
     Found.push_back(Name + " does not have the configuration " + std::to_string(Faults.version()));
   for (auto &Each : findRecoveryFailures(Deployment))
     Found.push_back(std::move(Each));
   std::size_t Completed = 0;
-  for (const auto &Outcome : Callers.outcomes())
+  std::size_t Cancelled = 0;
+  for (const auto &Outcome : Callers.outcomes()) {
     Completed += Outcome.IsCompleted ? 1 : 0;
+    Cancelled += Outcome.CancelledAtMicroseconds ? 1 : 0;
+  }
   BOOST_TEST_MESSAGE("seed " << Seed << ": " << Faults.journal().size() << " events, "
                              << Callers.outcomes().size() << " jobs, " << Completed
-                             << " completed, " << Found.size() << " violations");
+                             << " completed, " << Cancelled << " cancelled, " << Found.size()
+                             << " violations");
   std::ofstream Journal("integration-logs/PoolSoak-" + std::to_string(Seed) + "/faults.txt");
   for (const auto &Line : Faults.journal())
     Journal << Line << '\n';
