Ingress: Count each refusal; name malformed tasks rightly

405 and the 503 of an unsupported feature were not in cornellift_requests_refused_total, and the own route's parser named a task "tasks[0]." in its message. Both go through the function that counts and logs refusals now, and the name has no dot.

Tests: TestPoolDaemon/EachRefusalIsCounted, TestJobParser/AMalformedTaskIsNamed.

--- a/Services/EntryDaemon/JobParser.cpp
+++ b/Services/EntryDaemon/JobParser.cpp
@@ -94,11 +94,11 @@
   Payload->Tasks.resize(Value.size());
   Target.Tasks.resize(Value.size());
   for (std::size_t Index = 0; Index < Value.size(); ++Index) {
-    auto FieldPrefix = "tasks[" + std::to_string(Index) + "].";
+    auto TaskName = "tasks[" + std::to_string(Index) + "]";
     if (!Value[Index].is_object())
-      return malformed(FieldPrefix + ": give an object");
+      return malformed(TaskName + ": give an object");
     for (auto &[Name, Field] : Value[Index].items())
-      if (!readTaskField(Name, Field, FieldPrefix, Target.Tasks[Index], Payload->Tasks[Index]))
+      if (!readTaskField(Name, Field, TaskName + ".", Target.Tasks[Index], Payload->Tasks[Index]))
         return false;
     Target.Tasks[Index].PayloadBytes = static_cast<std::uint32_t>(Payload->Tasks[Index].size());
   }
--- a/Services/PoolDaemon/Ingress.cpp
+++ b/Services/PoolDaemon/Ingress.cpp
@@ -94,7 +94,7 @@
   case HttpMethod::Delete:
     return cancel(Request, *Key);
   case HttpMethod::Other:
-    return Request->reply({405, {}, {{"Allow", "GET, POST, DELETE"}}});
+    return refuse(Request, {405, {}, {{"Allow", "GET, POST, DELETE"}}}, "method not allowed", Key);
   }
 }
 
@@ -124,7 +124,7 @@
     Log_.line(kernel::DecisionPriority::Notable, "job of an unsupported kind rejected", Key,
               {{"feature", std::string_view(Submitted->Unsupported)},
                {"awaited", std::int64_t{Submitted->IsAwaited}}});
-    return Request->reply(rejection(UnsupportedRetryMilliseconds));
+    return refuse(Request, rejection(UnsupportedRetryMilliseconds), "unsupported feature", Key);
   }
   auto Submission = std::make_shared<kernel::JobSubmission>();
   Submission->Key = Key;
--- a/Tests/EntryDaemon/TestJobParser.cpp
+++ b/Tests/EntryDaemon/TestJobParser.cpp
@@ -50,3 +50,9 @@
     BOOST_TEST((core::lastReason().Kind == core::ErrorKind::TooLarge));
   }
 }
+
+// Guards against a message that names a field that does not exist ("tasks[1].").
+BOOST_AUTO_TEST_CASE(AMalformedTaskIsNamed) {
+  BOOST_TEST(!entry::parseJob(withTasks("[{\"payload\":\"a\"},1]"), 10));
+  BOOST_TEST(core::lastReason().Message.starts_with("tasks[1]: "), core::lastReason().Message);
+}
--- a/Tests/Integration/TestPoolDaemon.cpp
+++ b/Tests/Integration/TestPoolDaemon.cpp
@@ -345,3 +345,23 @@
   BOOST_TEST(Deployment.runs().size() == 4 * Deployment.vms().size());
   BOOST_TEST(Cancel(Deployment.vms().back(), newJobKey()) == 410);
 }
+
+// Guards against refusals that no metric shows.
+BOOST_AUTO_TEST_CASE(EachRefusalIsCounted) {
+  PoolDeployment Deployment("Refusals", {});
+  BOOST_REQUIRE(Deployment.waitUntilReady());
+  const auto &Vm = Deployment.vms().front();
+  httplib::Client Client("127.0.0.1", Vm.CallerPort);
+  httplib::Headers Headers = {{"Host", PoolHost}};
+  auto Target = PoolPrefix + newJobKey();
+  auto NotAllowed = Client.Put(Target, Headers, "", "application/json");
+  auto Unsupported = Client.Post(
+      Target, Headers, R"({"spec":"s","bestEffort":true,"gang":true,"phases":[{"count":1}]})",
+      "application/json");
+  BOOST_REQUIRE(NotAllowed);
+  BOOST_REQUIRE(Unsupported);
+  for (const auto &Reply : {NotAllowed->status, Unsupported->status}) {
+    auto Name = "cornellift_requests_refused_total{status=\"" + std::to_string(Reply) + "\"}";
+    BOOST_TEST(PoolDeployment::metric(Vm, Name).value_or(0) == 1, Name);
+  }
+}
