--- /dev/null
+++ b/Tests/Pool/TestPoolManagerReturns.cpp
@@ -0,0 +1,122 @@
+#include "Tests/Pool/ManagerFixture.h"
+
+#include <algorithm>
+#include <deque>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cornellift;
+using namespace cornellift::kernel;
+using namespace std::chrono_literals;
+using cornellift::test::entry;
+using cornellift::test::ManagerFixture;
+
+// Guards against tasks that are started on a worker of the wrong kind: it had returned under its id
+// as another kind, and its former entry was still in use.
+BOOST_AUTO_TEST_CASE(AReturnedWorkerGetsTasksOnlyByItsNewEntry) {
+  ManagerFixture Fixture;
+  auto List = [&](const std::string &Label, std::int64_t Incarnation) {
+    auto Entry = entry("w-0");
+    Entry.Labels = {Label};
+    Entry.StartedMilliseconds = Incarnation;
+    Fixture.Manager.setWorkers(std::vector{Entry}, Fixture.Now);
+  };
+  List("a", 7);
+  Fixture.answerPolls();
+  Fixture.answerPolls();
+  Fixture.RequiredLabel = "a";
+  Fixture.submit(1, 50);
+  BOOST_TEST(Fixture.Out.Starts.size() == 1U);
+  Fixture.Incarnation = 8;
+  Fixture.answerPolls(); // Shows that the worker has restarted.
+  Fixture.answerPolls();
+  Fixture.submit(1, 50);
+  BOOST_TEST(Fixture.Out.Starts.size() == 1U);
+  List("b", 8);
+  Fixture.pass(10ms);
+  BOOST_TEST(Fixture.Out.Starts.size() == 1U);
+  List("a", 9); // Read before the worker's first report.
+  Fixture.pass(10ms);
+  BOOST_TEST(Fixture.Out.Starts.size() == 1U);
+  Fixture.Incarnation = 9;
+  Fixture.answerPolls();
+  Fixture.answerPolls();
+  Fixture.pass(10ms);
+  BOOST_TEST(Fixture.Out.Starts.size() > 1U);
+}
+
+// Guards against a cancelled job that a late copy of its request starts again, and against a
+// cancelling that reaches only one of the processes that await the job.
+BOOST_AUTO_TEST_CASE(ACancelledJobStaysCancelled) {
+  ManagerFixture Fixture;
+  Fixture.list({"w-0"});
+  constexpr PeerIndex Other{1};
+  auto Key = Fixture.submit(2, 500);
+  Fixture.submitAs(Key, 2, 500, 3s, Other);
+  BOOST_TEST(Fixture.Out.Starts.size() == 2U);
+  BOOST_TEST(Fixture.Manager.cancel(Key, Fixture.Now));
+  BOOST_TEST(Fixture.Out.Stops.size() == 2U);
+  auto Answers = Fixture.Out.answers();
+  BOOST_REQUIRE(Answers.size() == 2U);
+  for (const auto &Answer : Answers)
+    BOOST_TEST((Answer.Verdict == JobVerdict::Cancelled));
+  for (int Copy = 0; Copy < 2; ++Copy) { // While the runs are being stopped, and later.
+    Fixture.submitAs(Key, 2, 500);
+    BOOST_TEST((Fixture.Out.answers().back().Verdict == JobVerdict::Cancelled));
+    Fixture.answerPolls();
+    Fixture.pass(60s);
+  }
+  BOOST_TEST(Fixture.Out.answers().size() == 4U);
+  BOOST_TEST(Fixture.Out.Starts.size() == 2U);
+  BOOST_TEST(!Fixture.Manager.cancel(Key, Fixture.Now));
+}
+
+// Guards against a job that runs although it was cancelled before its request arrived.
+BOOST_AUTO_TEST_CASE(AJobThatArrivesAfterItsCancellingDoesNotRun) {
+  ManagerFixture Fixture;
+  Fixture.list({"w-0"});
+  constexpr JobKey Key{77};
+  BOOST_TEST(!Fixture.Manager.cancel(Key, Fixture.Now));
+  Fixture.submitAs(Key, 1, 50);
+  BOOST_TEST(Fixture.Out.Starts.empty());
+  BOOST_REQUIRE(Fixture.Out.answers().size() == 1U);
+  BOOST_TEST((Fixture.Out.answers().front().Verdict == JobVerdict::Cancelled));
+}
+
+// Guards against a job that waits until its deadline for runs on a worker that no longer answers,
+// although others are free: each unanswered poll counted as an extension of the lease. No run may
+// start elsewhere before the last lease that can have arrived has ended.
+BOOST_AUTO_TEST_CASE(RunsOfASilentWorkerStartElsewhereWhenItsLeaseHasEnded) {
+  ManagerFixture Fixture;
+  Fixture.list({"w-0", "w-1"});
+  Fixture.submit(1, 500, 8s);
+  BOOST_REQUIRE(Fixture.Out.Starts.size() == 1U);
+  auto [Silent, Command] = Fixture.Out.Starts.front();
+  Fixture.Manager.startReplied(Silent, Command, {CommandVerdict::Accepted, {}}, Fixture.Now);
+  auto SilentSince = Fixture.Now;
+  std::int64_t LeaseUntil = Command.StartBy;
+  constexpr auto PollTimeout = 450ms;
+  std::deque<std::pair<core::TimePoint, PollCommand>> Unanswered;
+  while (Fixture.Out.Starts.size() == 1 && Fixture.Now < SilentSince + 5s) {
+    for (const auto &[Worker, Poll] : std::exchange(Fixture.Out.Polls, {})) {
+      if (Worker != Silent) {
+        PollReply Idle{CommandVerdict::Accepted, WorkerReport()};
+        Idle.Report->ClockMilliseconds = ManagerFixture::workerClock(Fixture.Now);
+        Idle.Report->StartedMilliseconds = Fixture.Incarnation;
+        Fixture.Manager.pollReplied(Worker, Poll, Idle, Fixture.Now);
+        continue;
+      }
+      LeaseUntil = std::max(LeaseUntil, Poll.LeaseUntil.value_or(0));
+      Unanswered.emplace_back(Fixture.Now + PollTimeout, Poll);
+    }
+    Fixture.pass(10ms);
+    while (!Unanswered.empty() && Fixture.Now >= Unanswered.front().first) {
+      Fixture.Manager.pollReplied(Silent, Unanswered.front().second, {}, Fixture.Now);
+      Unanswered.pop_front();
+    }
+  }
+  BOOST_REQUIRE(Fixture.Out.Starts.size() == 2U);
+  BOOST_TEST((Fixture.Out.Starts.back().first != Silent));
+  BOOST_TEST(ManagerFixture::workerClock(Fixture.Now) > LeaseUntil);
+  BOOST_TEST((Fixture.Now - SilentSince < 1500ms));
+}
