--- a/Kernel/Pool/Worker.h
+++ b/Kernel/Pool/Worker.h
@@ -69,8 +69,8 @@
   /// The worker counts as silent from then on, unless it answers a poll before. Failed polls do not
   /// show that: polls that are replaced by further ones before their timeout are not counted.
   core::TimePoint SilentAt;
-  core::TimePoint BackoffUntil;  ///< End of the backoff after a refused start.
-  bool HasForeignRuns = false;   ///< It has runs that this manager did not start.
+  core::TimePoint BackoffUntil; ///< End of the backoff after a refused start.
+  bool HasForeignRuns = false;  ///< It has runs that this manager did not start.
   std::vector<Run> Runs;
   Resources Committed; ///< Sum of the needs of Runs.
 
