review: a route's timeout that exceeds the deadline in the cases 7 and 9

Cause: LOST excuses a request when the route's timeout was reached, 5 s in the configuration of the scripts so far; case 9 holds requests for longer.

Done: the configuration takes the timeout; a value can be put into the stand-in's store.

--- a/review/Kit2.hh
+++ b/review/Kit2.hh
@@ -402,6 +402,12 @@
         .Body;
   }
   std::vector<Run> runs() const { return parseRuns(control("/runs")); }
+  /// Puts a value into the stand-in's store.
+  bool put(const std::string &Key, const std::string &Value) const {
+    return call(StoreIp_, ControlPort_, "POST", "/store/put?key=" + Key, "Host: control\r\n", Value,
+                5000)
+               .Status == 200;
+  }
 
 private:
   /// As platform/node.settings.template, with the figures of the smallest deployment.
@@ -438,13 +444,12 @@
 };
 
 /// A configuration with one queue, /slips/ on slips.example, whose tasks run on the service print.
-inline std::string configurationWith(int TargetLatencyMs, bool EnforcesCapacity = true) {
+inline std::string configurationWith(int TargetLatencyMs, int TimeoutMs = 5000) {
   return R"({"version": 1, "routes": [{"name": "slips", "host": "slips.example", "prefix": "/slips/",
-    "kind": "non_idempotent", "timeoutMs": 5000, "targetLatencyMs": )" +
-         std::to_string(TargetLatencyMs) +
+    "kind": "non_idempotent", "timeoutMs": )" +
+         std::to_string(TimeoutMs) + R"(, "targetLatencyMs": )" + std::to_string(TargetLatencyMs) +
          R"(, "priority": 0, "service": "print", "maxAttempts": 3, "stretch": 2.0}],
-    "services": [{"name": "print", "maxConns": 64, "enforcesCapacity": )" +
-         (EnforcesCapacity ? "true" : "false") + R"(}],
+    "services": [{"name": "print", "maxConns": 64, "enforcesCapacity": true}],
     "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})";
 }
 
