Kernel: Start no task on a worker that is silent

What callers saw: tasks of a worker that had fallen silent were started on it again and again, and were lost 140 ms after each start, until its overdue runs were given up.

Cause: whether a worker accepts tasks was judged by its failed polls. A poll that is replaced by another one before its timeout is not counted, and with an overdue run on the worker each poll is replaced after 100 ms, so that none ever fails. SilentAt, which was added for such workers, was asked for the lease and for lost runs only.

Evidence: the new test ASilentWorkerGetsNoMoreTasks failed on the code before: a second start 550 ms after the last answer.

Change: Worker::isAnswering() asks for both, and the three places that judged by failed polls use it.

--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -123,7 +123,7 @@
   double waitMilliseconds(const PoolJob &Job, core::TimePoint Now) const;
   /// Typical run time that this manager's workers work off per unit of time, each with as many
   /// tasks of that need as fit.
-  double workRate(const Resources &Need) const;
+  double workRate(const Resources &Need, core::TimePoint Now) const;
   /// Expected run time of the job's longest waiting task on the fastest worker, in milliseconds.
   double shortestRunTime(const PoolJob &Job) const;
   PoolJob *find(JobHandle Handle);
--- a/Kernel/Pool/PoolManagerQueue.cpp
+++ b/Kernel/Pool/PoolManagerQueue.cpp
@@ -44,16 +44,16 @@
     if (Key.Handle != Job.Handle)
       Ahead += Jobs_.at(Key.Handle).waitingMilliseconds();
   }
-  double Rate = workRate(Job.Submission->Steps.front().Need);
+  double Rate = workRate(Job.Submission->Steps.front().Need, Now);
   return Rate > 0 ? Ahead / Rate : 0;
 }
 
-double PoolManager::workRate(const Resources &Need) const {
+double PoolManager::workRate(const Resources &Need, core::TimePoint Now) const {
   double Rate = 0;
   for (std::size_t Position = 0; Position < Fleet_.size(); ++Position) {
     auto Index = static_cast<EndpointIndex>(Position);
     const auto &Known = Fleet_.at(Index);
-    if (Known.Lease != LeaseState::Held || Known.FailedPolls > 0)
+    if (Known.Lease != LeaseState::Held || !Known.isAnswering(Now))
       continue;
     double Places = Need.Processors > 0
                         ? std::floor(Known.Entry.Capacity.Processors / Need.Processors)
@@ -81,7 +81,7 @@
     return;
   auto Rate = PlacementRate_.value();
   if (Rate <= 0) // Work has begun to wait just now, as after an outage.
-    Rate = workRate(Jobs_.at(Queue_.begin()->Handle).Submission->Steps.front().Need);
+    Rate = workRate(Jobs_.at(Queue_.begin()->Handle).Submission->Steps.front().Need, Now);
   if (Rate <= 0)
     return;
   std::vector<ReviewedJob> Waiting;
--- a/Kernel/Pool/Worker.cpp
+++ b/Kernel/Pool/Worker.cpp
@@ -13,10 +13,12 @@
 
 bool Worker::acceptsTasks(core::TimePoint Now) const {
   return isEntryCurrent() && Lease == LeaseState::Held && IsListed &&
-         Entry.State == WorkerState::Ready && FailedPolls == 0 && !HasForeignRuns &&
+         Entry.State == WorkerState::Ready && isAnswering(Now) && !HasForeignRuns &&
          Clock.isKnown() && Now >= BackoffUntil;
 }
 
+bool Worker::isAnswering(core::TimePoint Now) const { return FailedPolls == 0 && Now < SilentAt; }
+
 Resources Worker::free() const {
   return {Entry.Capacity.Processors - Committed.Processors,
           Entry.Capacity.MemoryMegabytes - Committed.MemoryMegabytes,
--- a/Kernel/Pool/Worker.h
+++ b/Kernel/Pool/Worker.h
@@ -77,6 +77,8 @@
   /// Returns whether the entry is that of the incarnation that answered last. Until then the
   /// worker's labels, capacity and service are unknown: it may have returned as another kind.
   bool isEntryCurrent() const;
+  /// Returns whether its last polls were answered.
+  bool isAnswering(core::TimePoint Now) const;
   /// Returns whether the worker accepts tasks, regardless of its free capacity.
   bool acceptsTasks(core::TimePoint Now) const;
   Resources free() const;
--- a/Kernel/Pool/WorkerFleet.cpp
+++ b/Kernel/Pool/WorkerFleet.cpp
@@ -302,8 +302,7 @@
       beginClaim(Index, Now);
     return;
   }
-  bool IsUnreachable =
-      Known.FailedPolls > 0 || Known.Lease != LeaseState::Held || Now >= Known.SilentAt;
+  bool IsUnreachable = Known.Lease != LeaseState::Held || !Known.isAnswering(Now);
   if (IsUnreachable && !Known.Runs.empty() && Now > Known.LeaseEnd)
     markAllRunsLost(Index, Now);
   if (!mutableAt(Index).IsListed && mutableAt(Index).Runs.empty()) {
--- a/Tests/Pool/TestPoolManagerReturns.cpp
+++ b/Tests/Pool/TestPoolManagerReturns.cpp
@@ -83,6 +83,25 @@
   BOOST_TEST((Fixture.Out.answers().front().Verdict == JobVerdict::Cancelled));
 }
 
+// Guards against tasks that are started on a worker that no longer answers: polls that were
+// replaced by others did not count as failed, so that it seemed to be sound as long as runs on it
+// were overdue.
+BOOST_AUTO_TEST_CASE(ASilentWorkerGetsNoMoreTasks) {
+  ManagerFixture Fixture;
+  Fixture.list({"w-0"});
+  Fixture.submit(1, 50, 8s);
+  BOOST_REQUIRE(Fixture.Out.Starts.size() == 1U);
+  auto [Silent, Command] = Fixture.Out.Starts.front();
+  Fixture.Manager.startReplied(Silent, Command, {CommandVerdict::Accepted, {}}, Fixture.Now);
+  for (int Tick = 0; Tick < 55; ++Tick) // 550 ms without an answer to a poll.
+    Fixture.pass(10ms);
+  Fixture.submit(1, 50, 8s);
+  BOOST_TEST(Fixture.Out.Starts.size() == 1U);
+  Fixture.answerPolls();
+  Fixture.pass(10ms);
+  BOOST_TEST(Fixture.Out.Starts.size() > 1U);
+}
+
 // Guards against a job that waits until its deadline for runs on a worker that no longer answers,
 // although others are free: each unanswered poll counted as an extension of the lease. No run may
 // start elsewhere before the last lease that can have arrived has ended.
