WorkerFleet: Wait for the lease that an unnoticed incarnation grants

Cause: a worker that has returned under its id, and has not reported yet, takes a start that was meant for its former incarnation: it knows no fencing token, and its clock has started anew, so that the deadline on the former one's clock lies far ahead and it grants the longest lease, 1 s. The manager expected the run to end 140 ms after the start, or with the lease that it had extended for the former incarnation, and started the task elsewhere. The polls that would have shown the restart hung on former connections meanwhile.

Change: a run counts as one of the known incarnation once a report has listed it. Until then it is lost only after the longest lease that any command sent so far can have been granted. Polls that do not follow an answer extend no lease while there are such runs, as they would prolong that time. After a claim the lease counts as the longest one, whoever granted it.

Why it works: a new incarnation's lease ends at the latest 1 s after the last command that carries a deadline has reached it, and commands are given up after their timeouts.

Conclusion: fixed for commands that arrive before their timeouts.

--- a/Kernel/Pool/Worker.cpp
+++ b/Kernel/Pool/Worker.cpp
@@ -30,6 +30,14 @@
   return Used < Entry.Slots ? Entry.Slots - Used : 0;
 }
 
+bool Worker::hasUnreportedRuns() const {
+  return std::any_of(Runs.begin(), Runs.end(), [](const Run &Each) { return !Each.IsReported; });
+}
+
+core::TimePoint Worker::leaseEndOf(const Run &Each) const {
+  return Each.IsReported ? LeaseEnd : std::max(LeaseEnd, UnreportedLeaseEnd);
+}
+
 Run *Worker::find(const TaskRef &Task, std::uint32_t Number) {
   return const_cast<Run *>(std::as_const(*this).find(Task, Number));
 }
--- a/Kernel/Pool/Worker.h
+++ b/Kernel/Pool/Worker.h
@@ -35,6 +35,9 @@
   /// How often the start command was sent. From the second time on, a refusal is inconclusive.
   std::uint32_t SendCount = 1;
   core::TimePoint ConfirmedAt; ///< When the start was first confirmed.
+  /// A report of the worker has listed it. Until then it may run on an incarnation of the worker
+  /// that has not reported yet.
+  bool IsReported = false;
   core::TimePoint ExpectedEnd;
   double PercentDone = 0;
   core::TimePoint PercentAt; ///< When the worker reported PercentDone.
@@ -60,12 +63,16 @@
   std::uint64_t LastSeen = 0; ///< Number of the last end that was processed.
   /// When the lease has expired for certain, even if all extensions sent so far arrived.
   core::TimePoint LeaseEnd;
+  /// The same for an incarnation that has not reported yet. The deadlines in the commands that it
+  /// gets are on its predecessor's clock; it may grant the longest lease for each.
+  core::TimePoint UnreportedLeaseEnd;
   bool IsPolling = false;       ///< A poll is in flight.
   std::uint64_t PollNumber = 0; ///< Number of the last poll; replies to earlier polls are ignored.
   core::TimePoint PollSentAt;
   core::TimePoint NextPollAt;
   core::TimePoint ClaimAt;       ///< Earliest next claim.
   std::uint32_t FailedPolls = 0; ///< Consecutive failed polls.
+  core::TimePoint AnsweredAt;    ///< When the last poll was answered.
   /// The worker counts as silent from then on, unless it answers a poll before. Failed polls do not
   /// show that: polls that are replaced by further ones before their timeout are not counted.
   core::TimePoint SilentAt;
@@ -84,6 +91,10 @@
   Resources free() const;
   std::uint32_t freeSlots() const;
 
+  bool hasUnreportedRuns() const;
+  /// When the run has ended for certain, without a further report.
+  core::TimePoint leaseEndOf(const Run &Each) const;
+
   Run *find(const TaskRef &Task, std::uint32_t Number);
   const Run *find(const TaskRef &Task, std::uint32_t Number) const;
   void add(const Run &Started);
--- a/Kernel/Pool/WorkerFleet.cpp
+++ b/Kernel/Pool/WorkerFleet.cpp
@@ -1,6 +1,7 @@
 #include "Kernel/Pool/WorkerFleet.h"
 
 #include <algorithm>
+#include <iterator>
 #include <unordered_set>
 #include <utility>
 
@@ -121,6 +122,9 @@
   // receive must not put that off.
   if (Now >= Known.SilentAt)
     return std::nullopt;
+  // An incarnation that has not reported yet would extend it for the longest time.
+  if (Now > Known.AnsweredAt && Known.hasUnreportedRuns())
+    return std::nullopt;
   // Runs of another manager must end with the lease that it granted.
   if (Known.HasForeignRuns && Known.Runs.empty())
     return std::nullopt;
@@ -137,10 +141,6 @@
   PollCommand Command;
   Command.FencingToken = Known.Token;
   Command.LastSeen = Known.LastSeen;
-  if (auto Until = leaseExtension(Known, Now)) {
-    Command.LeaseUntil = Known.Clock.at(*Until);
-    Known.LeaseEnd = std::max(Known.LeaseEnd, *Until + LeaseSlack);
-  }
   bool ExpectsEnd = Known.HasForeignRuns ||
                     std::any_of(Known.Runs.begin(), Known.Runs.end(), [](const Run &Candidate) {
                       return Candidate.State != RunState::Running;
@@ -149,6 +149,12 @@
     Command.WaitMilliseconds = ExpectsEnd           ? ShortPollWaitMilliseconds
                                : Known.Runs.empty() ? PollWaitMilliseconds
                                                     : ProgressWaitMilliseconds;
+  if (auto Until = leaseExtension(Known, Now)) {
+    Command.LeaseUntil = Known.Clock.at(*Until);
+    Known.LeaseEnd = std::max(Known.LeaseEnd, *Until + LeaseSlack);
+    auto ArrivesBy = Now + std::chrono::milliseconds(Command.WaitMilliseconds) + PollReplyMargin;
+    Known.UnreportedLeaseEnd = std::max(Known.UnreportedLeaseEnd, ArrivesBy + LongestLease);
+  }
   Known.IsPolling = true;
   Known.PollSentAt = Now;
   Command.Number = ++Known.PollNumber;
@@ -168,6 +174,8 @@
   NewRun.StartSentAt = Now;
   NewRun.State = RunState::Starting;
   Known.LeaseEnd = std::max(Known.LeaseEnd, Now + StartValidity + LeaseSlack);
+  Known.UnreportedLeaseEnd =
+      std::max(Known.UnreportedLeaseEnd, Now + CommandTimeout + LongestLease);
   Known.add(NewRun);
   Output_.start(Index, Command);
 }
@@ -252,9 +260,12 @@
   Listener_.runEnded(Index, Ended, How, Now);
 }
 
-void WorkerFleet::markAllRunsLost(EndpointIndex Index, core::TimePoint Now) {
-  auto Lost = at(Index).Runs;
-  for (const auto &Run : Lost)
+void WorkerFleet::endLapsedRuns(EndpointIndex Index, core::TimePoint Now) {
+  const auto &Known = at(Index);
+  std::vector<Run> Lapsed;
+  std::copy_if(Known.Runs.begin(), Known.Runs.end(), std::back_inserter(Lapsed),
+               [&](const Run &Each) { return Now > Known.leaseEndOf(Each); });
+  for (const auto &Run : Lapsed)
     endRun(Index, Run.Task, Run.Number, RunOutcome::Lost, Now);
 }
 
@@ -267,6 +278,8 @@
         Now < Candidate.StartSentAt + StartRepeatDelay * Candidate.SendCount)
       continue;
     ++Candidate.SendCount;
+    Known.UnreportedLeaseEnd =
+        std::max(Known.UnreportedLeaseEnd, Now + CommandTimeout + LongestLease);
     auto Specification = Listener_.specificationOf(Candidate);
     if (Specification)
       Output_.start(Index, {Candidate.Task, Candidate.Number, std::move(*Specification),
@@ -303,8 +316,8 @@
     return;
   }
   bool IsUnreachable = Known.Lease != LeaseState::Held || !Known.isAnswering(Now);
-  if (IsUnreachable && !Known.Runs.empty() && Now > Known.LeaseEnd)
-    markAllRunsLost(Index, Now);
+  if (IsUnreachable)
+    endLapsedRuns(Index, Now);
   if (!mutableAt(Index).IsListed && mutableAt(Index).Runs.empty()) {
     mutableAt(Index).Lease = LeaseState::Absent;
     mutableAt(Index).IsPolling = false;
--- a/Kernel/Pool/WorkerFleet.h
+++ b/Kernel/Pool/WorkerFleet.h
@@ -20,6 +20,15 @@
 /// can be started elsewhere after this time.
 constexpr std::chrono::milliseconds StartValidity{100};
 
+/// Timeout of a start or stop command. A worker refuses a start that is later than StartValidity.
+constexpr std::chrono::milliseconds CommandTimeout{110};
+/// How much longer than the requested wait the reply to a poll may take.
+constexpr std::chrono::milliseconds PollReplyMargin{150};
+
+/// Longest lease that a worker grants, whatever the deadline: one second on its own clock, which
+/// may be 2% slow.
+constexpr std::chrono::milliseconds LongestLease{1020};
+
 /// A reply that is read this long after the worker should have sent it was held up in this process.
 constexpr core::Duration MaximumReplyTime = std::chrono::milliseconds(100);
 
@@ -119,7 +128,8 @@
                           core::TimePoint Now);
   void endRun(EndpointIndex Index, const TaskRef &Task, std::uint32_t Number, RunOutcome How,
               core::TimePoint Now);
-  void markAllRunsLost(EndpointIndex Index, core::TimePoint Now);
+  /// Ends the runs of an unreachable worker whose leases have expired.
+  void endLapsedRuns(EndpointIndex Index, core::TimePoint Now);
   void tickWorker(EndpointIndex Index, core::TimePoint Now);
   void repeatStarts(EndpointIndex Index, core::TimePoint Now);
   void repeatStops(EndpointIndex Index, core::TimePoint Now);
--- a/Kernel/Pool/WorkerFleetPolls.cpp
+++ b/Kernel/Pool/WorkerFleetPolls.cpp
@@ -62,6 +62,7 @@
   const auto &Report = *Reply.Report;
   bool DidAcceptTasks = Known.acceptsTasks(Now);
   Known.FailedPolls = 0;
+  Known.AnsweredAt = Now;
   Known.SilentAt = Now + SilenceTimeout;
   if (Report.StartedMilliseconds != Known.StartedMilliseconds)
     return workerRestarted(Index, Report, Now);
@@ -71,6 +72,8 @@
   bool IsClaim = Known.Lease == LeaseState::Claiming;
   if (IsClaim) {
     Known.Lease = LeaseState::Held;
+    // What another manager granted, or this one to a former incarnation, ends by then.
+    Known.LeaseEnd = std::max(Known.LeaseEnd, Now + LongestLease);
     Log_.line(DecisionPriority::StateChange, "worker claimed", std::nullopt,
               {{"worker", std::string_view(Known.Entry.Id)},
                {"token", static_cast<std::int64_t>(Known.Token)},
@@ -152,6 +155,7 @@
       Found->State = RunState::Running;
       Found->ConfirmedAt = Now;
     }
+    Found->IsReported = true;
     Found->PercentDone = Listed.PercentDone;
     Found->PercentAt = sentAt(*Found, Report, Now);
   }
--- a/Services/PoolDaemon/WorkerClient.cpp
+++ b/Services/PoolDaemon/WorkerClient.cpp
@@ -9,10 +9,6 @@
 constexpr std::size_t CommandConnections = 4;
 /// Connections for polls: one for the pending poll, and one in case its reply is lost.
 constexpr std::size_t PollConnections = 2;
-/// Timeout of a command. A worker refuses a start that is later than its command allows, 100 ms.
-constexpr core::Duration CommandTimeout = std::chrono::milliseconds(110);
-/// How much longer than the requested wait the reply to a poll may take.
-constexpr core::Duration PollReplyMargin = std::chrono::milliseconds(150);
 
 } // namespace
 
@@ -58,7 +54,7 @@
   if (!Known.PollClient)
     return reactor::asio::post(Reactor_, [Done] { Done({}); });
   auto Deadline = core::MonotonicClock::now() +
-                  std::chrono::milliseconds(Command.WaitMilliseconds) + PollReplyMargin;
+                  std::chrono::milliseconds(Command.WaitMilliseconds) + kernel::PollReplyMargin;
   Known.PollClient->call(Format_.pollRequest(Known.Id, Command), Deadline, Done);
 }
 
@@ -73,7 +69,8 @@
   };
   if (!Known.CommandClient)
     return reactor::asio::post(Reactor_, [Done] { Done({}); });
-  Known.CommandClient->call(std::move(Request), core::MonotonicClock::now() + CommandTimeout, Done);
+  Known.CommandClient->call(std::move(Request),
+                            core::MonotonicClock::now() + kernel::CommandTimeout, Done);
 }
 
 void WorkerClient::stop(kernel::EndpointIndex Worker, const kernel::StopCommand &Command) {
@@ -85,7 +82,7 @@
   if (!Known.CommandClient)
     return reactor::asio::post(Reactor_, [Done] { Done({}); });
   Known.CommandClient->call(Format_.stopRequest(Known.Id, Command),
-                            core::MonotonicClock::now() + CommandTimeout, Done);
+                            core::MonotonicClock::now() + kernel::CommandTimeout, Done);
 }
 
 void WorkerClient::send(kernel::PeerIndex Peer, kernel::PoolMessage Message) {
--- a/Tests/Pool/PoolSimulation.cpp
+++ b/Tests/Pool/PoolSimulation.cpp
@@ -289,6 +289,14 @@
   after(Lag, [this, Worker] { Published_[Worker] = Workers_[Worker]->entry(); });
 }
 
+void PoolSimulation::restartWorkerUnnoticed(std::size_t Worker, core::Duration DownTime,
+                                            core::Duration PollSilence) {
+  for (std::size_t Vm = 0; Vm < Vms_.size(); ++Vm)
+    cutWorker(Vm, Worker, DownTime);
+  SilentPolls_[Worker] = Now_ + DownTime + PollSilence;
+  after(DownTime, [this, Worker] { restartWorker(Worker); });
+}
+
 void PoolSimulation::cancel(JobKey Key, std::size_t Vm) {
   if (!Vms_[Vm])
     return;
--- a/Tests/Pool/PoolSimulation.h
+++ b/Tests/Pool/PoolSimulation.h
@@ -72,6 +72,10 @@
   void cutWorker(std::size_t Vm, std::size_t Worker, core::Duration Span);
   /// Restarts a worker, whose new entry is published up to MaximumListingLag later.
   void restartWorker(std::size_t Worker);
+  /// The worker is down and then returns as a new incarnation that gets commands on new connections
+  /// at once, while the polls on former ones stay unanswered for a while longer.
+  void restartWorkerUnnoticed(std::size_t Worker, core::Duration DownTime,
+                              core::Duration PollSilence);
   standin::WorkerModel &worker(std::size_t Index) { return *Workers_[Index]; }
   std::size_t vmCount() const { return Vms_.size(); }
   std::size_t workerCount() const { return Workers_.size(); }
@@ -137,6 +141,7 @@
   std::vector<std::unique_ptr<Vm>> Vms_;
   std::map<std::pair<std::size_t, std::size_t>, core::TimePoint> CutVms_;
   std::map<std::pair<std::size_t, std::size_t>, core::TimePoint> CutWorkers_;
+  std::map<std::size_t, core::TimePoint> SilentPolls_; ///< End of the silence, by worker.
   /// Start of the current disconnection of two VMs.
   std::map<std::pair<std::size_t, std::size_t>, core::TimePoint> DisconnectedSince_;
   std::map<JobKey, std::unique_ptr<Caller>> Callers_;
--- a/Tests/Pool/PoolSimulationVm.h
+++ b/Tests/Pool/PoolSimulationVm.h
@@ -17,8 +17,6 @@
 constexpr core::Duration TickTime = std::chrono::milliseconds(10);
 constexpr core::Duration PeerTimeout = std::chrono::milliseconds(600);
 constexpr core::Duration ResendDelay = std::chrono::milliseconds(1300);
-constexpr core::Duration CommandTimeout = std::chrono::milliseconds(110);
-constexpr core::Duration PollReplyMargin = std::chrono::milliseconds(150);
 constexpr core::Duration CallerTimeout = std::chrono::seconds(4);
 
 /// A simulated caller and its job.
@@ -382,7 +380,8 @@
     auto Deadline = Simulation->Now_ + OneWayDelay + Wait;
     auto Poll = [Simulation, Self, Target, Command, Deadline, Respond,
                  IsLost](auto &Again) -> void {
-      if (Simulation->CutWorkers_[{Self, Target}] > Simulation->Now_)
+      if (Simulation->CutWorkers_[{Self, Target}] > Simulation->Now_ ||
+          Simulation->SilentPolls_[Target] > Simulation->Now_)
         return;
       auto &Model = *Simulation->Workers_[Target];
       // The lease is extended on arrival, while the reply waits for an end.
--- a/Tests/Pool/TestPoolManagerReturns.cpp
+++ b/Tests/Pool/TestPoolManagerReturns.cpp
@@ -83,6 +83,58 @@
   BOOST_TEST((Fixture.Out.answers().front().Verdict == JobVerdict::Cancelled));
 }
 
+// Guards against a task that runs twice at the same time. A worker had returned unnoticed and had
+// taken a start that was meant for its former incarnation. Deadlines on that one's clock lie far
+// ahead of the new one's, which grants the longest lease for them.
+BOOST_AUTO_TEST_CASE(ARunThatANewIncarnationMayHaveStartsElsewhereAfterTheLongestLease) {
+  constexpr auto LeaseLimit = 1000ms;
+  ManagerFixture Fixture;
+  Fixture.list({"w-0"});
+  auto SilentSince = Fixture.Now;
+  // The worker is down meanwhile; the poll that waits at it gets no answer.
+  Fixture.pass(300ms);
+  BOOST_REQUIRE(Fixture.Out.Polls.size() == 1U);
+  Fixture.submit(1, 500, 8s);
+  BOOST_REQUIRE(Fixture.Out.Starts.size() == 1U);
+  auto Returned = Fixture.Out.Starts.front().first;
+  Fixture.Manager.setWorkers(std::vector{entry("w-0"), entry("w-1")}, Fixture.Now);
+  core::TimePoint LeaseEnd;
+  std::deque<std::pair<core::TimePoint, PollCommand>> Unanswered;
+  Unanswered.emplace_back(SilentSince + 450ms, Fixture.Out.Polls.front().second);
+  Fixture.Out.Polls.erase(Fixture.Out.Polls.begin());
+  std::size_t Seen = 0;
+  auto HasMoved = [&] { return Fixture.Out.Starts.back().second.Run > 1; };
+  while (!HasMoved() && Fixture.Now < SilentSince + 5s) {
+    for (; Seen < Fixture.Out.Starts.size(); ++Seen) // The start and its repetitions.
+      LeaseEnd = std::max(LeaseEnd, Fixture.Now + CommandTimeout + LeaseLimit);
+    for (const auto &[Worker, Poll] : std::exchange(Fixture.Out.Polls, {})) {
+      if (Worker == Returned) {
+        auto TimeoutAt =
+            Fixture.Now + std::chrono::milliseconds(Poll.WaitMilliseconds) + PollReplyMargin;
+        Unanswered.emplace_back(TimeoutAt, Poll);
+        if (Poll.LeaseUntil)
+          LeaseEnd = std::max(LeaseEnd, TimeoutAt + LeaseLimit);
+        continue;
+      }
+      PollReply Idle{CommandVerdict::Accepted, WorkerReport()};
+      Idle.Report->ClockMilliseconds = ManagerFixture::workerClock(Fixture.Now);
+      Idle.Report->StartedMilliseconds = Fixture.Incarnation;
+      Fixture.Manager.pollReplied(Worker, Poll, Idle, Fixture.Now);
+    }
+    Fixture.pass(10ms);
+    while (!Unanswered.empty() && Fixture.Now >= Unanswered.front().first) {
+      Fixture.Manager.pollReplied(Returned, Unanswered.front().second, {}, Fixture.Now);
+      Unanswered.pop_front();
+    }
+  }
+  BOOST_REQUIRE(HasMoved());
+  BOOST_TEST((Fixture.Out.Starts.back().first != Returned));
+  BOOST_TEST((Fixture.Now > LeaseEnd), "started elsewhere "
+                                           << core::toMilliseconds(LeaseEnd - Fixture.Now)
+                                           << " ms before the lease may have ended");
+  BOOST_TEST((Fixture.Now - SilentSince < 1600ms));
+}
+
 // Guards against tasks that are started on a worker that no longer answers: polls that were
 // replaced by others did not count as failed, so that it seemed to be sound as long as runs on it
 // were overdue.
--- a/Tests/Pool/TestPoolSafety.cpp
+++ b/Tests/Pool/TestPoolSafety.cpp
@@ -49,6 +49,9 @@
       if (Each != Vm)
         Simulation.cutVms(Vm, Each, Span);
     return;
+  case 10:
+    return Simulation.restartWorkerUnnoticed(Worker, std::chrono::milliseconds(Random() % 800),
+                                             std::chrono::milliseconds(Random() % 1200));
   default:
     return;
   }
@@ -82,8 +85,8 @@
 } // namespace
 
 // Guards against two runs of a task at the same time, a rejection of a job that has run, and jobs
-// without an answer. Faults are crashes, freezes, partitions, graceful stops, restarted workers and
-// commands that are executed late.
+// without an answer. Faults are crashes, freezes, partitions, graceful stops, restarted workers,
+// which may return unnoticed, and commands that are executed late.
 BOOST_AUTO_TEST_CASE(RandomFaultsKeepInvariants) {
   auto First = numberFromEnvironment("CORNELLIFT_FIRST_SEED", 1);
   auto Count = numberFromEnvironment("CORNELLIFT_SEEDS", 60);
