HttpConnection: Reset the connection of a call that timed out

Cause: a call that timed out closed its connection in the usual way, so that the kernel went on delivering the request, for instance after a partition had healed.

Evidence: the new test ACallThatTimesOutResetsItsConnection failed on the code before: the server read the end of the stream, not a reset.

Change: the connection is reset at the deadline, which drops what was not delivered.

Conclusion: commands arrive before their timeouts or not at all, but for the delay of the network itself, on which the bound of the lease relies.

--- a/Libraries/LibReactor/HttpConnection.cpp
+++ b/Libraries/LibReactor/HttpConnection.cpp
@@ -149,6 +149,9 @@
   // Parts of the reply have moved the deadline on; setting the timer for each would cost more.
   if (core::MonotonicClock::now() < Deadline_.next())
     return armTimer(Deadline_);
+  // Without a reset, bytes that a partition holds up would arrive long after the deadline.
+  boost::system::error_code Ignored; // A connection that is not established has nothing to send.
+  Socket_.set_option(asio::socket_base::linger(true, 0), Ignored);
   close("timeout while waiting for the reply");
 }
 
--- a/Tests/LibReactor/TestReactorHttp.cpp
+++ b/Tests/LibReactor/TestReactorHttp.cpp
@@ -73,6 +73,29 @@
   BOOST_TEST(Held.size() == 1U);
 }
 
+// Guards against a request that arrives after its deadline: a connection that is closed in the
+// usual way still delivers what a partition holds up.
+BOOST_AUTO_TEST_CASE(ACallThatTimesOutResetsItsConnection) {
+  asio::io_context Reactor;
+  Tcp::acceptor Acceptor(Reactor, AnyPort);
+  auto Client = std::make_shared<HttpClient>(Reactor, Acceptor.local_endpoint(), 1);
+  Tcp::socket Accepted(Reactor);
+  Acceptor.async_accept(Accepted, [](boost::system::error_code) {});
+  bool HasFailed = false;
+  Client->call({HttpMethod::Get, "/", {}, {}}, core::MonotonicClock::now() + 50ms,
+               [&](const HttpResult &) { HasFailed = true; });
+  auto End = std::chrono::steady_clock::now() + 2s;
+  while (!HasFailed && std::chrono::steady_clock::now() < End)
+    Reactor.run_one_for(10ms);
+  BOOST_REQUIRE(HasFailed);
+  BOOST_REQUIRE(Accepted.is_open());
+  std::string Received(1024, '\0');
+  boost::system::error_code Error;
+  while (!Error)
+    Accepted.read_some(asio::buffer(Received), Error);
+  BOOST_TEST(Error == asio::error::connection_reset);
+}
+
 // Guards against a request that counts as sent although no connection was established.
 BOOST_AUTO_TEST_CASE(AnAddressWithoutListenerFailsAsNotSent) {
   Loopback World(echo);
