PoolManager: Wait for the longest lease of a lost manager's workers

A delegated task was started elsewhere 950 ms after its manager had ended, which covers the 0.9 s that a manager extends leases for. A worker that had returned unnoticed grants 1 s for the start that the manager sent last.

Evidence: the new test TasksOfALostManagerStartElsewhereAfterTheLongestLease failed on the code before: the task was started within the longest lease.

Change: the time is the longest lease, 1.02 s, and 30 ms.

Measured: TestPoolManager, TestPoolSafety, TestPoolSilence, TestPoolLoads, TestPoolOverload and TestPoolQueue pass.

Conclusion: fixed; tasks of a killed manager start 0.1 s later than before.

--- a/Kernel/Pool/PoolManagerJobs.cpp
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -21,8 +21,9 @@
 /// before it has stopped the runs.
 constexpr core::Duration OrphanedLeaseLifetime = std::chrono::milliseconds(1200);
 /// Time after which tasks delegated to a lost manager no longer run. Either it has noticed the loss
-/// too and has stopped them, or their leases have expired.
-constexpr core::Duration LostManagerDelay = std::chrono::milliseconds(950);
+/// too and has stopped them, or their leases have expired. A start may have reached an incarnation
+/// of the worker that the lost manager did not know, just before that manager ended.
+constexpr core::Duration LostManagerDelay = LongestLease + std::chrono::milliseconds(30);
 
 } // namespace
 
--- a/Tests/Pool/TestPoolManager.cpp
+++ b/Tests/Pool/TestPoolManager.cpp
@@ -295,6 +295,28 @@
   BOOST_TEST(std::count_if(Fixture.Out.Sent.begin(), Fixture.Out.Sent.end(), IsStop) == 1);
 }
 
+// Guards against a task that runs twice at the same time: its manager was killed just after the
+// start had reached a worker that had returned unnoticed, which grants the longest lease.
+BOOST_AUTO_TEST_CASE(TasksOfALostManagerStartElsewhereAfterTheLongestLease) {
+  constexpr PeerIndex Other{1};
+  ManagerFixture Fixture;
+  Fixture.Manager.setManager(Other, true, Fixture.Now);
+  Fixture.Manager.receive(Other, PoolDirectory{1, {entry("v-0")}}, Fixture.Now);
+  Fixture.Manager.receive(Other, PoolReport{1, {{0, {{4, 1000, 0}, 4, 1}}}, 0}, Fixture.Now);
+  Fixture.submit(1, 500, 8s);
+  Fixture.pass(20ms);
+  auto LostAt = Fixture.Now;
+  Fixture.Manager.peerLost(Other, LostAt, LostAt);
+  Fixture.list({"w-0"});
+  while (Fixture.Out.Starts.empty() && Fixture.Now < LostAt + 5s) {
+    Fixture.pass(10ms);
+    Fixture.answerPolls();
+  }
+  BOOST_REQUIRE(Fixture.Out.Starts.size() == 1U);
+  BOOST_TEST((Fixture.Now > LostAt + LongestLease));
+  BOOST_TEST((Fixture.Now < LostAt + LongestLease + 100ms));
+}
+
 // Guards against refusing a job because of work that will be placed after it: under overload, late
 // jobs wait behind those that can be in time.
 BOOST_AUTO_TEST_CASE(LateJobsDoNotKeepOutAnUrgentOne) {
