--- a/Services/FleetStandIn/FleetStandIn.cpp
+++ b/Services/FleetStandIn/FleetStandIn.cpp
@@ -215,12 +215,13 @@
 
 void FleetStandIn::serveWorker(std::size_t Worker, const Exchange &Call) {
   auto &Instance = Workers_[Worker];
-  if (Instance.IsSilent)
-    return runAfter(std::chrono::seconds(30), [Call] { Call->reply({503, {}, {}}); });
   auto Content = Format_->parseWorkerCall(*Call);
+  auto Now = core::MonotonicClock::now();
+  bool IsPoll = Content && std::holds_alternative<kernel::PollCommand>(*Content);
+  if (Instance.IsSilent || (IsPoll && Now < Instance.PollsSilentUntil))
+    return runAfter(std::chrono::seconds(30), [Call] { Call->reply({503, {}, {}}); });
   if (!Content)
     return Call->reply({400, {}, {}});
-  auto Now = core::MonotonicClock::now();
   bool IsLate = drawUniform() < Instance.LateShare;
   if (const auto *Poll = std::get_if<kernel::PollCommand>(&*Content))
     return answerPoll(Worker, Call, *Poll, Now + std::chrono::milliseconds(Poll->WaitMilliseconds));
@@ -299,6 +300,9 @@
     auto Now = core::MonotonicClock::now();
     if (Target.starts_with("/worker/restart")) {
       Instance.Model->restart(Now);
+      Instance.IsSilent = false;
+      Instance.PollsSilentUntil =
+          Now + core::fromMilliseconds(numberOr(Target, "silent_polls_ms", 0));
       HeartbeatAt_ = Now;
       return;
     }
--- a/Services/FleetStandIn/FleetStandIn.h
+++ b/Services/FleetStandIn/FleetStandIn.h
@@ -27,7 +27,7 @@
 ///
 ///     POST /store?mode=silent|busy|serving&delay_ms=N&lost=SHARE   and   POST /store/compact
 ///     POST /worker?id=ID&slowdown=X&fail=0|1&still=0|1&unhealthy=0|1&silent=0|1&late=SHARE&drain=1
-///     POST /worker/restart?id=ID
+///     POST /worker/restart?id=ID&silent_polls_ms=N   polls stay unanswered for that long
 ///     POST /configuration   with a configuration as the body
 ///     GET /runs             all runs, one JSON line each
 class FleetStandIn {
@@ -43,6 +43,8 @@
     std::unique_ptr<WorkerModel> Model;
     std::shared_ptr<reactor::HttpServer> Server;
     bool IsSilent = false;
+    core::TimePoint
+        PollsSilentUntil; ///< As if their connections were those of a former incarnation.
     double LateShare = 0;
     std::uint64_t Sequence = 0;
   };
--- a/Tests/Soak/SoakFaults.cpp
+++ b/Tests/Soak/SoakFaults.cpp
@@ -17,6 +17,9 @@
 constexpr int LargeSeriesRoutes = 2000;
 constexpr int LargeSeriesVersions = 5;
 constexpr auto LargeSeriesInterval = 100ms;
+/// How long a worker is down before it returns unnoticed, and how long its polls then hang.
+constexpr auto UnnoticedDownTime = 300ms;
+constexpr auto UnnoticedPollSilence = 1000ms;
 /// Entries among the workers' that name no worker to use: text that is not UTF-8, a lone surrogate,
 /// an unknown service.
 constexpr std::array<std::string_view, 3> OddEntryServices = {"pr\xff\xfent", "\\udc00", "none"};
@@ -172,9 +175,8 @@
 void SoakFaults::workerFault() {
   auto Id = "w-" + std::to_string(randomBelow(Deployment_.workerCount()));
   if (randomBelow(4) == 0) {
-    record("restart " + Id);
-    Deployment_.control("POST", "/worker/restart?id=" + Id);
-    return putOddEntry();
+    putOddEntry();
+    return restartWorker(Id);
   }
   const char *Ways[] = {"slowdown=8", "fail=1", "still=1", "unhealthy=1", "silent=1", "late=0.3"};
   const char *Way = Ways[randomBelow(std::size(Ways))];
@@ -186,6 +188,22 @@
   });
 }
 
+void SoakFaults::restartWorker(const std::string &Id) {
+  // Decided without a random number, as below.
+  bool IsUnnoticed = ++Restarts_ % 2 == 0;
+  if (!IsUnnoticed) {
+    record("restart " + Id);
+    Deployment_.control("POST", "/worker/restart?id=" + Id);
+    return;
+  }
+  record("restart " + Id + ", not noticed by polls");
+  Deployment_.control("POST", "/worker?id=" + Id + "&silent=1");
+  undoAfter(UnnoticedDownTime, [this, Id] {
+    Deployment_.control("POST", "/worker/restart?id=" + Id + "&silent_polls_ms=" +
+                                    std::to_string(UnnoticedPollSilence.count()));
+  });
+}
+
 void SoakFaults::putOddEntry() {
   // Decided without a random number, as below.
   auto Number = OddEntries_++;
--- a/Tests/Soak/SoakFaults.h
+++ b/Tests/Soak/SoakFaults.h
@@ -38,6 +38,7 @@
   void proxyFault();
   void storeFault();
   void workerFault();
+  void restartWorker(const std::string &Id);
   void putOddEntry();
   void changeConfiguration();
   void undoDue(Clock::time_point Now);
@@ -54,6 +55,7 @@
   std::vector<std::string> Journal_;
   std::uint64_t Version_ = 1; ///< The deployment starts with this one.
   std::size_t OddEntries_ = 0;
+  std::size_t Restarts_ = 0; ///< Of workers.
 };
 
 } // namespace cornellift::soak
