PoolDaemon: Tell cancellings to VMs that were out of reach

Cause: a cancelling was told to the VMs to which a link was up when it arrived, and to no others, then or later. A missing link did not count as a missing reply.

Change: when a link comes up, each side first tells the other the newest 4,000 cancellings that it remembers, with their ages. While a VM is out of reach, DELETE gets 200 instead of 410: the cancelling is kept and told.

Why it works: a VM that was frozen, cut off or not running has no link, and gets one before it can be in touch again.

--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -56,6 +56,10 @@
   /// Cancels the job at a caller's request, for all who await it. A copy of it that arrives later
   /// gets the same answer and does not run. Returns whether the job was open here.
   bool cancel(JobKey Key, core::TimePoint Now);
+  /// The same for a job that was cancelled while this process was not linked, or had not started.
+  void cancelBelatedly(const CancelledJob &Cancelled, core::TimePoint Now);
+  /// The cancellings that a process needs which was not linked when they were received.
+  CancelledJobs recentlyCancelled(core::TimePoint Now) const;
 
   /// Sets whether the peer manages workers; such peers get this manager's directory and reports.
   void setManager(PeerIndex Peer, bool IsManager, core::TimePoint Now);
@@ -113,6 +117,8 @@
   void stopTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now);
   void removeIfInactive(JobHandle Handle, core::TimePoint Now);
   void abandon(PeerIndex From, JobKey Key, core::TimePoint Now);
+  /// Ends the job for all who await it; returns whether it was open.
+  bool endCancelled(JobKey Key, core::TimePoint Now);
   void expireJobs(core::TimePoint Now);
   /// Puts jobs that the work ahead makes late behind the others, and rejects those to which it
   /// leaves no time at all.
--- a/Kernel/Pool/PoolManagerJobs.cpp
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -25,6 +25,9 @@
 /// of the worker that the lost manager did not know, just before that manager ended.
 constexpr core::Duration LostManagerDelay = LongestLease + std::chrono::milliseconds(30);
 
+/// Number of cancellings that a process is told when its link comes up: some 50 KB.
+constexpr std::size_t MaximumBelatedCancellings = 4000;
+
 } // namespace
 
 void PoolManager::submit(PeerIndex From, const std::shared_ptr<const JobSubmission> &Submission,
@@ -279,8 +282,26 @@
 }
 
 bool PoolManager::cancel(JobKey Key, core::TimePoint Now) {
+  Cancelled_.add(Key, {JobVerdict::Cancelled, {}, 0}, Now);
+  return endCancelled(Key, Now);
+}
+
+void PoolManager::cancelBelatedly(const CancelledJob &Cancelled, core::TimePoint Now) {
+  if (Cancelled_.find(Cancelled.Job, Now))
+    return;
+  Cancelled_.add(Cancelled.Job, {JobVerdict::Cancelled, {}, 0}, Cancelled.At);
+  endCancelled(Cancelled.Job, Now);
+}
+
+CancelledJobs PoolManager::recentlyCancelled(core::TimePoint Now) const {
+  CancelledJobs Message;
+  for (auto [Job, At] : Cancelled_.newest(MaximumBelatedCancellings, Now))
+    Message.Jobs.push_back({Job, At});
+  return Message;
+}
+
+bool PoolManager::endCancelled(JobKey Key, core::TimePoint Now) {
   JobAnswer Answer{JobVerdict::Cancelled, {}, 0};
-  Cancelled_.add(Key, Answer, Now);
   auto Found = OwnJobs_.find(Key);
   if (Found == OwnJobs_.end())
     return false;
--- a/Kernel/Pool/PoolMessages.h
+++ b/Kernel/Pool/PoolMessages.h
@@ -4,6 +4,7 @@
 #include "Kernel/Pool/JobKey.h"
 #include "Kernel/Pool/JobSubmission.h"
 #include "Kernel/Pool/WorkerMessages.h"
+#include "Libraries/LibCore/Time.h"
 
 #include <cstdint>
 #include <memory>
@@ -44,6 +45,18 @@
   bool WasOpen = false; ///< The job was open at the replying process.
 };
 
+/// A job that a caller has cancelled.
+struct CancelledJob {
+  JobKey Job{};
+  core::TimePoint At; ///< When its cancelling was received first.
+};
+
+/// Cancellings that the receiver may not know, because it was not linked, or had not started, when
+/// they were received.
+struct CancelledJobs {
+  std::vector<CancelledJob> Jobs;
+};
+
 /// A task that another manager is to start immediately or refuse.
 struct DelegatedTask {
   std::uint32_t Task = 0; ///< Position among all tasks of the job, in the order of the steps.
@@ -119,8 +132,8 @@
   std::vector<std::string> Ids;
 };
 
-using PoolMessage =
-    std::variant<SubmitToPool, PoolAnswer, AbandonJob, CancelJob, CancelReply, DelegateTasks,
-                 DelegatedTaskEnded, StopDelegated, PoolDirectory, PoolReport, ReleaseWorkers>;
+using PoolMessage = std::variant<SubmitToPool, PoolAnswer, AbandonJob, CancelJob, CancelReply,
+                                 CancelledJobs, DelegateTasks, DelegatedTaskEnded, StopDelegated,
+                                 PoolDirectory, PoolReport, ReleaseWorkers>;
 
 } // namespace cornellift::kernel
--- a/Kernel/Pool/RecentJobs.h
+++ b/Kernel/Pool/RecentJobs.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace cornellift::kernel {
 
@@ -17,8 +18,8 @@
   RecentJobs(core::Duration Retention, std::size_t MaximumAdditions)
       : Retention_(Retention), MaximumAdditions_(MaximumAdditions) {}
 
-  void add(JobKey Job, Value Added, core::TimePoint Now) {
-    auto ForgetAt = Now + Retention_;
+  void add(JobKey Job, Value Added, core::TimePoint At) {
+    auto ForgetAt = At + Retention_;
     Kept_.insert_or_assign(Job, Entry{std::move(Added), ForgetAt});
     Order_.emplace_back(Job, ForgetAt);
     if (Order_.size() > MaximumAdditions_)
@@ -31,6 +32,16 @@
     return Found == Kept_.end() || Now >= Found->second.ForgetAt ? nullptr : &Found->second.Kept;
   }
 
+  /// Returns the last additions that are kept, with their times, at most the given number.
+  std::vector<std::pair<JobKey, core::TimePoint>> newest(std::size_t Maximum,
+                                                         core::TimePoint Now) const {
+    std::vector<std::pair<JobKey, core::TimePoint>> Found;
+    for (auto Each = Order_.rbegin(); Each != Order_.rend() && Found.size() < Maximum; ++Each)
+      if (Now < Each->second)
+        Found.emplace_back(Each->first, Each->second - Retention_);
+    return Found;
+  }
+
   void forgetExpired(core::TimePoint Now) {
     while (!Order_.empty() && Now >= Order_.front().second)
       dropOldest();
--- a/Libraries/LibMesh/MeshCoding.cpp
+++ b/Libraries/LibMesh/MeshCoding.cpp
@@ -157,6 +157,13 @@
     Out_.mutable_cancel_reply()->set_job(static_cast<std::uint64_t>(Value.Job));
     Out_.mutable_cancel_reply()->set_was_open(Value.WasOpen);
   }
+  void operator()(const kernel::CancelledJobs &Value) const {
+    auto &Message = *Out_.mutable_cancelled_jobs();
+    for (const auto &Each : Value.Jobs) {
+      Message.add_jobs(static_cast<std::uint64_t>(Each.Job));
+      Message.add_ages_ms(toCount(core::toMilliseconds(Now_ - Each.At)));
+    }
+  }
   void operator()(const DelegateTasks &Value) const {
     auto &Message = *Out_.mutable_delegate();
     encodeOrder(*Value.Submission, Now_, *Message.mutable_order());
@@ -224,6 +231,15 @@
   case Frame::kCancelReply:
     return kernel::CancelReply{static_cast<JobKey>(Message.cancel_reply().job()),
                                Message.cancel_reply().was_open()};
+  case Frame::kCancelledJobs: {
+    const auto &Value = Message.cancelled_jobs();
+    kernel::CancelledJobs Decoded;
+    auto Count = std::min(Value.jobs_size(), Value.ages_ms_size());
+    for (int Position = 0; Position < Count; ++Position)
+      Decoded.Jobs.push_back({static_cast<JobKey>(Value.jobs(Position)),
+                              Now - std::chrono::milliseconds(Value.ages_ms(Position))});
+    return Decoded;
+  }
   case Frame::kDelegate: {
     DelegateTasks Value{decodeOrder(Message.delegate().order(), Now), {}};
     for (const auto &Task : Message.delegate().tasks())
--- a/Services/PoolDaemon/Cancellations.cpp
+++ b/Services/PoolDaemon/Cancellations.cpp
@@ -21,7 +21,7 @@
     : Log_(Log), Send_(std::move(Send)), Processes_(std::move(Processes)) {}
 
 void Cancellations::announce(kernel::JobKey Key) {
-  for (auto Process : Processes_())
+  for (auto Process : Processes_().Indexes)
     Send_(Process, kernel::CancelJob{Key});
 }
 
@@ -34,10 +34,11 @@
   if (!IsNew)
     return;
   auto Processes = Processes_();
-  Added.Awaited.insert(Processes.begin(), Processes.end());
-  Added.IsIncomplete = !IsManagerKnown;
+  Added.Awaited.insert(Processes.Indexes.begin(), Processes.Indexes.end());
+  Added.IsManagerKnown = IsManagerKnown;
+  Added.AreAllReached = Processes.AreAll;
   Added.Deadline = Now + ReplyTimeout;
-  for (auto Process : Processes)
+  for (auto Process : Processes.Indexes)
     Send_(Process, kernel::CancelJob{Key});
 }
 
@@ -53,8 +54,8 @@
 
 void Cancellations::peerLost(kernel::PeerIndex Peer) {
   for (auto Entry = Pending_.begin(); Entry != Pending_.end();) {
-    bool WasAwaited = Entry->second.Awaited.erase(Peer) > 0;
-    Entry->second.IsIncomplete = Entry->second.IsIncomplete || WasAwaited;
+    if (Entry->second.Awaited.erase(Peer) > 0)
+      Entry->second.AreAllReached = false;
     Entry = finishIfComplete(Entry);
   }
 }
@@ -73,7 +74,9 @@
 Cancellations::finishIfComplete(PendingByJob::iterator Entry) {
   if (!Entry->second.Awaited.empty())
     return std::next(Entry);
-  return finish(Entry, Entry->second.IsIncomplete ? StatusUnknown : StatusNoSuchJob);
+  if (!Entry->second.IsManagerKnown)
+    return finish(Entry, StatusUnknown);
+  return finish(Entry, Entry->second.AreAllReached ? StatusNoSuchJob : StatusCancelled);
 }
 
 Cancellations::PendingByJob::iterator Cancellations::finish(PendingByJob::iterator Entry,
--- a/Services/PoolDaemon/Cancellations.h
+++ b/Services/PoolDaemon/Cancellations.h
@@ -13,15 +13,21 @@
 
 namespace cornellift::pool {
 
+/// This process and those to which a link is up.
+struct ReachableProcesses {
+  std::vector<kernel::PeerIndex> Indexes;
+  bool AreAll = true; ///< Each process that may have jobs is among them.
+};
+
 /// Callers' requests to cancel jobs. A request may arrive at another entry process than the one
-/// that awaits the job, so that all connected ones are asked. It is answered with 200 as soon as
+/// that awaits the job, so that all reachable ones are asked. It is answered with 200 as soon as
 /// one of them had the job open, with 410 when each has replied that it had not, and with 503 when
-/// that is not known in time.
+/// that is not known in time. If a process is out of reach, the answer is 200 as well: it is told
+/// when its link is up again.
 class Cancellations {
 public:
   using Sender = std::function<void(kernel::PeerIndex, kernel::PoolMessage)>;
-  /// Returns this process and all connected ones.
-  using ProcessList = std::function<std::vector<kernel::PeerIndex>()>;
+  using ProcessList = std::function<ReachableProcesses()>;
 
   Cancellations(kernel::DecisionLog &Log, Sender Send, ProcessList Processes);
 
@@ -43,7 +49,8 @@
   struct Pending {
     std::vector<std::shared_ptr<reactor::HttpExchange>> Requests;
     std::set<kernel::PeerIndex> Awaited; ///< Processes that have not replied.
-    bool IsIncomplete = false;           ///< A process that may have the job will not reply.
+    bool IsManagerKnown = true;
+    bool AreAllReached = true; ///< No process is out of reach, or was lost meanwhile.
     core::TimePoint Deadline;
   };
   using PendingByJob = std::unordered_map<kernel::JobKey, Pending>;
--- a/Services/PoolDaemon/PoolDaemon.cpp
+++ b/Services/PoolDaemon/PoolDaemon.cpp
@@ -90,7 +90,7 @@
           [this](kernel::PeerIndex Peer, kernel::PoolMessage Message) {
             send(Peer, std::move(Message));
           },
-          [this] { return connectedProcesses(); }),
+          [this] { return reachableProcesses(); }),
       Directory_(Reactor_, Store_, Formats_->workers(), Log_, [this] { workersChanged(); }),
       OperatorKeys_(std::make_shared<store::KeyMirror>(
           Reactor_, Store_, std::string(Formats_->store().operatorPrefix()),
@@ -281,6 +281,8 @@
     return cancelJob(From, Cancelled->Job, Now);
   if (const auto *Reply = std::get_if<kernel::CancelReply>(&Message))
     return Ingress_.cancelReplied(From, *Reply);
+  if (const auto *Belated = std::get_if<kernel::CancelledJobs>(&Message))
+    return cancelBelatedly(*Belated, Now);
   if (const auto *Released = std::get_if<kernel::ReleaseWorkers>(&Message)) {
     for (const auto &Id : Released->Ids)
       Manager_.fleet().claimNow(Id, Now);
@@ -295,11 +297,21 @@
   send(From, kernel::CancelReply{Key, IsAwaited || IsManaged});
 }
 
-std::vector<kernel::PeerIndex> PoolDaemon::connectedProcesses() const {
-  std::vector<kernel::PeerIndex> Processes = {kernel::SelfPeer};
+void PoolDaemon::cancelBelatedly(const kernel::CancelledJobs &Cancelled, core::TimePoint Now) {
+  for (const auto &Each : Cancelled.Jobs) {
+    Ingress_.cancelOpenJob(Each.Job, Now);
+    Manager_.cancelBelatedly(Each, Now);
+  }
+}
+
+ReachableProcesses PoolDaemon::reachableProcesses() {
+  ReachableProcesses Reached{{kernel::SelfPeer}, true};
   for (const auto *Peer : Mesh_.connectedPeers())
-    Processes.push_back(Peer->Index);
-  return Processes;
+    Reached.Indexes.push_back(Peer->Index);
+  for (const auto *Peer : Mesh_.knownPeers())
+    if (!Peer->vm().empty() && !Peer->isUp() && isNeeded(*Peer))
+      Reached.AreAll = false;
+  return Reached;
 }
 
 void PoolDaemon::sendBacklog(core::TimePoint Now) {
--- a/Services/PoolDaemon/PoolDaemon.h
+++ b/Services/PoolDaemon/PoolDaemon.h
@@ -89,8 +89,8 @@
   void configurationReceived(const mesh::MeshPeer &Peer, const mesh::Configuration &Message);
   void deliver(kernel::PeerIndex From, const kernel::PoolMessage &Message);
   void cancelJob(kernel::PeerIndex From, kernel::JobKey Key, core::TimePoint Now);
-  /// This process and those to which a link is up.
-  std::vector<kernel::PeerIndex> connectedProcesses() const;
+  void cancelBelatedly(const kernel::CancelledJobs &Cancelled, core::TimePoint Now);
+  ReachableProcesses reachableProcesses();
   void sendBacklog(core::TimePoint Now);
   bool isReady() const;
   void registerMetrics();
--- a/Services/PoolDaemon/PoolDaemonPeers.cpp
+++ b/Services/PoolDaemon/PoolDaemonPeers.cpp
@@ -97,9 +97,13 @@
                 {{"vm", Peer.vm()},
                  {"address", Peer.address()},
                  {"index", std::to_string(static_cast<std::uint32_t>(Peer.Index))}});
+  auto Now = core::MonotonicClock::now();
+  // First, so that the peer starts nothing for jobs that were cancelled while it was out of reach.
+  auto Cancelled = Manager_.recentlyCancelled(Now);
+  if (!Cancelled.Jobs.empty())
+    send(Peer.Index, std::move(Cancelled));
   std::vector<const mesh::MeshPeer *> Gossiped;
   auto Known = Mesh_.knownPeers();
-  auto Now = core::MonotonicClock::now();
   std::erase_if(Known, [&](const auto *Other) { return !Other->isConfirmed(Now); });
   std::sample(Known.begin(), Known.end(), std::back_inserter(Gossiped), MaximumGossipedPeers,
               Random_);
--- a/Tests/Integration/TestPoolDaemon.cpp
+++ b/Tests/Integration/TestPoolDaemon.cpp
@@ -396,6 +396,54 @@
   BOOST_TEST(Cancel(Deployment.vms().back(), newJobKey()) == 410);
 }
 
+// Guards against a cancelling that is answered as if no such job existed while the VM that has it
+// is out of reach, and that this VM never learns of: it ran the job on once it was back.
+BOOST_AUTO_TEST_CASE(AVmThatWasOutOfReachLearnsOfACancelling) {
+  PoolDeployment Deployment("CancellingOutOfReach", {{"ikeja", "yaba"}, 1, 4, "1", 6});
+  BOOST_REQUIRE(Deployment.waitUntilReady());
+  auto &Away = Deployment.vm("ikeja-1");
+  auto Key = newJobKey();
+  JobReply Posted;
+  // More tasks than run at a time, so that the VM would go on starting some.
+  std::thread Caller([&] { Posted = postJob(Away.CallerPort, Key, 80, 900, "", 15000); });
+  std::this_thread::sleep_for(500ms);
+  Away.Process->pause();
+  std::this_thread::sleep_for(1500ms); // The others have noticed.
+  httplib::Client Client("127.0.0.1", Deployment.vm("yaba-1").CallerPort);
+  auto Cancelled = Client.Delete(PoolPrefix + Key, {{"Host", PoolHost}});
+  std::this_thread::sleep_for(1s);
+  Away.Process->resume();
+  Caller.join();
+  BOOST_REQUIRE(Cancelled);
+  BOOST_TEST(Cancelled->status == 200);
+  BOOST_TEST(Posted.State == "cancelled");
+  std::this_thread::sleep_for(300ms); // A stop takes up to 50 ms.
+  auto Count = Deployment.runs().size();
+  BOOST_TEST(Count < 80U);
+  for (const auto &Run : Deployment.runs())
+    BOOST_TEST(Run.ToMicroseconds != 0);
+  std::this_thread::sleep_for(1s);
+  BOOST_TEST(Deployment.runs().size() == Count);
+}
+
+// Guards against a copy of a cancelled job that runs on a VM which was started after the
+// cancelling.
+BOOST_AUTO_TEST_CASE(AVmThatStartsLearnsOfEarlierCancellings) {
+  PoolDeployment Deployment("CancellingBeforeStart", {{"ikeja", "yaba"}, 1, 4, "1", 6});
+  BOOST_REQUIRE(Deployment.waitUntilReady());
+  auto &Restarted = Deployment.vm("ikeja-1");
+  auto Key = newJobKey();
+  httplib::Client Client("127.0.0.1", Deployment.vm("yaba-1").CallerPort);
+  auto Cancelled = Client.Delete(PoolPrefix + Key, {{"Host", PoolHost}});
+  BOOST_REQUIRE(Cancelled);
+  BOOST_TEST(Cancelled->status == 410);
+  Restarted.Process->kill();
+  Deployment.startVm(Restarted);
+  BOOST_REQUIRE(Deployment.waitUntilReady());
+  BOOST_TEST(postJob(Restarted.CallerPort, Key, 1, 50).State == "cancelled");
+  BOOST_TEST(Deployment.runs().empty());
+}
+
 // Guards against refusals that no metric shows.
 BOOST_AUTO_TEST_CASE(EachRefusalIsCounted) {
   PoolDeployment Deployment("Refusals", {});
--- a/Tests/Pool/PoolSimulation.cpp
+++ b/Tests/Pool/PoolSimulation.cpp
@@ -114,6 +114,8 @@
       if (!Vms_[One]->isLinkedTo(Other)) {
         Vms_[One]->peerUp(Other);
         Vms_[Other]->peerUp(One);
+        Vms_[One]->tellCancelled(Other);
+        Vms_[Other]->tellCancelled(One);
       }
     }
 }
@@ -180,7 +182,7 @@
   Sender.At = Chosen;
   auto Submission = std::make_shared<JobSubmission>(*Sender.Submission);
   Submission->ReceivedAt = Now_ + OneWayDelay;
-  Submission->AnswerBy = Now_ + CallerTimeout;
+  Submission->AnswerBy = Now_ + Settings_.CallerTimeout;
   // The connection ends with the process.
   auto IncarnationNumber = Vms_[Chosen]->incarnationNumber();
   after(OneWayDelay, [this, Chosen, Submission, IncarnationNumber] {
--- a/Tests/Pool/PoolSimulation.h
+++ b/Tests/Pool/PoolSimulation.h
@@ -36,6 +36,7 @@
   std::size_t WorkersPerDataCentre = 4;
   double LateCommandShare = 0; ///< Share of commands executed 2 to 12 s late and not answered.
   double LostAnswerShare = 0;  ///< Share of commands that are executed but not answered.
+  core::Duration CallerTimeout = std::chrono::seconds(4);
   /// Data centre of all callers; random for each caller if empty.
   std::optional<std::size_t> CallersAt;
 };
--- a/Tests/Pool/PoolSimulationVm.h
+++ b/Tests/Pool/PoolSimulationVm.h
@@ -17,7 +17,6 @@
 constexpr core::Duration TickTime = std::chrono::milliseconds(10);
 constexpr core::Duration PeerTimeout = std::chrono::milliseconds(600);
 constexpr core::Duration ResendDelay = std::chrono::milliseconds(1300);
-constexpr core::Duration CallerTimeout = std::chrono::seconds(4);
 
 /// A simulated caller and its job.
 struct PoolSimulation::Caller {
@@ -99,6 +98,14 @@
   }
 
   void peerUp(std::size_t Other) { PeerOf_[Other] = static_cast<PeerIndex>(NextPeer_++); }
+  /// Tells another VM, to which a link has come up, of the jobs that were cancelled.
+  void tellCancelled(std::size_t Other) {
+    deliver(Other,
+            [Message = Manager_.recentlyCancelled(Simulation_.Now_)](Vm &Receiver, PeerIndex) {
+              for (const auto &Each : Message.Jobs)
+                Receiver.cancelBelatedly(Each);
+            });
+  }
   bool isLinkedTo(std::size_t Other) const { return PeerOf_.contains(Other); }
   void peerDown(std::size_t Other, bool HasEnded) {
     auto Known = PeerOf_.find(Other);
@@ -149,6 +156,12 @@
     Manager_.cancel(Key, Simulation_.Now_);
   }
 
+  void cancelBelatedly(const CancelledJob &Cancelled) {
+    if (Open_.erase(Cancelled.Job) > 0)
+      Simulation_.callerAnswered(Index_, Cancelled.Job, {JobVerdict::Cancelled, {}, 0});
+    Manager_.cancelBelatedly(Cancelled, Simulation_.Now_);
+  }
+
   CandidateState self() const {
     CandidateState State;
     State.Vm = "vm" + std::to_string(Index_);
--- a/Tests/Pool/TestPoolCancelling.cpp
+++ b/Tests/Pool/TestPoolCancelling.cpp
@@ -56,8 +56,48 @@
   return Found;
 }
 
+/// Freezes a VM for up to four seconds or kills it, and cancels a long job at another VM meanwhile;
+/// copies of the job are posted later. Returns whether a task of it ran too long after the
+/// cancelling and after the VM was back.
+bool runsAfterCancellingOutOfReach(std::uint64_t Seed) {
+  test::SimulationSettings Settings;
+  Settings.Seed = Seed;
+  Settings.DataCentres = 3;
+  Settings.VmsPerDataCentre = 1; // A VM that is back manages its data centre again.
+  Settings.CallerTimeout = 15s;
+  test::PoolSimulation Simulation(Settings);
+  auto &Random = Simulation.random();
+  Simulation.run(2500ms);
+  auto Key = Simulation.submit(150, 900);
+  Simulation.run(std::chrono::milliseconds(100 + Random() % 500));
+  auto Away = Random() % Simulation.vmCount();
+  auto Span = std::chrono::milliseconds(500 + Random() % 3500);
+  if (Random() % 2 == 0)
+    Simulation.freeze(Away, Span);
+  else
+    Simulation.kill(Away, Span);
+  auto BackAt = Simulation.now() + Span;
+  Simulation.run(std::chrono::milliseconds(Random() % 3000));
+  Simulation.cancel(Key, (Away + 1 + Random() % (Simulation.vmCount() - 1)) % Simulation.vmCount());
+  auto Last = std::max(Simulation.now(), BackAt) + CancellingTarget;
+  while (Simulation.now() < Last + 6s) {
+    Simulation.run(std::chrono::milliseconds(200 + Random() % 1500));
+    Simulation.resubmit(Key);
+  }
+  Simulation.run(4s);
+  auto End = Simulation.lastEndOf(Key);
+  return End && *End > Last;
+}
+
 } // namespace
 
+// Guards against a job that is run on, or started again, by a VM that was out of reach or not
+// running when the job was cancelled.
+BOOST_AUTO_TEST_CASE(VmsThatWereOutOfReachLearnOfCancellings) {
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed)
+    BOOST_TEST(!runsAfterCancellingOutOfReach(Seed), "seed " << Seed);
+}
+
 // Guards against a job that runs on because it was cancelled at another VM than its own, and
 // against a late copy of a cancelled job that starts again.
 BOOST_AUTO_TEST_CASE(CancelledJobsDoNotRunOn) {
