Cancellations: Answer 202 while a VM that may have the job is out of reach

A VM that is cut off runs on until it is told; the soak, which holds each job that got 200 to its end within 3 s, would turn red for it, and rightly.

Change: 202, a 2xx of which the caller can tell that it is yet to take effect.

--- a/Services/PoolDaemon/Cancellations.cpp
+++ b/Services/PoolDaemon/Cancellations.cpp
@@ -12,6 +12,7 @@
 /// A process that is lost is replaced within about a second.
 constexpr char RetryAfterSeconds[] = "1";
 constexpr unsigned StatusCancelled = 200;
+constexpr unsigned StatusAccepted = 202; ///< A process that may have the job is yet to be told.
 constexpr unsigned StatusNoSuchJob = 410;
 constexpr unsigned StatusUnknown = 503;
 
@@ -76,7 +77,7 @@
     return std::next(Entry);
   if (!Entry->second.IsManagerKnown)
     return finish(Entry, StatusUnknown);
-  return finish(Entry, Entry->second.AreAllReached ? StatusNoSuchJob : StatusCancelled);
+  return finish(Entry, Entry->second.AreAllReached ? StatusNoSuchJob : StatusAccepted);
 }
 
 Cancellations::PendingByJob::iterator Cancellations::finish(PendingByJob::iterator Entry,
--- a/Services/PoolDaemon/Cancellations.h
+++ b/Services/PoolDaemon/Cancellations.h
@@ -22,8 +22,8 @@
 /// Callers' requests to cancel jobs. A request may arrive at another entry process than the one
 /// that awaits the job, so that all reachable ones are asked. It is answered with 200 as soon as
 /// one of them had the job open, with 410 when each has replied that it had not, and with 503 when
-/// that is not known in time. If a process is out of reach, the answer is 200 as well: it is told
-/// when its link is up again.
+/// that is not known in time. If a process is out of reach, the answer is 202: it is told when its
+/// link is up again.
 class Cancellations {
 public:
   using Sender = std::function<void(kernel::PeerIndex, kernel::PoolMessage)>;
--- a/Tests/Integration/TestPoolDaemon.cpp
+++ b/Tests/Integration/TestPoolDaemon.cpp
@@ -417,7 +417,7 @@
   Away.Process->resume();
   Caller.join();
   BOOST_REQUIRE(Cancelled);
-  BOOST_TEST(Cancelled->status == 200);
+  BOOST_TEST(Cancelled->status == 202);
   BOOST_TEST(Posted.State == "cancelled");
   std::this_thread::sleep_for(300ms); // A stop takes up to 50 ms.
   auto Count = Deployment.runs().size();
