Kernel: Name what a command with a deadline does to the lease

Cause: the rule for a lease of an incarnation that has not reported yet stood three times in WorkerFleet.cpp. Change: Worker::deadlineSent() has it, beside the constant that it needs. No behaviour changes; TestPoolManager, TestPoolManagerReturns, TestPoolSafety, TestPoolSilence and TestPoolCancelling pass. Conclusion: read as a newcomer, the three places now say why.

--- a/Kernel/Pool/Worker.cpp
+++ b/Kernel/Pool/Worker.cpp
@@ -34,6 +34,10 @@
   return std::any_of(Runs.begin(), Runs.end(), [](const Run &Each) { return !Each.IsReported; });
 }
 
+void Worker::deadlineSent(core::TimePoint ArrivesBy) {
+  UnreportedLeaseEnd = std::max(UnreportedLeaseEnd, ArrivesBy + LongestLease);
+}
+
 core::TimePoint Worker::leaseEndOf(const Run &Each) const {
   return Each.IsReported ? LeaseEnd : std::max(LeaseEnd, UnreportedLeaseEnd);
 }
--- a/Kernel/Pool/Worker.h
+++ b/Kernel/Pool/Worker.h
@@ -6,6 +6,7 @@
 #include "Kernel/Pool/WorkerMessages.h"
 #include "Libraries/LibCore/Time.h"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -16,6 +17,10 @@
 /// Identifies a job within its manager.
 enum class JobHandle : std::uint64_t {};
 
+/// Longest lease that a worker grants, whatever the deadline: one second on its own clock, which
+/// may be 2% slow.
+constexpr std::chrono::milliseconds LongestLease{1020};
+
 enum class RunState {
   Starting, ///< The start command was sent and has not been confirmed.
   Running,
@@ -92,6 +97,8 @@
   std::uint32_t freeSlots() const;
 
   bool hasUnreportedRuns() const;
+  /// Records that a command with a deadline was sent, which arrives by then or never.
+  void deadlineSent(core::TimePoint ArrivesBy);
   /// When the run has ended for certain, without a further report.
   core::TimePoint leaseEndOf(const Run &Each) const;
 
--- a/Kernel/Pool/WorkerFleet.cpp
+++ b/Kernel/Pool/WorkerFleet.cpp
@@ -152,8 +152,7 @@
   if (auto Until = leaseExtension(Known, Now)) {
     Command.LeaseUntil = Known.Clock.at(*Until);
     Known.LeaseEnd = std::max(Known.LeaseEnd, *Until + LeaseSlack);
-    auto ArrivesBy = Now + std::chrono::milliseconds(Command.WaitMilliseconds) + PollReplyMargin;
-    Known.UnreportedLeaseEnd = std::max(Known.UnreportedLeaseEnd, ArrivesBy + LongestLease);
+    Known.deadlineSent(Now + std::chrono::milliseconds(Command.WaitMilliseconds) + PollReplyMargin);
   }
   Known.IsPolling = true;
   Known.PollSentAt = Now;
@@ -174,8 +173,7 @@
   NewRun.StartSentAt = Now;
   NewRun.State = RunState::Starting;
   Known.LeaseEnd = std::max(Known.LeaseEnd, Now + StartValidity + LeaseSlack);
-  Known.UnreportedLeaseEnd =
-      std::max(Known.UnreportedLeaseEnd, Now + CommandTimeout + LongestLease);
+  Known.deadlineSent(Now + CommandTimeout);
   Known.add(NewRun);
   Output_.start(Index, Command);
 }
@@ -278,8 +276,7 @@
         Now < Candidate.StartSentAt + StartRepeatDelay * Candidate.SendCount)
       continue;
     ++Candidate.SendCount;
-    Known.UnreportedLeaseEnd =
-        std::max(Known.UnreportedLeaseEnd, Now + CommandTimeout + LongestLease);
+    Known.deadlineSent(Now + CommandTimeout);
     auto Specification = Listener_.specificationOf(Candidate);
     if (Specification)
       Output_.start(Index, {Candidate.Task, Candidate.Number, std::move(*Specification),
--- a/Kernel/Pool/WorkerFleet.h
+++ b/Kernel/Pool/WorkerFleet.h
@@ -25,10 +25,6 @@
 /// How much longer than the requested wait the reply to a poll may take.
 constexpr std::chrono::milliseconds PollReplyMargin{150};
 
-/// Longest lease that a worker grants, whatever the deadline: one second on its own clock, which
-/// may be 2% slow.
-constexpr std::chrono::milliseconds LongestLease{1020};
-
 /// A reply that is read this long after the worker should have sent it was held up in this process.
 constexpr core::Duration MaximumReplyTime = std::chrono::milliseconds(100);
 
--- a/Services/FleetStandIn/FleetStandIn.h
+++ b/Services/FleetStandIn/FleetStandIn.h
@@ -43,8 +43,7 @@
     std::unique_ptr<WorkerModel> Model;
     std::shared_ptr<reactor::HttpServer> Server;
     bool IsSilent = false;
-    core::TimePoint
-        PollsSilentUntil; ///< As if their connections were those of a former incarnation.
+    core::TimePoint PollsSilentUntil; ///< Until then only other calls are answered.
     double LateShare = 0;
     std::uint64_t Sequence = 0;
   };
