Ring: Wake a consumer that waits when a full ring is closed

Cause: close() puts an end into the ring, which fails if it is full. A consumer that is about to wait at that moment, while another one takes the last entry, waits forever: a stop of the own route would hang. Noticed by reading before, not seen.

Change: a consumer that finds the ring closed and empty puts the end.

--- a/Libraries/LibCore/Ring.h
+++ b/Libraries/LibCore/Ring.h
@@ -34,6 +34,8 @@
     std::optional<T> Value;
     if (Closed_.load()) {
       Queue_.try_pop(Value);
+      if (!Value) // Another consumer may wait, for whose end close() found no room.
+        Queue_.try_push(std::nullopt);
       return Value;
     }
     Queue_.pop(Value);
--- a/Tests/LibCore/TestRing.cpp
+++ b/Tests/LibCore/TestRing.cpp
@@ -1,5 +1,8 @@
 #include "Libraries/LibCore/Ring.h"
 
+#include <atomic>
+#include <chrono>
+#include <future>
 #include <thread>
 #include <vector>
 
@@ -34,3 +37,33 @@
     Consumer.join();
   BOOST_TEST(Sum == 6);
 }
+
+// Guards against a consumer that waits forever: the ring was full when it was closed, so that no
+// end could be put into it, and the last entry went to another consumer.
+BOOST_AUTO_TEST_CASE(NoConsumerOfAFullRingOutwaitsItsClosing) {
+  constexpr int Rounds = 60000; // The moment is short: a consumer is about to wait.
+  constexpr std::size_t ConsumerCount = 2;
+  int Stuck = 0;
+  for (int Round = 0; Round < Rounds; ++Round) {
+    Ring<int> Full(1);
+    std::atomic<std::size_t> Begun{0};
+    std::vector<std::future<void>> Consumers;
+    Consumers.reserve(ConsumerCount);
+    while (Consumers.size() < ConsumerCount)
+      Consumers.push_back(std::async(std::launch::async, [&] {
+        ++Begun;
+        while (Full.pop()) {
+        }
+      }));
+    while (Begun < ConsumerCount)
+      std::this_thread::yield();
+    Full.tryPush(1);
+    Full.close();
+    for (const auto &Consumer : Consumers)
+      if (Consumer.wait_for(std::chrono::milliseconds(500)) != std::future_status::ready) {
+        ++Stuck;
+        Full.push(0); // Lets it end.
+      }
+  }
+  BOOST_TEST(Stuck == 0);
+}
