--- a/Tests/Integration/PoolDeployment.cpp
+++ b/Tests/Integration/PoolDeployment.cpp
@@ -85,6 +85,8 @@
       Vm.MeshPort = PortPool::instance().next();
       Vm.MetricsPort = PortPool::instance().next();
       Vm.LogFile = Folder_ + "/" + Vm.Name + ".log";
+      Vm.SettingsFile = Folder_ + "/" + Vm.Name + ".settings";
+      std::ofstream(Vm.SettingsFile).flush();
       Vms_.push_back(std::move(Vm));
     }
   startStandIn();
@@ -149,7 +151,9 @@
     Centres += (Centres.empty() ? "" : ",") + Name;
   auto Local = [](std::uint16_t Port) { return "127.0.0.1:" + std::to_string(Port); };
   Vm.Process = TestProcess::start(program("Services/PoolDaemon/cornellift-poold"),
-                                  {"--vm-name",
+                                  {"--node-file",
+                                   Vm.SettingsFile,
+                                   "--vm-name",
                                    Vm.Name,
                                    "--data-centre",
                                    Vm.DataCentre,
--- a/Tests/Integration/PoolDeployment.h
+++ b/Tests/Integration/PoolDeployment.h
@@ -32,6 +32,7 @@
   std::uint16_t MeshPort = 0;
   std::uint16_t MetricsPort = 0;
   std::string LogFile;
+  std::string SettingsFile; ///< Read in addition to the command line; empty at first.
   std::optional<TestProcess> Process;
 };
 
--- a/Tests/Integration/TestPoolDaemon.cpp
+++ b/Tests/Integration/TestPoolDaemon.cpp
@@ -128,10 +128,12 @@
   auto Kept = Post(R"({"spec":"","phases":[{"count":1,"cpu":1000}]})");
   BOOST_REQUIRE(Kept);
   BOOST_TEST(Kept->status == 503);
+  BOOST_TEST(Kept->has_header("Retry-After"));
   auto Gang =
       Post(R"({"spec":"","bestEffort":true,"phases":[{"count":2,"cpu":1000,"gang":true}]})");
   BOOST_REQUIRE(Gang);
   BOOST_TEST(Gang->status == 503);
+  BOOST_TEST(Gang->has_header("Retry-After"));
   auto Malformed = Post("{");
   BOOST_REQUIRE(Malformed);
   BOOST_TEST(Malformed->status == 400);
@@ -338,17 +340,26 @@
   Callers.finish();
 }
 
-// Guards against a reload on SIGHUP that is not carried out or that stops the service.
+// Guards against a reload on SIGHUP that is not carried out or that stops the service, and against
+// wrong settings that come into force or end the process.
 BOOST_AUTO_TEST_CASE(WrongSettingsKeepTheOldOnes) {
   PoolDeployment Deployment("PoolReload", {{"ikeja"}, 1, 2, "1", 6});
   BOOST_REQUIRE(Deployment.waitUntilReady());
   auto &Vm = Deployment.vms().front();
-  BOOST_REQUIRE(::kill(Vm.Process->id(), SIGHUP) == 0);
-  auto HasRead = [&] {
-    return contentOf(Vm.LogFile).find("settings read again") != std::string::npos;
+  auto Reload = [&](const std::string &Settings, const std::string &Line) {
+    auto LengthBefore = contentOf(Vm.LogFile).size();
+    std::ofstream(Vm.SettingsFile) << Settings;
+    BOOST_REQUIRE(::kill(Vm.Process->id(), SIGHUP) == 0);
+    auto HasRead = [&] {
+      return contentOf(Vm.LogFile).find(Line, LengthBefore) != std::string::npos;
+    };
+    BOOST_TEST(eventually(HasRead, 2s), Settings);
+    BOOST_TEST(postJob(Vm.CallerPort, newJobKey(), 1, 20).State == "completed");
   };
-  BOOST_TEST(eventually(HasRead, 2s));
-  BOOST_TEST(postJob(Vm.CallerPort, newJobKey(), 1, 20).State == "completed");
+  Reload("remote-factor=2\n", "settings read again");
+  Reload("remote-factor=none\n", "the previous ones stay in force");
+  Reload("no-such-setting=1\n", "settings read again"); // From a later release.
+  Reload("remote-factor=0.5\n", "the previous ones stay in force");
 }
 
 // Guards against a number of waiting jobs that other VMs report after the jobs have ended.
--- a/Tests/Soak/SoakFaults.cpp
+++ b/Tests/Soak/SoakFaults.cpp
@@ -98,7 +98,10 @@
   case 0: {
     record("kill " + Vm.Name);
     Vm.Process->kill();
-    return undoAfter(randomDuration(200, 2000), [this, &Vm] { Deployment_.startVm(Vm); });
+    return undoAfter(randomDuration(200, 2000), [this, &Vm] {
+      if (!Vm.Process->isRunning()) // The undoing of a stop may have started it.
+        Deployment_.startVm(Vm);
+    });
   }
   case 1: {
     auto Span = randomDuration(100, 3000);
