Ring: Put the end back in one place

Change: both branches of pop() share the line that puts the end back.

Conclusion: no behaviour changes.

--- a/Libraries/LibCore/Ring.h
+++ b/Libraries/LibCore/Ring.h
@@ -32,14 +32,12 @@
   /// Blocks until there is an entry. Returns an empty optional once the queue is closed and empty.
   std::optional<T> pop() {
     std::optional<T> Value;
-    if (Closed_.load()) {
+    if (Closed_.load())
       Queue_.try_pop(Value);
-      if (!Value) // Another consumer may wait, for whose end close() found no room.
-        Queue_.try_push(std::nullopt);
-      return Value;
-    }
-    Queue_.pop(Value);
-    // An empty optional marks the end; it is put back for the other consumers.
+    else
+      Queue_.pop(Value);
+    // An empty optional marks the end. It is put back for the other consumers, and put in here if
+    // close() found no room for it.
     if (!Value)
       Queue_.try_push(std::nullopt);
     return Value;
