Kernel: Log for which incarnation a start is meant, and what is unanswered

A start did not show the incarnation of the worker that it was meant for, nor its token; a lost run did not show whether a report had ever listed it and which of its commands had no reply.

Change: "task started" has incarnation and token, "run ended" has sends, unanswered and reported, "worker restarted" has the former incarnation and token, "stopping a run of another manager" the incarnation. A run counts the sends without a reply. Two metrics: cornellift_worker_restarts_total and cornellift_foreign_runs_stopped_total. Nothing decides by them.

Conclusion: the lines of one job now show which commands may still be carried out when its task starts elsewhere.

--- a/Kernel/Pool/PoolManager.cpp
+++ b/Kernel/Pool/PoolManager.cpp
@@ -160,6 +160,9 @@
              {"run", static_cast<std::int64_t>(Ended.Number)},
              {"worker", std::string_view(WorkerId)},
              {"outcome", runOutcomeName(How)},
+             {"sends", static_cast<std::int64_t>(Ended.SendCount)},
+             {"unanswered", static_cast<std::int64_t>(Ended.UnansweredSends)},
+             {"reported", std::int64_t{Ended.IsReported}},
              {"after_ms", core::toMilliseconds(Now - Ended.StartSentAt)}});
   auto &Task = Job->Tasks[Ended.TaskNumber];
   if (How == RunOutcome::Outdated)
--- a/Kernel/Pool/PoolManagerPlacement.cpp
+++ b/Kernel/Pool/PoolManagerPlacement.cpp
@@ -228,6 +228,8 @@
              {"index", static_cast<std::int64_t>(NewRun.Task.Index)},
              {"run", static_cast<std::int64_t>(NewRun.Number)},
              {"worker", std::string_view(Fleet_.at(Worker).Entry.Id)},
+             {"incarnation", Fleet_.at(Worker).StartedMilliseconds},
+             {"token", static_cast<std::int64_t>(Fleet_.at(Worker).Token)},
              {"look_age_ms", core::toMilliseconds(Now - Fleet_.at(Worker).PollSentAt)},
              {"speed", Candidate.Availability.Speed},
              {"expected_ms", core::toMilliseconds(NewRun.ExpectedEnd - Now)},
--- a/Kernel/Pool/Worker.h
+++ b/Kernel/Pool/Worker.h
@@ -39,6 +39,9 @@
   core::TimePoint StartSentAt;
   /// How often the start command was sent. From the second time on, a refusal is inconclusive.
   std::uint32_t SendCount = 1;
+  /// Sent commands without a reply: the worker, or a later incarnation of it, may still execute
+  /// them.
+  std::uint32_t UnansweredSends = 1;
   core::TimePoint ConfirmedAt; ///< When the start was first confirmed.
   /// A report of the worker has listed it. Until then it may run on an incarnation of the worker
   /// that has not reported yet.
--- a/Kernel/Pool/WorkerFleet.cpp
+++ b/Kernel/Pool/WorkerFleet.cpp
@@ -197,6 +197,8 @@
     return;
   if (Reply.ClockMilliseconds && Known.Lease == LeaseState::Held)
     Known.Clock.observe(*Reply.ClockMilliseconds, Now, Found->StartSentAt + MaximumReplyTime);
+  if (Reply.Verdict != CommandVerdict::NoReply && Found->UnansweredSends > 0)
+    --Found->UnansweredSends;
   if (Reply.Verdict == CommandVerdict::Accepted) {
     if (Found->State == RunState::Starting)
       Found->State = RunState::Running;
@@ -276,6 +278,7 @@
         Now < Candidate.StartSentAt + StartRepeatDelay * Candidate.SendCount)
       continue;
     ++Candidate.SendCount;
+    ++Candidate.UnansweredSends;
     Known.deadlineSent(Now + CommandTimeout);
     auto Specification = Listener_.specificationOf(Candidate);
     if (Specification)
--- a/Kernel/Pool/WorkerFleet.h
+++ b/Kernel/Pool/WorkerFleet.h
@@ -96,6 +96,10 @@
   std::size_t runCount() const;
   /// Number of workers whose leases this manager holds.
   std::size_t heldCount() const { return countIn(LeaseState::Held); }
+  /// Number of incarnations of known workers that took the place of former ones.
+  std::uint64_t restartCount() const { return Restarts_; }
+  /// Number of commands that stopped a run which this manager did not know.
+  std::uint64_t foreignRunsStopped() const { return ForeignRunsStopped_; }
   /// Number of workers in that lease state.
   std::size_t countIn(LeaseState State) const;
 
@@ -140,6 +144,8 @@
   std::unordered_map<std::string, EndpointIndex> IndexById_;
   /// Earliest claim times of workers that are not listed yet.
   std::unordered_map<std::string, core::TimePoint> DeferredClaims_;
+  std::uint64_t Restarts_ = 0;
+  std::uint64_t ForeignRunsStopped_ = 0;
 };
 
 } // namespace cornellift::kernel
--- a/Kernel/Pool/WorkerFleetPolls.cpp
+++ b/Kernel/Pool/WorkerFleetPolls.cpp
@@ -124,6 +124,7 @@
                                   core::TimePoint Now) {
   auto &Known = mutableAt(Index);
   bool IsFirst = Known.StartedMilliseconds == 0;
+  auto Former = Known.StartedMilliseconds;
   Known.StartedMilliseconds = Report.StartedMilliseconds;
   Known.LastSeen = 0;
   Known.Clock = {};
@@ -131,7 +132,11 @@
   if (!IsFirst) {
     Log_.line(DecisionPriority::StateChange, "worker restarted", std::nullopt,
               {{"worker", std::string_view(Known.Entry.Id)},
+               {"incarnation", Known.StartedMilliseconds},
+               {"former", Former},
+               {"token", static_cast<std::int64_t>(Known.Token)},
                {"runs", static_cast<std::int64_t>(Known.Runs.size())}});
+    ++Restarts_;
     // The new incarnation may have accepted a start already. Once it knows a higher token, it
     // refuses the commands that are still in flight, and its report shows which runs remain.
     Known.Token = Tokens_.next();
@@ -209,7 +214,9 @@
       continue;
     Log_.line(DecisionPriority::Notable, "stopping a run of another manager", Listed.Task.Job,
               {{"worker", std::string_view(Known.Entry.Id)},
+               {"incarnation", Known.StartedMilliseconds},
                {"run", static_cast<std::int64_t>(Listed.Run)}});
+    ++ForeignRunsStopped_;
     Output_.stop(Index, {Listed.Task, Listed.Run, Known.Token});
   }
 }
--- a/Services/PoolDaemon/PoolDaemonMetrics.cpp
+++ b/Services/PoolDaemon/PoolDaemonMetrics.cpp
@@ -49,6 +49,10 @@
                  [this] { return static_cast<double>(Directory_.leftOut()); });
   Metrics_.gauge("cornellift_workers_held",
                  [this] { return static_cast<double>(Manager_.fleet().heldCount()); });
+  Metrics_.gauge("cornellift_worker_restarts_total",
+                 [this] { return static_cast<double>(Manager_.fleet().restartCount()); });
+  Metrics_.gauge("cornellift_foreign_runs_stopped_total",
+                 [this] { return static_cast<double>(Manager_.fleet().foreignRunsStopped()); });
   auto Workers = [this](const char *Name, kernel::LeaseState State) {
     Metrics_.gauge("cornellift_workers",
                    [this, State] { return static_cast<double>(Manager_.fleet().countIn(State)); },
