Kernel: Hold a run only while it waits for its start, and end it under its own number

A worker that refuses kept a task for ever, since each refused start began the 15 s anew. The end of a run that a manager had delegated before its link broke was reported as the end of the run that it delegated afterwards, which started a third one. A job whose run had begun could be rejected as not run. A refusal of the token of a former claim gave up the new claim for 2 s. A caller who came again waited 15 s for a stop on a silent worker.

Cause: the time limit belonged to the run instead of the send without a reply; runs took numbers that only one of two managers knew; a run that waits for its start again looked like one that has never run; replies were not matched with the claim.

Change: a run counts its sends in flight; a send that ends without a reply sets the limit. Runs whose lease has ended start elsewhere again, so that no run takes another number; stopping runs are not held; a run remembers that it has begun; replies to a former token change nothing of the claim; a refused repetition has the backoff of a refused start.

--- a/Kernel/Pool/PoolJob.h
+++ b/Kernel/Pool/PoolJob.h
@@ -26,12 +26,10 @@
   TaskState State = TaskState::Blocked;
   std::uint32_t Failures = 0;
   std::uint32_t LastRun = 0; ///< Highest run number used so far.
-  /// Run number that the delegating manager gave; LastRun is higher if the run was started again.
-  std::uint32_t OrderedRun = 0;
-  std::uint32_t Moves = 0; ///< How often a straggling run was stopped to restart it elsewhere.
-  EndpointIndex Worker{};  ///< If Placed.
-  PeerIndex Manager{};     ///< If Delegated or PossiblyRunning.
-  core::TimePoint EndedBy; ///< If PossiblyRunning: the task no longer runs for certain.
+  std::uint32_t Moves = 0;   ///< How often a straggling run was stopped to restart it elsewhere.
+  EndpointIndex Worker{};    ///< If Placed.
+  PeerIndex Manager{};       ///< If Delegated or PossiblyRunning.
+  core::TimePoint EndedBy;   ///< If PossiblyRunning: the task no longer runs for certain.
 };
 
 struct StepProgress {
--- a/Kernel/Pool/PoolManager.cpp
+++ b/Kernel/Pool/PoolManager.cpp
@@ -145,11 +145,6 @@
   return Job->Submission->Specification;
 }
 
-void PoolManager::runRenumbered(const Run &Each) {
-  if (auto *Job = find(Each.Job))
-    Job->Tasks[Each.TaskNumber].LastRun = Each.Number;
-}
-
 bool PoolManager::mayRunOn(const WorkerEntry &Entry, const Run &Each) const {
   auto Found = Jobs_.find(Each.Job);
   if (Found == Jobs_.end() || Found->second.IsEnding || Found->second.OrphanedUntil)
@@ -176,20 +171,22 @@
              {"worker", std::string_view(WorkerId)},
              {"outcome", runOutcomeName(How)},
              {"sends", static_cast<std::int64_t>(Ended.SendCount)},
-             {"unanswered", static_cast<std::int64_t>(Ended.UnansweredSends)},
+             {"unanswered", std::int64_t{Ended.mayStartLater(Now)}},
              {"reported", std::int64_t{Ended.IsReported}},
              {"after_ms", core::toMilliseconds(Now - Ended.StartSentAt)}});
   auto &Task = Job->Tasks[Ended.TaskNumber];
   if (How == RunOutcome::Outdated)
     Task.LastRun = std::max(Task.LastRun, Ended.Number) + 16; // Above the worker's last number.
   if (Job->IsDelegation) {
-    Task.State = TaskState::Done;
+    // The task may have been delegated here again, while a former run was held.
+    if (Task.Worker == Worker && Task.LastRun == Ended.Number)
+      Task.State = TaskState::Done;
     auto End = How == RunOutcome::Done     ? DelegatedEnd::Done
                : How == RunOutcome::Failed ? DelegatedEnd::Failed
                : How == RunOutcome::NotStarted || How == RunOutcome::Outdated
                    ? DelegatedEnd::Refused
                    : DelegatedEnd::Lost;
-    reportDelegatedEnd(*Job, Ended.TaskNumber, Task.OrderedRun, End, WorkerId);
+    reportDelegatedEnd(*Job, Ended.TaskNumber, Ended.Number, End, WorkerId);
     return removeIfInactive(Job->Handle, Now);
   }
   Job->HasRun = Job->HasRun || (How != RunOutcome::NotStarted && How != RunOutcome::Outdated);
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -189,7 +189,6 @@
   void runEnded(EndpointIndex Worker, const Run &Ended, RunOutcome How,
                 core::TimePoint Now) override;
   std::optional<std::string> specificationOf(const Run &Started) override;
-  void runRenumbered(const Run &Each) override;
   bool mayRunOn(const WorkerEntry &Entry, const Run &Each) const override;
   std::optional<core::TimePoint> leaseLimitOf(const Run &Each) const override;
   void availabilityIncreased(core::TimePoint Now) override;
--- a/Kernel/Pool/PoolManagerPeers.cpp
+++ b/Kernel/Pool/PoolManagerPeers.cpp
@@ -9,10 +9,6 @@
 /// Minimum interval between reports to other managers.
 constexpr core::Duration ReportInterval = std::chrono::milliseconds(20);
 
-/// Run numbers that the other manager may have used for one delegated run, which it starts again on
-/// the same worker.
-constexpr std::uint32_t RunNumbersPerDelegation = 16;
-
 std::string_view delegatedEndName(DelegatedEnd How) {
   switch (How) {
   case DelegatedEnd::Done:
@@ -96,7 +92,6 @@
       continue;
     ++Counters_.TasksAccepted;
     Job.Tasks[Delegated.Task].LastRun = Delegated.Run;
-    Job.Tasks[Delegated.Task].OrderedRun = Delegated.Run;
     if (placeTask(Job, Delegated.Task, Now))
       continue;
     ++Refused;
@@ -138,8 +133,6 @@
              {"worker", std::string_view(Message.Worker)},
              {"how", delegatedEndName(Message.How)}});
   Job.HasRun = Job.HasRun || Message.How != DelegatedEnd::Refused;
-  if (Message.How == DelegatedEnd::Failed || Message.How == DelegatedEnd::Lost)
-    Task.LastRun += RunNumbersPerDelegation;
   switch (Message.How) {
   case DelegatedEnd::Done:
     return finishTask(Job, Message.Task, Now);
@@ -181,7 +174,6 @@
               {{"peer", static_cast<std::int64_t>(Job->Tasks[Task].Manager)},
                {"task", static_cast<std::int64_t>(Task)},
                {"run", static_cast<std::int64_t>(Job->Tasks[Task].LastRun)}});
-    Job->Tasks[Task].LastRun += RunNumbersPerDelegation;
     requeueTask(*Job, Task, Now);
   }
 }
--- a/Kernel/Pool/PoolManagerStragglers.cpp
+++ b/Kernel/Pool/PoolManagerStragglers.cpp
@@ -125,7 +125,7 @@
   if (!Job.IsDelegation)
     return endJob(Job, {JobVerdict::GivenUp, "a task cannot end before the caller's deadline", 0},
                   Now);
-  reportDelegatedEnd(Job, Task, Job.Tasks[Task].OrderedRun, DelegatedEnd::TooLong, {});
+  reportDelegatedEnd(Job, Task, Job.Tasks[Task].LastRun, DelegatedEnd::TooLong, {});
   stopTask(Job, Task, Now);
 }
 
--- a/Kernel/Pool/Worker.cpp
+++ b/Kernel/Pool/Worker.cpp
@@ -6,19 +6,30 @@
 namespace cornellift::kernel {
 
 bool Run::mayStartLater(core::TimePoint Now) const {
-  return UnansweredSends > 0 && Now < MayArriveUntil;
+  return SendsInFlight > 0 || Now < MayArriveUntil;
+}
+
+void Run::sendEnded(CommandVerdict Verdict, core::TimePoint Now) {
+  if (SendsInFlight > 0)
+    --SendsInFlight;
+  if (Verdict == CommandVerdict::NoReply)
+    MayArriveUntil = Now + CommandLifetime;
 }
 
 void Run::reported() {
   IsReported = true;
-  if (SendCount == 1)
-    UnansweredSends = 0; // It was this command that the worker executed.
+  HasBegun = true;
+  if (SendCount > 1)
+    return;
+  // The worker has executed the only command that was sent.
+  SendsInFlight = 0;
+  MayArriveUntil = {};
 }
 
 void Run::awaitNewStart() {
   State = RunState::Starting;
   RecentSends = MaximumRecentSends;
-  StartBy = 0;
+  StartBy = NoStartTime;
   ConfirmedAt = {};
   IsReported = false;
   PercentDone = 0;
--- a/Kernel/Pool/Worker.h
+++ b/Kernel/Pool/Worker.h
@@ -21,6 +21,9 @@
 /// may be 2% slow.
 constexpr std::chrono::milliseconds LongestLease{1020};
 
+/// Earlier than any time on a worker's clock: no start command of the run is valid.
+constexpr std::int64_t NoStartTime = -1;
+
 /// How often a start command is sent before its time limit.
 constexpr std::uint32_t MaximumRecentSends = 3;
 
@@ -48,11 +51,11 @@
   std::uint32_t SendCount = 1;
   /// Sends of the command since StartSentAt.
   std::uint32_t RecentSends = 1;
-  /// Sent commands without a reply: the worker, or a later incarnation of it, may still execute
-  /// them.
-  std::uint32_t UnansweredSends = 1;
-  core::TimePoint MayArriveUntil; ///< Until when that is possible.
-  core::TimePoint ConfirmedAt;    ///< When the start was first confirmed.
+  std::uint32_t SendsInFlight = 1; ///< Sends without a result so far.
+  /// Until when the worker, or a later incarnation of it, may execute a send that got no reply.
+  core::TimePoint MayArriveUntil;
+  bool HasBegun = false;       ///< It has run, on this or a former incarnation of the worker.
+  core::TimePoint ConfirmedAt; ///< When the start was first confirmed.
   /// A report of the worker has listed it. Until then it may run on an incarnation of the worker
   /// that has not reported yet.
   bool IsReported = false;
@@ -65,9 +68,11 @@
   /// Returns whether a command without a reply may still start the run. Until then the task must
   /// not start on another worker.
   bool mayStartLater(core::TimePoint Now) const;
+  /// Records the result of one send of the start command.
+  void sendEnded(CommandVerdict Verdict, core::TimePoint Now);
   /// Records that a report has listed the run, running or ended.
   void reported();
-  /// Records that the run does not run and has to be started again.
+  /// Records that the run has to be started again on a new incarnation of its worker.
   void awaitNewStart();
 };
 
--- a/Kernel/Pool/WorkerFleet.cpp
+++ b/Kernel/Pool/WorkerFleet.cpp
@@ -35,6 +35,22 @@
 constexpr core::Duration UnreachedBackoff = std::chrono::milliseconds(100);
 constexpr double RoundingSlack = 1e-6;
 
+/// How long a worker gets no further start after one that it did not accept.
+core::Duration backoffAfter(CommandVerdict Verdict) {
+  switch (Verdict) {
+  case CommandVerdict::NoCapacity:
+  case CommandVerdict::TooLate:
+    return NoCapacityBackoff;
+  case CommandVerdict::Unhealthy:
+    return UnhealthyBackoff;
+  case CommandVerdict::Misdirected:
+  case CommandVerdict::NotSent:
+    return UnreachedBackoff;
+  default:
+    return {};
+  }
+}
+
 } // namespace
 
 EndpointIndex WorkerFleet::indexOf(const std::string &Id) {
@@ -171,7 +187,6 @@
   auto &Known = mutableAt(Index);
   Started.StartBy = Known.Clock.at(Now + StartValidity);
   Started.StartSentAt = Now;
-  Started.MayArriveUntil = Now + CommandLifetime;
   Started.State = RunState::Starting;
   Known.LeaseEnd = std::max(Known.LeaseEnd, Now + StartValidity + LeaseSlack);
   Known.deadlineSent(Now + CommandTimeout);
@@ -180,23 +195,12 @@
 }
 
 bool WorkerFleet::staysOnWorker(const Worker &Known, const Run &Each, core::TimePoint Now) {
-  if (!Each.mayStartLater(Now))
+  if (Each.State == RunState::Stopping || !Each.mayStartLater(Now))
     return false;
-  // Another manager's token is refused no longer, and a worker that leaves does not return.
   return (Known.Lease == LeaseState::Held || Known.Lease == LeaseState::Claiming) &&
          Known.IsListed && Known.Entry.State == WorkerState::Ready;
 }
 
-void WorkerFleet::takeNextNumber(EndpointIndex Index, Run &Ended) {
-  Log_.line(DecisionPriority::Notable, "a run without a lease stays on its worker", Ended.Task.Job,
-            {{"worker", std::string_view(at(Index).Entry.Id)},
-             {"index", static_cast<std::int64_t>(Ended.Task.Index)},
-             {"run", static_cast<std::int64_t>(Ended.Number)}});
-  ++Ended.Number;
-  Ended.awaitNewStart();
-  Listener_.runRenumbered(Ended);
-}
-
 void WorkerFleet::startAgain(EndpointIndex Index, const TaskRef &Task, std::uint32_t Number,
                              core::TimePoint Now) {
   auto &Known = mutableAt(Index);
@@ -218,13 +222,13 @@
              {"incarnation", Known.StartedMilliseconds},
              {"index", static_cast<std::int64_t>(Task.Index)},
              {"run", static_cast<std::int64_t>(Number)},
-             {"unanswered", static_cast<std::int64_t>(Found->UnansweredSends)},
+             {"sends", static_cast<std::int64_t>(Found->SendCount)},
              {"after_ms", core::toMilliseconds(Now - Found->StartSentAt)}});
   ++StartedAgain_;
   Found->ExpectedEnd = Now + (Found->ExpectedEnd - Found->StartSentAt);
   ++Found->SendCount;
   Found->RecentSends = 1;
-  ++Found->UnansweredSends;
+  ++Found->SendsInFlight;
   sendStart(Index, *Found, std::move(*Specification), Now);
 }
 
@@ -245,16 +249,19 @@
   auto *Found = Known.find(Command.Task, Command.Run);
   if (!Found)
     return;
+  Found->sendEnded(Reply.Verdict, Now);
+  if (Command.FencingToken != Known.Token)
+    return; // The reply is that of an earlier claim, or of a former incarnation.
   if (Reply.ClockMilliseconds && Known.Lease == LeaseState::Held)
     Known.Clock.observe(*Reply.ClockMilliseconds, Now, Found->StartSentAt + MaximumReplyTime);
-  if (Reply.Verdict != CommandVerdict::NoReply && Found->UnansweredSends > 0)
-    --Found->UnansweredSends;
   if (Reply.Verdict == CommandVerdict::Accepted) {
     if (Found->State == RunState::Starting)
       Found->State = RunState::Running;
     Found->ConfirmedAt = Now;
+    Found->HasBegun = true;
     return;
   }
+  Known.BackoffUntil = std::max(Known.BackoffUntil, Now + backoffAfter(Reply.Verdict));
   if (Found->SendCount > 1 || Found->State != RunState::Starting)
     return; // Another send may have been accepted; the next polls show whether it runs.
   Log_.line(DecisionPriority::Notable, "start not accepted", Command.Task.Job,
@@ -274,14 +281,9 @@
     return endRun(Index, Command.Task, Command.Run, RunOutcome::Outdated, Now);
   case CommandVerdict::NoCapacity:
   case CommandVerdict::TooLate:
-    Known.BackoffUntil = Now + NoCapacityBackoff;
-    return endRun(Index, Command.Task, Command.Run, RunOutcome::NotStarted, Now);
   case CommandVerdict::Unhealthy:
-    Known.BackoffUntil = Now + UnhealthyBackoff;
-    return endRun(Index, Command.Task, Command.Run, RunOutcome::NotStarted, Now);
   case CommandVerdict::Misdirected:
   case CommandVerdict::NotSent:
-    Known.BackoffUntil = Now + UnreachedBackoff;
     return endRun(Index, Command.Task, Command.Run, RunOutcome::NotStarted, Now);
   case CommandVerdict::Invalid:
     return endRun(Index, Command.Task, Command.Run, RunOutcome::Failed, Now);
@@ -306,6 +308,8 @@
   if (!Found)
     return;
   Run Ended = *Found;
+  if (How == RunOutcome::NotStarted && Ended.HasBegun)
+    How = RunOutcome::Lost;
   mutableAt(Index).remove(Task, Number);
   Listener_.runEnded(Index, Ended, How, Now);
 }
@@ -331,8 +335,7 @@
       continue;
     ++Candidate.RecentSends;
     ++Candidate.SendCount;
-    ++Candidate.UnansweredSends;
-    Candidate.MayArriveUntil = Now + CommandLifetime;
+    ++Candidate.SendsInFlight;
     Known.deadlineSent(Now + CommandTimeout);
     auto Specification = Listener_.specificationOf(Candidate);
     if (Specification)
@@ -358,7 +361,9 @@
   return std::any_of(Known.Runs.begin(), Known.Runs.end(), [&](const Run &Candidate) {
     auto Expected = Candidate.State == RunState::Running ? Candidate.ExpectedEnd
                                                          : Candidate.StartSentAt + StartValidity;
-    return Now > Expected + SecondPollDelay;
+    // A silent worker whose leases have ended is only looked at now and then.
+    bool IsWorthIt = Known.isAnswering(Now) || Now <= Known.leaseEndOf(Candidate);
+    return IsWorthIt && Now > Expected + SecondPollDelay;
   });
 }
 
--- a/Kernel/Pool/WorkerFleet.h
+++ b/Kernel/Pool/WorkerFleet.h
@@ -50,8 +50,6 @@
   virtual std::optional<std::string> specificationOf(const Run &Started) = 0;
   /// Returns whether the run's task is still wanted and may run on such a worker.
   virtual bool mayRunOn(const WorkerEntry &Entry, const Run &Each) const = 0;
-  /// The run stays on its worker and will be started again there under its present number.
-  virtual void runRenumbered(const Run &Each) = 0;
   /// Until when the worker's lease may be extended while it has this run; empty if without limit.
   virtual std::optional<core::TimePoint> leaseLimitOf(const Run &Each) const = 0;
   /// A worker has started to accept tasks.
@@ -136,10 +134,8 @@
   void stopForeignRuns(EndpointIndex Index, const WorkerReport &Report);
   /// Sends the start command of a run with a new time limit.
   void sendStart(EndpointIndex Index, Run &Started, std::string Specification, core::TimePoint Now);
-  /// Returns whether a run that does not run must stay on its worker for the time being.
+  /// Returns whether the task of a run that is not at work must not start on another worker yet.
   static bool staysOnWorker(const Worker &Known, const Run &Each, core::TimePoint Now);
-  /// Prepares the new start of a run that has ended on its worker.
-  void takeNextNumber(EndpointIndex Index, Run &Ended);
   /// Starts a run again that stays on its worker, if the worker can take it now.
   void startAgain(EndpointIndex Index, const TaskRef &Task, std::uint32_t Number,
                   core::TimePoint Now);
--- a/Kernel/Pool/WorkerFleetPolls.cpp
+++ b/Kernel/Pool/WorkerFleetPolls.cpp
@@ -176,11 +176,6 @@
     if (!Ended)
       continue;
     Ended->reported();
-    if (End.How == RunEnd::Lapsed && Ended->State != RunState::Stopping &&
-        staysOnWorker(Known, *Ended, Now)) {
-      takeNextNumber(Index, *Ended);
-      continue;
-    }
     Ended->EndedAt = sentAt(*Ended, Report, Now);
     endRun(Index, End.Task, End.Run, outcomeOf(End.How), Now);
   }
@@ -188,10 +183,10 @@
 
 void WorkerFleet::resolveMissingRuns(EndpointIndex Index, const WorkerReport &Report, bool IsClaim,
                                      core::TimePoint Now) {
-  // Another run of the task has to end first, too.
   auto IsListed = [&](const Run &Candidate) {
-    return std::any_of(Report.Running.begin(), Report.Running.end(),
-                       [&](const auto &Listed) { return Listed.Task == Candidate.Task; });
+    return std::any_of(Report.Running.begin(), Report.Running.end(), [&](const auto &Listed) {
+      return Listed.Task == Candidate.Task && Listed.Run == Candidate.Number;
+    });
   };
   std::vector<std::pair<Run, RunOutcome>> EndedRuns;
   std::vector<Run> Staying;
@@ -199,8 +194,7 @@
   for (auto &Candidate : Known.Runs) {
     if (IsListed(Candidate))
       continue;
-    bool Stays =
-        Candidate.State != RunState::Stopping && staysOnWorker(Known, Candidate, Now);
+    bool Stays = staysOnWorker(Known, Candidate, Now);
     if (IsClaim && Stays)
       Candidate.awaitNewStart();
     bool WasConfirmed = Candidate.ConfirmedAt != core::TimePoint();
--- a/Tests/Pool/TestPoolManager.cpp
+++ b/Tests/Pool/TestPoolManager.cpp
@@ -96,10 +96,13 @@
       Fixture.Manager.pollReplied(Worker, Poll, Worker == Silent ? PollReply{} : Idle, Fixture.Now);
     }
     Fixture.pass(10ms);
+    if (Fixture.Now == SentAt + CommandTimeout)
+      for (const auto &[Worker, Command] : std::vector(Fixture.Out.Starts))
+        Fixture.Manager.startReplied(Worker, Command, {}, Fixture.Now);
   }
   BOOST_REQUIRE((Fixture.Out.Starts.back().first != Silent));
   BOOST_TEST((Fixture.Now - SentAt >= CommandLifetime));
-  BOOST_TEST((Fixture.Now - SentAt < CommandLifetime + 500ms));
+  BOOST_TEST((Fixture.Now - SentAt < CommandTimeout + CommandLifetime + 500ms));
 }
 
 // Guards against a task that runs twice because one of its repeated start commands was refused
--- a/Tests/Pool/TestPoolManagerReturns.cpp
+++ b/Tests/Pool/TestPoolManagerReturns.cpp
@@ -87,7 +87,7 @@
 // taken a start that was meant for its former incarnation. Deadlines on that one's clock lie far
 // ahead of the new one's, which grants the longest lease for them. A start without a reply may be
 // executed until the end of its lifetime.
-BOOST_AUTO_TEST_CASE(ARunThatANewIncarnationMayHaveStartsElsewhereAfterTheLongestLease) {
+BOOST_AUTO_TEST_CASE(ARunThatANewIncarnationMayHaveStartsElsewhereWhenNoCommandCanArrive) {
   constexpr auto LeaseLimit = 1000ms;
   ManagerFixture Fixture;
   Fixture.list({"w-0"});
@@ -99,6 +99,7 @@
   BOOST_REQUIRE(Fixture.Out.Starts.size() == 1U);
   auto Returned = Fixture.Out.Starts.front().first;
   auto LastSentAt = Fixture.Now;
+  std::deque<std::pair<core::TimePoint, StartCommand>> TimedOut;
   Fixture.Manager.setWorkers(std::vector{entry("w-0"), entry("w-1")}, Fixture.Now);
   core::TimePoint LeaseEnd;
   std::deque<std::pair<core::TimePoint, PollCommand>> Unanswered;
@@ -109,6 +110,7 @@
   while (!HasMoved() && Fixture.Now < SilentSince + 30s) {
     for (; Seen < Fixture.Out.Starts.size(); ++Seen) { // The start and its repetitions.
       LastSentAt = Fixture.Now;
+      TimedOut.emplace_back(Fixture.Now + CommandTimeout, Fixture.Out.Starts[Seen].second);
       LeaseEnd = std::max(LeaseEnd, Fixture.Now + CommandTimeout + LeaseLimit);
     }
     for (const auto &[Worker, Poll] : std::exchange(Fixture.Out.Polls, {})) {
@@ -126,6 +128,10 @@
       Fixture.Manager.pollReplied(Worker, Poll, Idle, Fixture.Now);
     }
     Fixture.pass(10ms);
+    while (!TimedOut.empty() && Fixture.Now >= TimedOut.front().first) {
+      Fixture.Manager.startReplied(Returned, TimedOut.front().second, {}, Fixture.Now);
+      TimedOut.pop_front();
+    }
     while (!Unanswered.empty() && Fixture.Now >= Unanswered.front().first) {
       Fixture.Manager.pollReplied(Returned, Unanswered.front().second, {}, Fixture.Now);
       Unanswered.pop_front();
@@ -137,7 +143,7 @@
                                            << core::toMilliseconds(LeaseEnd - Fixture.Now)
                                            << " ms before the lease may have ended");
   BOOST_TEST((Fixture.Now - LastSentAt >= CommandLifetime - 10ms));
-  BOOST_TEST((Fixture.Now - LastSentAt < CommandLifetime + 500ms));
+  BOOST_TEST((Fixture.Now - LastSentAt < CommandTimeout + CommandLifetime + 500ms));
 }
 
 // Guards against a task that runs twice at the same time: a worker had returned, and a start
