FleetStandIn: Let any incarnation execute a late command; restarts can be dark

Cause: a command that was executed late was dropped if the worker had restarted meanwhile.

Change: the incarnation that is up executes a late command; between two incarnations it is dropped. `/worker/restart` has `dark_ms`: the worker's runs end at once, it executes and answers nothing for that long (open polls included), and then its next incarnation begins. `/runs` has the incarnation and the fencing token of each run's start.

Conclusion: commands that reach a later incarnation can now be seen in /runs by a token that is older than the incarnation.

--- a/Services/FleetStandIn/FleetStandIn.cpp
+++ b/Services/FleetStandIn/FleetStandIn.cpp
@@ -150,7 +150,7 @@
   if (Now >= HeartbeatAt_) {
     HeartbeatAt_ = Now + HeartbeatInterval;
     for (auto &Instance : Workers_)
-      if (!Instance.IsSilent)
+      if (!Instance.IsSilent && !Instance.IsDark)
         Store_.apply({{},
                       {{Format_->entryKey(Instance.Model->entry()),
                         Format_->renderEntry(Instance.Model->entry(), ++Instance.Sequence), 0}},
@@ -218,8 +218,8 @@
   auto Content = Format_->parseWorkerCall(*Call);
   auto Now = core::MonotonicClock::now();
   bool IsPoll = Content && std::holds_alternative<kernel::PollCommand>(*Content);
-  if (Instance.IsSilent || (IsPoll && Now < Instance.PollsSilentUntil))
-    return runAfter(std::chrono::seconds(30), [Call] { Call->reply({503, {}, {}}); });
+  if (Instance.IsSilent || Instance.IsDark || (IsPoll && Now < Instance.PollsSilentUntil))
+    return leaveUnanswered(Call);
   if (!Content)
     return Call->reply({400, {}, {}});
   bool IsLate = drawUniform() < Instance.LateShare;
@@ -233,18 +233,22 @@
   };
   if (!IsLate)
     return Call->reply(Format_->renderCommandReply(Execute()));
-  // The command is executed 2 to 6 seconds later, and gets no reply.
-  auto ExpectedStart = Instance.Model->startedAt();
-  runAfter(std::chrono::milliseconds(2000 + Random_() % 4000),
-           [this, Worker, Call, Execute, ExpectedStart] {
-             // A later incarnation refuses the command.
-             if (Workers_[Worker].Model->startedAt() == ExpectedStart)
-               Execute();
-           });
+  // The command is executed 2 to 6 seconds later, by whichever incarnation is up, and gets no
+  // reply.
+  runAfter(std::chrono::milliseconds(2000 + Random_() % 4000), [this, Worker, Call, Execute] {
+    if (!Workers_[Worker].IsDark)
+      Execute();
+  });
+}
+
+void FleetStandIn::leaveUnanswered(const Exchange &Call) {
+  runAfter(std::chrono::seconds(30), [Call] { Call->reply({503, {}, {}}); });
 }
 
 void FleetStandIn::answerPoll(std::size_t Worker, const Exchange &Call,
                               const kernel::PollCommand &Command, core::TimePoint Deadline) {
+  if (Workers_[Worker].IsDark)
+    return leaveUnanswered(Call);
   auto &Model = *Workers_[Worker].Model;
   auto Now = core::MonotonicClock::now();
   auto Reply = Model.poll(Command, Now);
@@ -298,14 +302,9 @@
     if (Instance.Model->entry().Id != Id)
       continue;
     auto Now = core::MonotonicClock::now();
-    if (Target.starts_with("/worker/restart")) {
-      Instance.Model->restart(Now);
-      Instance.IsSilent = false;
-      Instance.PollsSilentUntil =
-          Now + core::fromMilliseconds(numberOr(Target, "silent_polls_ms", 0));
-      HeartbeatAt_ = Now;
-      return;
-    }
+    if (Target.starts_with("/worker/restart"))
+      return restartWorker(Instance, core::fromMilliseconds(numberOr(Target, "dark_ms", 0)),
+                           core::fromMilliseconds(numberOr(Target, "silent_polls_ms", 0)));
     auto &Faults = Instance.Model->faults();
     Faults.Slowdown = numberOr(Target, "slowdown", Faults.Slowdown);
     Faults.FailsAll = numberOr(Target, "fail", Faults.FailsAll ? 1 : 0) != 0;
@@ -320,6 +319,22 @@
   }
 }
 
+void FleetStandIn::restartWorker(WorkerInstance &Instance, core::Duration DarkTime,
+                                 core::Duration PollSilence) {
+  auto Now = core::MonotonicClock::now();
+  Instance.Model->restart(Now);
+  if (DarkTime.count() > 0) {
+    Instance.IsDark = true;
+    return runAfter(DarkTime, [this, &Instance, PollSilence] {
+      restartWorker(Instance, core::Duration(0), PollSilence);
+    });
+  }
+  Instance.IsSilent = false;
+  Instance.IsDark = false;
+  Instance.PollsSilentUntil = Now + PollSilence;
+  HeartbeatAt_ = Now;
+}
+
 std::string FleetStandIn::listRuns() const {
   std::ostringstream Out;
   for (const auto &Instance : Workers_)
@@ -327,8 +342,9 @@
       auto Ended = Run.EndedAt.value_or(core::TimePoint());
       Out << "{\"job\":\"" << kernel::formatJobKey(Run.Task.Job) << "\",\"step\":" << Run.Task.Step
           << ",\"index\":" << Run.Task.Index << ",\"run\":" << Run.Number << ",\"worker\":\""
-          << Instance.Model->entry().Id
-          << "\",\"from_us\":" << Run.StartedAt.time_since_epoch().count()
+          << Instance.Model->entry().Id << "\",\"incarnation\":" << Run.Incarnation
+          << ",\"token\":" << Run.FencingToken
+          << ",\"from_us\":" << Run.StartedAt.time_since_epoch().count()
           << ",\"to_us\":" << Ended.time_since_epoch().count() << ",\"end\":\"" << runEndName(Run)
           << "\"}\n";
     }
--- a/Services/FleetStandIn/FleetStandIn.h
+++ b/Services/FleetStandIn/FleetStandIn.h
@@ -27,9 +27,13 @@
 ///
 ///     POST /store?mode=silent|busy|serving&delay_ms=N&lost=SHARE   and   POST /store/compact
 ///     POST /worker?id=ID&slowdown=X&fail=0|1&still=0|1&unhealthy=0|1&silent=0|1&late=SHARE&drain=1
-///     POST /worker/restart?id=ID&silent_polls_ms=N   polls stay unanswered for that long
+///     POST /worker/restart?id=ID&dark_ms=N&silent_polls_ms=N
 ///     POST /configuration   with a configuration as the body
 ///     GET /runs             all runs, one JSON line each
+///
+/// At a restart a worker ends its runs. It is down for dark_ms, and polls of its next incarnation
+/// stay unanswered for silent_polls_ms. A late command is executed by whichever incarnation is up
+/// then, and dropped if none is.
 class FleetStandIn {
 public:
   static std::unique_ptr<FleetStandIn> make(const StandInSettings &Settings);
@@ -43,6 +47,7 @@
     std::unique_ptr<WorkerModel> Model;
     std::shared_ptr<reactor::HttpServer> Server;
     bool IsSilent = false;
+    bool IsDark = false;              ///< Between two incarnations: executes and answers nothing.
     core::TimePoint PollsSilentUntil; ///< Until then only other calls are answered.
     double LateShare = 0;
     std::uint64_t Sequence = 0;
@@ -58,8 +63,11 @@
   void serveWorker(std::size_t Worker, const Exchange &Call);
   void answerPoll(std::size_t Worker, const Exchange &Call, const kernel::PollCommand &Command,
                   core::TimePoint Deadline);
+  void leaveUnanswered(const Exchange &Call);
   void serveControl(const Exchange &Call);
   void setWorker(std::string_view Target);
+  /// Restarts after DarkTime; the runs end at once.
+  void restartWorker(WorkerInstance &Instance, core::Duration DarkTime, core::Duration PollSilence);
   void setStore(std::string_view Target);
   std::string listRuns() const;
   void tick();
--- a/Services/FleetStandIn/WorkerModel.cpp
+++ b/Services/FleetStandIn/WorkerModel.cpp
@@ -89,7 +89,8 @@
   if (Used + Profile.Cores > Entry_.Capacity.Processors + RoundingSlack ||
       Running_.size() >= Entry_.Slots)
     return Reply(CommandVerdict::NoCapacity);
-  History_.push_back({Command.Task, Command.Run, Now, std::nullopt, RunEnd::Done});
+  History_.push_back({Command.Task, Command.Run, Now, std::nullopt, RunEnd::Done,
+                      startedMilliseconds(), Command.FencingToken});
   Running_.push_back({History_.size() - 1, Profile, 0, {}, false});
   return Reply(CommandVerdict::Accepted);
 }
--- a/Services/FleetStandIn/WorkerModel.h
+++ b/Services/FleetStandIn/WorkerModel.h
@@ -36,6 +36,8 @@
   core::TimePoint StartedAt;
   std::optional<core::TimePoint> EndedAt;
   kernel::RunEnd How = kernel::RunEnd::Done;
+  std::int64_t Incarnation = 0;   ///< startedMilliseconds() of the worker.
+  std::uint64_t FencingToken = 0; ///< Of the start.
 };
 
 /// A worker that runs tasks under leases, over several incarnations, without sockets or clocks. It
