LibReactor: Never write a request after its deadline

A process that was paused while a call waited for a connection found the connection established or idle when it woke, and wrote the request although its deadline had passed. A start command has to arrive within CommandTimeout or never: the worker that listens on the address then may be a later incarnation.

Cause: HttpClient::dispatchWaitingCalls() and HttpConnection::call() did not look at the deadline; the events of the socket are handled before the timers.

Change: HttpConnection::call() compares the clock with the deadline after the request is rendered, as the last step before the write, and fails with NotSent; the connection stays idle and serves the next call. HttpClient::call() opens no connection for such a call.

--- a/Libraries/LibReactor/HttpClient.cpp
+++ b/Libraries/LibReactor/HttpClient.cpp
@@ -11,7 +11,9 @@
 
 void HttpClient::call(HttpRequest Request, CallDeadline Deadline, HttpResultHandler Handler) {
   if (Closed_)
-    return failLater(std::move(Handler));
+    return failLater(std::move(Handler), "the client is closed");
+  if (Deadline.next() <= core::MonotonicClock::now())
+    return failLater(std::move(Handler), "the deadline had passed before the call");
   if (Waiting_.empty()) {
     if (auto Connection = idleConnection())
       return Connection->call(Request, Deadline, std::move(Handler));
@@ -23,14 +25,14 @@
 void HttpClient::close() {
   Closed_ = true;
   for (auto &Call : std::exchange(Waiting_, {}))
-    failLater(std::move(Call.Handler));
+    failLater(std::move(Call.Handler), "the client is closed");
   for (const auto &Connection : std::exchange(Connections_, {}))
     Connection->close("the client is closed");
 }
 
-void HttpClient::failLater(HttpResultHandler Handler) {
-  asio::post(Reactor_, [Handler = std::move(Handler)] {
-    Handler({std::nullopt, HttpFailure::NotSent, "the client is closed"});
+void HttpClient::failLater(HttpResultHandler Handler, std::string_view Cause) {
+  asio::post(Reactor_, [Handler = std::move(Handler), Cause = std::string(Cause)] {
+    Handler({std::nullopt, HttpFailure::NotSent, Cause});
   });
 }
 
--- a/Libraries/LibReactor/HttpClient.h
+++ b/Libraries/LibReactor/HttpClient.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 namespace cornellift::reactor {
@@ -15,7 +16,8 @@
   HttpClient(asio::io_context &Reactor, Tcp::endpoint Remote, std::size_t MaximumConnections);
 
   /// Sends a request. The handler is called exactly once, at the last deadline at the latest, and
-  /// never before call() or close() has returned.
+  /// never before call() or close() has returned. A call whose deadline has passed before it could
+  /// be written fails with NotSent, also if the process was paused meanwhile.
   void call(HttpRequest Request, CallDeadline Deadline, HttpResultHandler Handler);
 
   /// Closes all connections; pending calls fail.
@@ -31,7 +33,7 @@
     HttpResultHandler Handler;
   };
 
-  void failLater(HttpResultHandler Handler);
+  void failLater(HttpResultHandler Handler, std::string_view Cause);
   void dispatchWaitingCalls();
   void connectionChanged(const std::shared_ptr<HttpConnection> &Connection);
   void open(core::TimePoint Deadline);
--- a/Libraries/LibReactor/HttpConnection.cpp
+++ b/Libraries/LibReactor/HttpConnection.cpp
@@ -61,10 +61,15 @@
 
 void HttpConnection::call(const HttpRequest &Request, CallDeadline Deadline,
                           HttpResultHandler Handler) {
+  renderRequest(Request, Remote_, Outgoing_);
+  // The process may have been paused since the call was made.
+  if (core::MonotonicClock::now() >= Deadline.next())
+    return asio::post(Socket_.get_executor(), [Handler = std::move(Handler)] {
+      Handler({std::nullopt, HttpFailure::NotSent, "timeout before the request was sent"});
+    });
   State_ = State::Busy;
   Handler_ = std::move(Handler);
   armTimer(Deadline);
-  renderRequest(Request, Remote_, Outgoing_);
   asio::async_write(Socket_, asio::buffer(Outgoing_),
                     [Self = shared_from_this()](boost::system::error_code Error, std::size_t) {
                       if (Error && Self->State_ != State::Closed)
--- a/Libraries/LibReactor/HttpConnection.h
+++ b/Libraries/LibReactor/HttpConnection.h
@@ -32,7 +32,8 @@
   void open(core::TimePoint Deadline);
 
   /// Sends a request. The connection must be idle. The handler is called exactly once, at the last
-  /// deadline at the latest. A call that is aborted closes the connection.
+  /// deadline at the latest. A call that is aborted closes the connection. A call whose deadline
+  /// has passed fails with NotSent, and the connection stays idle.
   void call(const HttpRequest &Request, CallDeadline Deadline, HttpResultHandler Handler);
 
   /// Closes the connection; a pending call fails with NoReply.
--- a/Tests/LibReactor/TestReactorHttp.cpp
+++ b/Tests/LibReactor/TestReactorHttp.cpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -96,6 +97,117 @@
   BOOST_TEST(Error == asio::error::connection_reset);
 }
 
+namespace {
+
+/// A client of one connection and the server's end of it, which the test reads and writes itself:
+/// the client does nothing while its reactor does not run, as in a process that is paused.
+struct PausedClient {
+  void call(std::string Target, core::Duration Limit, std::string Body = {}) {
+    Client->call({HttpMethod::Post, std::move(Target), {}, std::move(Body)},
+                 core::MonotonicClock::now() + Limit,
+                 [this](HttpResult Result) { Results.push_back(std::move(Result)); });
+  }
+
+  void accept() {
+    Acceptor.accept(Accepted);
+    Accepted.non_blocking(true);
+  }
+
+  /// Runs the client until it has that many results, for two seconds at most.
+  bool untilResults(std::size_t Count) {
+    auto End = std::chrono::steady_clock::now() + 2s;
+    while (Results.size() < Count && std::chrono::steady_clock::now() < End)
+      Reactor.run_one_for(10ms);
+    return Results.size() >= Count;
+  }
+
+  /// Reads what arrives within the time, and until the end of the connection. Returns the error
+  /// that has ended the connection, if any.
+  boost::system::error_code readFor(core::Duration Limit) {
+    auto End = std::chrono::steady_clock::now() + Limit;
+    std::string Part(1U << 16, '\0');
+    boost::system::error_code Error;
+    while (std::chrono::steady_clock::now() < End) {
+      auto Length = Accepted.read_some(asio::buffer(Part), Error);
+      Received.append(Part, 0, Length);
+      if (Error && Error != asio::error::would_block)
+        return Error;
+      if (Error)
+        std::this_thread::sleep_for(1ms);
+    }
+    return {};
+  }
+
+  asio::io_context Reactor;
+  asio::io_context ServerContext;
+  Tcp::acceptor Acceptor{ServerContext, AnyPort};
+  Tcp::socket Accepted{ServerContext};
+  std::shared_ptr<HttpClient> Client =
+      std::make_shared<HttpClient>(Reactor, Acceptor.local_endpoint(), 1);
+  std::vector<HttpResult> Results;
+  std::string Received;
+};
+
+} // namespace
+
+// Guards against an order that a process writes after its deadline: it was paused while it opened
+// the connection, and finds the connection established.
+BOOST_AUTO_TEST_CASE(ACallThatExpiredWhileConnectingIsNotWritten) {
+  PausedClient World;
+  World.call("/late", 50ms);
+  World.accept();
+  std::this_thread::sleep_for(80ms);
+  BOOST_REQUIRE(World.untilResults(1));
+  BOOST_TEST((World.Results[0].Failure == HttpFailure::NotSent));
+  World.readFor(50ms);
+  BOOST_TEST(World.Received.empty());
+}
+
+// Guards against an order that a process writes after its deadline: it was paused while the order
+// waited for a connection, and finds the connection idle.
+BOOST_AUTO_TEST_CASE(ACallThatExpiredWhileWaitingIsNotWritten) {
+  PausedClient World;
+  World.call("/first", 2s);
+  World.call("/late", 50ms);
+  World.accept();
+  World.Reactor.run_for(20ms);
+  World.readFor(10ms);
+  BOOST_REQUIRE(World.Received.starts_with("POST /first "));
+  World.Received.clear();
+  std::this_thread::sleep_for(80ms);
+  asio::write(World.Accepted,
+              asio::buffer(std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+  BOOST_REQUIRE(World.untilResults(2));
+  BOOST_TEST(World.Results[0].Reply.has_value());
+  BOOST_TEST(!World.Results[1].Reply);
+  BOOST_TEST((World.Results[1].Failure == HttpFailure::NotSent));
+  World.readFor(50ms);
+  BOOST_TEST(World.Received.empty());
+  World.call("/next", 1s); // The connection is still used.
+  World.readFor(20ms);
+  BOOST_TEST(World.Received.starts_with("POST /next "));
+}
+
+// Guards against an order that is written after its deadline on an idle connection, and against a
+// handler that is called from within call().
+BOOST_AUTO_TEST_CASE(ACallWhoseDeadlineHasPassedIsNotWritten) {
+  PausedClient World;
+  World.call("/first", 2s);
+  World.accept();
+  World.Reactor.run_for(20ms);
+  asio::write(World.Accepted,
+              asio::buffer(std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+  BOOST_REQUIRE(World.untilResults(1));
+  World.readFor(10ms);
+  World.Received.clear();
+  World.call("/late", -1ms);
+  BOOST_TEST(World.Results.size() == 1U);
+  BOOST_REQUIRE(World.untilResults(2));
+  BOOST_TEST((World.Results[1].Failure == HttpFailure::NotSent));
+  World.readFor(50ms);
+  BOOST_TEST(World.Received.empty());
+}
+
 // Guards against a request that counts as sent although no connection was established.
 BOOST_AUTO_TEST_CASE(AnAddressWithoutListenerFailsAsNotSent) {
   Loopback World(echo);
