LibReactor: Reset a client connection whenever it ends

When a worker's address changed, when it was dropped, or when the process ended or was killed during a call, the kernel still delivered what a partition held up of the request, seconds later and possibly to a later incarnation of the worker.

Cause: only a call that timed out reset its connection; all other ends closed it in the usual way. Asio's socket destructor moreover turns SO_LINGER off before it closes the socket.

Change: SO_LINGER (true, 0) is set as soon as the connection is established, and the destructor of HttpConnection closes the socket explicitly. The kernel then discards what is unsent or unacknowledged and sends a reset, also when the process is killed.

An idle connection is reset as well. Its last reply was read completely, so that nothing of it can be lost; HttpSession sees the reset as a close. The store's clients are the same class: a call that is pending when the process ends was NoReply before as well.

Evidence, the new tests on the code before the change: "AClientThatIsClosedDuringACallResetsItsConnection": check World.readFor(1s) == asio::error::connection_reset has failed "AnEndDuringACallResetsItsConnection": check Error == asio::error::connection_reset has failed [asio.misc:2 != 104] "AKilledProcessResetsTheConnectionOfItsCall": check Error == asio::error::connection_reset has failed [asio.misc:2 != 104] AResetOfAnIdleConnectionLosesNoReply passes before and after.

--- a/Libraries/LibReactor/HttpConnection.cpp
+++ b/Libraries/LibReactor/HttpConnection.cpp
@@ -43,12 +43,22 @@
     : Socket_(Reactor), Timer_(Reactor), Remote_(std::move(Remote)),
       OnChange_(std::move(OnChange)) {}
 
+HttpConnection::~HttpConnection() {
+  // The socket's own destructor would turn the reset off.
+  boost::system::error_code Ignored; // The connection is abandoned in any case.
+  Socket_.close(Ignored);
+}
+
 void HttpConnection::open(core::TimePoint Deadline) {
   armTimer(Deadline);
   Socket_.async_connect(Remote_, [Self = shared_from_this()](boost::system::error_code Error) {
     if (Self->State_ != State::Connecting)
       return;
     ++Self->TimerGeneration_;
+    // Every end of the connection resets it, also that of the process. Otherwise bytes of a call
+    // that was given up would arrive whenever a partition ends.
+    if (!Error)
+      Self->Socket_.set_option(asio::socket_base::linger(true, 0), Error);
     if (Error)
       return Self->close(Error.message());
     boost::system::error_code Ignored; // The connection works without the option, too.
@@ -154,9 +164,6 @@
   // Parts of the reply have moved the deadline on; setting the timer for each would cost more.
   if (core::MonotonicClock::now() < Deadline_.next())
     return armTimer(Deadline_);
-  // Without a reset, bytes that a partition holds up would arrive long after the deadline.
-  boost::system::error_code Ignored; // A connection that is not established has nothing to send.
-  Socket_.set_option(asio::socket_base::linger(true, 0), Ignored);
   close("timeout while waiting for the reply");
 }
 
--- a/Libraries/LibReactor/HttpConnection.h
+++ b/Libraries/LibReactor/HttpConnection.h
@@ -18,7 +18,8 @@
 
 /// A keep-alive client connection that carries one call at a time. Pending operations keep the
 /// object alive. A read is always pending, so that a close by the server is detected while the
-/// connection is idle.
+/// connection is idle. The connection is reset when it ends, so that nothing of a call arrives
+/// after the call was given up; a reply that was read is complete by then.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
 public:
   enum class State { Connecting, Idle, Busy, Closed };
@@ -27,6 +28,7 @@
   using StateHandler = std::function<void(const std::shared_ptr<HttpConnection> &)>;
 
   HttpConnection(asio::io_context &Reactor, Tcp::endpoint Remote, StateHandler OnChange);
+  ~HttpConnection();
 
   /// Connects, until the deadline at most. Calls OnChange when it has succeeded or failed.
   void open(core::TimePoint Deadline);
--- a/Tests/LibReactor/TestReactorHttp.cpp
+++ b/Tests/LibReactor/TestReactorHttp.cpp
@@ -3,6 +3,10 @@
 
 #include <boost/asio/write.hpp>
 
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -208,6 +212,85 @@
   BOOST_TEST(World.Received.empty());
 }
 
+// Guards against a request that arrives after it was given up because the worker's address has
+// changed or the worker was dropped: a graceful close still delivers what a partition holds up.
+BOOST_AUTO_TEST_CASE(AClientThatIsClosedDuringACallResetsItsConnection) {
+  PausedClient World;
+  World.call("/", 2s);
+  World.accept();
+  World.Reactor.run_for(20ms);
+  World.Client->close();
+  BOOST_REQUIRE(World.untilResults(1));
+  BOOST_TEST((World.Results[0].Failure == HttpFailure::NoReply));
+  BOOST_TEST(World.readFor(1s) == asio::error::connection_reset);
+}
+
+// Guards against a request that arrives after the process that sent it has ended: nobody waits for
+// its reply, and the task may run elsewhere by then.
+BOOST_AUTO_TEST_CASE(AnEndDuringACallResetsItsConnection) {
+  asio::io_context ServerContext;
+  Tcp::acceptor Acceptor(ServerContext, AnyPort);
+  Tcp::socket Accepted(ServerContext);
+  {
+    asio::io_context Reactor;
+    auto Client = std::make_shared<HttpClient>(Reactor, Acceptor.local_endpoint(), 1);
+    Client->call({HttpMethod::Get, "/", {}, {}}, core::MonotonicClock::now() + 2s,
+                 [](const HttpResult &) {});
+    Acceptor.accept(Accepted);
+    Reactor.run_for(20ms);
+  }
+  std::string Received(1024, '\0');
+  boost::system::error_code Error;
+  while (!Error)
+    Accepted.read_some(asio::buffer(Received), Error);
+  BOOST_TEST(Error == asio::error::connection_reset);
+}
+
+// Guards against a request that the kernel still delivers after the process that sent it was
+// killed.
+BOOST_AUTO_TEST_CASE(AKilledProcessResetsTheConnectionOfItsCall) {
+  asio::io_context ServerContext;
+  Tcp::acceptor Acceptor(ServerContext, AnyPort);
+  Tcp::socket Accepted(ServerContext);
+  auto Address = Acceptor.local_endpoint();
+  auto Child = ::fork();
+  BOOST_REQUIRE(Child >= 0);
+  if (Child == 0) {
+    asio::io_context Reactor;
+    auto Client = std::make_shared<HttpClient>(Reactor, Address, 1);
+    Client->call({HttpMethod::Get, "/", {}, {}}, core::MonotonicClock::now() + 5s,
+                 [](const HttpResult &) {});
+    Reactor.run_for(5s);
+    ::_exit(0);
+  }
+  Acceptor.accept(Accepted);
+  std::string Received(1024, '\0');
+  boost::system::error_code Error;
+  Accepted.read_some(asio::buffer(Received), Error);
+  BOOST_TEST(!Error);
+  ::kill(Child, SIGKILL);
+  ::waitpid(Child, nullptr, 0);
+  while (!Error)
+    Accepted.read_some(asio::buffer(Received), Error);
+  BOOST_TEST(Error == asio::error::connection_reset);
+}
+
+// Guards against a reply that is lost because the client resets the connection after it: the server
+// sees a reset of an idle connection as its end, and answers the next client.
+BOOST_AUTO_TEST_CASE(AResetOfAnIdleConnectionLosesNoReply) {
+  Loopback World(echo);
+  World.call("/whole");
+  BOOST_REQUIRE(World.until([&] { return World.Results.size() == 1; }));
+  World.Client->close();
+  BOOST_REQUIRE(World.Results[0].Reply.has_value());
+  BOOST_TEST(World.Results[0].Reply->Body == "/whole");
+  BOOST_TEST(World.until([&] { return World.Server->connections() == 0; }));
+  World.Client = std::make_shared<HttpClient>(World.Reactor, World.Server->address(), 1);
+  World.call("/next");
+  BOOST_REQUIRE(World.until([&] { return World.Results.size() == 2; }));
+  BOOST_TEST(World.Results[1].Reply.has_value());
+}
+
 // Guards against a request that counts as sent although no connection was established.
 BOOST_AUTO_TEST_CASE(AnAddressWithoutListenerFailsAsNotSent) {
   Loopback World(echo);
