LibReactor: End a request that is partly written with its deadline

A process that was paused after it had written a part of a request wrote more of it when it woke. A connection whose server replied before the request was complete was used for the next one, while the write of the former went on from the same buffer.

Cause: asio::async_write() goes on as soon as the socket has room; the reactor handles that before the timers. Nothing related the reply to the end of the write.

Change: HttpConnection writes with write_some() on a non-blocking socket and waits for room; before each further part it compares the clock with the deadline, and resets the connection if it has passed. A connection whose request was not written completely ends with the reply.

They now run the client until the request has arrived.

--- a/Libraries/LibReactor/HttpConnection.cpp
+++ b/Libraries/LibReactor/HttpConnection.cpp
@@ -1,9 +1,9 @@
 #include "Libraries/LibReactor/HttpConnection.h"
 
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <string_view>
 #include <utility>
 
 namespace cornellift::reactor {
@@ -59,6 +59,8 @@
     // that was given up would arrive whenever a partition ends.
     if (!Error)
       Self->Socket_.set_option(asio::socket_base::linger(true, 0), Error);
+    if (!Error)
+      Self->Socket_.non_blocking(true, Error); // For writePart().
     if (Error)
       return Self->close(Error.message());
     boost::system::error_code Ignored; // The connection works without the option, too.
@@ -80,11 +82,34 @@
   State_ = State::Busy;
   Handler_ = std::move(Handler);
   armTimer(Deadline);
-  asio::async_write(Socket_, asio::buffer(Outgoing_),
-                    [Self = shared_from_this()](boost::system::error_code Error, std::size_t) {
-                      if (Error && Self->State_ != State::Closed)
-                        Self->close(Error.message());
-                    });
+  Written_ = 0;
+  writePart();
+}
+
+void HttpConnection::writePart() {
+  boost::system::error_code Error;
+  auto Rest = std::string_view(Outgoing_).substr(Written_);
+  Written_ += Socket_.write_some(asio::buffer(Rest), Error);
+  if (Error && Error != asio::error::would_block)
+    // Posted, so that no handler is called from within call().
+    return asio::post(Socket_.get_executor(),
+                      [Self = shared_from_this(), Error] { Self->close(Error.message()); });
+  if (!isWritten())
+    Socket_.async_wait(Tcp::socket::wait_write,
+                       [Self = shared_from_this()](boost::system::error_code Failure) {
+                         Self->writable(Failure);
+                       });
+}
+
+void HttpConnection::writable(boost::system::error_code Error) {
+  if (State_ != State::Busy || isWritten())
+    return;
+  if (Error)
+    return close(Error.message());
+  // An asynchronous write would go on after a pause of the process before the timer is handled.
+  if (core::MonotonicClock::now() >= Deadline_.next())
+    return timerExpired();
+  writePart();
 }
 
 void HttpConnection::close(const std::string &Cause) {
@@ -137,7 +162,8 @@
     Reply.Headers.emplace_back(std::string(Field.name_string()), std::string(Field.value()));
   ++TimerGeneration_;
   Timer_.cancel();
-  bool KeepAlive = Message.keep_alive();
+  // After an early reply, the server would read the next request as the rest of this one.
+  bool KeepAlive = Message.keep_alive() && isWritten();
   auto Self = shared_from_this();
   if (KeepAlive) {
     State_ = State::Idle;
@@ -145,7 +171,7 @@
   }
   finishCall({std::move(Reply), HttpFailure::NoReply, {}});
   if (!KeepAlive)
-    return close("connection closed by the server");
+    return close("the connection ends with the reply");
   if (State_ == State::Idle)
     setState(State::Idle);
 }
--- a/Libraries/LibReactor/HttpConnection.h
+++ b/Libraries/LibReactor/HttpConnection.h
@@ -51,6 +51,10 @@
   static constexpr std::uint64_t MaximumReplyBytes = 16U << 20;
   using Parser = boost::beast::http::response_parser<BoundedBody<MaximumReplyBytes>>;
 
+  /// Writes as much of the request as the socket takes at once.
+  void writePart();
+  void writable(boost::system::error_code Error);
+  bool isWritten() const { return Written_ == Outgoing_.size(); }
   void readNext();
   void readPart();
   void partRead(boost::system::error_code Error);
@@ -69,6 +73,7 @@
   boost::beast::flat_buffer Buffer_;
   std::optional<Parser> Parser_;
   std::string Outgoing_;
+  std::size_t Written_ = 0; ///< Bytes of Outgoing_ that the socket has taken.
   HttpResultHandler Handler_;
   CallDeadline Deadline_{core::TimePoint()}; ///< Of the connection attempt or the call.
   std::uint64_t TimerGeneration_ = 0; ///< Identifies the current timer; earlier ones are ignored.
--- a/Tests/LibReactor/TestReactorHttp.cpp
+++ b/Tests/LibReactor/TestReactorHttp.cpp
@@ -125,6 +125,16 @@
     return Results.size() >= Count;
   }
 
+  /// Runs the client until a part of a request has arrived. Returns whether one has.
+  bool untilReceived() {
+    auto End = std::chrono::steady_clock::now() + 2s;
+    while (Received.empty() && std::chrono::steady_clock::now() < End) {
+      Reactor.run_for(1ms);
+      readFor(1ms);
+    }
+    return !Received.empty();
+  }
+
   /// Reads what arrives within the time, and until the end of the connection. Returns the error
   /// that has ended the connection, if any.
   boost::system::error_code readFor(core::Duration Limit) {
@@ -172,13 +182,12 @@
 BOOST_AUTO_TEST_CASE(ACallThatExpiredWhileWaitingIsNotWritten) {
   PausedClient World;
   World.call("/first", 2s);
-  World.call("/late", 50ms);
+  World.call("/late", 500ms);
   World.accept();
-  World.Reactor.run_for(20ms);
-  World.readFor(10ms);
+  BOOST_REQUIRE(World.untilReceived());
   BOOST_REQUIRE(World.Received.starts_with("POST /first "));
   World.Received.clear();
-  std::this_thread::sleep_for(80ms);
+  std::this_thread::sleep_for(550ms);
   asio::write(World.Accepted,
               asio::buffer(std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
   BOOST_REQUIRE(World.untilResults(2));
@@ -198,11 +207,10 @@
   PausedClient World;
   World.call("/first", 2s);
   World.accept();
-  World.Reactor.run_for(20ms);
+  BOOST_REQUIRE(World.untilReceived());
   asio::write(World.Accepted,
               asio::buffer(std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
   BOOST_REQUIRE(World.untilResults(1));
-  World.readFor(10ms);
   World.Received.clear();
   World.call("/late", -1ms);
   BOOST_TEST(World.Results.size() == 1U);
@@ -218,7 +226,7 @@
   PausedClient World;
   World.call("/", 2s);
   World.accept();
-  World.Reactor.run_for(20ms);
+  BOOST_REQUIRE(World.untilReceived());
   World.Client->close();
   BOOST_REQUIRE(World.untilResults(1));
   BOOST_TEST((World.Results[0].Failure == HttpFailure::NoReply));
@@ -237,7 +245,10 @@
     Client->call({HttpMethod::Get, "/", {}, {}}, core::MonotonicClock::now() + 2s,
                  [](const HttpResult &) {});
     Acceptor.accept(Accepted);
-    Reactor.run_for(20ms);
+    auto End = std::chrono::steady_clock::now() + 2s;
+    while (Accepted.available() == 0 && std::chrono::steady_clock::now() < End)
+      Reactor.run_for(1ms);
+    BOOST_REQUIRE(Accepted.available() > 0);
   }
   std::string Received(1024, '\0');
   boost::system::error_code Error;
@@ -291,6 +302,58 @@
   BOOST_TEST(World.Results[1].Reply.has_value());
 }
 
+// Guards against a request whose end is written after its deadline: the process was paused when a
+// part of it was written, and finds room in the socket's buffer.
+BOOST_AUTO_TEST_CASE(ARequestThatIsPartlyWrittenIsNotCompletedAfterItsDeadline) {
+  PausedClient World;
+  World.call("/", 500ms, std::string(32U << 20, 'x'));
+  World.accept();
+  BOOST_REQUIRE(World.untilReceived());
+  World.readFor(550ms); // All that was written before the pause.
+  auto Before = World.Received.size();
+  BOOST_REQUIRE(Before > 0);
+  BOOST_REQUIRE(Before < 32U << 20);
+  BOOST_REQUIRE(World.untilResults(1));
+  BOOST_TEST((World.Results[0].Failure == HttpFailure::NoReply));
+  BOOST_TEST(World.readFor(1s) == asio::error::connection_reset);
+  BOOST_TEST(World.Received.size() == Before);
+}
+
+// Guards against a request that is not written to its end because the socket's buffer was full.
+BOOST_AUTO_TEST_CASE(ARequestIsWrittenInSeveralParts) {
+  constexpr std::size_t Length = 32U << 20;
+  PausedClient World;
+  World.call("/", 5s, std::string(Length, 'x'));
+  World.accept();
+  for (int Round = 0; Round < 1000 && World.Received.size() < Length; ++Round) {
+    World.Reactor.run_for(1ms);
+    World.readFor(1ms);
+  }
+  BOOST_TEST(World.Received.size() > Length);
+  asio::write(World.Accepted,
+              asio::buffer(std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+  BOOST_REQUIRE(World.untilResults(1));
+  BOOST_TEST(World.Results[0].Reply.has_value());
+}
+
+// Guards against a request that is read as the end of the one before, which the server has answered
+// before it was written completely.
+BOOST_AUTO_TEST_CASE(AnEarlyReplyEndsTheConnection) {
+  PausedClient World;
+  World.call("/first", 2s, std::string(32U << 20, 'x'));
+  World.accept();
+  BOOST_REQUIRE(World.untilReceived());
+  asio::write(World.Accepted,
+              asio::buffer(std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+  BOOST_REQUIRE(World.untilResults(1));
+  BOOST_TEST(World.Results[0].Reply.has_value());
+  World.call("/second", 200ms);
+  World.Reactor.run_for(20ms);
+  BOOST_TEST(World.readFor(1s) == asio::error::connection_reset);
+  BOOST_TEST(World.Received.find("/second") == std::string::npos);
+  BOOST_TEST(World.Client->connectionsMade() == 2U);
+}
+
 // Guards against a request that counts as sent although no connection was established.
 BOOST_AUTO_TEST_CASE(AnAddressWithoutListenerFailsAsNotSent) {
   Loopback World(echo);
