LibReactor: Bound the stated length of a request, whatever is configured

What an operator could see: a process that ends with std::bad_alloc. With a configuration whose maxBodyBytes is negative (read as 2^64-1) or beyond the memory, a single request that states a length of 10^15 bytes ended the process: memory is reserved for the length that is stated, and the exception left the reactor.

Cause: HttpSession passed the configured limit to the parser without a bound of its own.

Change: the limit is 16 MB at most, as for replies. Longer requests are answered with 413.

Evidence, the new test on the code before the change: "ARequestOfAnAbsurdLengthIsRefused": unexpected exception thrown by World.until([&] { return IsRead; })

--- a/Libraries/LibReactor/HttpServer.h
+++ b/Libraries/LibReactor/HttpServer.h
@@ -15,7 +15,7 @@
 /// Limits on the size of requests, on waiting times and on the number of connections.
 struct HttpServerLimits {
   std::uint32_t HeaderBytes = 16384;
-  std::uint64_t BodyBytes = 262144;
+  std::uint64_t BodyBytes = 262144;                    ///< 16 MB at most.
   core::Duration HeaderTime = std::chrono::seconds(3); ///< To read a request, from its first byte.
   core::Duration IdleTime = std::chrono::seconds(15);  ///< Without a request on a connection.
   std::size_t Connections = 1024;                      ///< Further ones are closed at once.
--- a/Libraries/LibReactor/HttpSession.cpp
+++ b/Libraries/LibReactor/HttpSession.cpp
@@ -7,6 +7,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace cornellift::reactor {
@@ -14,6 +15,9 @@
 
 /// How long an idle connection stays open during a drain, for a request that is already in transit.
 constexpr core::Duration DrainIdleTimeout = std::chrono::milliseconds(1500);
+/// Upper bound on the body of a request, whatever limit is configured: memory is reserved for the
+/// length that a request states.
+constexpr std::uint64_t MaximumRequestBytes = 16U << 20;
 
 void renderReply(const HttpReply &Reply, bool Close, std::string &Out) {
   Out.clear();
@@ -131,7 +135,7 @@
 void HttpSession::readRequest() {
   Parser_.emplace();
   Parser_->header_limit(Server_->Limits_.HeaderBytes);
-  Parser_->body_limit(Server_->Limits_.BodyBytes);
+  Parser_->body_limit(std::min(Server_->Limits_.BodyBytes, MaximumRequestBytes));
   boost::beast::http::async_read(
       Socket_, Buffer_, *Parser_,
       [Self = shared_from_this()](boost::system::error_code Error, std::size_t) {
--- a/Tests/LibReactor/TestReactorHttp.cpp
+++ b/Tests/LibReactor/TestReactorHttp.cpp
@@ -8,6 +8,7 @@
 
 #include <csignal>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -409,6 +410,25 @@
   }
 }
 
+// Guards against a process that ends because a request states a length beyond its memory, while the
+// configuration in force sets no limit that a process could keep.
+BOOST_AUTO_TEST_CASE(ARequestOfAnAbsurdLengthIsRefused) {
+  Loopback World(echo);
+  HttpServerLimits Limits;
+  Limits.BodyBytes = std::numeric_limits<std::uint64_t>::max();
+  World.Server->setLimits(Limits);
+  Tcp::socket Socket(World.Reactor);
+  Socket.connect(World.Server->address());
+  asio::write(Socket, asio::buffer(std::string_view("POST / HTTP/1.1\r\nHost: a\r\n"
+                                                    "Content-Length: 999999999999999\r\n\r\nx")));
+  std::string Reply(64, ' ');
+  bool IsRead = false;
+  Socket.async_read_some(asio::buffer(Reply),
+                         [&](boost::system::error_code, std::size_t) { IsRead = true; });
+  BOOST_CHECK_NO_THROW(World.until([&] { return IsRead; }));
+  BOOST_TEST(Reply.substr(9, 3) == "413");
+}
+
 // Guards against a graceful shutdown that aborts a pending request or lets the client send another
 // one on the same connection.
 BOOST_AUTO_TEST_CASE(ADrainingServerAnswersAndAsksToClose) {
