LibStore: Leave out keys that a reply has outside the prefix

What an operator could see: all entry processes end at the same time with std::out_of_range. WorkerDirectory and VmRegistration cut the prefix off each key of their mirror; one key in a reply of the store that is shorter than the prefix ended the process, and with the same reply at each start it would have ended again.

Cause: KeyMirror kept whatever key the store returned.

Change: KeyMirror leaves such keys out, with a line in the log.

Evidence, the new test on the code before the change: "KeysOutsideThePrefixAreLeftOut": unexpected exception thrown by Reactor.run_for(100ms)

--- a/Libraries/LibStore/KeyMirror.cpp
+++ b/Libraries/LibStore/KeyMirror.cpp
@@ -70,7 +70,8 @@
     return retryLater("the store returned an older revision");
   Items_.clear();
   for (auto &Item : Reply.Content->Items)
-    Items_[Item.Key] = std::move(Item);
+    if (isUnderPrefix(Item.Key))
+      Items_[Item.Key] = std::move(Item);
   Revision_ = Reply.Content->Revision;
   BytesOfAllKeys_ = Reply.Content->ReplyBytes;
   WasLargeReply_ = false;
@@ -80,6 +81,14 @@
   scheduleNextCall(Options_.CallInterval);
 }
 
+bool KeyMirror::isUnderPrefix(std::string_view Key) const {
+  if (Key.starts_with(Prefix_))
+    return true;
+  core::logLine(core::LogLevel::Warning, "store", "a reply has a key outside the prefix",
+                {{"prefix", Prefix_}, {"key_bytes", std::to_string(Key.size())}});
+  return false;
+}
+
 void KeyMirror::watchChanges() {
   CalledAt_ = core::MonotonicClock::now();
   Store_->watch(
@@ -118,6 +127,8 @@
 void KeyMirror::apply(StoreEvents Changes) {
   bool HasChanged = !Changes.Events.empty();
   for (auto &Event : Changes.Events) {
+    if (!isUnderPrefix(Event.Item.Key))
+      continue;
     auto Known = Items_.find(Event.Item.Key);
     if (Known != Items_.end() && Known->second.Revision > Event.Item.Revision)
       continue;
--- a/Libraries/LibStore/KeyMirror.h
+++ b/Libraries/LibStore/KeyMirror.h
@@ -62,6 +62,7 @@
   bool isLoaded() const { return IsLoaded_; }
   /// Highest store revision that the copy reflects.
   std::uint64_t revision() const { return Revision_; }
+  /// All keys begin with the prefix, whatever the store has returned.
   const Items &items() const { return Items_; }
   /// When the copy was last completely up to date.
   core::TimePoint refreshedAt() const { return RefreshedAt_; }
@@ -71,6 +72,8 @@
   void load();
   void recordReply(std::string_view Call, std::size_t Entries, std::size_t Bytes);
   void loaded(StoreReply<StorePage> Reply);
+  /// Returns whether the key belongs to the copy; logs one that does not.
+  bool isUnderPrefix(std::string_view Key) const;
   void watchChanges();
   void watchReturned(StoreReply<StoreEvents> Reply);
   void apply(StoreEvents Changes);
--- a/Tests/LibStore/TestKeyMirror.cpp
+++ b/Tests/LibStore/TestKeyMirror.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -344,3 +345,58 @@
   BOOST_TEST(Mirror->isLoaded());
   Mirror->stop();
 }
+
+namespace {
+
+/// Fake store that gives the same reply to each call of a kind.
+class ScriptedStore {
+public:
+  ScriptedStore(store::asio::io_context &Reactor, std::string Page, std::string Events)
+      : Page_(std::move(Page)), Events_(std::move(Events)),
+        Server_(reactor::HttpServer::listen(
+            Reactor, {store::asio::ip::address_v4::loopback(), 0},
+            [this](const std::shared_ptr<reactor::HttpExchange> &Exchange) {
+              bool IsWatch = Exchange->target().find("kv-watch") != std::string_view::npos;
+              Pages_ += IsWatch ? 0 : 1;
+              Exchange->reply({200, IsWatch ? Events_ : Page_, {}});
+            })) {}
+
+  std::shared_ptr<store::StoreClient> connect(store::asio::io_context &Reactor) {
+    return std::make_shared<store::StoreClient>(Reactor, Server_->address(), Format_);
+  }
+  /// Number of pages that were requested.
+  int pages() const { return Pages_; }
+
+private:
+  platform::StoreMessages Format_;
+  std::string Page_;
+  std::string Events_;
+  int Pages_ = 0;
+  std::shared_ptr<reactor::HttpServer> Server_;
+};
+
+} // namespace
+
+// Guards against a process that ends because a reply of the store has a key that does not begin
+// with the prefix that was asked for, as of an item that was mixed up or cut.
+BOOST_AUTO_TEST_CASE(KeysOutsideThePrefixAreLeftOut) {
+  store::asio::io_context Reactor;
+  ScriptedStore Store(
+      Reactor,
+      R"({"at":7,"hasMore":false,"items":[{"key":"s","value":"","revision":5},)"
+      R"({"key":"servers/w1","value":"","revision":6},{"key":"other/w2","value":"","revision":7}]})",
+      R"({"at":9,"events":[{"key":"","value":"","revision":8},)"
+      R"({"key":"servers/w3","value":"","revision":9}]})");
+  std::vector<std::string> Names;
+  auto Mirror = std::make_shared<store::KeyMirror>(
+      Reactor, Store.connect(Reactor), "servers/", store::MirrorOptions{1s, 10ms},
+      [&](const store::KeyMirror::Items &Items) {
+        Names.clear();
+        for (const auto &[Key, Item] : Items)
+          Names.push_back(Key.substr(std::string_view("servers/").size()));
+      });
+  Mirror->start();
+  BOOST_CHECK_NO_THROW(Reactor.run_for(100ms));
+  BOOST_TEST(Names == (std::vector<std::string>{"w1", "w3"}), boost::test_tools::per_element());
+  Mirror->stop();
+}
