LibStore: End a reading whose pages name no further keys

What an operator could see: a process that uses up its memory and loads the store without a pause, if the store answers with a page that is not the last one but ends at the key after which it was asked for more, or with an empty one.

Cause: StoreClient::nextPage() asked for the next page as long as the reply said that there is one.

Change: such a page fails the reading as Malformed; the mirror tries again with its backoff. A store whose pages go round in a longer circle is not detected.

Evidence, the new test on the code before the change: "PagesThatDoNotGoOnEndTheReading": critical check Reply.has_value() has failed

--- a/Libraries/LibStore/StoreClient.cpp
+++ b/Libraries/LibStore/StoreClient.cpp
@@ -64,25 +64,29 @@
                            Handler<StorePage> OnReply) {
   ++Counters_.Ranges;
   auto Request = Format_.rangeRequest(Prefix, AfterKey);
-  Client_->call(std::move(Request), deadlineAfter(CallTimeout),
-                [Self = shared_from_this(), Prefix, MaximumValueBytes, Gathered,
-                 OnReply = std::move(OnReply)](const reactor::HttpResult &Result) mutable {
-                  auto Reply = Self->Format_.parsePage(Result, MaximumValueBytes);
-                  Self->recordReply(Reply);
-                  if (!Reply.Content)
-                    return OnReply(std::move(Reply));
-                  if (Gathered->Items.empty())
-                    Gathered->Revision = Reply.Content->Revision;
-                  Gathered->ReplyBytes += Reply.Content->ReplyBytes;
-                  std::move(Reply.Content->Items.begin(), Reply.Content->Items.end(),
-                            std::back_inserter(Gathered->Items));
-                  bool HasMore = Reply.Content->HasMore && !Gathered->Items.empty();
-                  if (!HasMore)
-                    return OnReply({std::move(*Gathered), {}, {}});
-                  auto Last = Gathered->Items.back().Key;
-                  Self->nextPage(std::move(Prefix), MaximumValueBytes, Gathered, Last,
-                                 std::move(OnReply));
-                });
+  Client_->call(
+      std::move(Request), deadlineAfter(CallTimeout),
+      [Self = shared_from_this(), Prefix, MaximumValueBytes, Gathered,
+       After = std::string(AfterKey),
+       OnReply = std::move(OnReply)](const reactor::HttpResult &Result) mutable {
+        auto Reply = Self->Format_.parsePage(Result, MaximumValueBytes);
+        Self->recordReply(Reply);
+        if (!Reply.Content)
+          return OnReply(std::move(Reply));
+        bool GoesOn = !Reply.Content->Items.empty() && Reply.Content->Items.back().Key != After;
+        if (Reply.Content->HasMore && !GoesOn)
+          return OnReply({std::nullopt, StoreFailure::Malformed,
+                          "a page names no further keys but is not the last one"});
+        if (Gathered->Items.empty())
+          Gathered->Revision = Reply.Content->Revision;
+        Gathered->ReplyBytes += Reply.Content->ReplyBytes;
+        std::move(Reply.Content->Items.begin(), Reply.Content->Items.end(),
+                  std::back_inserter(Gathered->Items));
+        if (!Reply.Content->HasMore)
+          return OnReply({std::move(*Gathered), {}, {}});
+        auto Last = Gathered->Items.back().Key;
+        Self->nextPage(std::move(Prefix), MaximumValueBytes, Gathered, Last, std::move(OnReply));
+      });
 }
 
 void StoreClient::watch(std::string_view Prefix, std::uint64_t AfterRevision, core::Duration Wait,
--- a/Tests/LibStore/TestKeyMirror.cpp
+++ b/Tests/LibStore/TestKeyMirror.cpp
@@ -400,3 +400,20 @@
   BOOST_TEST(Names == (std::vector<std::string>{"w1", "w3"}), boost::test_tools::per_element());
   Mirror->stop();
 }
+
+// Guards against a process that uses up its memory: pages of the store that name no further keys,
+// but say that there are more, were gathered without end.
+BOOST_AUTO_TEST_CASE(PagesThatDoNotGoOnEndTheReading) {
+  store::asio::io_context Reactor;
+  ScriptedStore Store(
+      Reactor, R"({"at":7,"hasMore":true,"items":[{"key":"servers/w1","value":"","revision":6}]})",
+      R"({"at":7,"events":[]})");
+  auto Client = Store.connect(Reactor);
+  std::optional<store::StoreReply<store::StorePage>> Reply;
+  Client->range("servers/", 100, [&](store::StoreReply<store::StorePage> Read) { Reply = Read; });
+  Reactor.run_for(200ms);
+  BOOST_REQUIRE(Reply.has_value());
+  BOOST_TEST(!Reply->Content.has_value());
+  BOOST_TEST((Reply->Failure == store::StoreFailure::Malformed));
+  BOOST_TEST(Store.pages() == 2);
+}
