LibMesh: Decode no order beyond the limits of a job

What an operator could see: a manager that uses up its memory or ends with std::bad_alloc. One message of a peer whose steps state billions of tasks is enough: PoolManager::createJob() allocates memory for each task. Ingress checks a caller's job, but nothing checked the job in a message between processes, also not the order of its steps. This can only come from a peer that is broken or of another release.

Change: decode() checks the order of a submission or delegation with kernel::checkJob() and returns nothing for one that breaks the limits. LibMesh links Kernel, whose messages it decodes.

The new log line has no test.

--- a/Libraries/LibMesh/MeshCoding.cpp
+++ b/Libraries/LibMesh/MeshCoding.cpp
@@ -1,5 +1,8 @@
 #include "Libraries/LibMesh/MeshCoding.h"
 
+#include "Kernel/Pool/SubmittedJob.h"
+#include "Libraries/LibCore/Reason.h"
+
 #include <algorithm>
 #include <cmath>
 #include <memory>
@@ -50,10 +53,10 @@
   Out.set_answer_within_ms(core::toMilliseconds(Value.AnswerBy - Now));
 }
 
+/// Returns null with Malformed for a job beyond the limits of checkJob(). The entry process has
+/// checked the job, but memory is allocated for as many tasks as the message states.
 std::shared_ptr<const JobSubmission> decodeOrder(const Order &Message, core::TimePoint Now) {
-  auto Value = std::make_shared<JobSubmission>();
-  Value->Key = static_cast<JobKey>(Message.job());
-  Value->Specification = Message.specification();
+  SubmittedJob Job;
   for (const auto &Each : Message.steps()) {
     JobStep Added;
     Added.Count = Each.count();
@@ -63,8 +66,14 @@
     Added.RequiredLabel = Each.required_label();
     Added.DataRack = Each.data_rack();
     Added.MaximumPerWorker = Each.maximum_per_worker();
-    Value->Steps.push_back(std::move(Added));
+    Job.Steps.push_back(std::move(Added));
   }
+  if (!checkJob(Job))
+    return nullptr;
+  auto Value = std::make_shared<JobSubmission>();
+  Value->Key = static_cast<JobKey>(Message.job());
+  Value->Specification = Message.specification();
+  Value->Steps = std::move(Job.Steps);
   Value->Policy = {Message.route(),    Message.service(),
                    Message.priority(), Message.maximum_attempts(),
                    Message.stretch(),  Message.target_latency_ms()};
@@ -216,8 +225,12 @@
 
 std::optional<PoolMessage> decode(const Frame &Message, core::TimePoint Now) {
   switch (Message.content_case()) {
-  case Frame::kSubmit:
-    return SubmitToPool{decodeOrder(Message.submit(), Now)};
+  case Frame::kSubmit: {
+    auto Submission = decodeOrder(Message.submit(), Now);
+    if (!Submission)
+      return std::nullopt;
+    return SubmitToPool{std::move(Submission)};
+  }
   case Frame::kAnswer: {
     const auto &Value = Message.answer();
     return PoolAnswer{static_cast<JobKey>(Value.job()),
@@ -242,6 +255,8 @@
   }
   case Frame::kDelegate: {
     DelegateTasks Value{decodeOrder(Message.delegate().order(), Now), {}};
+    if (!Value.Submission)
+      return std::nullopt;
     for (const auto &Task : Message.delegate().tasks())
       Value.Tasks.push_back({Task.task(), Task.run()});
     return Value;
@@ -266,7 +281,7 @@
   case Frame::kRelease:
     return ReleaseWorkers{{Message.release().ids().begin(), Message.release().ids().end()}};
   default:
-    return std::nullopt;
+    return core::fail(core::ErrorKind::Malformed, "the frame carries no message between managers");
   }
 }
 
--- a/Libraries/LibMesh/MeshCoding.h
+++ b/Libraries/LibMesh/MeshCoding.h
@@ -13,7 +13,8 @@
 Frame encode(const kernel::PoolMessage &Message, core::TimePoint Now);
 
 /// Decodes a message between pool managers; converts ages back to points in time relative to Now.
-/// Returns an empty optional if the frame carries anything else.
+/// Returns an empty optional with Malformed if the frame carries anything else, or a job beyond the
+/// limits that apply to callers.
 std::optional<kernel::PoolMessage> decode(const Frame &Message, core::TimePoint Now);
 
 } // namespace cornellift::mesh
--- a/Services/PoolDaemon/PoolDaemonPeers.cpp
+++ b/Services/PoolDaemon/PoolDaemonPeers.cpp
@@ -1,5 +1,6 @@
 #include "Kernel/Pool/HubChoice.h"
 #include "Libraries/LibCore/Log.h"
+#include "Libraries/LibCore/Reason.h"
 #include "Libraries/LibMesh/MeshCoding.h"
 #include "Services/PoolDaemon/PoolDaemon.h"
 
@@ -181,8 +182,14 @@
       Backlog.push_back({Message.backlog().routes(Position), Message.backlog().jobs(Position)});
     return Ingress_.setBacklog(Peer.Index, Backlog);
   }
-  if (auto Content = mesh::decode(Message, core::MonotonicClock::now()))
-    deliver(Peer.Index, *Content);
+  auto Content = mesh::decode(Message, core::MonotonicClock::now());
+  if (!Content)
+    return Log_.line(kernel::DecisionPriority::StateChange, "message of a peer left out",
+                     std::nullopt,
+                     {{"vm", std::string_view(Peer.vm())},
+                      {"content_field", static_cast<std::int64_t>(Message.content_case())},
+                      {"reason", std::string_view(core::lastReason().Message)}});
+  deliver(Peer.Index, *Content);
 }
 
 } // namespace cornellift::pool
