LibReactor: Notice a client that leaves behind a second request

What a caller could see: its job goes on running, up to its deadline, although the caller has disconnected: it had sent a second request on the connection before the reply to the first.

Cause: watchForClose() did not watch when the second request had been read together with the first, and socketReadable() stopped watching when unread bytes had arrived. isClosedByPeer() looked at the next byte, which is not the end of the connection then.

Change: isClosedByPeer() asks poll() for POLLRDHUP, which shows a close behind unread bytes. The socket is always watched; while a further request keeps it readable, it is checked every 50 ms. A client that has closed its sending side counts as gone, as it did before without a second request.

--- a/Libraries/LibReactor/HttpSession.cpp
+++ b/Libraries/LibReactor/HttpSession.cpp
@@ -5,7 +5,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/status.hpp>
 
-#include <sys/socket.h>
+#include <poll.h>
 
 #include <algorithm>
 #include <utility>
@@ -18,6 +18,9 @@
 /// Upper bound on the body of a request, whatever limit is configured: memory is reserved for the
 /// length that a request states.
 constexpr std::uint64_t MaximumRequestBytes = 16U << 20;
+/// Interval between checks whether a client that has sent a further request before the reply has
+/// closed the connection.
+constexpr core::Duration CloseCheckInterval = std::chrono::milliseconds(50);
 
 void renderReply(const HttpReply &Reply, bool Close, std::string &Out) {
   Out.clear();
@@ -179,8 +182,6 @@
 }
 
 void HttpSession::watchForClose() {
-  if (Buffer_.size() > 0)
-    return;
   Socket_.async_wait(Tcp::socket::wait_read,
                      [Self = shared_from_this()](boost::system::error_code Error) {
                        if (!Error)
@@ -188,17 +189,28 @@
                      });
 }
 
+void HttpSession::checkForCloseLater() {
+  auto Generation = ++TimerGeneration_;
+  Timer_.expires_after(CloseCheckInterval);
+  Timer_.async_wait([Weak = weak_from_this(), Generation](boost::system::error_code Error) {
+    auto Self = Weak.lock();
+    if (!Error && Self && Generation == Self->TimerGeneration_)
+      Self->socketReadable();
+  });
+}
+
 bool HttpSession::isClosedByPeer() {
-  char Next = 0;
-  auto Count = ::recv(Socket_.native_handle(), &Next, 1, MSG_PEEK | MSG_DONTWAIT);
-  return Count == 0 || (Count < 0 && errno != EAGAIN && errno != EINTR);
+  // A close is reported even if there are bytes before it that were not read.
+  pollfd Watched{Socket_.native_handle(), POLLRDHUP, 0};
+  return ::poll(&Watched, 1, 0) > 0;
 }
 
 void HttpSession::socketReadable() {
   if (Phase_ != Phase::Answering)
     return;
+  // A pipelined request has arrived; it is read after the reply, and keeps the socket readable.
   if (!isClosedByPeer())
-    return; // A pipelined request has arrived; it is read after the reply.
+    return checkForCloseLater();
   auto Exchange = Exchange_.lock();
   close();
   if (Exchange)
--- a/Libraries/LibReactor/HttpSession.h
+++ b/Libraries/LibReactor/HttpSession.h
@@ -38,6 +38,7 @@
   void refuse(unsigned Status);
   void watchForClose();
   void socketReadable();
+  void checkForCloseLater();
   /// Returns whether the client has closed the connection.
   bool isClosedByPeer();
   void send(const HttpReply &Reply);
--- a/Tests/LibReactor/TestReactorHttp.cpp
+++ b/Tests/LibReactor/TestReactorHttp.cpp
@@ -392,6 +392,50 @@
   BOOST_TEST(World.until([&] { return World.Server->openRequests() == 0; }));
 }
 
+// Guards against work that continues for a client that has disconnected after it had sent a second
+// request before the reply to the first, in one segment with it or later.
+BOOST_AUTO_TEST_CASE(AClosedConnectionIsNoticedBehindAPipelinedRequest) {
+  constexpr std::string_view Request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  for (bool IsOneSegment : {true, false}) {
+    bool IsDisconnected = false;
+    std::shared_ptr<HttpExchange> Held;
+    Loopback World([&](std::shared_ptr<HttpExchange> Exchange) {
+      Held = std::move(Exchange);
+      Held->setDisconnectHandler([&] { IsDisconnected = true; });
+    });
+    Tcp::socket Socket(World.Reactor);
+    Socket.connect(World.Server->address());
+    asio::write(Socket,
+                asio::buffer(std::string(Request) + std::string(IsOneSegment ? Request : "")));
+    BOOST_REQUIRE(World.until([&] { return Held != nullptr; }));
+    if (!IsOneSegment)
+      asio::write(Socket, asio::buffer(Request));
+    World.Reactor.run_for(20ms);
+    BOOST_TEST(!IsDisconnected);
+    Socket.close();
+    BOOST_TEST(World.until([&] { return IsDisconnected; }));
+    BOOST_TEST(World.Server->openRequests() == 0U);
+  }
+}
+
+// Guards against a second request that is lost because the connection is watched meanwhile.
+BOOST_AUTO_TEST_CASE(PipelinedRequestsAreAnsweredInTheirOrder) {
+  std::vector<std::shared_ptr<HttpExchange>> Held;
+  Loopback World([&](const std::shared_ptr<HttpExchange> &Exchange) { Held.push_back(Exchange); });
+  Tcp::socket Socket(World.Reactor);
+  Socket.connect(World.Server->address());
+  for (const char *Target : {"/1", "/2", "/3"})
+    asio::write(Socket,
+                asio::buffer("GET " + std::string(Target) + " HTTP/1.1\r\nHost: a\r\n\r\n"));
+  for (std::size_t Next = 0; Next < 3; ++Next) {
+    BOOST_REQUIRE(World.until([&] { return Held.size() == Next + 1; }));
+    World.Reactor.run_for(150ms);
+    BOOST_TEST(Held.size() == Next + 1);
+    BOOST_TEST(Held[Next]->target() == "/" + std::to_string(Next + 1));
+    Held[Next]->reply({200, {}, {}});
+  }
+}
+
 // Guards against requests that exhaust the memory of the process.
 BOOST_AUTO_TEST_CASE(RequestsBeyondTheLimitsAreRefused) {
   for (const auto &[Text, Status] :
