--- a/Tests/LibStore/TestKeyMirror.cpp
+++ b/Tests/LibStore/TestKeyMirror.cpp
@@ -410,7 +410,8 @@
       R"({"at":7,"events":[]})");
   auto Client = Store.connect(Reactor);
   std::optional<store::StoreReply<store::StorePage>> Reply;
-  Client->range("servers/", 100, [&](store::StoreReply<store::StorePage> Read) { Reply = Read; });
+  Client->range("servers/", 100,
+                [&](const store::StoreReply<store::StorePage> &Read) { Reply = Read; });
   Reactor.run_for(200ms);
   BOOST_REQUIRE(Reply.has_value());
   BOOST_TEST(!Reply->Content.has_value());
