LibConfiguration: Report a version behind the kept records as expired

Cause: VersionStore::documentAt() passed on the store's NotFound when an audit record on the way back had been removed, so that a version that is no longer kept looked like one that has never existed; over the operator API both were 404, "no such key".

Change: a missing record below the head gives Expired, and names the oldest version that can still be had. Other failures of the store stay as they are.

--- a/Libraries/LibConfiguration/VersionStore.cpp
+++ b/Libraries/LibConfiguration/VersionStore.cpp
@@ -205,6 +205,11 @@
   for (auto Back = InForce; Back > Version; --Back) {
     if (Back != InForce)
       Record = readAuditRecord(Back, Deadline);
+    // Every version below the one in force had a record, so a missing one has been removed.
+    if (!Record && core::lastReason().Kind == ErrorKind::NotFound)
+      return core::fail(ErrorKind::Expired, "the audit record of version " + std::to_string(Back) +
+                                                " is no longer kept; ask for version " +
+                                                std::to_string(Back) + " or a later one");
     if (!Record)
       return std::nullopt;
     Result = applyMergePatch(std::move(Result), Record->Inverse);
--- a/Libraries/LibConfiguration/VersionStore.h
+++ b/Libraries/LibConfiguration/VersionStore.h
@@ -51,7 +51,8 @@
   std::optional<Change> readChange(std::uint64_t Version, core::TimePoint Deadline);
 
   /// The document of a version, restored by applying the inverse patches to the head's document.
-  /// TooLarge when the version is more than MaximumVersionsBack behind the head.
+  /// NotFound when there is no such version yet, TooLarge when it is more than MaximumVersionsBack
+  /// behind the head, and Expired when a record on the way back is no longer kept.
   std::optional<nlohmann::json> documentAt(std::uint64_t Version, core::TimePoint Deadline);
 
 private:
--- a/Tests/LibConfiguration/TestVersionStore.cpp
+++ b/Tests/LibConfiguration/TestVersionStore.cpp
@@ -183,6 +183,29 @@
       Short.apply(quotaPatch(1, "p1", 5), testDeadline())));
 }
 
+// Guards against reporting a version whose records are no longer kept as one that has never
+// existed, and against reporting that while the store is only unreachable.
+BOOST_FIXTURE_TEST_CASE(DocumentBehindTheKeptRecordsIsExpired, Fixture) {
+  constexpr std::uint64_t Retention = 3;
+  VersionStore Short(Store, {}, Retention);
+  for (std::uint64_t Base = 1; Base < 8; ++Base)
+    BOOST_TEST_REQUIRE(
+        Fixture::appliedVersion(Short.apply(quotaPatch(Base, "p" + std::to_string(Base), Base),
+                                            testDeadline())) == Base + 1);
+  auto Oldest = Short.documentAt(5, testDeadline());
+  BOOST_TEST_REQUIRE(Oldest.has_value());
+  BOOST_TEST((*Oldest)["teams"]["counter"]["quota_share"] == 4);
+  BOOST_TEST(!Short.documentAt(4, testDeadline()));
+  BOOST_TEST((core::lastReason().Kind == ErrorKind::Expired), core::lastReason().Message);
+  for (std::uint64_t NeverMade : {0, 9}) {
+    BOOST_TEST(!Short.documentAt(NeverMade, testDeadline()));
+    BOOST_TEST((core::lastReason().Kind == ErrorKind::NotFound), core::lastReason().Message);
+  }
+  Store.Down = true;
+  BOOST_TEST(!Short.documentAt(4, testDeadline()));
+  BOOST_TEST((core::lastReason().Kind == ErrorKind::Unavailable), core::lastReason().Message);
+}
+
 // Guards against making a version that no process can load or that exceeds the store's size limit.
 BOOST_FIXTURE_TEST_CASE(InvalidResultIsRejected, Fixture) {
   json Huge = json::object();
