PlatformStandIn: End a watch when its key is removed

Cause: KeyValueTable::watch() looked only for a higher revision, so a removal, or a lease that lapsed, let it wait to its deadline and report "no change". Nothing in the product removes the key that it watches, so no fault of the product was hidden.

Change: a watch after a revision above 0 ends with NotFound (404) once its key is not there; it wakes at the end of the entry's lease. PlatformStore::watch() says so, and FakeStore does the same. The relay counts that reply as one of a reachable store, waits its backoff, and then watches from revision 0, so that a new head is seen; the version in force stays.

Conclusion: the stand-in now reports what its entries do. That the customers' platform answers 404 here is not known; a store that keeps silent until the deadline is handled as before. Tests/Integration was not run on this change.

--- a/Libraries/LibPlatform/PlatformStore.h
+++ b/Libraries/LibPlatform/PlatformStore.h
@@ -56,8 +56,9 @@
   virtual bool remove(std::string_view Key, core::TimePoint Deadline) = 0;
 
   /// Waits until the key's revision is above AfterRevision. Fails with Timeout when the store
-  /// reports no change, and with Unavailable when it does not reply. The wait ends two seconds
-  /// before the deadline, to allow for a slow reply.
+  /// reports no change, with NotFound when AfterRevision is not zero and the key is no longer
+  /// there, and with Unavailable when it does not reply. The wait ends two seconds before the
+  /// deadline, to allow for a slow reply.
   virtual std::optional<StoredValue> watch(std::string_view Key, std::uint64_t AfterRevision,
                                            core::TimePoint Deadline) = 0;
 
--- a/Services/EntryDaemon/ConfigurationUpdater.cpp
+++ b/Services/EntryDaemon/ConfigurationUpdater.cpp
@@ -173,8 +173,9 @@
 
 void ConfigurationUpdater::watchStore() {
   auto Stored = Store_.watch(configuration::HeadKey, SeenRevision_, within(WatchTimeout));
-  bool Replied = Stored || core::lastReason().Kind == ErrorKind::Timeout;
-  recordStoreReply(Replied);
+  bool IsUnchanged = !Stored && core::lastReason().Kind == ErrorKind::Timeout;
+  bool IsRemoved = !Stored && core::lastReason().Kind == ErrorKind::NotFound;
+  recordStoreReply(Stored || IsUnchanged || IsRemoved);
   if (Stored) {
     StoreBackoff_.reset();
     SeenRevision_ = Stored->Revision;
@@ -182,7 +183,10 @@
       Peers_->announceVersion(version(), PeerNetwork::Reach::Everywhere);
     return;
   }
-  if (Replied)
+  // The version in force stays; the next watch waits until there is a head again.
+  if (IsRemoved)
+    SeenRevision_ = 0;
+  if (IsUnchanged)
     StoreBackoff_.reset();
   else
     sleepFor(StoreBackoff_.next());
--- a/Services/PlatformStandIn/KeyValueTable.cpp
+++ b/Services/PlatformStandIn/KeyValueTable.cpp
@@ -2,6 +2,8 @@
 
 #include "Libraries/LibCore/Reason.h"
 
+#include <algorithm>
+
 namespace cornellift::standin {
 
 std::optional<Entry> KeyValueTable::get(std::string_view Key) {
@@ -38,21 +40,27 @@
   if (Found == Entries_.end())
     return core::failFalse(core::ErrorKind::NotFound, "no such key");
   Entries_.erase(Found);
+  Changed_.notify_all();
   return true;
 }
 
 std::optional<Entry> KeyValueTable::watch(std::string_view Key, std::uint64_t After,
                                           core::TimePoint Deadline) {
   std::unique_lock Guard(Mutex_);
-  auto IsNewer = [&] {
+  auto Now = core::MonotonicClock::now();
+  for (; !Stopped_; Now = core::MonotonicClock::now()) {
+    removeExpired();
     auto Found = Entries_.find(Key);
-    return Stopped_ || (Found != Entries_.end() && Found->second.Revision > After);
-  };
-  std::chrono::steady_clock::time_point Until(Deadline.time_since_epoch());
-  removeExpired();
-  if (!Changed_.wait_until(Guard, Until, IsNewer) || Stopped_)
-    return core::fail(core::ErrorKind::Timeout, "no change before the deadline; watch again");
-  return Entries_.find(Key)->second;
+    if (Found == Entries_.end() && After != 0)
+      return core::fail(core::ErrorKind::NotFound, "the key was removed; watch again after 0");
+    if (Found != Entries_.end() && Found->second.Revision > After)
+      return Found->second;
+    if (Now >= Deadline)
+      break;
+    auto Until = Found == Entries_.end() ? Deadline : std::min(Deadline, leaseEnd(Found->second));
+    Changed_.wait_for(Guard, Until - Now);
+  }
+  return core::fail(core::ErrorKind::Timeout, "no change before the deadline; watch again");
 }
 
 std::uint64_t KeyValueTable::grantLease(core::Duration Lifetime) {
@@ -78,6 +86,11 @@
   Changed_.notify_all();
 }
 
+core::TimePoint KeyValueTable::leaseEnd(const Entry &Held) const {
+  auto Found = Leases_.find(Held.Lease);
+  return Found == Leases_.end() ? core::TimePoint::max() : Found->second.Deadline;
+}
+
 void KeyValueTable::removeExpired() {
   auto Now = core::MonotonicClock::now();
   if (std::erase_if(Leases_, [&](const auto &Item) { return Item.second.Deadline <= Now; }) == 0)
--- a/Services/PlatformStandIn/KeyValueTable.h
+++ b/Services/PlatformStandIn/KeyValueTable.h
@@ -42,7 +42,9 @@
 
   bool remove(std::string_view Key);
 
-  /// Waits until the entry's revision is above After. Returns an empty optional at the deadline.
+  /// Waits until the entry's revision is above After. Returns an empty optional with Timeout at the
+  /// deadline, and with NotFound when After is not zero and the entry was removed or its lease has
+  /// expired.
   std::optional<Entry> watch(std::string_view Key, std::uint64_t After, core::TimePoint Deadline);
 
   std::uint64_t grantLease(core::Duration Lifetime);
@@ -59,6 +61,9 @@
     core::TimePoint Deadline;
   };
 
+  /// Deadline of the entry's lease; the latest time of all for an entry without one.
+  core::TimePoint leaseEnd(const Entry &Held) const;
+
   void removeExpired();
 
   std::mutex Mutex_;
--- a/Services/PlatformStandIn/StandInServer.cpp
+++ b/Services/PlatformStandIn/StandInServer.cpp
@@ -151,7 +151,7 @@
   auto Latest = core::wallClockMilliseconds() + MaximumWatchMilliseconds;
   auto Found = Table_.watch(Call.matches[1].str(), static_cast<std::uint64_t>(*After),
                             core::fromWallClock(std::min(*WaitUntil, Latest)));
-  if (!Found) {
+  if (!Found && core::lastReason().Kind == core::ErrorKind::Timeout) {
     Reply.status = 204;
     return;
   }
@@ -160,6 +160,8 @@
     Reply.status = 503;
     return;
   }
+  if (!Found)
+    return replyError(Reply, 404);
   replyEntry(Reply, *Found);
 }
 
--- a/Services/PlatformStandIn/StandInServer.h
+++ b/Services/PlatformStandIn/StandInServer.h
@@ -19,8 +19,9 @@
 /// /control/.
 ///
 /// A value is sent as the body, its revision in the header X-Revision. A write whose condition
-/// fails gets 409 with the current revision. A watch without a change gets 204 at its deadline. The
-/// list of VMs has an entity tag; a request with this tag gets 304 while the list is unchanged.
+/// fails gets 409 with the current revision. A watch without a change gets 204 at its deadline, and
+/// 404 once its key was removed or the lease has expired, unless it is after revision 0. The list
+/// of VMs has an entity tag; a request with this tag gets 304 while the list is unchanged.
 class StandInServer {
 public:
   /// Threads is the number of concurrent requests; each pending watch occupies one.
--- a/Tests/EntryDaemon/TestConfigurationUpdater.cpp
+++ b/Tests/EntryDaemon/TestConfigurationUpdater.cpp
@@ -160,6 +160,31 @@
   BOOST_TEST(Peers.Announced == 3U);
 }
 
+// Guards against a store that counts as unreachable, or is asked again and again, because its head
+// was removed, and against a relay that doesn't see the head that is made after that.
+BOOST_FIXTURE_TEST_CASE(RelayOutlastsTheRemovalOfTheHead, Fixture) {
+  Peers.Relay = true;
+  BOOST_TEST(Updater.start());
+  BOOST_TEST(awaitVersion(1));
+  auto Second = patch(1, OneTeam);
+  BOOST_TEST(awaitVersion(2));
+  // The updater's only call from here on is the watch after version 2, begun or about to begin.
+  auto Before = Store.Calls.load();
+  BOOST_TEST(Store.remove(HeadKey, testDeadline()));
+  auto GiveUp = testDeadline();
+  while (Store.Calls < Before + 2 && core::MonotonicClock::now() < GiveUp)
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  BOOST_TEST(Store.Calls >= Before + 2);
+  BOOST_TEST(Updater.isStoreReachable());
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  BOOST_TEST(Store.Calls <= Before + 3);
+  json Newer = json::parse(Second);
+  Newer["version"] = Newer["change"]["version"] = 3;
+  BOOST_TEST((Store.compareAndSwap(HeadKey, Newer.dump(), 0, testDeadline()) ==
+              platform::SwapOutcome::Applied));
+  BOOST_TEST(awaitVersion(3));
+}
+
 // Guards against processes other than the relay that read the store for each change or watch it.
 BOOST_FIXTURE_TEST_CASE(OtherProcessesFetchFromPeersOnly, Fixture) {
   BOOST_TEST(Updater.start());
--- a/Tests/LibConfiguration/FakeStore.h
+++ b/Tests/LibConfiguration/FakeStore.h
@@ -47,6 +47,7 @@
     if (!find(Key))
       return false;
     Values_.erase(Values_.find(Key));
+    Changed_.notify_all();
     return true;
   }
 
@@ -55,11 +56,12 @@
     ++Calls;
     std::unique_lock Guard(Mutex_);
     std::chrono::steady_clock::time_point Until(Deadline.time_since_epoch());
-    auto IsNewer = [&] {
+    auto IsChanged = [&] {
       auto Found = Values_.find(Key);
-      return Down || (Found != Values_.end() && Found->second.Revision > AfterRevision);
+      bool IsKnown = Found != Values_.end();
+      return Down || (IsKnown ? Found->second.Revision > AfterRevision : AfterRevision != 0);
     };
-    if (!Changed_.wait_until(Guard, Until, IsNewer))
+    if (!Changed_.wait_until(Guard, Until, IsChanged))
       return core::fail(core::ErrorKind::Timeout, "no change");
     return find(Key);
   }
--- a/Tests/LibPlatform/TestHttpPlatformStore.cpp
+++ b/Tests/LibPlatform/TestHttpPlatformStore.cpp
@@ -4,6 +4,7 @@
 
 #include <future>
 #include <thread>
+#include <utility>
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -99,6 +100,26 @@
   BOOST_TEST((core::lastReason().Kind == ErrorKind::Unavailable));
 }
 
+// Guards against a watch that reports "no change" although its key was removed.
+BOOST_FIXTURE_TEST_CASE(WatchReportsTheRemoval, Fixture) {
+  BOOST_TEST((Store->compareAndSwap("key", "one", 0, within(2000)) == SwapOutcome::Applied));
+  auto Revision = Store->get("key", within(2000))->Revision;
+  auto OutcomeOfWatch = [&] {
+    auto Seen = Store->watch("key", Revision, within(10'000));
+    return std::pair(Seen.has_value(), core::lastReason().Kind);
+  };
+  auto Waiting = std::async(std::launch::async, OutcomeOfWatch);
+  while (nlohmann::json::parse(Control.Get("/control/counters")->body)["watches"] == 0)
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  BOOST_TEST(Store->remove("key", within(2000)));
+  BOOST_TEST((Waiting.get() == std::pair(false, ErrorKind::NotFound)));
+  // One that comes after the removal has missed it as well.
+  BOOST_TEST((OutcomeOfWatch() == std::pair(false, ErrorKind::NotFound)));
+  // One that has not seen the key waits for it.
+  BOOST_TEST(!Store->watch("key", 0, within(2050)));
+  BOOST_TEST((core::lastReason().Kind == ErrorKind::Timeout));
+}
+
 BOOST_FIXTURE_TEST_CASE(VmListIsVisibleAfterTheLag, Fixture) {
   auto List = R"({"vms":[{"name":"a","address":"127.0.0.1:1","data_centre":"ikeja"},
                          {"name":"b","address":"127.0.0.1:2","data_centre":"yaba","state":"leaving"}]})";
@@ -130,3 +151,18 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(20));
   BOOST_TEST(!Table.get("key"));
 }
+
+// Guards against a watch that reports "no change" although the lease of its entry has lapsed, which
+// no other request tells the table.
+BOOST_AUTO_TEST_CASE(WatchReportsTheEndOfTheLease) {
+  standin::KeyValueTable Table;
+  auto Held = Table.grantLease(std::chrono::hours(1));
+  auto Kept = Table.compareAndSwap("kept", "one", 0, Held);
+  auto Short = Table.grantLease(std::chrono::milliseconds(300));
+  auto Written = Table.compareAndSwap("key", "one", 0, Short);
+  BOOST_TEST_REQUIRE((Kept && Written && Written->Applied));
+  BOOST_TEST(!Table.watch("kept", Kept->Revision, within(50)));
+  BOOST_TEST((core::lastReason().Kind == ErrorKind::Timeout));
+  BOOST_TEST(!Table.watch("key", Written->Revision, within(10'000)));
+  BOOST_TEST((core::lastReason().Kind == ErrorKind::NotFound));
+}
