Scheduling, Replay: State the reach of levels and the time after a burst as they are

Cause: two comments gave figures that the code does not. 64 levels at three a doubling end at 2^21 ms, 35 minutes, not 1.2 hours. A trace of 700 s has 470 s after its burst, which begins at 30% of it and takes 20 s, not 10 minutes.

Change: the comments. Nothing shows that the code should be otherwise: jobs of over 35 minutes share a level and go by arrival, and the expectation "no backlog 10 minutes after the burst" also counts answers after the last arrival. LevelsTellJobsApartUpToTheStatedWork and BurstLeavesTheStatedTime now check both figures.

--- a/Kernel/Scheduling/OrderingPolicies.cpp
+++ b/Kernel/Scheduling/OrderingPolicies.cpp
@@ -6,7 +6,8 @@
 namespace cornellift::kernel {
 namespace {
 
-/// Levels per doubling of the remaining work; 64 levels then cover 1 ms to 1.2 hours.
+/// Levels per doubling of the remaining work; 64 levels then tell jobs apart from 1 ms to 35
+/// minutes (2^21 ms); larger jobs share the last level.
 constexpr double LevelsPerDoubling = 3;
 
 /// Orders teams by quota, and the jobs of a team by remaining work, discounted by age.
--- a/Tests/Kernel/TestPolicyScheduler.cpp
+++ b/Tests/Kernel/TestPolicyScheduler.cpp
@@ -302,3 +302,16 @@
   Fleet.submit(101, Fixture::spec(5 * SlotsPerEndpoint));
   BOOST_TEST(Fleet.startAll().size() == 5 * SlotsPerEndpoint);
 }
+
+// Guards against levels that end far below the work of large jobs, which would be served by arrival
+// then, and against a comment that states another end.
+BOOST_AUTO_TEST_CASE(LevelsTellJobsApartUpToTheStatedWork) {
+  auto Ordering = OrderingRegistry::instance().create("fair-remaining", 0.1);
+  BOOST_REQUIRE(Ordering);
+  auto Level = [&](double Milliseconds) { return (*Ordering)->level({Milliseconds, {}}); };
+  constexpr double StatedEnd = 35 * 60 * 1000;
+  BOOST_TEST(Level(1) == 0U);
+  BOOST_TEST(Level(StatedEnd * 0.99) < OrderingPolicy::Levels - 1);
+  BOOST_TEST(Level(StatedEnd * 1.01) == OrderingPolicy::Levels - 1);
+  BOOST_TEST(Level(1e12) == OrderingPolicy::Levels - 1);
+}
--- a/Tests/Replay/TestReplay.cpp
+++ b/Tests/Replay/TestReplay.cpp
@@ -66,6 +66,22 @@
   replayAndCheck(makeTrace("slipworks", "impossible-and-bad", 12));
 }
 
+// Guards against a comment on the burst that states a longer time after it than the trace has.
+BOOST_AUTO_TEST_CASE(BurstLeavesTheStatedTime) {
+  auto Left = [](double Seconds) {
+    GeneratorOptions Options;
+    Options.Scenario = "burst";
+    Options.Workers = 1;
+    Options.Seconds = Seconds;
+    auto Result = generateTrace(Options);
+    BOOST_REQUIRE(Result);
+    return Seconds - Result->BurstEnd / 1000;
+  };
+  BOOST_TEST(Left(700) == 470, boost::test_tools::tolerance(1e-9));
+  BOOST_TEST(Left(886) >= 600);
+  BOOST_TEST(Left(885) < 600);
+}
+
 // Guards against decisions that depend on addresses, hash seeds or the real clock.
 BOOST_AUTO_TEST_CASE(SameSeedGivesSameResponses) {
   auto Input = makeTrace("slipworks", "flapping", 8);
--- a/Utilities/Replay/Generators.cpp
+++ b/Utilities/Replay/Generators.cpp
@@ -229,8 +229,8 @@
 
 void Generator::applyBurst() {
   double From = end() * 0.3;
-  // The burst takes a twentieth of the trace, at most 20 s, so that a trace of 700 s has 10 minutes
-  // after it.
+  // The burst takes a twentieth of the trace, at most 20 s, so that a trace of 700 s has 470 s
+  // after it; the 10 minutes that its backlog is given need a trace of 886 s.
   double Until = std::min(From + end() * 0.05, From + 20000);
   makeArrivals(From, Until, BurstLoad, "burst-");
   Result_.BurstEnd = Until;
