Replay: Build in Release with g++ 12

Cause: a braced list of JobShape is a temporary array of structures with strings; at -O3, g++ 12 reports the cleanup of the partly built array as a use of uninitialised memory, and -Werror ends the build of Workload.cpp. Only knownShapes(), slipworksWorkload() and alarconWorkload() had such lists.

Change: the shapes stand in constexpr tables of plain rows, which toShape() turns into JobShape one at a time. No warning is switched off and no figure is changed.

All cases of TestReplay pass.

Conclusion: with the compilers in use only g++ 12 was tried. The other targets were not built in Release, except what the replay needs.

--- a/Utilities/Replay/Workload.cpp
+++ b/Utilities/Replay/Workload.cpp
@@ -4,7 +4,10 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <map>
+#include <span>
+#include <string_view>
 #include <utility>
 
 namespace cornellift::replay {
@@ -17,15 +20,55 @@
 /// Ratio of the median of the true run times to the configured run time, which is a mean.
 constexpr double MedianOverExpected = 0.85;
 
+/// A JobShape with plain members only. A braced list of shapes would be a temporary array of
+/// strings, whose cleanup g++ 12 reports as a use of uninitialised memory at -O3.
+struct ShapeRow {
+  std::string_view Kind;
+  double Expected;
+  kernel::Resources Needed;
+  double Weight;
+  double SmallestJob;
+  double LargestJob;
+  double Median;
+  double Deviation;
+  std::string_view Label;
+};
+
+constexpr std::array<ShapeRow, 2> SlipworksShapes{
+    {{"payslip", 350, {1, 2048, 0}, 0.9, 20, 1400, 300, 0.5, "batch"},
+     {"reprint", 300, {1, 2048, 0}, 0.1, 1, 1, 250, 0.4, "reprint"}}};
+
+constexpr std::array<ShapeRow, 3> AlarconShapes{
+    {{"slot_confirmation", 120, {2, 1024, 0}, 0.5, 1, 4, 100, 0.4, "confirmation"},
+     {"ceiling_check", 250, {4, 4096, 0}, 0.3, 4, 32, 220, 0.5, "check"},
+     {"price_quote", 450, {4, 8192, 0}, 0.2, 10, 200, 400, 0.6, "quote"}}};
+
 /// Job shapes of the kinds in examples/. The document supplies the run times.
-const std::array<JobShape, 5> &knownShapes() {
-  static const std::array<JobShape, 5> Shapes{
-      {{{"branch-batch", 0, {}}, 0.9, 20, 1400, 0, 0.5, "batch", 0},
-       {{"reprint", 0, {}}, 0.1, 1, 1, 0, 0.4, "reprint", 0},
-       {{"visit-confirmation", 0, {}}, 0.5, 1, 4, 0, 0.4, "confirmation", 0},
-       {{"ceiling-check", 0, {}}, 0.3, 4, 32, 0, 0.5, "check", 0},
-       {{"price-quote", 0, {}}, 0.2, 10, 200, 0, 0.6, "quote", 0}}};
-  return Shapes;
+constexpr std::array<ShapeRow, 5> KnownShapes{
+    {{"branch-batch", 0, {}, 0.9, 20, 1400, 0, 0.5, "batch"},
+     {"reprint", 0, {}, 0.1, 1, 1, 0, 0.4, "reprint"},
+     {"visit-confirmation", 0, {}, 0.5, 1, 4, 0, 0.4, "confirmation"},
+     {"ceiling-check", 0, {}, 0.3, 4, 32, 0, 0.5, "check"},
+     {"price-quote", 0, {}, 0.2, 10, 200, 0, 0.6, "quote"}}};
+
+JobShape toShape(const ShapeRow &Row) {
+  JobShape Result;
+  Result.Kind.Name = Row.Kind;
+  Result.Kind.Expected = Row.Expected;
+  Result.Kind.Needed = Row.Needed;
+  Result.Weight = Row.Weight;
+  Result.SmallestJob = Row.SmallestJob;
+  Result.LargestJob = Row.LargestJob;
+  Result.Median = Row.Median;
+  Result.Deviation = Row.Deviation;
+  Result.Label = Row.Label;
+  return Result;
+}
+
+std::vector<JobShape> toShapes(std::span<const ShapeRow> Rows) {
+  std::vector<JobShape> Result;
+  std::transform(Rows.begin(), Rows.end(), std::back_inserter(Result), toShape);
+  return Result;
 }
 
 kernel::Resources sizeOf(const Json &Value) {
@@ -37,12 +80,12 @@
   auto Index = static_cast<std::uint32_t>(Result.Services.size());
   Result.Services.push_back({Name, Value.value("message_cost_ms", 1.0), {}});
   for (const auto &[Kind, Fields] : Value.at("kinds").items()) {
-    auto Known =
-        std::find_if(knownShapes().begin(), knownShapes().end(),
-                     [&Wanted = Kind](const JobShape &Shape) { return Shape.Kind.Name == Wanted; });
-    if (Known == knownShapes().end())
+    const auto *Known =
+        std::find_if(KnownShapes.begin(), KnownShapes.end(),
+                     [&Wanted = Kind](const ShapeRow &Row) { return Row.Kind == Wanted; });
+    if (Known == KnownShapes.end())
       throw std::invalid_argument("no job shape is defined for kind \"" + Kind + "\"");
-    auto Shape = *Known;
+    auto Shape = toShape(*Known);
     Shape.Service = Index;
     Shape.Kind.Expected = Fields.at("expected_run_time_ms").get<double>();
     Shape.Kind.Needed = sizeOf(Fields.at("needed"));
@@ -79,8 +122,7 @@
       {"ikeja", "yaba", "apapa", "lekki"},
       {16, 65536, 0},
       {{"surulere", 1}, {"agege", 1}, {"mushin", 1}, {"epe", 1}, {"badagry", 1}, {"counter", 1}},
-      {{{"payslip", 350, {1, 2048, 0}}, 0.9, 20, 1400, 300, 0.5, "batch", 0},
-       {{"reprint", 300, {1, 2048, 0}}, 0.1, 1, 1, 250, 0.4, "reprint", 0}},
+      toShapes(SlipworksShapes),
       {}};
 }
 
@@ -90,9 +132,7 @@
           {"leon", "celaya", "irapuato", "queretaro"},
           {64, 131072, 0},
           {{"retail", 1}, {"projects", 1}, {"service", 1}},
-          {{{"slot_confirmation", 120, {2, 1024, 0}}, 0.5, 1, 4, 100, 0.4, "confirmation", 0},
-           {{"ceiling_check", 250, {4, 4096, 0}}, 0.3, 4, 32, 220, 0.5, "check", 0},
-           {{"price_quote", 450, {4, 8192, 0}}, 0.2, 10, 200, 400, 0.6, "quote", 0}},
+          toShapes(AlarconShapes),
           {}};
 }
 
