Scheduling: Exclude endpoints in one place

Cause: HealthTracker::eject() and unreachable() wrote the same five steps, which differed in the state and the first wait only.

Change: exclude() holds them, together with what recordExclusion() did. No behaviour is changed.

Measured: all 14 cases of TestPolicyScheduler and all cases of TestReplay pass.

Conclusion: one place decides how long an endpoint is left out.

--- a/Kernel/Scheduling/HealthTracker.cpp
+++ b/Kernel/Scheduling/HealthTracker.cpp
@@ -199,11 +199,16 @@
   return EjectedByDataCentre_[DataCentre] + 1 <= Bound;
 }
 
-void HealthTracker::recordExclusion(Record &Endpoint, core::TimePoint Now) {
+void HealthTracker::exclude(Record &Endpoint, HealthState Next, core::Duration FirstWait,
+                            core::TimePoint Now) {
   if (Now - Endpoint.LastExclusion > ExclusionMemory)
     Endpoint.RecentExclusions = 0;
   Endpoint.LastExclusion = Now;
   Endpoint.RecentExclusions = std::min(Endpoint.RecentExclusions + 1, MaximumDoublings);
+  setHealthState(Endpoint, Next);
+  Endpoint.TaskLimit = 0;
+  Endpoint.ReadmitAt = Now + FirstWait * (1U << (Endpoint.RecentExclusions - 1));
+  Endpoint.ProbeAt = Endpoint.ReadmitAt;
 }
 
 void HealthTracker::eject(Record &Endpoint, core::TimePoint Now) {
@@ -211,22 +216,14 @@
     Endpoint.TaskLimit = std::min(Endpoint.TaskLimit, MaximumProbationTasks);
     return;
   }
-  recordExclusion(Endpoint, Now);
-  setHealthState(Endpoint, HealthState::Ejected);
-  Endpoint.TaskLimit = 0;
-  Endpoint.ReadmitAt = Now + FirstEjection * (1U << (Endpoint.RecentExclusions - 1));
-  Endpoint.ProbeAt = Endpoint.ReadmitAt;
+  exclude(Endpoint, HealthState::Ejected, FirstEjection, Now);
 }
 
 void HealthTracker::unreachable(EndpointIndex Endpoint, core::TimePoint Now) {
   auto &State = at(Endpoint);
   if (State.Health == HealthState::Unreachable || State.Health == HealthState::Ejected)
     return;
-  recordExclusion(State, Now);
-  setHealthState(State, HealthState::Unreachable);
-  State.TaskLimit = 0;
-  State.ReadmitAt = Now + FirstReconnect * (1U << (State.RecentExclusions - 1));
-  State.ProbeAt = State.ReadmitAt;
+  exclude(State, HealthState::Unreachable, FirstReconnect, Now);
 }
 
 void HealthTracker::answered(EndpointIndex Endpoint, core::TimePoint Now) {
--- a/Kernel/Scheduling/HealthTracker.h
+++ b/Kernel/Scheduling/HealthTracker.h
@@ -82,7 +82,8 @@
   bool recordJobFailure(EndpointIndex Endpoint, JobId Job, double Weight,
                         std::vector<EndpointIndex> &Readmitted);
   bool retractFailure(EndpointIndex Endpoint, double Weight);
-  void recordExclusion(Record &Endpoint, core::TimePoint Now);
+  /// Gives the endpoint no tasks for FirstWait, which doubles with each recent exclusion.
+  void exclude(Record &Endpoint, HealthState Next, core::Duration FirstWait, core::TimePoint Now);
   bool mayEject(std::uint32_t DataCentre) const;
   void eject(Record &Endpoint, core::TimePoint Now);
   /// Returns whether the endpoint became unreachable together with many others of its data centre.
