Kernel: Tell what became of an unlisted run in one place; export the runs started again

Measured: TestPoolSafety, TestPoolManager, TestPoolManagerReturns, TestPoolHeldRuns, TestPoolLateCommands and TestPoolSilence pass.

Conclusion: decisions are as before, but for a worker that returns with fewer slots.

--- a/Kernel/Pool/Worker.cpp
+++ b/Kernel/Pool/Worker.cpp
@@ -60,6 +60,13 @@
   return Used < Entry.Slots ? Entry.Slots - Used : 0;
 }
 
+bool Worker::isOvercommitted() const {
+  constexpr double RoundingSlack = 1e-6;
+  auto Left = free();
+  return Left.Processors < -RoundingSlack || Left.MemoryMegabytes < -RoundingSlack ||
+         Left.Accelerators < -RoundingSlack || Runs.size() > Entry.Slots;
+}
+
 bool Worker::hasUnreportedRuns() const {
   return std::any_of(Runs.begin(), Runs.end(), [](const Run &Each) { return !Each.IsReported; });
 }
--- a/Kernel/Pool/Worker.h
+++ b/Kernel/Pool/Worker.h
@@ -65,6 +65,8 @@
   core::TimePoint EndedAt;   ///< When the worker reported the end; empty without such a report.
   core::TimePoint RepeatStopAt;
 
+  /// Returns whether the worker has accepted a command for it.
+  bool isConfirmed() const { return ConfirmedAt != core::TimePoint(); }
   /// Returns whether a command without a reply may still start the run. Until then the task must
   /// not start on another worker.
   bool mayStartLater(core::TimePoint Now) const;
@@ -121,9 +123,12 @@
   bool acceptsTasks(core::TimePoint Now) const;
   Resources free() const;
   std::uint32_t freeSlots() const;
+  /// Returns whether its runs need more than it has, as after a return with less capacity.
+  bool isOvercommitted() const;
 
   bool hasUnreportedRuns() const;
-  /// Records that a command with a deadline was sent, which arrives by then or never.
+  /// Records that a command with a deadline was sent, which this process lets arrive by then or
+  /// never. That of a run that may start later is covered by Run::mayStartLater().
   void deadlineSent(core::TimePoint ArrivesBy);
   /// When the run has ended for certain, without a further report.
   core::TimePoint leaseEndOf(const Run &Each) const;
--- a/Kernel/Pool/WorkerFleet.cpp
+++ b/Kernel/Pool/WorkerFleet.cpp
@@ -33,7 +33,6 @@
 constexpr core::Duration NoCapacityBackoff = std::chrono::milliseconds(30);
 constexpr core::Duration UnhealthyBackoff = std::chrono::milliseconds(400);
 constexpr core::Duration UnreachedBackoff = std::chrono::milliseconds(100);
-constexpr double RoundingSlack = 1e-6;
 
 /// How long a worker gets no further start after one that it did not accept.
 core::Duration backoffAfter(CommandVerdict Verdict) {
@@ -207,11 +206,8 @@
   auto *Found = Known.find(Task, Number);
   if (!Found)
     return;
-  bool IsOvercommitted = Known.free().Processors < -RoundingSlack ||
-                         Known.free().MemoryMegabytes < -RoundingSlack ||
-                         Known.free().Accelerators < -RoundingSlack;
   bool CanStart = Known.Lease == LeaseState::Held && Known.isEntryCurrent() &&
-                  Known.isAnswering(Now) && !IsOvercommitted && Now >= Known.BackoffUntil;
+                  Known.isAnswering(Now) && !Known.isOvercommitted() && Now >= Known.BackoffUntil;
   if (!CanStart)
     return; // Tried again with the next report.
   auto Specification = Listener_.specificationOf(*Found);
--- a/Kernel/Pool/WorkerFleet.h
+++ b/Kernel/Pool/WorkerFleet.h
@@ -64,9 +64,9 @@
 /// that it no longer runs.
 ///
 /// A start command without a reply may be executed seconds later by another incarnation of the
-/// worker, which nothing in the command tells from the one that it was meant for. Such a run stays
-/// on its worker: it is started again there, under the same number, so that a late command finds it
-/// running or is refused.
+/// worker, which nothing in the command tells from the one that it was meant for. Until that is no
+/// longer possible, such a run stays on its worker: it is started again there, under the same
+/// number, so that a late command finds it running or is refused.
 class WorkerFleet {
 public:
   WorkerFleet(PoolOutput &Output, RunListener &Listener, TokenSource &Tokens, DecisionLog &Log)
--- a/Kernel/Pool/WorkerFleetPolls.cpp
+++ b/Kernel/Pool/WorkerFleetPolls.cpp
@@ -1,6 +1,7 @@
 #include "Kernel/Pool/WorkerFleet.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace cornellift::kernel {
@@ -43,6 +44,19 @@
   return RunOutcome::Lost;
 }
 
+/// What became of a run that the report does not list; empty while that is open.
+std::optional<RunOutcome> outcomeOfUnlisted(const Worker &Known, const Run &Each,
+                                            const WorkerReport &Report, bool IsClaim) {
+  if (IsClaim) // Commands with the former token are refused from now on.
+    return RunOutcome::Lost;
+  if (!Each.isConfirmed())
+    return Report.ClockMilliseconds > Each.StartBy ? std::optional(RunOutcome::NotStarted)
+                                                   : std::nullopt;
+  if (Each.ConfirmedAt >= Known.PollSentAt)
+    return std::nullopt;
+  return Each.State == RunState::Stopping ? RunOutcome::Stopped : RunOutcome::Lost;
+}
+
 } // namespace
 
 void WorkerFleet::pollReplied(EndpointIndex Index, const PollCommand &Command,
@@ -197,16 +211,10 @@
     bool Stays = staysOnWorker(Known, Candidate, Now);
     if (IsClaim && Stays)
       Candidate.awaitNewStart();
-    bool WasConfirmed = Candidate.ConfirmedAt != core::TimePoint();
-    if (Stays && !WasConfirmed && Report.ClockMilliseconds > Candidate.StartBy)
+    if (Stays && !Candidate.isConfirmed() && Report.ClockMilliseconds > Candidate.StartBy)
       Staying.push_back(Candidate);
-    else if (IsClaim) // Commands with the former token are refused from now on.
-      EndedRuns.emplace_back(Candidate, RunOutcome::Lost);
-    else if (WasConfirmed && Candidate.ConfirmedAt < Known.PollSentAt)
-      EndedRuns.emplace_back(Candidate, Candidate.State == RunState::Stopping ? RunOutcome::Stopped
-                                                                              : RunOutcome::Lost);
-    else if (!WasConfirmed && Report.ClockMilliseconds > Candidate.StartBy)
-      EndedRuns.emplace_back(Candidate, RunOutcome::NotStarted);
+    else if (auto How = outcomeOfUnlisted(Known, Candidate, Report, IsClaim))
+      EndedRuns.emplace_back(Candidate, *How);
   }
   for (const auto &[Missing, How] : EndedRuns)
     endRun(Index, Missing.Task, Missing.Number, How, Now);
--- a/Services/PoolDaemon/PoolDaemonMetrics.cpp
+++ b/Services/PoolDaemon/PoolDaemonMetrics.cpp
@@ -53,6 +53,8 @@
                  [this] { return static_cast<double>(Manager_.fleet().restartCount()); });
   Metrics_.gauge("cornellift_foreign_runs_stopped_total",
                  [this] { return static_cast<double>(Manager_.fleet().foreignRunsStopped()); });
+  Metrics_.gauge("cornellift_runs_started_again_total",
+                 [this] { return static_cast<double>(Manager_.fleet().startedAgain()); });
   auto Workers = [this](const char *Name, kernel::LeaseState State) {
     Metrics_.gauge("cornellift_workers",
                    [this, State] { return static_cast<double>(Manager_.fleet().countIn(State)); },
