--- a/Kernel/Pool/WorkerFleetPolls.cpp
+++ b/Kernel/Pool/WorkerFleetPolls.cpp
@@ -218,8 +218,13 @@
   }
   for (const auto &[Missing, How] : EndedRuns)
     endRun(Index, Missing.Task, Missing.Number, How, Now);
+  auto HasListedRun = [&](const TaskRef &Task) {
+    return std::any_of(Report.Running.begin(), Report.Running.end(),
+                       [&](const auto &Listed) { return Listed.Task == Task; });
+  };
   for (const auto &Each : Staying)
-    startAgain(Index, Each.Task, Each.Number, Now);
+    if (!HasListedRun(Each.Task)) // A run under another number has to be stopped first.
+      startAgain(Index, Each.Task, Each.Number, Now);
 }
 
 void WorkerFleet::stopForeignRuns(EndpointIndex Index, const WorkerReport &Report) {
--- a/Tests/Pool/TestPoolLateCommands.cpp
+++ b/Tests/Pool/TestPoolLateCommands.cpp
@@ -16,3 +16,13 @@
                                                << (Found.empty() ? "" : Found.front()));
   }
 }
+
+// Guards against a run that is started again while a late command for an earlier run of its task is
+// being stopped on the same incarnation.
+BOOST_AUTO_TEST_CASE(ARunIsNotStartedAgainBesideAnEarlierOne) {
+  for (std::uint64_t Seed : {120, 286}) {
+    auto Found = test::playRestartsBesideLateCommands(Seed);
+    BOOST_CHECK_MESSAGE(Found.empty(),
+                        "seed " << Seed << ": " << (Found.empty() ? "" : Found.front()));
+  }
+}
--- a/Tests/Pool/TestPoolLateCommandsOpen.cpp
+++ b/Tests/Pool/TestPoolLateCommandsOpen.cpp
@@ -29,7 +29,7 @@
 // ended, it was started elsewhere, and a command without a reply was executed by the next
 // incarnation of the first worker.
 BOOST_AUTO_TEST_CASE(ALateStartOfARunThatHasLapsedRunsNoTaskTwice) {
-  for (std::uint64_t Seed : {35, 36, 38, 58, 71, 74, 120, 204, 239, 286}) {
+  for (std::uint64_t Seed : {35, 36, 38, 58, 71, 74, 204, 239}) {
     auto Found = test::playRestartsBesideLateCommands(Seed);
     BOOST_CHECK_MESSAGE(Found.empty(),
                         "seed " << Seed << ": " << (Found.empty() ? "" : Found.front()));
