Kernel: Count a send only when it was sent

Cause: found while reading: a repetition for a job that no longer exists was counted as a send in flight, which gets no result, so that the run would have been held for as long as its worker is silent.

Change: the counters follow the send.

Measured: TestPoolSafety, TestPoolManager, TestPoolManagerReturns, TestPoolHeldRuns, TestPoolLateCommands, TestPoolSilence and TestPoolOverload pass. The case was not produced in a run: a job is kept while it has runs.

Conclusion: no change where each run has a job.

--- a/Kernel/Pool/PoolManagerStragglers.cpp
+++ b/Kernel/Pool/PoolManagerStragglers.cpp
@@ -105,7 +105,7 @@
   if (!MeetsObjective && !BecomesUseful)
     return;
   if (Running->mayStartLater(Now))
-    return;
+    return; // Another incarnation of the worker may start it beside the new run.
   ++Counters_.StragglersMoved;
   ++Placed.Moves;
   Log_.line(DecisionPriority::Notable, "moving a slow run", Job.key(),
--- a/Kernel/Pool/WorkerFleet.cpp
+++ b/Kernel/Pool/WorkerFleet.cpp
@@ -330,13 +330,14 @@
         Now < Candidate.StartSentAt + StartRepeatDelay * Candidate.RecentSends)
       continue;
     ++Candidate.RecentSends;
+    auto Specification = Listener_.specificationOf(Candidate);
+    if (!Specification)
+      continue;
     ++Candidate.SendCount;
     ++Candidate.SendsInFlight;
     Known.deadlineSent(Now + CommandTimeout);
-    auto Specification = Listener_.specificationOf(Candidate);
-    if (Specification)
-      Output_.start(Index, {Candidate.Task, Candidate.Number, std::move(*Specification),
-                            Known.Token, Candidate.StartBy});
+    Output_.start(Index, {Candidate.Task, Candidate.Number, std::move(*Specification), Known.Token,
+                          Candidate.StartBy});
   }
 }
 
