--- a/Tests/Pool/TestPoolHeldRuns.cpp
+++ b/Tests/Pool/TestPoolHeldRuns.cpp
@@ -209,8 +209,8 @@
     BOOST_REQUIRE(!Fixture.Out.Starts.empty());
     auto Command = Fixture.Out.Starts.back().second;
     ++Fixture.Incarnation;
-    auto Report = [&](std::int64_t Clock, std::vector<RunningTask> Running,
-                      std::vector<EndedTask> Ended) {
+    auto Report = [&](std::int64_t Clock, const std::vector<RunningTask> &Running,
+                      const std::vector<EndedTask> &Ended) {
       for (const auto &[Worker, Poll] : std::exchange(Fixture.Out.Polls, {})) {
         PollReply Reply{CommandVerdict::Accepted, WorkerReport()};
         Reply.Report->ClockMilliseconds = Clock;
