Kernel, PoolDaemon: Keep releases of workers that arrive before the listing

Cause: when a manager stops, it releases idle workers within one tick. The successor waits up to 300 ms for a fresh listing and then deferred the claim of every listed worker until the former manager had released all of them, also of those whose releases had arrived meanwhile. They stayed idle as long as the longest run, and the jobs of that time were refused for want of workers.

Change: ClaimSchedule keeps the releases, by data centre, and says when each worker may be claimed.

--- a/Kernel/Pool/WorkerRegistry.h
+++ b/Kernel/Pool/WorkerRegistry.h
@@ -30,6 +30,8 @@
   std::vector<WorkerEntry> workersIn(const std::set<std::string> &DataCentres) const;
 
   bool contains(const std::string &Id) const { return Entries_.contains(Id); }
+  /// Returns the worker, or null if there is none with that id.
+  const WorkerEntry *find(const std::string &Id) const;
   std::vector<std::string> ids() const;
 
 private:
--- a/Services/PoolDaemon/PoolDaemon.cpp
+++ b/Services/PoolDaemon/PoolDaemon.cpp
@@ -283,11 +283,8 @@
     return Ingress_.cancelReplied(From, *Reply);
   if (const auto *Belated = std::get_if<kernel::CancelledJobs>(&Message))
     return cancelBelatedly(*Belated, Now);
-  if (const auto *Released = std::get_if<kernel::ReleaseWorkers>(&Message)) {
-    for (const auto &Id : Released->Ids)
-      Manager_.fleet().claimNow(Id, Now);
-    return;
-  }
+  if (const auto *Released = std::get_if<kernel::ReleaseWorkers>(&Message))
+    return workersReleased(*Released, Now);
   Manager_.receive(From, Message, Now);
 }
 
--- a/Services/PoolDaemon/PoolDaemon.h
+++ b/Services/PoolDaemon/PoolDaemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Kernel/Pool/ClaimSchedule.h"
 #include "Kernel/Pool/ConfigurationFetch.h"
 #include "Kernel/Pool/PoolElection.h"
 #include "Kernel/Pool/PoolManager.h"
@@ -76,6 +77,8 @@
   /// with a listing that is too old to show which workers are draining.
   std::set<std::string> usableDataCentres(core::TimePoint Now);
   void workerDropped(kernel::EndpointIndex Worker);
+  /// Claims workers that their former manager has released.
+  void workersReleased(const kernel::ReleaseWorkers &Released, core::TimePoint Now);
   void reportReleased(core::TimePoint Now);
   void operatorKeysChanged(const store::KeyMirror::Items &Items);
   void configurationChanged(const std::shared_ptr<const kernel::PoolConfiguration> &Configuration);
@@ -136,7 +139,7 @@
   /// evaluation.
   std::optional<kernel::PeerIndex> AssignedManager_;
   std::map<std::string, kernel::PeerIndex> Successors_; ///< By data centre that is being released.
-  std::map<std::string, core::TimePoint> ClaimAt_;      ///< By managed data centre.
+  kernel::ClaimSchedule Claims_;
   /// Until when to wait for a fresh listing, by data centre.
   std::map<std::string, core::TimePoint> FreshListingDeadlines_;
   kernel::ConfigurationFetch ConfigurationFetch_{std::random_device()()};
--- a/Services/PoolDaemon/PoolDaemonWorkers.cpp
+++ b/Services/PoolDaemon/PoolDaemonWorkers.cpp
@@ -23,7 +23,7 @@
                   {{"data_centre", Begun.DataCentre},
                    {"claim_in_ms", std::to_string(core::toMilliseconds(Begun.ClaimAt - Now))}});
     Successors_.erase(Begun.DataCentre);
-    ClaimAt_[Begun.DataCentre] = Begun.ClaimAt;
+    Claims_.begin(Begun.DataCentre, Begun.ClaimAt);
     if (Now - Directory_.refreshedAt() > MaximumListingAge)
       FreshListingDeadlines_[Begun.DataCentre] = Now + FreshListingTimeout;
   }
@@ -31,7 +31,7 @@
     core::logLine(core::LogLevel::Information, "pool", "releasing the workers of a data centre",
                   {{"data_centre", Stopped.DataCentre}});
     Successors_[Stopped.DataCentre] = Stopped.Successor;
-    ClaimAt_.erase(Stopped.DataCentre);
+    Claims_.end(Stopped.DataCentre);
     FreshListingDeadlines_.erase(Stopped.DataCentre);
   }
   bool HasChanged = !Changes.Begun.empty() || !Changes.Stopped.empty();
@@ -40,7 +40,7 @@
   if (HasChanged || !FreshListingDeadlines_.empty())
     workersChanged();
   for (const auto &Rest : Changes.Claims) {
-    ClaimAt_[Rest.DataCentre] = Rest.ClaimAt;
+    Claims_.claimRemaining(Rest.DataCentre, Rest.ClaimAt);
     for (const auto &Entry : Directory_.listing().workersIn({Rest.DataCentre}))
       Manager_.fleet().deferClaim(Entry.Id, Rest.ClaimAt);
   }
@@ -56,9 +56,9 @@
   auto Now = core::MonotonicClock::now();
   auto Entries = Directory_.listing().workersIn(usableDataCentres(Now));
   for (const auto &Entry : Entries) {
-    auto ClaimAt = ClaimAt_.find(Entry.DataCentre);
-    if (ClaimAt != ClaimAt_.end() && ClaimAt->second > Now)
-      Manager_.fleet().deferClaim(Entry.Id, ClaimAt->second);
+    auto ClaimAt = Claims_.claimAt(Entry.DataCentre, Entry.Id);
+    if (ClaimAt && *ClaimAt > Now)
+      Manager_.fleet().deferClaim(Entry.Id, *ClaimAt);
   }
   Manager_.setWorkers(Entries, Now);
 }
@@ -88,6 +88,14 @@
     send(Successor->second, kernel::ReleaseWorkers{{Entry.Id}});
 }
 
+void PoolDaemon::workersReleased(const kernel::ReleaseWorkers &Released, core::TimePoint Now) {
+  for (const auto &Id : Released.Ids) {
+    const auto *Entry = Directory_.listing().find(Id);
+    Claims_.released(Entry ? Entry->DataCentre : std::string(), Id);
+    Manager_.fleet().claimNow(Id, Now);
+  }
+}
+
 void PoolDaemon::reportReleased(core::TimePoint Now) {
   auto Releasing = Election_.releasing();
   for (const auto &DataCentre : Releasing) {
--- a/Tests/Pool/PoolSimulation.cpp
+++ b/Tests/Pool/PoolSimulation.cpp
@@ -58,6 +58,13 @@
       std::make_unique<Vm>(*this, Index, "dc" + std::to_string(Index / Settings_.VmsPerDataCentre));
 }
 
+std::string PoolSimulation::dataCentreOf(std::string_view WorkerId) const {
+  for (const auto &Entry : Published_)
+    if (Entry.Id == WorkerId)
+      return Entry.DataCentre;
+  return {};
+}
+
 double PoolSimulation::randomShare() {
   return std::uniform_real_distribution<double>(0, 1)(Random_);
 }
--- a/Tests/Pool/PoolSimulation.h
+++ b/Tests/Pool/PoolSimulation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Kernel/Pool/ClaimSchedule.h"
 #include "Kernel/Pool/PoolElection.h"
 #include "Kernel/Pool/PoolManager.h"
 #include "Services/FleetStandIn/WorkerModel.h"
@@ -41,6 +42,8 @@
   /// Data centre of all callers; random for each caller if empty.
   std::optional<std::size_t> CallersAt;
   bool CallersComeAgain = true; ///< After a job was given up.
+  /// Time until a VM that begins to manage a data centre has a fresh listing of its workers.
+  core::Duration FreshListingTime{0};
 };
 
 /// Simulates several pool managers, their workers and callers on a virtual clock. Messages are
@@ -131,6 +134,7 @@
   void attempt(Caller &Sender);
   void callerAnswered(std::size_t Vm, JobKey Key, const JobAnswer &Answer);
   void callerLost(std::size_t Vm);
+  std::string dataCentreOf(std::string_view WorkerId) const;
   double randomShare();
 
   SimulationSettings Settings_;
--- a/Tests/Pool/PoolSimulationVm.h
+++ b/Tests/Pool/PoolSimulationVm.h
@@ -225,13 +225,17 @@
     auto Now = Simulation_.Now_;
     Election_.setOthersExist(Simulation_.Vms_.size() > 1);
     auto Changes = Election_.evaluate(Now);
-    for (const auto &Begun : Changes.Begun)
-      ClaimAt_[Begun.DataCentre] = Begun.ClaimAt;
-    for (const auto &Stopped : Changes.Stopped)
+    for (const auto &Begun : Changes.Begun) {
+      Claims_.begin(Begun.DataCentre, Begun.ClaimAt);
+      ListedFrom_[Begun.DataCentre] = Now + Simulation_.Settings_.FreshListingTime;
+    }
+    for (const auto &Stopped : Changes.Stopped) {
       Successors_[Stopped.DataCentre] = Stopped.Successor;
+      Claims_.end(Stopped.DataCentre);
+    }
     listWorkers();
     for (const auto &Claim : Changes.Claims) {
-      ClaimAt_[Claim.DataCentre] = Claim.ClaimAt;
+      Claims_.claimRemaining(Claim.DataCentre, Claim.ClaimAt);
       for (const auto &Worker : Simulation_.Workers_)
         if (Worker->entry().DataCentre == Claim.DataCentre)
           Manager_.fleet().deferClaim(Worker->entry().Id, Claim.ClaimAt);
@@ -243,11 +247,12 @@
   void listWorkers() {
     std::vector<WorkerEntry> Entries;
     for (const auto &Entry : Simulation_.Published_)
-      if (Election_.managed().contains(Entry.DataCentre)) {
+      if (Election_.managed().contains(Entry.DataCentre) &&
+          Simulation_.Now_ >= ListedFrom_[Entry.DataCentre]) {
         Entries.push_back(Entry);
-        auto ClaimAt = ClaimAt_[Entry.DataCentre];
-        if (ClaimAt > Simulation_.Now_)
-          Manager_.fleet().deferClaim(Entry.Id, ClaimAt);
+        auto ClaimAt = Claims_.claimAt(Entry.DataCentre, Entry.Id);
+        if (ClaimAt && *ClaimAt > Simulation_.Now_)
+          Manager_.fleet().deferClaim(Entry.Id, *ClaimAt);
       }
     Manager_.setWorkers(Entries, Simulation_.Now_);
   }
@@ -285,8 +290,10 @@
       return;
     }
     if (const auto *Release = std::get_if<ReleaseWorkers>(&Message)) {
-      for (const auto &Id : Release->Ids)
+      for (const auto &Id : Release->Ids) {
+        Claims_.released(Simulation_.dataCentreOf(Id), Id);
         Manager_.fleet().claimNow(Id, Now);
+      }
       return;
     }
     Manager_.receive(From, Message, Now);
@@ -458,7 +465,8 @@
   std::map<std::size_t, PeerIndex> PeerOf_;
   std::uint32_t NextPeer_ = 1;
   std::map<JobKey, OpenJob> Open_;
-  std::map<std::string, core::TimePoint> ClaimAt_;
+  ClaimSchedule Claims_;
+  std::map<std::string, core::TimePoint> ListedFrom_; ///< By managed data centre.
   std::map<std::string, PeerIndex> Successors_;
   std::vector<std::size_t> Targets_;
   core::TimePoint NextHeartbeatAt_;
