--- a/Services/PoolDaemon/PoolDaemon.h
+++ b/Services/PoolDaemon/PoolDaemon.h
@@ -139,6 +139,8 @@
   /// evaluation.
   std::optional<kernel::PeerIndex> AssignedManager_;
   std::map<std::string, kernel::PeerIndex> Successors_; ///< By data centre that is being released.
+  /// Since when a data centre is being released, for the log.
+  std::map<std::string, core::TimePoint> ReleasingSince_;
   kernel::ClaimSchedule Claims_;
   /// Until when to wait for a fresh listing, by data centre.
   std::map<std::string, core::TimePoint> FreshListingDeadlines_;
--- a/Services/PoolDaemon/PoolDaemonWorkers.cpp
+++ b/Services/PoolDaemon/PoolDaemonWorkers.cpp
@@ -31,6 +31,7 @@
     core::logLine(core::LogLevel::Information, "pool", "releasing the workers of a data centre",
                   {{"data_centre", Stopped.DataCentre}});
     Successors_[Stopped.DataCentre] = Stopped.Successor;
+    ReleasingSince_[Stopped.DataCentre] = Now;
     Claims_.end(Stopped.DataCentre);
     FreshListingDeadlines_.erase(Stopped.DataCentre);
   }
@@ -92,6 +93,7 @@
   for (const auto &Id : Released.Ids) {
     const auto *Entry = Directory_.listing().find(Id);
     Claims_.released(Entry ? Entry->DataCentre : std::string(), Id);
+    Metrics_.counter("cornellift_workers_received_total").add();
     Manager_.fleet().claimNow(Id, Now);
   }
 }
@@ -107,8 +109,11 @@
     }
     if (IsHeld)
       continue;
-    core::logLine(core::LogLevel::Information, "pool", "all workers of a data centre released",
-                  {{"data_centre", DataCentre}});
+    core::logLine(
+        core::LogLevel::Information, "pool", "all workers of a data centre released",
+        {{"data_centre", DataCentre},
+         {"taken_ms", std::to_string(core::toMilliseconds(Now - ReleasingSince_[DataCentre]))}});
+    ReleasingSince_.erase(DataCentre);
     Election_.released(DataCentre);
     Mesh_.sendHeartbeats(Now);
   }
