Pool: Let polls of a worker with an overdue run be answered

Cause: the poll in flight was replaced every 100 ms while any run of the worker was overdue, but polls wait 150 ms there and the reply of a replaced poll is ignored. A run that took longer than expected thus kept all answers away: the worker counted as silent after 500 ms, its lease was no longer extended, and all of its runs were lost.

Change: only the first poll since an answer is replaced when the end of a run is overdue, and only if it was sent before that end was expected. A later one is replaced when its own reply is overdue, so that a lost poll is still repeated within 190 ms.

--- a/Kernel/Pool/Worker.h
+++ b/Kernel/Pool/Worker.h
@@ -102,6 +102,7 @@
   bool IsPolling = false;       ///< A poll is in flight.
   std::uint64_t PollNumber = 0; ///< Number of the last poll; replies to earlier polls are ignored.
   core::TimePoint PollSentAt;
+  std::uint32_t PollWaitMilliseconds = 0; ///< How long the last poll waits on the worker.
   core::TimePoint NextPollAt;
   core::TimePoint ClaimAt;       ///< Earliest next claim.
   std::uint32_t FailedPolls = 0; ///< Consecutive failed polls.
--- a/Kernel/Pool/WorkerFleet.cpp
+++ b/Kernel/Pool/WorkerFleet.cpp
@@ -171,6 +171,7 @@
   }
   Known.IsPolling = true;
   Known.PollSentAt = Now;
+  Known.PollWaitMilliseconds = Command.WaitMilliseconds;
   Command.Number = ++Known.PollNumber;
   Output_.poll(Index, Command);
 }
@@ -351,6 +352,16 @@
   }
 }
 
+core::TimePoint WorkerFleet::replyDue(const Worker &Known, core::TimePoint ExpectedEnd) {
+  // The first poll since an answer is answered at the end of a run. A poll that was sent later than
+  // that was expected, or in place of another one, may wait for all of its time: if each overdue
+  // run had it replaced at once, no reply would count, and the worker's lease would lapse.
+  bool AwaitsEnd = Known.PollSentAt <= Known.AnsweredAt && Known.PollSentAt <= ExpectedEnd;
+  auto Reply = AwaitsEnd ? ExpectedEnd
+                         : Known.PollSentAt + std::chrono::milliseconds(Known.PollWaitMilliseconds);
+  return std::max(Reply + SecondPollDelay, Known.PollSentAt + MinimumPollInterval);
+}
+
 bool WorkerFleet::needsSecondPoll(EndpointIndex Index, core::TimePoint Now) const {
   const auto &Known = at(Index);
   if (!Known.IsPolling || Now < Known.PollSentAt + MinimumPollInterval)
@@ -360,7 +371,7 @@
                                                          : Candidate.StartSentAt + StartValidity;
     // A silent worker whose leases have ended is only looked at now and then.
     bool IsWorthIt = Known.isAnswering(Now) || Now <= Known.leaseEndOf(Candidate);
-    return IsWorthIt && Now > Expected + SecondPollDelay;
+    return IsWorthIt && Now > Expected + SecondPollDelay && Now > replyDue(Known, Expected);
   });
 }
 
--- a/Kernel/Pool/WorkerFleet.h
+++ b/Kernel/Pool/WorkerFleet.h
@@ -150,6 +150,9 @@
   void tickWorker(EndpointIndex Index, core::TimePoint Now);
   void repeatStarts(EndpointIndex Index, core::TimePoint Now);
   void repeatStops(EndpointIndex Index, core::TimePoint Now);
+  /// When the poll in flight should have been answered at the latest, as a run was expected to end
+  /// then.
+  static core::TimePoint replyDue(const Worker &Known, core::TimePoint ExpectedEnd);
   /// Returns whether the poll in flight has probably been lost.
   bool needsSecondPoll(EndpointIndex Index, core::TimePoint Now) const;
 
--- a/Tests/Pool/PoolSimulation.cpp
+++ b/Tests/Pool/PoolSimulation.cpp
@@ -142,7 +142,7 @@
 }
 
 JobKey PoolSimulation::submit(std::uint32_t Tasks, double RunMilliseconds, std::string_view Extra,
-                              double Cores) {
+                              double Cores, double DeclaredMilliseconds) {
   auto Key = static_cast<JobKey>(NextKey_++);
   auto Sender = std::make_unique<Caller>();
   Sender->Submission = std::make_shared<JobSubmission>();
@@ -153,7 +153,7 @@
   JobStep Step;
   Step.Count = Tasks;
   Step.Need = {Cores, 64, 0};
-  Step.DeclaredMilliseconds = RunMilliseconds;
+  Step.DeclaredMilliseconds = DeclaredMilliseconds > 0 ? DeclaredMilliseconds : RunMilliseconds;
   Submission.Steps.push_back(Step);
   Submission.Policy = {"route", "print", 0, 3, 2, 60};
   Sender->DataCentre = Settings_.CallersAt.value_or(Random_() % Settings_.DataCentres);
--- a/Tests/Pool/PoolSimulation.h
+++ b/Tests/Pool/PoolSimulation.h
@@ -56,9 +56,10 @@
   core::TimePoint now() const { return Now_; }
   void run(core::Duration Span);
 
-  /// Submits a job of equal tasks to a random VM of the caller's data centre.
+  /// Submits a job of equal tasks to a random VM of the caller's data centre. The caller declares
+  /// the actual run time unless another one is given.
   JobKey submit(std::uint32_t Tasks, double RunMilliseconds, std::string_view Extra = "",
-                double Cores = 2);
+                double Cores = 2, double DeclaredMilliseconds = 0);
 
   /// Sends a caller's request to cancel the job to a VM.
   void cancel(JobKey Key, std::size_t Vm);
