Pool: Start nothing in evacuated data centres

Cause: Operators request with a key of the store that nothing more is started on the workers of a data centre. Nothing read these keys.

Change: Evacuations holds the process's copy of them. The state of the higher store revision wins; heartbeats carry the state with its revision, so that a process which the store turns away is told by its peers. A worker of an evacuated data centre accepts no task, which covers placement, reports to other managers and accepted delegations; starts that were sent before are neither repeated nor sent again. Its runs go on. Waiting and new jobs which only such workers could run are rejected at once. A process manages no workers until it knows the state. An evacuation with an unknown name is logged and has no effect.

--- a/Kernel/Pool/PoolManager.cpp
+++ b/Kernel/Pool/PoolManager.cpp
@@ -67,6 +67,22 @@
   afterEvent(Now);
 }
 
+void PoolManager::setEvacuated(const std::set<std::string> &DataCentres, core::TimePoint Now) {
+  Fleet_.setEvacuated(DataCentres);
+  EvacuatedDataCentres_ = DataCentres;
+  std::vector<JobHandle> Unplaceable;
+  for (const auto &Key : Queue_) {
+    const auto &Job = Jobs_.at(Key.Handle);
+    if (!Job.mayHaveRun() && needsEvacuatedWorkers(Job))
+      Unplaceable.push_back(Key.Handle);
+  }
+  for (auto Handle : Unplaceable)
+    endJob(Jobs_.at(Handle), evacuatedAnswer(), Now);
+  ReportIsDue_ = true;
+  NeedsDispatch_ = true;
+  afterEvent(Now);
+}
+
 void PoolManager::receive(PeerIndex From, const PoolMessage &Message, core::TimePoint Now) {
   if (const auto *Submitted = std::get_if<SubmitToPool>(&Message))
     submit(From, Submitted->Submission, Now);
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -48,6 +48,10 @@
   /// Sets the complete list of workers to manage.
   void setWorkers(std::span<const WorkerEntry> Entries, core::TimePoint Now);
 
+  /// Sets the data centres in which nothing is started. Waiting jobs for which no other worker is
+  /// known are rejected.
+  void setEvacuated(const std::set<std::string> &DataCentres, core::TimePoint Now);
+
   void setRemoteFactor(double Factor) { Settings_.RemoteFactor = Factor; }
 
   /// Handles a message from a peer, or from this process as SelfPeer.
@@ -108,6 +112,7 @@
   PoolJob &createJob(PeerIndex From, const std::shared_ptr<const JobSubmission> &Submission,
                      bool IsDelegation, core::TimePoint Now);
   void setDeadlines(PoolJob &Job);
+  static JobAnswer evacuatedAnswer();
   std::optional<JobAnswer> rejectionFor(const PoolJob &Job, core::TimePoint Now) const;
   void unblockSteps(PoolJob &Job);
   void finishTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now);
@@ -123,6 +128,8 @@
   /// Puts jobs that the work ahead makes late behind the others, and rejects those to which it
   /// leaves no time at all.
   void reviewWaitingJobs(core::TimePoint Now);
+  /// Returns whether a step of the job needs workers of which all are in evacuated data centres.
+  bool needsEvacuatedWorkers(const PoolJob &Job) const;
   void enqueue(const PoolJob &Job, core::TimePoint Now);
   static PoolQueue::Key placeInQueue(const PoolJob &Job, core::TimePoint Now);
   /// Time that this manager's workers need for the work ahead of the job.
@@ -221,6 +228,7 @@
   /// is defined for the average worker, not for those that are used most.
   double MeanSlowness_ = 1;
   PlacementRate PlacementRate_;
+  std::set<std::string> EvacuatedDataCentres_;
   core::TimePoint ReportAt_; ///< Earliest time of the next report.
   bool NeedsDispatch_ = false;
   bool ReportIsDue_ = false;
--- a/Kernel/Pool/PoolManagerQueue.cpp
+++ b/Kernel/Pool/PoolManagerQueue.cpp
@@ -26,6 +26,8 @@
 std::optional<JobAnswer> PoolManager::rejectionFor(const PoolJob &Job, core::TimePoint Now) const {
   if (hasCapacityFor(Job, Now))
     return std::nullopt;
+  if (needsEvacuatedWorkers(Job))
+    return evacuatedAnswer();
   double Wait = waitMilliseconds(Job, Now);
   auto Start = Now + core::fromMilliseconds(Wait);
   auto Run = core::fromMilliseconds(shortestRunTime(Job));
@@ -53,7 +55,7 @@
   for (std::size_t Position = 0; Position < Fleet_.size(); ++Position) {
     auto Index = static_cast<EndpointIndex>(Position);
     const auto &Known = Fleet_.at(Index);
-    if (Known.Lease != LeaseState::Held || !Known.isAnswering(Now))
+    if (Known.Lease != LeaseState::Held || !Known.isAnswering(Now) || Known.IsEvacuated)
       continue;
     double Places = Need.Processors > 0
                         ? std::floor(Known.Entry.Capacity.Processors / Need.Processors)
@@ -63,6 +65,38 @@
   return Rate;
 }
 
+JobAnswer PoolManager::evacuatedAnswer() {
+  // The end of an evacuation is not known.
+  return {JobVerdict::Rejected, "all workers that could run it are in evacuated data centres",
+          MaximumRetryMilliseconds};
+}
+
+bool PoolManager::needsEvacuatedWorkers(const PoolJob &Job) const {
+  if (EvacuatedDataCentres_.empty())
+    return false;
+  for (std::uint32_t Step = 0; Step < Job.Steps.size(); ++Step) {
+    const auto &Policy = Job.Submission->Policy;
+    PoolPlacementRequest Request{&Job.Submission->Steps[Step], &Policy};
+    bool IsOnlyEvacuated = false;
+    bool IsServedElsewhere = false;
+    auto Consider = [&](const WorkerEntry &Entry) {
+      PlacementCandidate Idle{&Entry, {Entry.Capacity, Entry.Slots, 1}, 0};
+      if (IsServedElsewhere || !isEligible(Request, Idle))
+        return;
+      bool IsEvacuated = EvacuatedDataCentres_.contains(Entry.DataCentre);
+      (IsEvacuated ? IsOnlyEvacuated : IsServedElsewhere) = true;
+    };
+    for (const auto &Entry : Listed_)
+      Consider(Entry);
+    for (const auto &[Peer, Known] : Remotes_)
+      for (const auto &Worker : Known.Pool.workers())
+        Consider(Worker.Entry);
+    if (IsOnlyEvacuated && !IsServedElsewhere)
+      return true;
+  }
+  return false;
+}
+
 void PoolManager::enqueue(const PoolJob &Job, core::TimePoint Now) {
   if (Job.waiting() == 0 || Queue_.contains(Job.Handle) || Job.OrphanedUntil)
     return;
--- a/Kernel/Pool/Worker.cpp
+++ b/Kernel/Pool/Worker.cpp
@@ -42,7 +42,7 @@
 }
 
 bool Worker::acceptsTasks(core::TimePoint Now) const {
-  return isEntryCurrent() && Lease == LeaseState::Held && IsListed &&
+  return isEntryCurrent() && Lease == LeaseState::Held && IsListed && !IsEvacuated &&
          Entry.State == WorkerState::Ready && isAnswering(Now) && !HasForeignRuns &&
          Clock.isKnown() && Now >= BackoffUntil;
 }
--- a/Kernel/Pool/Worker.h
+++ b/Kernel/Pool/Worker.h
@@ -88,7 +88,8 @@
 /// A manager's state of one worker.
 struct Worker {
   WorkerEntry Entry;
-  bool IsListed = false; ///< Its entry is in the platform's store.
+  bool IsListed = false;    ///< Its entry is in the platform's store.
+  bool IsEvacuated = false; ///< An operator has evacuated its data centre.
   LeaseState Lease = LeaseState::Absent;
   std::uint64_t Token = 0;
   std::int64_t StartedMilliseconds = 0; ///< Start time of the incarnation that answered last.
--- a/Kernel/Pool/WorkerFleet.cpp
+++ b/Kernel/Pool/WorkerFleet.cpp
@@ -80,6 +80,7 @@
   bool StateChanged = Known.Entry.State != Entry.State || !Known.IsListed;
   Known.Entry = Entry;
   Known.IsListed = true;
+  Known.IsEvacuated = EvacuatedDataCentres_.contains(Entry.DataCentre);
   if (IsAddressNew) {
     Known.IsPolling = false; // The reply from the former address will not arrive.
     Output_.workerAddressChanged(Index, Entry);
@@ -92,6 +93,12 @@
     beginClaim(Index, Now);
 }
 
+void WorkerFleet::setEvacuated(const std::set<std::string> &DataCentres) {
+  EvacuatedDataCentres_ = DataCentres;
+  for (auto &Known : Workers_)
+    Known.IsEvacuated = DataCentres.contains(Known.Entry.DataCentre);
+}
+
 void WorkerFleet::unlist(EndpointIndex Index) {
   auto &Known = mutableAt(Index);
   Known.IsListed = false;
@@ -206,7 +213,7 @@
   auto *Found = Known.find(Task, Number);
   if (!Found)
     return;
-  bool CanStart = Known.Lease == LeaseState::Held && Known.isEntryCurrent() &&
+  bool CanStart = Known.Lease == LeaseState::Held && Known.isEntryCurrent() && !Known.IsEvacuated &&
                   Known.isAnswering(Now) && !Known.isOvercommitted() && Now >= Known.BackoffUntil;
   if (!CanStart)
     return; // Tried again with the next report.
@@ -323,7 +330,7 @@
 
 void WorkerFleet::repeatStarts(EndpointIndex Index, core::TimePoint Now) {
   auto &Known = mutableAt(Index);
-  if (Known.Lease != LeaseState::Held)
+  if (Known.Lease != LeaseState::Held || Known.IsEvacuated)
     return;
   for (auto &Candidate : Known.Runs) {
     if (Candidate.State != RunState::Starting || Candidate.RecentSends >= MaximumRecentSends ||
--- a/Kernel/Pool/WorkerFleet.h
+++ b/Kernel/Pool/WorkerFleet.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -76,6 +77,10 @@
   /// longer listed get no new tasks and are released when their last run has ended.
   void setListed(std::span<const WorkerEntry> Entries, core::TimePoint Now);
 
+  /// Sets the data centres in which nothing is started, not even a run that was started before. Its
+  /// runs go on.
+  void setEvacuated(const std::set<std::string> &DataCentres);
+
   /// Defers the claim of a worker, because another manager may still hold its lease until then.
   void deferClaim(std::string_view Id, core::TimePoint Until);
   /// Claims the worker now, because the other manager has released it.
@@ -161,6 +166,7 @@
   std::unordered_map<std::string, EndpointIndex> IndexById_;
   /// Earliest claim times of workers that are not listed yet.
   std::unordered_map<std::string, core::TimePoint> DeferredClaims_;
+  std::set<std::string> EvacuatedDataCentres_;
   std::uint64_t Restarts_ = 0;
   std::uint64_t ForeignRunsStopped_ = 0;
   std::uint64_t StartedAgain_ = 0;
--- a/Libraries/LibPlatform/StoreFormat.h
+++ b/Libraries/LibPlatform/StoreFormat.h
@@ -94,6 +94,9 @@
   /// Prefix of the operators' keys, and the key of the configuration, which has that prefix.
   virtual std::string_view operatorPrefix() const = 0;
   virtual std::string_view configurationKey() const = 0;
+  /// The name in a key that requests the evacuation of a data centre; empty for other keys. The
+  /// view is into the key.
+  virtual std::optional<std::string_view> evacuatedDataCentre(std::string_view Key) const = 0;
   /// Prefix of the workers' keys; the rest of a key is the worker's id.
   virtual std::string_view workerPrefix() const = 0;
 
--- a/Services/PoolDaemon/PoolDaemon.cpp
+++ b/Services/PoolDaemon/PoolDaemon.cpp
@@ -184,6 +184,7 @@
   Log_.setRateLimit(Changed->LogLinesPerSecond);
   Manager_.setRemoteFactor(Changed->RemoteFactor);
   Election_.setDataCentres(Settings_.DataCentres);
+  readEvacuations(core::MonotonicClock::now());
   for (const auto &Address : Changed->SeedAddresses)
     Mesh_.addSeedAddress(Address);
 }
@@ -250,6 +251,8 @@
   forgetRemovedVms(Now);
   planLinks(Now);
   Mesh_.tick(Now);
+  if (OperatorKeys_->revision() > Evacuations_.state().Revision)
+    readEvacuations(Now); // Replies without a change of these keys confirm them, too.
   Tokens_.observeRevision(Directory_.revision());
   Directory_.tick(Now);
   applyElection(Now);
@@ -261,6 +264,10 @@
   stopIfDone(Now);
 }
 
+bool PoolDaemon::isReadyToManage() const {
+  return Configuration_.current() != nullptr && Directory_.isLoaded() && Evacuations_.isKnown();
+}
+
 bool PoolDaemon::isReady() const {
   return Configuration_.current() != nullptr && !Stop_ && AssignedManager_.has_value();
 }
--- a/Services/PoolDaemon/PoolDaemon.h
+++ b/Services/PoolDaemon/PoolDaemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Kernel/Pool/ConfigurationFetch.h"
+#include "Kernel/Pool/Evacuations.h"
 #include "Kernel/Pool/PoolElection.h"
 #include "Kernel/Pool/PoolManager.h"
 #include "Kernel/Pool/TokenSource.h"
@@ -79,6 +80,10 @@
   void reportReleased(core::TimePoint Now);
   void operatorKeysChanged(const store::KeyMirror::Items &Items);
   void configurationChanged(const std::shared_ptr<const kernel::PoolConfiguration> &Configuration);
+  /// Reads the evacuations anew from the copy of the operators' keys.
+  void readEvacuations(core::TimePoint Now);
+  void learnEvacuations(const kernel::EvacuationState &Told, std::string_view Source,
+                        core::TimePoint Now);
   void forgetRemovedVms(core::TimePoint Now);
   /// Decides which other entry processes this one needs links to.
   void planLinks(core::TimePoint Now);
@@ -93,6 +98,8 @@
   ReachableProcesses reachableProcesses();
   void sendBacklog(core::TimePoint Now);
   bool isReady() const;
+  /// Returns whether this process knows what it needs to start tasks.
+  bool isReadyToManage() const;
   void registerMetrics();
   void registerWorkerMetrics();
   void registerStoreMetrics();
@@ -142,6 +149,8 @@
   kernel::ConfigurationFetch ConfigurationFetch_{std::random_device()()};
   /// Configurations of which peers have received some parts.
   std::map<kernel::PeerIndex, SentDocument> DocumentsBeingSent_;
+  kernel::Evacuations Evacuations_;
+  std::set<std::string> UnknownEvacuations_; ///< Names in keys that are no data centre's.
   bool NeedsAllLinks_ = true;
   std::set<std::string> Hubs_; ///< Empty in a full mesh, where all links are needed.
   core::TimePoint LinksPlannedAt_;
--- a/Services/PoolDaemon/PoolDaemonConfiguration.cpp
+++ b/Services/PoolDaemon/PoolDaemonConfiguration.cpp
@@ -22,11 +22,47 @@
              {"bytes", static_cast<std::int64_t>(Reply.Bytes)},
              {"taken_ms", core::toMilliseconds(Reply.ReceivedAt - Reply.CalledAt)},
              {"revision", static_cast<std::int64_t>(OperatorKeys_->revision())}});
+  readEvacuations(core::MonotonicClock::now());
   auto Found = Items.find(std::string(Formats_->store().configurationKey()));
   if (Found != Items.end())
     Configuration_.updateIfNewer(Found->second.Value, "store");
 }
 
+void PoolDaemon::readEvacuations(core::TimePoint Now) {
+  if (!OperatorKeys_->isLoaded() || OperatorKeys_->revision() < Evacuations_.state().Revision)
+    return;
+  kernel::EvacuationState Read{OperatorKeys_->revision(), {}};
+  std::set<std::string> Unknown;
+  for (const auto &[Key, Item] : OperatorKeys_->items()) {
+    auto Name = Formats_->store().evacuatedDataCentre(Key);
+    if (!Name)
+      continue;
+    bool IsDataCentre = Settings_.DataCentres.contains(std::string(*Name));
+    (IsDataCentre ? Read.DataCentres : Unknown).emplace(*Name);
+  }
+  for (const auto &Name : Unknown)
+    if (!UnknownEvacuations_.contains(Name))
+      Log_.line(kernel::DecisionPriority::StateChange, "evacuation left out", std::nullopt,
+                {{"data_centre", std::string_view(Name)},
+                 {"reason", "no data centre of the settings has that name; check the key"}});
+  UnknownEvacuations_ = std::move(Unknown);
+  learnEvacuations(Read, "store", Now);
+}
+
+void PoolDaemon::learnEvacuations(const kernel::EvacuationState &Told, std::string_view Source,
+                                  core::TimePoint Now) {
+  auto Changes = Evacuations_.learn(Told, Now);
+  if (Changes.empty())
+    return;
+  for (const auto &Change : Changes)
+    Log_.line(kernel::DecisionPriority::StateChange,
+              Change.IsEvacuated ? "data centre evacuated" : "data centre restored", std::nullopt,
+              {{"data_centre", std::string_view(Change.DataCentre)},
+               {"revision", static_cast<std::int64_t>(Told.Revision)},
+               {"source", Source}});
+  Manager_.setEvacuated(Evacuations_.state().DataCentres, Now);
+}
+
 void PoolDaemon::configurationChanged(
     const std::shared_ptr<const kernel::PoolConfiguration> &Configuration) {
   auto Now = core::MonotonicClock::now();
--- a/Services/PoolDaemon/PoolDaemonMetrics.cpp
+++ b/Services/PoolDaemon/PoolDaemonMetrics.cpp
@@ -29,6 +29,10 @@
           [](auto &Self) { return Self.WorkerClient_.connectionsMade(); });
   Counter("cornellift_configuration_version",
           [](auto &Self) { return Self.Configuration_.version(); });
+  Counter("cornellift_evacuated_data_centres",
+          [](auto &Self) { return Self.Evacuations_.state().DataCentres.size(); });
+  Counter("cornellift_evacuations_age_milliseconds",
+          [](auto &Self) { return Self.millisecondsSince(Self.Evacuations_.learnedAt()); });
   Counter("cornellift_peers", [](auto &Self) { return Self.Mesh_.connectedPeers().size(); });
   Counter("cornellift_unreadable_frames_total",
           [](auto &Self) { return Self.Mesh_.unreadableFrames(); });
--- a/Services/PoolDaemon/PoolDaemonPeers.cpp
+++ b/Services/PoolDaemon/PoolDaemonPeers.cpp
@@ -29,7 +29,7 @@
 
 mesh::Heartbeat PoolDaemon::makeHeartbeat() {
   mesh::Heartbeat Message;
-  Message.set_ready(Configuration_.current() != nullptr && Directory_.isLoaded());
+  Message.set_ready(isReadyToManage());
   Message.set_stopping(Stop_.has_value());
   for (const auto &Name : Election_.managed())
     Message.add_managed(Name);
@@ -41,6 +41,9 @@
                          Manager_.jobCount() > 0);
   Message.set_configuration_version(Configuration_.version());
   Message.set_highest_token(Tokens_.highest());
+  Message.set_evacuation_revision(Evacuations_.state().Revision);
+  for (const auto &Name : Evacuations_.state().DataCentres)
+    Message.add_evacuated(Name);
   return Message;
 }
 
@@ -150,6 +153,10 @@
   State.Seen.insert(Message.seen().begin(), Message.seen().end());
   bool HasChanged = Election_.peerChanged(Peer.Index, std::move(State), Now);
   Tokens_.observe(Message.highest_token());
+  // Before a change of the election, which may make this process start tasks.
+  kernel::EvacuationState Told{Message.evacuation_revision(), {}};
+  Told.DataCentres.insert(Message.evacuated().begin(), Message.evacuated().end());
+  learnEvacuations(Told, Peer.vm(), Now);
   Manager_.setManager(Peer.Index, Message.takes_part(), Now);
   if (Peer.roundTrip())
     Manager_.setRoundTrip(Peer.Index, *Peer.roundTrip());
--- a/Services/PoolDaemon/PoolDaemonWorkers.cpp
+++ b/Services/PoolDaemon/PoolDaemonWorkers.cpp
@@ -15,7 +15,7 @@
 } // namespace
 
 void PoolDaemon::applyElection(core::TimePoint Now) {
-  Election_.setReady(Configuration_.current() != nullptr && Directory_.isLoaded());
+  Election_.setReady(isReadyToManage());
   Election_.setOthersExist(Mesh_.hasKnownPeers());
   auto Changes = Election_.evaluate(Now);
   for (const auto &Begun : Changes.Begun) {
