Pool: Let tasks wait for room near their data where that pays

Cause: A task with data started at once on whichever worker was free, away from its data at remote-factor times its run time, even if a worker near the data was to become free within milliseconds. Change: DataWait plans a step's waiting tasks against a timetable of the rack's workers, with a stored deadline; RackDemand marks racks that tasks with data want, and other tasks avoid them among nearly equal ends. Tasks that wait leave the queue's review, the placement rate and their places in a dispatch to others.

--- a/Kernel/Pool/PoolCounters.h
+++ b/Kernel/Pool/PoolCounters.h
@@ -23,6 +23,14 @@
   std::uint64_t DelegationsRefused = 0;
   std::uint64_t TasksAccepted = 0; ///< Delegated by other managers.
   std::uint64_t StragglersMoved = 0;
+  // Tasks that waited for room near their data, by the end of the wait.
+  std::uint64_t DataWaitsNear = 0;     ///< Started near the data.
+  std::uint64_t DataWaitsExpired = 0;  ///< The wait's deadline passed.
+  std::uint64_t DataWaitsUseless = 0;  ///< The wait was no longer expected to pay.
+  std::uint64_t DataWaitsJobEnded = 0; ///< The job was answered or cancelled.
+  double DataWaitMilliseconds = 0;
+  double DataWaitExpectedGain = 0; ///< Sum, in milliseconds, as expected when the waits began.
+  double DataWaitGain = 0;         ///< The same as it came out; negative for waits in vain.
 };
 
 } // namespace cornellift::kernel
--- a/Kernel/Pool/PoolJob.cpp
+++ b/Kernel/Pool/PoolJob.cpp
@@ -26,10 +26,16 @@
 double PoolJob::waitingMilliseconds() const {
   double Sum = 0;
   for (const auto &Step : Steps)
-    Sum += Step.Waiting * Step.TypicalMilliseconds;
+    Sum += Step.withoutRoom() * Step.TypicalMilliseconds;
   return Sum;
 }
 
+bool PoolJob::onlyWaitsForData() const {
+  return waiting() > 0 && std::all_of(Steps.begin(), Steps.end(), [](const StepProgress &Step) {
+           return Step.withoutRoom() == 0;
+         });
+}
+
 bool PoolJob::mayHaveRun() const {
   if (HasRun)
     return true;
--- a/Kernel/Pool/PoolJob.h
+++ b/Kernel/Pool/PoolJob.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Kernel/Identifiers.h"
+#include "Kernel/Pool/DataWait.h"
 #include "Kernel/Pool/JobSubmission.h"
 #include "Kernel/Pool/PoolMessages.h"
 #include "Kernel/Pool/Worker.h"
@@ -41,6 +42,10 @@
   /// Run time on a typical worker, extrapolated from the progress of the step's runs; zero while
   /// unknown. All tasks of a step are assumed to be of similar length.
   double ObservedMilliseconds = 0;
+  DataWait Wait{};
+
+  /// Number of waiting tasks for which there is no room anywhere.
+  std::uint32_t withoutRoom() const { return Waiting > Wait.Tasks ? Waiting - Wait.Tasks : 0; }
 };
 
 /// A job at a pool manager, or a delegation: the part of another manager's job that was delegated
@@ -67,8 +72,11 @@
   std::uint32_t stepOf(std::uint32_t Task) const;
   TaskRef refOf(std::uint32_t Task) const;
   std::uint32_t waiting() const;
-  /// Expected run time of all waiting tasks on typical workers, in milliseconds.
+  /// Expected run time on typical workers of the waiting tasks for which there is no room, in
+  /// milliseconds.
   double waitingMilliseconds() const;
+  /// Returns whether all waiting tasks could start, but wait for room near their data.
+  bool onlyWaitsForData() const;
   /// Number of tasks that run or may run.
   std::uint32_t active() const;
   /// Returns whether any task has run or may run. Otherwise the job can be rejected truthfully,
--- a/Kernel/Pool/PoolManager.cpp
+++ b/Kernel/Pool/PoolManager.cpp
@@ -111,7 +111,8 @@
   requeueLostDelegations(Now);
   if (Now >= NextExpiry_) {
     NextExpiry_ = Now + ExpiryInterval;
-    PlacementRate_.observe(!Queue_.empty(), Now);
+    PlacementRate_.observe(hasWorkWithoutRoom(), Now);
+    RackDemand_.forgetExpired(Now);
     reviewWaitingJobs(Now);
     expireJobs(Now);
     Answered_.forgetExpired(Now);
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Kernel/Pool/DataWait.h"
 #include "Kernel/Pool/DecisionLog.h"
 #include "Kernel/Pool/JobKindRunTimes.h"
 #include "Kernel/Pool/PlacementRate.h"
@@ -8,6 +9,7 @@
 #include "Kernel/Pool/PoolOutput.h"
 #include "Kernel/Pool/PoolPlacement.h"
 #include "Kernel/Pool/PoolQueue.h"
+#include "Kernel/Pool/RackDemand.h"
 #include "Kernel/Pool/RecentJobs.h"
 #include "Kernel/Pool/RemotePool.h"
 #include "Kernel/Pool/TokenSource.h"
@@ -20,6 +22,8 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -49,6 +53,8 @@
   void setWorkers(std::span<const WorkerEntry> Entries, core::TimePoint Now);
 
   void setRemoteFactor(double Factor) { Settings_.RemoteFactor = Factor; }
+  /// Sets how tasks wait for room near their data; null for never. The policy must outlive this.
+  void setDataWaitPolicy(const DataWaitPolicy *Policy) { DataWaitPolicy_ = Policy; }
 
   /// Handles a message from a peer, or from this process as SelfPeer.
   void receive(PeerIndex From, const PoolMessage &Message, core::TimePoint Now);
@@ -166,6 +172,30 @@
   void visitCandidates(const PoolJob &Job, std::uint32_t Step, const PoolPlacementRequest &Request,
                        core::TimePoint Now, Visitor Visit) const;
 
+  // PoolManagerDataWait.cpp: tasks that wait for room near their data.
+  /// Returns whether the step's next task is to wait for room near its data, although it could
+  /// start on the chosen worker and end there after EndMilliseconds.
+  bool waitsForData(PoolJob &Job, std::uint32_t Step, const PoolPlacementRequest &Request,
+                    const WorkerEntry &Chosen, double EndMilliseconds, core::TimePoint Now);
+  void planDataWait(PoolJob &Job, std::uint32_t Step, const PoolPlacementRequest &Request,
+                    double EndMilliseconds, core::TimePoint Now);
+  /// The timetable of the step's rack, as of this dispatch.
+  RackTimetable &timetableFor(const PoolJob &Job, std::uint32_t Step, core::TimePoint Now);
+  ExpectedRelease expectedRelease(const Run &Each, core::TimePoint Now) const;
+  /// Records that some of the waiting tasks wait no longer, without a start near their data.
+  void releaseFromWait(PoolJob &Job, std::uint32_t Step, std::uint32_t Tasks,
+                       std::uint64_t PoolCounters::*Outcome, std::string_view Why,
+                       core::TimePoint Now);
+  void startsNearData(const PoolJob &Job, StepProgress &Progress, double EndMilliseconds,
+                      core::TimePoint Now);
+  void logWaitEnd(const PoolJob &Job, const StepProgress &Progress, std::string_view Why,
+                  core::TimePoint Now);
+  void endExpiredWaits(PoolJob &Job, core::TimePoint Now);
+  /// Returns whether tasks wait because there is no room for them anywhere.
+  bool hasWorkWithoutRoom() const;
+  void markWantedRacks(core::TimePoint Now);
+  bool isRackWanted(EndpointIndex Worker, const JobStep &Step) const;
+
   // PoolManagerStragglers.cpp: runs that are expected to end too late.
   void moveStragglers(core::TimePoint Now);
   void observeProgress(PoolJob &Job, core::TimePoint Now);
@@ -221,6 +251,13 @@
   /// is defined for the average worker, not for those that are used most.
   double MeanSlowness_ = 1;
   PlacementRate PlacementRate_;
+  ExpectedGainPolicy ExpectedGain_;
+  const DataWaitPolicy *DataWaitPolicy_ = &ExpectedGain_;
+  RackDemand RackDemand_;
+  std::vector<bool> IsRackWanted_; ///< By worker, as of the last dispatch.
+  /// By rack, service and required label; of the current dispatch.
+  std::map<std::tuple<std::string, std::string, std::string>, RackTimetable> Timetables_;
+  std::uint64_t DispatchNumber_ = 0;
   core::TimePoint ReportAt_; ///< Earliest time of the next report.
   bool NeedsDispatch_ = false;
   bool ReportIsDue_ = false;
--- /dev/null
+++ b/Kernel/Pool/PoolManagerDataWait.cpp
@@ -0,0 +1,198 @@
+// Tasks that wait for room near their data, although they could start elsewhere.
+#include "Kernel/Pool/PoolManager.h"
+
+#include <algorithm>
+
+namespace cornellift::kernel {
+namespace {
+
+/// Time from a stop command until the worker's report of the run's end.
+constexpr core::Duration StopTime = std::chrono::milliseconds(40);
+/// Earlier percentages say little about the run's end.
+constexpr double MinimumPercent = 10;
+/// Reported progress is rounded, and some milliseconds old.
+constexpr double PercentError = 1.5;
+/// A run that is overdue goes on for about this share of its time so far.
+constexpr double OverdueShare = 0.25;
+
+} // namespace
+
+ExpectedRelease PoolManager::expectedRelease(const Run &Each, core::TimePoint Now) const {
+  if (Each.State == RunState::Stopping)
+    return {Now + StopTime, 0, Each.Need};
+  double Elapsed = core::toMilliseconds(Now - Each.StartSentAt);
+  double Rest = core::toMilliseconds(Each.ExpectedEnd - Now);
+  auto Found = Jobs_.find(Each.Job);
+  double Deviation = Found == Jobs_.end()
+                         ? 0
+                         : Found->second.Steps[Found->second.stepOf(Each.TaskNumber)].Deviation;
+  double Error = Deviation * core::toMilliseconds(Each.ExpectedEnd - Each.StartSentAt);
+  if (Each.State == RunState::Running && Each.PercentDone >= MinimumPercent) {
+    double Total = core::toMilliseconds(Each.PercentAt - Each.StartSentAt) * 100 / Each.PercentDone;
+    Rest = Total - Elapsed;
+    Error = std::min(Error, Total * PercentError / Each.PercentDone);
+  }
+  if (Rest <= 0) {
+    Rest = OverdueShare * Elapsed;
+    Error = Rest;
+  }
+  return {Now + core::fromMilliseconds(Rest), Error, Each.Need};
+}
+
+RackTimetable &PoolManager::timetableFor(const PoolJob &Job, std::uint32_t Step,
+                                         core::TimePoint Now) {
+  const auto &Wanted = Job.Submission->Steps[Step];
+  const auto &Service = Job.Submission->Policy.Service;
+  auto [Position, IsNew] =
+      Timetables_.try_emplace({Wanted.DataRack, Service, Wanted.RequiredLabel});
+  auto &Rack = Position->second;
+  if (!IsNew)
+    return Rack;
+  std::vector<ExpectedRelease> Releases;
+  for (std::size_t Each = 0; Each < Fleet_.size(); ++Each) {
+    auto Index = static_cast<EndpointIndex>(Each);
+    const auto &Known = Fleet_.at(Index);
+    if (Known.Entry.Service != Service || !Known.Entry.hasLabel(Wanted.DataRack) ||
+        (!Wanted.RequiredLabel.empty() && !Known.Entry.hasLabel(Wanted.RequiredLabel)))
+      continue;
+    auto Availability = availabilityOf(Index, Now);
+    if (Availability.Speed <= 0)
+      continue;
+    Releases.clear();
+    for (const auto &Running : Known.Runs)
+      Releases.push_back(expectedRelease(Running, Now));
+    Rack.addWorker(Availability.Free, Availability.FreeSlots, Availability.Speed, Releases);
+  }
+  return Rack;
+}
+
+bool PoolManager::waitsForData(PoolJob &Job, std::uint32_t Step,
+                               const PoolPlacementRequest &Request, const WorkerEntry &Chosen,
+                               double EndMilliseconds, core::TimePoint Now) {
+  const auto &Rack = Request.Step->DataRack;
+  auto &Progress = Job.Steps[Step];
+  if (Rack.empty() || Job.IsDelegation)
+    return false; // The other manager needs a start or a refusal at once.
+  if (Chosen.hasLabel(Rack)) {
+    startsNearData(Job, Progress, EndMilliseconds, Now);
+    return false;
+  }
+  bool MayWait = DataWaitPolicy_ && Request.RemoteFactor > 1 && !Progress.Wait.IsOver &&
+                 Request.Step->MaximumPerWorker == 0;
+  if (!MayWait)
+    return false;
+  if (Progress.Wait.PlannedIn != DispatchNumber_)
+    planDataWait(Job, Step, Request, EndMilliseconds, Now);
+  if (Progress.Waiting > Progress.Wait.Tasks) {
+    Progress.Wait.StartedAway += Progress.Wait.Tasks > 0 ? 1 : 0;
+    return false;
+  }
+  return true;
+}
+
+void PoolManager::planDataWait(PoolJob &Job, std::uint32_t Step,
+                               const PoolPlacementRequest &Request, double EndMilliseconds,
+                               core::TimePoint Now) {
+  auto &Progress = Job.Steps[Step];
+  auto &Wait = Progress.Wait;
+  Wait.PlannedIn = DispatchNumber_;
+  auto Plan = DataWaitPolicy_->plan({Request.Step->Need, Progress.Waiting, Request.TypicalRunTime,
+                                     Progress.Deviation, EndMilliseconds,
+                                     Request.ObjectiveMilliseconds, Request.UsefulMilliseconds},
+                                    timetableFor(Job, Step, Now), Now);
+  if (Plan.Tasks < Wait.Tasks)
+    return releaseFromWait(Job, Step, Wait.Tasks - Plan.Tasks, &PoolCounters::DataWaitsUseless,
+                           Plan.WhyNot, Now);
+  if (Wait.Tasks == 0 && Plan.Tasks > 0) {
+    Wait = {};
+    Wait.PlannedIn = DispatchNumber_;
+    Wait.Since = Now;
+    Wait.Deadline = Plan.Deadline;
+    Wait.AwayEnd = Now + core::fromMilliseconds(EndMilliseconds);
+    Wait.ExpectedGain = Plan.ExpectedGain;
+  }
+  Wait.Tasks = Plan.Tasks;
+  RackDemand_.want(Request.Step->DataRack, Now);
+}
+
+void PoolManager::startsNearData(const PoolJob &Job, StepProgress &Progress, double EndMilliseconds,
+                                 core::TimePoint Now) {
+  auto &Wait = Progress.Wait;
+  if (Wait.Tasks == 0)
+    return;
+  --Wait.Tasks;
+  ++Wait.StartedNear;
+  double Gain = core::toMilliseconds(Wait.AwayEnd - Now) - EndMilliseconds;
+  Wait.Gain += Gain;
+  ++Counters_.DataWaitsNear;
+  Counters_.DataWaitMilliseconds += core::toMilliseconds(Now - Wait.Since);
+  Counters_.DataWaitExpectedGain += Wait.ExpectedGain;
+  Counters_.DataWaitGain += Gain;
+  if (Wait.Tasks == 0)
+    logWaitEnd(Job, Progress, "room near the data", Now);
+}
+
+void PoolManager::releaseFromWait(PoolJob &Job, std::uint32_t Step, std::uint32_t Tasks,
+                                  std::uint64_t PoolCounters::*Outcome, std::string_view Why,
+                                  core::TimePoint Now) {
+  if (Tasks == 0)
+    return;
+  auto &Wait = Job.Steps[Step].Wait;
+  double Waited = core::toMilliseconds(Now - Wait.Since) * Tasks;
+  Wait.Tasks -= Tasks;
+  Wait.Gain -= Waited;
+  Counters_.*Outcome += Tasks;
+  Counters_.DataWaitMilliseconds += Waited;
+  Counters_.DataWaitExpectedGain += Wait.ExpectedGain * Tasks;
+  Counters_.DataWaitGain -= Waited;
+  if (Wait.Tasks > 0)
+    return;
+  Wait.IsOver = true;
+  logWaitEnd(Job, Job.Steps[Step], Why, Now);
+}
+
+void PoolManager::logWaitEnd(const PoolJob &Job, const StepProgress &Progress, std::string_view Why,
+                             core::TimePoint Now) {
+  const auto &Wait = Progress.Wait;
+  auto Step = Job.stepOf(Progress.FirstTask);
+  Log_.line(DecisionPriority::Routine, "wait for data ended", Job.key(),
+            {{"step", static_cast<std::int64_t>(Step)},
+             {"rack", std::string_view(Job.Submission->Steps[Step].DataRack)},
+             {"why", Why},
+             {"waited_ms", core::toMilliseconds(Now - Wait.Since)},
+             {"started_near", static_cast<std::int64_t>(Wait.StartedNear)},
+             {"started_away", static_cast<std::int64_t>(Wait.StartedAway)},
+             {"expected_gain_ms", Wait.ExpectedGain},
+             {"gain_ms", Wait.Gain}});
+}
+
+void PoolManager::endExpiredWaits(PoolJob &Job, core::TimePoint Now) {
+  for (std::uint32_t Step = 0; Step < Job.Steps.size(); ++Step) {
+    const auto &Wait = Job.Steps[Step].Wait;
+    if (Wait.Tasks > 0 && Now >= Wait.Deadline)
+      releaseFromWait(Job, Step, Wait.Tasks, &PoolCounters::DataWaitsExpired,
+                      "the wait's deadline passed", Now);
+  }
+}
+
+bool PoolManager::hasWorkWithoutRoom() const {
+  return std::any_of(Queue_.begin(), Queue_.end(), [this](const PoolQueue::Key &Key) {
+    return !Jobs_.at(Key.Handle).onlyWaitsForData();
+  });
+}
+
+void PoolManager::markWantedRacks(core::TimePoint Now) {
+  IsRackWanted_.assign(RackDemand_.empty() ? 0 : Fleet_.size(), false);
+  for (std::size_t Position = 0; Position < IsRackWanted_.size(); ++Position)
+    IsRackWanted_[Position] =
+        RackDemand_.isWanted(Fleet_.at(static_cast<EndpointIndex>(Position)).Entry, Now);
+}
+
+bool PoolManager::isRackWanted(EndpointIndex Worker, const JobStep &Step) const {
+  auto Position = static_cast<std::size_t>(Worker);
+  if (Position >= IsRackWanted_.size() || !IsRackWanted_[Position])
+    return false;
+  return Step.DataRack.empty() || !Fleet_.at(Worker).Entry.hasLabel(Step.DataRack);
+}
+
+} // namespace cornellift::kernel
--- a/Kernel/Pool/PoolManagerJobs.cpp
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -96,12 +96,13 @@
     Job.Steps.push_back(
         {FirstTask, Step.Count, 0, Estimate.medianMilliseconds(), Estimate.LogDeviation});
     FirstTask += Step.Count;
+    if (!Step.DataRack.empty() && Settings_.RemoteFactor > 1)
+      RackDemand_.want(Step.DataRack, Now);
   }
   Job.Tasks.resize(FirstTask);
   setDeadlines(Job);
   if (!IsDelegation)
     unblockSteps(Job);
-  (void)Now;
   return Job;
 }
 
@@ -193,8 +194,11 @@
 void PoolManager::endJob(PoolJob &Job, JobAnswer Answer, core::TimePoint Now) {
   Job.IsEnding = true;
   Queue_.remove(Job.Handle);
-  for (auto &Step : Job.Steps)
-    Step.Waiting = 0;
+  for (std::uint32_t Step = 0; Step < Job.Steps.size(); ++Step) {
+    releaseFromWait(Job, Step, Job.Steps[Step].Wait.Tasks, &PoolCounters::DataWaitsJobEnded,
+                    "the job ended", Now);
+    Job.Steps[Step].Waiting = 0;
+  }
   switch (Answer.Verdict) {
   case JobVerdict::Completed:
     ++Counters_.JobsCompleted;
--- a/Kernel/Pool/PoolManagerPlacement.cpp
+++ b/Kernel/Pool/PoolManagerPlacement.cpp
@@ -73,10 +73,17 @@
 
 void PoolManager::dispatch(core::TimePoint Now) {
   updateSpeeds(Now);
+  markWantedRacks(Now);
+  Timetables_.clear();
+  ++DispatchNumber_;
   std::vector<JobHandle> Selected;
+  std::size_t WaitForData = 0; // These leave their places in the dispatch to others.
   for (const auto &Key : Queue_) {
-    if (Selected.size() >= JobsPerDispatch)
+    if (Selected.size() >= JobsPerDispatch + std::min(WaitForData, JobsPerDispatch))
       break;
+    auto &Job = Jobs_.at(Key.Handle);
+    endExpiredWaits(Job, Now);
+    WaitForData += Job.onlyWaitsForData() ? 1 : 0;
     Selected.push_back(Key.Handle);
   }
   auto Largest = mostFreeProcessors(Now);
@@ -139,6 +146,10 @@
   auto AtPeer = Job.IsDelegation ? std::nullopt : chooseRemote(Chooser, Request, Now);
   if (!Own && !AtPeer)
     return false;
+  const auto &Chosen = AtPeer ? Remotes_.at(AtPeer->first).Pool.workers()[AtPeer->second].Entry
+                              : Fleet_.at(*Own).Entry;
+  if (waitsForData(Job, Step, Request, Chosen, Chooser.bestEnd(), Now))
+    return false;
   if (!Job.IsDelegation) {
     --Job.Steps[Step].Waiting;
     PlacementRate_.placed(Job.Steps[Step].TypicalMilliseconds);
@@ -165,7 +176,8 @@
   std::optional<EndpointIndex> Best;
   for (std::size_t Position = 0; Position < Fleet_.size(); ++Position) {
     auto Index = static_cast<EndpointIndex>(Position);
-    PlacementCandidate Candidate{&Fleet_.at(Index).Entry, availabilityOf(Index, Now), 0};
+    PlacementCandidate Candidate{&Fleet_.at(Index).Entry, availabilityOf(Index, Now), 0,
+                                 isRackWanted(Index, *Request.Step)};
     if (!isEligible(Request, Candidate) || exceedsWorkerBound(Job, Step, Index))
       continue;
     if (Chooser.consider(Candidate))
--- a/Kernel/Pool/PoolManagerQueue.cpp
+++ b/Kernel/Pool/PoolManagerQueue.cpp
@@ -88,6 +88,8 @@
   Waiting.reserve(Queue_.size());
   for (const auto &Key : Queue_) {
     const auto &Job = Jobs_.at(Key.Handle);
+    if (Job.onlyWaitsForData())
+      continue; // Nothing ahead of it delays it.
     Waiting.push_back({Key.Handle, Key.Prospect, Job.mayHaveRun(), Job.waitingMilliseconds(),
                        core::fromMilliseconds(shortestRunTime(Job)), Job.LatestStart,
                        Job.UsefulUntil});
--- a/Kernel/Pool/PoolPlacement.h
+++ b/Kernel/Pool/PoolPlacement.h
@@ -24,6 +24,8 @@
   const WorkerEntry *Entry = nullptr;
   WorkerAvailability Availability;
   double ExtraMilliseconds = 0; ///< Start delay beyond that of this manager's own workers.
+  /// Other tasks want the worker's rack, which has their data.
+  bool IsRackWanted = false;
 };
 
 /// Expected time until the task ends on that worker, including the start delay.
@@ -35,8 +37,9 @@
 
 /// Selects the best worker for one task.
 ///
-/// The earliest expected end wins. Among nearly equal ends, the worker with the least free capacity
-/// left over wins (best fit), which keeps large gaps for large tasks. Workers on which the task
+/// The earliest expected end wins. Among nearly equal ends, a worker whose rack is not wanted by
+/// other tasks wins, then the one with the least free capacity left over (best fit), which keeps
+/// large gaps for large tasks. Workers on which the task
 /// would miss its objective are considered only if not even the fastest worker could meet it.
 class PlacementChooser {
 public:
@@ -45,11 +48,15 @@
   /// Returns whether this is the best candidate so far.
   bool consider(const PlacementCandidate &Candidate);
 
+  /// Expected time until the task ends on the best candidate, in milliseconds.
+  double bestEnd() const { return BestEnd_; }
+
 private:
   const PoolPlacementRequest &Request_;
   bool MayBeLate_;
   bool HasBest_ = false;
   double BestEnd_ = 0;
+  bool IsBestWanted_ = false;
   double BestRemaining_ = 0;
 };
 
