Tests: Evacuated data centres on the virtual clock and with real processes

The virtual clock's store gets operators' requests that each VM reads at the interval of its watch, or not at all.

--- a/Services/FleetStandIn/FleetStandIn.cpp
+++ b/Services/FleetStandIn/FleetStandIn.cpp
@@ -274,6 +274,8 @@
   else if (Target.starts_with("/store/put"))
     Store_.apply({{}, {{std::string(parameter(Target, "key")), std::string(Call->body()), 0}}, {}},
                  Now);
+  else if (Target.starts_with("/store/remove"))
+    Store_.apply({{}, {}, {std::string(parameter(Target, "key"))}}, Now);
   else if (Target.starts_with("/store"))
     setStore(Target);
   else if (Target.starts_with("/worker"))
--- a/Tests/Integration/PoolDeployment.cpp
+++ b/Tests/Integration/PoolDeployment.cpp
@@ -266,6 +266,21 @@
   return Result;
 }
 
+void PoolDeployment::setEvacuated(const std::string &DataCentre, bool IsEvacuated) const {
+  control("POST", std::string(IsEvacuated ? "/store/put" : "/store/remove") + "?key=op/evacuate/" +
+                      DataCentre);
+}
+
+std::size_t PoolDeployment::startsIn(const std::string &DataCentre) const {
+  auto Centre = std::find(Settings_.DataCentres.begin(), Settings_.DataCentres.end(), DataCentre) -
+                Settings_.DataCentres.begin();
+  auto Runs = runs();
+  return static_cast<std::size_t>(std::count_if(Runs.begin(), Runs.end(), [&](const auto &Run) {
+    auto Number = std::stoul(Run.Worker.substr(Run.Worker.find('-') + 1));
+    return Number / Settings_.WorkersPerDataCentre == static_cast<std::size_t>(Centre);
+  }));
+}
+
 std::string PoolDeployment::managerOf(const std::string &DataCentre) {
   for (auto &Vm : Vms_)
     if (Vm.Process && Vm.Process->isRunning() && Vm.DataCentre == DataCentre &&
--- a/Tests/Integration/PoolDeployment.h
+++ b/Tests/Integration/PoolDeployment.h
@@ -76,7 +76,12 @@
   /// Running VMs on which another version is in force.
   std::vector<std::string> vmsWithoutVersion(std::uint64_t Version);
 
+  /// Writes or removes the operators' request to evacuate the data centre.
+  void setEvacuated(const std::string &DataCentre, bool IsEvacuated) const;
+
   std::vector<ObservedRun> runs() const;
+  /// Number of runs that workers of the data centre have started.
+  std::size_t startsIn(const std::string &DataCentre) const;
   /// Describes each task that had two runs at the same time.
   std::vector<std::string> overlaps() const;
 
--- a/Tests/Pool/PoolSimulation.cpp
+++ b/Tests/Pool/PoolSimulation.cpp
@@ -283,6 +283,26 @@
   CutWorkers_[{Vm, Worker}] = Now_ + Span;
 }
 
+void PoolSimulation::setEvacuated(std::size_t DataCentre, bool IsEvacuated) {
+  auto Name = "dc" + std::to_string(DataCentre);
+  Log_.line(DecisionPriority::StateChange, IsEvacuated ? "evacuated" : "restored", std::nullopt,
+            {{"data_centre", std::string_view(Name)}});
+  if (IsEvacuated)
+    Evacuated_.insert(Name);
+  else
+    Evacuated_.erase(Name);
+}
+
+std::size_t PoolSimulation::startsSince(std::size_t DataCentre, core::TimePoint Since) const {
+  std::size_t Count = 0;
+  for (const auto &Worker : Workers_)
+    if (Worker->entry().DataCentre == "dc" + std::to_string(DataCentre))
+      Count += static_cast<std::size_t>(
+          std::count_if(Worker->history().begin(), Worker->history().end(),
+                        [&](const auto &Run) { return Run.StartedAt >= Since; }));
+  return Count;
+}
+
 void PoolSimulation::restartWorker(std::size_t Worker) {
   Log_.line(DecisionPriority::StateChange, "worker restarts", std::nullopt,
             {{"worker", static_cast<std::int64_t>(Worker)}});
--- a/Tests/Pool/PoolSimulation.h
+++ b/Tests/Pool/PoolSimulation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Kernel/Pool/Evacuations.h"
 #include "Kernel/Pool/PoolElection.h"
 #include "Kernel/Pool/PoolManager.h"
 #include "Services/FleetStandIn/WorkerModel.h"
@@ -73,6 +74,12 @@
   void stopGracefully(std::size_t Vm, core::Duration DownTime);
   void cutVms(std::size_t One, std::size_t Other, core::Duration Span);
   void cutWorker(std::size_t Vm, std::size_t Worker, core::Duration Span);
+  /// The store serves the VM no more for that time.
+  void cutStore(std::size_t Vm, core::Duration Span) { StoreCutUntil_[Vm] = Now_ + Span; }
+  /// Writes or removes an operator's request to evacuate the data centre, by its index.
+  void setEvacuated(std::size_t DataCentre, bool IsEvacuated);
+  /// Number of runs that started on workers of the data centre since that time.
+  std::size_t startsSince(std::size_t DataCentre, core::TimePoint Since) const;
   /// Restarts a worker, whose new entry is published up to MaximumListingLag later.
   void restartWorker(std::size_t Worker);
   /// The worker is down and then returns as a new incarnation that gets commands on new connections
@@ -144,7 +151,9 @@
   std::vector<std::unique_ptr<Vm>> Vms_;
   std::map<std::pair<std::size_t, std::size_t>, core::TimePoint> CutVms_;
   std::map<std::pair<std::size_t, std::size_t>, core::TimePoint> CutWorkers_;
-  std::map<std::size_t, core::TimePoint> SilentPolls_; ///< End of the silence, by worker.
+  std::set<std::string> Evacuated_;                      ///< As the store has it.
+  std::map<std::size_t, core::TimePoint> StoreCutUntil_; ///< By VM.
+  std::map<std::size_t, core::TimePoint> SilentPolls_;   ///< End of the silence, by worker.
   /// Start of the current disconnection of two VMs.
   std::map<std::pair<std::size_t, std::size_t>, core::TimePoint> DisconnectedSince_;
   std::map<JobKey, std::unique_ptr<Caller>> Callers_;
--- a/Tests/Pool/PoolSimulationVm.h
+++ b/Tests/Pool/PoolSimulationVm.h
@@ -42,7 +42,7 @@
     for (std::size_t Each = 0; Each < Simulation.Settings_.DataCentres; ++Each)
       All.insert("dc" + std::to_string(Each));
     Election_.setDataCentres(All);
-    Election_.setReady(true);
+    readStore();
     Tokens_.observeRevision(Simulation.Revision_);
   }
 
@@ -58,6 +58,7 @@
     auto Now = Simulation_.Now_;
     for (const auto &[Other, Peer] : PeerOf_)
       Manager_.peerHeard(Peer, Simulation_.lastHeard(Index_, Other));
+    readStore();
     applyElection();
     Manager_.tick(Now);
     for (auto Entry = Open_.begin(); Entry != Open_.end();) {
@@ -174,7 +175,7 @@
       return;
     NextHeartbeatAt_ = Simulation_.Now_ + std::chrono::milliseconds(100);
     auto State = self();
-    State.IsReady = true;
+    State.IsReady = Evacuations_.isKnown();
     State.IsStopping = IsStopping_;
     State.Managed = Election_.managed();
     State.Releasing = Election_.releasing();
@@ -182,11 +183,27 @@
     bool TakesPart = !State.Managed.empty() || !State.Releasing.empty() || Manager_.jobCount() > 0;
     auto Token = Tokens_.highest();
     for (const auto &[Other, Peer] : PeerOf_)
-      deliver(Other, [State, TakesPart, Token](Vm &Receiver, PeerIndex From) {
+      deliver(Other, [State, TakesPart, Token, Evacuated = Evacuations_.state()](Vm &Receiver,
+                                                                                 PeerIndex From) {
+        Receiver.learnEvacuations(Evacuated);
         Receiver.heartbeatReceived(From, State, TakesPart, Token);
       });
   }
 
+  /// Reads the operators' keys, at the interval of their watch.
+  void readStore() {
+    if (Simulation_.Now_ < NextReadAt_ || Simulation_.Now_ < Simulation_.StoreCutUntil_[Index_])
+      return;
+    NextReadAt_ = Simulation_.Now_ + std::chrono::milliseconds(600);
+    learnEvacuations({Simulation_.Revision_, Simulation_.Evacuated_});
+  }
+
+  void learnEvacuations(const EvacuationState &Told) {
+    if (!Evacuations_.learn(Told, Simulation_.Now_).empty())
+      Manager_.setEvacuated(Evacuations_.state().DataCentres, Simulation_.Now_);
+    Election_.setReady(Evacuations_.isKnown());
+  }
+
   void heartbeatReceived(PeerIndex From, const CandidateState &State, bool TakesPart,
                          std::uint64_t Token) {
     Election_.peerChanged(From, State, Simulation_.Now_);
@@ -454,6 +471,8 @@
   TraceLog Log_;
   TokenSource Tokens_;
   PoolElection Election_;
+  Evacuations Evacuations_;
+  core::TimePoint NextReadAt_; ///< Of the store.
   PoolManager Manager_;
   std::map<std::size_t, PeerIndex> PeerOf_;
   std::uint32_t NextPeer_ = 1;
