Pool: Tell a long job from a slow worker

Cause: a run that was expected to end late was moved whenever a fresh run would have been in time by the declared length. Jobs that had run were given up three times the declared objective after they came, though the objective follows the actual work.

Change: RunPrognosis compares the two explanations by the siblings on other workers, the neighbours on the same worker and the spread of the kind. A run is moved only if the worker is at fault and the fresh run is in time with a margin. A job whose progress shows more length than expected gets the deadlines of that length, and its waiting tasks that estimate; runs that have ended count, too. A job whose tasks all run at other managers is not given up by its declared length: those managers report a task that cannot be done.

--- a/Kernel/Pool/PoolCounters.h
+++ b/Kernel/Pool/PoolCounters.h
@@ -23,6 +23,8 @@
   std::uint64_t DelegationsRefused = 0;
   std::uint64_t TasksAccepted = 0; ///< Delegated by other managers.
   std::uint64_t StragglersMoved = 0;
+  std::uint64_t MovesAvoided = 0; ///< Late runs that stayed, because their jobs are long.
+  std::uint64_t JobsExtended = 0; ///< Jobs that have shown to be longer than expected.
 };
 
 } // namespace cornellift::kernel
--- a/Kernel/Pool/PoolJob.cpp
+++ b/Kernel/Pool/PoolJob.cpp
@@ -26,7 +26,7 @@
 double PoolJob::waitingMilliseconds() const {
   double Sum = 0;
   for (const auto &Step : Steps)
-    Sum += Step.Waiting * Step.TypicalMilliseconds;
+    Sum += Step.Waiting * Step.expectedMilliseconds();
   return Sum;
 }
 
@@ -50,6 +50,18 @@
       }));
 }
 
+bool PoolJob::hasRunsElsewhere() const {
+  return std::any_of(Tasks.begin(), Tasks.end(), [](const PoolTask &Task) {
+    return Task.State == TaskState::Delegated || Task.State == TaskState::PossiblyRunning;
+  });
+}
+
+bool PoolJob::hasObservedStep() const {
+  return std::any_of(Steps.begin(), Steps.end(), [](const StepProgress &Step) {
+    return Step.Unfinished > 0 && Step.ObservedMilliseconds > 0;
+  });
+}
+
 bool PoolJob::isFinished() const {
   return std::all_of(Steps.begin(), Steps.end(),
                      [](const StepProgress &Step) { return Step.Unfinished == 0; });
--- a/Kernel/Pool/PoolJob.h
+++ b/Kernel/Pool/PoolJob.h
@@ -3,6 +3,7 @@
 #include "Kernel/Identifiers.h"
 #include "Kernel/Pool/JobSubmission.h"
 #include "Kernel/Pool/PoolMessages.h"
+#include "Kernel/Pool/RunPrognosis.h"
 #include "Kernel/Pool/Worker.h"
 #include "Libraries/LibCore/Time.h"
 
@@ -27,6 +28,7 @@
   std::uint32_t Failures = 0;
   std::uint32_t LastRun = 0; ///< Highest run number used so far.
   std::uint32_t Moves = 0;   ///< How often a straggling run was stopped to restart it elsewhere.
+  bool StaysAsLong = false;  ///< A late run stayed on its worker, because the job is long.
   EndpointIndex Worker{};    ///< If Placed.
   PeerIndex Manager{};       ///< If Delegated or PossiblyRunning.
   core::TimePoint EndedBy;   ///< If PossiblyRunning: the task no longer runs for certain.
@@ -38,9 +40,18 @@
   std::uint32_t Waiting = 0;
   double TypicalMilliseconds = 0; ///< Expected run time on a typical worker.
   double Deviation = 0;           ///< Standard deviation of the run time's natural logarithm.
-  /// Run time on a typical worker, extrapolated from the progress of the step's runs; zero while
-  /// unknown. All tasks of a step are assumed to be of similar length.
+  /// Run time on a typical worker, extrapolated from the progress of the step's runs and taken from
+  /// those that have ended; zero while unknown. All tasks of a step are assumed to be of similar
+  /// length.
   double ObservedMilliseconds = 0;
+  /// The least run time that this progress shows; zero unless it is longer than expected.
+  double ShownMilliseconds = 0;
+  std::vector<ObservedRun> Ended; ///< The first runs that were done on workers of this manager.
+
+  /// The best estimate of a task's run time on a typical worker.
+  double expectedMilliseconds() const {
+    return ObservedMilliseconds > 0 ? ObservedMilliseconds : TypicalMilliseconds;
+  }
 };
 
 /// A job at a pool manager, or a delegation: the part of another manager's job that was delegated
@@ -56,6 +67,7 @@
   core::TimePoint ObjectiveAt; ///< Time by which the job should be answered.
   core::TimePoint UsefulUntil; ///< Later answers are of no use to the caller.
   core::TimePoint LatestStart; ///< Starting later is likely to miss the objective.
+  bool IsLong = false;         ///< Its progress has shown that it is longer than expected.
   bool HasRun = false;         ///< One of its runs has ended, or was lost after its start.
   bool IsEnding = false;       ///< Answered; the remaining runs are being stopped.
   std::optional<core::TimePoint> OrphanedUntil;
@@ -71,6 +83,10 @@
   double waitingMilliseconds() const;
   /// Number of tasks that run or may run.
   std::uint32_t active() const;
+  /// Returns whether tasks may run at other managers, which know their progress.
+  bool hasRunsElsewhere() const;
+  /// Returns whether the length of a step that goes on is known from its runs.
+  bool hasObservedStep() const;
   /// Returns whether any task has run or may run. Otherwise the job can be rejected truthfully,
   /// even if workers have refused starts of its tasks.
   bool mayHaveRun() const;
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -166,11 +166,25 @@
   void visitCandidates(const PoolJob &Job, std::uint32_t Step, const PoolPlacementRequest &Request,
                        core::TimePoint Now, Visitor Visit) const;
 
-  // PoolManagerStragglers.cpp: runs that are expected to end too late.
+  // PoolManagerStragglers.cpp: runs that are expected to end too late, and jobs that are long.
   void moveStragglers(core::TimePoint Now);
   void observeProgress(PoolJob &Job, core::TimePoint Now);
+  /// The step's runs whose length is known, or can be extrapolated.
+  std::vector<ObservedRun> observedRuns(const PoolJob &Job, std::uint32_t Step) const;
+  std::vector<NeighbourRun> neighboursOn(EndpointIndex Worker, const PoolJob &Except) const;
+  RunPrognosis prognosisOf(const PoolJob &Job, std::uint32_t Step, const ObservedRun &Own,
+                           std::span<const ObservedRun> Siblings) const;
+  /// Moves the deadlines of a job that has shown to be longer than expected.
+  void extendJob(PoolJob &Job, std::uint32_t Step, std::size_t Runs, core::TimePoint Now);
   void checkForStraggler(PoolJob &Job, std::uint32_t Task, core::TimePoint Now);
+  /// Stops the run, so that its task starts again elsewhere, if that serves the caller better.
+  void moveRun(PoolJob &Job, std::uint32_t Task, const Run &Running, const RunPrognosis &Prognosis,
+               double RemainingMilliseconds, core::TimePoint Now);
+  void stayOnWorker(PoolJob &Job, std::uint32_t Task, const Run &Running,
+                    const RunPrognosis &Prognosis, double RemainingMilliseconds);
   void giveUpTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now);
+  /// Until when an answer can be of use.
+  static core::TimePoint usefulLimit(const PoolJob &Job);
   std::optional<double> fastestRestart(const PoolJob &Job, std::uint32_t Step, EndpointIndex Except,
                                        double TypicalMilliseconds, core::TimePoint Now) const;
 
@@ -192,7 +206,7 @@
   bool mayRunOn(const WorkerEntry &Entry, const Run &Each) const override;
   std::optional<core::TimePoint> leaseLimitOf(const Run &Each) const override;
   void availabilityIncreased(core::TimePoint Now) override;
-  void recordOutcome(EndpointIndex Worker, const PoolJob &Job, const Run &Ended, RunOutcome How,
+  void recordOutcome(EndpointIndex Worker, PoolJob &Job, const Run &Ended, RunOutcome How,
                      core::TimePoint Now);
   void afterEvent(core::TimePoint Now);
 
--- a/Kernel/Pool/PoolManagerJobs.cpp
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -93,8 +93,11 @@
   std::uint32_t FirstTask = 0;
   for (const auto &Step : Submission->Steps) {
     auto Estimate = Kinds_.estimate(Job.Kind, Step);
-    Job.Steps.push_back(
-        {FirstTask, Step.Count, 0, Estimate.medianMilliseconds(), Estimate.LogDeviation});
+    auto &Progress = Job.Steps.emplace_back();
+    Progress.FirstTask = FirstTask;
+    Progress.Unfinished = Step.Count;
+    Progress.TypicalMilliseconds = Estimate.medianMilliseconds();
+    Progress.Deviation = Estimate.LogDeviation;
     FirstTask += Step.Count;
   }
   Job.Tasks.resize(FirstTask);
@@ -116,19 +119,24 @@
         Begin = std::max(Begin, EndOfStep[Earlier]);
     double LongestFactor =
         1 + LongestPerDoubling * std::log2(std::max(1U, Submission.Steps[Step].Count));
-    EndOfStep[Step] = Begin + Job.Steps[Step].TypicalMilliseconds * MeanSlowness_ * LongestFactor;
+    double Typical =
+        std::max(Job.Steps[Step].TypicalMilliseconds, Job.Steps[Step].ShownMilliseconds);
+    EndOfStep[Step] = Begin + Typical * MeanSlowness_ * LongestFactor;
     Longest = std::max(Longest, EndOfStep[Step]);
   }
   double Objective =
       Submission.Policy.Stretch * Longest + Submission.Policy.TargetLatencyMilliseconds;
   // The caller's deadline applies even if the objective of a large job is later.
-  Job.ObjectiveAt = std::min(Submission.AnswerBy,
-                             Submission.ReceivedAt +
-                                 core::fromMilliseconds(Objective - ClientOverheadMilliseconds));
-  Job.UsefulUntil =
+  auto ObjectiveAt = std::min(Submission.AnswerBy,
+                              Submission.ReceivedAt +
+                                  core::fromMilliseconds(Objective - ClientOverheadMilliseconds));
+  auto UsefulUntil =
       std::min(Submission.AnswerBy,
                Submission.ReceivedAt + core::fromMilliseconds(Objective * UsefulFactor));
-  Job.LatestStart = Job.ObjectiveAt - core::fromMilliseconds(Longest);
+  // A job that has shown its length gets more time; none is ever taken from it.
+  Job.ObjectiveAt = std::max(Job.ObjectiveAt, ObjectiveAt);
+  Job.UsefulUntil = std::max(Job.UsefulUntil, UsefulUntil);
+  Job.LatestStart = std::max(Job.LatestStart, ObjectiveAt - core::fromMilliseconds(Longest));
 }
 
 void PoolManager::unblockSteps(PoolJob &Job) {
--- a/Kernel/Pool/PoolManagerPlacement.cpp
+++ b/Kernel/Pool/PoolManagerPlacement.cpp
@@ -122,9 +122,7 @@
   PoolPlacementRequest Request;
   Request.Step = &Job.Submission->Steps[Step];
   Request.Policy = &Job.Submission->Policy;
-  const auto &Progress = Job.Steps[Step];
-  Request.TypicalRunTime = Progress.ObservedMilliseconds > 0 ? Progress.ObservedMilliseconds
-                                                             : Progress.TypicalMilliseconds;
+  Request.TypicalRunTime = Job.Steps[Step].expectedMilliseconds();
   Request.ObjectiveMilliseconds = core::toMilliseconds(Job.ObjectiveAt - Now);
   Request.UsefulMilliseconds = core::toMilliseconds(Job.UsefulUntil - Now);
   Request.RemoteFactor = Settings_.RemoteFactor;
--- a/Kernel/Pool/PoolManagerQueue.cpp
+++ b/Kernel/Pool/PoolManagerQueue.cpp
@@ -19,7 +19,7 @@
   double Longest = 0;
   for (const auto &Step : Job.Steps)
     if (Step.Waiting > 0)
-      Longest = std::max(Longest, Step.TypicalMilliseconds);
+      Longest = std::max(Longest, Step.expectedMilliseconds());
   return Longest / std::max(FastestSpeed_, MinimumSpeed);
 }
 
@@ -112,10 +112,9 @@
       continue;
     }
     // A waiting task still needs its run time on the fastest worker.
-    auto Limit =
-        Job.waiting() > 0
-            ? Job.UsefulUntil - core::fromMilliseconds(shortestRunTime(Job) * MinimumRunTimeShare)
-            : Job.UsefulUntil;
+    auto Limit = usefulLimit(Job);
+    if (Job.waiting() > 0)
+      Limit -= core::fromMilliseconds(shortestRunTime(Job) * MinimumRunTimeShare);
     if (Now < Limit)
       continue;
     auto Verdict = Job.mayHaveRun() ? JobVerdict::GivenUp : JobVerdict::Rejected;
--- a/Kernel/Pool/PoolManagerStragglers.cpp
+++ b/Kernel/Pool/PoolManagerStragglers.cpp
@@ -1,7 +1,7 @@
 #include "Kernel/Pool/PoolManager.h"
 
 #include <algorithm>
-#include <cmath>
+#include <iterator>
 
 namespace cornellift::kernel {
 namespace {
@@ -11,19 +11,31 @@
 /// Minimum elapsed time for extrapolating a run's progress; earlier percentages mean little.
 constexpr double MinimumObservedMilliseconds = 80;
 constexpr std::uint32_t MaximumMoves = 2;
-/// A run that takes this many times the expected time indicates a faulty worker rather than a large
-/// task, unless other tasks of the step on other workers take as long.
-constexpr double SlowWorkerFactor = 3;
+/// A fresh run has to be expected to end this much sooner than needed, as estimates are rough.
+constexpr double FreshRunMargin = 1.15;
+/// A job counts as long if its tasks take this many times the expected time.
+constexpr double LongJobFactor = 1.5;
+/// A job's deadlines follow its length in steps of this factor.
+constexpr double NotableExtension = 1.1;
 /// Assumed error of reported progress in percentage points. Progress is reported in whole percents,
 /// which makes an end extrapolated from a few of them uncertain.
 constexpr double PercentError = 1.5;
 /// Progress in percent that is assumed for a run that has reported less.
 constexpr double MinimumPercent = 0.5;
 
-/// Run time of the task on a typical worker, extrapolated from its progress.
-double extrapolatedMilliseconds(const Run &Running, double Speed) {
+/// Progress is reported in whole percents, rounded down.
+constexpr double MiddleOfPercent = 0.5;
+constexpr double EndOfPercent = 1;
+
+/// Run time on the run's worker, extrapolated from its progress. PartOfPercent is added to that.
+double extrapolatedMilliseconds(const Run &Running, double PartOfPercent) {
   double Elapsed = core::toMilliseconds(Running.PercentAt - Running.StartSentAt);
-  return Elapsed / (std::max(Running.PercentDone, MinimumPercent) / 100) * Speed;
+  return Elapsed / (std::min(100.0, Running.PercentDone + PartOfPercent) / 100);
+}
+
+ObservedRun observe(const Run &Running, EndpointIndex Worker, double Speed) {
+  return {Worker, extrapolatedMilliseconds(Running, MiddleOfPercent) * Speed,
+          extrapolatedMilliseconds(Running, EndOfPercent) * Speed};
 }
 
 bool hasMeaningfulProgress(const Run &Running) {
@@ -34,30 +46,95 @@
 
 } // namespace
 
-void PoolManager::observeProgress(PoolJob &Job, core::TimePoint /*Now*/) {
-  std::vector<double> Extrapolated;
+std::vector<ObservedRun> PoolManager::observedRuns(const PoolJob &Job, std::uint32_t Step) const {
+  const auto &Progress = Job.Steps[Step];
+  auto Observed = Progress.Ended;
+  for (std::uint32_t Index = 0; Index < Job.Submission->Steps[Step].Count; ++Index) {
+    const auto &Task = Job.Tasks[Progress.FirstTask + Index];
+    if (Task.State != TaskState::Placed)
+      continue;
+    const auto *Running =
+        Fleet_.findRun(Task.Worker, Job.refOf(Progress.FirstTask + Index), Task.LastRun);
+    if (Running && hasMeaningfulProgress(*Running))
+      Observed.push_back(observe(*Running, Task.Worker, Ratings_.speed(Task.Worker)));
+  }
+  return Observed;
+}
+
+std::vector<NeighbourRun> PoolManager::neighboursOn(EndpointIndex Worker,
+                                                    const PoolJob &Except) const {
+  std::vector<NeighbourRun> Neighbours;
+  for (const auto &Each : Fleet_.at(Worker).Runs) {
+    auto Found = Jobs_.find(Each.Job);
+    if (Found == Jobs_.end() || Found->first == Except.Handle || !hasMeaningfulProgress(Each))
+      continue;
+    const auto &Step = Found->second.Steps[Each.Task.Step];
+    Neighbours.push_back({extrapolatedMilliseconds(Each, MiddleOfPercent) * Ratings_.speed(Worker),
+                          Step.TypicalMilliseconds, Step.Deviation});
+  }
+  return Neighbours;
+}
+
+RunPrognosis PoolManager::prognosisOf(const PoolJob &Job, std::uint32_t Step,
+                                      const ObservedRun &Own,
+                                      std::span<const ObservedRun> Siblings) const {
+  auto Neighbours = neighboursOn(Own.Worker, Job);
+  const auto &Progress = Job.Steps[Step];
+  return prognoseRun({Own, Progress.TypicalMilliseconds, Progress.Deviation, Siblings, Neighbours});
+}
+
+void PoolManager::observeProgress(PoolJob &Job, core::TimePoint Now) {
   for (std::uint32_t Step = 0; Step < Job.Steps.size(); ++Step) {
     auto &Progress = Job.Steps[Step];
-    Extrapolated.clear();
-    for (std::uint32_t Index = 0; Index < Job.Submission->Steps[Step].Count; ++Index) {
-      const auto &Task = Job.Tasks[Progress.FirstTask + Index];
-      if (Task.State != TaskState::Placed)
-        continue;
-      const auto *Running =
-          Fleet_.findRun(Task.Worker, Job.refOf(Progress.FirstTask + Index), Task.LastRun);
-      if (Running && hasMeaningfulProgress(*Running))
-        Extrapolated.push_back(extrapolatedMilliseconds(*Running, Ratings_.speed(Task.Worker)));
-    }
-    if (Extrapolated.empty())
+    if (Progress.Unfinished == 0)
+      continue;
+    auto Observed = observedRuns(Job, Step);
+    if (Observed.empty())
       continue;
-    auto Middle = Extrapolated.begin() + static_cast<std::ptrdiff_t>(Extrapolated.size() / 2);
-    std::nth_element(Extrapolated.begin(), Middle, Extrapolated.end());
-    bool IsSlowWorker =
-        Extrapolated.size() < 3 && *Middle > SlowWorkerFactor * Progress.TypicalMilliseconds;
-    Progress.ObservedMilliseconds = IsSlowWorker ? 0 : *Middle;
+    std::vector<ObservedRun> Sound;
+    std::copy_if(Observed.begin(), Observed.end(), std::back_inserter(Sound),
+                 [&](const ObservedRun &Each) {
+                   return prognosisOf(Job, Step, Each, Observed).Delay != RunDelay::SlowWorker;
+                 });
+    Progress.ObservedMilliseconds = Sound.empty() ? 0 : medianMilliseconds(Sound);
+    double Shown = Sound.empty() ? 0 : medianAtLeast(Sound);
+    if (Shown <=
+        std::max(Progress.TypicalMilliseconds, Progress.ShownMilliseconds) * NotableExtension)
+      continue;
+    Progress.ShownMilliseconds = Shown;
+    extendJob(Job, Step, Sound.size(), Now);
   }
 }
 
+void PoolManager::extendJob(PoolJob &Job, std::uint32_t Step, std::size_t Runs,
+                            core::TimePoint Now) {
+  auto Former = Job.ObjectiveAt;
+  setDeadlines(Job);
+  if (Queue_.contains(Job.Handle))
+    Queue_.set(placeInQueue(Job, Now));
+  const auto &Progress = Job.Steps[Step];
+  if (Job.IsLong || Progress.ShownMilliseconds < LongJobFactor * Progress.TypicalMilliseconds)
+    return;
+  Job.IsLong = true;
+  ++Counters_.JobsExtended;
+  Log_.line(DecisionPriority::Notable, "a job is longer than declared", Job.key(),
+            {{"step", static_cast<std::int64_t>(Step)},
+             {"declared_ms", Job.Submission->Steps[Step].DeclaredMilliseconds},
+             {"expected_ms", Progress.TypicalMilliseconds},
+             {"deviation", Progress.Deviation},
+             {"at_least_ms", Progress.ShownMilliseconds},
+             {"runs", static_cast<std::int64_t>(Runs)},
+             {"former_objective_in_ms", core::toMilliseconds(Former - Now)},
+             {"objective_in_ms", core::toMilliseconds(Job.ObjectiveAt - Now)}});
+}
+
+core::TimePoint PoolManager::usefulLimit(const PoolJob &Job) {
+  // How long tasks take that run at other managers shows only there. Such a manager tells when one
+  // cannot be done in time.
+  bool IsLengthUnknown = Job.hasRunsElsewhere() && !Job.hasObservedStep();
+  return IsLengthUnknown ? std::max(Job.UsefulUntil, Job.Submission->AnswerBy) : Job.UsefulUntil;
+}
+
 std::optional<double> PoolManager::fastestRestart(const PoolJob &Job, std::uint32_t Step,
                                                   EndpointIndex Except, double TypicalMilliseconds,
                                                   core::TimePoint Now) const {
@@ -77,47 +154,76 @@
 void PoolManager::checkForStraggler(PoolJob &Job, std::uint32_t Task, core::TimePoint Now) {
   auto &Placed = Job.Tasks[Task];
   const auto *Running = Fleet_.findRun(Placed.Worker, Job.refOf(Task), Placed.LastRun);
-  if (!Running || !hasMeaningfulProgress(*Running) || Placed.Moves >= MaximumMoves)
+  if (!Running || !hasMeaningfulProgress(*Running))
     return;
-  auto Step = Job.stepOf(Task);
-  const auto &Progress = Job.Steps[Step];
   double Speed = Ratings_.speed(Placed.Worker);
-  double Extrapolated = extrapolatedMilliseconds(*Running, Speed);
-  double Elapsed = core::toMilliseconds(Now - Running->StartSentAt);
-  double Remaining = Extrapolated / Speed - Elapsed;
-  auto Request = placementRequestFor(Job, Step, Now);
-  if (Remaining <= Request.ObjectiveMilliseconds)
+  auto Own = observe(*Running, Placed.Worker, Speed);
+  double Remaining = Own.Milliseconds / Speed - core::toMilliseconds(Now - Running->StartSentAt);
+  if (Remaining <= core::toMilliseconds(Job.ObjectiveAt - Now))
     return;
-  double Typical = Progress.ObservedMilliseconds > 0 ? Progress.ObservedMilliseconds
-                                                     : Progress.TypicalMilliseconds;
-  auto Restart = fastestRestart(Job, Step, Placed.Worker, Typical, Now);
-  double BestCase = std::min(Typical, Extrapolated) / FastestSpeed_ + MoveMilliseconds;
+  auto Step = Job.stepOf(Task);
+  auto Prognosis = prognosisOf(Job, Step, Own, observedRuns(Job, Step));
+  double UsefulMilliseconds = core::toMilliseconds(Job.UsefulUntil - Now);
+  double BestCase = Prognosis.TypicalMilliseconds / FastestSpeed_ + MoveMilliseconds;
   double Tolerance = 1 + PercentError / std::max(Running->PercentDone, MinimumPercent);
-  if (Remaining > Request.UsefulMilliseconds * Tolerance &&
-      BestCase > Request.UsefulMilliseconds * Tolerance)
+  if (std::min(Remaining, BestCase) > UsefulMilliseconds * Tolerance)
     return giveUpTask(Job, Task, Now);
+  if (Prognosis.Delay != RunDelay::SlowWorker)
+    return stayOnWorker(Job, Task, *Running, Prognosis, Remaining);
+  if (Placed.Moves < MaximumMoves)
+    moveRun(Job, Task, *Running, Prognosis, Remaining, Now);
+}
+
+void PoolManager::stayOnWorker(PoolJob &Job, std::uint32_t Task, const Run &Running,
+                               const RunPrognosis &Prognosis, double RemainingMilliseconds) {
+  auto &Placed = Job.Tasks[Task];
+  if (Placed.StaysAsLong)
+    return;
+  Placed.StaysAsLong = true;
+  ++Counters_.MovesAvoided;
+  Log_.line(DecisionPriority::Notable, "a late run stays on its worker", Job.key(),
+            {{"worker", std::string_view(Fleet_.at(Placed.Worker).Entry.Id)},
+             {"index", static_cast<std::int64_t>(Running.Task.Index)},
+             {"percent", Running.PercentDone},
+             {"rest_ms", RemainingMilliseconds},
+             {"length_ms", Prognosis.TypicalMilliseconds},
+             {"expected_ms", Job.Steps[Running.Task.Step].TypicalMilliseconds},
+             {"siblings", static_cast<std::int64_t>(Prognosis.Siblings)},
+             {"fault_log_odds", Prognosis.LogOdds}});
+}
+
+void PoolManager::moveRun(PoolJob &Job, std::uint32_t Task, const Run &Running,
+                          const RunPrognosis &Prognosis, double RemainingMilliseconds,
+                          core::TimePoint Now) {
+  if (Running.mayStartLater(Now))
+    return; // Another incarnation of the worker may start it beside the new run.
+  auto &Placed = Job.Tasks[Task];
+  auto Restart =
+      fastestRestart(Job, Running.Task.Step, Placed.Worker, Prognosis.TypicalMilliseconds, Now);
   if (!Restart)
     return;
-  double RestartEnd = *Restart + MoveMilliseconds;
-  bool MeetsObjective = RestartEnd <= Request.ObjectiveMilliseconds;
+  double ObjectiveMilliseconds = core::toMilliseconds(Job.ObjectiveAt - Now);
+  double UsefulMilliseconds = core::toMilliseconds(Job.UsefulUntil - Now);
+  double RestartEnd = *Restart * FreshRunMargin + MoveMilliseconds;
+  bool MeetsObjective = RestartEnd <= ObjectiveMilliseconds;
   bool BecomesUseful =
-      Remaining > Request.UsefulMilliseconds && RestartEnd <= Request.UsefulMilliseconds;
+      RemainingMilliseconds > UsefulMilliseconds && RestartEnd <= UsefulMilliseconds;
   if (!MeetsObjective && !BecomesUseful)
     return;
-  if (Running->mayStartLater(Now))
-    return; // Another incarnation of the worker may start it beside the new run.
   ++Counters_.StragglersMoved;
   ++Placed.Moves;
   Log_.line(DecisionPriority::Notable, "moving a slow run", Job.key(),
             {{"worker", std::string_view(Fleet_.at(Placed.Worker).Entry.Id)},
-             {"index", static_cast<std::int64_t>(Running->Task.Index)},
-             {"percent", Running->PercentDone},
-             {"elapsed_ms", Elapsed},
-             {"rest_ms", Remaining},
+             {"index", static_cast<std::int64_t>(Running.Task.Index)},
+             {"percent", Running.PercentDone},
+             {"elapsed_ms", core::toMilliseconds(Now - Running.StartSentAt)},
+             {"rest_ms", RemainingMilliseconds},
+             {"length_ms", Prognosis.TypicalMilliseconds},
+             {"siblings", static_cast<std::int64_t>(Prognosis.Siblings)},
+             {"fault_log_odds", Prognosis.LogOdds},
              {"fresh_ms", RestartEnd},
-             {"objective_in_ms", Request.ObjectiveMilliseconds}});
-  if (Extrapolated > SlowWorkerFactor * Typical)
-    Ratings_.recordFailure(Placed.Worker, Job.Kind, Job.key(), Now);
+             {"objective_in_ms", ObjectiveMilliseconds}});
+  Ratings_.recordFailure(Placed.Worker, Job.Kind, Job.key(), Now);
   Fleet_.stopRun(Placed.Worker, Job.refOf(Task), Placed.LastRun, Now);
 }
 
--- a/Services/PoolDaemon/PoolDaemonMetrics.cpp
+++ b/Services/PoolDaemon/PoolDaemonMetrics.cpp
@@ -25,6 +25,10 @@
           [](auto &Self) { return Self.Manager_.counters().DelegationsRefused; });
   Counter("cornellift_stragglers_moved_total",
           [](auto &Self) { return Self.Manager_.counters().StragglersMoved; });
+  Counter("cornellift_moves_avoided_total",
+          [](auto &Self) { return Self.Manager_.counters().MovesAvoided; });
+  Counter("cornellift_jobs_extended_total",
+          [](auto &Self) { return Self.Manager_.counters().JobsExtended; });
   Counter("cornellift_worker_connections_total",
           [](auto &Self) { return Self.WorkerClient_.connectionsMade(); });
   Counter("cornellift_configuration_version",
