--- a/Kernel/Pool/PoolManager.cpp
+++ b/Kernel/Pool/PoolManager.cpp
@@ -47,6 +47,8 @@
 void PoolManager::setWorkers(std::span<const WorkerEntry> Entries, core::TimePoint Now) {
   if (std::equal(Entries.begin(), Entries.end(), Listed_.begin(), Listed_.end()))
     return;
+  if (Listed_.empty())
+    WorkersFoundAt_ = Now;
   Listed_.assign(Entries.begin(), Entries.end());
   ++DirectoryVersion_;
   Fleet_.setListed(Entries, Now);
@@ -73,7 +75,7 @@
   std::vector<JobHandle> Unplaceable;
   for (const auto &Key : Queue_) {
     const auto &Job = Jobs_.at(Key.Handle);
-    if (!Job.mayHaveRun() && needsEvacuatedWorkers(Job))
+    if (!Job.mayHaveRun() && needsEvacuatedWorkers(Job, Now))
       Unplaceable.push_back(Key.Handle);
   }
   for (auto Handle : Unplaceable)
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -129,7 +129,7 @@
   /// leaves no time at all.
   void reviewWaitingJobs(core::TimePoint Now);
   /// Returns whether a step of the job needs workers of which all are in evacuated data centres.
-  bool needsEvacuatedWorkers(const PoolJob &Job) const;
+  bool needsEvacuatedWorkers(const PoolJob &Job, core::TimePoint Now) const;
   void enqueue(const PoolJob &Job, core::TimePoint Now);
   static PoolQueue::Key placeInQueue(const PoolJob &Job, core::TimePoint Now);
   /// Time that this manager's workers need for the work ahead of the job.
@@ -229,6 +229,8 @@
   double MeanSlowness_ = 1;
   PlacementRate PlacementRate_;
   std::set<std::string> EvacuatedDataCentres_;
+  /// When this manager got its first workers, or last began to get those of another one.
+  core::TimePoint WorkersFoundAt_;
   core::TimePoint ReportAt_; ///< Earliest time of the next report.
   bool NeedsDispatch_ = false;
   bool ReportIsDue_ = false;
--- a/Kernel/Pool/PoolManagerPeers.cpp
+++ b/Kernel/Pool/PoolManagerPeers.cpp
@@ -34,6 +34,7 @@
   Known.IsManager = IsManager;
   if (!IsManager)
     return;
+  WorkersFoundAt_ = Now;
   sendDirectory(Peer);
   ReportIsDue_ = true;
   ReportAt_ = Now;
--- a/Kernel/Pool/PoolManagerQueue.cpp
+++ b/Kernel/Pool/PoolManagerQueue.cpp
@@ -12,6 +12,8 @@
 /// Bounds on the retry time given to rejected callers, in milliseconds.
 constexpr double MinimumRetryMilliseconds = 200;
 constexpr double MaximumRetryMilliseconds = 5000;
+/// How long after a start managers may not know the workers of all others.
+constexpr core::Duration DirectoryExchangeTime = std::chrono::seconds(1);
 
 } // namespace
 
@@ -26,7 +28,7 @@
 std::optional<JobAnswer> PoolManager::rejectionFor(const PoolJob &Job, core::TimePoint Now) const {
   if (hasCapacityFor(Job, Now))
     return std::nullopt;
-  if (needsEvacuatedWorkers(Job))
+  if (needsEvacuatedWorkers(Job, Now))
     return evacuatedAnswer();
   double Wait = waitMilliseconds(Job, Now);
   auto Start = Now + core::fromMilliseconds(Wait);
@@ -71,8 +73,8 @@
           MaximumRetryMilliseconds};
 }
 
-bool PoolManager::needsEvacuatedWorkers(const PoolJob &Job) const {
-  if (EvacuatedDataCentres_.empty())
+bool PoolManager::needsEvacuatedWorkers(const PoolJob &Job, core::TimePoint Now) const {
+  if (EvacuatedDataCentres_.empty() || Now < WorkersFoundAt_ + DirectoryExchangeTime)
     return false;
   for (std::uint32_t Step = 0; Step < Job.Steps.size(); ++Step) {
     const auto &Policy = Job.Submission->Policy;
--- a/Tests/Integration/PoolDeployment.cpp
+++ b/Tests/Integration/PoolDeployment.cpp
@@ -271,13 +271,15 @@
                       DataCentre);
 }
 
+const std::string &PoolDeployment::dataCentreOf(const std::string &Worker) const {
+  auto Number = std::stoul(Worker.substr(Worker.find('-') + 1));
+  return Settings_.DataCentres[Number / Settings_.WorkersPerDataCentre];
+}
+
 std::size_t PoolDeployment::startsIn(const std::string &DataCentre) const {
-  auto Centre = std::find(Settings_.DataCentres.begin(), Settings_.DataCentres.end(), DataCentre) -
-                Settings_.DataCentres.begin();
   auto Runs = runs();
   return static_cast<std::size_t>(std::count_if(Runs.begin(), Runs.end(), [&](const auto &Run) {
-    auto Number = std::stoul(Run.Worker.substr(Run.Worker.find('-') + 1));
-    return Number / Settings_.WorkersPerDataCentre == static_cast<std::size_t>(Centre);
+    return dataCentreOf(Run.Worker) == DataCentre;
   }));
 }
 
--- a/Tests/Integration/PoolDeployment.h
+++ b/Tests/Integration/PoolDeployment.h
@@ -80,6 +80,8 @@
   void setEvacuated(const std::string &DataCentre, bool IsEvacuated) const;
 
   std::vector<ObservedRun> runs() const;
+  /// The data centre of a worker, by its id.
+  const std::string &dataCentreOf(const std::string &Worker) const;
   /// Number of runs that workers of the data centre have started.
   std::size_t startsIn(const std::string &DataCentre) const;
   /// Describes each task that had two runs at the same time.
--- a/Tests/Soak/SoakFaults.cpp
+++ b/Tests/Soak/SoakFaults.cpp
@@ -1,5 +1,7 @@
 #include "Tests/Soak/SoakFaults.h"
 
+#include "Libraries/LibCore/Time.h"
+
 #include <algorithm>
 #include <array>
 #include <csignal>
@@ -24,6 +26,17 @@
 /// an unknown service.
 constexpr std::array<std::string_view, 3> OddEntryServices = {"pr\xff\xfent", "\\udc00", "none"};
 
+/// How long an evacuation lasts, and from when on nothing may start: five seconds, and the longest
+/// time for which a fault may keep a VM from the store and its peers.
+constexpr auto EvacuationTime = 14s;
+constexpr std::int64_t EvacuationMicroseconds = 5'000'000 + 4'000'000;
+
+std::int64_t monotonicMicroseconds() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             core::MonotonicClock::now().time_since_epoch())
+      .count();
+}
+
 } // namespace
 
 SoakFaults::SoakFaults(integration::PoolDeployment &Deployment, std::uint64_t Seed)
@@ -218,7 +231,37 @@
                           R"("capacity":{"cpu":4000,"memMb":4096},"labels":[],"born":1})");
 }
 
+void SoakFaults::evacuate() {
+  // Decided without a random number, as below. One at a time, so that some workers remain.
+  if (!Evacuations_.empty() && Evacuations_.back().ToMicroseconds == 0)
+    return;
+  auto &Begun = Evacuations_.emplace_back();
+  Begun.DataCentre = Deployment_.vms()[Evacuations_.size() % Deployment_.vms().size()].DataCentre;
+  record("evacuate " + Begun.DataCentre);
+  Deployment_.setEvacuated(Begun.DataCentre, true);
+  Begun.FromMicroseconds = monotonicMicroseconds();
+  undoAfter(EvacuationTime, [this] {
+    auto &Ended = Evacuations_.back();
+    Ended.ToMicroseconds = monotonicMicroseconds();
+    record("restore " + Ended.DataCentre);
+    Deployment_.setEvacuated(Ended.DataCentre, false);
+  });
+}
+
+std::vector<std::string> SoakFaults::lateStarts() const {
+  std::vector<std::string> Found;
+  for (const auto &Run : Deployment_.runs())
+    for (const auto &Each : Evacuations_)
+      if (Deployment_.dataCentreOf(Run.Worker) == Each.DataCentre &&
+          Run.FromMicroseconds > Each.FromMicroseconds + EvacuationMicroseconds &&
+          Run.FromMicroseconds < Each.ToMicroseconds)
+        Found.push_back(Run.Job + " on " + Run.Worker + " in evacuated " + Each.DataCentre);
+  return Found;
+}
+
 void SoakFaults::changeConfiguration() {
+  if (Version_ % 3 == 1)
+    evacuate();
   // Decided without a random number, so that earlier seeds inject the faults that they did.
   bool IsLargeSeries = ++Version_ % 2 == 0;
   record((IsLargeSeries ? "large configurations from " : "configuration ") +
--- a/Tests/Soak/SoakFaults.h
+++ b/Tests/Soak/SoakFaults.h
@@ -23,6 +23,8 @@
 
   /// Injected faults with their times since construction, for the log folder of the seed.
   const std::vector<std::string> &journal() const { return Journal_; }
+  /// Describes runs that started in a data centre long after an operator had evacuated it.
+  std::vector<std::string> lateStarts() const;
   /// Version of the latest configuration.
   std::uint64_t version() const { return Version_; }
 
@@ -33,6 +35,12 @@
     std::function<void()> Act;
   };
 
+  struct Evacuation {
+    std::string DataCentre;
+    std::int64_t FromMicroseconds = 0;
+    std::int64_t ToMicroseconds = 0; ///< Zero until it is taken back.
+  };
+
   void inject();
   void signalFault();
   void proxyFault();
@@ -41,6 +49,7 @@
   void restartWorker(const std::string &Id);
   void putOddEntry();
   void changeConfiguration();
+  void evacuate();
   void undoDue(Clock::time_point Now);
   void undoAfter(std::chrono::milliseconds Span, std::function<void()> Act);
   void record(const std::string &Text);
@@ -54,6 +63,7 @@
   std::vector<Undo> Undos_;
   std::vector<std::string> Journal_;
   std::uint64_t Version_ = 1; ///< The deployment starts with this one.
+  std::vector<Evacuation> Evacuations_;
   std::size_t OddEntries_ = 0;
   std::size_t Restarts_ = 0; ///< Of workers.
 };
--- a/Tests/Soak/TestPoolSoak.cpp
+++ b/Tests/Soak/TestPoolSoak.cpp
@@ -100,6 +100,8 @@
     Found.push_back(std::move(Each));
   for (const auto &Name : Outdated)
     Found.push_back(Name + " does not have the configuration " + std::to_string(Faults.version()));
+  for (auto &Each : Faults.lateStarts())
+    Found.push_back(std::move(Each));
   for (auto &Each : findRecoveryFailures(Deployment))
     Found.push_back(std::move(Each));
   std::size_t Completed = 0;
