--- a/Tests/Integration/PoolDeployment.cpp
+++ b/Tests/Integration/PoolDeployment.cpp
@@ -51,7 +51,8 @@
           {"stretch", 2.0}};
 }
 
-std::string configurationText(std::uint64_t Version, const std::vector<std::string> &Prefixes) {
+std::string configurationText(std::uint64_t Version, const std::vector<std::string> &Prefixes,
+                              const PoolDeploymentSettings &Settings) {
   json Routes = json::array();
   for (const auto &Prefix : Prefixes)
     Routes.push_back(routeOf(Prefix));
@@ -61,8 +62,8 @@
               {"limits",
                {{"maxHeaderBytes", 16384},
                 {"maxBodyBytes", 262144},
-                {"headerTimeoutMs", 3000},
-                {"idleTimeoutMs", 15000}}}}
+                {"headerTimeoutMs", Settings.HeaderTimeoutMilliseconds},
+                {"idleTimeoutMs", Settings.IdleTimeoutMilliseconds}}}}
       .dump();
 }
 
@@ -100,7 +101,7 @@
 void PoolDeployment::startStandIn() {
   auto File = Folder_ + "/stand-in.log";
   auto Configuration = Folder_ + "/configuration.json";
-  std::ofstream(Configuration) << configurationText(1, {PoolPrefix});
+  std::ofstream(Configuration) << configurationText(1, {PoolPrefix}, Settings_);
   std::string Centres;
   for (const auto &Name : Settings_.DataCentres)
     Centres += (Centres.empty() ? "" : ",") + Name;
@@ -236,7 +237,7 @@
 
 void PoolDeployment::configure(std::uint64_t Version,
                                const std::vector<std::string> &Prefixes) const {
-  control("POST", "/configuration", configurationText(Version, Prefixes));
+  control("POST", "/configuration", configurationText(Version, Prefixes, Settings_));
 }
 
 void PoolDeployment::configureManyRoutes(std::uint64_t Version, int Count) const {
--- a/Tests/Integration/PoolDeployment.h
+++ b/Tests/Integration/PoolDeployment.h
@@ -42,6 +42,8 @@
   std::size_t WorkersPerDataCentre = 4;
   std::string Speeds = "1";
   double StopSeconds = 6;
+  int HeaderTimeoutMilliseconds = 3000;
+  int IdleTimeoutMilliseconds = 15000;
 };
 
 /// Entry processes for leased workers, the stand-in for their platform, and a fault proxy in front
