LibReactor, PoolDaemon: Bound what all clients together make a process hold

Limits held for each connection only: 400 bodies that stop short of their end held 108 MB, 1,024 silent connections shut every other client out.

The server counts what its clients hold (connections, what is being read, jobs in place of their bodies, answers that are not taken). Over the limit it closes the connections that hold most for longest, with a 503 if the request's header was read; a request that was read completely is answered in any case. Without a free connection it closes those silent for longest; clients whose requests were served keep half of them. The readiness and metrics addresses have limits of their own.

--- a/Libraries/LibReactor/HttpExchange.h
+++ b/Libraries/LibReactor/HttpExchange.h
@@ -3,6 +3,7 @@
 #include "Libraries/LibCore/Time.h"
 #include "Libraries/LibReactor/HttpMessage.h"
 
+#include <cstddef>
 #include <functional>
 #include <string_view>
 
@@ -19,6 +20,13 @@
   virtual std::string_view header(std::string_view Name) const = 0; ///< Empty if absent.
   virtual std::string_view body() const = 0;
 
+  /// Returns whether the request's body was not kept because its target took none when it arrived.
+  virtual bool isBodyDropped() const = 0;
+
+  /// Frees the body and holds that many bytes of the server's memory until the reply instead.
+  /// Returns false if there is no room for them; the request should be refused then.
+  virtual bool replaceBody(std::size_t Bytes) = 0;
+
   /// When the request had been read completely.
   virtual core::TimePoint receivedAt() const = 0;
 
--- a/Libraries/LibReactor/HttpServer.cpp
+++ b/Libraries/LibReactor/HttpServer.cpp
@@ -4,6 +4,9 @@
 #include "Libraries/LibCore/Reason.h"
 #include "Libraries/LibReactor/HttpSession.h"
 
+#include <algorithm>
+#include <functional>
+#include <string>
 #include <utility>
 
 namespace cornellift::reactor {
@@ -11,6 +14,22 @@
 
 /// Delay after a failed accept(), which happens when no file descriptors are left.
 constexpr core::Duration AcceptRetryDelay = std::chrono::milliseconds(20);
+/// Size of the parts in which requests are read.
+constexpr std::size_t ReadBufferBytes = 32768;
+/// Sessions are shed until this part of the limit is free, as each search looks at all of them.
+constexpr std::size_t ShedPart = 64;
+/// Time without a met limit after which the next one is logged again.
+constexpr core::Duration LogPause = std::chrono::seconds(10);
+
+/// A session that may be closed, and how much it is worth to close it.
+using ShedCandidate = std::pair<double, HttpSession *>;
+
+/// Orders the Count candidates that are worth most before the others.
+void selectWorst(std::vector<ShedCandidate> &Candidates, std::size_t Count) {
+  if (Count < Candidates.size())
+    std::nth_element(Candidates.begin(), Candidates.begin() + static_cast<std::ptrdiff_t>(Count),
+                     Candidates.end(), std::greater<>());
+}
 
 } // namespace
 
@@ -36,7 +55,7 @@
 
 HttpServer::HttpServer(asio::io_context &Reactor, Handler OnRequest)
     : Reactor_(Reactor), Acceptor_(Reactor), AcceptTimer_(Reactor),
-      OnRequest_(std::move(OnRequest)) {}
+      OnRequest_(std::move(OnRequest)), ReadBuffer_(ReadBufferBytes) {}
 
 HttpServer::~HttpServer() = default;
 
@@ -69,8 +88,72 @@
 
 void HttpServer::accepted(Tcp::socket Socket) {
   if (Sessions_.size() >= Limits_.Connections)
+    shedForConnections();
+  if (Sessions_.size() >= Limits_.Connections) {
+    ++Counters_.NotAccepted;
     return; // The socket's destructor closes the connection.
+  }
   std::make_shared<HttpSession>(shared_from_this(), std::move(Socket))->start();
 }
 
+void HttpServer::shedForConnections() {
+  logLimitMet("connections");
+  auto Now = core::MonotonicClock::now();
+  std::vector<ShedCandidate> Unproven;
+  std::vector<ShedCandidate> Proven;
+  for (auto *Session : Sessions_)
+    if (Session->isSheddable())
+      (Session->isProven() ? Proven : Unproven)
+          .emplace_back(core::toMilliseconds(Now - Session->waitingSince()), Session);
+  // Clients whose requests were served keep half of the connections against all others.
+  bool HasUnprovenTooMany = Unproven.size() > Limits_.Connections / 2 || Proven.empty();
+  if (!HasUnprovenTooMany)
+    Unproven.insert(Unproven.end(), Proven.begin(), Proven.end());
+  auto Count = std::min(std::max<std::size_t>(1, Limits_.Connections / ShedPart), Unproven.size());
+  selectWorst(Unproven, Count);
+  for (std::size_t Each = 0; Each < Count; ++Each)
+    Unproven[Each].second->shed();
+  Counters_.ShedForConnections += Count;
+}
+
+bool HttpServer::changeMemory(const HttpSession &Asking, std::size_t Former, std::size_t Changed) {
+  MemoryUsed_ = MemoryUsed_ - Former + Changed;
+  if (Changed > Former && MemoryUsed_ > Limits_.MemoryBytes)
+    shedForMemory(Asking);
+  return MemoryUsed_ <= Limits_.MemoryBytes;
+}
+
+void HttpServer::shedForMemory(const HttpSession &Asking) {
+  logLimitMet("memory");
+  auto Now = core::MonotonicClock::now();
+  std::vector<ShedCandidate> Candidates;
+  for (auto *Session : Sessions_)
+    if (Session != &Asking && Session->isSheddable())
+      Candidates.emplace_back(static_cast<double>(Session->memory()) *
+                                  core::toMilliseconds(Now - Session->waitingSince()),
+                              Session);
+  std::sort(Candidates.begin(), Candidates.end(), std::greater<>());
+  auto Wanted = Limits_.MemoryBytes - Limits_.MemoryBytes / ShedPart;
+  for (const auto &[Worth, Session] : Candidates) {
+    if (MemoryUsed_ <= Wanted)
+      return;
+    Session->shed();
+    ++Counters_.ShedForMemory;
+  }
+}
+
+void HttpServer::logLimitMet(std::string_view Limit) {
+  auto Now = core::MonotonicClock::now();
+  bool IsNew = LimitMetAt_ == core::TimePoint() || Now - LimitMetAt_ > LogPause;
+  LimitMetAt_ = Now;
+  if (IsNew)
+    core::logLine(core::LogLevel::Warning, "http",
+                  "clients use up a limit; the slowest connections are closed",
+                  {{"limit", std::string(Limit)},
+                   {"address", formatAddress(address())},
+                   {"connections", std::to_string(Sessions_.size())},
+                   {"open_requests", std::to_string(OpenRequests_)},
+                   {"memory_bytes", std::to_string(MemoryUsed_)}});
+}
+
 } // namespace cornellift::reactor
--- a/Libraries/LibReactor/HttpSession.cpp
+++ b/Libraries/LibReactor/HttpSession.cpp
@@ -1,8 +1,7 @@
 #include "Libraries/LibReactor/HttpSession.h"
 
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
 
 #include <poll.h>
@@ -15,13 +14,22 @@
 
 /// How long an idle connection stays open during a drain, for a request that is already in transit.
 constexpr core::Duration DrainIdleTimeout = std::chrono::milliseconds(1500);
-/// Upper bound on the body of a request, whatever limit is configured: memory is reserved for the
-/// length that a request states.
+/// Upper bound on the body of a request, whatever limit is configured.
 constexpr std::uint64_t MaximumRequestBytes = 16U << 20;
 /// Interval between checks whether a client that has sent a further request before the reply has
 /// closed the connection.
 constexpr core::Duration CloseCheckInterval = std::chrono::milliseconds(50);
 
+/// Counted for each connection: the session, its timer and its descriptor.
+constexpr std::size_t ConnectionBytes = 4096;
+/// Capacity that a session keeps for the next bytes of its client.
+constexpr std::size_t KeptCapacity = 1024;
+constexpr unsigned FirstErrorStatus = 300;
+
+/// Tells the client of a connection that is closed to make room: its request has not run.
+constexpr std::string_view ShedReply = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+                                       "Connection: close\r\nContent-Length: 0\r\n\r\n";
+
 void renderReply(const HttpReply &Reply, bool Close, std::string &Out) {
   Out.clear();
   auto Reason =
@@ -44,35 +52,23 @@
 /// The exchange for a session's current request. It may outlive the connection.
 class SessionExchange final : public HttpExchange {
 public:
-  using Message = boost::beast::http::request<boost::beast::http::string_body>;
-
-  SessionExchange(std::shared_ptr<HttpSession> Session, Message Request)
+  SessionExchange(std::shared_ptr<HttpSession> Session, ReceivedRequest Request)
       : Session_(std::move(Session)), Request_(std::move(Request)),
         ReceivedAt_(core::MonotonicClock::now()) {}
 
-  HttpMethod method() const override {
-    switch (Request_.method()) {
-    case boost::beast::http::verb::get:
-      return HttpMethod::Get;
-    case boost::beast::http::verb::post:
-      return HttpMethod::Post;
-    case boost::beast::http::verb::delete_:
-      return HttpMethod::Delete;
-    default:
-      return HttpMethod::Other;
-    }
-  }
-  std::string_view target() const override {
-    return {Request_.target().data(), Request_.target().size()};
-  }
+  HttpMethod method() const override { return Request_.method(); }
+  std::string_view target() const override { return Request_.target(); }
   std::string_view host() const override { return header("Host"); }
-  std::string_view header(std::string_view Name) const override {
-    auto Value = Request_[boost::beast::string_view(Name.data(), Name.size())];
-    return {Value.data(), Value.size()};
-  }
+  std::string_view header(std::string_view Name) const override { return Request_.header(Name); }
   std::string_view body() const override { return Request_.body(); }
+  bool isBodyDropped() const override { return Request_.isBodyDropped(); }
   core::TimePoint receivedAt() const override { return ReceivedAt_; }
 
+  bool replaceBody(std::size_t Bytes) override {
+    Request_.releaseBody();
+    return !Session_ || Session_->holdJob(Request_.memory() + Bytes);
+  }
+
   void reply(const HttpReply &Reply) override {
     DisconnectHandler_ = nullptr;
     if (auto Session = std::exchange(Session_, nullptr))
@@ -91,7 +87,7 @@
 
 private:
   std::shared_ptr<HttpSession> Session_;
-  Message Request_;
+  ReceivedRequest Request_;
   core::TimePoint ReceivedAt_;
   std::function<void()> DisconnectHandler_;
 };
@@ -101,11 +97,14 @@
   Server_->Sessions_.insert(this);
 }
 
-HttpSession::~HttpSession() { Server_->Sessions_.erase(this); }
+HttpSession::~HttpSession() { leave(); }
 
 void HttpSession::start() {
-  boost::system::error_code Ignored; // The connection works without the option, too.
-  Socket_.set_option(Tcp::no_delay(true), Ignored);
+  boost::system::error_code Error;
+  Socket_.non_blocking(true, Error); // For readable().
+  if (Error || !holdMemory(0))
+    return close();
+  Socket_.set_option(Tcp::no_delay(true), Error); // The connection works without it, too.
   awaitRequest();
 }
 
@@ -116,57 +115,91 @@
 
 void HttpSession::awaitRequest() {
   Phase_ = Phase::Idle;
+  WaitingSince_ = core::MonotonicClock::now();
+  holdMemory(Unparsed_.capacity());
   armTimer(Server_->IsDraining_ ? DrainIdleTimeout : Server_->Limits_.IdleTime);
-  if (Buffer_.size() > 0)
-    return firstByteArrived({});
-  Socket_.async_wait(Tcp::socket::wait_read,
-                     [Self = shared_from_this()](boost::system::error_code Error) {
-                       Self->firstByteArrived(Error);
-                     });
+  if (Unparsed_.empty())
+    return awaitReadable();
+  beginRequest();
+  parse(std::exchange(Unparsed_, {}));
 }
 
-void HttpSession::firstByteArrived(boost::system::error_code Error) {
-  if (Phase_ != Phase::Idle)
+void HttpSession::awaitReadable() {
+  Socket_.async_wait(
+      Tcp::socket::wait_read,
+      [Self = shared_from_this()](boost::system::error_code Error) { Self->readable(Error); });
+}
+
+void HttpSession::readable(boost::system::error_code Error) {
+  if (Phase_ != Phase::Idle && Phase_ != Phase::Reading)
     return;
+  // All sessions read into one buffer, so that a silent connection holds none.
+  auto &Buffer = Server_->ReadBuffer_;
+  std::size_t Length = Error ? 0 : Socket_.read_some(asio::buffer(Buffer), Error);
+  if (Error == asio::error::would_block)
+    return awaitReadable();
   if (Error)
     return close();
+  if (Phase_ == Phase::Idle)
+    beginRequest();
+  std::string_view Received(Buffer.data(), Length);
+  if (Unparsed_.empty())
+    return parse(Received);
+  Unparsed_.append(Received);
+  parse(std::exchange(Unparsed_, {}));
+}
+
+void HttpSession::beginRequest() {
   Phase_ = Phase::Reading;
+  WaitingSince_ = core::MonotonicClock::now();
   armTimer(Server_->Limits_.HeaderTime);
-  readRequest();
+  Parser_.emplace(Server_->Limits_.HeaderBytes,
+                  std::min(Server_->Limits_.BodyBytes, MaximumRequestBytes), Server_->TakesBody_);
 }
 
-void HttpSession::readRequest() {
-  Parser_.emplace();
-  Parser_->header_limit(Server_->Limits_.HeaderBytes);
-  Parser_->body_limit(std::min(Server_->Limits_.BodyBytes, MaximumRequestBytes));
-  boost::beast::http::async_read(
-      Socket_, Buffer_, *Parser_,
-      [Self = shared_from_this()](boost::system::error_code Error, std::size_t) {
-        Self->requestRead(Error);
-      });
+void HttpSession::parse(std::string_view Received) {
+  namespace http = boost::beast::http;
+  boost::system::error_code Error;
+  for (std::size_t Taken = 1; Taken > 0 && !Received.empty() && !Error && !Parser_->is_done();) {
+    Taken = Parser_->put(asio::buffer(Received), Error);
+    Received.remove_prefix(Taken);
+  }
+  if (Error && Error != http::error::need_more)
+    return requestFailed(Error);
+  // A line of a chunk may be of any length.
+  if (!Parser_->is_done() && Received.size() > Server_->Limits_.HeaderBytes)
+    return requestFailed(http::error::header_limit);
+  Unparsed_.assign(Received);
+  if (!holdMemory(Parser_->request().memory() + Unparsed_.capacity())) {
+    ++Server_->Counters_.ShedForMemory;
+    return shed();
+  }
+  if (!Parser_->is_done())
+    return awaitReadable();
+  requestRead();
 }
 
-void HttpSession::requestRead(boost::system::error_code Error) {
-  if (Phase_ != Phase::Reading)
-    return;
+void HttpSession::requestFailed(boost::system::error_code Error) {
   namespace http = boost::beast::http;
+  Unparsed_ = {};
   if (Error == http::error::body_limit)
     return refuse(413);
   if (Error == http::error::header_limit)
     return refuse(431);
-  bool IsProtocolError = Error.category() == make_error_code(http::error::bad_method).category();
-  if (Error && IsProtocolError && Error != http::error::end_of_stream &&
-      Error != http::error::partial_message)
-    return refuse(400);
+  refuse(400);
+}
+
+void HttpSession::requestRead() {
   // If this process was paused, the socket may hold a request whose client has disconnected and has
   // submitted its job to another process.
-  if (Error || isClosedByPeer())
+  if (isClosedByPeer())
     return close();
   Phase_ = Phase::Answering;
   ++TimerGeneration_;
   Timer_.cancel();
   auto Request = Parser_->release();
-  CloseAfterReply_ = !Request.keep_alive();
+  Parser_.reset();
+  CloseAfterReply_ = !Request.keepAlive();
   auto Exchange = std::make_shared<SessionExchange>(shared_from_this(), std::move(Request));
   Exchange_ = Exchange;
   ++Server_->OpenRequests_;
@@ -174,9 +207,29 @@
   Server_->OnRequest_(std::move(Exchange));
 }
 
+bool HttpSession::holdMemory(std::size_t Bytes) {
+  auto Former = std::exchange(Memory_, ConnectionBytes + Bytes);
+  return Server_->changeMemory(*this, Former, Memory_);
+}
+
+bool HttpSession::holdJob(std::size_t Bytes) {
+  bool HasRoom = holdMemory(Bytes + Unparsed_.capacity());
+  Server_->Counters_.RefusedForMemory += HasRoom ? 0 : 1;
+  return HasRoom;
+}
+
+void HttpSession::shed() {
+  if (Phase_ == Phase::Reading && Parser_ && Parser_->is_header_done()) {
+    boost::system::error_code Ignored; // The connection ends in any case.
+    Socket_.write_some(asio::buffer(ShedReply), Ignored);
+  }
+  close();
+}
+
 void HttpSession::refuse(unsigned Status) {
   ++Server_->OpenRequests_;
   Phase_ = Phase::Answering;
+  Parser_.reset();
   CloseAfterReply_ = true;
   send({Status, {}, {}});
 }
@@ -223,7 +276,10 @@
   Phase_ = Phase::Writing;
   --Server_->OpenRequests_;
   CloseAfterReply_ = CloseAfterReply_ || Server_->IsDraining_;
+  IsProven_ = IsProven_ || Reply.Status < FirstErrorStatus;
   renderReply(Reply, CloseAfterReply_, Outgoing_);
+  WaitingSince_ = core::MonotonicClock::now();
+  holdMemory(Unparsed_.capacity() + Outgoing_.capacity());
   armTimer(Server_->Limits_.IdleTime);
   asio::async_write(Socket_, asio::buffer(Outgoing_),
                     [Self = shared_from_this()](boost::system::error_code Error, std::size_t) {
@@ -236,6 +292,8 @@
     return;
   if (Error)
     return close();
+  if (Outgoing_.capacity() > KeptCapacity)
+    Outgoing_ = {};
   if (!CloseAfterReply_) {
     Socket_.cancel(Error); // Cancels the wait of watchForClose().
     return awaitRequest();
@@ -256,12 +314,23 @@
 }
 
 void HttpSession::close() {
-  if (Phase_ == Phase::Answering)
-    --Server_->OpenRequests_;
-  Phase_ = Phase::Closed;
+  leave();
   Timer_.cancel();
   boost::system::error_code Ignored; // The connection is abandoned in any case.
   Socket_.close(Ignored);
 }
 
+void HttpSession::leave() {
+  if (Phase_ == Phase::Closed)
+    return;
+  if (Phase_ == Phase::Answering)
+    --Server_->OpenRequests_;
+  Phase_ = Phase::Closed;
+  Server_->Sessions_.erase(this);
+  Server_->releaseMemory(std::exchange(Memory_, 0));
+  // Pending operations keep the object a little longer.
+  Parser_.reset();
+  Unparsed_ = {};
+}
+
 } // namespace cornellift::reactor
--- a/Libraries/LibReactor/HttpSession.h
+++ b/Libraries/LibReactor/HttpSession.h
@@ -2,13 +2,10 @@
 
 #include "Libraries/LibReactor/HttpServer.h"
 
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
-
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace cornellift::reactor {
 
@@ -26,16 +23,37 @@
   /// Closes the connection after DrainIdleTimeout if it is idle; otherwise after the next reply.
   void drain();
 
+  /// Returns whether the connection may be closed to make room for others: a request that was read
+  /// completely is always answered.
+  bool isSheddable() const { return Phase_ != Phase::Answering && Phase_ != Phase::Closed; }
+  /// Returns whether a request of this client was served.
+  bool isProven() const { return IsProven_; }
+  /// Since when it is idle, or its request is being read, or its client takes the answer.
+  core::TimePoint waitingSince() const { return WaitingSince_; }
+  std::size_t memory() const { return Memory_; }
+
+  /// Closes the connection at once. A request whose header was read is refused as not run if its
+  /// client takes the refusal without delay.
+  void shed();
+
 private:
   friend class SessionExchange;
-  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
   enum class Phase { Idle, Reading, Answering, Writing, Closed };
 
   void awaitRequest();
-  void firstByteArrived(boost::system::error_code Error);
-  void readRequest();
-  void requestRead(boost::system::error_code Error);
+  void awaitReadable();
+  void readable(boost::system::error_code Error);
+  void beginRequest();
+  void parse(std::string_view Received);
+  void keepUnparsed(std::string_view Rest);
+  void requestRead();
+  void requestFailed(boost::system::error_code Error);
   void refuse(unsigned Status);
+  /// Counts that many bytes as held for this client, besides the connection itself. Returns false
+  /// if the server's limit is exceeded now; the caller frees them then, or refuses the request.
+  bool holdMemory(std::size_t Bytes);
+  /// The same for the job that takes the place of the request's body.
+  bool holdJob(std::size_t Bytes);
   void watchForClose();
   void socketReadable();
   void checkForCloseLater();
@@ -45,16 +63,21 @@
   void sent(boost::system::error_code Error);
   void armTimer(core::Duration Span);
   void close();
+  /// Ends what the server counts and holds for this session.
+  void leave();
 
   std::shared_ptr<HttpServer> Server_;
   Tcp::socket Socket_;
   asio::steady_timer Timer_;
   Phase Phase_ = Phase::Idle;
-  boost::beast::flat_buffer Buffer_;
-  std::optional<Parser> Parser_;
+  core::TimePoint WaitingSince_;
+  std::string Unparsed_; ///< Received, but too short for the parser, or behind the request.
+  std::optional<RequestParser> Parser_;
   std::weak_ptr<SessionExchange> Exchange_;
   std::string Outgoing_;
+  std::size_t Memory_ = 0; ///< Bytes counted by the server for this client.
   bool CloseAfterReply_ = false;
+  bool IsProven_ = false;
   std::uint64_t TimerGeneration_ = 0;
 };
 
--- a/Services/PoolDaemon/DaemonSettings.cpp
+++ b/Services/PoolDaemon/DaemonSettings.cpp
@@ -36,6 +36,15 @@
      "10", 0.5, 3600},
     {"remote-factor", "Run time of a task away from its data, relative to that near its data",
      SettingType::Real, "1", 1, 100},
+    {"memory-megabytes", "Memory that this process may use", SettingType::Real, "256", 16, 1048576},
+    {"caller-memory-megabytes",
+     "Memory for callers' connections, requests and jobs; half of memory-megabytes if 0",
+     SettingType::Real, "0", 0, 1048576},
+    {"maximum-descriptors", "Descriptors that this process may use", SettingType::Integer, "3072",
+     256, 1048576},
+    {"caller-connections",
+     "Connections of callers served at once; a third of maximum-descriptors if 0",
+     SettingType::Integer, "0", 0, 1048576},
     {"log-lines-per-second",
      "Log lines about served requests; failures and state changes have ten times as many each",
      SettingType::Integer, "20", 1, 100000},
@@ -45,6 +54,24 @@
     {"log-level", "debug, info, warn or error", SettingType::Text, "info"},
 };
 
+constexpr double BytesPerMegabyte = 1024 * 1024;
+/// The rest is left to the process itself: workers, peers, jobs of other processes.
+constexpr double CallerMemoryShare = 0.5;
+/// The rest is left to connections to workers, peers and the store, and to files.
+constexpr std::int64_t CallerDescriptorShare = 3;
+
+std::size_t callerMemory(const core::Settings &Parsed) {
+  auto Stated = Parsed.real("caller-memory-megabytes");
+  auto Megabytes = Stated > 0 ? Stated : CallerMemoryShare * Parsed.real("memory-megabytes");
+  return static_cast<std::size_t>(Megabytes * BytesPerMegabyte);
+}
+
+std::size_t callerConnections(const core::Settings &Parsed) {
+  auto Stated = Parsed.integer("caller-connections");
+  return static_cast<std::size_t>(
+      Stated > 0 ? Stated : Parsed.integer("maximum-descriptors") / CallerDescriptorShare);
+}
+
 bool readAddress(const core::Settings &Parsed, std::string_view Name,
                  reactor::Tcp::endpoint &Address) {
   auto Value = reactor::parseAddress(Parsed.text(Name));
@@ -88,6 +115,8 @@
       static_cast<std::uint32_t>(std::lround(Parsed->real("processor-share") * WeightPerCore));
   Result.StopTimeout = core::fromMilliseconds(Parsed->real("stop-seconds") * 1000);
   Result.RemoteFactor = Parsed->real("remote-factor");
+  Result.CallerMemoryBytes = callerMemory(*Parsed);
+  Result.CallerConnections = callerConnections(*Parsed);
   Result.LogLinesPerSecond = static_cast<std::uint32_t>(Parsed->integer("log-lines-per-second"));
   Result.SuppressedLineCapacity = static_cast<std::uint32_t>(Parsed->integer("log-held-lines"));
   Result.LogLevel = Parsed->text("log-level");
--- a/Services/PoolDaemon/DaemonSettings.h
+++ b/Services/PoolDaemon/DaemonSettings.h
@@ -26,6 +26,8 @@
   std::uint32_t Weight = 1;               ///< Processing power in thousandths of a core.
   core::Duration StopTimeout{0};          ///< From the stop request until the process is killed.
   double RemoteFactor = 1;
+  std::size_t CallerMemoryBytes = 0; ///< Most that callers make the process hold.
+  std::size_t CallerConnections = 0;
   std::string LogLevel;
   std::uint32_t LogLinesPerSecond = 0; ///< Rate limit of lines about served requests.
   std::uint32_t SuppressedLineCapacity =
--- a/Services/PoolDaemon/Ingress.cpp
+++ b/Services/PoolDaemon/Ingress.cpp
@@ -18,6 +18,8 @@
 constexpr core::Duration ReplyMargin = std::chrono::milliseconds(10);
 /// Retry-After while this process has no configuration or knows no manager, or is about to end.
 constexpr double StartupRetryMilliseconds = 1000;
+/// Retry-After while clients use up the memory; slow ones are closed meanwhile.
+constexpr double MemoryRetryMilliseconds = 1000;
 /// Retry-After for unsupported features, which no process accepts before an upgrade.
 constexpr double UnsupportedRetryMilliseconds = 60000;
 constexpr double MillisecondsPerSecond = 1000;
@@ -30,6 +32,25 @@
   return Value;
 }
 
+/// Estimate of what a task of a job takes at its manager: its state and its place in the queue.
+constexpr std::size_t TaskBytes = 256;
+
+/// Path without the query.
+std::string_view pathOf(std::string_view Target) { return Target.substr(0, Target.find('?')); }
+
+/// Host without the port.
+std::string_view hostOf(std::string_view Host) { return Host.substr(0, Host.find(':')); }
+
+/// Memory that the job takes in this process until its answer, also if its manager is here.
+std::size_t memoryOf(const kernel::JobSubmission &Job) {
+  std::size_t Bytes = sizeof(Job) + Job.Specification.capacity() +
+                      Job.Steps.capacity() * sizeof(kernel::JobStep) + TaskBytes * Job.taskCount();
+  for (const auto &Step : Job.Steps)
+    Bytes += Step.After.capacity() * sizeof(Step.After.front()) + Step.RequiredLabel.size() +
+             Step.DataRack.size();
+  return Bytes;
+}
+
 std::string_view outcomeName(kernel::JobVerdict Verdict) {
   switch (Verdict) {
   case kernel::JobVerdict::Completed:
@@ -81,9 +102,8 @@
     return refuse(Request, rejection(StartupRetryMilliseconds), "this process is about to end");
   if (!Configuration_)
     return refuse(Request, rejection(StartupRetryMilliseconds), "no configuration yet");
-  auto Path = Request->target().substr(0, Request->target().find('?'));
-  auto Host = Request->host().substr(0, Request->host().find(':'));
-  const auto *Route = Configuration_->find(Host, Path);
+  auto Path = pathOf(Request->target());
+  const auto *Route = Configuration_->find(hostOf(Request->host()), Path);
   if (!Route)
     return refuse(Request, {404, {}, {}}, "no such route");
   auto Rest = Path.substr(Route->Prefix.size());
@@ -104,6 +124,14 @@
   }
 }
 
+bool Ingress::takesBody(const reactor::ReceivedRequest &Request) const {
+  if (Request.method() != HttpMethod::Post || !Configuration_)
+    return false;
+  auto Path = pathOf(Request.target());
+  const auto *Route = Configuration_->find(hostOf(Request.header("Host")), Path);
+  return Route && kernel::parseJobKey(Path.substr(Route->Prefix.size()));
+}
+
 void Ingress::refuse(const Exchange &Request, const reactor::HttpReply &Reply, std::string_view Why,
                      std::optional<kernel::JobKey> Key) {
   Metrics_
@@ -123,6 +151,8 @@
   Metrics_.counter("cornellift_jobs_submitted_total").add();
   if (auto Known = Jobs_.find(Key); Known != Jobs_.end())
     return attach(Known->second, Request);
+  if (Request->isBodyDropped())
+    return refuse(Request, rejection(StartupRetryMilliseconds), "the route was just added", Key);
   auto Submitted = Format_.parseJob(Request->body());
   if (!Submitted || !kernel::checkJob(*Submitted))
     return refuse(Request, {400, {}, {}}, core::lastReason().Message, Key);
@@ -138,6 +168,8 @@
   Submission->Steps = std::move(Submitted->Steps);
   Submission->Policy = Route.Policy;
   Submission->ReceivedAt = Request->receivedAt();
+  if (!Request->replaceBody(memoryOf(*Submission)))
+    return refuse(Request, rejection(MemoryRetryMilliseconds), "no memory for the job", Key);
   auto CallerTimeout = parseNumber(Request->header(Format_.waitHeader()));
   // The timeout that the caller states takes precedence over the route's timeout.
   auto Limit = CallerTimeout ? core::fromMilliseconds(*CallerTimeout) : Route.Timeout;
--- a/Services/PoolDaemon/Ingress.h
+++ b/Services/PoolDaemon/Ingress.h
@@ -6,6 +6,7 @@
 #include "Libraries/LibCore/MetricsRegistry.h"
 #include "Libraries/LibPlatform/CallerFormat.h"
 #include "Libraries/LibReactor/HttpExchange.h"
+#include "Libraries/LibReactor/RequestParser.h"
 #include "Services/PoolDaemon/Cancellations.h"
 
 #include <functional>
@@ -34,6 +35,8 @@
   void setAssignedManager(std::optional<kernel::PeerIndex> Manager, core::TimePoint Now);
 
   void handle(const std::shared_ptr<reactor::HttpExchange> &Exchange);
+  /// Returns whether a request with that header may hand in a job; other bodies are of no use.
+  bool takesBody(const reactor::ReceivedRequest &Request) const;
   void answered(const kernel::PoolAnswer &Answer, core::TimePoint Now);
   /// Cancels the job if a caller awaits it here; returns whether that is so.
   bool cancelOpenJob(kernel::JobKey Key, core::TimePoint Now);
--- a/Services/PoolDaemon/PoolDaemon.cpp
+++ b/Services/PoolDaemon/PoolDaemon.cpp
@@ -25,6 +25,10 @@
 /// Interval between checks of the settings file's modification time.
 constexpr core::Duration FileCheckInterval = std::chrono::milliseconds(1000);
 
+/// For the load balancer, and for those who read metrics.
+constexpr std::size_t WatcherConnections = 96;
+constexpr std::size_t WatcherMemoryBytes = 4U << 20;
+
 std::uint64_t randomIncarnation() {
   std::random_device Source;
   return (static_cast<std::uint64_t>(Source()) << 32) | Source();
@@ -43,7 +47,8 @@
          Former.MeshAddress != Changed.MeshAddress ||
          Former.MetricsAddress != Changed.MetricsAddress ||
          Former.StoreAddress != Changed.StoreAddress || Former.Platform != Changed.Platform ||
-         Former.Weight != Changed.Weight;
+         Former.Weight != Changed.Weight || Former.CallerMemoryBytes != Changed.CallerMemoryBytes ||
+         Former.CallerConnections != Changed.CallerConnections;
 }
 
 kernel::CandidateState candidateOf(const DaemonSettings &Settings) {
@@ -128,9 +133,26 @@
       [this](const std::shared_ptr<reactor::HttpExchange> &Exchange) { serveMetrics(Exchange); });
   if (!MetricsServer_)
     return false;
+  limitClients();
   return Mesh_.listen(Settings_.MeshAddress);
 }
 
+void PoolDaemon::limitClients() {
+  auto Limits = CallerServer_->limits();
+  Limits.Connections = Settings_.CallerConnections;
+  Limits.MemoryBytes = Settings_.CallerMemoryBytes;
+  CallerServer_->setLimits(Limits);
+  CallerServer_->setBodyFilter(
+      [this](const reactor::ReceivedRequest &Request) { return Ingress_.takesBody(Request); });
+  // Limits of their own, so that no crowd at one address shuts out the clients of another.
+  Limits.Connections = WatcherConnections;
+  Limits.MemoryBytes = WatcherMemoryBytes;
+  for (const auto &Server : {ReadinessServer_, MetricsServer_}) {
+    Server->setLimits(Limits);
+    Server->setBodyFilter([](const reactor::ReceivedRequest &) { return false; });
+  }
+}
+
 void PoolDaemon::run() {
   core::logLine(core::LogLevel::Information, "pool", "started",
                 {{"vm", Settings_.VmName},
--- a/Services/PoolDaemon/PoolDaemon.h
+++ b/Services/PoolDaemon/PoolDaemon.h
@@ -61,6 +61,8 @@
   };
 
   bool listen();
+  /// Sets what clients may make the process hold.
+  void limitClients();
   void watchSignals();
   void reload();
   /// Reloads the settings if their file has changed, without waiting for a signal.
@@ -94,6 +96,7 @@
   void sendBacklog(core::TimePoint Now);
   bool isReady() const;
   void registerMetrics();
+  void registerClientMetrics();
   void registerWorkerMetrics();
   void registerStoreMetrics();
   double millisecondsSince(core::TimePoint Moment) const;
--- a/Services/PoolDaemon/PoolDaemonConfiguration.cpp
+++ b/Services/PoolDaemon/PoolDaemonConfiguration.cpp
@@ -34,7 +34,7 @@
   ConfigurationFetch_.versionInForce(Configuration->Version, Now);
   Ingress_.setConfiguration(Configuration);
   Directory_.setServices(Configuration->services());
-  reactor::HttpServerLimits Limits;
+  auto Limits = CallerServer_->limits();
   Limits.HeaderBytes = Configuration->Limits.HeaderBytes;
   Limits.BodyBytes = Configuration->Limits.BodyBytes;
   Limits.HeaderTime = Configuration->Limits.HeaderTime;
--- a/Services/PoolDaemon/PoolDaemonMetrics.cpp
+++ b/Services/PoolDaemon/PoolDaemonMetrics.cpp
@@ -40,10 +40,27 @@
   Counter("cornellift_log_lines_total", [](auto &Self) { return Self.Log_.linesWritten(); });
   Counter("cornellift_configuration_age_milliseconds",
           [](auto &Self) { return Self.millisecondsSince(Self.ConfigurationReceivedAt_); });
+  registerClientMetrics();
   registerWorkerMetrics();
   registerStoreMetrics();
 }
 
+void PoolDaemon::registerClientMetrics() {
+  Metrics_.gauge("cornellift_caller_connections",
+                 [this] { return static_cast<double>(CallerServer_->connections()); });
+  Metrics_.gauge("cornellift_caller_memory_bytes",
+                 [this] { return static_cast<double>(CallerServer_->memoryUsed()); });
+  auto Limits = [this](const char *Cause, std::uint64_t reactor::HttpServerCounters::*Count) {
+    Metrics_.gauge("cornellift_caller_limits_met_total",
+                   [this, Count] { return static_cast<double>(CallerServer_->counters().*Count); },
+                   {{"cause", Cause}});
+  };
+  Limits("shed_for_memory", &reactor::HttpServerCounters::ShedForMemory);
+  Limits("shed_for_connections", &reactor::HttpServerCounters::ShedForConnections);
+  Limits("not_accepted", &reactor::HttpServerCounters::NotAccepted);
+  Limits("refused_for_memory", &reactor::HttpServerCounters::RefusedForMemory);
+}
+
 void PoolDaemon::registerWorkerMetrics() {
   Metrics_.gauge("cornellift_worker_entries_left_out",
                  [this] { return static_cast<double>(Directory_.leftOut()); });
