--- a/Services/PoolDaemon/PoolDaemon.h
+++ b/Services/PoolDaemon/PoolDaemon.h
@@ -63,6 +63,8 @@
   };
 
   bool listen();
+  /// Sets what clients may make the process hold.
+  void limitClients();
   void watchSignals();
   void reload();
   /// Reloads the settings if their file has changed, without waiting for a signal.
@@ -104,6 +106,7 @@
   /// Returns whether this process knows what it needs to start tasks.
   bool isReadyToManage() const;
   void registerMetrics();
+  void registerClientMetrics();
   void registerWorkerMetrics();
   void registerStoreMetrics();
   double millisecondsSince(core::TimePoint Moment) const;
