Pool: Expect longer run times on cold workers

Cause: a worker's entry states for how long it is slow after its start (coldLeftMs); nothing read it. Tasks went to cold workers although warm ones were free, and the runs there made the worker's learned speed wrong for later.

Change: entries carry the deadline, also to other managers (optional field of Mesh.proto). ColdStart learns the slowdown from runs that ended on cold workers; such runs change neither the worker's learned speed nor the run times of the kind. The expected end on a cold worker is later by that, so that warm ones are preferred. While all are cold the fastest of them is the measure, so that work is placed. Deadlines of later reports that hardly differ are kept, so that an entry is not sent to all managers with each report.

--- a/Kernel/Pool/PoolCounters.h
+++ b/Kernel/Pool/PoolCounters.h
@@ -15,6 +15,7 @@
   std::uint64_t JobsCancelled = 0;
   std::uint64_t StartsSent = 0;
   std::uint64_t RunsDone = 0;
+  std::uint64_t ColdRunsDone = 0; ///< Of RunsDone, those that began on a cold worker.
   std::uint64_t RunsFailed = 0;
   std::uint64_t RunsStopped = 0;
   std::uint64_t RunsLost = 0;
--- a/Kernel/Pool/PoolManager.cpp
+++ b/Kernel/Pool/PoolManager.cpp
@@ -243,6 +243,13 @@
   if (!IsNear)
     Taken /= Settings_.RemoteFactor;
   auto Estimate = Kinds_.estimate(Job.Kind, Step);
+  // What a cold worker needed says little about its speed later, and about the kind of job.
+  if (double ColdTime = ColdStart::coldMilliseconds(Entry.ColdUntil, Ended.StartSentAt);
+      ColdTime > 0) {
+    ++Counters_.ColdRunsDone;
+    Cold_.learn(Estimate.medianMilliseconds() / Ratings_.speed(Worker), Taken, ColdTime);
+    return Ratings_.recordSuccess(Worker, Job.Kind);
+  }
   Ratings_.recordSuccess(Worker, Job.Kind, Estimate.medianMilliseconds() / Taken,
                          Estimate.LogDeviation, Now);
   Kinds_.learn(Job.Kind, Step, Taken, Ratings_.speed(Worker), Now);
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Kernel/Pool/ColdStart.h"
 #include "Kernel/Pool/DecisionLog.h"
 #include "Kernel/Pool/JobKindRunTimes.h"
 #include "Kernel/Pool/PlacementRate.h"
@@ -92,6 +93,8 @@
   /// Number of jobs of which no task has started, by route.
   std::vector<RouteBacklog> backlog() const;
   const PoolCounters &counters() const { return Counters_; }
+  /// Learned ratio of run times on cold workers to those on warm ones.
+  double coldSlowdown() const { return Cold_.slowdown(); }
 
 private:
   struct Remote {
@@ -163,6 +166,8 @@
   bool exceedsWorkerBound(const PoolJob &Job, std::uint32_t Step, EndpointIndex Worker) const;
   void startOn(PoolJob &Job, std::uint32_t Task, EndpointIndex Worker, core::TimePoint Now);
   void flushDelegations(const PoolJob &Job, core::TimePoint Now);
+  /// Ratio of run times on the worker now to those once it is warm.
+  double slowdownOf(const WorkerEntry &Entry, core::TimePoint Now) const;
   void updateSpeeds(core::TimePoint Now);
   /// Largest number of free processors on any worker, here or at other managers; -1 if none accepts
   /// tasks.
@@ -208,6 +213,7 @@
   DecisionLog &Log_;
   WorkerFleet Fleet_;
   WorkerRatings Ratings_;
+  ColdStart Cold_;
   JobKindRunTimes Kinds_;
   PoolCounters Counters_;
   std::unordered_map<JobHandle, PoolJob> Jobs_;
@@ -224,6 +230,7 @@
   std::uint64_t NextHandle_ = 1;
   /// Highest speed of the workers that accept tasks, as of the last dispatch.
   double FastestSpeed_ = 1;
+  double FastestSpeedNow_ = 1; ///< The same while some of them are cold.
   /// Mean run time over all workers, relative to that on a typical worker. The objective of a job
   /// is defined for the average worker, not for those that are used most.
   double MeanSlowness_ = 1;
--- a/Kernel/Pool/PoolManagerPlacement.cpp
+++ b/Kernel/Pool/PoolManagerPlacement.cpp
@@ -20,11 +20,17 @@
   return {Known.free(), Slots, AcceptsTasks ? Ratings_.speed(Index) : 0};
 }
 
+double PoolManager::slowdownOf(const WorkerEntry &Entry, core::TimePoint Now) const {
+  return ColdStart::coldMilliseconds(Entry.ColdUntil, Now) > 0 ? Cold_.slowdown() : 1;
+}
+
 void PoolManager::updateSpeeds(core::TimePoint Now) {
   double Fastest = 0;
+  double FastestNow = 0;
   double Slowness = 0;
   double Count = 0;
-  auto Add = [&](double Speed) {
+  auto Add = [&](double Speed, const WorkerEntry &Entry) {
+    FastestNow = std::max(FastestNow, Speed / slowdownOf(Entry, Now));
     Fastest = std::max(Fastest, Speed);
     Slowness += 1 / Speed;
     Count += 1;
@@ -32,15 +38,16 @@
   for (std::size_t Position = 0; Position < Fleet_.size(); ++Position) {
     auto Index = static_cast<EndpointIndex>(Position);
     if (Fleet_.at(Index).acceptsTasks(Now) && Ratings_.taskLimit(Index) > 0)
-      Add(Ratings_.speed(Index));
+      Add(Ratings_.speed(Index), Fleet_.at(Index).Entry);
   }
   for (const auto &[Peer, Known] : Remotes_)
     for (const auto &Worker : Known.Pool.workers())
       if (Worker.Availability.Speed > 0)
-        Add(Worker.Availability.Speed);
+        Add(Worker.Availability.Speed, Worker.Entry);
   if (Count == 0)
     return;
   FastestSpeed_ = Fastest;
+  FastestSpeedNow_ = FastestNow;
   MeanSlowness_ = Slowness / Count;
 }
 
@@ -128,13 +135,15 @@
   Request.ObjectiveMilliseconds = core::toMilliseconds(Job.ObjectiveAt - Now);
   Request.UsefulMilliseconds = core::toMilliseconds(Job.UsefulUntil - Now);
   Request.RemoteFactor = Settings_.RemoteFactor;
+  Request.Now = Now;
+  Request.Cold = &Cold_;
   return Request;
 }
 
 bool PoolManager::placeTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now) {
   auto Step = Job.stepOf(Task);
   auto Request = placementRequestFor(Job, Step, Now);
-  PlacementChooser Chooser(Request, FastestSpeed_);
+  PlacementChooser Chooser(Request, FastestSpeedNow_);
   auto Own = chooseWorker(Job, Step, Chooser, Request, Now);
   auto AtPeer = Job.IsDelegation ? std::nullopt : chooseRemote(Chooser, Request, Now);
   if (!Own && !AtPeer)
--- a/Kernel/Pool/PoolManagerQueue.cpp
+++ b/Kernel/Pool/PoolManagerQueue.cpp
@@ -62,7 +62,8 @@
     double Places = Need.Processors > 0
                         ? std::floor(Known.Entry.Capacity.Processors / Need.Processors)
                         : Known.Entry.Slots;
-    Rate += std::min<double>(Places, Known.Entry.Slots) * Ratings_.speed(Index);
+    Rate += std::min<double>(Places, Known.Entry.Slots) * Ratings_.speed(Index) /
+            slowdownOf(Known.Entry, Now);
   }
   return Rate;
 }
@@ -77,8 +78,9 @@
   if (EvacuatedDataCentres_.empty() || Now < WorkersFoundAt_ + DirectoryExchangeTime)
     return false;
   for (std::uint32_t Step = 0; Step < Job.Steps.size(); ++Step) {
-    const auto &Policy = Job.Submission->Policy;
-    PoolPlacementRequest Request{&Job.Submission->Steps[Step], &Policy};
+    PoolPlacementRequest Request;
+    Request.Step = &Job.Submission->Steps[Step];
+    Request.Policy = &Job.Submission->Policy;
     bool IsOnlyEvacuated = false;
     bool IsServedElsewhere = false;
     auto Consider = [&](const WorkerEntry &Entry) {
--- a/Kernel/Pool/PoolPlacement.cpp
+++ b/Kernel/Pool/PoolPlacement.cpp
@@ -17,8 +17,11 @@
 double expectedMilliseconds(const PoolPlacementRequest &Request,
                             const PlacementCandidate &Candidate) {
   bool IsNear = Request.Step->DataRack.empty() || Candidate.Entry->hasLabel(Request.Step->DataRack);
-  return Request.TypicalRunTime * (IsNear ? 1 : Request.RemoteFactor) /
-             Candidate.Availability.Speed +
+  double Warm =
+      Request.TypicalRunTime * (IsNear ? 1 : Request.RemoteFactor) / Candidate.Availability.Speed;
+  double ColdLeft = ColdStart::coldMilliseconds(Candidate.Entry->ColdUntil, Request.Now);
+  bool IsCold = ColdLeft > 0 && Request.Cold;
+  return (IsCold ? Request.Cold->expectedMilliseconds(Warm, ColdLeft) : Warm) +
          Candidate.ExtraMilliseconds;
 }
 
--- a/Kernel/Pool/PoolPlacement.h
+++ b/Kernel/Pool/PoolPlacement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Kernel/Identifiers.h"
+#include "Kernel/Pool/ColdStart.h"
 #include "Kernel/Pool/JobSubmission.h"
 #include "Kernel/Pool/PoolMessages.h"
 #include "Kernel/Pool/WorkerMessages.h"
@@ -16,7 +17,9 @@
   double TypicalRunTime = 0;        ///< On a typical worker near the data.
   double ObjectiveMilliseconds = 0; ///< Time left to meet the objective.
   double UsefulMilliseconds = 0;    ///< Time after which the result is of no use.
-  double RemoteFactor = 1;          ///< Ratio of the run time away from the data to that near it.
+  core::TimePoint Now;
+  const ColdStart *Cold = nullptr; ///< Expected run times of cold workers; may be null.
+  double RemoteFactor = 1;         ///< Ratio of the run time away from the data to that near it.
 };
 
 /// A worker that is considered for the task.
--- a/Kernel/Pool/WorkerMessages.cpp
+++ b/Kernel/Pool/WorkerMessages.cpp
@@ -3,6 +3,12 @@
 #include <algorithm>
 
 namespace cornellift::kernel {
+namespace {
+
+/// Entries are read within one interval of the watch after they were written.
+constexpr core::Duration ReportDelay = std::chrono::milliseconds(700);
+
+} // namespace
 
 bool WorkerEntry::hasLabel(std::string_view Label) const {
   return std::find(Labels.begin(), Labels.end(), Label) != Labels.end();
@@ -14,7 +20,22 @@
          Capacity.Processors == Other.Capacity.Processors &&
          Capacity.MemoryMegabytes == Other.Capacity.MemoryMegabytes &&
          Capacity.Accelerators == Other.Capacity.Accelerators && Slots == Other.Slots &&
-         Labels == Other.Labels && StartedMilliseconds == Other.StartedMilliseconds;
+         Labels == Other.Labels && StartedMilliseconds == Other.StartedMilliseconds &&
+         ColdUntil == Other.ColdUntil && LeavesBy == Other.LeavesBy;
+}
+
+void WorkerEntry::keepSteadyDeadlines(const WorkerEntry &Former) {
+  if (Former.Id != Id || Former.StartedMilliseconds != StartedMilliseconds)
+    return;
+  auto Keep = [](std::optional<core::TimePoint> &Deadline,
+                 const std::optional<core::TimePoint> &Earlier) {
+    bool IsSteady = Deadline && Earlier && *Deadline - *Earlier < ReportDelay &&
+                    *Earlier - *Deadline < ReportDelay;
+    if (IsSteady)
+      Deadline = Earlier;
+  };
+  Keep(ColdUntil, Former.ColdUntil);
+  Keep(LeavesBy, Former.LeavesBy);
 }
 
 std::string_view verdictName(CommandVerdict Verdict) {
--- a/Kernel/Pool/WorkerMessages.h
+++ b/Kernel/Pool/WorkerMessages.h
@@ -2,6 +2,7 @@
 
 #include "Kernel/Job.h"
 #include "Kernel/Pool/JobKey.h"
+#include "Libraries/LibCore/Time.h"
 
 #include <cstdint>
 #include <optional>
@@ -21,10 +22,16 @@
   std::string Service;
   WorkerState State = WorkerState::Ready;
   Resources Capacity;
-  std::uint32_t Slots = 1;              ///< Maximum number of running tasks.
-  std::vector<std::string> Labels;      ///< Worker type and rack.
-  std::int64_t StartedMilliseconds = 0; ///< Start of this incarnation, since 1970 (Unix time).
-
+  std::uint32_t Slots = 1;                  ///< Maximum number of running tasks.
+  std::vector<std::string> Labels;          ///< Worker type and rack.
+  std::int64_t StartedMilliseconds = 0;     ///< Start of this incarnation, since 1970 (Unix time).
+  std::optional<core::TimePoint> ColdUntil; ///< It is slow until then, shortly after its start.
+  /// While it drains: it stays at least until then. What runs there later ends with it.
+  std::optional<core::TimePoint> LeavesBy;
+
+  /// Takes over the deadlines of a former report of the same incarnation that hardly differ: the
+  /// reports arrive with different delays, which must not look like changes of the entry.
+  void keepSteadyDeadlines(const WorkerEntry &Former);
   bool hasLabel(std::string_view Label) const;
   bool operator==(const WorkerEntry &Other) const;
 };
--- a/Kernel/Pool/WorkerRatings.cpp
+++ b/Kernel/Pool/WorkerRatings.cpp
@@ -53,10 +53,14 @@
 
 void WorkerRatings::recordSuccess(EndpointIndex Worker, KindIndex Kind, double Ratio,
                                   double Deviation, core::TimePoint Now) {
-  Health_.succeeded(Worker, JobKindRunTimes::Service, Kind);
+  recordSuccess(Worker, Kind);
   Speeds_.learn(Worker, std::log(Ratio), Deviation, Now);
 }
 
+void WorkerRatings::recordSuccess(EndpointIndex Worker, KindIndex Kind) {
+  Health_.succeeded(Worker, JobKindRunTimes::Service, Kind);
+}
+
 void WorkerRatings::recordFailure(EndpointIndex Worker, KindIndex Kind, JobKey Job,
                                   core::TimePoint Now) {
   JobId Identifier{{}, static_cast<std::uint64_t>(Job)};
--- a/Kernel/Pool/WorkerRatings.h
+++ b/Kernel/Pool/WorkerRatings.h
@@ -31,6 +31,9 @@
   void recordSuccess(EndpointIndex Worker, KindIndex Kind, double Ratio, double Deviation,
                      core::TimePoint Now);
 
+  /// The same for a run whose time does not show the worker's speed.
+  void recordSuccess(EndpointIndex Worker, KindIndex Kind);
+
   /// Records a task that failed or made no progress.
   void recordFailure(EndpointIndex Worker, KindIndex Kind, JobKey Job, core::TimePoint Now);
 
--- a/Kernel/Pool/WorkerRegistry.cpp
+++ b/Kernel/Pool/WorkerRegistry.cpp
@@ -54,6 +54,11 @@
   return Result;
 }
 
+const WorkerEntry *WorkerRegistry::find(const std::string &Id) const {
+  auto Found = Entries_.find(Id);
+  return Found == Entries_.end() ? nullptr : &Found->second.Entry;
+}
+
 std::vector<std::string> WorkerRegistry::ids() const {
   std::vector<std::string> Result;
   for (const auto &[Id, Entry] : Entries_)
--- a/Kernel/Pool/WorkerRegistry.h
+++ b/Kernel/Pool/WorkerRegistry.h
@@ -29,6 +29,8 @@
   /// The workers in the data centres, ordered by id.
   std::vector<WorkerEntry> workersIn(const std::set<std::string> &DataCentres) const;
 
+  /// Returns null if it is not known.
+  const WorkerEntry *find(const std::string &Id) const;
   bool contains(const std::string &Id) const { return Entries_.contains(Id); }
   std::vector<std::string> ids() const;
 
--- a/Libraries/LibMesh/MeshCoding.cpp
+++ b/Libraries/LibMesh/MeshCoding.cpp
@@ -82,7 +82,17 @@
   return Value;
 }
 
-void encodeWorker(const WorkerEntry &Value, Worker &Out) {
+std::uint32_t millisecondsUntil(std::optional<core::TimePoint> Deadline, core::TimePoint Now) {
+  return Deadline ? toCount(std::max(0.0, core::toMilliseconds(*Deadline - Now))) : 0;
+}
+
+std::optional<core::TimePoint> deadlineIn(std::uint32_t Milliseconds, core::TimePoint Now) {
+  if (Milliseconds == 0)
+    return std::nullopt;
+  return Now + std::chrono::milliseconds(Milliseconds);
+}
+
+void encodeWorker(const WorkerEntry &Value, core::TimePoint Now, Worker &Out) {
   Out.set_id(Value.Id);
   Out.set_address(Value.Address);
   Out.set_data_centre(Value.DataCentre);
@@ -93,9 +103,11 @@
   for (const auto &Label : Value.Labels)
     Out.add_labels(Label);
   Out.set_born_ms(Value.StartedMilliseconds);
+  Out.set_cold_left_ms(millisecondsUntil(Value.ColdUntil, Now));
+  Out.set_leaves_in_ms(millisecondsUntil(Value.LeavesBy, Now));
 }
 
-WorkerEntry decodeWorker(const Worker &Message) {
+WorkerEntry decodeWorker(const Worker &Message, core::TimePoint Now) {
   WorkerEntry Value;
   Value.Id = Message.id();
   Value.Address = Message.address();
@@ -106,6 +118,8 @@
   Value.Slots = Message.slots();
   Value.Labels.assign(Message.labels().begin(), Message.labels().end());
   Value.StartedMilliseconds = Message.born_ms();
+  Value.ColdUntil = deadlineIn(Message.cold_left_ms(), Now);
+  Value.LeavesBy = deadlineIn(Message.leaves_in_ms(), Now);
   return Value;
 }
 
@@ -197,7 +211,7 @@
   void operator()(const PoolDirectory &Value) const {
     Out_.mutable_directory()->set_version(Value.Version);
     for (const auto &Entry : Value.Workers)
-      encodeWorker(Entry, *Out_.mutable_directory()->add_workers());
+      encodeWorker(Entry, Now_, *Out_.mutable_directory()->add_workers());
   }
   void operator()(const PoolReport &Value) const { encodeReport(Value, *Out_.mutable_report()); }
   void operator()(const ReleaseWorkers &Value) const {
@@ -273,7 +287,7 @@
   case Frame::kDirectory: {
     PoolDirectory Value{Message.directory().version(), {}};
     for (const auto &Entry : Message.directory().workers())
-      Value.Workers.push_back(decodeWorker(Entry));
+      Value.Workers.push_back(decodeWorker(Entry, Now));
     return Value;
   }
   case Frame::kReport:
--- a/Libraries/LibPlatform/WorkerFormat.h
+++ b/Libraries/LibPlatform/WorkerFormat.h
@@ -24,9 +24,10 @@
   virtual kernel::CommandReply parseCommandReply(const reactor::HttpResult &Result) const = 0;
   virtual kernel::PollReply parsePollReply(const reactor::HttpResult &Result) const = 0;
 
+  /// ReadAt is when the value was read: an entry states times that are left.
   /// Returns an empty optional with Malformed for a value that does not describe a worker.
-  virtual std::optional<kernel::WorkerEntry> parseEntry(std::string_view WorkerId,
-                                                        std::string_view Value) const = 0;
+  virtual std::optional<kernel::WorkerEntry>
+  parseEntry(std::string_view WorkerId, std::string_view Value, core::TimePoint ReadAt) const = 0;
 };
 
 } // namespace cornellift::platform
--- a/Services/PoolDaemon/PoolDaemonMetrics.cpp
+++ b/Services/PoolDaemon/PoolDaemonMetrics.cpp
@@ -59,6 +59,9 @@
                  [this] { return static_cast<double>(Manager_.fleet().foreignRunsStopped()); });
   Metrics_.gauge("cornellift_runs_started_again_total",
                  [this] { return static_cast<double>(Manager_.fleet().startedAgain()); });
+  Metrics_.gauge("cornellift_cold_runs_done_total",
+                 [this] { return static_cast<double>(Manager_.counters().ColdRunsDone); });
+  Metrics_.gauge("cornellift_cold_slowdown", [this] { return Manager_.coldSlowdown(); });
   auto Workers = [this](const char *Name, kernel::LeaseState State) {
     Metrics_.gauge("cornellift_workers",
                    [this, State] { return static_cast<double>(Manager_.fleet().countIn(State)); },
--- a/Services/PoolDaemon/WorkerDirectory.cpp
+++ b/Services/PoolDaemon/WorkerDirectory.cpp
@@ -73,7 +73,7 @@
     return core::fail(core::ErrorKind::TooLarge, "the value has more than " +
                                                      std::to_string(MaximumEntryBytes) +
                                                      " bytes; check the process that writes it");
-  auto Entry = Format_.parseEntry(Id, Item.Value);
+  auto Entry = Format_.parseEntry(Id, Item.Value, core::MonotonicClock::now());
   if (!Entry)
     return std::nullopt;
   if (!Services_.empty() && !Services_.contains(Entry->Service))
@@ -101,6 +101,8 @@
     Log_.line(kernel::DecisionPriority::StateChange, "worker entry left out", std::nullopt,
               {{"worker", std::string_view(Id)},
                {"reason", std::string_view(core::lastReason().Message)}});
+  if (const auto *Former = Entry ? Listing_.find(Id) : nullptr)
+    Entry->keepSteadyDeadlines(*Former);
   Listing_.written(Id, std::move(Entry));
 }
 
--- a/Tests/Fuzz/FuzzPlatform.cpp
+++ b/Tests/Fuzz/FuzzPlatform.cpp
@@ -52,7 +52,7 @@
     for (std::size_t Next = 1; Next < Poll.Report->Ended.size(); ++Next)
       require(Poll.Report->Ended[Next - 1].Number <= Poll.Report->Ended[Next].Number);
   Messages.parseCommandReply(Result);
-  auto Entry = Messages.parseEntry("w", Text);
+  auto Entry = Messages.parseEntry("w", Text, {});
   if (!Entry)
     return;
   require(std::isfinite(Entry->Capacity.Processors) && Entry->Id == "w");
--- a/Tests/Platform/TestWorkerMessages.cpp
+++ b/Tests/Platform/TestWorkerMessages.cpp
@@ -4,6 +4,7 @@
 
 using namespace cornellift;
 using kernel::CommandVerdict;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -100,13 +101,16 @@
   auto Entry = Messages.parseEntry(
       "w-1", R"({"address":"10.0.0.1:80","zone":"ikeja","service":"slip","state":"draining",
       "slots":4,"capacity":{"cpu":2500,"memMb":64,"gpus":1},"labels":["type-a","rack-4"],
-      "born":5})");
+      "born":5,"coldLeftMs":1500,"remainingMs":2500})",
+      core::TimePoint(1h));
   BOOST_REQUIRE(Entry);
   BOOST_TEST(Entry->DataCentre == "ikeja");
   BOOST_TEST((Entry->State == kernel::WorkerState::Draining));
   BOOST_TEST(Entry->Slots == 4U);
   BOOST_TEST(Entry->Capacity.Processors == 2.5);
   BOOST_TEST(Entry->Labels.size() == 2U);
+  BOOST_TEST((Entry->ColdUntil == core::TimePoint(1h + 1500ms)));
+  BOOST_TEST((Entry->LeavesBy == core::TimePoint(1h + 2500ms)));
 }
 
 // Guards against accepting a malformed entry, which would give a worker capacity that it lacks.
@@ -117,7 +121,7 @@
             "capacity":{"cpu":1,"memMb":1}})",
         R"({"address":1,"zone":"z","service":"s","state":"ready","slots":1,
             "capacity":{"cpu":1,"memMb":1}})"})
-    BOOST_TEST_CONTEXT(Value) { BOOST_TEST(!Messages.parseEntry("w", Value)); }
+    BOOST_TEST_CONTEXT(Value) { BOOST_TEST(!Messages.parseEntry("w", Value, {})); }
 }
 
 // Guards against an entry of another writer whose text other entry processes cannot read: it
@@ -129,14 +133,14 @@
            R"("],"born":5})";
   };
   BOOST_TEST(
-      Messages.parseEntry("w", EntryWith("slip", "\xc3\xa9\\u00e9\\ud83d\\ude00")).has_value());
+      Messages.parseEntry("w", EntryWith("slip", "\xc3\xa9\\u00e9\\ud83d\\ude00"), {}).has_value());
   // Any bytes, a surrogate, an overlong encoding, a cut sequence, and an escaped lone surrogate.
   for (const char *Odd : {"\xff\xfe", "\xed\xa0\x80", "\xc0\xaf", "a\xc3", "\\udc00"})
     BOOST_TEST_CONTEXT(Odd) {
-      BOOST_TEST(!Messages.parseEntry("w", EntryWith(Odd, "type-a")));
-      BOOST_TEST(!Messages.parseEntry("w", EntryWith("slip", Odd)));
+      BOOST_TEST(!Messages.parseEntry("w", EntryWith(Odd, "type-a"), {}));
+      BOOST_TEST(!Messages.parseEntry("w", EntryWith("slip", Odd), {}));
     }
-  BOOST_TEST(!Messages.parseEntry("w\xff", EntryWith("slip", "type-a")));
+  BOOST_TEST(!Messages.parseEntry("w\xff", EntryWith("slip", "type-a"), {}));
 }
 
 // Guards against entries of another writer that take a hundred times their length in memory.
@@ -148,8 +152,8 @@
       Text += ",\"\"";
     return Text + "]}";
   };
-  BOOST_TEST(Messages.parseEntry("w", EntryWith(8)).has_value());
-  BOOST_TEST(!Messages.parseEntry("w", EntryWith(5300)));
+  BOOST_TEST(Messages.parseEntry("w", EntryWith(8), {}).has_value());
+  BOOST_TEST(!Messages.parseEntry("w", EntryWith(5300), {}));
 }
 
 // Guards against a worker whose ends of tasks are lost because of bytes that nobody uses.
