--- a/Kernel/Pool/DataWait.cpp
+++ b/Kernel/Pool/DataWait.cpp
@@ -11,13 +11,17 @@
 /// Gains of less than this are lost again in the delays of commands and reports.
 constexpr double MinimumGainMilliseconds = 5;
 
+/// Longer queues hardly change the mean.
+constexpr std::uint32_t LongestQueue = 64;
+
 /// The longest wait after which a task can still start away from its data and meet whatever it
 /// would meet by starting there now.
 double longestHarmlessWait(const DataWaitRequest &Request, double NearRun) {
   double End = Request.AwayEnd;
   if (End <= Request.ObjectiveMilliseconds)
     return Request.ObjectiveMilliseconds - End;
-  // The objective is met near the data or not at all.
+  if (NearRun <= Request.ObjectiveMilliseconds)
+    return Request.ObjectiveMilliseconds - NearRun; // It can be met near the data only.
   if (End <= Request.UsefulMilliseconds)
     return Request.UsefulMilliseconds - End;
   return std::max(0.0, Request.UsefulMilliseconds - NearRun);
@@ -71,6 +75,49 @@
   return Room;
 }
 
+double RackTimetable::places(const Resources &Need) const {
+  double Sum = 0;
+  for (const auto &Worker : Rows_) {
+    auto Whole = Worker.Free;
+    for (const auto &Each : Worker.Changes)
+      Whole.add(Each.Need, Each.Sign);
+    auto Count = static_cast<double>(Whole.Slots);
+    if (Need.Processors > 0)
+      Count =
+          std::min(Count, std::floor(Whole.Amounts.Processors / Need.Processors + RoundingSlack));
+    if (Need.MemoryMegabytes > 0)
+      Count = std::min(Count, std::floor(Whole.Amounts.MemoryMegabytes / Need.MemoryMegabytes));
+    Sum += std::max(0.0, Count) * Worker.Speed;
+  }
+  return Sum;
+}
+
+std::uint32_t longestUsefulQueue(double Places, double Load, double Saving) {
+  if (Places <= 0 || Load <= 0)
+    return LongestQueue;
+  // Erlang's loss formula: the share of time in which all places are taken and no task waits.
+  double AllTaken = 1;
+  for (double Place = 1; Place <= std::max(1.0, std::round(Places)); ++Place)
+    AllTaken = Load * AllTaken / (Place + Load * AllTaken);
+  // Relative weights of the states with all places taken: one for no task that waits.
+  double Ratio = Load / Places;
+  double Weight = 1;
+  double Total = 1 / AllTaken;
+  double Waiting = 0;
+  double BestCost = Saving / Total;
+  for (std::uint32_t Length = 1; Length <= LongestQueue; ++Length) {
+    Weight *= Ratio;
+    Total += Weight;
+    Waiting += Length * Weight;
+    // Tasks that find the queue full lose the saving; the others wait.
+    double Cost = (Weight * Saving + Waiting / Load) / Total;
+    if (Cost >= BestCost)
+      return Length - 1;
+    BestCost = Cost;
+  }
+  return LongestQueue;
+}
+
 std::optional<ExpectedRoom> RackTimetable::earliest(const Resources &Need,
                                                     double TypicalMilliseconds,
                                                     core::TimePoint Now) const {
@@ -93,6 +140,7 @@
 void RackTimetable::take(const ExpectedRoom &Room, const Resources &Need,
                          double TypicalMilliseconds) {
   auto &Worker = Rows_[Room.Worker];
+  ++Taken_;
   auto End = Room.At + core::fromMilliseconds(TypicalMilliseconds / Worker.Speed);
   insert(Worker, {Room.At, Room.ErrorMilliseconds, Need, -1});
   insert(Worker, {End, Room.ErrorMilliseconds, Need, 1});
@@ -103,6 +151,7 @@
   DataWaitPlan Plan;
   double GainSum = 0;
   double LongestWait = 0;
+  double Places = Rack.places(Request.Need);
   while (Plan.Tasks < Request.Tasks) {
     auto Room = Rack.earliest(Request.Need, Request.TypicalMilliseconds, Now);
     if (!Room) {
@@ -112,11 +161,18 @@
     double NearRun = Request.TypicalMilliseconds / Room->Speed;
     double Saving = Request.AwayEnd - NearRun;
     double Wait = core::toMilliseconds(Room->At - Now);
+    bool IsInTimeOnlyNear = Request.AwayEnd > Request.ObjectiveMilliseconds &&
+                            Wait + NearRun <= Request.ObjectiveMilliseconds;
     double Error = std::hypot(Request.Deviation * Saving, Room->ErrorMilliseconds);
-    if (Saving - Wait <= std::max(Error, MinimumGainMilliseconds)) {
+    if (!IsInTimeOnlyNear && Saving - Wait <= std::max(Error, MinimumGainMilliseconds)) {
       Plan.WhyNot = Wait < Saving ? "the gain is within the error" : "no gain";
       break;
     }
+    if (!IsInTimeOnlyNear &&
+        Rack.taken() >= longestUsefulQueue(Places, Request.RackLoad, Saving / NearRun)) {
+      Plan.WhyNot = "enough tasks wait for the rack";
+      break;
+    }
     double Longest = std::min(Saving, longestHarmlessWait(Request, NearRun));
     if (Wait + Room->ErrorMilliseconds > Longest) {
       Plan.WhyNot = "the objective leaves no time";
--- a/Kernel/Pool/DataWait.h
+++ b/Kernel/Pool/DataWait.h
@@ -42,6 +42,11 @@
   std::optional<ExpectedRoom> earliest(const Resources &Need, double TypicalMilliseconds,
                                        core::TimePoint Now) const;
 
+  /// Number of such tasks that the workers run at the same time, in places of typical speed.
+  double places(const Resources &Need) const;
+  /// Number of tasks that wait for room here.
+  std::uint32_t taken() const { return Taken_; }
+
   /// Takes the room for a task that waits for it.
   void take(const ExpectedRoom &Room, const Resources &Need, double TypicalMilliseconds);
 
@@ -70,8 +75,17 @@
                                             core::TimePoint Now);
 
   std::vector<Row> Rows_;
+  std::uint32_t Taken_ = 0;
 };
 
+/// Number of tasks that should wait for a rack at most, so that the mean time of all tasks that
+/// want it is shortest. Beyond that, each task that waits takes more time from those after it than
+/// it saves itself. Assumes random arrivals and run times.
+///
+/// Places is the number of tasks that run there at the same time, Load the places that are wanted
+/// in the mean, and Saving what a place there saves, in run times there.
+std::uint32_t longestUsefulQueue(double Places, double Load, double Saving);
+
 /// Equal tasks of a step that could start away from their data now. Times are in milliseconds from
 /// now.
 struct DataWaitRequest {
@@ -82,6 +96,7 @@
   double AwayEnd = 0;             ///< Expected end of a task that starts away from the data now.
   double ObjectiveMilliseconds = 0;
   double UsefulMilliseconds = 0;
+  double RackLoad = 0; ///< Places near the data that are wanted in the mean.
 };
 
 /// How many of the tasks should wait for room near their data; the others should start now.
@@ -119,9 +134,10 @@
 };
 
 /// A task waits if it is expected to end sooner near its data, by more than the error of the
-/// estimate, and only for as long as it could still start away from its data without missing an
-/// objective that it would meet by starting now. The whole wait is at most what the place saves, so
-/// that a task which waits in vain takes at most that much longer.
+/// estimate, or to meet an objective there that it misses elsewhere; and only for as long as it
+/// could still start away from its data without missing an objective that it would meet by starting
+/// now. The whole wait is at most what the place saves, so that a task which waits in vain takes at
+/// most that much longer. No more tasks wait for a rack than is best for all that want it.
 ///
 /// Answers loads in which one rack is wanted by many tasks and its workers are busy with short
 /// runs, so that a place near the data becomes free sooner than the longer run away from it would
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -147,6 +147,15 @@
   bool placeTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now);
   PoolPlacementRequest placementRequestFor(const PoolJob &Job, std::uint32_t Step,
                                            core::TimePoint Now) const;
+  /// A worker of this manager, or one of another manager.
+  struct ChosenPlace {
+    std::optional<EndpointIndex> Own; ///< Not used if AtPeer is set.
+    std::optional<std::pair<PeerIndex, std::size_t>> AtPeer;
+    double EndMilliseconds = 0; ///< Expected time until the task ends.
+  };
+  std::optional<ChosenPlace> choosePlace(const PoolJob &Job, std::uint32_t Step,
+                                         const PoolPlacementRequest &Request,
+                                         core::TimePoint Now) const;
   std::optional<EndpointIndex> chooseWorker(const PoolJob &Job, std::uint32_t Step,
                                             PlacementChooser &Chooser,
                                             const PoolPlacementRequest &Request,
@@ -174,9 +183,14 @@
 
   // PoolManagerDataWait.cpp: tasks that wait for room near their data.
   /// Returns whether the step's next task is to wait for room near its data, although it could
-  /// start on the chosen worker and end there after EndMilliseconds.
+  /// start at the chosen place.
   bool waitsForData(PoolJob &Job, std::uint32_t Step, const PoolPlacementRequest &Request,
-                    const WorkerEntry &Chosen, double EndMilliseconds, core::TimePoint Now);
+                    const ChosenPlace &Chosen, core::TimePoint Now);
+  bool mayWaitForData(const PoolJob &Job, std::uint32_t Step) const;
+  /// Returns whether a task that would miss its objective away from its data may start there all
+  /// the same, because this manager can tell when there is room near the data.
+  bool mayStartLateAwayFromData(const PoolJob &Job, std::uint32_t Step, core::TimePoint Now);
+  const WorkerEntry &entryOf(const ChosenPlace &Chosen) const;
   void planDataWait(PoolJob &Job, std::uint32_t Step, const PoolPlacementRequest &Request,
                     double EndMilliseconds, core::TimePoint Now);
   /// The timetable of the step's rack, as of this dispatch.
--- a/Kernel/Pool/PoolManagerDataWait.cpp
+++ b/Kernel/Pool/PoolManagerDataWait.cpp
@@ -66,23 +66,38 @@
   return Rack;
 }
 
+const WorkerEntry &PoolManager::entryOf(const ChosenPlace &Chosen) const {
+  if (Chosen.AtPeer)
+    return Remotes_.at(Chosen.AtPeer->first).Pool.workers()[Chosen.AtPeer->second].Entry;
+  return Fleet_.at(*Chosen.Own).Entry;
+}
+
+bool PoolManager::mayWaitForData(const PoolJob &Job, std::uint32_t Step) const {
+  const auto &Wanted = Job.Submission->Steps[Step];
+  // Another manager that has delegated a task needs a start or a refusal at once.
+  return !Wanted.DataRack.empty() && DataWaitPolicy_ && Settings_.RemoteFactor > 1 &&
+         !Job.IsDelegation && Wanted.MaximumPerWorker == 0;
+}
+
+bool PoolManager::mayStartLateAwayFromData(const PoolJob &Job, std::uint32_t Step,
+                                           core::TimePoint Now) {
+  return mayWaitForData(Job, Step) && timetableFor(Job, Step, Now).hasWorkers();
+}
+
 bool PoolManager::waitsForData(PoolJob &Job, std::uint32_t Step,
-                               const PoolPlacementRequest &Request, const WorkerEntry &Chosen,
-                               double EndMilliseconds, core::TimePoint Now) {
-  const auto &Rack = Request.Step->DataRack;
+                               const PoolPlacementRequest &Request, const ChosenPlace &Chosen,
+                               core::TimePoint Now) {
   auto &Progress = Job.Steps[Step];
-  if (Rack.empty() || Job.IsDelegation)
-    return false; // The other manager needs a start or a refusal at once.
-  if (Chosen.hasLabel(Rack)) {
-    startsNearData(Job, Progress, EndMilliseconds, Now);
+  if (!mayWaitForData(Job, Step))
+    return false;
+  if (entryOf(Chosen).hasLabel(Request.Step->DataRack)) {
+    startsNearData(Job, Progress, Chosen.EndMilliseconds, Now);
     return false;
   }
-  bool MayWait = DataWaitPolicy_ && Request.RemoteFactor > 1 && !Progress.Wait.IsOver &&
-                 Request.Step->MaximumPerWorker == 0;
-  if (!MayWait)
+  if (Progress.Wait.IsOver)
     return false;
   if (Progress.Wait.PlannedIn != DispatchNumber_)
-    planDataWait(Job, Step, Request, EndMilliseconds, Now);
+    planDataWait(Job, Step, Request, Chosen.EndMilliseconds, Now);
   if (Progress.Waiting > Progress.Wait.Tasks) {
     Progress.Wait.StartedAway += Progress.Wait.Tasks > 0 ? 1 : 0;
     return false;
@@ -98,7 +113,8 @@
   Wait.PlannedIn = DispatchNumber_;
   auto Plan = DataWaitPolicy_->plan({Request.Step->Need, Progress.Waiting, Request.TypicalRunTime,
                                      Progress.Deviation, EndMilliseconds,
-                                     Request.ObjectiveMilliseconds, Request.UsefulMilliseconds},
+                                     Request.ObjectiveMilliseconds, Request.UsefulMilliseconds,
+                                     RackDemand_.load(Request.Step->DataRack, Now)},
                                     timetableFor(Job, Step, Now), Now);
   if (Plan.Tasks < Wait.Tasks)
     return releaseFromWait(Job, Step, Wait.Tasks - Plan.Tasks, &PoolCounters::DataWaitsUseless,
@@ -112,7 +128,7 @@
     Wait.ExpectedGain = Plan.ExpectedGain;
   }
   Wait.Tasks = Plan.Tasks;
-  RackDemand_.want(Request.Step->DataRack, Now);
+  RackDemand_.want(Request.Step->DataRack, 0, Now);
 }
 
 void PoolManager::startsNearData(const PoolJob &Job, StepProgress &Progress, double EndMilliseconds,
@@ -182,7 +198,8 @@
 }
 
 void PoolManager::markWantedRacks(core::TimePoint Now) {
-  IsRackWanted_.assign(RackDemand_.empty() ? 0 : Fleet_.size(), false);
+  bool IsAnyWanted = DataWaitPolicy_ && !RackDemand_.empty();
+  IsRackWanted_.assign(IsAnyWanted ? Fleet_.size() : 0, false);
   for (std::size_t Position = 0; Position < IsRackWanted_.size(); ++Position)
     IsRackWanted_[Position] =
         RackDemand_.isWanted(Fleet_.at(static_cast<EndpointIndex>(Position)).Entry, Now);
--- a/Kernel/Pool/PoolManagerJobs.cpp
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -97,7 +97,8 @@
         {FirstTask, Step.Count, 0, Estimate.medianMilliseconds(), Estimate.LogDeviation});
     FirstTask += Step.Count;
     if (!Step.DataRack.empty() && Settings_.RemoteFactor > 1)
-      RackDemand_.want(Step.DataRack, Now);
+      RackDemand_.want(Step.DataRack,
+                       (IsDelegation ? 1 : Step.Count) * Estimate.medianMilliseconds(), Now);
   }
   Job.Tasks.resize(FirstTask);
   setDeadlines(Job);
--- a/Kernel/Pool/PoolManagerPlacement.cpp
+++ b/Kernel/Pool/PoolManagerPlacement.cpp
@@ -141,15 +141,15 @@
 bool PoolManager::placeTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now) {
   auto Step = Job.stepOf(Task);
   auto Request = placementRequestFor(Job, Step, Now);
-  PlacementChooser Chooser(Request, FastestSpeed_);
-  auto Own = chooseWorker(Job, Step, Chooser, Request, Now);
-  auto AtPeer = Job.IsDelegation ? std::nullopt : chooseRemote(Chooser, Request, Now);
-  if (!Own && !AtPeer)
-    return false;
-  const auto &Chosen = AtPeer ? Remotes_.at(AtPeer->first).Pool.workers()[AtPeer->second].Entry
-                              : Fleet_.at(*Own).Entry;
-  if (waitsForData(Job, Step, Request, Chosen, Chooser.bestEnd(), Now))
+  auto Chosen = choosePlace(Job, Step, Request, Now);
+  if (!Chosen && mayStartLateAwayFromData(Job, Step, Now)) {
+    auto Late = Request;
+    Late.ObjectiveMilliseconds = Request.UsefulMilliseconds;
+    Chosen = choosePlace(Job, Step, Late, Now);
+  }
+  if (!Chosen || waitsForData(Job, Step, Request, *Chosen, Now))
     return false;
+  const auto &[Own, AtPeer, EndMilliseconds] = *Chosen;
   if (!Job.IsDelegation) {
     --Job.Steps[Step].Waiting;
     PlacementRate_.placed(Job.Steps[Step].TypicalMilliseconds);
@@ -169,6 +169,17 @@
   return true;
 }
 
+std::optional<PoolManager::ChosenPlace>
+PoolManager::choosePlace(const PoolJob &Job, std::uint32_t Step,
+                         const PoolPlacementRequest &Request, core::TimePoint Now) const {
+  PlacementChooser Chooser(Request, FastestSpeed_);
+  auto Own = chooseWorker(Job, Step, Chooser, Request, Now);
+  auto AtPeer = Job.IsDelegation ? std::nullopt : chooseRemote(Chooser, Request, Now);
+  if (!Own && !AtPeer)
+    return std::nullopt;
+  return ChosenPlace{Own, AtPeer, Chooser.bestEnd()};
+}
+
 std::optional<EndpointIndex> PoolManager::chooseWorker(const PoolJob &Job, std::uint32_t Step,
                                                        PlacementChooser &Chooser,
                                                        const PoolPlacementRequest &Request,
--- a/Kernel/Pool/RackDemand.h
+++ b/Kernel/Pool/RackDemand.h
@@ -14,16 +14,25 @@
 /// Answers loads in which tasks without data fill the rack that holds the data of many others.
 class RackDemand {
 public:
-  /// Records that a task wants a worker of the rack.
-  void want(const std::string &Rack, core::TimePoint Now);
+  /// Records that new tasks want the rack's workers for so long, on typical workers.
+  void want(const std::string &Rack, double TypicalMilliseconds, core::TimePoint Now);
+
+  /// Mean number of tasks that would run there at the same time, if all that wanted it did.
+  double load(const std::string &Rack, core::TimePoint Now) const;
 
   bool isWanted(const WorkerEntry &Entry, core::TimePoint Now) const;
 
-  bool empty() const { return WantedUntil_.empty(); }
+  bool empty() const { return Demands_.empty(); }
   void forgetExpired(core::TimePoint Now);
 
 private:
-  std::unordered_map<std::string, core::TimePoint> WantedUntil_;
+  struct Demand {
+    core::TimePoint Until;
+    double Milliseconds = 0; ///< Decaying sum, as of At.
+    core::TimePoint At;
+  };
+
+  std::unordered_map<std::string, Demand> Demands_;
 };
 
 } // namespace cornellift::kernel
--- a/Services/FleetStandIn/WorkerModel.cpp
+++ b/Services/FleetStandIn/WorkerModel.cpp
@@ -39,6 +39,13 @@
   Profile.RunMilliseconds = numberAfter(Specification, "run_ms=").value_or(Profile.RunMilliseconds);
   Profile.Cores = numberAfter(Specification, "cores=").value_or(Profile.Cores);
   Profile.Fails = Specification.find("fail") != std::string_view::npos;
+  Profile.RemoteFactor = numberAfter(Specification, "away=").value_or(1);
+  constexpr std::string_view RackWord = "rack=";
+  auto Position = Specification.find(RackWord);
+  if (Position != std::string_view::npos) {
+    auto Name = Specification.substr(Position + RackWord.size());
+    Profile.DataRack = Name.substr(0, Name.find(' '));
+  }
   return Profile;
 }
 
@@ -89,6 +96,8 @@
   if (Used + Profile.Cores > Entry_.Capacity.Processors + RoundingSlack ||
       Running_.size() >= Entry_.Slots)
     return Reply(CommandVerdict::NoCapacity);
+  if (!Profile.DataRack.empty() && !Entry_.hasLabel(Profile.DataRack))
+    Profile.RunMilliseconds *= Profile.RemoteFactor;
   History_.push_back({Command.Task, Command.Run, Now, std::nullopt, RunEnd::Done,
                       startedMilliseconds(), Command.FencingToken});
   Running_.push_back({History_.size() - 1, Profile, 0, {}, false});
--- a/Services/FleetStandIn/WorkerModel.h
+++ b/Services/FleetStandIn/WorkerModel.h
@@ -17,6 +17,8 @@
   double RunMilliseconds = 50; ///< On a worker of speed 1.
   double Cores = 1;
   bool Fails = false;
+  std::string DataRack;    ///< Rack of the task's data, given as `rack=NAME`; empty for none.
+  double RemoteFactor = 1; ///< Factor on the run time on other racks, given as `away=NUMBER`.
 
   static TaskProfile parse(std::string_view Specification);
 };
--- a/Tests/Pool/PoolSimulation.cpp
+++ b/Tests/Pool/PoolSimulation.cpp
@@ -41,8 +41,11 @@
       Entry.Service = "print";
       Entry.Capacity = {4, 4096, 0};
       Entry.Slots = 8;
+      if (Settings.WorkersPerRack > 0)
+        Entry.Labels.push_back("r" + std::to_string(Workers_.size() / Settings.WorkersPerRack));
       double Speed = Each % 3 == 0 ? 0.7 : 1.5;
-      Workers_.push_back(std::make_unique<standin::WorkerModel>(Entry, Speed, Now_));
+      Workers_.push_back(std::make_unique<standin::WorkerModel>(
+          Entry, Settings.WorkerSpeed.value_or(Speed), Now_));
       Published_.push_back(Workers_.back()->entry());
     }
   Vms_.resize(Settings.DataCentres * Settings.VmsPerDataCentre);
@@ -142,7 +145,7 @@
 }
 
 JobKey PoolSimulation::submit(std::uint32_t Tasks, double RunMilliseconds, std::string_view Extra,
-                              double Cores) {
+                              double Cores, const SubmittedData &Data) {
   auto Key = static_cast<JobKey>(NextKey_++);
   auto Sender = std::make_unique<Caller>();
   Sender->Submission = std::make_shared<JobSubmission>();
@@ -150,10 +153,14 @@
   Submission.Key = Key;
   Submission.Specification = "run_ms=" + std::to_string(RunMilliseconds) +
                              " cores=" + std::to_string(Cores) + " " + std::string(Extra);
+  if (!Data.Rack.empty())
+    Submission.Specification +=
+        " rack=" + Data.Rack + " away=" + std::to_string(Settings_.RemoteFactor);
   JobStep Step;
   Step.Count = Tasks;
   Step.Need = {Cores, 64, 0};
-  Step.DeclaredMilliseconds = RunMilliseconds;
+  Step.DeclaredMilliseconds = RunMilliseconds * Data.DeclaredShare;
+  Step.DataRack = Data.Rack;
   Submission.Steps.push_back(Step);
   Submission.Policy = {"route", "print", 0, 3, 2, 60};
   Sender->DataCentre = Settings_.CallersAt.value_or(Random_() % Settings_.DataCentres);
--- a/Tests/Pool/PoolSimulation.h
+++ b/Tests/Pool/PoolSimulation.h
@@ -41,6 +41,17 @@
   /// Data centre of all callers; random for each caller if empty.
   std::optional<std::size_t> CallersAt;
   bool CallersComeAgain = true; ///< After a job was given up.
+  /// Consecutive workers of a data centre share a rack, named as `r0`; zero for no racks.
+  std::size_t WorkersPerRack = 0;
+  double RemoteFactor = 1.5;
+  std::optional<double> WorkerSpeed;         ///< Of all workers; mixed if empty.
+  const DataWaitPolicy *DataWaits = nullptr; ///< Null for a start at once.
+};
+
+/// The data of a submitted job's tasks.
+struct SubmittedData {
+  std::string Rack;
+  double DeclaredShare = 1; ///< Declared run time, relative to the true one.
 };
 
 /// Simulates several pool managers, their workers and callers on a virtual clock. Messages are
@@ -58,7 +69,7 @@
 
   /// Submits a job of equal tasks to a random VM of the caller's data centre.
   JobKey submit(std::uint32_t Tasks, double RunMilliseconds, std::string_view Extra = "",
-                double Cores = 2);
+                double Cores = 2, const SubmittedData &Data = {});
 
   /// Sends a caller's request to cancel the job to a VM.
   void cancel(JobKey Key, std::size_t Vm);
--- a/Tests/Pool/PoolSimulationVm.h
+++ b/Tests/Pool/PoolSimulationVm.h
@@ -37,7 +37,8 @@
   Vm(PoolSimulation &Simulation, std::size_t Index, std::string DataCentre)
       : Simulation_(Simulation), Index_(Index), DataCentre_(std::move(DataCentre)),
         Log_(Simulation.Now_, "vm" + std::to_string(Index)), Election_(self(), Simulation.Now_),
-        Manager_({1.5, 2}, *this, Tokens_, Log_) {
+        Manager_({Simulation.Settings_.RemoteFactor, 2}, *this, Tokens_, Log_) {
+    Manager_.setDataWaitPolicy(Simulation.Settings_.DataWaits);
     std::set<std::string> All;
     for (std::size_t Each = 0; Each < Simulation.Settings_.DataCentres; ++Each)
       All.insert("dc" + std::to_string(Each));
