Pool: Bound the tasks that wait for a rack by what is best for all

Cause: With a rack that is wanted for more than it can run, each task that waited for it took more time from those after it than it saved; and a task that misses its objective away from its data waited for the data without end. Change: The length of the queue for a rack comes from Erlang's formulas with the demand of late; the cost of places elsewhere counts; a task that cannot be in time near its data starts late elsewhere, on racks that nobody wants.

--- a/Kernel/Pool/DataWait.cpp
+++ b/Kernel/Pool/DataWait.cpp
@@ -14,6 +14,14 @@
 /// Longer queues hardly change the mean.
 constexpr std::uint32_t LongestQueue = 64;
 
+/// Erlang's loss formula: the share of time in which all places are taken, if no task waits.
+double lossShare(double Places, double Load) {
+  double Loss = 1;
+  for (double Place = 1; Place <= std::max(1.0, std::round(Places)); ++Place)
+    Loss = Load * Loss / (Place + Load * Loss);
+  return Loss;
+}
+
 /// The longest wait after which a task can still start away from its data and meet whatever it
 /// would meet by starting there now.
 double longestHarmlessWait(const DataWaitRequest &Request, double NearRun) {
@@ -95,10 +103,7 @@
 std::uint32_t longestUsefulQueue(double Places, double Load, double Saving) {
   if (Places <= 0 || Load <= 0)
     return LongestQueue;
-  // Erlang's loss formula: the share of time in which all places are taken and no task waits.
-  double AllTaken = 1;
-  for (double Place = 1; Place <= std::max(1.0, std::round(Places)); ++Place)
-    AllTaken = Load * AllTaken / (Place + Load * AllTaken);
+  double AllTaken = lossShare(Places, Load);
   // Relative weights of the states with all places taken: one for no task that waits.
   double Ratio = Load / Places;
   double Weight = 1;
@@ -118,6 +123,20 @@
   return LongestQueue;
 }
 
+double waitingPerBusyPlace(double Places, double Load) {
+  constexpr double HighestRatio = 0.97;
+  constexpr double OneMore = 0.5; // Of both sides, so that the difference is that of one place.
+  auto Waiting = [&](double At) {
+    double Ratio = std::min(At / Places, HighestRatio);
+    double Loss = lossShare(Places, Ratio * Places);
+    return Loss / (1 - Ratio * (1 - Loss)) * Ratio / (1 - Ratio);
+  };
+  if (Places <= 0)
+    return 0;
+  double Middle = std::clamp(Load, OneMore, std::max(OneMore, HighestRatio * Places - OneMore));
+  return Waiting(Middle + OneMore) - Waiting(Middle - OneMore);
+}
+
 std::optional<ExpectedRoom> RackTimetable::earliest(const Resources &Need,
                                                     double TypicalMilliseconds,
                                                     core::TimePoint Now) const {
@@ -160,16 +179,21 @@
     }
     double NearRun = Request.TypicalMilliseconds / Room->Speed;
     double Saving = Request.AwayEnd - NearRun;
+    double Worth = Saving * (1 + Request.PlaceCost);
     double Wait = core::toMilliseconds(Room->At - Now);
     bool IsInTimeOnlyNear = Request.AwayEnd > Request.ObjectiveMilliseconds &&
                             Wait + NearRun <= Request.ObjectiveMilliseconds;
+    if (Request.HaveWaited && !IsInTimeOnlyNear) {
+      Plan.WhyNot = "waited in vain";
+      break;
+    }
     double Error = std::hypot(Request.Deviation * Saving, Room->ErrorMilliseconds);
-    if (!IsInTimeOnlyNear && Saving - Wait <= std::max(Error, MinimumGainMilliseconds)) {
-      Plan.WhyNot = Wait < Saving ? "the gain is within the error" : "no gain";
+    if (!IsInTimeOnlyNear && Worth - Wait <= std::max(Error, MinimumGainMilliseconds)) {
+      Plan.WhyNot = Wait < Worth ? "the gain is within the error" : "no gain";
       break;
     }
     if (!IsInTimeOnlyNear &&
-        Rack.taken() >= longestUsefulQueue(Places, Request.RackLoad, Saving / NearRun)) {
+        Rack.taken() >= longestUsefulQueue(Places, Request.RackLoad, Worth / NearRun)) {
       Plan.WhyNot = "enough tasks wait for the rack";
       break;
     }
--- a/Kernel/Pool/DataWait.h
+++ b/Kernel/Pool/DataWait.h
@@ -86,6 +86,10 @@
 /// in the mean, and Saving what a place there saves, in run times there.
 std::uint32_t longestUsefulQueue(double Places, double Load, double Saving);
 
+/// Mean number of tasks that one more busy place makes wait, in a fleet that runs Places tasks at
+/// the same time and has Load of them in the mean. Assumes random arrivals and run times.
+double waitingPerBusyPlace(double Places, double Load);
+
 /// Equal tasks of a step that could start away from their data now. Times are in milliseconds from
 /// now.
 struct DataWaitRequest {
@@ -97,6 +101,9 @@
   double ObjectiveMilliseconds = 0;
   double UsefulMilliseconds = 0;
   double RackLoad = 0; ///< Places near the data that are wanted in the mean.
+  /// What a run takes from other tasks by its place, as a share of its time.
+  double PlaceCost = 0;
+  bool HaveWaited = false; ///< In vain.
 };
 
 /// How many of the tasks should wait for room near their data; the others should start now.
@@ -117,8 +124,7 @@
   double Gain = 0;               ///< Sum over the tasks that started near their data.
   std::uint32_t StartedNear = 0; ///< Tasks of this wait.
   std::uint32_t StartedAway = 0;
-  /// One wait per step: after it ended without room near the data, the tasks no longer wait.
-  bool IsOver = false;
+  bool IsOver = false;         ///< It has ended without room near the data.
   std::uint64_t PlannedIn = 0; ///< Number of the dispatch that planned it last.
 };
 
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -187,9 +187,10 @@
   bool waitsForData(PoolJob &Job, std::uint32_t Step, const PoolPlacementRequest &Request,
                     const ChosenPlace &Chosen, core::TimePoint Now);
   bool mayWaitForData(const PoolJob &Job, std::uint32_t Step) const;
-  /// Returns whether a task that would miss its objective away from its data may start there all
-  /// the same, because this manager can tell when there is room near the data.
-  bool mayStartLateAwayFromData(const PoolJob &Job, std::uint32_t Step, core::TimePoint Now);
+  /// A place away from the data for a task that would miss its objective there, because this
+  /// manager can tell that there is no room near the data soon; none that other tasks want.
+  std::optional<ChosenPlace> lateAwayFromData(const PoolJob &Job, std::uint32_t Step,
+                                              PoolPlacementRequest Request, core::TimePoint Now);
   const WorkerEntry &entryOf(const ChosenPlace &Chosen) const;
   void planDataWait(PoolJob &Job, std::uint32_t Step, const PoolPlacementRequest &Request,
                     double EndMilliseconds, core::TimePoint Now);
@@ -207,6 +208,9 @@
   void endExpiredWaits(PoolJob &Job, core::TimePoint Now);
   /// Returns whether tasks wait because there is no room for them anywhere.
   bool hasWorkWithoutRoom() const;
+  void observeFleetLoad(core::TimePoint Now);
+  /// What a run takes from other tasks by its place, as a share of its time.
+  double placeCost(const Resources &Need) const;
   void markWantedRacks(core::TimePoint Now);
   bool isRackWanted(EndpointIndex Worker, const JobStep &Step) const;
 
@@ -272,6 +276,9 @@
   /// By rack, service and required label; of the current dispatch.
   std::map<std::tuple<std::string, std::string, std::string>, RackTimetable> Timetables_;
   std::uint64_t DispatchNumber_ = 0;
+  double FleetLoad_ = 0; ///< Mean share of the processors in use, of late.
+  core::TimePoint FleetLoadAt_;
+  double FleetProcessors_ = 0;
   core::TimePoint ReportAt_; ///< Earliest time of the next report.
   bool NeedsDispatch_ = false;
   bool ReportIsDue_ = false;
--- a/Kernel/Pool/PoolManagerDataWait.cpp
+++ b/Kernel/Pool/PoolManagerDataWait.cpp
@@ -2,6 +2,7 @@
 #include "Kernel/Pool/PoolManager.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cornellift::kernel {
 namespace {
@@ -15,6 +16,10 @@
 /// A run that is overdue goes on for about this share of its time so far.
 constexpr double OverdueShare = 0.25;
 
+constexpr double SmallestNeed = 0.1;
+/// A larger fleet makes hardly any task wait before it is full.
+constexpr double MostPlaces = 200;
+
 } // namespace
 
 ExpectedRelease PoolManager::expectedRelease(const Run &Each, core::TimePoint Now) const {
@@ -79,9 +84,18 @@
          !Job.IsDelegation && Wanted.MaximumPerWorker == 0;
 }
 
-bool PoolManager::mayStartLateAwayFromData(const PoolJob &Job, std::uint32_t Step,
-                                           core::TimePoint Now) {
-  return mayWaitForData(Job, Step) && timetableFor(Job, Step, Now).hasWorkers();
+std::optional<PoolManager::ChosenPlace> PoolManager::lateAwayFromData(const PoolJob &Job,
+                                                                      std::uint32_t Step,
+                                                                      PoolPlacementRequest Request,
+                                                                      core::TimePoint Now) {
+  if (!mayWaitForData(Job, Step) || !timetableFor(Job, Step, Now).hasWorkers())
+    return std::nullopt;
+  Request.ObjectiveMilliseconds = Request.UsefulMilliseconds;
+  auto Chosen = choosePlace(Job, Step, Request, Now);
+  // What tasks want at other managers is not known here.
+  if (!Chosen || Chosen->AtPeer || isRackWanted(*Chosen->Own, *Request.Step))
+    return std::nullopt;
+  return Chosen;
 }
 
 bool PoolManager::waitsForData(PoolJob &Job, std::uint32_t Step,
@@ -94,8 +108,6 @@
     startsNearData(Job, Progress, Chosen.EndMilliseconds, Now);
     return false;
   }
-  if (Progress.Wait.IsOver)
-    return false;
   if (Progress.Wait.PlannedIn != DispatchNumber_)
     planDataWait(Job, Step, Request, Chosen.EndMilliseconds, Now);
   if (Progress.Waiting > Progress.Wait.Tasks) {
@@ -111,11 +123,11 @@
   auto &Progress = Job.Steps[Step];
   auto &Wait = Progress.Wait;
   Wait.PlannedIn = DispatchNumber_;
-  auto Plan = DataWaitPolicy_->plan({Request.Step->Need, Progress.Waiting, Request.TypicalRunTime,
-                                     Progress.Deviation, EndMilliseconds,
-                                     Request.ObjectiveMilliseconds, Request.UsefulMilliseconds,
-                                     RackDemand_.load(Request.Step->DataRack, Now)},
-                                    timetableFor(Job, Step, Now), Now);
+  auto Plan = DataWaitPolicy_->plan(
+      {Request.Step->Need, Progress.Waiting, Request.TypicalRunTime, Progress.Deviation,
+       EndMilliseconds, Request.ObjectiveMilliseconds, Request.UsefulMilliseconds,
+       RackDemand_.load(Request.Step->DataRack, Now), placeCost(Request.Step->Need), Wait.IsOver},
+      timetableFor(Job, Step, Now), Now);
   if (Plan.Tasks < Wait.Tasks)
     return releaseFromWait(Job, Step, Wait.Tasks - Plan.Tasks, &PoolCounters::DataWaitsUseless,
                            Plan.WhyNot, Now);
@@ -191,6 +203,30 @@
   }
 }
 
+void PoolManager::observeFleetLoad(core::TimePoint Now) {
+  constexpr double MemoryMilliseconds = 500;
+  double Busy = 0;
+  double Whole = 0;
+  for (std::size_t Position = 0; Position < Fleet_.size(); ++Position) {
+    const auto &Known = Fleet_.at(static_cast<EndpointIndex>(Position));
+    if (!Known.acceptsTasks(Now))
+      continue;
+    Busy += Known.Committed.Processors;
+    Whole += Known.Entry.Capacity.Processors;
+  }
+  double Age = core::toMilliseconds(Now - FleetLoadAt_);
+  FleetLoadAt_ = Now;
+  FleetProcessors_ = Whole;
+  double Share = Whole > 0 ? Busy / Whole : 0;
+  FleetLoad_ += (Share - FleetLoad_) * (1 - std::exp(-Age / MemoryMilliseconds));
+}
+
+double PoolManager::placeCost(const Resources &Need) const {
+  double Places = FleetProcessors_ / std::max(Need.Processors, SmallestNeed);
+  return waitingPerBusyPlace(std::min(Places, MostPlaces),
+                             FleetLoad_ * std::min(Places, MostPlaces));
+}
+
 bool PoolManager::hasWorkWithoutRoom() const {
   return std::any_of(Queue_.begin(), Queue_.end(), [this](const PoolQueue::Key &Key) {
     return !Jobs_.at(Key.Handle).onlyWaitsForData();
--- a/Kernel/Pool/PoolManagerPlacement.cpp
+++ b/Kernel/Pool/PoolManagerPlacement.cpp
@@ -74,6 +74,7 @@
 void PoolManager::dispatch(core::TimePoint Now) {
   updateSpeeds(Now);
   markWantedRacks(Now);
+  observeFleetLoad(Now);
   Timetables_.clear();
   ++DispatchNumber_;
   std::vector<JobHandle> Selected;
@@ -142,11 +143,8 @@
   auto Step = Job.stepOf(Task);
   auto Request = placementRequestFor(Job, Step, Now);
   auto Chosen = choosePlace(Job, Step, Request, Now);
-  if (!Chosen && mayStartLateAwayFromData(Job, Step, Now)) {
-    auto Late = Request;
-    Late.ObjectiveMilliseconds = Request.UsefulMilliseconds;
-    Chosen = choosePlace(Job, Step, Late, Now);
-  }
+  if (!Chosen)
+    Chosen = lateAwayFromData(Job, Step, Request, Now);
   if (!Chosen || waitsForData(Job, Step, Request, *Chosen, Now))
     return false;
   const auto &[Own, AtPeer, EndMilliseconds] = *Chosen;
--- a/Tests/Pool/TestPoolDataLoads.cpp
+++ b/Tests/Pool/TestPoolDataLoads.cpp
@@ -22,7 +22,7 @@
   explicit FixedWait(core::Duration Longest) : Longest_(Longest) {}
   DataWaitPlan plan(const DataWaitRequest &Request, RackTimetable &,
                     core::TimePoint Now) const override {
-    return {Longest_.count() > 0 ? Request.Tasks : 0, Now + Longest_, 0, {}};
+    return {Longest_.count() > 0 && !Request.HaveWaited ? Request.Tasks : 0, Now + Longest_, 0, {}};
   }
 
 private:
@@ -38,6 +38,7 @@
   double RemoteFactor = 3;
   double DeclaredError = 0; ///< Declared run times are off by up to this share.
   double JobsPerSecond = 60;
+  double OthersFactor = 1; ///< Run time of tasks without data, relative to those with data.
   bool RackDies = false;
   std::uint64_t Seed = 1;
 };
@@ -75,7 +76,8 @@
                              : Load.IsEven ? "r" + std::to_string(Rack)
                                            : "",
                              1 + Load.DeclaredError * (2 * Share(Random) - 1)};
-    double Run = RunMilliseconds * (0.7 + 0.6 * Share(Random));
+    double Run = RunMilliseconds * (0.7 + 0.6 * Share(Random)) *
+                 (Data.Rack.empty() ? Load.OthersFactor : 1);
     Keys.emplace_back(Simulation.submit(1, Run, "", 2, Data), !Data.Rack.empty());
     if (Load.RackDies && Job == Jobs / 2)
       for (std::size_t Worker = 0; Worker < 3; ++Worker)
@@ -89,7 +91,7 @@
     Found.Late += Answer && Answer->Verdict == kernel::JobVerdict::Completed && !Answer->IsLate
                       ? 0
                       : 1.0 / Jobs;
-    if (!HasData)
+    if (!HasData || !Answer)
       continue;
     Found.Mean += core::toMilliseconds(Simulation.latencyOf(Key));
     Count += 1;
@@ -102,11 +104,12 @@
 } // namespace
 
 BOOST_AUTO_TEST_CASE(Explore) {
+  struct Each { int Kind; double Others; int Rate; };
   for (double Factor : {1.5, 2.0, 3.0})
-    for (int Kind = 0; Kind < 4; ++Kind)
-      for (auto Rate : {30, 45, 60, 80, 100}) {
+    for (auto [Kind, Others, Rate] : {Each{0, 1, 40}, {0, 1, 60}, {0, 1, 80}, {0, 4, 20}, {0, 4, 30}, {0, 4, 40}, {0, 4, 50}, {1, 1, 60}, {1,1,80},{1,1,100},{2,1,60},{2,4,30},{3,1,30},{3,1,45}}) {
         DataLoad Load;
         Load.RemoteFactor = Factor;
+        Load.OthersFactor = Others;
         Load.JobsPerSecond = Rate;
         if (Kind == 1) {
           Load.HotShare = 0;
@@ -117,7 +120,7 @@
         if (Kind == 3)
           Load.RackDies = true;
         const char *Names[] = {"hot", "even", "off", "dies"};
-        std::cout << "factor " << Factor << " " << Names[Kind] << " rate " << Rate;
+        std::cout << "factor " << Factor << " " << Names[Kind] << " others " << Others << " rate " << Rate;
         auto Print = [&](const char *Name, const kernel::DataWaitPolicy *Policy) {
           double Mean = 0, Late = 0;
           for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
