--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -157,6 +157,15 @@
   bool placeTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now);
   PoolPlacementRequest placementRequestFor(const PoolJob &Job, std::uint32_t Step,
                                            core::TimePoint Now) const;
+  /// A worker of this manager, or one of another manager.
+  struct ChosenPlace {
+    std::optional<EndpointIndex> Own; ///< Not used if AtPeer is set.
+    std::optional<std::pair<PeerIndex, std::size_t>> AtPeer;
+    double EndMilliseconds = 0; ///< Expected time until the task ends.
+  };
+  std::optional<ChosenPlace> choosePlace(const PoolJob &Job, std::uint32_t Step,
+                                         const PoolPlacementRequest &Request,
+                                         core::TimePoint Now) const;
   std::optional<EndpointIndex> chooseWorker(const PoolJob &Job, std::uint32_t Step,
                                             PlacementChooser &Chooser,
                                             const PoolPlacementRequest &Request,
@@ -186,9 +195,15 @@
 
   // PoolManagerDataWait.cpp: tasks that wait for room near their data.
   /// Returns whether the step's next task is to wait for room near its data, although it could
-  /// start on the chosen worker and end there after EndMilliseconds.
+  /// start at the chosen place.
   bool waitsForData(PoolJob &Job, std::uint32_t Step, const PoolPlacementRequest &Request,
-                    const WorkerEntry &Chosen, double EndMilliseconds, core::TimePoint Now);
+                    const ChosenPlace &Chosen, core::TimePoint Now);
+  bool mayWaitForData(const PoolJob &Job, std::uint32_t Step) const;
+  /// A place away from the data for a task that would miss its objective there, because this
+  /// manager can tell that there is no room near the data soon; none that other tasks want.
+  std::optional<ChosenPlace> lateAwayFromData(const PoolJob &Job, std::uint32_t Step,
+                                              PoolPlacementRequest Request, core::TimePoint Now);
+  const WorkerEntry &entryOf(const ChosenPlace &Chosen) const;
   void planDataWait(PoolJob &Job, std::uint32_t Step, const PoolPlacementRequest &Request,
                     double EndMilliseconds, core::TimePoint Now);
   /// The timetable of the step's rack, as of this dispatch.
@@ -205,6 +220,9 @@
   void endExpiredWaits(PoolJob &Job, core::TimePoint Now);
   /// Returns whether tasks wait because there is no room for them anywhere.
   bool hasWorkWithoutRoom() const;
+  void observeFleetLoad(core::TimePoint Now);
+  /// What a run takes from other tasks by its place, as a share of its time.
+  double placeCost(const Resources &Need) const;
   void markWantedRacks(core::TimePoint Now);
   bool isRackWanted(EndpointIndex Worker, const JobStep &Step) const;
 
@@ -289,6 +307,9 @@
   std::uint64_t DispatchNumber_ = 0;
   /// When this manager got its first workers, or last began to get those of another one.
   core::TimePoint WorkersFoundAt_;
+  double FleetLoad_ = 0; ///< Mean share of the processors in use, of late.
+  core::TimePoint FleetLoadAt_;
+  double FleetProcessors_ = 0;
   core::TimePoint ReportAt_; ///< Earliest time of the next report.
   bool NeedsDispatch_ = false;
   bool ReportIsDue_ = false;
--- a/Kernel/Pool/PoolManagerDataWait.cpp
+++ b/Kernel/Pool/PoolManagerDataWait.cpp
@@ -2,6 +2,7 @@
 #include "Kernel/Pool/PoolManager.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cornellift::kernel {
 namespace {
@@ -15,6 +16,10 @@
 /// A run that is overdue goes on for about this share of its time so far.
 constexpr double OverdueShare = 0.25;
 
+constexpr double SmallestNeed = 0.1;
+/// A larger fleet makes hardly any task wait before it is full.
+constexpr double MostPlaces = 200;
+
 } // namespace
 
 ExpectedRelease PoolManager::expectedRelease(const Run &Each, core::TimePoint Now) const {
@@ -66,23 +71,45 @@
   return Rack;
 }
 
+const WorkerEntry &PoolManager::entryOf(const ChosenPlace &Chosen) const {
+  if (Chosen.AtPeer)
+    return Remotes_.at(Chosen.AtPeer->first).Pool.workers()[Chosen.AtPeer->second].Entry;
+  return Fleet_.at(*Chosen.Own).Entry;
+}
+
+bool PoolManager::mayWaitForData(const PoolJob &Job, std::uint32_t Step) const {
+  const auto &Wanted = Job.Submission->Steps[Step];
+  // Another manager that has delegated a task needs a start or a refusal at once.
+  return !Wanted.DataRack.empty() && DataWaitPolicy_ && Settings_.RemoteFactor > 1 &&
+         !Job.IsDelegation && Wanted.MaximumPerWorker == 0;
+}
+
+std::optional<PoolManager::ChosenPlace> PoolManager::lateAwayFromData(const PoolJob &Job,
+                                                                      std::uint32_t Step,
+                                                                      PoolPlacementRequest Request,
+                                                                      core::TimePoint Now) {
+  if (!mayWaitForData(Job, Step) || !timetableFor(Job, Step, Now).hasWorkers())
+    return std::nullopt;
+  Request.ObjectiveMilliseconds = Request.UsefulMilliseconds;
+  auto Chosen = choosePlace(Job, Step, Request, Now);
+  // What tasks want at other managers is not known here.
+  if (!Chosen || Chosen->AtPeer || isRackWanted(*Chosen->Own, *Request.Step))
+    return std::nullopt;
+  return Chosen;
+}
+
 bool PoolManager::waitsForData(PoolJob &Job, std::uint32_t Step,
-                               const PoolPlacementRequest &Request, const WorkerEntry &Chosen,
-                               double EndMilliseconds, core::TimePoint Now) {
-  const auto &Rack = Request.Step->DataRack;
+                               const PoolPlacementRequest &Request, const ChosenPlace &Chosen,
+                               core::TimePoint Now) {
   auto &Progress = Job.Steps[Step];
-  if (Rack.empty() || Job.IsDelegation)
-    return false; // The other manager needs a start or a refusal at once.
-  if (Chosen.hasLabel(Rack)) {
-    startsNearData(Job, Progress, EndMilliseconds, Now);
+  if (!mayWaitForData(Job, Step))
     return false;
-  }
-  bool MayWait = DataWaitPolicy_ && Request.RemoteFactor > 1 && !Progress.Wait.IsOver &&
-                 Request.Step->MaximumPerWorker == 0;
-  if (!MayWait)
+  if (entryOf(Chosen).hasLabel(Request.Step->DataRack)) {
+    startsNearData(Job, Progress, Chosen.EndMilliseconds, Now);
     return false;
+  }
   if (Progress.Wait.PlannedIn != DispatchNumber_)
-    planDataWait(Job, Step, Request, EndMilliseconds, Now);
+    planDataWait(Job, Step, Request, Chosen.EndMilliseconds, Now);
   if (Progress.Waiting > Progress.Wait.Tasks) {
     Progress.Wait.StartedAway += Progress.Wait.Tasks > 0 ? 1 : 0;
     return false;
@@ -96,10 +123,11 @@
   auto &Progress = Job.Steps[Step];
   auto &Wait = Progress.Wait;
   Wait.PlannedIn = DispatchNumber_;
-  auto Plan = DataWaitPolicy_->plan({Request.Step->Need, Progress.Waiting, Request.TypicalRunTime,
-                                     Progress.Deviation, EndMilliseconds,
-                                     Request.ObjectiveMilliseconds, Request.UsefulMilliseconds},
-                                    timetableFor(Job, Step, Now), Now);
+  auto Plan = DataWaitPolicy_->plan(
+      {Request.Step->Need, Progress.Waiting, Request.TypicalRunTime, Progress.Deviation,
+       EndMilliseconds, Request.ObjectiveMilliseconds, Request.UsefulMilliseconds,
+       RackDemand_.load(Request.Step->DataRack, Now), placeCost(Request.Step->Need), Wait.IsOver},
+      timetableFor(Job, Step, Now), Now);
   if (Plan.Tasks < Wait.Tasks)
     return releaseFromWait(Job, Step, Wait.Tasks - Plan.Tasks, &PoolCounters::DataWaitsUseless,
                            Plan.WhyNot, Now);
@@ -112,7 +140,7 @@
     Wait.ExpectedGain = Plan.ExpectedGain;
   }
   Wait.Tasks = Plan.Tasks;
-  RackDemand_.want(Request.Step->DataRack, Now);
+  RackDemand_.want(Request.Step->DataRack, 0, Now);
 }
 
 void PoolManager::startsNearData(const PoolJob &Job, StepProgress &Progress, double EndMilliseconds,
@@ -175,6 +203,30 @@
   }
 }
 
+void PoolManager::observeFleetLoad(core::TimePoint Now) {
+  constexpr double MemoryMilliseconds = 500;
+  double Busy = 0;
+  double Whole = 0;
+  for (std::size_t Position = 0; Position < Fleet_.size(); ++Position) {
+    const auto &Known = Fleet_.at(static_cast<EndpointIndex>(Position));
+    if (!Known.acceptsTasks(Now))
+      continue;
+    Busy += Known.Committed.Processors;
+    Whole += Known.Entry.Capacity.Processors;
+  }
+  double Age = core::toMilliseconds(Now - FleetLoadAt_);
+  FleetLoadAt_ = Now;
+  FleetProcessors_ = Whole;
+  double Share = Whole > 0 ? Busy / Whole : 0;
+  FleetLoad_ += (Share - FleetLoad_) * (1 - std::exp(-Age / MemoryMilliseconds));
+}
+
+double PoolManager::placeCost(const Resources &Need) const {
+  double Places = FleetProcessors_ / std::max(Need.Processors, SmallestNeed);
+  return waitingPerBusyPlace(std::min(Places, MostPlaces),
+                             FleetLoad_ * std::min(Places, MostPlaces));
+}
+
 bool PoolManager::hasWorkWithoutRoom() const {
   return std::any_of(Queue_.begin(), Queue_.end(), [this](const PoolQueue::Key &Key) {
     return !Jobs_.at(Key.Handle).onlyWaitsForData();
@@ -182,7 +234,8 @@
 }
 
 void PoolManager::markWantedRacks(core::TimePoint Now) {
-  IsRackWanted_.assign(RackDemand_.empty() ? 0 : Fleet_.size(), false);
+  bool IsAnyWanted = DataWaitPolicy_ && !RackDemand_.empty();
+  IsRackWanted_.assign(IsAnyWanted ? Fleet_.size() : 0, false);
   for (std::size_t Position = 0; Position < IsRackWanted_.size(); ++Position)
     IsRackWanted_[Position] =
         RackDemand_.isWanted(Fleet_.at(static_cast<EndpointIndex>(Position)).Entry, Now);
--- a/Kernel/Pool/PoolManagerJobs.cpp
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -100,7 +100,8 @@
     Progress.Deviation = Estimate.LogDeviation;
     FirstTask += Step.Count;
     if (!Step.DataRack.empty() && Settings_.RemoteFactor > 1)
-      RackDemand_.want(Step.DataRack, Now);
+      RackDemand_.want(Step.DataRack,
+                       (IsDelegation ? 1 : Step.Count) * Estimate.medianMilliseconds(), Now);
   }
   Job.Tasks.resize(FirstTask);
   setDeadlines(Job);
--- a/Kernel/Pool/PoolManagerPlacement.cpp
+++ b/Kernel/Pool/PoolManagerPlacement.cpp
@@ -81,6 +81,7 @@
 void PoolManager::dispatch(core::TimePoint Now) {
   updateSpeeds(Now);
   markWantedRacks(Now);
+  observeFleetLoad(Now);
   Timetables_.clear();
   ++DispatchNumber_;
   std::vector<JobHandle> Selected;
@@ -148,15 +149,12 @@
 bool PoolManager::placeTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now) {
   auto Step = Job.stepOf(Task);
   auto Request = placementRequestFor(Job, Step, Now);
-  PlacementChooser Chooser(Request, FastestSpeedNow_);
-  auto Own = chooseWorker(Job, Step, Chooser, Request, Now);
-  auto AtPeer = Job.IsDelegation ? std::nullopt : chooseRemote(Chooser, Request, Now);
-  if (!Own && !AtPeer)
-    return false;
-  const auto &Chosen = AtPeer ? Remotes_.at(AtPeer->first).Pool.workers()[AtPeer->second].Entry
-                              : Fleet_.at(*Own).Entry;
-  if (waitsForData(Job, Step, Request, Chosen, Chooser.bestEnd(), Now))
+  auto Chosen = choosePlace(Job, Step, Request, Now);
+  if (!Chosen)
+    Chosen = lateAwayFromData(Job, Step, Request, Now);
+  if (!Chosen || waitsForData(Job, Step, Request, *Chosen, Now))
     return false;
+  const auto &[Own, AtPeer, EndMilliseconds] = *Chosen;
   if (!Job.IsDelegation) {
     --Job.Steps[Step].Waiting;
     PlacementRate_.placed(Job.Steps[Step].TypicalMilliseconds);
@@ -176,6 +174,17 @@
   return true;
 }
 
+std::optional<PoolManager::ChosenPlace>
+PoolManager::choosePlace(const PoolJob &Job, std::uint32_t Step,
+                         const PoolPlacementRequest &Request, core::TimePoint Now) const {
+  PlacementChooser Chooser(Request, FastestSpeedNow_);
+  auto Own = chooseWorker(Job, Step, Chooser, Request, Now);
+  auto AtPeer = Job.IsDelegation ? std::nullopt : chooseRemote(Chooser, Request, Now);
+  if (!Own && !AtPeer)
+    return std::nullopt;
+  return ChosenPlace{Own, AtPeer, Chooser.bestEnd()};
+}
+
 std::optional<EndpointIndex> PoolManager::chooseWorker(const PoolJob &Job, std::uint32_t Step,
                                                        PlacementChooser &Chooser,
                                                        const PoolPlacementRequest &Request,
--- a/Tests/Pool/PoolSimulation.h
+++ b/Tests/Pool/PoolSimulation.h
@@ -45,6 +45,17 @@
   bool CallersComeAgain = true; ///< After a job was given up.
   /// Time until a VM that begins to manage a data centre has a fresh listing of its workers.
   core::Duration FreshListingTime{0};
+  /// Consecutive workers of a data centre share a rack, named as `r0`; zero for no racks.
+  std::size_t WorkersPerRack = 0;
+  double RemoteFactor = 1.5;
+  std::optional<double> WorkerSpeed;         ///< Of all workers; mixed if empty.
+  const DataWaitPolicy *DataWaits = nullptr; ///< Null for a start at once.
+};
+
+/// The data of a submitted job's tasks.
+struct SubmittedData {
+  std::string Rack;
+  double DeclaredShare = 1; ///< Declared run time, relative to the true one.
 };
 
 /// Simulates several pool managers, their workers and callers on a virtual clock. Messages are
@@ -63,7 +74,7 @@
   /// Submits a job of equal tasks to a random VM of the caller's data centre. The caller declares
   /// the actual run time unless another one is given.
   JobKey submit(std::uint32_t Tasks, double RunMilliseconds, std::string_view Extra = "",
-                double Cores = 2, double DeclaredMilliseconds = 0);
+                double Cores = 2, double DeclaredMilliseconds = 0, std::string_view DataRack = {});
 
   /// Sends a caller's request to cancel the job to a VM.
   void cancel(JobKey Key, std::size_t Vm);
