--- a/Kernel/Pool/WorkerRegistry.h
+++ b/Kernel/Pool/WorkerRegistry.h
@@ -29,8 +29,6 @@
   /// The workers in the data centres, ordered by id.
   std::vector<WorkerEntry> workersIn(const std::set<std::string> &DataCentres) const;
 
-  /// Returns null if it is not known.
-  const WorkerEntry *find(const std::string &Id) const;
   bool contains(const std::string &Id) const { return Entries_.contains(Id); }
   /// Returns the worker, or null if there is none with that id.
   const WorkerEntry *find(const std::string &Id) const;
