LibReactor: Keep a part of the memory for clients that need little

Jobs of legal size that wait for their answers can hold all of the memory, and none of them may be closed. An eighth is kept for requests of at most 16 KB, so that ordinary ones are not refused meanwhile.

--- a/Libraries/LibReactor/HttpServer.cpp
+++ b/Libraries/LibReactor/HttpServer.cpp
@@ -16,6 +16,9 @@
 constexpr core::Duration AcceptRetryDelay = std::chrono::milliseconds(20);
 /// Size of the parts in which requests are read.
 constexpr std::size_t ReadBufferBytes = 32768;
+/// Part of the memory that only sessions which hold at most SmallBytes may use.
+constexpr std::size_t SmallPart = 8;
+constexpr std::size_t SmallBytes = 16384;
 /// Sessions are shed until this part of the limit is free, as each search looks at all of them.
 constexpr std::size_t ShedPart = 64;
 /// Time without a met limit after which the next one is logged again.
@@ -118,12 +121,16 @@
 
 bool HttpServer::changeMemory(const HttpSession &Asking, std::size_t Former, std::size_t Changed) {
   MemoryUsed_ = MemoryUsed_ - Former + Changed;
-  if (Changed > Former && MemoryUsed_ > Limits_.MemoryBytes)
-    shedForMemory(Asking);
-  return MemoryUsed_ <= Limits_.MemoryBytes;
+  // Clients that need little are served also while others use up the rest.
+  auto Limit = Limits_.MemoryBytes;
+  if (Changed > SmallBytes)
+    Limit -= Limit / SmallPart;
+  if (Changed > Former && MemoryUsed_ > Limit)
+    shedForMemory(Asking, Limit);
+  return MemoryUsed_ <= Limit;
 }
 
-void HttpServer::shedForMemory(const HttpSession &Asking) {
+void HttpServer::shedForMemory(const HttpSession &Asking, std::size_t Limit) {
   logLimitMet("memory");
   auto Now = core::MonotonicClock::now();
   std::vector<ShedCandidate> Candidates;
@@ -133,7 +140,7 @@
                                   core::toMilliseconds(Now - Session->waitingSince()),
                               Session);
   std::sort(Candidates.begin(), Candidates.end(), std::greater<>());
-  auto Wanted = Limits_.MemoryBytes - Limits_.MemoryBytes / ShedPart;
+  auto Wanted = Limit - Limit / ShedPart;
   for (const auto &[Worth, Session] : Candidates) {
     if (MemoryUsed_ <= Wanted)
       return;
--- a/Libraries/LibReactor/HttpServer.h
+++ b/Libraries/LibReactor/HttpServer.h
@@ -89,10 +89,10 @@
   void accepted(Tcp::socket Socket);
 
   /// Changes what a session holds from Former to Changed bytes, and sheds other sessions if there
-  /// is no room. Returns false if the limit is exceeded even so.
+  /// is no room. Returns false if the session's limit is exceeded even so.
   bool changeMemory(const HttpSession &Asking, std::size_t Former, std::size_t Changed);
   void releaseMemory(std::size_t Bytes) { MemoryUsed_ -= Bytes; }
-  void shedForMemory(const HttpSession &Asking);
+  void shedForMemory(const HttpSession &Asking, std::size_t Limit);
   void shedForConnections();
   /// Logs the first time that a limit is met after a pause.
   void logLimitMet(std::string_view Limit);
