--- a/Services/PoolDaemon/DaemonSettings.cpp
+++ b/Services/PoolDaemon/DaemonSettings.cpp
@@ -45,6 +45,7 @@
     {"caller-connections",
      "Connections of callers served at once; a third of maximum-descriptors if 0",
      SettingType::Integer, "0", 0, 1048576},
+    {"no-data-waits", "Tasks never wait for room near their data", SettingType::Flag, {}},
     {"log-lines-per-second",
      "Log lines about served requests; failures and state changes have ten times as many each",
      SettingType::Integer, "20", 1, 100000},
@@ -117,6 +118,7 @@
   Result.RemoteFactor = Parsed->real("remote-factor");
   Result.CallerMemoryBytes = callerMemory(*Parsed);
   Result.CallerConnections = callerConnections(*Parsed);
+  Result.HasDataWaits = !Parsed->flag("no-data-waits");
   Result.LogLinesPerSecond = static_cast<std::uint32_t>(Parsed->integer("log-lines-per-second"));
   Result.SuppressedLineCapacity = static_cast<std::uint32_t>(Parsed->integer("log-held-lines"));
   Result.LogLevel = Parsed->text("log-level");
--- a/Services/PoolDaemon/PoolDaemon.h
+++ b/Services/PoolDaemon/PoolDaemon.h
@@ -108,6 +108,7 @@
   void registerMetrics();
   void registerClientMetrics();
   void registerWorkerMetrics();
+  void registerDataWaitMetrics();
   void registerStoreMetrics();
   double millisecondsSince(core::TimePoint Moment) const;
   void serveReadiness(const std::shared_ptr<reactor::HttpExchange> &Exchange);
--- a/Tests/Pool/PoolSimulation.cpp
+++ b/Tests/Pool/PoolSimulation.cpp
@@ -161,9 +161,9 @@
   Submission.Key = Key;
   Submission.Specification = "run_ms=" + std::to_string(RunMilliseconds) +
                              " cores=" + std::to_string(Cores) + " " + std::string(Extra);
-  if (!Data.Rack.empty())
+  if (!DataRack.empty())
     Submission.Specification +=
-        " rack=" + Data.Rack + " away=" + std::to_string(Settings_.RemoteFactor);
+        " rack=" + std::string(DataRack) + " away=" + std::to_string(Settings_.RemoteFactor);
   JobStep Step;
   Step.Count = Tasks;
   Step.Need = {Cores, 64, 0};
