Pool: Judge a late run by its neighbours, former runs and the kind's long jobs

Change: the share of overlong jobs of the kind, known while these still run, bounds the evidence of a length; runs that ended on the worker in the last 3 s are neighbours; a moved run counts as a sibling of the next one, and its worker gets no further task of the step. A run that is of no use where it is moves once more if no other worker has shown the length; only a length that several workers show gives a job up.

--- a/Kernel/Pool/JobKindRunTimes.cpp
+++ b/Kernel/Pool/JobKindRunTimes.cpp
@@ -8,6 +8,12 @@
 
 /// Shorter run times mostly consist of message delays, so they are counted as this.
 constexpr double MinimumMilliseconds = 1;
+/// After this many jobs, what is known of the former ones counts half.
+constexpr double RecentJobs = 128;
+/// Share of overlong jobs that is assumed without evidence, and the number of jobs that it is
+/// worth.
+constexpr double PriorOverlongShare = 0.01;
+constexpr double PriorJobs = 50;
 
 } // namespace
 
@@ -19,6 +25,7 @@
   if (IsNew) {
     Kinds.push_back({Route, core::fromMilliseconds(DeclaredMilliseconds), {}, false});
     Estimator_.configure(Configuration_);
+    Recent_.resize(Kinds.size());
   }
   return Position->second;
 }
@@ -39,4 +46,23 @@
   Estimator_.learn(Service, Kind, declarationOf(Step), std::log(Typical), Now);
 }
 
+void JobKindRunTimes::jobCame(KindIndex Kind) {
+  auto &Recent = Recent_[static_cast<std::size_t>(Kind)];
+  if (Recent.Jobs >= RecentJobs) {
+    Recent.Jobs /= 2;
+    Recent.Overlong /= 2;
+  }
+  Recent.Jobs += 1;
+}
+
+void JobKindRunTimes::jobIsOverlong(KindIndex Kind) {
+  Recent_[static_cast<std::size_t>(Kind)].Overlong += 1;
+}
+
+double JobKindRunTimes::overlongShare(KindIndex Kind) const {
+  const auto &Recent = Recent_[static_cast<std::size_t>(Kind)];
+  return std::min(1.0,
+                  (Recent.Overlong + PriorOverlongShare * PriorJobs) / (Recent.Jobs + PriorJobs));
+}
+
 } // namespace cornellift::kernel
--- a/Kernel/Pool/JobKindRunTimes.h
+++ b/Kernel/Pool/JobKindRunTimes.h
@@ -6,6 +6,7 @@
 
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace cornellift::kernel {
 
@@ -28,12 +29,25 @@
   void learn(KindIndex Kind, const JobStep &Step, double Milliseconds, double Speed,
              core::TimePoint Now);
 
+  /// Counts a job, and one whose tasks were found to take several times as long as expected.
+  void jobCame(KindIndex Kind);
+  void jobIsOverlong(KindIndex Kind);
+  /// Share of the kind's recent jobs that were found to be overlong. Known as soon as their runs
+  /// show it, while estimates follow only when these have ended.
+  double overlongShare(KindIndex Kind) const;
+
 private:
+  struct RecentCounts {
+    double Jobs = 0;
+    double Overlong = 0;
+  };
+
   static DeclaredRunTime declarationOf(const JobStep &Step);
 
   KernelConfiguration Configuration_;
   RunTimeEstimator Estimator_;
   std::unordered_map<std::string, KindIndex> KindByRoute_;
+  std::vector<RecentCounts> Recent_; ///< By kind.
 };
 
 } // namespace cornellift::kernel
--- a/Kernel/Pool/PoolJob.h
+++ b/Kernel/Pool/PoolJob.h
@@ -46,7 +46,11 @@
   double ObservedMilliseconds = 0;
   /// The least run time that this progress shows; zero unless it is longer than expected.
   double ShownMilliseconds = 0;
-  std::vector<ObservedRun> Ended; ///< The first runs that were done on workers of this manager.
+  bool IsObservedOnSeveral = false; ///< ObservedMilliseconds follows from several workers.
+  /// Runs on workers of this manager that no longer run: the first that were done, and those that
+  /// were moved.
+  std::vector<ObservedRun> Former;
+  std::vector<EndpointIndex> MovedFrom; ///< Workers that get no further task of the step.
 
   /// The best estimate of a task's run time on a typical worker.
   double expectedMilliseconds() const {
@@ -67,9 +71,10 @@
   core::TimePoint ObjectiveAt; ///< Time by which the job should be answered.
   core::TimePoint UsefulUntil; ///< Later answers are of no use to the caller.
   core::TimePoint LatestStart; ///< Starting later is likely to miss the objective.
-  bool IsLong = false;         ///< Its progress has shown that it is longer than expected.
-  bool HasRun = false;         ///< One of its runs has ended, or was lost after its start.
-  bool IsEnding = false;       ///< Answered; the remaining runs are being stopped.
+  bool IsOverlong = false;     ///< One of its runs has taken several times the expected time.
+  bool IsExtended = false; ///< The same on a worker without fault, which shows the job's length.
+  bool HasRun = false;     ///< One of its runs has ended, or was lost after its start.
+  bool IsEnding = false;   ///< Answered; the remaining runs are being stopped.
   std::optional<core::TimePoint> OrphanedUntil;
   std::shared_ptr<const JobSubmission>
       Successor; ///< The same job, resubmitted while this one ends.
--- a/Kernel/Pool/PoolManager.cpp
+++ b/Kernel/Pool/PoolManager.cpp
@@ -15,8 +15,6 @@
 /// How long a cancelling is kept for late copies of the job; callers may ask for a job's state for
 /// that long.
 constexpr core::Duration CancellingRetention = std::chrono::seconds(120);
-/// Number of ended runs of a step that are kept as evidence of its length.
-constexpr std::size_t MaximumEndedRuns = 8;
 /// Some 100 bytes each, on VMs of 120 MB.
 constexpr std::size_t MaximumCancellings = 50000;
 
@@ -221,7 +219,6 @@
   }
   auto StepIndex = Job.stepOf(Ended.TaskNumber);
   const auto &Step = Job.Submission->Steps[StepIndex];
-  auto &Progress = Job.Steps[StepIndex];
   const auto &Entry = Fleet_.at(Worker).Entry;
   bool IsNear = Step.DataRack.empty() || Entry.hasLabel(Step.DataRack);
   double Taken = std::max(1.0, core::toMilliseconds(Ended.EndedAt - Ended.StartSentAt));
@@ -232,8 +229,7 @@
                          Estimate.LogDeviation, Now);
   double Typical = Taken * Ratings_.speed(Worker);
   Kinds_.learn(Job.Kind, Step, Taken, Ratings_.speed(Worker), Now);
-  if (Progress.Ended.size() < MaximumEndedRuns)
-    Progress.Ended.push_back({Worker, Typical, Typical});
+  rememberRun(Worker, Job, StepIndex, Typical, Now);
 }
 
 std::uint32_t PoolManager::waitingTasks() const {
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -90,6 +90,13 @@
   const PoolCounters &counters() const { return Counters_; }
 
 private:
+  /// A run that was done on a worker of this manager.
+  struct RecentRun {
+    JobHandle Job{};
+    core::TimePoint EndedAt;
+    NeighbourRun Length;
+  };
+
   struct Remote {
     bool IsManager = false;
     RemotePool Pool;
@@ -171,9 +178,15 @@
   void observeProgress(PoolJob &Job, core::TimePoint Now);
   /// The step's runs whose length is known, or can be extrapolated.
   std::vector<ObservedRun> observedRuns(const PoolJob &Job, std::uint32_t Step) const;
-  std::vector<NeighbourRun> neighboursOn(EndpointIndex Worker, const PoolJob &Except) const;
+  /// Runs of other jobs on the worker, with the last ones that have ended.
+  std::vector<NeighbourRun> neighboursOn(EndpointIndex Worker, const PoolJob &Except,
+                                         core::TimePoint Now) const;
+  NeighbourRun neighbourOf(const PoolJob &Job, std::uint32_t Step, double Milliseconds) const;
+  /// Keeps the length of a run that was done, as evidence about its job and its worker.
+  void rememberRun(EndpointIndex Worker, PoolJob &Job, std::uint32_t Step,
+                   double TypicalMilliseconds, core::TimePoint Now);
   RunPrognosis prognosisOf(const PoolJob &Job, std::uint32_t Step, const ObservedRun &Own,
-                           std::span<const ObservedRun> Siblings) const;
+                           std::span<const ObservedRun> Siblings, core::TimePoint Now) const;
   /// Moves the deadlines of a job that has shown to be longer than expected.
   void extendJob(PoolJob &Job, std::uint32_t Step, std::size_t Runs, core::TimePoint Now);
   void checkForStraggler(PoolJob &Job, std::uint32_t Task, core::TimePoint Now);
@@ -220,6 +233,7 @@
   std::unordered_map<JobHandle, PoolJob> Jobs_;
   std::unordered_map<JobKey, JobHandle> OwnJobs_;
   std::map<std::pair<PeerIndex, JobKey>, JobHandle> Delegations_;
+  std::unordered_map<EndpointIndex, std::vector<RecentRun>> RecentRuns_; ///< By worker.
   RecentJobs<JobAnswer> Answered_;
   RecentJobs<JobAnswer> Cancelled_;
   PoolQueue Queue_;
--- a/Kernel/Pool/PoolManagerJobs.cpp
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -90,6 +90,7 @@
   Job.Kind =
       Kinds_.kindOf(Submission->Policy.Route,
                     Submission->Steps.empty() ? 0 : Submission->Steps.front().DeclaredMilliseconds);
+  Kinds_.jobCame(Job.Kind);
   std::uint32_t FirstTask = 0;
   for (const auto &Step : Submission->Steps) {
     auto Estimate = Kinds_.estimate(Job.Kind, Step);
--- a/Kernel/Pool/PoolManagerPlacement.cpp
+++ b/Kernel/Pool/PoolManagerPlacement.cpp
@@ -192,6 +192,9 @@
 
 bool PoolManager::exceedsWorkerBound(const PoolJob &Job, std::uint32_t Step,
                                      EndpointIndex Worker) const {
+  const auto &MovedFrom = Job.Steps[Step].MovedFrom;
+  if (std::find(MovedFrom.begin(), MovedFrom.end(), Worker) != MovedFrom.end())
+    return true; // The worker was found to be at fault.
   auto Bound = Job.Submission->Steps[Step].MaximumPerWorker;
   if (Bound == 0)
     return false;
--- a/Kernel/Pool/PoolManagerStragglers.cpp
+++ b/Kernel/Pool/PoolManagerStragglers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace cornellift::kernel {
 namespace {
@@ -13,10 +14,13 @@
 constexpr std::uint32_t MaximumMoves = 2;
 /// A fresh run has to be expected to end this much sooner than needed, as estimates are rough.
 constexpr double FreshRunMargin = 1.15;
-/// A job counts as long if its tasks take this many times the expected time.
-constexpr double LongJobFactor = 1.5;
 /// A job's deadlines follow its length in steps of this factor.
 constexpr double NotableExtension = 1.1;
+/// Number of ended runs of a step that are kept as evidence of its length.
+constexpr std::size_t MaximumFormerRuns = 8;
+/// Ended runs of other jobs that tell of a worker, and for how long.
+constexpr std::size_t MaximumRecentRuns = 3;
+constexpr core::Duration RecentTime = std::chrono::seconds(3);
 /// Assumed error of reported progress in percentage points. Progress is reported in whole percents,
 /// which makes an end extrapolated from a few of them uncertain.
 constexpr double PercentError = 1.5;
@@ -48,7 +52,7 @@
 
 std::vector<ObservedRun> PoolManager::observedRuns(const PoolJob &Job, std::uint32_t Step) const {
   const auto &Progress = Job.Steps[Step];
-  auto Observed = Progress.Ended;
+  auto Observed = Progress.Former;
   for (std::uint32_t Index = 0; Index < Job.Submission->Steps[Step].Count; ++Index) {
     const auto &Task = Job.Tasks[Progress.FirstTask + Index];
     if (Task.State != TaskState::Placed)
@@ -61,26 +65,57 @@
   return Observed;
 }
 
-std::vector<NeighbourRun> PoolManager::neighboursOn(EndpointIndex Worker,
-                                                    const PoolJob &Except) const {
+std::vector<NeighbourRun> PoolManager::neighboursOn(EndpointIndex Worker, const PoolJob &Except,
+                                                    core::TimePoint Now) const {
   std::vector<NeighbourRun> Neighbours;
+  std::vector<JobHandle> Seen{Except.Handle}; // The runs of one job tend to be equally long.
   for (const auto &Each : Fleet_.at(Worker).Runs) {
     auto Found = Jobs_.find(Each.Job);
-    if (Found == Jobs_.end() || Found->first == Except.Handle || !hasMeaningfulProgress(Each))
+    if (Found == Jobs_.end() || !hasMeaningfulProgress(Each) ||
+        std::find(Seen.begin(), Seen.end(), Each.Job) != Seen.end())
       continue;
-    const auto &Step = Found->second.Steps[Each.Task.Step];
-    Neighbours.push_back({extrapolatedMilliseconds(Each, MiddleOfPercent) * Ratings_.speed(Worker),
-                          Step.TypicalMilliseconds, Step.Deviation});
+    Seen.push_back(Each.Job);
+    double Milliseconds = extrapolatedMilliseconds(Each, MiddleOfPercent) * Ratings_.speed(Worker);
+    Neighbours.push_back(neighbourOf(Found->second, Each.Task.Step, Milliseconds));
   }
+  auto Recent = RecentRuns_.find(Worker);
+  if (Recent == RecentRuns_.end())
+    return Neighbours;
+  for (const auto &Each : Recent->second)
+    if (Each.EndedAt + RecentTime >= Now &&
+        std::find(Seen.begin(), Seen.end(), Each.Job) == Seen.end())
+      Neighbours.push_back(Each.Length);
   return Neighbours;
 }
 
+NeighbourRun PoolManager::neighbourOf(const PoolJob &Job, std::uint32_t Step,
+                                      double Milliseconds) const {
+  const auto &Progress = Job.Steps[Step];
+  if (Progress.IsObservedOnSeveral)
+    return {Milliseconds, Progress.ObservedMilliseconds, 0, 0};
+  return {Milliseconds, Progress.TypicalMilliseconds, Progress.Deviation,
+          Kinds_.overlongShare(Job.Kind)};
+}
+
+void PoolManager::rememberRun(EndpointIndex Worker, PoolJob &Job, std::uint32_t Step,
+                              double TypicalMilliseconds, core::TimePoint Now) {
+  auto &Progress = Job.Steps[Step];
+  if (Progress.Former.size() < MaximumFormerRuns)
+    Progress.Former.push_back({Worker, TypicalMilliseconds, TypicalMilliseconds});
+  auto &Recent = RecentRuns_[Worker];
+  std::erase_if(Recent, [&](const RecentRun &Each) { return Each.Job == Job.Handle; });
+  if (Recent.size() >= MaximumRecentRuns)
+    Recent.erase(Recent.begin());
+  Recent.push_back({Job.Handle, Now, neighbourOf(Job, Step, TypicalMilliseconds)});
+}
+
 RunPrognosis PoolManager::prognosisOf(const PoolJob &Job, std::uint32_t Step,
-                                      const ObservedRun &Own,
-                                      std::span<const ObservedRun> Siblings) const {
-  auto Neighbours = neighboursOn(Own.Worker, Job);
+                                      const ObservedRun &Own, std::span<const ObservedRun> Siblings,
+                                      core::TimePoint Now) const {
+  auto Neighbours = neighboursOn(Own.Worker, Job, Now);
   const auto &Progress = Job.Steps[Step];
-  return prognoseRun({Own, Progress.TypicalMilliseconds, Progress.Deviation, Siblings, Neighbours});
+  return prognoseRun({Own, Progress.TypicalMilliseconds, Progress.Deviation,
+                      Kinds_.overlongShare(Job.Kind), Siblings, Neighbours});
 }
 
 void PoolManager::observeProgress(PoolJob &Job, core::TimePoint Now) {
@@ -91,12 +126,20 @@
     auto Observed = observedRuns(Job, Step);
     if (Observed.empty())
       continue;
+    bool IsOverlong = std::any_of(Observed.begin(), Observed.end(), [&](const ObservedRun &Each) {
+      return Each.AtLeast >= OverlongFactor * Progress.TypicalMilliseconds;
+    });
+    if (IsOverlong && !std::exchange(Job.IsOverlong, true))
+      Kinds_.jobIsOverlong(Job.Kind);
     std::vector<ObservedRun> Sound;
     std::copy_if(Observed.begin(), Observed.end(), std::back_inserter(Sound),
                  [&](const ObservedRun &Each) {
-                   return prognosisOf(Job, Step, Each, Observed).Delay != RunDelay::SlowWorker;
+                   return prognosisOf(Job, Step, Each, Observed, Now).Delay != RunDelay::SlowWorker;
                  });
     Progress.ObservedMilliseconds = Sound.empty() ? 0 : medianMilliseconds(Sound);
+    Progress.IsObservedOnSeveral =
+        std::any_of(Sound.begin(), Sound.end(),
+                    [&](const ObservedRun &Each) { return Each.Worker != Sound.front().Worker; });
     double Shown = Sound.empty() ? 0 : medianAtLeast(Sound);
     if (Shown <=
         std::max(Progress.TypicalMilliseconds, Progress.ShownMilliseconds) * NotableExtension)
@@ -113,9 +156,9 @@
   if (Queue_.contains(Job.Handle))
     Queue_.set(placeInQueue(Job, Now));
   const auto &Progress = Job.Steps[Step];
-  if (Job.IsLong || Progress.ShownMilliseconds < LongJobFactor * Progress.TypicalMilliseconds)
+  if (Job.IsExtended || Progress.ShownMilliseconds < OverlongFactor * Progress.TypicalMilliseconds)
     return;
-  Job.IsLong = true;
+  Job.IsExtended = true;
   ++Counters_.JobsExtended;
   Log_.line(DecisionPriority::Notable, "a job is longer than declared", Job.key(),
             {{"step", static_cast<std::int64_t>(Step)},
@@ -162,13 +205,19 @@
   if (Remaining <= core::toMilliseconds(Job.ObjectiveAt - Now))
     return;
   auto Step = Job.stepOf(Task);
-  auto Prognosis = prognosisOf(Job, Step, Own, observedRuns(Job, Step));
+  auto Prognosis = prognosisOf(Job, Step, Own, observedRuns(Job, Step), Now);
+  const auto &Progress = Job.Steps[Step];
   double UsefulMilliseconds = core::toMilliseconds(Job.UsefulUntil - Now);
-  double BestCase = Prognosis.TypicalMilliseconds / FastestSpeed_ + MoveMilliseconds;
   double Tolerance = 1 + PercentError / std::max(Running->PercentDone, MinimumPercent);
-  if (std::min(Remaining, BestCase) > UsefulMilliseconds * Tolerance)
+  bool IsOfUseHere = Remaining <= UsefulMilliseconds * Tolerance;
+  if (!IsOfUseHere && !Progress.IsObservedOnSeveral)
+    // A move costs nothing, and the worker may be at fault.
+    Prognosis.TypicalMilliseconds =
+        std::min(Prognosis.TypicalMilliseconds, Progress.TypicalMilliseconds);
+  double BestCase = Prognosis.TypicalMilliseconds / FastestSpeed_ + MoveMilliseconds;
+  if (!IsOfUseHere && BestCase > UsefulMilliseconds * Tolerance)
     return giveUpTask(Job, Task, Now);
-  if (Prognosis.Delay != RunDelay::SlowWorker)
+  if (IsOfUseHere && Prognosis.Delay != RunDelay::SlowWorker)
     return stayOnWorker(Job, Task, *Running, Prognosis, Remaining);
   if (Placed.Moves < MaximumMoves)
     moveRun(Job, Task, *Running, Prognosis, Remaining, Now);
@@ -223,7 +272,12 @@
              {"fault_log_odds", Prognosis.LogOdds},
              {"fresh_ms", RestartEnd},
              {"objective_in_ms", ObjectiveMilliseconds}});
-  Ratings_.recordFailure(Placed.Worker, Job.Kind, Job.key(), Now);
+  if (Prognosis.Delay == RunDelay::SlowWorker)
+    Ratings_.recordFailure(Placed.Worker, Job.Kind, Job.key(), Now);
+  // Should the next run be as long on another worker, then it is the job.
+  auto &Progress = Job.Steps[Running.Task.Step];
+  Progress.Former.push_back(observe(Running, Placed.Worker, Ratings_.speed(Placed.Worker)));
+  Progress.MovedFrom.push_back(Placed.Worker);
   Fleet_.stopRun(Placed.Worker, Job.refOf(Task), Placed.LastRun, Now);
 }
 
--- a/Kernel/Pool/RunPrognosis.cpp
+++ b/Kernel/Pool/RunPrognosis.cpp
@@ -10,13 +10,19 @@
 /// A run that takes less than this many times the expected time needs no explanation.
 constexpr double NotableFactor = 1.5;
 /// Logarithm of the odds against a fault of a worker that has no other sign of one.
-constexpr double LogOddsAgainstFault = 4.5;
+constexpr double LogOddsAgainstFault = 5.5;
 /// Standard deviation of the logarithm of run times within a step, including the error of the
 /// workers' estimated speeds.
 constexpr double SiblingDeviation = 0.3;
-/// Bound on the evidence from the length of one job: now and then a job is far longer than the
-/// spread of its kind suggests.
-constexpr double MaximumJobLogOdds = 6;
+/// Now and then a job is far longer than the spread of its kind suggests: the odds against a job
+/// that is longer by some factor grow with this power of it at most.
+constexpr double TailExponent = 1.8;
+/// The same among overlong jobs, whose share is known.
+constexpr double OverlongTailExponent = 0.7;
+/// Bound on the evidence from one neighbour.
+constexpr double MaximumNeighbourLogOdds = 6;
+
+constexpr double MinimumShare = 1e-6;
 
 double square(double Value) { return Value * Value; }
 
@@ -30,14 +36,26 @@
   return *Middle;
 }
 
+/// Logarithm of the odds against a job whose tasks take longer than expected by the given factor.
+double logOddsAgainstLength(double LogFactor, double Deviation, double OverlongShare) {
+  double BySpread = square(LogFactor) / (2 * square(std::max(Deviation, SiblingDeviation)));
+  double ByShare = -std::log(std::max(OverlongShare, MinimumShare)) +
+                   OverlongTailExponent * (LogFactor - std::log(OverlongFactor));
+  return std::min({BySpread, TailExponent * LogFactor, std::max(0.0, ByShare)});
+}
+
 /// How much more likely the neighbours' run times are if the worker is slower by the given factor.
 double neighbourLogOdds(std::span<const NeighbourRun> Neighbours, double LogSlowdown) {
   double Sum = 0;
   for (const auto &Each : Neighbours) {
-    double LogRatio = std::log(Each.Milliseconds / Each.ExpectedMilliseconds);
-    double Variance = square(std::max(Each.Deviation, SiblingDeviation));
-    double LogOdds = (square(LogRatio) - square(LogRatio - LogSlowdown)) / (2 * Variance);
-    Sum += std::clamp(LogOdds, -MaximumJobLogOdds, MaximumJobLogOdds);
+    auto Against = [&](double LogFactor) {
+      return LogFactor > 0
+                 ? logOddsAgainstLength(LogFactor, Each.Deviation, Each.OverlongShare)
+                 : square(LogFactor) / (2 * square(std::max(Each.Deviation, SiblingDeviation)));
+    };
+    double LogFactor = std::log(Each.Milliseconds / Each.ExpectedMilliseconds);
+    Sum += std::clamp(Against(LogFactor) - Against(LogFactor - LogSlowdown),
+                      -MaximumNeighbourLogOdds, MaximumNeighbourLogOdds);
   }
   return Sum;
 }
@@ -56,8 +74,7 @@
 /// with a fault, too.
 double logOddsByKind(const RunEvidence &Evidence, std::size_t Siblings) {
   double LogSlowdown = std::log(Evidence.Own.AtLeast / Evidence.ExpectedMilliseconds);
-  double Variance = square(std::max(Evidence.Deviation, SiblingDeviation));
-  return std::min(square(LogSlowdown) / (2 * Variance), MaximumJobLogOdds) -
+  return logOddsAgainstLength(LogSlowdown, Evidence.Deviation, Evidence.OverlongShare) -
          LogOddsAgainstFault * static_cast<double>(1 + Siblings) +
          neighbourLogOdds(Evidence.Neighbours, LogSlowdown);
 }
--- a/Kernel/Pool/RunPrognosis.h
+++ b/Kernel/Pool/RunPrognosis.h
@@ -7,6 +7,9 @@
 
 namespace cornellift::kernel {
 
+/// A job whose tasks take this many times the expected time is overlong.
+constexpr double OverlongFactor = 3;
+
 /// Run time of one run, actual or extrapolated from its progress, in milliseconds on a typical
 /// worker near the data.
 struct ObservedRun {
@@ -17,11 +20,12 @@
   double AtLeast = 0;
 };
 
-/// A run of another job on the same worker.
+/// A run of another job on the same worker; one of each job.
 struct NeighbourRun {
   double Milliseconds = 0; ///< As ObservedRun::Milliseconds.
   double ExpectedMilliseconds = 0;
-  double Deviation = 0; ///< Standard deviation of the logarithm of the run time around it.
+  double Deviation = 0;     ///< Standard deviation of the logarithm of the run time around it.
+  double OverlongShare = 0; ///< Share of the jobs of its kind that are overlong.
 };
 
 /// What is known of a run that takes longer than expected.
@@ -29,7 +33,9 @@
   ObservedRun Own;
   double ExpectedMilliseconds = 0; ///< Expected on a typical worker when the job came.
   double Deviation = 0;            ///< Standard deviation of its logarithm for jobs of the kind.
-  /// Runs of the same step, which are of similar length; those on its own worker are left out.
+  double OverlongShare = 0;        ///< Share of the jobs of the kind that are overlong.
+  /// Runs of the same step, which are of similar length, with those that were moved; those on its
+  /// own worker are left out.
   std::span<const ObservedRun> Siblings;
   std::span<const NeighbourRun> Neighbours;
 };
@@ -58,8 +64,9 @@
 /// Compares two explanations of the run time. If the worker is at fault, then runs of the step on
 /// other workers are shorter by its slowdown, and runs of other jobs on it are as much longer than
 /// expected. If the job is long, its siblings are as long, and the neighbours are not affected. A
-/// lone run is held against the spread of its kind: a length that the kind often has is no sign of
-/// a fault. Faults are rare, so that without evidence the job is long.
+/// lone run is held against the spread of its kind, and against the share of its jobs that have
+/// been overlong of late: a length that the kind often has is no sign of a fault. Faults are rare,
+/// so that without evidence the job is long.
 RunPrognosis prognoseRun(const RunEvidence &Evidence);
 
 /// Median of the runs' Milliseconds; requires that there is one.
--- a/Tests/Pool/TestPoolLongJobs.cpp
+++ b/Tests/Pool/TestPoolLongJobs.cpp
@@ -1,6 +1,8 @@
+#include "Kernel/Pool/RunPrognosis.h"
 #include "Tests/Pool/PoolSimulation.h"
 
-#include <algorithm>
+#include <set>
+#include <vector>
 
 #include <boost/test/unit_test.hpp>
 
@@ -17,8 +19,100 @@
   return Count;
 }
 
+std::set<kernel::JobKey> jobsWithStoppedRuns(test::PoolSimulation &Simulation) {
+  std::set<kernel::JobKey> Jobs;
+  for (std::size_t Worker = 0; Worker < Simulation.workerCount(); ++Worker)
+    for (const auto &Run : Simulation.worker(Worker).history())
+      if (Run.EndedAt && Run.How == kernel::RunEnd::Stopped)
+        Jobs.insert(Run.Task.Job);
+  return Jobs;
+}
+
+/// The policy of the route in PoolSimulation, applied to the actual run time.
+bool isInTime(const test::PoolSimulation &Simulation, kernel::JobKey Key, double RunMilliseconds) {
+  auto Answer = Simulation.answerOf(Key);
+  return Answer && Answer->Verdict == kernel::JobVerdict::Completed &&
+         core::toMilliseconds(Simulation.latencyOf(Key)) <= 2 * RunMilliseconds + 60;
+}
+
+constexpr double Expected = 100;
+constexpr double KindDeviation = 0.4;
+constexpr double Rare = 0.01;
+
+kernel::ObservedRun runOn(std::uint32_t Worker, double Milliseconds) {
+  return {static_cast<kernel::EndpointIndex>(Worker), Milliseconds, Milliseconds};
+}
+
+kernel::RunDelay judge(const std::vector<kernel::ObservedRun> &Siblings,
+                       const std::vector<kernel::NeighbourRun> &Neighbours,
+                       double Deviation = KindDeviation, double Milliseconds = 12 * Expected,
+                       double OverlongShare = Rare) {
+  return kernel::prognoseRun(
+             {runOn(0, Milliseconds), Expected, Deviation, OverlongShare, Siblings, Neighbours})
+      .Delay;
+}
+
 } // namespace
 
+// Guards against moving the runs of a long job, and against leaving runs on a slow worker, where
+// siblings, neighbours or the spread of the kind show which of the two it is.
+BOOST_AUTO_TEST_CASE(EvidenceTellsALongJobFromASlowWorker) {
+  using enum kernel::RunDelay;
+  kernel::NeighbourRun Ordinary{Expected, Expected, KindDeviation, Rare};
+  kernel::NeighbourRun Slowed{12 * Expected, Expected, KindDeviation, Rare};
+  BOOST_CHECK(judge({runOn(1, 1200)}, {}) == LongJob);
+  BOOST_CHECK(judge({runOn(1, 1200), runOn(2, 1100)}, {Ordinary}) == LongJob);
+  BOOST_CHECK(judge({runOn(1, 100)}, {}) == SlowWorker);
+  BOOST_CHECK(judge({runOn(1, 100)}, {Slowed}) == SlowWorker);
+  BOOST_CHECK(judge({}, {Ordinary}) == LongJob);
+  BOOST_CHECK(judge({}, {Slowed}) == SlowWorker);
+  // A sibling on the same worker tells nothing about it.
+  BOOST_CHECK(judge({runOn(0, 1200)}, {Slowed}) == SlowWorker);
+  // Both are on slow workers.
+  BOOST_CHECK(judge({runOn(1, 1200)}, {Slowed, Slowed}) == SlowWorker);
+  // Alone, a length that is common for the kind is no sign of a fault.
+  BOOST_CHECK(judge({}, {}, 1.2) == LongJob);
+  BOOST_CHECK(judge({}, {}) == LongJob);
+  BOOST_CHECK(judge({}, {}, KindDeviation, 80 * Expected) == SlowWorker);
+  // Where a third of the jobs is overlong, two of them often share a worker.
+  Slowed.OverlongShare = 0.33;
+  BOOST_CHECK(judge({}, {Slowed}, KindDeviation, 12 * Expected, 0.33) == LongJob);
+  BOOST_CHECK(judge({}, {}, KindDeviation, 140) == None);
+}
+
+// Guards against moves that help nobody, work given up that could be of use and leases that lapse,
+// where a third of the jobs take twelve times as long as declared and two of eight workers turn
+// eight times slower.
+BOOST_AUTO_TEST_CASE(LongJobsAreServedBesideSlowWorkers) {
+  constexpr int Jobs = 200;
+  test::PoolSimulation Simulation({});
+  Simulation.run(2s);
+  for (std::size_t Worker : {1U, 6U})
+    Simulation.worker(Worker).faults().Slowdown = 8;
+  std::vector<std::pair<kernel::JobKey, double>> Sent;
+  for (int Job = 0; Job < Jobs; ++Job) {
+    double Milliseconds = Job % 3 == 0 ? 1200 : 100;
+    Sent.emplace_back(Simulation.submit(2, Milliseconds, "", 1, 100), Milliseconds);
+    Simulation.run(70ms);
+  }
+  Simulation.run(8s);
+  auto Moved = jobsWithStoppedRuns(Simulation);
+  int InTime = 0;
+  int MovedInTime = 0;
+  for (const auto &[Key, Milliseconds] : Sent) {
+    InTime += isInTime(Simulation, Key, Milliseconds) ? 1 : 0;
+    MovedInTime += Moved.contains(Key) && isInTime(Simulation, Key, Milliseconds) ? 1 : 0;
+  }
+  BOOST_TEST_MESSAGE(InTime << " in time, " << Moved.size() << " moved, " << MovedInTime
+                            << " of them in time");
+  BOOST_TEST(endsOf(Simulation, kernel::RunEnd::Lapsed) == 0U);
+  BOOST_TEST(Simulation.completed() == static_cast<std::size_t>(Jobs));
+  BOOST_TEST(InTime >= Jobs * 9 / 10);
+  BOOST_TEST(endsOf(Simulation, kernel::RunEnd::Stopped) <= static_cast<std::size_t>(Jobs / 10));
+  BOOST_TEST(2 * MovedInTime >= static_cast<int>(Moved.size()));
+  BOOST_TEST(Simulation.violations().empty());
+}
+
 // Guards against leases that lapse without a fault: the poll of a worker with an overdue run was
 // replaced before its reply could arrive, for as long as the run lasted, so that the worker counted
 // as silent.
