pool: Plan who is in time when room is short

Cause: the queue went by the latest start and counted run time only. Its priority ordered nothing; long jobs always came after short ones, and the widest were the first to be late. Only held workers counted as room, so that a manager that had just taken over refused jobs which its next workers would have served.

Change: planAdmission() lets jobs give way by their standing at arrival: below a floor of their kind or size, then by priority, then kinds that were served more. Work is the dominant share of a worker times the run time. The room includes workers about to be held; lasting arrivals leave late jobs none, which are then refused at once. No job is refused while a worker could take it now. Refused callers are told different times.

--- /dev/null
+++ b/Kernel/Pool/AdmissionPlan.cpp
@@ -0,0 +1,125 @@
+#include "Kernel/Pool/AdmissionPlan.h"
+
+#include <algorithm>
+#include <map>
+#include <numeric>
+
+namespace cornellift::kernel {
+namespace {
+
+/// The jobs that are to be in time, while they are taken in the order of their latest start.
+class Admission {
+public:
+  Admission(std::span<const WaitingJob> Jobs, const RoomForecast &Room, core::TimePoint Now,
+            AdmissionPlan &Plan)
+      : Jobs_(Jobs), Room_(Room), Now_(Now), Plan_(Plan) {}
+
+  void takeStarted(std::size_t Position) {
+    Work_ += Jobs_[Position].Work;
+    makeRoomFor(Jobs_[Position], Standing::BelowFloor);
+  }
+
+  void take(std::size_t Position) {
+    auto Of = Jobs_[Position].Place;
+    auto &Equals = Taken_[Of];
+    Equals.Positions.push_back(Position);
+    Equals.Work += Jobs_[Position].Work;
+    Work_ += Jobs_[Position].Work;
+    if (!makeRoomFor(Jobs_[Position], worseThan(Of)))
+      dropLast(Equals);
+  }
+
+  double work() const { return Work_; }
+
+private:
+  struct Group {
+    std::vector<std::size_t> Positions; ///< By latest start.
+    double Work = 0;
+  };
+
+  bool startsInTime(const WaitingJob &Job, double Work) const {
+    return Now_ + core::fromMilliseconds(Room_.millisecondsFor(Work)) <= Job.LatestStart;
+  }
+
+  /// Lets jobs of that standing or worse give way, if that helps.
+  bool makeRoomFor(const WaitingJob &Job, Standing From) {
+    if (startsInTime(Job, Work_))
+      return true;
+    double Least = Work_;
+    for (auto Each = Taken_.lower_bound(From); Each != Taken_.end(); ++Each)
+      Least -= Each->second.Work;
+    if (!startsInTime(Job, Least))
+      return false;
+    while (!startsInTime(Job, Work_)) {
+      auto Worst = std::prev(Taken_.end());
+      if (Worst->first < From)
+        return false;
+      if (Worst->second.Positions.empty())
+        Taken_.erase(Worst);
+      else
+        dropLast(Worst->second);
+    }
+    return true;
+  }
+
+  void dropLast(Group &From) {
+    auto Position = From.Positions.back();
+    From.Positions.pop_back();
+    From.Work -= Jobs_[Position].Work;
+    Work_ -= Jobs_[Position].Work;
+    Plan_.Prospects[Position] = JobProspect::Late;
+    ++Plan_.LateCount;
+  }
+
+  std::span<const WaitingJob> Jobs_;
+  const RoomForecast &Room_;
+  core::TimePoint Now_;
+  AdmissionPlan &Plan_;
+  std::map<Standing, Group> Taken_;
+  double Work_ = 0;
+};
+
+bool isAttainable(const WaitingJob &Job, double Ahead, const RoomForecast &Room,
+                  core::TimePoint Now) {
+  auto Start = Now + core::fromMilliseconds(Room.millisecondsForLate(Ahead));
+  auto Run = core::fromMilliseconds(core::toMilliseconds(Job.ShortestRun) * MinimumRunTimeShare);
+  return Start + Run <= Job.UsefulUntil;
+}
+
+} // namespace
+
+AdmissionPlan planAdmission(std::span<const WaitingJob> Jobs, const RoomForecast &Room,
+                            core::TimePoint Now) {
+  AdmissionPlan Plan;
+  Plan.Prospects.resize(Jobs.size(), JobProspect::InTime);
+  std::vector<std::size_t> Order(Jobs.size());
+  std::iota(Order.begin(), Order.end(), std::size_t{0});
+  std::sort(Order.begin(), Order.end(), [&](std::size_t Left, std::size_t Right) {
+    return std::pair(Jobs[Left].LatestStart, Jobs[Left].Handle) <
+           std::pair(Jobs[Right].LatestStart, Jobs[Right].Handle);
+  });
+  Admission InTime(Jobs, Room, Now, Plan);
+  for (auto Position : Order) {
+    const auto &Job = Jobs[Position];
+    if (Job.LatestStart < Now)
+      Plan.Prospects[Position] = Job.MayHaveRun ? JobProspect::StartedLate : JobProspect::Late;
+    else if (Job.MayHaveRun)
+      InTime.takeStarted(Position);
+    else
+      InTime.take(Position);
+  }
+  Plan.Work = InTime.work();
+  for (auto Prospect : {JobProspect::StartedLate, JobProspect::Late})
+    for (auto Position : Order) {
+      const auto &Job = Jobs[Position];
+      if (Plan.Prospects[Position] != Prospect)
+        continue;
+      if (!Job.MayHaveRun && !isAttainable(Job, Plan.Work, Room, Now))
+        Plan.Unattainable.push_back(Position);
+      else
+        Plan.Work += Job.Work;
+    }
+  return Plan;
+}
+
+} // namespace cornellift::kernel
--- a/Kernel/Pool/PlacementRate.cpp
+++ b/Kernel/Pool/PlacementRate.cpp
@@ -1,5 +1,7 @@
 #include "Kernel/Pool/PlacementRate.h"
 
+#include <algorithm>
+
 namespace cornellift::kernel {
 namespace {
 
@@ -9,7 +11,7 @@
 
 } // namespace
 
-void PlacementRate::observe(bool HasWaiting, core::TimePoint Now) {
+void PlacementRate::observe(bool HasWaiting, double Capacity, core::TimePoint Now) {
   if (!HasWaiting) {
     Since_.reset();
     Value_ = 0;
@@ -19,10 +21,17 @@
     return;
   if (Since_) {
     double Recent = Placed_ / core::toMilliseconds(Now - *Since_);
-    Value_ = Value_ > 0 ? NewestWeight * Recent + (1 - NewestWeight) * Value_ : Recent;
+    double Newest = Value_ > 0 ? NewestWeight : 1;
+    Value_ = Newest * Recent + (1 - Newest) * Value_;
+    Capacity_ = Newest * WindowCapacity_ + (1 - Newest) * Capacity_;
   }
   Since_ = Now;
   Placed_ = 0;
+  WindowCapacity_ = Capacity;
+}
+
+double PlacementRate::value(double Capacity) const {
+  return Value_ > 0 ? Value_ + std::max(0.0, Capacity - Capacity_) : 0;
 }
 
 } // namespace cornellift::kernel
--- a/Kernel/Pool/PlacementRate.h
+++ b/Kernel/Pool/PlacementRate.h
@@ -6,23 +6,27 @@
 
 namespace cornellift::kernel {
 
-/// Measures the rate at which waiting work is placed, here or at other managers, as typical run
-/// time placed per unit of time. Under overload the capacity that other managers leave to this
-/// one's jobs is unknown, and this rate is the only measure of it.
+/// Measures the rate at which waiting work is placed, here or at other managers. Under overload the
+/// capacity that other managers leave to this one's jobs is unknown, and this rate is the only
+/// measure of it. Work and capacity are in the work of typical workers.
 class PlacementRate {
 public:
-  void placed(double TypicalMilliseconds) { Placed_ += TypicalMilliseconds; }
+  void placed(double Work) { Placed_ += Work; }
 
-  /// Updates the rate; to be called often. HasWaiting is true if work is waiting now.
-  void observe(bool HasWaiting, core::TimePoint Now);
+  /// Updates the rate; to be called often. HasWaiting is true if work is waiting now, Capacity is
+  /// what the workers held now can do per unit of time.
+  void observe(bool HasWaiting, double Capacity, core::TimePoint Now);
 
-  /// The current rate; zero if unknown, because no work waits or the first window is not over.
-  double value() const { return Value_; }
+  /// The rate with that capacity: workers that came after the rate was measured add theirs. Zero if
+  /// unknown, because no work waits or the first window is not over.
+  double value(double Capacity) const;
 
 private:
   std::optional<core::TimePoint> Since_; ///< Start of the window; empty while no work waits.
-  double Placed_ = 0; ///< Typical run time placed in the window, in milliseconds.
+  double Placed_ = 0;                    ///< Work placed in the window.
   double Value_ = 0;
+  double Capacity_ = 0; ///< Mean over the same windows as Value_.
+  double WindowCapacity_ = 0;
 };
 
 } // namespace cornellift::kernel
--- a/Kernel/Pool/PoolCounters.h
+++ b/Kernel/Pool/PoolCounters.h
@@ -10,6 +10,9 @@
   std::uint64_t JobsCompleted = 0;
   std::uint64_t JobsFailed = 0;
   std::uint64_t JobsRejected = 0;
+  std::uint64_t RefusedAtArrival = 0; ///< Rejected: too much work waited.
+  std::uint64_t RefusedForRoom = 0;   ///< Rejected: the work ahead left no time for them.
+  std::uint64_t RefusedInWaiting = 0; ///< Rejected: no worker could take them while it was of use.
   std::uint64_t JobsGivenUp = 0;
   std::uint64_t JobsAbandoned = 0;
   std::uint64_t JobsCancelled = 0;
--- a/Kernel/Pool/PoolJob.cpp
+++ b/Kernel/Pool/PoolJob.cpp
@@ -23,13 +23,6 @@
   return Sum;
 }
 
-double PoolJob::waitingMilliseconds() const {
-  double Sum = 0;
-  for (const auto &Step : Steps)
-    Sum += Step.Waiting * Step.TypicalMilliseconds;
-  return Sum;
-}
-
 bool PoolJob::mayHaveRun() const {
   if (HasRun)
     return true;
--- a/Kernel/Pool/PoolJob.h
+++ b/Kernel/Pool/PoolJob.h
@@ -2,6 +2,7 @@
 
 #include "Kernel/Identifiers.h"
 #include "Kernel/Pool/JobSubmission.h"
+#include "Kernel/Pool/KindShares.h"
 #include "Kernel/Pool/PoolMessages.h"
 #include "Kernel/Pool/Worker.h"
 #include "Libraries/LibCore/Time.h"
@@ -57,6 +58,9 @@
   core::TimePoint UsefulUntil; ///< Later answers are of no use to the caller.
   core::TimePoint LatestStart; ///< Starting later is likely to miss the objective.
   bool HasRun = false;         ///< One of its runs has ended, or was lost after its start.
+  bool IsWide = false;         ///< Among the jobs of its kind with the most work.
+  Standing Place{};            ///< When room is short.
+  bool IsSettled = false;      ///< Counted as placed in time or not.
   bool IsEnding = false;       ///< Answered; the remaining runs are being stopped.
   std::optional<core::TimePoint> OrphanedUntil;
   std::shared_ptr<const JobSubmission>
@@ -67,8 +71,6 @@
   std::uint32_t stepOf(std::uint32_t Task) const;
   TaskRef refOf(std::uint32_t Task) const;
   std::uint32_t waiting() const;
-  /// Expected run time of all waiting tasks on typical workers, in milliseconds.
-  double waitingMilliseconds() const;
   /// Number of tasks that run or may run.
   std::uint32_t active() const;
   /// Returns whether any task has run or may run. Otherwise the job can be rejected truthfully,
--- a/Kernel/Pool/PoolManager.cpp
+++ b/Kernel/Pool/PoolManager.cpp
@@ -111,7 +111,7 @@
   requeueLostDelegations(Now);
   if (Now >= NextExpiry_) {
     NextExpiry_ = Now + ExpiryInterval;
-    PlacementRate_.observe(!Queue_.empty(), Now);
+    PlacementRate_.observe(!Queue_.empty(), heldCapacity(Now), Now);
     reviewWaitingJobs(Now);
     expireJobs(Now);
     Answered_.forgetExpired(Now);
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "Kernel/Pool/AdmissionPlan.h"
 #include "Kernel/Pool/DecisionLog.h"
 #include "Kernel/Pool/JobKindRunTimes.h"
+#include "Kernel/Pool/KindShares.h"
+#include "Kernel/Pool/OverloadWatch.h"
 #include "Kernel/Pool/PlacementRate.h"
 #include "Kernel/Pool/PoolCounters.h"
 #include "Kernel/Pool/PoolJob.h"
@@ -10,6 +13,8 @@
 #include "Kernel/Pool/PoolQueue.h"
 #include "Kernel/Pool/RecentJobs.h"
 #include "Kernel/Pool/RemotePool.h"
+#include "Kernel/Pool/ReturnTimes.h"
+#include "Kernel/Pool/RoomForecast.h"
 #include "Kernel/Pool/TokenSource.h"
 #include "Kernel/Pool/WorkerFleet.h"
 #include "Kernel/Pool/WorkerRatings.h"
@@ -88,6 +93,8 @@
   /// Number of jobs of which no task has started, by route.
   std::vector<RouteBacklog> backlog() const;
   const PoolCounters &counters() const { return Counters_; }
+  /// Whether more work has arrived for some time than there is room for.
+  bool isOverloaded() const { return Overload_.isOverloaded(); }
 
 private:
   struct Remote {
@@ -108,7 +115,7 @@
   PoolJob &createJob(PeerIndex From, const std::shared_ptr<const JobSubmission> &Submission,
                      bool IsDelegation, core::TimePoint Now);
   void setDeadlines(PoolJob &Job);
-  std::optional<JobAnswer> rejectionFor(const PoolJob &Job, core::TimePoint Now) const;
+  std::optional<JobAnswer> rejectionFor(const PoolJob &Job, core::TimePoint Now);
   void unblockSteps(PoolJob &Job);
   void finishTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now);
   void failTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now);
@@ -120,16 +127,27 @@
   /// Ends the job for all who await it; returns whether it was open.
   bool endCancelled(JobKey Key, core::TimePoint Now);
   void expireJobs(core::TimePoint Now);
-  /// Puts jobs that the work ahead makes late behind the others, and rejects those to which it
-  /// leaves no time at all.
+  /// Plans which waiting jobs are to be in time, puts the others behind them, and rejects those to
+  /// which the plan leaves no time at all.
   void reviewWaitingJobs(core::TimePoint Now);
   void enqueue(const PoolJob &Job, core::TimePoint Now);
   static PoolQueue::Key placeInQueue(const PoolJob &Job, core::TimePoint Now);
-  /// Time that this manager's workers need for the work ahead of the job.
-  double waitMilliseconds(const PoolJob &Job, core::TimePoint Now) const;
-  /// Typical run time that this manager's workers work off per unit of time, each with as many
-  /// tasks of that need as fit.
-  double workRate(const Resources &Need, core::TimePoint Now) const;
+  WaitingJob waitingJob(const PoolJob &Job) const;
+  void refuse(PoolJob &Job, const RoomForecast &Room, core::TimePoint Now);
+  void observeOverload(const AdmissionPlan &Plan, const RoomForecast &Room, core::TimePoint Now);
+  /// Counts the job among those of its kind that were, or were not, placed in time; once.
+  void settle(PoolJob &Job, core::TimePoint Now);
+  /// Time until the work ahead of the job has been placed.
+  double waitMilliseconds(const PoolJob &Job, const RoomForecast &Room, core::TimePoint Now) const;
+  /// What the job's waiting tasks take of a typical worker, times the run time in milliseconds.
+  double waitingWork(const PoolJob &Job) const;
+  /// The same for all of its tasks.
+  double totalWork(const PoolJob &Job) const;
+  /// Work that the workers held now do per unit of time.
+  double heldCapacity(core::TimePoint Now) const;
+  RoomForecast forecastRoom(core::TimePoint Now) const;
+  /// When a refused caller may come back, in milliseconds.
+  double retryMilliseconds(const PoolJob &Job, const RoomForecast &Room, core::TimePoint Now);
   /// Expected run time of the job's longest waiting task on the fastest worker, in milliseconds.
   double shortestRunTime(const PoolJob &Job) const;
   PoolJob *find(JobHandle Handle);
@@ -220,7 +238,13 @@
   /// Mean run time over all workers, relative to that on a typical worker. The objective of a job
   /// is defined for the average worker, not for those that are used most.
   double MeanSlowness_ = 1;
+  TypicalWorker TypicalWorker_;
   PlacementRate PlacementRate_;
+  LastingRate Inflow_; ///< Of work.
+  KindShares Shares_;
+  ReturnTimes ReturnTimes_;
+  OverloadWatch Overload_;
+  double WaitingWork_ = 0;   ///< As of the last review, and of jobs that came since.
   core::TimePoint ReportAt_; ///< Earliest time of the next report.
   bool NeedsDispatch_ = false;
   bool ReportIsDue_ = false;
--- a/Kernel/Pool/PoolManagerJobs.cpp
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -37,6 +37,10 @@
     return;
   auto &Job = createJob(From, Submission, false, Now);
   OwnJobs_[Submission->Key] = Job.Handle;
+  double Work = totalWork(Job);
+  Job.IsWide = Shares_.offered(Job.Kind, Submission->Policy.Priority, Work);
+  Job.Place = Shares_.standingOf(Job.Kind, Job.IsWide);
+  Inflow_.add(Work, Now);
   if (auto Refused = rejectionFor(Job, Now))
     return endJob(Job, std::move(*Refused), Now);
   enqueue(Job, Now);
@@ -193,6 +197,8 @@
 void PoolManager::endJob(PoolJob &Job, JobAnswer Answer, core::TimePoint Now) {
   Job.IsEnding = true;
   Queue_.remove(Job.Handle);
+  if (Answer.Verdict == JobVerdict::Rejected)
+    settle(Job, Now);
   for (auto &Step : Job.Steps)
     Step.Waiting = 0;
   switch (Answer.Verdict) {
@@ -223,7 +229,7 @@
                {"active_tasks", static_cast<std::int64_t>(Job.active())},
                {"tasks", static_cast<std::int64_t>(Job.Tasks.size())},
                {"workers_held", static_cast<std::int64_t>(Fleet_.heldCount())},
-               {"wait_estimate_ms", waitMilliseconds(Job, Now)},
+               {"waiting_work", WaitingWork_},
                {"queued_jobs", static_cast<std::int64_t>(Queue_.size())}});
   for (auto Origin : Job.Origins)
     Output_.send(Origin, PoolAnswer{Job.key(), Answer});
--- a/Kernel/Pool/PoolManagerPlacement.cpp
+++ b/Kernel/Pool/PoolManagerPlacement.cpp
@@ -24,24 +24,33 @@
   double Fastest = 0;
   double Slowness = 0;
   double Count = 0;
-  auto Add = [&](double Speed) {
+  TypicalWorker Sum;
+  Sum.Slots = 0;
+  auto Add = [&](double Speed, const WorkerEntry &Entry) {
     Fastest = std::max(Fastest, Speed);
     Slowness += 1 / Speed;
     Count += 1;
+    Sum.Capacity.Processors += Entry.Capacity.Processors;
+    Sum.Capacity.MemoryMegabytes += Entry.Capacity.MemoryMegabytes;
+    Sum.Capacity.Accelerators += Entry.Capacity.Accelerators;
+    Sum.Slots += Entry.Slots;
   };
   for (std::size_t Position = 0; Position < Fleet_.size(); ++Position) {
     auto Index = static_cast<EndpointIndex>(Position);
     if (Fleet_.at(Index).acceptsTasks(Now) && Ratings_.taskLimit(Index) > 0)
-      Add(Ratings_.speed(Index));
+      Add(Ratings_.speed(Index), Fleet_.at(Index).Entry);
   }
   for (const auto &[Peer, Known] : Remotes_)
     for (const auto &Worker : Known.Pool.workers())
       if (Worker.Availability.Speed > 0)
-        Add(Worker.Availability.Speed);
+        Add(Worker.Availability.Speed, Worker.Entry);
   if (Count == 0)
     return;
   FastestSpeed_ = Fastest;
   MeanSlowness_ = Slowness / Count;
+  TypicalWorker_ = {{Sum.Capacity.Processors / Count, Sum.Capacity.MemoryMegabytes / Count,
+                     Sum.Capacity.Accelerators / Count},
+                    Sum.Slots / Count};
 }
 
 double PoolManager::mostFreeProcessors(core::TimePoint Now) const {
@@ -114,6 +123,8 @@
     Queue_.remove(Job.Handle);
     enqueue(Job, Now); // With the prospect of a job that has started.
   }
+  if (After == 0)
+    settle(Job, Now);
   return After < Before;
 }
 
@@ -141,7 +152,8 @@
     return false;
   if (!Job.IsDelegation) {
     --Job.Steps[Step].Waiting;
-    PlacementRate_.placed(Job.Steps[Step].TypicalMilliseconds);
+    PlacementRate_.placed(Job.Steps[Step].TypicalMilliseconds *
+                          TypicalWorker_.shareOf(Request.Step->Need));
   }
   if (!AtPeer) {
     startOn(Job, Task, *Own, Now);
--- a/Kernel/Pool/PoolManagerQueue.cpp
+++ b/Kernel/Pool/PoolManagerQueue.cpp
@@ -2,16 +2,14 @@
 #include "Kernel/Pool/PoolManager.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace cornellift::kernel {
 namespace {
 
 /// Lower bound on the assumed speed, for workers whose speed is unknown.
 constexpr double MinimumSpeed = 0.1;
-/// Bounds on the retry time given to rejected callers, in milliseconds.
-constexpr double MinimumRetryMilliseconds = 200;
-constexpr double MaximumRetryMilliseconds = 5000;
+/// Share of its resources that tasks of different sizes fill on a busy worker.
+constexpr double PackedShare = 0.75;
 
 } // namespace
 
@@ -23,50 +21,93 @@
   return Longest / std::max(FastestSpeed_, MinimumSpeed);
 }
 
-std::optional<JobAnswer> PoolManager::rejectionFor(const PoolJob &Job, core::TimePoint Now) const {
-  if (hasCapacityFor(Job, Now))
-    return std::nullopt;
-  double Wait = waitMilliseconds(Job, Now);
-  auto Start = Now + core::fromMilliseconds(Wait);
+double PoolManager::waitingWork(const PoolJob &Job) const {
+  double Sum = 0;
+  for (std::size_t Step = 0; Step < Job.Steps.size(); ++Step)
+    Sum += Job.Steps[Step].Waiting * Job.Steps[Step].TypicalMilliseconds *
+           TypicalWorker_.shareOf(Job.Submission->Steps[Step].Need);
+  return Sum;
+}
+
+double PoolManager::totalWork(const PoolJob &Job) const {
+  double Sum = 0;
+  for (std::size_t Step = 0; Step < Job.Steps.size(); ++Step)
+    Sum += Job.Submission->Steps[Step].Count * Job.Steps[Step].TypicalMilliseconds *
+           TypicalWorker_.shareOf(Job.Submission->Steps[Step].Need);
+  return Sum;
+}
+
+double PoolManager::heldCapacity(core::TimePoint Now) const {
+  double Sum = 0;
+  for (std::size_t Position = 0; Position < Fleet_.size(); ++Position) {
+    auto Index = static_cast<EndpointIndex>(Position);
+    if (Fleet_.at(Index).Lease == LeaseState::Held && Fleet_.at(Index).isAnswering(Now))
+      Sum += Ratings_.speed(Index) * PackedShare;
+  }
+  return Sum;
+}
+
+RoomForecast PoolManager::forecastRoom(core::TimePoint Now) const {
+  RoomForecast Room;
+  double Held = heldCapacity(Now);
+  Room.Rate = PlacementRate_.value(Held);
+  if (Room.Rate <= 0) // Work has begun to wait just now, as after an outage.
+    Room.Rate = Held;
+  double Delay = 0;
+  for (std::size_t Position = 0; Position < Fleet_.size(); ++Position) {
+    auto Index = static_cast<EndpointIndex>(Position);
+    auto HeldIn = Fleet_.at(Index).heldIn(Now);
+    if (!HeldIn)
+      continue;
+    double Capacity = Ratings_.speed(Index) * PackedShare;
+    Room.Coming += Capacity;
+    Delay += Capacity * core::toMilliseconds(*HeldIn);
+  }
+  if (Room.Coming > 0)
+    Room.ComingIn = core::fromMilliseconds(Delay / Room.Coming);
+  Room.Inflow = Inflow_.value();
+  return Room;
+}
+
+double PoolManager::retryMilliseconds(const PoolJob &Job, const RoomForecast &Room,
+                                      core::TimePoint Now) {
+  double Wait = Room.isKnown() ? Room.millisecondsFor(WaitingWork_) : 0;
+  return ReturnTimes_.next(Wait, totalWork(Job), Room.Rate + Room.Coming, Now);
+}
+
+std::optional<JobAnswer> PoolManager::rejectionFor(const PoolJob &Job, core::TimePoint Now) {
   auto Run = core::fromMilliseconds(shortestRunTime(Job));
-  if (Wait <= 0 || Start + Run <= Job.UsefulUntil)
+  auto LeavesNoTime = [&](double Wait) {
+    return Wait > 0 && Now + core::fromMilliseconds(Wait) + Run > Job.UsefulUntil;
+  };
+  if (Queue_.empty())
     return std::nullopt;
+  auto Room = forecastRoom(Now);
+  if (!Room.isKnown() || !LeavesNoTime(Room.millisecondsFor(WaitingWork_)) ||
+      hasCapacityFor(Job, Now) || !LeavesNoTime(waitMilliseconds(Job, Room, Now)))
+    return std::nullopt;
+  ++Counters_.RefusedAtArrival;
   return JobAnswer{JobVerdict::Rejected, "too much work waits for the workers",
-                   std::clamp(Wait, MinimumRetryMilliseconds, MaximumRetryMilliseconds)};
+                   retryMilliseconds(Job, Room, Now)};
 }
 
-double PoolManager::waitMilliseconds(const PoolJob &Job, core::TimePoint Now) const {
+double PoolManager::waitMilliseconds(const PoolJob &Job, const RoomForecast &Room,
+                                     core::TimePoint Now) const {
   auto Place = placeInQueue(Job, Now);
   double Ahead = 0;
   for (const auto &Key : Queue_) {
     if (Place < Key)
       break;
-    if (Key.Handle != Job.Handle)
-      Ahead += Jobs_.at(Key.Handle).waitingMilliseconds();
-  }
-  double Rate = workRate(Job.Submission->Steps.front().Need, Now);
-  return Rate > 0 ? Ahead / Rate : 0;
-}
-
-double PoolManager::workRate(const Resources &Need, core::TimePoint Now) const {
-  double Rate = 0;
-  for (std::size_t Position = 0; Position < Fleet_.size(); ++Position) {
-    auto Index = static_cast<EndpointIndex>(Position);
-    const auto &Known = Fleet_.at(Index);
-    if (Known.Lease != LeaseState::Held || !Known.isAnswering(Now))
-      continue;
-    double Places = Need.Processors > 0
-                        ? std::floor(Known.Entry.Capacity.Processors / Need.Processors)
-                        : Known.Entry.Slots;
-    Rate += std::min<double>(Places, Known.Entry.Slots) * Ratings_.speed(Index);
+    Ahead += waitingWork(Jobs_.at(Key.Handle));
   }
-  return Rate;
+  return Room.millisecondsFor(Ahead);
 }
 
 void PoolManager::enqueue(const PoolJob &Job, core::TimePoint Now) {
   if (Job.waiting() == 0 || Queue_.contains(Job.Handle) || Job.OrphanedUntil)
     return;
   Queue_.set(placeInQueue(Job, Now));
+  WaitingWork_ += waitingWork(Job);
 }
 
 PoolQueue::Key PoolManager::placeInQueue(const PoolJob &Job, core::TimePoint Now) {
@@ -76,30 +117,71 @@
   return {Prospect, Job.LatestStart, Job.Handle};
 }
 
+WaitingJob PoolManager::waitingJob(const PoolJob &Job) const {
+  return {Job.Handle,
+          Job.Place,
+          Job.mayHaveRun(),
+          waitingWork(Job),
+          core::fromMilliseconds(shortestRunTime(Job)),
+          Job.LatestStart,
+          Job.UsefulUntil};
+}
+
 void PoolManager::reviewWaitingJobs(core::TimePoint Now) {
-  if (Queue_.empty())
+  Inflow_.observe(Now);
+  auto Room = forecastRoom(Now);
+  if (Queue_.empty() || !Room.isKnown()) {
+    WaitingWork_ = 0;
+    return observeOverload({}, Room, Now);
+  }
+  std::vector<WaitingJob> Waiting;
+  Waiting.reserve(Queue_.size());
+  for (const auto &Key : Queue_)
+    Waiting.push_back(waitingJob(Jobs_.at(Key.Handle)));
+  auto Plan = planAdmission(Waiting, Room, Now);
+  WaitingWork_ = Plan.Work;
+  for (std::size_t Position = 0; Position < Waiting.size(); ++Position)
+    if (Queue_.find(Waiting[Position].Handle)->Prospect != Plan.Prospects[Position])
+      Queue_.set(
+          {Plan.Prospects[Position], Waiting[Position].LatestStart, Waiting[Position].Handle});
+  observeOverload(Plan, Room, Now);
+  for (auto Position : Plan.Unattainable)
+    if (auto *Job = find(Waiting[Position].Handle))
+      refuse(*Job, Room, Now);
+}
+
+void PoolManager::refuse(PoolJob &Job, const RoomForecast &Room, core::TimePoint Now) {
+  if (hasCapacityFor(Job, Now))
     return;
-  auto Rate = PlacementRate_.value();
-  if (Rate <= 0) // Work has begun to wait just now, as after an outage.
-    Rate = workRate(Jobs_.at(Queue_.begin()->Handle).Submission->Steps.front().Need, Now);
-  if (Rate <= 0)
+  ++Counters_.RefusedForRoom;
+  endJob(Job,
+         {JobVerdict::Rejected, "the work ahead leaves no time for it",
+          retryMilliseconds(Job, Room, Now)},
+         Now);
+}
+
+void PoolManager::observeOverload(const AdmissionPlan &Plan, const RoomForecast &Room,
+                                  core::TimePoint Now) {
+  if (!Overload_.observe(Plan.LateCount > 0, Now))
     return;
-  std::vector<ReviewedJob> Waiting;
-  Waiting.reserve(Queue_.size());
-  for (const auto &Key : Queue_) {
-    const auto &Job = Jobs_.at(Key.Handle);
-    Waiting.push_back({Key.Handle, Key.Prospect, Job.mayHaveRun(), Job.waitingMilliseconds(),
-                       core::fromMilliseconds(shortestRunTime(Job)), Job.LatestStart,
-                       Job.UsefulUntil});
-  }
-  auto Review = reviewQueue(Waiting, Rate, Now);
-  for (auto Handle : Review.Late)
-    Queue_.set({JobProspect::Late, Jobs_.at(Handle).LatestStart, Handle});
-  double Retry = std::clamp(Review.WaitingMilliseconds / Rate, MinimumRetryMilliseconds,
-                            MaximumRetryMilliseconds);
-  for (auto Handle : Review.Unattainable)
-    if (auto *Job = find(Handle))
-      endJob(*Job, {JobVerdict::Rejected, "the work ahead leaves no time for it", Retry}, Now);
+  Log_.line(DecisionPriority::StateChange,
+            Overload_.isOverloaded() ? "overload begins" : "overload ends", std::nullopt,
+            {{"room_rate", Room.Rate},
+             {"coming_rate", Room.Coming},
+             {"arriving_rate", Room.Inflow},
+             {"waiting_work", Plan.Work},
+             {"queued_jobs", static_cast<std::int64_t>(Queue_.size())},
+             {"late_jobs", static_cast<std::int64_t>(Plan.LateCount)},
+             {"share_in_time", Shares_.shareOfWork()},
+             {"workers_held", static_cast<std::int64_t>(Fleet_.heldCount())}});
+}
+
+void PoolManager::settle(PoolJob &Job, core::TimePoint Now) {
+  if (Job.IsSettled || Job.IsDelegation)
+    return;
+  Job.IsSettled = true;
+  Shares_.settled(Job.Kind, Job.IsWide, totalWork(Job),
+                  Job.waiting() == 0 && Now <= Job.LatestStart, Now);
 }
 
 void PoolManager::expireJobs(core::TimePoint Now) {
@@ -119,8 +201,9 @@
     if (Now < Limit)
       continue;
     auto Verdict = Job.mayHaveRun() ? JobVerdict::GivenUp : JobVerdict::Rejected;
-    double Retry =
-        std::clamp(waitMilliseconds(Job, Now), MinimumRetryMilliseconds, MaximumRetryMilliseconds);
+    if (Verdict == JobVerdict::Rejected)
+      ++Counters_.RefusedInWaiting;
+    double Retry = retryMilliseconds(Job, forecastRoom(Now), Now);
     Ended.push_back({Handle, {Verdict, "cannot be done while the caller waits", Retry}});
   }
   for (auto &[Handle, Answer] : Ended)
@@ -133,6 +216,7 @@
     Missed.push_back(Key.Handle);
   }
   for (auto Handle : Missed) {
+    settle(Jobs_.at(Handle), Now);
     Queue_.remove(Handle);
     enqueue(Jobs_.at(Handle), Now);
   }
--- /dev/null
+++ b/Kernel/Pool/ReturnTimes.cpp
@@ -0,0 +1,26 @@
+#include "Kernel/Pool/ReturnTimes.h"
+
+#include <algorithm>
+
+namespace cornellift::kernel {
+namespace {
+
+constexpr double MinimumMilliseconds = 200;
+constexpr double MaximumMilliseconds = 5000;
+/// Of the room, as new callers come meanwhile.
+constexpr double ShareForReturning = 0.5;
+
+} // namespace
+
+double ReturnTimes::next(double EarliestMilliseconds, double Work, double Rate,
+                         core::TimePoint Now) {
+  auto Earliest = Now + core::fromMilliseconds(std::clamp(EarliestMilliseconds, MinimumMilliseconds,
+                                                          MaximumMilliseconds));
+  auto Latest = Now + core::fromMilliseconds(MaximumMilliseconds);
+  auto Told = std::clamp(PromisedUntil_, Earliest, Latest);
+  if (Rate > 0)
+    PromisedUntil_ = Told + core::fromMilliseconds(Work / (Rate * ShareForReturning));
+  return core::toMilliseconds(Told - Now);
+}
+
+} // namespace cornellift::kernel
--- a/Kernel/Pool/Worker.cpp
+++ b/Kernel/Pool/Worker.cpp
@@ -47,6 +47,18 @@
          Clock.isKnown() && Now >= BackoffUntil;
 }
 
+std::optional<core::Duration> Worker::heldIn(core::TimePoint Now) const {
+  if (!IsListed || Entry.State != WorkerState::Ready)
+    return std::nullopt;
+  if (Lease == LeaseState::Claiming && FailedPolls == 0)
+    return core::Duration(0);
+  if (Lease != LeaseState::Absent)
+    return std::nullopt;
+  if (ClaimAt > Now + LongestKnownClaim)
+    return TypicalReleaseTime;
+  return std::max(core::Duration(0), ClaimAt - Now);
+}
+
 bool Worker::isAnswering(core::TimePoint Now) const { return FailedPolls == 0 && Now < SilentAt; }
 
 Resources Worker::free() const {
--- a/Kernel/Pool/Worker.h
+++ b/Kernel/Pool/Worker.h
@@ -31,6 +31,11 @@
 /// incarnation of the worker is up by then. The platform speaks of seconds.
 constexpr std::chrono::seconds CommandLifetime{15};
 
+/// How long the former manager needs to release a worker, in the mean.
+constexpr std::chrono::milliseconds TypicalReleaseTime{500};
+/// Claims that are further off await the former manager's release.
+constexpr std::chrono::seconds LongestKnownClaim{60};
+
 enum class RunState {
   Starting, ///< The start command was sent and has not been confirmed.
   Running,
@@ -119,6 +124,9 @@
   bool isEntryCurrent() const;
   /// Returns whether its last polls were answered.
   bool isAnswering(core::TimePoint Now) const;
+  /// How soon this manager is expected to hold the worker; empty if it holds it already, or isn't
+  /// about to.
+  std::optional<core::Duration> heldIn(core::TimePoint Now) const;
   /// Returns whether the worker accepts tasks, regardless of its free capacity.
   bool acceptsTasks(core::TimePoint Now) const;
   Resources free() const;
--- a/Tests/Pool/PoolSimulation.cpp
+++ b/Tests/Pool/PoolSimulation.cpp
@@ -141,21 +141,20 @@
   }
 }
 
-JobKey PoolSimulation::submit(std::uint32_t Tasks, double RunMilliseconds, std::string_view Extra,
-                              double Cores) {
+JobKey PoolSimulation::submit(const CallerWork &Work, std::string_view Extra) {
   auto Key = static_cast<JobKey>(NextKey_++);
   auto Sender = std::make_unique<Caller>();
   Sender->Submission = std::make_shared<JobSubmission>();
   auto &Submission = *Sender->Submission;
   Submission.Key = Key;
-  Submission.Specification = "run_ms=" + std::to_string(RunMilliseconds) +
-                             " cores=" + std::to_string(Cores) + " " + std::string(Extra);
+  Submission.Specification = "run_ms=" + std::to_string(Work.RunMilliseconds) +
+                             " cores=" + std::to_string(Work.Cores) + " " + std::string(Extra);
   JobStep Step;
-  Step.Count = Tasks;
-  Step.Need = {Cores, 64, 0};
-  Step.DeclaredMilliseconds = RunMilliseconds;
+  Step.Count = Work.Tasks;
+  Step.Need = {Work.Cores, 64, 0};
+  Step.DeclaredMilliseconds = Work.RunMilliseconds;
   Submission.Steps.push_back(Step);
-  Submission.Policy = {"route", "print", 0, 3, 2, 60};
+  Submission.Policy = {Work.Route, "print", Work.Priority, 3, 2, 60};
   Sender->DataCentre = Settings_.CallersAt.value_or(Random_() % Settings_.DataCentres);
   Sender->SentAt = Now_;
   auto &Known = *Callers_.emplace(Key, std::move(Sender)).first->second;
--- a/Tests/Pool/PoolSimulation.h
+++ b/Tests/Pool/PoolSimulation.h
@@ -43,6 +43,15 @@
   bool CallersComeAgain = true; ///< After a job was given up.
 };
 
+/// What a simulated caller asks for: equal tasks, of which it states the run time.
+struct CallerWork {
+  std::uint32_t Tasks = 1;
+  double RunMilliseconds = 100;
+  double Cores = 2;
+  std::string Route = "route";
+  std::uint32_t Priority = 0;
+};
+
 /// Simulates several pool managers, their workers and callers on a virtual clock. Messages are
 /// delayed, and the network can be partitioned between any two VMs. VMs freeze, crash and restart.
 /// Commands to workers may be executed late or not be answered, and workers may restart under the
@@ -58,7 +67,10 @@
 
   /// Submits a job of equal tasks to a random VM of the caller's data centre.
   JobKey submit(std::uint32_t Tasks, double RunMilliseconds, std::string_view Extra = "",
-                double Cores = 2);
+                double Cores = 2) {
+    return submit(CallerWork{Tasks, RunMilliseconds, Cores}, Extra);
+  }
+  JobKey submit(const CallerWork &Work, std::string_view Extra = "");
 
   /// Sends a caller's request to cancel the job to a VM.
   void cancel(JobKey Key, std::size_t Vm);
--- a/Tests/Pool/TestPoolManager.cpp
+++ b/Tests/Pool/TestPoolManager.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <set>
+
 #include <boost/test/unit_test.hpp>
 
 using namespace cornellift;
@@ -397,3 +399,29 @@
   BOOST_REQUIRE(Fixture.Out.answers().size() == 1U);
   BOOST_TEST((Fixture.Out.answers()[0].Verdict == JobVerdict::GivenUp));
 }
+
+// Replays a hand-over: one worker is held, and nine are about to be released by the former manager.
+// Guards against refusing jobs that these will serve. Fails before: only workers held counted.
+BOOST_AUTO_TEST_CASE(JobsWaitForWorkersThatAreAboutToBeReleased) {
+  ManagerFixture Fixture;
+  std::vector<std::string> Ids = {"w-0"};
+  for (int Worker = 1; Worker < 10; ++Worker) {
+    Ids.push_back("w-" + std::to_string(Worker));
+    Fixture.Manager.fleet().deferClaim(Ids.back(), Fixture.Now + std::chrono::hours(24));
+  }
+  Fixture.list(Ids);
+  for (int Job = 0; Job < 12; ++Job)
+    Fixture.submit(4, 400);
+  Fixture.pass(20ms);
+  Fixture.pass(20ms);
+  BOOST_TEST(Fixture.Out.answers().empty());
+  for (const auto &Id : Ids)
+    Fixture.Manager.fleet().claimNow(Id, Fixture.Now);
+  Fixture.answerPolls();
+  Fixture.answerPolls();
+  Fixture.pass(10ms);
+  std::set<TaskRef> Started;
+  for (const auto &[Worker, Command] : Fixture.Out.Starts)
+    Started.insert(Command.Task);
+  BOOST_TEST(Started.size() == 20U); // Two on each worker.
+}
