--- a/Kernel/Pool/PoolJob.cpp
+++ b/Kernel/Pool/PoolJob.cpp
@@ -23,13 +23,6 @@
   return Sum;
 }
 
-double PoolJob::waitingMilliseconds() const {
-  double Sum = 0;
-  for (const auto &Step : Steps)
-    Sum += Step.withoutRoom() * Step.expectedMilliseconds();
-  return Sum;
-}
-
 bool PoolJob::onlyWaitsForData() const {
   return waiting() > 0 && std::all_of(Steps.begin(), Steps.end(), [](const StepProgress &Step) {
            return Step.withoutRoom() == 0;
--- a/Kernel/Pool/PoolJob.h
+++ b/Kernel/Pool/PoolJob.h
@@ -3,6 +3,7 @@
 #include "Kernel/Identifiers.h"
 #include "Kernel/Pool/DataWait.h"
 #include "Kernel/Pool/JobSubmission.h"
+#include "Kernel/Pool/KindShares.h"
 #include "Kernel/Pool/PoolMessages.h"
 #include "Kernel/Pool/RunPrognosis.h"
 #include "Kernel/Pool/Worker.h"
@@ -79,6 +80,9 @@
   bool IsOverlong = false;     ///< One of its runs has taken several times the expected time.
   bool IsExtended = false; ///< The same on a worker without fault, which shows the job's length.
   bool HasRun = false;     ///< One of its runs has ended, or was lost after its start.
+  bool IsWide = false;     ///< Among the jobs of its kind with the most work.
+  Standing Place{};        ///< When room is short.
+  bool IsSettled = false;  ///< Counted as placed in time or not.
   bool IsEnding = false;   ///< Answered; the remaining runs are being stopped.
   std::optional<core::TimePoint> OrphanedUntil;
   std::shared_ptr<const JobSubmission>
@@ -89,9 +93,6 @@
   std::uint32_t stepOf(std::uint32_t Task) const;
   TaskRef refOf(std::uint32_t Task) const;
   std::uint32_t waiting() const;
-  /// Expected run time on typical workers of the waiting tasks for which there is no room, in
-  /// milliseconds.
-  double waitingMilliseconds() const;
   /// Returns whether all waiting tasks could start, but wait for room near their data.
   bool onlyWaitsForData() const;
   /// Number of tasks that run or may run.
--- a/Kernel/Pool/PoolManager.cpp
+++ b/Kernel/Pool/PoolManager.cpp
@@ -129,7 +129,7 @@
   requeueLostDelegations(Now);
   if (Now >= NextExpiry_) {
     NextExpiry_ = Now + ExpiryInterval;
-    PlacementRate_.observe(hasWorkWithoutRoom(), Now);
+    PlacementRate_.observe(hasWorkWithoutRoom(), heldCapacity(Now), Now);
     RackDemand_.forgetExpired(Now);
     reviewWaitingJobs(Now);
     expireJobs(Now);
--- a/Kernel/Pool/PoolManagerPlacement.cpp
+++ b/Kernel/Pool/PoolManagerPlacement.cpp
@@ -29,11 +29,17 @@
   double FastestNow = 0;
   double Slowness = 0;
   double Count = 0;
+  TypicalWorker Sum;
+  Sum.Slots = 0;
   auto Add = [&](double Speed, const WorkerEntry &Entry) {
     FastestNow = std::max(FastestNow, Speed / slowdownOf(Entry, Now));
     Fastest = std::max(Fastest, Speed);
     Slowness += 1 / Speed;
     Count += 1;
+    Sum.Capacity.Processors += Entry.Capacity.Processors;
+    Sum.Capacity.MemoryMegabytes += Entry.Capacity.MemoryMegabytes;
+    Sum.Capacity.Accelerators += Entry.Capacity.Accelerators;
+    Sum.Slots += Entry.Slots;
   };
   for (std::size_t Position = 0; Position < Fleet_.size(); ++Position) {
     auto Index = static_cast<EndpointIndex>(Position);
@@ -49,6 +55,9 @@
   FastestSpeed_ = Fastest;
   FastestSpeedNow_ = FastestNow;
   MeanSlowness_ = Slowness / Count;
+  TypicalWorker_ = {{Sum.Capacity.Processors / Count, Sum.Capacity.MemoryMegabytes / Count,
+                     Sum.Capacity.Accelerators / Count},
+                    Sum.Slots / Count};
 }
 
 double PoolManager::mostFreeProcessors(core::TimePoint Now) const {
@@ -129,6 +138,8 @@
     Queue_.remove(Job.Handle);
     enqueue(Job, Now); // With the prospect of a job that has started.
   }
+  if (After == 0)
+    settle(Job, Now);
   return After < Before;
 }
 
@@ -157,7 +168,8 @@
   const auto &[Own, AtPeer, EndMilliseconds] = *Chosen;
   if (!Job.IsDelegation) {
     --Job.Steps[Step].Waiting;
-    PlacementRate_.placed(Job.Steps[Step].TypicalMilliseconds);
+    PlacementRate_.placed(Job.Steps[Step].TypicalMilliseconds *
+                          TypicalWorker_.shareOf(Request.Step->Need));
   }
   if (!AtPeer) {
     startOn(Job, Task, *Own, Now);
--- a/Tests/Pool/PoolSimulation.cpp
+++ b/Tests/Pool/PoolSimulation.cpp
@@ -151,26 +151,25 @@
   }
 }
 
-JobKey PoolSimulation::submit(std::uint32_t Tasks, double RunMilliseconds, std::string_view Extra,
-                              double Cores, double DeclaredMilliseconds,
-                              std::string_view DataRack) {
+JobKey PoolSimulation::submit(const CallerWork &Work, std::string_view Extra) {
   auto Key = static_cast<JobKey>(NextKey_++);
   auto Sender = std::make_unique<Caller>();
   Sender->Submission = std::make_shared<JobSubmission>();
   auto &Submission = *Sender->Submission;
   Submission.Key = Key;
-  Submission.Specification = "run_ms=" + std::to_string(RunMilliseconds) +
-                             " cores=" + std::to_string(Cores) + " " + std::string(Extra);
-  if (!DataRack.empty())
+  Submission.Specification = "run_ms=" + std::to_string(Work.RunMilliseconds) +
+                             " cores=" + std::to_string(Work.Cores) + " " + std::string(Extra);
+  if (!Work.DataRack.empty())
     Submission.Specification +=
-        " rack=" + std::string(DataRack) + " away=" + std::to_string(Settings_.RemoteFactor);
+        " rack=" + Work.DataRack + " away=" + std::to_string(Settings_.RemoteFactor);
   JobStep Step;
-  Step.Count = Tasks;
-  Step.Need = {Cores, 64, 0};
-  Step.DeclaredMilliseconds = DeclaredMilliseconds > 0 ? DeclaredMilliseconds : RunMilliseconds;
-  Step.DataRack = DataRack;
+  Step.Count = Work.Tasks;
+  Step.Need = {Work.Cores, 64, 0};
+  Step.DeclaredMilliseconds =
+      Work.DeclaredMilliseconds > 0 ? Work.DeclaredMilliseconds : Work.RunMilliseconds;
+  Step.DataRack = Work.DataRack;
   Submission.Steps.push_back(Step);
-  Submission.Policy = {"route", "print", 0, 3, 2, 60};
+  Submission.Policy = {Work.Route, "print", Work.Priority, 3, 2, 60};
   Sender->DataCentre = Settings_.CallersAt.value_or(Random_() % Settings_.DataCentres);
   Sender->SentAt = Now_;
   auto &Known = *Callers_.emplace(Key, std::move(Sender)).first->second;
--- a/Tests/Pool/PoolSimulation.h
+++ b/Tests/Pool/PoolSimulation.h
@@ -58,6 +58,18 @@
   double DeclaredShare = 1; ///< Declared run time, relative to the true one.
 };
 
+/// What a simulated caller asks for: equal tasks. It declares their run time unless another one is
+/// given.
+struct CallerWork {
+  std::uint32_t Tasks = 1;
+  double RunMilliseconds = 100;
+  double Cores = 2;
+  std::string Route = "route";
+  std::uint32_t Priority = 0;
+  double DeclaredMilliseconds = 0;
+  std::string DataRack;
+};
+
 /// Simulates several pool managers, their workers and callers on a virtual clock. Messages are
 /// delayed, and the network can be partitioned between any two VMs. VMs freeze, crash and restart.
 /// Commands to workers may be executed late or not be answered, and workers may restart under the
@@ -74,7 +86,15 @@
   /// Submits a job of equal tasks to a random VM of the caller's data centre. The caller declares
   /// the actual run time unless another one is given.
   JobKey submit(std::uint32_t Tasks, double RunMilliseconds, std::string_view Extra = "",
-                double Cores = 2, double DeclaredMilliseconds = 0, std::string_view DataRack = {});
+                double Cores = 2, double DeclaredMilliseconds = 0, std::string_view DataRack = {}) {
+    return submit(CallerWork{.Tasks = Tasks,
+                             .RunMilliseconds = RunMilliseconds,
+                             .Cores = Cores,
+                             .DeclaredMilliseconds = DeclaredMilliseconds,
+                             .DataRack = std::string(DataRack)},
+                  Extra);
+  }
+  JobKey submit(const CallerWork &Work, std::string_view Extra = "");
 
   /// Sends a caller's request to cancel the job to a VM.
   void cancel(JobKey Key, std::size_t Vm);
