--- a/Libraries/LibReactor/HttpSession.cpp
+++ b/Libraries/LibReactor/HttpSession.cpp
@@ -83,6 +83,7 @@
     Session_ = nullptr;
     if (auto Handler = std::exchange(DisconnectHandler_, nullptr))
       Handler();
+    Request_ = {}; // Whoever keeps the exchange holds memory that no session counts any more.
   }
 
 private:
@@ -116,6 +117,7 @@
 void HttpSession::awaitRequest() {
   Phase_ = Phase::Idle;
   WaitingSince_ = core::MonotonicClock::now();
+  Unread_ = 0;
   holdMemory(Unparsed_.capacity());
   armTimer(Server_->IsDraining_ ? DrainIdleTimeout : Server_->Limits_.IdleTime);
   if (Unparsed_.empty())
@@ -208,7 +210,7 @@
 }
 
 bool HttpSession::holdMemory(std::size_t Bytes) {
-  auto Former = std::exchange(Memory_, ConnectionBytes + Bytes);
+  auto Former = std::exchange(Memory_, ConnectionBytes + Bytes + Unread_);
   return Server_->changeMemory(*this, Former, Memory_);
 }
 
@@ -262,14 +264,26 @@
   if (Phase_ != Phase::Answering)
     return;
   // A pipelined request has arrived; it is read after the reply, and keeps the socket readable.
-  if (!isClosedByPeer())
+  if (!isClosedByPeer()) {
+    countUnread();
     return checkForCloseLater();
+  }
   auto Exchange = Exchange_.lock();
   close();
   if (Exchange)
     Exchange->clientDisconnected();
 }
 
+void HttpSession::countUnread() {
+  boost::system::error_code Error;
+  auto Unread = Socket_.available(Error);
+  if (Error || Unread == Unread_)
+    return;
+  auto Former = std::exchange(Memory_, Memory_ - Unread_ + Unread);
+  Unread_ = Unread;
+  Server_->changeMemory(*this, Former, Memory_);
+}
+
 void HttpSession::send(const HttpReply &Reply) {
   if (Phase_ != Phase::Answering)
     return;
--- a/Libraries/LibReactor/HttpSession.h
+++ b/Libraries/LibReactor/HttpSession.h
@@ -57,6 +57,8 @@
   void watchForClose();
   void socketReadable();
   void checkForCloseLater();
+  /// Counts what a client has sent ahead, which the system holds for the process.
+  void countUnread();
   /// Returns whether the client has closed the connection.
   bool isClosedByPeer();
   void send(const HttpReply &Reply);
@@ -76,6 +78,7 @@
   std::weak_ptr<SessionExchange> Exchange_;
   std::string Outgoing_;
   std::size_t Memory_ = 0; ///< Bytes counted by the server for this client.
+  std::size_t Unread_ = 0; ///< Of these, sent ahead and not read yet.
   bool CloseAfterReply_ = false;
   bool IsProven_ = false;
   std::uint64_t TimerGeneration_ = 0;
--- a/Tests/LibReactor/TestReactorHttp.cpp
+++ b/Tests/LibReactor/TestReactorHttp.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <functional>
 #include <limits>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -473,6 +474,111 @@
   BOOST_TEST(Reply.substr(9, 3) == "413");
 }
 
+namespace {
+
+/// A server with low limits, and clients that each write a part of a request and stay.
+struct Crowded : Loopback {
+  explicit Crowded(HttpServer::Handler OnRequest) : Loopback(std::move(OnRequest)) {}
+
+  Tcp::socket &connect(std::string_view Text) {
+    auto &Socket = Sockets.emplace_back(Reactor);
+    Socket.connect(Server->address());
+    asio::write(Socket, asio::buffer(Text));
+    Reactor.run_for(20ms);
+    return Socket;
+  }
+
+  /// What the server has sent; empty if that is nothing.
+  static std::string received(Tcp::socket &Socket) {
+    std::string Text(256, ' ');
+    boost::system::error_code Error;
+    Socket.non_blocking(true);
+    Text.resize(Socket.read_some(asio::buffer(Text), Error));
+    return Text;
+  }
+
+  std::list<Tcp::socket> Sockets;
+};
+
+std::string partOfBody(std::size_t Bytes) {
+  return "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\n\r\n" + std::string(Bytes, 'x');
+}
+
+} // namespace
+
+// Guards against memory for slow clients that is taken from others, and against the loss of a
+// request that was read completely.
+BOOST_AUTO_TEST_CASE(WhoHoldsMostForLongestIsRefused) {
+  std::vector<std::shared_ptr<HttpExchange>> Held;
+  Crowded World([&](const std::shared_ptr<HttpExchange> &Exchange) { Held.push_back(Exchange); });
+  HttpServerLimits Limits;
+  Limits.MemoryBytes = 400000;
+  World.Server->setLimits(Limits);
+  auto &Whole = World.connect(partOfBody(200000));
+  BOOST_REQUIRE(World.until([&] { return Held.size() == 1; }));
+  auto &Slow = World.connect(partOfBody(40000));
+  World.connect(partOfBody(5000));
+  auto &Small = World.connect("GET /small HTTP/1.1\r\nHost: a\r\n\r\n");
+  World.connect(partOfBody(40000));
+  BOOST_TEST(World.received(Slow).starts_with("HTTP/1.1 503"));
+  BOOST_TEST(World.Server->counters().ShedForMemory == 1U);
+  BOOST_TEST(World.Server->memoryUsed() <= Limits.MemoryBytes);
+  BOOST_REQUIRE(Held.size() == 2U);
+  for (const auto &Each : Held)
+    Each->reply({200, {}, {}});
+  World.Reactor.run_for(20ms);
+  BOOST_TEST(World.received(Whole).starts_with("HTTP/1.1 200"));
+  BOOST_TEST(World.received(Small).starts_with("HTTP/1.1 200"));
+}
+
+// Guards against clients in use that are closed in favour of a crowd that never sends a request.
+BOOST_AUTO_TEST_CASE(SilentConnectionsDoNotReplaceServedOnes) {
+  Crowded World(echo);
+  HttpServerLimits Limits;
+  Limits.Connections = 8;
+  World.Server->setLimits(Limits);
+  constexpr std::string_view Request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  auto &Served = World.connect(Request);
+  BOOST_TEST(World.received(Served).starts_with("HTTP/1.1 200"));
+  for (int Each = 0; Each < 30; ++Each)
+    World.connect(Each % 2 == 0 ? "" : "GET / HT");
+  BOOST_TEST(World.Server->connections() == 8U);
+  asio::write(Served, asio::buffer(Request));
+  World.Reactor.run_for(20ms);
+  BOOST_TEST(World.received(Served).starts_with("HTTP/1.1 200"));
+}
+
+// Guards against a header without end that stays under its limit because it comes in parts.
+BOOST_AUTO_TEST_CASE(AHeaderInPartsIsLimitedAsAWhole) {
+  Crowded World(echo);
+  auto &Socket = World.connect("GET / HTTP/1.1\r\n");
+  for (int Part = 0; Part < 5; ++Part) {
+    boost::system::error_code Ignored; // The server may have closed the connection.
+    asio::write(Socket, asio::buffer("a: " + std::string(4000, 'x') + "\r\n"), Ignored);
+    World.Reactor.run_for(20ms);
+  }
+  BOOST_TEST(World.received(Socket).starts_with("HTTP/1.1 431"));
+}
+
+// Guards against a body that is kept although its target takes none, or that is lost.
+BOOST_AUTO_TEST_CASE(BodiesAreKeptWhereTheyAreTaken) {
+  std::vector<std::pair<std::size_t, bool>> Seen;
+  Crowded World([&](const std::shared_ptr<HttpExchange> &Exchange) {
+    Seen.emplace_back(Exchange->body().size(), Exchange->isBodyDropped());
+    Exchange->reply({200, {}, {}});
+  });
+  auto Text = partOfBody(200000);
+  World.connect(Text);
+  BOOST_REQUIRE(World.until([&] { return Seen.size() == 1; }));
+  World.Server->setBodyFilter(
+      [](const ReceivedRequest &Request) { return Request.target() != "/"; });
+  World.connect(Text + Text);
+  BOOST_REQUIRE(World.until([&] { return Seen.size() == 3; }));
+  BOOST_TEST((Seen[0] == std::pair<std::size_t, bool>(200000, false)));
+  BOOST_TEST((Seen[1] == std::pair<std::size_t, bool>(0, true)));
+  BOOST_TEST((Seen[2] == Seen[1]));
+}
+
 // Guards against a graceful shutdown that aborts a pending request or lets the client send another
 // one on the same connection.
 BOOST_AUTO_TEST_CASE(ADrainingServerAnswersAndAsksToClose) {
