Pool: Move runs from workers that leave before they end

Cause: a draining worker's entry states the minimum time that is left (remainingMs); what runs there when it leaves is lost, and is started again only when its lease has ended, a second later.

Change: the entry carries the deadline. A run that is expected to outlast it is stopped and, when its end is known, started elsewhere, if the new run meets the objective, or is of use, and one begun after the loss would not. Without a notice, or if nothing else has room, it goes on as before.

--- a/Kernel/Pool/PoolCounters.h
+++ b/Kernel/Pool/PoolCounters.h
@@ -24,6 +24,7 @@
   std::uint64_t DelegationsRefused = 0;
   std::uint64_t TasksAccepted = 0; ///< Delegated by other managers.
   std::uint64_t StragglersMoved = 0;
+  std::uint64_t NoticedRunsMoved = 0; ///< From workers that were about to leave.
 };
 
 } // namespace cornellift::kernel
--- a/Kernel/Pool/PoolManager.cpp
+++ b/Kernel/Pool/PoolManager.cpp
@@ -138,6 +138,7 @@
   if (Now >= NextStragglerCheck_) {
     NextStragglerCheck_ = Now + StragglerCheckInterval;
     moveStragglers(Now);
+    moveNoticedRuns(Now);
   }
   NeedsDispatch_ = NeedsDispatch_ || !Queue_.empty();
   afterEvent(Now);
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -186,6 +186,10 @@
   std::optional<double> fastestRestart(const PoolJob &Job, std::uint32_t Step, EndpointIndex Except,
                                        double TypicalMilliseconds, core::TimePoint Now) const;
 
+  // PoolManagerNotices.cpp: runs on workers that are about to leave.
+  void moveNoticedRuns(core::TimePoint Now);
+  void moveNoticedRun(EndpointIndex Worker, const Run &Running, core::TimePoint Now);
+
   // PoolManagerPeers.cpp: work delegated to and by other managers.
   void acceptDelegated(PeerIndex From, const DelegateTasks &Message, core::TimePoint Now);
   void delegatedEnded(PeerIndex From, const DelegatedTaskEnded &Message, core::TimePoint Now);
--- a/Services/PoolDaemon/PoolDaemonMetrics.cpp
+++ b/Services/PoolDaemon/PoolDaemonMetrics.cpp
@@ -25,6 +25,8 @@
           [](auto &Self) { return Self.Manager_.counters().DelegationsRefused; });
   Counter("cornellift_stragglers_moved_total",
           [](auto &Self) { return Self.Manager_.counters().StragglersMoved; });
+  Counter("cornellift_noticed_runs_moved_total",
+          [](auto &Self) { return Self.Manager_.counters().NoticedRunsMoved; });
   Counter("cornellift_worker_connections_total",
           [](auto &Self) { return Self.WorkerClient_.connectionsMade(); });
   Counter("cornellift_configuration_version",
--- a/Tests/Pool/PoolSimulation.cpp
+++ b/Tests/Pool/PoolSimulation.cpp
@@ -319,6 +319,17 @@
   after(DownTime, [this, Worker] { restartWorker(Worker); });
 }
 
+void PoolSimulation::takeAway(std::size_t Worker, core::Duration Notice) {
+  Published_[Worker].State = WorkerState::Draining;
+  Published_[Worker].LeavesBy = Now_ + Notice;
+  after(Notice, [this, Worker] {
+    Left_.insert(Published_[Worker].Id);
+    for (std::size_t Vm = 0; Vm < Vms_.size(); ++Vm)
+      cutWorker(Vm, Worker, std::chrono::hours(1));
+    Workers_[Worker]->restart(Now_); // Ends its runs.
+  });
+}
+
 void PoolSimulation::cancel(JobKey Key, std::size_t Vm) {
   if (!Vms_[Vm])
     return;
--- a/Tests/Pool/PoolSimulation.h
+++ b/Tests/Pool/PoolSimulation.h
@@ -86,6 +86,8 @@
   /// at once, while the polls on former ones stay unanswered for a while longer.
   void restartWorkerUnnoticed(std::size_t Worker, core::Duration DownTime,
                               core::Duration PollSilence);
+  /// The worker drains and leaves for good after the notice; all that runs there ends.
+  void takeAway(std::size_t Worker, core::Duration Notice);
   standin::WorkerModel &worker(std::size_t Index) { return *Workers_[Index]; }
   std::size_t vmCount() const { return Vms_.size(); }
   std::size_t workerCount() const { return Workers_.size(); }
@@ -151,7 +153,8 @@
   std::vector<std::unique_ptr<Vm>> Vms_;
   std::map<std::pair<std::size_t, std::size_t>, core::TimePoint> CutVms_;
   std::map<std::pair<std::size_t, std::size_t>, core::TimePoint> CutWorkers_;
-  std::set<std::string> Evacuated_;                      ///< As the store has it.
+  std::set<std::string> Left_;      ///< Ids of the workers that were taken away.
+  std::set<std::string> Evacuated_; ///< As the store has it.
   std::map<std::size_t, core::TimePoint> StoreCutUntil_; ///< By VM.
   std::map<std::size_t, core::TimePoint> SilentPolls_;   ///< End of the silence, by worker.
   /// Start of the current disconnection of two VMs.
--- a/Tests/Pool/PoolSimulationVm.h
+++ b/Tests/Pool/PoolSimulationVm.h
@@ -260,7 +260,7 @@
   void listWorkers() {
     std::vector<WorkerEntry> Entries;
     for (const auto &Entry : Simulation_.Published_)
-      if (Election_.managed().contains(Entry.DataCentre)) {
+      if (Election_.managed().contains(Entry.DataCentre) && !Simulation_.Left_.contains(Entry.Id)) {
         Entries.push_back(Entry);
         auto ClaimAt = ClaimAt_[Entry.DataCentre];
         if (ClaimAt > Simulation_.Now_)
