--- a/Services/PoolDaemon/PoolDaemonMetrics.cpp
+++ b/Services/PoolDaemon/PoolDaemonMetrics.cpp
@@ -29,6 +29,8 @@
           [](auto &Self) { return Self.Manager_.counters().MovesAvoided; });
   Counter("cornellift_jobs_extended_total",
           [](auto &Self) { return Self.Manager_.counters().JobsExtended; });
+  Counter("cornellift_noticed_runs_moved_total",
+          [](auto &Self) { return Self.Manager_.counters().NoticedRunsMoved; });
   Counter("cornellift_worker_connections_total",
           [](auto &Self) { return Self.WorkerClient_.connectionsMade(); });
   Counter("cornellift_configuration_version",
--- a/Tests/Pool/PoolSimulationVm.h
+++ b/Tests/Pool/PoolSimulationVm.h
@@ -265,7 +265,7 @@
   void listWorkers() {
     std::vector<WorkerEntry> Entries;
     for (const auto &Entry : Simulation_.Published_)
-      if (Election_.managed().contains(Entry.DataCentre) &&
+      if (Election_.managed().contains(Entry.DataCentre) && !Simulation_.Left_.contains(Entry.Id) &&
           Simulation_.Now_ >= ListedFrom_[Entry.DataCentre]) {
         Entries.push_back(Entry);
         auto ClaimAt = Claims_.claimAt(Entry.DataCentre, Entry.Id);
