--- a/Tests/Pool/TestPoolManager.cpp
+++ b/Tests/Pool/TestPoolManager.cpp
@@ -397,3 +397,43 @@
   BOOST_REQUIRE(Fixture.Out.answers().size() == 1U);
   BOOST_TEST((Fixture.Out.answers()[0].Verdict == JobVerdict::GivenUp));
 }
+
+// Guards against polls of a worker with an overdue run that are replaced before they can be
+// answered, which kept the worker's lease from being extended, and against many more of them than
+// of a worker whose runs are in time. A lost one still has to be repeated soon.
+BOOST_AUTO_TEST_CASE(PollsOfAnOverdueRunAreAnsweredAndRepeatedWhenLost) {
+  constexpr auto Wait = 150ms;
+  constexpr auto Span = 3s;
+  constexpr double RunMilliseconds = 4000;
+  ManagerFixture Fixture;
+  Fixture.list({"w-0"});
+  auto Key = Fixture.submit(1, 500, 20s);
+  auto [Worker, Command] = Fixture.Out.Starts.at(0);
+  Fixture.Manager.startReplied(Worker, Command, {CommandVerdict::Accepted, {}}, Fixture.Now);
+  auto Begin = Fixture.Now;
+  std::vector<std::pair<core::TimePoint, std::pair<EndpointIndex, PollCommand>>> Open;
+  std::size_t Polls = 0;
+  while (Fixture.Now < Begin + Span) {
+    for (const auto &Sent : std::exchange(Fixture.Out.Polls, {}))
+      Open.emplace_back(Fixture.Now, Sent);
+    Fixture.pass(10ms);
+    if (Open.empty() || Fixture.Now < Open.front().first + Wait)
+      continue;
+    auto Later = std::exchange(Fixture.Out.Polls, {Open.front().second});
+    Open.erase(Open.begin());
+    ++Polls;
+    Fixture.answerPolls({{{Key, 0, 0},
+                          Command.Run,
+                          100 * core::toMilliseconds(Fixture.Now - Begin) / RunMilliseconds}});
+    Fixture.Out.Polls.insert(Fixture.Out.Polls.begin(), Later.begin(), Later.end());
+    BOOST_TEST(Fixture.Manager.fleet().at(Worker).isAnswering(Fixture.Now));
+  }
+  BOOST_TEST(Polls <= static_cast<std::size_t>(Span / Wait) + 2);
+  BOOST_REQUIRE(!Fixture.Out.Polls.empty() || !Open.empty());
+  auto Last =
+      Fixture.Out.Polls.empty() ? Open.back().second.second : Fixture.Out.Polls.back().second;
+  BOOST_TEST(Last.LeaseUntil.has_value());
+  Fixture.pass(Wait + 50ms);
+  BOOST_REQUIRE(!Fixture.Out.Polls.empty());
+  BOOST_TEST(Fixture.Out.Polls.back().second.Number == Last.Number + 1);
+}
