--- a/Kernel/Pool/DataWait.h
+++ b/Kernel/Pool/DataWait.h
@@ -126,6 +126,7 @@
   std::uint32_t StartedAway = 0;
   bool IsOver = false;         ///< It has ended without room near the data.
   std::uint64_t PlannedIn = 0; ///< Number of the dispatch that planned it last.
+  core::TimePoint PlanAt; ///< When it is planned again, unless a run near the data ends before.
 };
 
 /// Decides whether tasks wait for room near their data.
--- a/Kernel/Pool/PoolManager.cpp
+++ b/Kernel/Pool/PoolManager.cpp
@@ -160,6 +160,7 @@
                            core::TimePoint Now) {
   NeedsDispatch_ = true;
   ReportIsDue_ = true;
+  EndedOn_.push_back(Worker);
   auto *Job = find(Ended.Job);
   if (!Job)
     return;
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -210,6 +210,10 @@
   void logWaitEnd(const PoolJob &Job, const StepProgress &Progress, std::string_view Why,
                   core::TimePoint Now);
   void endExpiredWaits(PoolJob &Job, core::TimePoint Now);
+  /// Returns whether a job that only waits for room near its data has to be considered again.
+  bool isPlanDue(const PoolJob &Job, core::TimePoint Now) const;
+  /// Keeps the room for which the job waits from those after it in this dispatch.
+  void keepRoom(const PoolJob &Job, core::TimePoint Now);
   /// Returns whether tasks wait because there is no room for them anywhere.
   bool hasWorkWithoutRoom() const;
   void observeFleetLoad(core::TimePoint Now);
@@ -280,7 +284,8 @@
   /// By rack, service and required label; of the current dispatch.
   std::map<std::tuple<std::string, std::string, std::string>, RackTimetable> Timetables_;
   std::uint64_t DispatchNumber_ = 0;
-  double FleetLoad_ = 0; ///< Mean share of the processors in use, of late.
+  std::vector<EndpointIndex> EndedOn_; ///< Workers with ended runs since the last dispatch.
+  double FleetLoad_ = 0;               ///< Mean share of the processors in use, of late.
   core::TimePoint FleetLoadAt_;
   double FleetProcessors_ = 0;
   core::TimePoint ReportAt_; ///< Earliest time of the next report.
--- a/Kernel/Pool/PoolManagerDataWait.cpp
+++ b/Kernel/Pool/PoolManagerDataWait.cpp
@@ -7,6 +7,8 @@
 namespace cornellift::kernel {
 namespace {
 
+/// A plan considers all workers, which is too much work for each dispatch on small VMs.
+constexpr core::Duration PlanInterval = std::chrono::milliseconds(20);
 /// Time from a stop command until the worker's report of the run's end.
 constexpr core::Duration StopTime = std::chrono::milliseconds(40);
 /// Earlier percentages say little about the run's end.
@@ -134,6 +136,7 @@
   auto &Progress = Job.Steps[Step];
   auto &Wait = Progress.Wait;
   Wait.PlannedIn = DispatchNumber_;
+  Wait.PlanAt = Now + PlanInterval;
   auto Plan = DataWaitPolicy_->plan(
       {Request.Step->Need, Progress.Waiting, Request.TypicalRunTime, Progress.Deviation,
        EndMilliseconds, Request.ObjectiveMilliseconds, Request.UsefulMilliseconds,
@@ -145,6 +148,7 @@
   if (Wait.Tasks == 0 && Plan.Tasks > 0) {
     Wait = {};
     Wait.PlannedIn = DispatchNumber_;
+    Wait.PlanAt = Now + PlanInterval;
     Wait.Since = Now;
     Wait.Deadline = Plan.Deadline;
     Wait.AwayEnd = Now + core::fromMilliseconds(EndMilliseconds);
@@ -238,6 +242,30 @@
                              FleetLoad_ * std::min(Places, MostPlaces));
 }
 
+bool PoolManager::isPlanDue(const PoolJob &Job, core::TimePoint Now) const {
+  for (std::size_t Step = 0; Step < Job.Steps.size(); ++Step) {
+    const auto &Rack = Job.Submission->Steps[Step].DataRack;
+    bool HasEnd = std::any_of(EndedOn_.begin(), EndedOn_.end(), [&](EndpointIndex Worker) {
+      return Fleet_.at(Worker).Entry.hasLabel(Rack);
+    });
+    if (Job.Steps[Step].Wait.Tasks > 0 && (HasEnd || Now >= Job.Steps[Step].Wait.PlanAt))
+      return true;
+  }
+  return false;
+}
+
+void PoolManager::keepRoom(const PoolJob &Job, core::TimePoint Now) {
+  for (std::uint32_t Step = 0; Step < Job.Steps.size(); ++Step) {
+    const auto &Progress = Job.Steps[Step];
+    const auto &Need = Job.Submission->Steps[Step].Need;
+    for (std::uint32_t Task = 0; Task < Progress.Wait.Tasks; ++Task) {
+      auto &Rack = timetableFor(Job, Step, Now);
+      if (auto Room = Rack.earliest(Need, Progress.TypicalMilliseconds, Now))
+        Rack.take(*Room, Need, Progress.TypicalMilliseconds);
+    }
+  }
+}
+
 bool PoolManager::hasWorkWithoutRoom() const {
   return std::any_of(Queue_.begin(), Queue_.end(), [this](const PoolQueue::Key &Key) {
     return !Jobs_.at(Key.Handle).onlyWaitsForData();
--- a/Kernel/Pool/PoolManagerPlacement.cpp
+++ b/Kernel/Pool/PoolManagerPlacement.cpp
@@ -92,9 +92,14 @@
     auto *Job = find(Handle);
     if (!Job || !mayFit(*Job, Largest))
       continue;
+    if (Job->onlyWaitsForData() && !isPlanDue(*Job, Now)) {
+      keepRoom(*Job, Now);
+      continue;
+    }
     if (placeJob(*Job, Now))
       Largest = mostFreeProcessors(Now);
   }
+  EndedOn_.clear();
 }
 
 bool PoolManager::mayFit(const PoolJob &Job, double FreeProcessors) {
--- a/Tests/Pool/TestDataWait.cpp
+++ b/Tests/Pool/TestDataWait.cpp
@@ -106,6 +106,7 @@
   BOOST_TEST(startsOn(EndpointIndex{1}) == 1);
   Near.State = WorkerState::Draining;
   setWorkers();
+  pass(20ms);
   BOOST_TEST(startsOn(EndpointIndex{1}) == 2);
   BOOST_TEST(Manager.counters().DataWaitsUseless == 1);
 }
