Pool: Bound the memory of the jobs that a manager holds

The callers' limit holds for the process that accepts a job. Its manager gets the jobs of all processes, and rejected what its workers cannot do in time, whatever a job's size and the caller's deadline are. It now counts what open jobs take, and rejects further ones as not run beyond a quarter of the VM's memory.

Guarded by JobsBeyondTheMemoryAreRejectedUntilOthersEnd (needs the new setting).

--- a/Kernel/Pool/JobSubmission.h
+++ b/Kernel/Pool/JobSubmission.h
@@ -4,6 +4,7 @@
 #include "Kernel/Pool/JobKey.h"
 #include "Libraries/LibCore/Time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -47,6 +48,9 @@
       Sum += Step.Count;
     return Sum;
   }
+
+  /// Estimate of what the job takes at the process that accepts it and at its manager, in bytes.
+  std::size_t memory() const;
 };
 
 enum class JobVerdict {
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -15,6 +15,7 @@
 #include "Kernel/Pool/WorkerRatings.h"
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -30,6 +31,8 @@
   /// A task is delegated only if it is expected to end this much sooner at the other manager, in
   /// milliseconds and in addition to the round trip. Accounts for the risk of losing the link.
   double RemotePenaltyMilliseconds = 10;
+  /// Limit on what open jobs take, whichever process has accepted them; further ones are rejected.
+  std::size_t JobBytes = std::numeric_limits<std::size_t>::max();
 };
 
 /// Runs the jobs that are submitted to this process on the workers that it manages, and on workers
@@ -204,6 +207,7 @@
   JobKindRunTimes Kinds_;
   PoolCounters Counters_;
   std::unordered_map<JobHandle, PoolJob> Jobs_;
+  std::size_t JobBytes_ = 0; ///< Sum over Jobs_.
   std::unordered_map<JobKey, JobHandle> OwnJobs_;
   std::map<std::pair<PeerIndex, JobKey>, JobHandle> Delegations_;
   RecentJobs<JobAnswer> Answered_;
--- a/Kernel/Pool/PoolManagerJobs.cpp
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -25,6 +25,9 @@
 /// of the worker that the lost manager did not know, just before that manager ended.
 constexpr core::Duration LostManagerDelay = LongestLease + std::chrono::milliseconds(30);
 
+/// Retry-After while other jobs use up the memory for jobs.
+constexpr double MemoryRetryMilliseconds = 1000;
+
 /// Number of cancellings that a process is told when its link comes up: some 50 KB.
 constexpr std::size_t MaximumBelatedCancellings = 4000;
 
@@ -37,6 +40,9 @@
     return;
   auto &Job = createJob(From, Submission, false, Now);
   OwnJobs_[Submission->Key] = Job.Handle;
+  if (JobBytes_ > Settings_.JobBytes)
+    return endJob(Job, {JobVerdict::Rejected, "no memory for the job", MemoryRetryMilliseconds},
+                  Now);
   if (auto Refused = rejectionFor(Job, Now))
     return endJob(Job, std::move(*Refused), Now);
   enqueue(Job, Now);
@@ -85,6 +91,7 @@
   auto &Job = Jobs_[Handle];
   Job.Handle = Handle;
   Job.Submission = Submission;
+  JobBytes_ += Submission->memory();
   Job.IsDelegation = IsDelegation;
   Job.Origins.push_back(From);
   Job.Kind =
@@ -262,6 +269,7 @@
   else
     OwnJobs_.erase(Job->key());
   Queue_.remove(Handle);
+  JobBytes_ -= Job->Submission->memory();
   Jobs_.erase(Handle);
   if (Successor)
     submit(Origin, Successor, Now);
--- a/Services/PoolDaemon/DaemonSettings.cpp
+++ b/Services/PoolDaemon/DaemonSettings.cpp
@@ -55,8 +55,10 @@
 };
 
 constexpr double BytesPerMegabyte = 1024 * 1024;
-/// The rest is left to the process itself: workers, peers, jobs of other processes.
+/// The rest is left to the process itself: its workers, peers and configuration.
 constexpr double CallerMemoryShare = 0.5;
+/// Jobs that callers have handed in at other processes.
+constexpr double ManagerMemoryShare = 0.25;
 /// The rest is left to connections to workers, peers and the store, and to files.
 constexpr std::int64_t CallerDescriptorShare = 3;
 
@@ -66,6 +68,11 @@
   return static_cast<std::size_t>(Megabytes * BytesPerMegabyte);
 }
 
+std::size_t managerMemory(const core::Settings &Parsed) {
+  return static_cast<std::size_t>(ManagerMemoryShare * Parsed.real("memory-megabytes") *
+                                  BytesPerMegabyte);
+}
+
 std::size_t callerConnections(const core::Settings &Parsed) {
   auto Stated = Parsed.integer("caller-connections");
   return static_cast<std::size_t>(
@@ -116,6 +123,7 @@
   Result.StopTimeout = core::fromMilliseconds(Parsed->real("stop-seconds") * 1000);
   Result.RemoteFactor = Parsed->real("remote-factor");
   Result.CallerMemoryBytes = callerMemory(*Parsed);
+  Result.ManagerMemoryBytes = managerMemory(*Parsed);
   Result.CallerConnections = callerConnections(*Parsed);
   Result.LogLinesPerSecond = static_cast<std::uint32_t>(Parsed->integer("log-lines-per-second"));
   Result.SuppressedLineCapacity = static_cast<std::uint32_t>(Parsed->integer("log-held-lines"));
--- a/Services/PoolDaemon/DaemonSettings.h
+++ b/Services/PoolDaemon/DaemonSettings.h
@@ -28,6 +28,7 @@
   double RemoteFactor = 1;
   std::size_t CallerMemoryBytes = 0; ///< Most that callers make the process hold.
   std::size_t CallerConnections = 0;
+  std::size_t ManagerMemoryBytes = 0; ///< Most that the jobs take which this process manages.
   std::string LogLevel;
   std::uint32_t LogLinesPerSecond = 0; ///< Rate limit of lines about served requests.
   std::uint32_t SuppressedLineCapacity =
--- a/Services/PoolDaemon/Ingress.cpp
+++ b/Services/PoolDaemon/Ingress.cpp
@@ -32,25 +32,12 @@
   return Value;
 }
 
-/// Estimate of what a task of a job takes at its manager: its state and its place in the queue.
-constexpr std::size_t TaskBytes = 256;
-
 /// Path without the query.
 std::string_view pathOf(std::string_view Target) { return Target.substr(0, Target.find('?')); }
 
 /// Host without the port.
 std::string_view hostOf(std::string_view Host) { return Host.substr(0, Host.find(':')); }
 
-/// Memory that the job takes in this process until its answer, also if its manager is here.
-std::size_t memoryOf(const kernel::JobSubmission &Job) {
-  std::size_t Bytes = sizeof(Job) + Job.Specification.capacity() +
-                      Job.Steps.capacity() * sizeof(kernel::JobStep) + TaskBytes * Job.taskCount();
-  for (const auto &Step : Job.Steps)
-    Bytes += Step.After.capacity() * sizeof(Step.After.front()) + Step.RequiredLabel.size() +
-             Step.DataRack.size();
-  return Bytes;
-}
-
 std::string_view outcomeName(kernel::JobVerdict Verdict) {
   switch (Verdict) {
   case kernel::JobVerdict::Completed:
@@ -168,7 +155,7 @@
   Submission->Steps = std::move(Submitted->Steps);
   Submission->Policy = Route.Policy;
   Submission->ReceivedAt = Request->receivedAt();
-  if (!Request->replaceBody(memoryOf(*Submission)))
+  if (!Request->replaceBody(Submission->memory()))
     return refuse(Request, rejection(MemoryRetryMilliseconds), "no memory for the job", Key);
   auto CallerTimeout = parseNumber(Request->header(Format_.waitHeader()));
   // The timeout that the caller states takes precedence over the route's timeout.
--- a/Services/PoolDaemon/PoolDaemon.cpp
+++ b/Services/PoolDaemon/PoolDaemon.cpp
@@ -51,6 +51,13 @@
          Former.CallerConnections != Changed.CallerConnections;
 }
 
+kernel::PoolSettings managerSettings(const DaemonSettings &Settings) {
+  kernel::PoolSettings Result;
+  Result.RemoteFactor = Settings.RemoteFactor;
+  Result.JobBytes = Settings.ManagerMemoryBytes;
+  return Result;
+}
+
 kernel::CandidateState candidateOf(const DaemonSettings &Settings) {
   kernel::CandidateState State;
   State.Vm = Settings.VmName;
@@ -87,7 +94,7 @@
             send(Peer, std::move(Message));
           },
           [this](kernel::EndpointIndex Worker) { workerDropped(Worker); }),
-      Manager_({Settings_.RemoteFactor}, WorkerClient_, Tokens_, Log_),
+      Manager_(managerSettings(Settings_), WorkerClient_, Tokens_, Log_),
       Election_(candidateOf(Settings_), core::MonotonicClock::now()),
       Mesh_(Reactor_, identityOf(Settings_), *this),
       Ingress_(
--- a/Tests/Pool/ManagerFixture.h
+++ b/Tests/Pool/ManagerFixture.h
@@ -63,7 +63,8 @@
 
 /// A manager whose workers reply when the test calls for it.
 struct ManagerFixture {
-  ManagerFixture() : Manager({}, Out, Tokens, Log) {}
+  explicit ManagerFixture(const PoolSettings &Settings = {})
+      : Manager(Settings, Out, Tokens, Log) {}
 
   /// Answers all open polls with the given running and ended tasks.
   void answerPolls(const std::vector<RunningTask> &Running = {},
--- a/Tests/Pool/TestPoolManager.cpp
+++ b/Tests/Pool/TestPoolManager.cpp
@@ -397,3 +397,22 @@
   BOOST_REQUIRE(Fixture.Out.answers().size() == 1U);
   BOOST_TEST((Fixture.Out.answers()[0].Verdict == JobVerdict::GivenUp));
 }
+
+// Guards against a manager that runs out of memory by legal jobs which others have accepted.
+BOOST_AUTO_TEST_CASE(JobsBeyondTheMemoryAreRejectedUntilOthersEnd) {
+  PoolSettings Settings;
+  Settings.JobBytes = 300000;
+  ManagerFixture World(Settings); // Without workers, so that a cancelled job ends at once.
+  constexpr PeerIndex Other{3};
+  auto First = World.submit(1000, 1, 60s, Other);
+  World.submit(1000, 1, 60s, Other);
+  BOOST_REQUIRE(World.Out.answers().size() == 1U);
+  BOOST_TEST((World.Out.answers()[0].Verdict == JobVerdict::Rejected));
+  BOOST_TEST(World.Out.answers()[0].Why == "no memory for the job");
+  BOOST_TEST(World.Manager.jobCount() == 1U);
+  World.submit(10, 1, 60s, Other);
+  BOOST_TEST(World.Manager.jobCount() == 2U);
+  World.Manager.cancel(First, World.Now);
+  World.submit(1000, 1, 60s, Other);
+  BOOST_TEST(World.Manager.jobCount() == 2U);
+}
