--- a/Tests/Integration/TestClientCrowds.cpp
+++ b/Tests/Integration/TestClientCrowds.cpp
@@ -6,6 +6,7 @@
 #include "Tests/Integration/Eventually.h"
 #include "Tests/Integration/PoolDeployment.h"
 
+#include <algorithm>
 #include <fstream>
 #include <functional>
 #include <ostream>
@@ -78,9 +79,8 @@
 }
 
 std::vector<std::string> textsOf(int Count, const std::function<std::string()> &Next) {
-  std::vector<std::string> Texts;
-  for (int Each = 0; Each < Count; ++Each)
-    Texts.push_back(Next());
+  std::vector<std::string> Texts(static_cast<std::size_t>(Count));
+  std::generate(Texts.begin(), Texts.end(), Next);
   return Texts;
 }
 
