--- a/Tests/Pool/TestDataWait.cpp
+++ b/Tests/Pool/TestDataWait.cpp
@@ -91,16 +91,18 @@
   BOOST_TEST(longestUsefulQueue(6, 7, 0.1) == 0);
 }
 
-// Guards against a waiting task that holds up others, and against one that goes on waiting for a
-// worker which drains.
+// Guards against waiting tasks that hold up others or are refused for want of time, and against one
+// that goes on waiting for a worker which drains.
 BOOST_FIXTURE_TEST_CASE(TaskWaitsUntilItsReasonGoes, DataFixture) {
   PatientPolicy Policy;
   Manager.setDataWaitPolicy(&Policy);
   DataRack = "r1";
   submit(2, 100);
   BOOST_TEST(startsOn(EndpointIndex{0}) == 2);
-  submit(1, 100);
+  for (int Job = 0; Job < 70; ++Job) // More than one dispatch considers.
+    submit(1, 100);
   BOOST_TEST(Out.Starts.size() == 2);
+  BOOST_TEST(Out.answers().empty());
   DataRack.clear();
   submit(1, 100);
   BOOST_TEST(startsOn(EndpointIndex{1}) == 1);
