pool: Leave workers that are probably faulty out of sparing

Change: workers below 0.4 of the highest speed neither show a shortage of fast workers nor are preferred.

Result: TestPoolOrder, TestPoolQueue and TestPoolManager pass.

--- a/Kernel/Pool/PoolPlacement.cpp
+++ b/Kernel/Pool/PoolPlacement.cpp
@@ -15,6 +15,8 @@
 /// A task takes a slow worker in place of a fast one only if it may take this much longer than
 /// expected.
 constexpr double SlowWorkerMargin = 1.3;
+/// Workers that are slower than this share of the fastest one's speed are probably faulty.
+constexpr double SoundSpeedShare = 0.4;
 
 } // namespace
 
@@ -42,7 +44,8 @@
 
 PlacementChooser::PlacementChooser(const PoolPlacementRequest &Request, double FastestSpeed)
     : Request_(Request), MayBeLate_(Request.TypicalRunTime / std::max(FastestSpeed, RoundingSlack) >
-                                    Request.ObjectiveMilliseconds) {}
+                                    Request.ObjectiveMilliseconds),
+      LeastSpeed_(FastestSpeed * SoundSpeedShare) {}
 
 bool PlacementChooser::isBetter(const Rank &Left, const Rank &Right) const {
   if (Left.HasMargin != Right.HasMargin)
@@ -60,12 +63,12 @@
   double End = expectedMilliseconds(Request_, Candidate);
   if (MayBeLate_ ? End * OptimisticShare > Request_.UsefulMilliseconds
                  : End > Request_.ObjectiveMilliseconds) {
-    HasTooSlow_ = true;
+    HasTooSlow_ = HasTooSlow_ || Candidate.Availability.Speed >= LeastSpeed_;
     return false;
   }
   Rank Found;
-  Found.HasMargin =
-      Request_.SparesFastWorkers && End * SlowWorkerMargin <= Request_.ObjectiveMilliseconds;
+  Found.HasMargin = Request_.SparesFastWorkers && Candidate.Availability.Speed >= LeastSpeed_ &&
+                    End * SlowWorkerMargin <= Request_.ObjectiveMilliseconds;
   Found.Speed = Candidate.Availability.Speed;
   Found.Work = (End - Candidate.ExtraMilliseconds) * Found.Speed;
   Found.End = End;
--- a/Kernel/Pool/PoolPlacement.h
+++ b/Kernel/Pool/PoolPlacement.h
@@ -67,6 +67,7 @@
   bool isBetter(const Rank &Left, const Rank &Right) const;
   const PoolPlacementRequest &Request_;
   bool MayBeLate_;
+  double LeastSpeed_; ///< Of workers that count as sound but slow.
   bool HasBest_ = false;
   bool HasTooSlow_ = false;
   Rank Best_;
