--- a/Tests/Pool/PoolSimulation.h
+++ b/Tests/Pool/PoolSimulation.h
@@ -66,6 +66,7 @@
   double Cores = 2;
   std::string Route = "route";
   std::uint32_t Priority = 0;
+  double Stretch = 2;
   double DeclaredMilliseconds = 0;
   std::string DataRack;
 };
