Pool: Take sparing of fast workers out again; bounds of two tests as first stated

Change: the chooser takes the earliest end again; the tests of sparing go with the feature, and the load of uneven workers stays as a test under a name that says what it checks. A client has a second to take its answer before its connection can be closed to make room: a request that was read is answered.

--- a/Kernel/Pool/PoolCounters.h
+++ b/Kernel/Pool/PoolCounters.h
@@ -27,10 +27,9 @@
   std::uint64_t DelegationsRefused = 0;
   std::uint64_t TasksAccepted = 0; ///< Delegated by other managers.
   std::uint64_t StragglersMoved = 0;
-  std::uint64_t WaitsForFastWorkers = 0; ///< Tasks not placed though slow workers were free.
   std::uint64_t NoticedRunsMoved = 0; ///< From workers that were about to leave.
-  std::uint64_t MovesAvoided = 0; ///< Late runs that stayed, because their jobs are long.
-  std::uint64_t JobsExtended = 0; ///< Jobs that have shown to be longer than expected.
+  std::uint64_t MovesAvoided = 0;     ///< Late runs that stayed, because their jobs are long.
+  std::uint64_t JobsExtended = 0;     ///< Jobs that have shown to be longer than expected.
   // Tasks that waited for room near their data, by the end of the wait.
   std::uint64_t DataWaitsNear = 0;     ///< Started near the data.
   std::uint64_t DataWaitsExpired = 0;  ///< The wait's deadline passed.
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -196,7 +196,8 @@
     double EndMilliseconds = 0; ///< Expected time until the task ends.
   };
   std::optional<ChosenPlace> choosePlace(const PoolJob &Job, std::uint32_t Step,
-                                         const PoolPlacementRequest &Request, core::TimePoint Now);
+                                         const PoolPlacementRequest &Request,
+                                         core::TimePoint Now) const;
   std::optional<EndpointIndex> chooseWorker(const PoolJob &Job, std::uint32_t Step,
                                             PlacementChooser &Chooser,
                                             const PoolPlacementRequest &Request,
@@ -208,8 +209,6 @@
   double remoteMilliseconds(const RemotePool &Pool) const {
     return Settings_.RemotePenaltyMilliseconds + core::toMilliseconds(Pool.roundTrip());
   }
-  /// A task of the job waits for a fast worker, though slow ones are free.
-  void spareFastWorkers(const PoolJob &Job, core::TimePoint Now);
   WorkerAvailability availabilityOf(EndpointIndex Worker, core::TimePoint Now) const;
   bool exceedsWorkerBound(const PoolJob &Job, std::uint32_t Step, EndpointIndex Worker) const;
   void startOn(PoolJob &Job, std::uint32_t Task, EndpointIndex Worker, core::TimePoint Now);
@@ -348,7 +347,6 @@
   /// is defined for the average worker, not for those that are used most.
   double MeanSlowness_ = 1;
   TypicalWorker TypicalWorker_;
-  core::TimePoint FastWorkersSparedUntil_;
   PlacementRate PlacementRate_;
   std::set<std::string> EvacuatedDataCentres_;
   ExpectedGainPolicy ExpectedGain_;
--- a/Kernel/Pool/PoolManagerPlacement.cpp
+++ b/Kernel/Pool/PoolManagerPlacement.cpp
@@ -8,9 +8,6 @@
 
 /// Maximum number of waiting jobs that are considered in one dispatch.
 constexpr std::size_t JobsPerDispatch = 64;
-/// How long fast workers are spared after a task has waited for one: long enough for the tasks that
-/// fill them to end.
-constexpr core::Duration FastWorkersSparedFor = std::chrono::seconds(2);
 
 } // namespace
 
@@ -162,7 +159,6 @@
   Request.RemoteFactor = Settings_.RemoteFactor;
   Request.Now = Now;
   Request.Cold = &Cold_;
-  Request.SparesFastWorkers = Now < FastWorkersSparedUntil_;
   return Request;
 }
 
@@ -197,26 +193,13 @@
 
 std::optional<PoolManager::ChosenPlace>
 PoolManager::choosePlace(const PoolJob &Job, std::uint32_t Step,
-                         const PoolPlacementRequest &Request, core::TimePoint Now) {
+                         const PoolPlacementRequest &Request, core::TimePoint Now) const {
   PlacementChooser Chooser(Request, FastestSpeedNow_);
   auto Own = chooseWorker(Job, Step, Chooser, Request, Now);
   auto AtPeer = Job.IsDelegation ? std::nullopt : chooseRemote(Chooser, Request, Now);
-  if (Own || AtPeer)
-    return ChosenPlace{Own, AtPeer, Chooser.bestEnd()};
-  if (Chooser.awaitsFastWorker())
-    spareFastWorkers(Job, Now);
-  return std::nullopt;
-}
-
-void PoolManager::spareFastWorkers(const PoolJob &Job, core::TimePoint Now) {
-  ++Counters_.WaitsForFastWorkers;
-  if (Now >= FastWorkersSparedUntil_)
-    Log_.line(DecisionPriority::Notable, "sparing fast workers", Job.key(),
-              {{"fastest_speed", FastestSpeed_},
-               {"mean_slowness", MeanSlowness_},
-               {"objective_in_ms", core::toMilliseconds(Job.ObjectiveAt - Now)},
-               {"for_ms", core::toMilliseconds(FastWorkersSparedFor)}});
-  FastWorkersSparedUntil_ = Now + FastWorkersSparedFor;
+  if (!Own && !AtPeer)
+    return std::nullopt;
+  return ChosenPlace{Own, AtPeer, Chooser.bestEnd()};
 }
 
 std::optional<EndpointIndex> PoolManager::chooseWorker(const PoolJob &Job, std::uint32_t Step,
--- a/Kernel/Pool/PoolPlacement.h
+++ b/Kernel/Pool/PoolPlacement.h
@@ -20,7 +20,6 @@
   core::TimePoint Now;
   const ColdStart *Cold = nullptr; ///< Expected run times of cold workers; may be null.
   double RemoteFactor = 1;         ///< Ratio of the run time away from the data to that near it.
-  bool SparesFastWorkers = false;  ///< Others wait for these.
 };
 
 /// A worker that is considered for the task.
@@ -45,10 +44,6 @@
 /// other tasks wins, then the one with the least free capacity left over (best fit), which keeps
 /// large gaps for large tasks. Workers on which the task
 /// would miss its objective are considered only if not even the fastest worker could meet it.
-///
-/// While others wait for fast workers, the slowest worker wins that meets the objective with a
-/// margin (SparesFastWorkers). Otherwise short tasks with much time fill the fast workers, and
-/// those that only a fast one serves in time wait beside slow ones that are free.
 class PlacementChooser {
 public:
   PlacementChooser(const PoolPlacementRequest &Request, double FastestSpeed);
@@ -57,30 +52,15 @@
   bool consider(const PlacementCandidate &Candidate);
 
   /// Expected time until the task ends on the best candidate, in milliseconds.
-  double bestEnd() const { return Best_.End; }
-
-  /// Returns whether the task waits for a fast worker: all those that are free would miss its
-  /// objective.
-  bool awaitsFastWorker() const { return !HasBest_ && HasTooSlow_ && !MayBeLate_; }
+  double bestEnd() const { return BestEnd_; }
 
 private:
-  /// What decides between two workers, in this order.
-  struct Rank {
-    bool HasMargin = false; ///< Only while fast workers are spared.
-    double Work = 0;        ///< The same; more if the data is elsewhere.
-    double Speed = 0;       ///< The same.
-    double End = 0;
-    bool IsRackWanted = false;
-    double Remaining = 0;
-  };
-
-  bool isBetter(const Rank &Left, const Rank &Right) const;
   const PoolPlacementRequest &Request_;
   bool MayBeLate_;
-  double LeastSpeed_; ///< Of workers that count as sound but slow.
   bool HasBest_ = false;
-  bool HasTooSlow_ = false;
-  Rank Best_;
+  double BestEnd_ = 0;
+  bool IsBestWanted_ = false;
+  double BestRemaining_ = 0;
 };
 
 } // namespace cornellift::kernel
--- a/Libraries/LibReactor/HttpServer.cpp
+++ b/Libraries/LibReactor/HttpServer.cpp
@@ -105,7 +105,7 @@
   std::vector<ShedCandidate> Unproven;
   std::vector<ShedCandidate> Proven;
   for (auto *Session : Sessions_)
-    if (Session->isSheddable())
+    if (Session->isSheddable(Now))
       (Session->isProven() ? Proven : Unproven)
           .emplace_back(core::toMilliseconds(Now - Session->waitingSince()), Session);
   // Clients whose requests were served keep half of the connections against all others.
@@ -135,7 +135,7 @@
   auto Now = core::MonotonicClock::now();
   std::vector<ShedCandidate> Candidates;
   for (auto *Session : Sessions_)
-    if (Session != &Asking && Session->isSheddable())
+    if (Session != &Asking && Session->isSheddable(Now))
       Candidates.emplace_back(static_cast<double>(Session->memory()) *
                                   core::toMilliseconds(Now - Session->waitingSince()),
                               Session);
--- a/Libraries/LibReactor/HttpSession.cpp
+++ b/Libraries/LibReactor/HttpSession.cpp
@@ -20,6 +20,8 @@
 /// closed the connection.
 constexpr core::Duration CloseCheckInterval = std::chrono::milliseconds(50);
 
+/// How long a client may take its answer before its connection can be closed to make room.
+constexpr core::Duration AnswerTakingTime = std::chrono::seconds(1);
 /// Counted for each connection: the session, its timer and its descriptor.
 constexpr std::size_t ConnectionBytes = 4096;
 /// Capacity that a session keeps for the next bytes of its client.
@@ -220,6 +222,12 @@
   return HasRoom;
 }
 
+bool HttpSession::isSheddable(core::TimePoint Now) const {
+  if (Phase_ == Phase::Writing)
+    return Now >= WaitingSince_ + AnswerTakingTime;
+  return Phase_ != Phase::Answering && Phase_ != Phase::Closed;
+}
+
 void HttpSession::shed() {
   if (Phase_ == Phase::Reading && Parser_ && Parser_->is_header_done()) {
     boost::system::error_code Ignored; // The connection ends in any case.
--- a/Libraries/LibReactor/HttpSession.h
+++ b/Libraries/LibReactor/HttpSession.h
@@ -24,8 +24,8 @@
   void drain();
 
   /// Returns whether the connection may be closed to make room for others: a request that was read
-  /// completely is always answered.
-  bool isSheddable() const { return Phase_ != Phase::Answering && Phase_ != Phase::Closed; }
+  /// completely is always answered, and its client has some time to take the answer.
+  bool isSheddable(core::TimePoint Now) const;
   /// Returns whether a request of this client was served.
   bool isProven() const { return IsProven_; }
   /// Since when it is idle, or its request is being read, or its client takes the answer.
--- a/Services/PoolDaemon/PoolDaemonMetrics.cpp
+++ b/Services/PoolDaemon/PoolDaemonMetrics.cpp
@@ -31,8 +31,6 @@
           [](auto &Self) { return Self.Manager_.counters().JobsExtended; });
   Counter("cornellift_noticed_runs_moved_total",
           [](auto &Self) { return Self.Manager_.counters().NoticedRunsMoved; });
-  Counter("cornellift_waits_for_fast_workers_total",
-          [](auto &Self) { return Self.Manager_.counters().WaitsForFastWorkers; });
   Counter("cornellift_overload", [](auto &Self) { return Self.Manager_.isOverloaded() ? 1 : 0; });
   auto Refused = [this](const char *Cause, std::uint64_t kernel::PoolCounters::*Count) {
     Metrics_.gauge("cornellift_refusals_total",
--- a/Tests/Pool/TestPoolLongJobs.cpp
+++ b/Tests/Pool/TestPoolLongJobs.cpp
@@ -54,7 +54,6 @@
 
 void playLongJobsBesideSlowWorkers(std::uint64_t Seed) {
   constexpr int Jobs = 200;
-  constexpr int Tasks = 2 * Jobs;
   test::SimulationSettings Settings;
   Settings.Seed = Seed;
   test::PoolSimulation Simulation(Settings);
@@ -80,7 +79,7 @@
   BOOST_TEST(endsOf(Simulation, kernel::RunEnd::Lapsed) == 0U);
   BOOST_TEST(Simulation.completed() == static_cast<std::size_t>(Jobs));
   BOOST_TEST(InTime >= Jobs * 9 / 10);
-  BOOST_TEST(endsOf(Simulation, kernel::RunEnd::Stopped) <= static_cast<std::size_t>(Tasks / 10));
+  BOOST_TEST(endsOf(Simulation, kernel::RunEnd::Stopped) <= static_cast<std::size_t>(Jobs / 10));
   BOOST_TEST(2 * MovedInTime >= static_cast<int>(Moved.size()));
   BOOST_TEST(Simulation.violations().empty());
 }
--- a/Tests/Pool/TestPoolOrder.cpp
+++ b/Tests/Pool/TestPoolOrder.cpp
@@ -37,8 +37,8 @@
   return Result;
 }
 
-/// The widest jobs of rare kinds are too few for the aim of 0.8.
-constexpr std::array<double, 3> LeastWidest = {0.8, 0.7, 0.8};
+/// The widest tenth of a kind is to be in time at least this often, relative to the whole kind.
+constexpr double LeastWidest = 0.8;
 
 } // namespace
 
@@ -52,7 +52,7 @@
     for (auto Each : {Short, Long, Small}) {
       BOOST_TEST(Result.Kinds[Each].InTime >= 0.8 * Result.WorkInTime);
       BOOST_TEST(Result.Kinds[Each].InTime <= 1.25 * Result.WorkInTime);
-      BOOST_TEST(Result.Kinds[Each].WidestInTime >= LeastWidest[Each] * Result.Kinds[Each].InTime);
+      BOOST_TEST(Result.Kinds[Each].WidestInTime >= LeastWidest * Result.Kinds[Each].InTime);
     }
   }
 }
@@ -87,7 +87,7 @@
 // Workers of 0.7 and 1.5 times the typical speed at 0.9 of their room. Guards against tasks with
 // much time that fill the fast workers, while others that only these serve in time wait. Fails
 // before: 0.817 of the work was in time.
-BOOST_AUTO_TEST_CASE(FastWorkersAreKeptForThoseThatNeedThem) {
+BOOST_AUTO_TEST_CASE(UnevenWorkersServeMostWorkInTime) {
   test::PoolSimulation Simulation(settings(12));
   Simulation.run(2s);
   std::vector<LoadKind> Kinds = {{"tight", 0, 1, 300, 2, 0.75, 1.0},
--- a/Tests/Pool/TestPoolQueue.cpp
+++ b/Tests/Pool/TestPoolQueue.cpp
@@ -172,29 +172,3 @@
   Queue.remove(JobHandle{1});
   BOOST_TEST(Queue.size() == 2U);
 }
-
-// Two speeds side by side. Guards against a task with much time that takes the only fast worker
-// while others wait for it, and against later ends while nobody waits.
-BOOST_AUTO_TEST_CASE(ATaskWithMuchTimeSparesTheFastWorker) {
-  JobStep Step;
-  Step.Need = {2, 10, 0};
-  RoutePolicy Policy;
-  WorkerEntry Entry;
-  PlacementCandidate Fast{&Entry, {{4, 1000, 0}, 4, 1.7}, 0};
-  PlacementCandidate Slow{&Entry, {{4, 1000, 0}, 4, 0.7}, 0};
-  PoolPlacementRequest Request{&Step, &Policy, 100, 300, 900, 1, false};
-  auto TakesSlow = [&] {
-    PlacementChooser Chooser(Request, 1.7);
-    BOOST_TEST(Chooser.consider(Fast));
-    return Chooser.consider(Slow);
-  };
-  BOOST_TEST(!TakesSlow());
-  Request.SparesFastWorkers = true;
-  BOOST_TEST(TakesSlow());
-  Request.ObjectiveMilliseconds = 150; // Too close for the slow one.
-  BOOST_TEST(!TakesSlow());
-  Request.ObjectiveMilliseconds = 100;
-  PlacementChooser Chooser(Request, 1.7);
-  BOOST_TEST(!Chooser.consider(Slow));
-  BOOST_TEST(Chooser.awaitsFastWorker());
-}
