--- a/Tests/Pool/TestPoolDataLoads.cpp
+++ b/Tests/Pool/TestPoolDataLoads.cpp
@@ -75,7 +75,8 @@
                              1 + Load.DeclaredError * (2 * Share(Random) - 1)};
     double Factor = Data.Rack.empty() ? Load.OthersFactor : 1;
     double Run = 200 * Factor * (0.7 + 0.6 * Share(Random));
-    Keys.emplace_back(Simulation.submit(1, Run, "", 2, Run * Data.DeclaredShare, Data.Rack), !Data.Rack.empty());
+    Keys.emplace_back(Simulation.submit(1, Run, "", 2, Run * Data.DeclaredShare, Data.Rack),
+                      !Data.Rack.empty());
     for (std::size_t Worker = 0; Load.RackDies && Job == Jobs / 2 && Worker < 3; ++Worker)
       Simulation.worker(Worker).faults().IsUnhealthy = true;
   }
