Pool: Explain where a job would go, without sending it

Cause: an operator could only find out after the fact, from the logs, why a job waits, is refused or goes to a certain worker.

Change: PoolManager::explainPlacement() decides on a job that does not exist with the functions that place jobs. Five of them had to become const or be split for that (timetable, late start away from data, request of a wait for data, crowded out at arrival, steps of a job); their decisions are unchanged. What an arriving job changes (run times by kind, shares, wanted racks) is copied. cornellift-poold answers POST /where/... at the address of the metrics, and cornellift-operator where asks the manager and prints the answer as text or JSON.

--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -7,6 +7,7 @@
 #include "Kernel/Pool/JobKindRunTimes.h"
 #include "Kernel/Pool/KindShares.h"
 #include "Kernel/Pool/OverloadWatch.h"
+#include "Kernel/Pool/PlacementExplanation.h"
 #include "Kernel/Pool/PlacementRate.h"
 #include "Kernel/Pool/PoolCounters.h"
 #include "Kernel/Pool/PoolJob.h"
@@ -103,6 +104,11 @@
   /// Does periodic work; to be called at least every 20 ms.
   void tick(core::TimePoint Now);
 
+  /// Explains where the job would go if it arrived now. Nothing is queued, started, counted or
+  /// learned by that. Speeds and wanted racks are those of the last dispatch.
+  PlacementExplanation explainPlacement(const std::shared_ptr<const JobSubmission> &Submission,
+                                        core::TimePoint Now) const;
+
   /// Number of jobs that have not ended, including delegations from other managers.
   std::size_t jobCount() const { return Jobs_.size(); }
   std::uint32_t waitingTasks() const;
@@ -139,10 +145,18 @@
                         core::TimePoint Now);
   PoolJob &createJob(PeerIndex From, const std::shared_ptr<const JobSubmission> &Submission,
                      bool IsDelegation, core::TimePoint Now);
-  void setDeadlines(PoolJob &Job);
+  /// The job's kind, which is added if it is new.
+  static KindIndex kindOf(const JobSubmission &Submission, JobKindRunTimes &Kinds);
+  /// Adds the steps and tasks of the job's submission, with their expected run times.
+  static void addSteps(PoolJob &Job, const JobKindRunTimes &Kinds);
+  /// Records that the job's tasks want the racks of their data.
+  void wantRacks(const PoolJob &Job, RackDemand &Demand, core::TimePoint Now) const;
+  void setDeadlines(PoolJob &Job) const;
   static JobAnswer evacuatedAnswer();
   std::optional<JobAnswer> rejectionFor(const PoolJob &Job, core::TimePoint Now);
-  void unblockSteps(PoolJob &Job);
+  /// Returns whether the work ahead leaves no time for a job that arrives now.
+  bool isCrowdedOut(const PoolJob &Job, const RoomForecast &Room, core::TimePoint Now) const;
+  static void unblockSteps(PoolJob &Job);
   void finishTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now);
   void failTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now);
   void requeueTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now);
@@ -161,6 +175,8 @@
   void enqueue(const PoolJob &Job, core::TimePoint Now);
   static PoolQueue::Key placeInQueue(const PoolJob &Job, core::TimePoint Now);
   WaitingJob waitingJob(const PoolJob &Job) const;
+  /// The jobs of the queue that wait for room anywhere.
+  std::vector<WaitingJob> waitingJobs() const;
   void refuse(PoolJob &Job, const RoomForecast &Room, core::TimePoint Now);
   void observeOverload(const AdmissionPlan &Plan, const RoomForecast &Room, core::TimePoint Now);
   /// Counts the job among those of its kind that were, or were not, placed in time; once.
@@ -234,7 +250,11 @@
   /// A place away from the data for a task that would miss its objective there, because this
   /// manager can tell that there is no room near the data soon; none that other tasks want.
   std::optional<ChosenPlace> lateAwayFromData(const PoolJob &Job, std::uint32_t Step,
-                                              PoolPlacementRequest Request, core::TimePoint Now);
+                                              const PoolPlacementRequest &Request,
+                                              core::TimePoint Now);
+  std::optional<ChosenPlace> chooseLateAwayFromData(const PoolJob &Job, std::uint32_t Step,
+                                                    PoolPlacementRequest Request,
+                                                    core::TimePoint Now) const;
   /// Returns whether workers of the rack serve at other managers.
   bool isElsewhere(std::string_view Rack) const;
   const WorkerEntry &entryOf(const ChosenPlace &Chosen) const;
@@ -242,6 +262,10 @@
                     double EndMilliseconds, core::TimePoint Now);
   /// The timetable of the step's rack, as of this dispatch.
   RackTimetable &timetableFor(const PoolJob &Job, std::uint32_t Step, core::TimePoint Now);
+  RackTimetable buildTimetable(const PoolJob &Job, std::uint32_t Step, core::TimePoint Now) const;
+  DataWaitRequest dataWaitRequestFor(const PoolJob &Job, std::uint32_t Step,
+                                     const PoolPlacementRequest &Request, double EndMilliseconds,
+                                     double RackLoad) const;
   ExpectedRelease expectedRelease(const Run &Each, core::TimePoint Now) const;
   /// Records that some of the waiting tasks wait no longer, without a start near their data.
   void releaseFromWait(PoolJob &Job, std::uint32_t Step, std::uint32_t Tasks,
@@ -256,6 +280,9 @@
   bool isPlanDue(const PoolJob &Job, core::TimePoint Now) const;
   /// Keeps the room for which the job waits from those after it in this dispatch.
   void keepRoom(const PoolJob &Job, core::TimePoint Now);
+  /// The same for the step's tasks that wait for the rack.
+  static void keepRoomIn(RackTimetable &Rack, const Resources &Need, const StepProgress &Progress,
+                         core::TimePoint Now);
   /// Returns whether tasks wait because there is no room for them anywhere.
   bool hasWorkWithoutRoom() const;
   void observeFleetLoad(core::TimePoint Now);
@@ -296,6 +323,20 @@
   void moveNoticedRuns(core::TimePoint Now);
   void moveNoticedRun(EndpointIndex Worker, const Run &Running, core::TimePoint Now);
 
+  // PoolManagerWhere.cpp: where a job would go.
+  AdmissionOutlook admissionOf(const PoolJob &Job, core::TimePoint Now) const;
+  StepExplanation explainStep(const PoolJob &Job, std::uint32_t Step, const RackDemand &Demand,
+                              core::TimePoint Now) const;
+  /// Lists the workers that could take the step's first waiting task, and counts the others.
+  void surveyWorkers(const PoolJob &Job, std::uint32_t Step, const PoolPlacementRequest &Request,
+                     const WorkerEntry *Chosen, StepExplanation &Result) const;
+  DataWaitOutlook explainWait(const PoolJob &Job, std::uint32_t Step,
+                              const std::optional<ChosenPlace> &Chosen, const RackDemand &Demand,
+                              RackTimetable &Rack, core::TimePoint Now) const;
+  /// Takes the room that waiting jobs are to get in the timetable of the step's rack.
+  void keepRoomOfWaitingJobs(const PoolJob &Job, std::uint32_t Step, RackTimetable &Rack,
+                             core::TimePoint Now) const;
+
   // PoolManagerPeers.cpp: work delegated to and by other managers.
   void acceptDelegated(PeerIndex From, const DelegateTasks &Message, core::TimePoint Now);
   void delegatedEnded(PeerIndex From, const DelegatedTaskEnded &Message, core::TimePoint Now);
--- a/Kernel/Pool/PoolManagerDataWait.cpp
+++ b/Kernel/Pool/PoolManagerDataWait.cpp
@@ -49,12 +49,18 @@
 RackTimetable &PoolManager::timetableFor(const PoolJob &Job, std::uint32_t Step,
                                          core::TimePoint Now) {
   const auto &Wanted = Job.Submission->Steps[Step];
+  auto [Position, IsNew] = Timetables_.try_emplace(
+      {Wanted.DataRack, Job.Submission->Policy.Service, Wanted.RequiredLabel});
+  if (IsNew)
+    Position->second = buildTimetable(Job, Step, Now);
+  return Position->second;
+}
+
+RackTimetable PoolManager::buildTimetable(const PoolJob &Job, std::uint32_t Step,
+                                          core::TimePoint Now) const {
+  const auto &Wanted = Job.Submission->Steps[Step];
   const auto &Service = Job.Submission->Policy.Service;
-  auto [Position, IsNew] =
-      Timetables_.try_emplace({Wanted.DataRack, Service, Wanted.RequiredLabel});
-  auto &Rack = Position->second;
-  if (!IsNew)
-    return Rack;
+  RackTimetable Rack;
   std::vector<ExpectedRelease> Releases;
   for (std::size_t Each = 0; Each < Fleet_.size(); ++Each) {
     auto Index = static_cast<EndpointIndex>(Each);
@@ -95,14 +101,19 @@
   });
 }
 
-std::optional<PoolManager::ChosenPlace> PoolManager::lateAwayFromData(const PoolJob &Job,
-                                                                      std::uint32_t Step,
-                                                                      PoolPlacementRequest Request,
-                                                                      core::TimePoint Now) {
+std::optional<PoolManager::ChosenPlace>
+PoolManager::lateAwayFromData(const PoolJob &Job, std::uint32_t Step,
+                              const PoolPlacementRequest &Request, core::TimePoint Now) {
   // When there is room at other managers is not known here.
   if (!mayWaitForData(Job, Step) ||
       (!timetableFor(Job, Step, Now).hasWorkers() && isElsewhere(Request.Step->DataRack)))
     return std::nullopt;
+  return chooseLateAwayFromData(Job, Step, Request, Now);
+}
+
+std::optional<PoolManager::ChosenPlace>
+PoolManager::chooseLateAwayFromData(const PoolJob &Job, std::uint32_t Step,
+                                    PoolPlacementRequest Request, core::TimePoint Now) const {
   Request.ObjectiveMilliseconds = Request.UsefulMilliseconds;
   auto Chosen = choosePlace(Job, Step, Request, Now);
   // What tasks want at other managers is not known here.
@@ -130,6 +141,16 @@
   return true;
 }
 
+DataWaitRequest PoolManager::dataWaitRequestFor(const PoolJob &Job, std::uint32_t Step,
+                                                const PoolPlacementRequest &Request,
+                                                double EndMilliseconds, double RackLoad) const {
+  const auto &Progress = Job.Steps[Step];
+  return {Request.Step->Need,         Progress.Waiting, Request.TypicalRunTime,
+          Progress.Deviation,         EndMilliseconds,  Request.ObjectiveMilliseconds,
+          Request.UsefulMilliseconds, RackLoad,         placeCost(Request.Step->Need),
+          Progress.Wait.IsOver};
+}
+
 void PoolManager::planDataWait(PoolJob &Job, std::uint32_t Step,
                                const PoolPlacementRequest &Request, double EndMilliseconds,
                                core::TimePoint Now) {
@@ -137,11 +158,10 @@
   auto &Wait = Progress.Wait;
   Wait.PlannedIn = DispatchNumber_;
   Wait.PlanAt = Now + PlanInterval;
-  auto Plan = DataWaitPolicy_->plan(
-      {Request.Step->Need, Progress.Waiting, Request.TypicalRunTime, Progress.Deviation,
-       EndMilliseconds, Request.ObjectiveMilliseconds, Request.UsefulMilliseconds,
-       RackDemand_.load(Request.Step->DataRack, Now), placeCost(Request.Step->Need), Wait.IsOver},
-      timetableFor(Job, Step, Now), Now);
+  auto Plan =
+      DataWaitPolicy_->plan(dataWaitRequestFor(Job, Step, Request, EndMilliseconds,
+                                               RackDemand_.load(Request.Step->DataRack, Now)),
+                            timetableFor(Job, Step, Now), Now);
   if (Plan.Tasks < Wait.Tasks)
     return releaseFromWait(Job, Step, Wait.Tasks - Plan.Tasks, &PoolCounters::DataWaitsUseless,
                            Plan.WhyNot, Now);
@@ -256,16 +276,19 @@
 
 void PoolManager::keepRoom(const PoolJob &Job, core::TimePoint Now) {
   for (std::uint32_t Step = 0; Step < Job.Steps.size(); ++Step) {
-    const auto &Progress = Job.Steps[Step];
-    const auto &Need = Job.Submission->Steps[Step].Need;
-    for (std::uint32_t Task = 0; Task < Progress.Wait.Tasks; ++Task) {
-      auto &Rack = timetableFor(Job, Step, Now);
-      if (auto Room = Rack.earliest(Need, Progress.TypicalMilliseconds, Now))
-        Rack.take(*Room, Need, Progress.TypicalMilliseconds);
-    }
+    if (Job.Steps[Step].Wait.Tasks > 0)
+      keepRoomIn(timetableFor(Job, Step, Now), Job.Submission->Steps[Step].Need, Job.Steps[Step],
+                 Now);
   }
 }
 
+void PoolManager::keepRoomIn(RackTimetable &Rack, const Resources &Need,
+                             const StepProgress &Progress, core::TimePoint Now) {
+  for (std::uint32_t Task = 0; Task < Progress.Wait.Tasks; ++Task)
+    if (auto Room = Rack.earliest(Need, Progress.TypicalMilliseconds, Now))
+      Rack.take(*Room, Need, Progress.TypicalMilliseconds);
+}
+
 bool PoolManager::hasWorkWithoutRoom() const {
   return std::any_of(Queue_.begin(), Queue_.end(), [this](const PoolQueue::Key &Key) {
     return !Jobs_.at(Key.Handle).onlyWaitsForData();
--- a/Kernel/Pool/PoolManagerJobs.cpp
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -98,31 +98,47 @@
   JobBytes_ += Submission->memory();
   Job.IsDelegation = IsDelegation;
   Job.Origins.push_back(From);
-  Job.Kind =
-      Kinds_.kindOf(Submission->Policy.Route,
-                    Submission->Steps.empty() ? 0 : Submission->Steps.front().DeclaredMilliseconds);
+  Job.Kind = kindOf(*Submission, Kinds_);
   Kinds_.jobCame(Job.Kind);
+  addSteps(Job, Kinds_);
+  wantRacks(Job, RackDemand_, Now);
+  setDeadlines(Job);
+  if (!IsDelegation)
+    unblockSteps(Job);
+  return Job;
+}
+
+KindIndex PoolManager::kindOf(const JobSubmission &Submission, JobKindRunTimes &Kinds) {
+  return Kinds.kindOf(Submission.Policy.Route,
+                      Submission.Steps.empty() ? 0 : Submission.Steps.front().DeclaredMilliseconds);
+}
+
+void PoolManager::addSteps(PoolJob &Job, const JobKindRunTimes &Kinds) {
   std::uint32_t FirstTask = 0;
-  for (const auto &Step : Submission->Steps) {
-    auto Estimate = Kinds_.estimate(Job.Kind, Step);
+  for (const auto &Step : Job.Submission->Steps) {
+    auto Estimate = Kinds.estimate(Job.Kind, Step);
     auto &Progress = Job.Steps.emplace_back();
     Progress.FirstTask = FirstTask;
     Progress.Unfinished = Step.Count;
     Progress.TypicalMilliseconds = Estimate.medianMilliseconds();
     Progress.Deviation = Estimate.LogDeviation;
     FirstTask += Step.Count;
-    if (!Step.DataRack.empty() && Settings_.RemoteFactor > 1)
-      RackDemand_.want(Step.DataRack,
-                       (IsDelegation ? 1 : Step.Count) * Estimate.medianMilliseconds(), Now);
   }
   Job.Tasks.resize(FirstTask);
-  setDeadlines(Job);
-  if (!IsDelegation)
-    unblockSteps(Job);
-  return Job;
 }
 
-void PoolManager::setDeadlines(PoolJob &Job) {
+void PoolManager::wantRacks(const PoolJob &Job, RackDemand &Demand, core::TimePoint Now) const {
+  if (Settings_.RemoteFactor <= 1)
+    return;
+  for (std::size_t Step = 0; Step < Job.Steps.size(); ++Step) {
+    const auto &Wanted = Job.Submission->Steps[Step];
+    if (!Wanted.DataRack.empty())
+      Demand.want(Wanted.DataRack,
+                  (Job.IsDelegation ? 1 : Wanted.Count) * Job.Steps[Step].TypicalMilliseconds, Now);
+  }
+}
+
+void PoolManager::setDeadlines(PoolJob &Job) const {
   const auto &Submission = *Job.Submission;
   std::vector<double> EndOfStep(Submission.Steps.size());
   double Longest = 0;
--- a/Kernel/Pool/PoolManagerQueue.cpp
+++ b/Kernel/Pool/PoolManagerQueue.cpp
@@ -85,23 +85,28 @@
 }
 
 std::optional<JobAnswer> PoolManager::rejectionFor(const PoolJob &Job, core::TimePoint Now) {
-  auto Run = core::fromMilliseconds(shortestRunTime(Job));
-  auto LeavesNoTime = [&](double Wait) {
-    return Wait > 0 && Now + core::fromMilliseconds(Wait) + Run > Job.UsefulUntil;
-  };
   if (needsEvacuatedWorkers(Job, Now) && !hasCapacityFor(Job, Now))
     return evacuatedAnswer();
   if (Queue_.empty())
     return std::nullopt;
   auto Room = forecastRoom(Now);
-  if (!Room.isKnown() || !LeavesNoTime(backlogMilliseconds(Room)) || hasCapacityFor(Job, Now) ||
-      !LeavesNoTime(waitMilliseconds(Job, Room, Now)))
+  if (!isCrowdedOut(Job, Room, Now))
     return std::nullopt;
   ++Counters_.RefusedAtArrival;
   return JobAnswer{JobVerdict::Rejected, "too much work waits for the workers",
                    retryMilliseconds(Job, Room, Now)};
 }
 
+bool PoolManager::isCrowdedOut(const PoolJob &Job, const RoomForecast &Room,
+                               core::TimePoint Now) const {
+  auto Run = core::fromMilliseconds(shortestRunTime(Job));
+  auto LeavesNoTime = [&](double Wait) {
+    return Wait > 0 && Now + core::fromMilliseconds(Wait) + Run > Job.UsefulUntil;
+  };
+  return Room.isKnown() && LeavesNoTime(backlogMilliseconds(Room)) && !hasCapacityFor(Job, Now) &&
+         LeavesNoTime(waitMilliseconds(Job, Room, Now));
+}
+
 double PoolManager::waitMilliseconds(const PoolJob &Job, const RoomForecast &Room,
                                      core::TimePoint Now) const {
   auto Place = placeInQueue(Job, Now);
@@ -171,13 +176,7 @@
           Job.UsefulUntil};
 }
 
-void PoolManager::reviewWaitingJobs(core::TimePoint Now) {
-  Inflow_.observe(Now);
-  auto Room = forecastRoom(Now);
-  if (Queue_.empty() || !Room.isKnown()) {
-    WaitingWork_ = 0;
-    return observeOverload({}, Room, Now);
-  }
+std::vector<WaitingJob> PoolManager::waitingJobs() const {
   std::vector<WaitingJob> Waiting;
   Waiting.reserve(Queue_.size());
   for (const auto &Key : Queue_) {
@@ -185,6 +184,17 @@
     if (!Job.onlyWaitsForData()) // Nothing ahead of such a job delays it.
       Waiting.push_back(waitingJob(Job));
   }
+  return Waiting;
+}
+
+void PoolManager::reviewWaitingJobs(core::TimePoint Now) {
+  Inflow_.observe(Now);
+  auto Room = forecastRoom(Now);
+  if (Queue_.empty() || !Room.isKnown()) {
+    WaitingWork_ = 0;
+    return observeOverload({}, Room, Now);
+  }
+  auto Waiting = waitingJobs();
   auto Plan = planAdmission(Waiting, Room, Now);
   WaitingWork_ = Plan.Work;
   for (std::size_t Position = 0; Position < Waiting.size(); ++Position)
--- a/Services/PoolDaemon/Ingress.cpp
+++ b/Services/PoolDaemon/Ingress.cpp
@@ -143,24 +143,18 @@
   auto Submitted = Format_.parseJob(Request->body());
   if (!Submitted || !kernel::checkJob(*Submitted))
     return refuse(Request, {400, {}, {}}, core::lastReason().Message, Key);
-  if (!Submitted->IsAwaited || !Submitted->Unsupported.empty() || Route.NeedsAdvice) {
+  if (!isSupported(*Submitted, Route)) {
     Log_.line(kernel::DecisionPriority::Notable, "job of an unsupported kind rejected", Key,
               {{"feature", std::string_view(Submitted->Unsupported)},
                {"awaited", std::int64_t{Submitted->IsAwaited}}});
     return refuse(Request, rejection(UnsupportedRetryMilliseconds), "unsupported feature", Key);
   }
-  auto Submission = std::make_shared<kernel::JobSubmission>();
-  Submission->Key = Key;
-  Submission->Specification = std::move(Submitted->Specification);
-  Submission->Steps = std::move(Submitted->Steps);
-  Submission->Policy = Route.Policy;
-  Submission->ReceivedAt = Request->receivedAt();
-  if (!Request->replaceBody(Submission->memory()))
-    return refuse(Request, rejection(MemoryRetryMilliseconds), "no memory for the job", Key);
-  auto CallerTimeout = parseNumber(Request->header(Format_.waitHeader()));
   // The timeout that the caller states takes precedence over the route's timeout.
+  auto CallerTimeout = parseNumber(Request->header(Format_.waitHeader()));
   auto Limit = CallerTimeout ? core::fromMilliseconds(*CallerTimeout) : Route.Timeout;
-  Submission->AnswerBy = limitToStop(Submission->ReceivedAt + Limit - ReplyMargin);
+  auto Submission = makeSubmission(std::move(*Submitted), Route, Key, Request->receivedAt(), Limit);
+  if (!Request->replaceBody(Submission->memory()))
+    return refuse(Request, rejection(MemoryRetryMilliseconds), "no memory for the job", Key);
   Log_.line(kernel::DecisionPriority::Routine, "job received", Key,
             {{"route", std::string_view(Route.Policy.Route)},
              {"configuration", static_cast<std::int64_t>(Configuration_->Version)},
@@ -179,6 +173,59 @@
     submitToManager(Job);
 }
 
+bool Ingress::isSupported(const kernel::SubmittedJob &Submitted, const kernel::Route &Route) {
+  return Submitted.IsAwaited && Submitted.Unsupported.empty() && !Route.NeedsAdvice;
+}
+
+std::shared_ptr<kernel::JobSubmission> Ingress::makeSubmission(kernel::SubmittedJob Submitted,
+                                                               const kernel::Route &Route,
+                                                               kernel::JobKey Key,
+                                                               core::TimePoint ReceivedAt,
+                                                               core::Duration Limit) const {
+  auto Submission = std::make_shared<kernel::JobSubmission>();
+  Submission->Key = Key;
+  Submission->Specification = std::move(Submitted.Specification);
+  Submission->Steps = std::move(Submitted.Steps);
+  Submission->Policy = Route.Policy;
+  Submission->ReceivedAt = ReceivedAt;
+  Submission->AnswerBy = limitToStop(ReceivedAt + Limit - ReplyMargin);
+  return Submission;
+}
+
+AskedJob Ingress::askedJob(const AskedRequest &Asked) const {
+  if (StopDeadline_ && Asked.ReceivedAt >= *StopDeadline_)
+    return {nullptr, 503, "this process is about to end and refuses requests; ask another VM"};
+  if (!Configuration_)
+    return {nullptr, 503, "this process has no configuration yet; ask another VM, or again later"};
+  auto Path = pathOf(Asked.Target);
+  const auto *Route = Configuration_->find(hostOf(Asked.Host), Path);
+  if (!Route)
+    return {nullptr, 404,
+            "no route of configuration " + std::to_string(Configuration_->Version) +
+                " has that host and path; give both as the caller does"};
+  auto Rest = Path.substr(Route->Prefix.size());
+  auto Key = Rest.empty() ? kernel::JobKey{} : kernel::parseJobKey(Rest);
+  if (!Key)
+    return {nullptr, 404,
+            "the path does not end with a job identifier, or with the route's prefix"};
+  if (!Rest.empty() && Jobs_.contains(*Key))
+    return {nullptr, 409,
+            "a job of that identifier is open here, whose answer the request would get; give the "
+            "route's prefix alone to ask about a new job"};
+  auto Submitted = Format_.parseJob(Asked.Body);
+  if (!Submitted || !kernel::checkJob(*Submitted))
+    return {nullptr, 400, core::lastReason().Message};
+  if (!isSupported(*Submitted, *Route))
+    return {
+        nullptr, 400,
+        "the job, or its route, needs a feature that is not supported, so that it is refused: " +
+            (Submitted->Unsupported.empty() ? "its caller does not wait, or the route needs advice"
+                                            : Submitted->Unsupported)};
+  auto Limit =
+      Asked.WaitMilliseconds ? core::fromMilliseconds(*Asked.WaitMilliseconds) : Route->Timeout;
+  return {makeSubmission(std::move(*Submitted), *Route, *Key, Asked.ReceivedAt, Limit), 200, {}};
+}
+
 void Ingress::attach(OpenJob &Job, const Exchange &Request) {
   Job.Exchanges.push_back(Request);
   auto *Raw = Request.get();
--- a/Services/PoolDaemon/Ingress.h
+++ b/Services/PoolDaemon/Ingress.h
@@ -14,11 +14,29 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 namespace cornellift::pool {
 
+/// A caller's request of which an operator asks where its job would go.
+struct AskedRequest {
+  std::string_view Host;
+  std::string_view Target;
+  std::string_view Body;
+  std::optional<double>
+      WaitMilliseconds; ///< How long the caller waits; as its route says if empty.
+  core::TimePoint ReceivedAt;
+};
+
+/// The job that such a request would submit, or why it would be refused.
+struct AskedJob {
+  std::shared_ptr<const kernel::JobSubmission> Submission; ///< Null if it would be refused.
+  unsigned Status = 0;
+  std::string Why; ///< With a remedy.
+};
+
 /// Accepts callers' requests, submits their jobs to the manager of a pool and returns its answers.
 /// Each request gets exactly one reply: when the job ends, or as soon as it is known that the job
 /// cannot be completed or that its manager is lost.
@@ -37,6 +55,8 @@
   void handle(const std::shared_ptr<reactor::HttpExchange> &Exchange);
   /// Returns whether a request with that header may hand in a job; other bodies are of no use.
   bool takesBody(const reactor::ReceivedRequest &Request) const;
+  /// The job of a request that is only asked about; nothing is counted, logged or kept.
+  AskedJob askedJob(const AskedRequest &Asked) const;
   void answered(const kernel::PoolAnswer &Answer, core::TimePoint Now);
   /// Cancels the job if a caller awaits it here; returns whether that is so.
   bool cancelOpenJob(kernel::JobKey Key, core::TimePoint Now);
@@ -69,6 +89,11 @@
   void refuse(const Exchange &Request, const reactor::HttpReply &Reply, std::string_view Why,
               std::optional<kernel::JobKey> Key = std::nullopt);
   void submit(const Exchange &Request, const kernel::Route &Route, kernel::JobKey Key);
+  static bool isSupported(const kernel::SubmittedJob &Submitted, const kernel::Route &Route);
+  /// The job as it is submitted, if its caller waits for so long.
+  std::shared_ptr<kernel::JobSubmission>
+  makeSubmission(kernel::SubmittedJob Submitted, const kernel::Route &Route, kernel::JobKey Key,
+                 core::TimePoint ReceivedAt, core::Duration Limit) const;
   void attach(OpenJob &Job, const Exchange &Request);
   void cancel(const Exchange &Request, kernel::JobKey Key);
   void replyWithProgress(const Exchange &Request, kernel::JobKey Key);
--- a/Services/PoolDaemon/PoolDaemon.cpp
+++ b/Services/PoolDaemon/PoolDaemon.cpp
@@ -157,7 +157,8 @@
   Limits.MemoryBytes = WatcherMemoryBytes;
   for (const auto &Server : {ReadinessServer_, MetricsServer_}) {
     Server->setLimits(Limits);
-    Server->setBodyFilter([](const reactor::ReceivedRequest &) { return false; });
+    Server->setBodyFilter(
+        [](const reactor::ReceivedRequest &Request) { return isWhereQuestion(Request.target()); });
   }
 }
 
--- a/Services/PoolDaemon/PoolDaemon.h
+++ b/Services/PoolDaemon/PoolDaemon.h
@@ -30,6 +30,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 
 namespace cornellift::pool {
 
@@ -113,6 +114,10 @@
   double millisecondsSince(core::TimePoint Moment) const;
   void serveReadiness(const std::shared_ptr<reactor::HttpExchange> &Exchange);
   void serveMetrics(const std::shared_ptr<reactor::HttpExchange> &Exchange);
+  /// Returns whether the target of a request at the metrics' address asks where a job would go.
+  static bool isWhereQuestion(std::string_view Target);
+  void serveWhere(const std::shared_ptr<reactor::HttpExchange> &Exchange);
+  std::string vmName(kernel::PeerIndex Peer) const;
 
   mesh::Heartbeat makeHeartbeat() override;
   bool sharesWorkWith(const mesh::MeshPeer &Peer) override;
--- a/Services/PoolDaemon/PoolDaemonMetrics.cpp
+++ b/Services/PoolDaemon/PoolDaemonMetrics.cpp
@@ -4,6 +4,8 @@
 namespace cornellift::pool {
 
 void PoolDaemon::serveMetrics(const std::shared_ptr<reactor::HttpExchange> &Exchange) {
+  if (isWhereQuestion(Exchange->target()))
+    return serveWhere(Exchange);
   Exchange->reply({200, Metrics_.renderText(), {}});
 }
 
--- a/Tests/Integration/TestPoolExplanations.cpp
+++ b/Tests/Integration/TestPoolExplanations.cpp
@@ -1,6 +1,7 @@
 #include "Tests/Integration/HttpCall.h"
 #include "Tests/Integration/PoolDeployment.h"
 #include "Utilities/Operator/Explanation.h"
+#include "Utilities/Operator/PlacementQuestion.h"
 
 #include <algorithm>
 #include <chrono>
@@ -145,3 +146,35 @@
       Deployment, Job.Key,
       {"job received", "peer lost", "vm=" + Manager, "outcome=manager_lost", "status=504"});
 }
+
+// Guards against a question that ends at a VM which doesn't manage the data centre, and against one
+// that is counted or started as a job.
+BOOST_AUTO_TEST_CASE(TheManagerIsAskedWhereAJobWouldGo) {
+  using namespace cornellift;
+  PoolDeployment Deployment("PoolExplainWhere", {});
+  BOOST_REQUIRE(Deployment.waitUntilReady());
+  auto Manager = Deployment.managerOf("ikeja");
+  BOOST_REQUIRE(!Manager.empty());
+  auto AddressOf = [&](const std::string &Vm) {
+    return "127.0.0.1:" + std::to_string(Deployment.vm(Vm).MetricsPort);
+  };
+  auto Other = Manager == "ikeja-1" ? "ikeja-2" : "ikeja-1";
+  auto Ask = [&](const std::vector<std::string> &Entries, const std::string &Path) {
+    operators::OperatorClient Client({Entries, "", ""});
+    return operators::PlacementQuestion(Client, core::MonotonicClock::now() + 5s)
+        .ask({PoolHost, Path, 0, jobBody(2, 100, "")});
+  };
+  auto Alone = Ask({AddressOf(Other)}, PoolPrefix);
+  BOOST_TEST(Alone.Problem.find("manager of VM " + Manager) != std::string::npos);
+  auto Answer = Ask({AddressOf(Other), AddressOf(Manager)}, PoolPrefix);
+  BOOST_REQUIRE_MESSAGE(Answer.Status == core::ExitStatus::Success, Answer.Problem);
+  BOOST_TEST(Answer.Report.at("manager") == Manager);
+  BOOST_TEST(Answer.Report.at("steps").at(0).at("outlook") == "starts");
+  BOOST_TEST(Answer.Report.at("steps").at(0).at("eligible_total") == 8);
+  auto Unrouted = Ask({AddressOf(Manager)}, "/none/");
+  BOOST_TEST(Unrouted.Problem.find("no route") != std::string::npos);
+  std::this_thread::sleep_for(200ms);
+  BOOST_TEST(Deployment.runs().empty());
+  BOOST_TEST(
+      PoolDeployment::metric(Deployment.vm(Manager), "cornellift_starts_total").value_or(1) == 0);
+}
--- a/Tests/Pool/ManagerFixture.h
+++ b/Tests/Pool/ManagerFixture.h
@@ -103,6 +103,12 @@
 
   JobKey submitAs(JobKey Key, std::uint32_t Tasks, double Milliseconds, core::Duration Timeout = 3s,
                   PeerIndex From = SelfPeer) {
+    Manager.receive(From, SubmitToPool{submission(Key, Tasks, Milliseconds, Timeout)}, Now);
+    return Key;
+  }
+
+  std::shared_ptr<JobSubmission> submission(JobKey Key, std::uint32_t Tasks, double Milliseconds,
+                                            core::Duration Timeout = 3s) const {
     auto Submission = std::make_shared<JobSubmission>();
     Submission->Key = Key;
     Submission->Steps.resize(1);
@@ -118,8 +124,7 @@
     Submission->Policy.TargetLatencyMilliseconds = 30;
     Submission->ReceivedAt = Now;
     Submission->AnswerBy = Now + Timeout;
-    Manager.receive(From, SubmitToPool{Submission}, Now);
-    return Submission->Key;
+    return Submission;
   }
 
   void pass(core::Duration Span) {
--- a/Utilities/Operator/Main.cpp
+++ b/Utilities/Operator/Main.cpp
@@ -21,6 +21,8 @@
      ""},
     {"timeout-ms", "Give up after this many milliseconds", SettingType::Integer, "30000", 1,
      3600000},
+    {"wait-ms", "How long the caller of an asked job waits; 0 takes the route's timeout",
+     SettingType::Integer, "0", 0, 3600000},
     {"json", "Print answers as JSON", SettingType::Flag, {}},
 };
 
@@ -32,7 +34,8 @@
       Program, "Reads and changes the configuration", Specs,
       std::span<const char *const>(Arguments, static_cast<std::size_t>(Count)),
       "patch FILE|- | seed FILE | undo VERSION | drain VM | drain-endpoint NAME | show | version | "
-      "status | diff [FROM TO] | audit [FROM TO] | check FILE | explain JOB LOG|-...");
+      "status | diff [FROM TO] | audit [FROM TO] | check FILE | explain JOB LOG|-... | where HOST "
+      "PATH FILE|-");
   if (!Settings)
     return core::reportBadUsage(Program);
   try {
--- a/Utilities/Operator/OperatorCommand.cpp
+++ b/Utilities/Operator/OperatorCommand.cpp
@@ -6,6 +6,7 @@
 #include "Libraries/LibCore/Reason.h"
 #include "Utilities/Operator/ChangeSender.h"
 #include "Utilities/Operator/Explanation.h"
+#include "Utilities/Operator/PlacementQuestion.h"
 #include "Utilities/Operator/Tables.h"
 
 #include <algorithm>
@@ -22,6 +23,8 @@
 
 constexpr int StatusOk = 200;
 constexpr int Indent = 2;
+/// Bodies that an entry VM reads at the address of its metrics.
+constexpr std::size_t MaximumAskedBytes = 262144;
 
 bool isNumber(const std::string &Text) {
   constexpr std::size_t MaximumDigits = 18;
@@ -80,6 +83,8 @@
     return check(Words[1]);
   if (Words.size() >= 3 && Words[0] == "explain")
     return explain(Words[1], Words.subspan(2));
+  if (Is("where", 3))
+    return where(Words[1], Words[2], Words[3]);
   return reportFailure(ExitStatus::BadUsage, "unknown command or arguments; see --help");
 }
 
@@ -303,4 +308,28 @@
   return ExitStatus::Success;
 }
 
+ExitStatus OperatorCommand::where(const std::string &Host, const std::string &RequestPath,
+                                  const std::string &JobFile) const {
+  if (!isPlainAddressPart(Host) || !RequestPath.starts_with('/') ||
+      !isPlainAddressPart(RequestPath))
+    return reportFailure(ExitStatus::BadUsage,
+                         "give the host and path of the request, such as prints.example /v1/jobs/");
+  auto Job = readFile(JobFile);
+  if (!Job)
+    return reportFailure(ExitStatus::BadUsage, core::lastReason().Message);
+  AskedRequest Asked{Host, RequestPath, Settings_.integer("wait-ms"), Job->dump()};
+  if (Asked.Body.size() > MaximumAskedBytes)
+    return reportFailure(ExitStatus::BadUsage,
+                         "the job has more than 256 KB; ask about one with a shorter specification "
+                         "and the same steps");
+  auto Answer = PlacementQuestion(Client_, Deadline_).ask(Asked);
+  if (Answer.Status != ExitStatus::Success)
+    return reportFailure(Answer.Status, Answer.Problem);
+  if (Settings_.flag("json"))
+    std::cout << Answer.Report.dump() << std::endl;
+  else
+    printPlacement(std::cout, Answer.Report);
+  return ExitStatus::Success;
+}
+
 } // namespace cornellift::operators
--- a/Utilities/Operator/OperatorCommand.h
+++ b/Utilities/Operator/OperatorCommand.h
@@ -36,6 +36,9 @@
   core::ExitStatus check(const std::string &Path) const;
   core::ExitStatus explain(const std::string &Job, std::span<const std::string> Paths) const;
 
+  core::ExitStatus where(const std::string &Host, const std::string &RequestPath,
+                         const std::string &JobFile) const;
+
   core::ExitStatus sendChange(std::uint64_t Base, const Json &Patch, const std::string &Why) const;
 
   /// The value of --base-version; zero stands for the version in force.
--- a/Utilities/Operator/Tables.cpp
+++ b/Utilities/Operator/Tables.cpp
@@ -40,6 +40,59 @@
   return Result;
 }
 
+std::string yesNo(const json &Value) { return Value.get<bool>() ? "yes" : "no"; }
+
+std::string joined(const json &Texts) {
+  std::string Result;
+  for (const auto &Each : Texts)
+    Result += (Result.empty() ? "" : ", ") + cell(Each);
+  return Result;
+}
+
+/// What the workers near a step's data offer, and whether its tasks wait for that.
+void printWait(std::ostream &Out, const json &Wait) {
+  if (Wait.at("room_ms").is_null())
+    Out << "  near the data: no worker of this manager\n";
+  else
+    Out << "  near the data: room in " << Wait.at("room_ms") << " ms (error "
+        << Wait.at("room_error_ms") << " ms), expected end in " << Wait.at("near_end_ms")
+        << " ms\n";
+  if (Wait.at("tasks") != 0)
+    Out << "  " << Wait.at("tasks") << " tasks wait for it, at most " << Wait.at("deadline_ms")
+        << " ms; expected gain " << Wait.at("expected_gain_ms") << " ms each\n";
+  if (Wait.at("why_not") != "")
+    Out << "  " << (Wait.at("tasks") == 0 ? "no task waits" : "no more tasks wait")
+        << " for it: " << cell(Wait.at("why_not")) << '\n';
+}
+
+void printStep(std::ostream &Out, const json &Step) {
+  Out << Step.at("tasks") << " tasks, expected run time " << Step.at("typical_ms") << " ms";
+  if (Step.at("required_label") != "")
+    Out << ", label " << cell(Step.at("required_label"));
+  if (Step.at("data_rack") != "")
+    Out << ", data on " << cell(Step.at("data_rack"));
+  Out << ": the first task " << cell(Step.at("outlook")) << '\n';
+  if (Step.contains("wait"))
+    printWait(Out, Step.at("wait"));
+  Out << "  " << Step.at("eligible_total") << " eligible workers with places for "
+      << Step.at("places") << " such tasks\n";
+  std::vector<Row> Rows = {
+      {"  WORKER", "DATA CENTRE", "MANAGER", "END MS", "PLACES", "NEAR DATA", "COLD", "WANTED"}};
+  for (const auto &Each : Step.at("eligible"))
+    Rows.push_back({"  " + cell(Each.at("worker")), cell(Each.at("data_centre")),
+                    cell(Each.at("manager")), cell(Each.at("end_ms")), cell(Each.at("places")),
+                    yesNo(Each.at("near_data")), yesNo(Each.at("cold")),
+                    yesNo(Each.at("rack_wanted"))});
+  if (Rows.size() > 1)
+    printTable(Out, Rows);
+  Rows = {{"  EXCLUDED", "WORKERS", "SUCH AS"}};
+  for (const auto &Group : Step.at("excluded"))
+    Rows.push_back(
+        {"  " + cell(Group.at("why")), cell(Group.at("workers")), joined(Group.at("examples"))});
+  if (Rows.size() > 1)
+    printTable(Out, Rows);
+}
+
 } // namespace
 
 void printStatus(std::ostream &Out, const json &Status) {
@@ -64,4 +117,24 @@
   printTable(Out, Rows);
 }
 
+void printPlacement(std::ostream &Out, const json &Report) {
+  Out << "manager " << cell(Report.at("manager")) << ", route " << cell(Report.at("route"))
+      << ", service " << cell(Report.at("service")) << ", configuration "
+      << Report.at("configuration") << '\n'
+      << "admission: " << cell(Report.at("admission")) << "; objective in "
+      << Report.at("objective_ms") << " ms, of use for " << Report.at("useful_ms") << " ms\n"
+      << Report.at("waiting_jobs") << " jobs wait, " << Report.at("jobs_ahead") << " of them ahead";
+  if (!Report.at("wait_ms").is_null())
+    Out << ", placed in " << Report.at("wait_ms") << " ms";
+  Out << '\n';
+  std::size_t Number = 0;
+  for (const auto &Step : Report.at("steps")) {
+    Out << "step " << ++Number << " of " << Report.at("steps_total") << ": ";
+    printStep(Out, Step);
+  }
+  Out << "not known:\n";
+  for (const auto &Each : Report.at("unknown"))
+    Out << "  " << cell(Each) << '\n';
+}
+
 } // namespace cornellift::operators
