where: Name evacuated and draining workers of other managers as such

Change: the reason follows from the worker's entry and the evacuations first, for own workers and those of others alike.

--- a/Kernel/Pool/PoolManagerWhere.cpp
+++ b/Kernel/Pool/PoolManagerWhere.cpp
@@ -38,12 +38,19 @@
   return std::nullopt;
 }
 
+/// Why a worker does not accept tasks, by its entry alone.
+std::optional<Exclusion> entryExclusion(const WorkerEntry &Entry, bool IsEvacuated) {
+  if (IsEvacuated)
+    return Exclusion::Evacuated;
+  if (Entry.State != WorkerState::Ready)
+    return Entry.LeavesBy ? Exclusion::Notice : Exclusion::Draining;
+  return std::nullopt;
+}
+
 /// Why a worker of this manager does not accept tasks at all; it must not.
 Exclusion stateExclusion(const Worker &Known, core::TimePoint Now) {
-  if (Known.IsEvacuated)
-    return Exclusion::Evacuated;
-  if (Known.Entry.State != WorkerState::Ready)
-    return Known.Entry.LeavesBy ? Exclusion::Notice : Exclusion::Draining;
+  if (auto Why = entryExclusion(Known.Entry, Known.IsEvacuated))
+    return *Why;
   if (Known.Lease != LeaseState::Held)
     return Exclusion::NotHeld;
   return Known.isAnswering(Now) ? Exclusion::Unsettled : Exclusion::Silent;
@@ -219,6 +226,9 @@
         Survey.consider(Candidate, Peer);
       else if (auto Unmet = unmetRequirement(Request, Worker.Entry))
         Survey.exclude(Worker.Entry, *Unmet);
+      else if (auto Why = entryExclusion(Worker.Entry,
+                                         EvacuatedDataCentres_.contains(Worker.Entry.DataCentre)))
+        Survey.exclude(Worker.Entry, *Why);
       else
         Survey.exclude(Worker.Entry, !IsOpen                          ? Exclusion::PeerRefused
                                      : Worker.Availability.Speed <= 0 ? Exclusion::NotAccepting
--- a/Tests/Pool/TestPlacementExplanation.cpp
+++ b/Tests/Pool/TestPlacementExplanation.cpp
@@ -165,6 +165,8 @@
     Directory.Workers.push_back(test::entry("far-" + std::to_string(Number)));
     Report.Changes.push_back({Number, {{4, 1000, 0}, Number < 60 ? 4U : 0U, 1}});
   }
+  Directory.Workers.back().DataCentre = "yaba";
+  Manager.setEvacuated({"yaba"}, Now);
   Manager.setManager(PeerIndex{3}, true, Now);
   Manager.receive(PeerIndex{3}, Directory, Now);
   Manager.receive(PeerIndex{3}, Report, Now);
@@ -173,6 +175,7 @@
   BOOST_TEST(Step.EligibleCount == 60);
   BOOST_TEST(Step.Eligible.size() == MaximumEligibleListed);
   BOOST_TEST((Step.Eligible.at(0).Manager == PeerIndex{3}));
-  BOOST_TEST(countOf(Step, Exclusion::Full) == 40);
+  BOOST_TEST(countOf(Step, Exclusion::Full) == 39);
+  BOOST_TEST(countOf(Step, Exclusion::Evacuated) == 1);
   BOOST_TEST(Step.Excluded[Exclusion::Full].Examples.size() == MaximumExcludedExamples);
 }
--- a/Utilities/Operator/PlacementQuestion.cpp
+++ b/Utilities/Operator/PlacementQuestion.cpp
@@ -53,16 +53,18 @@
 
 PlacementAnswer PlacementQuestion::askManager(const std::string &Target, const AskedRequest &Asked,
                                               const std::string &Manager) const {
-  auto Remedy = "requests there go to the manager of VM " + Manager;
+  auto ManagerTarget = Target;
+  ManagerTarget += "&manager=";
+  ManagerTarget += Manager;
   for (std::size_t Entry = 0; isPlainAddressPart(Manager) && Entry < Client_.count(); ++Entry) {
     Delivery Failure{};
-    auto Answer =
-        Client_.send(Entry, "POST", Target + "&manager=" + Manager, Asked.Body, Deadline_, Failure);
+    auto Answer = Client_.send(Entry, "POST", ManagerTarget, Asked.Body, Deadline_, Failure);
     if (Answer && Answer->Status == StatusOk)
       return {ExitStatus::Success, {}, std::move(Answer->Body)};
   }
   return {ExitStatus::RequestFailed,
-          Remedy + ", which does not answer at any address of --entry; add that of its metrics",
+          "requests there go to the manager of VM " + Manager +
+              ", which does not answer at any address of --entry; add that of its metrics",
           {}};
 }
 
--- a/Utilities/Operator/Tables.cpp
+++ b/Utilities/Operator/Tables.cpp
@@ -60,16 +60,16 @@
   if (Wait.at("tasks") != 0)
     Out << "  " << Wait.at("tasks") << " tasks wait for it, at most " << Wait.at("deadline_ms")
         << " ms; expected gain " << Wait.at("expected_gain_ms") << " ms each\n";
-  if (Wait.at("why_not") != "")
+  if (!cell(Wait.at("why_not")).empty())
     Out << "  " << (Wait.at("tasks") == 0 ? "no task waits" : "no more tasks wait")
         << " for it: " << cell(Wait.at("why_not")) << '\n';
 }
 
 void printStep(std::ostream &Out, const json &Step) {
   Out << Step.at("tasks") << " tasks, expected run time " << Step.at("typical_ms") << " ms";
-  if (Step.at("required_label") != "")
+  if (!cell(Step.at("required_label")).empty())
     Out << ", label " << cell(Step.at("required_label"));
-  if (Step.at("data_rack") != "")
+  if (!cell(Step.at("data_rack")).empty())
     Out << ", data on " << cell(Step.at("data_rack"));
   Out << ": the first task " << cell(Step.at("outlook")) << '\n';
   if (Step.contains("wait"))
