--- a/Services/PoolDaemon/Ingress.cpp
+++ b/Services/PoolDaemon/Ingress.cpp
@@ -161,16 +161,7 @@
   // The timeout that the caller states takes precedence over the route's timeout.
   auto Limit = CallerTimeout ? core::fromMilliseconds(*CallerTimeout) : Route.Timeout;
   Submission->AnswerBy = limitToStop(Submission->ReceivedAt + Limit - ReplyMargin);
-  Log_.line(kernel::DecisionPriority::Routine, "job received", Key,
-            {{"route", std::string_view(Route.Policy.Route)},
-             {"configuration", static_cast<std::int64_t>(Configuration_->Version)},
-             {"tasks", static_cast<std::int64_t>(Submission->taskCount())},
-             {"declared_ms", Submission->Steps.front().DeclaredMilliseconds},
-             {"cores", Submission->Steps.front().Need.Processors},
-             {"rack", std::string_view(Submission->Steps.front().DataRack)},
-             {"label", std::string_view(Submission->Steps.front().RequiredLabel)},
-             {"per_worker", static_cast<std::int64_t>(Submission->Steps.front().MaximumPerWorker)},
-             {"wait_ms", core::toMilliseconds(Limit)}});
+  logReceived(*Submission, Limit);
   auto &Job = Jobs_[Key];
   Job.Submission = std::move(Submission);
   Job.ManagerDeadline = Request->receivedAt() + ManagerWaitTimeout;
@@ -179,6 +170,20 @@
     submitToManager(Job);
 }
 
+void Ingress::logReceived(const kernel::JobSubmission &Submission, core::Duration Limit) {
+  const auto &First = Submission.Steps.front();
+  Log_.line(kernel::DecisionPriority::Routine, "job received", Submission.Key,
+            {{"route", std::string_view(Submission.Policy.Route)},
+             {"configuration", static_cast<std::int64_t>(Configuration_->Version)},
+             {"tasks", static_cast<std::int64_t>(Submission.taskCount())},
+             {"declared_ms", First.DeclaredMilliseconds},
+             {"cores", First.Need.Processors},
+             {"rack", std::string_view(First.DataRack)},
+             {"label", std::string_view(First.RequiredLabel)},
+             {"per_worker", static_cast<std::int64_t>(First.MaximumPerWorker)},
+             {"wait_ms", core::toMilliseconds(Limit)}});
+}
+
 void Ingress::attach(OpenJob &Job, const Exchange &Request) {
   Job.Exchanges.push_back(Request);
   auto *Raw = Request.get();
--- a/Services/PoolDaemon/Ingress.h
+++ b/Services/PoolDaemon/Ingress.h
@@ -69,6 +69,8 @@
   void refuse(const Exchange &Request, const reactor::HttpReply &Reply, std::string_view Why,
               std::optional<kernel::JobKey> Key = std::nullopt);
   void submit(const Exchange &Request, const kernel::Route &Route, kernel::JobKey Key);
+  /// Limit is the time for which the caller waits.
+  void logReceived(const kernel::JobSubmission &Submission, core::Duration Limit);
   void attach(OpenJob &Job, const Exchange &Request);
   void cancel(const Exchange &Request, kernel::JobKey Key);
   void replyWithProgress(const Exchange &Request, kernel::JobKey Key);
--- a/Services/PoolDaemon/PoolDaemon.h
+++ b/Services/PoolDaemon/PoolDaemon.h
@@ -107,6 +107,8 @@
   bool isReadyToManage() const;
   void registerMetrics();
   void registerClientMetrics();
+  void registerJobMetrics();
+  void registerRunMetrics();
   void registerWorkerMetrics();
   void registerDataWaitMetrics();
   void registerStoreMetrics();
--- a/Services/PoolDaemon/PoolDaemonMetrics.cpp
+++ b/Services/PoolDaemon/PoolDaemonMetrics.cpp
@@ -1,65 +1,56 @@
 #include "Libraries/LibCore/Log.h"
 #include "Services/PoolDaemon/PoolDaemon.h"
 
+#include <cstdint>
+#include <initializer_list>
+#include <utility>
+
 namespace cornellift::pool {
+namespace {
+
+/// Registers one metric for several counters of the structure that Read returns, told apart by a
+/// label. Each item is the label's value and the counter.
+template <typename Counters, typename Number = std::uint64_t, typename Reader>
+void registerCounters(core::MetricsRegistry &Metrics, const char *Name, const char *Label,
+                      Reader Read,
+                      std::initializer_list<std::pair<const char *, Number Counters::*>> Items) {
+  for (const auto &[Value, Member] : Items)
+    Metrics.gauge(Name, [Read, Member = Member] { return static_cast<double>(Read().*Member); },
+                  {{Label, Value}});
+}
+
+} // namespace
 
 void PoolDaemon::serveMetrics(const std::shared_ptr<reactor::HttpExchange> &Exchange) {
   Exchange->reply({200, Metrics_.renderText(), {}});
 }
 
 void PoolDaemon::registerMetrics() {
-  auto Counter = [this](const char *Name, auto Read) {
+  auto Value = [this](const char *Name, auto Read) {
     Metrics_.gauge(Name, [this, Read] { return static_cast<double>(Read(*this)); });
   };
-  Counter("cornellift_open_jobs", [](auto &Self) { return Self.Ingress_.openJobs(); });
-  Counter("cornellift_managed_jobs", [](auto &Self) { return Self.Manager_.jobCount(); });
-  Counter("cornellift_waiting_tasks", [](auto &Self) { return Self.Manager_.waitingTasks(); });
-  Counter("cornellift_running_tasks", [](auto &Self) { return Self.Manager_.fleet().runCount(); });
-  Counter("cornellift_starts_total",
-          [](auto &Self) { return Self.Manager_.counters().StartsSent; });
-  Counter("cornellift_starts_refused_total",
-          [](auto &Self) { return Self.Manager_.counters().StartsRefused; });
-  Counter("cornellift_tasks_delegated_total",
-          [](auto &Self) { return Self.Manager_.counters().TasksDelegated; });
-  Counter("cornellift_delegations_refused_total",
-          [](auto &Self) { return Self.Manager_.counters().DelegationsRefused; });
-  Counter("cornellift_stragglers_moved_total",
-          [](auto &Self) { return Self.Manager_.counters().StragglersMoved; });
-  Counter("cornellift_moves_avoided_total",
-          [](auto &Self) { return Self.Manager_.counters().MovesAvoided; });
-  Counter("cornellift_jobs_extended_total",
-          [](auto &Self) { return Self.Manager_.counters().JobsExtended; });
-  Counter("cornellift_noticed_runs_moved_total",
-          [](auto &Self) { return Self.Manager_.counters().NoticedRunsMoved; });
-  Counter("cornellift_overload", [](auto &Self) { return Self.Manager_.isOverloaded() ? 1 : 0; });
-  auto Refused = [this](const char *Cause, std::uint64_t kernel::PoolCounters::*Count) {
-    Metrics_.gauge("cornellift_refusals_total",
-                   [this, Count] { return static_cast<double>(Manager_.counters().*Count); },
-                   {{"cause", Cause}});
-  };
-  Refused("arrival", &kernel::PoolCounters::RefusedAtArrival);
-  Refused("room", &kernel::PoolCounters::RefusedForRoom);
-  Refused("waiting", &kernel::PoolCounters::RefusedInWaiting);
-  Counter("cornellift_worker_connections_total",
-          [](auto &Self) { return Self.WorkerClient_.connectionsMade(); });
-  Counter("cornellift_configuration_version",
-          [](auto &Self) { return Self.Configuration_.version(); });
-  Counter("cornellift_evacuated_data_centres",
-          [](auto &Self) { return Self.Evacuations_.state().DataCentres.size(); });
-  Counter("cornellift_evacuations_age_milliseconds",
-          [](auto &Self) { return Self.millisecondsSince(Self.Evacuations_.learnedAt()); });
-  Counter("cornellift_peers", [](auto &Self) { return Self.Mesh_.connectedPeers().size(); });
-  Counter("cornellift_unreadable_frames_total",
-          [](auto &Self) { return Self.Mesh_.unreadableFrames(); });
-  Counter("cornellift_messages_not_accepted_total",
-          [](auto &Self) { return Self.Mesh_.messagesNotAccepted(); });
-  Counter("cornellift_log_lines_dropped_total",
-          [](auto &Self) { return Self.Log_.linesDropped(); });
-  Counter("cornellift_log_lines_unread_total", [](auto &) { return core::unreadLogLines(); });
-  Counter("cornellift_log_lines_total", [](auto &Self) { return Self.Log_.linesWritten(); });
-  Counter("cornellift_configuration_age_milliseconds",
-          [](auto &Self) { return Self.millisecondsSince(Self.ConfigurationReceivedAt_); });
+  Value("cornellift_open_jobs", [](auto &Self) { return Self.Ingress_.openJobs(); });
+  Value("cornellift_worker_connections_total",
+        [](auto &Self) { return Self.WorkerClient_.connectionsMade(); });
+  Value("cornellift_configuration_version",
+        [](auto &Self) { return Self.Configuration_.version(); });
+  Value("cornellift_configuration_age_milliseconds",
+        [](auto &Self) { return Self.millisecondsSince(Self.ConfigurationReceivedAt_); });
+  Value("cornellift_evacuated_data_centres",
+        [](auto &Self) { return Self.Evacuations_.state().DataCentres.size(); });
+  Value("cornellift_evacuations_age_milliseconds",
+        [](auto &Self) { return Self.millisecondsSince(Self.Evacuations_.learnedAt()); });
+  Value("cornellift_peers", [](auto &Self) { return Self.Mesh_.connectedPeers().size(); });
+  Value("cornellift_unreadable_frames_total",
+        [](auto &Self) { return Self.Mesh_.unreadableFrames(); });
+  Value("cornellift_messages_not_accepted_total",
+        [](auto &Self) { return Self.Mesh_.messagesNotAccepted(); });
+  Value("cornellift_log_lines_dropped_total", [](auto &Self) { return Self.Log_.linesDropped(); });
+  Value("cornellift_log_lines_unread_total", [](auto &) { return core::unreadLogLines(); });
+  Value("cornellift_log_lines_total", [](auto &Self) { return Self.Log_.linesWritten(); });
   registerClientMetrics();
+  registerJobMetrics();
+  registerRunMetrics();
   registerWorkerMetrics();
   registerDataWaitMetrics();
   registerStoreMetrics();
@@ -70,15 +61,64 @@
                  [this] { return static_cast<double>(CallerServer_->connections()); });
   Metrics_.gauge("cornellift_caller_memory_bytes",
                  [this] { return static_cast<double>(CallerServer_->memoryUsed()); });
-  auto Limits = [this](const char *Cause, std::uint64_t reactor::HttpServerCounters::*Count) {
-    Metrics_.gauge("cornellift_caller_limits_met_total",
-                   [this, Count] { return static_cast<double>(CallerServer_->counters().*Count); },
-                   {{"cause", Cause}});
+  using Counters = reactor::HttpServerCounters;
+  registerCounters<Counters>(
+      Metrics_, "cornellift_caller_limits_met_total",
+      "cause", [this]() -> const auto & { return CallerServer_->counters(); },
+      {{"shed_for_memory", &Counters::ShedForMemory},
+       {"shed_for_connections", &Counters::ShedForConnections},
+       {"not_accepted", &Counters::NotAccepted},
+       {"refused_for_memory", &Counters::RefusedForMemory}});
+}
+
+void PoolDaemon::registerJobMetrics() {
+  using Counters = kernel::PoolCounters;
+  auto Read = [this]() -> const auto & { return Manager_.counters(); };
+  Metrics_.gauge("cornellift_managed_jobs",
+                 [this] { return static_cast<double>(Manager_.jobCount()); });
+  Metrics_.gauge("cornellift_waiting_tasks",
+                 [this] { return static_cast<double>(Manager_.waitingTasks()); });
+  Metrics_.gauge("cornellift_overload", [this] { return Manager_.isOverloaded() ? 1.0 : 0.0; });
+  Metrics_.gauge("cornellift_jobs_extended_total",
+                 [Read] { return static_cast<double>(Read().JobsExtended); });
+  registerCounters<Counters>(Metrics_, "cornellift_managed_jobs_total", "end", Read,
+                             {{"completed", &Counters::JobsCompleted},
+                              {"failed", &Counters::JobsFailed},
+                              {"rejected", &Counters::JobsRejected},
+                              {"given_up", &Counters::JobsGivenUp},
+                              {"abandoned", &Counters::JobsAbandoned},
+                              {"cancelled", &Counters::JobsCancelled}});
+  registerCounters<Counters>(Metrics_, "cornellift_refusals_total", "cause", Read,
+                             {{"arrival", &Counters::RefusedAtArrival},
+                              {"room", &Counters::RefusedForRoom},
+                              {"waiting", &Counters::RefusedInWaiting}});
+}
+
+void PoolDaemon::registerRunMetrics() {
+  using Counters = kernel::PoolCounters;
+  auto Read = [this]() -> const auto & { return Manager_.counters(); };
+  Metrics_.gauge("cornellift_running_tasks",
+                 [this] { return static_cast<double>(Manager_.fleet().runCount()); });
+  Metrics_.gauge("cornellift_foreign_runs_stopped_total",
+                 [this] { return static_cast<double>(Manager_.fleet().foreignRunsStopped()); });
+  Metrics_.gauge("cornellift_runs_started_again_total",
+                 [this] { return static_cast<double>(Manager_.fleet().startedAgain()); });
+  auto Count = [&](const char *Name, std::uint64_t Counters::*Member) {
+    Metrics_.gauge(Name, [Read, Member] { return static_cast<double>(Read().*Member); });
   };
-  Limits("shed_for_memory", &reactor::HttpServerCounters::ShedForMemory);
-  Limits("shed_for_connections", &reactor::HttpServerCounters::ShedForConnections);
-  Limits("not_accepted", &reactor::HttpServerCounters::NotAccepted);
-  Limits("refused_for_memory", &reactor::HttpServerCounters::RefusedForMemory);
+  Count("cornellift_starts_total", &Counters::StartsSent);
+  Count("cornellift_starts_refused_total", &Counters::StartsRefused);
+  Count("cornellift_tasks_delegated_total", &Counters::TasksDelegated);
+  Count("cornellift_delegations_refused_total", &Counters::DelegationsRefused);
+  Count("cornellift_stragglers_moved_total", &Counters::StragglersMoved);
+  Count("cornellift_moves_avoided_total", &Counters::MovesAvoided);
+  Count("cornellift_noticed_runs_moved_total", &Counters::NoticedRunsMoved);
+  Count("cornellift_cold_runs_done_total", &Counters::ColdRunsDone);
+  registerCounters<Counters>(Metrics_, "cornellift_runs_total", "end", Read,
+                             {{"done", &Counters::RunsDone},
+                              {"failed", &Counters::RunsFailed},
+                              {"stopped", &Counters::RunsStopped},
+                              {"lost", &Counters::RunsLost}});
 }
 
 void PoolDaemon::registerWorkerMetrics() {
@@ -88,12 +128,6 @@
                  [this] { return static_cast<double>(Manager_.fleet().heldCount()); });
   Metrics_.gauge("cornellift_worker_restarts_total",
                  [this] { return static_cast<double>(Manager_.fleet().restartCount()); });
-  Metrics_.gauge("cornellift_foreign_runs_stopped_total",
-                 [this] { return static_cast<double>(Manager_.fleet().foreignRunsStopped()); });
-  Metrics_.gauge("cornellift_runs_started_again_total",
-                 [this] { return static_cast<double>(Manager_.fleet().startedAgain()); });
-  Metrics_.gauge("cornellift_cold_runs_done_total",
-                 [this] { return static_cast<double>(Manager_.counters().ColdRunsDone); });
   Metrics_.gauge("cornellift_cold_slowdown", [this] { return Manager_.coldSlowdown(); });
   auto Workers = [this](const char *Name, kernel::LeaseState State) {
     Metrics_.gauge("cornellift_workers",
@@ -104,59 +138,32 @@
   Workers("claiming", kernel::LeaseState::Claiming);
   Workers("held", kernel::LeaseState::Held);
   Workers("fenced", kernel::LeaseState::Fenced);
-  auto Runs = [this](const char *End, std::uint64_t kernel::PoolCounters::*Count) {
-    Metrics_.gauge("cornellift_runs_total",
-                   [this, Count] { return static_cast<double>(Manager_.counters().*Count); },
-                   {{"end", End}});
-  };
-  Runs("done", &kernel::PoolCounters::RunsDone);
-  Runs("failed", &kernel::PoolCounters::RunsFailed);
-  Runs("stopped", &kernel::PoolCounters::RunsStopped);
-  Runs("lost", &kernel::PoolCounters::RunsLost);
-  auto Jobs = [this](const char *End, std::uint64_t kernel::PoolCounters::*Count) {
-    Metrics_.gauge("cornellift_managed_jobs_total",
-                   [this, Count] { return static_cast<double>(Manager_.counters().*Count); },
-                   {{"end", End}});
-  };
-  Jobs("completed", &kernel::PoolCounters::JobsCompleted);
-  Jobs("failed", &kernel::PoolCounters::JobsFailed);
-  Jobs("rejected", &kernel::PoolCounters::JobsRejected);
-  Jobs("given_up", &kernel::PoolCounters::JobsGivenUp);
-  Jobs("abandoned", &kernel::PoolCounters::JobsAbandoned);
-  Jobs("cancelled", &kernel::PoolCounters::JobsCancelled);
 }
 
 void PoolDaemon::registerDataWaitMetrics() {
-  auto Waits = [this](const char *End, std::uint64_t kernel::PoolCounters::*Count) {
-    Metrics_.gauge("cornellift_data_waits_total",
-                   [this, Count] { return static_cast<double>(Manager_.counters().*Count); },
-                   {{"end", End}});
-  };
-  Waits("near", &kernel::PoolCounters::DataWaitsNear);
-  Waits("expired", &kernel::PoolCounters::DataWaitsExpired);
-  Waits("useless", &kernel::PoolCounters::DataWaitsUseless);
-  Waits("job_ended", &kernel::PoolCounters::DataWaitsJobEnded);
+  using Counters = kernel::PoolCounters;
+  auto Read = [this]() -> const auto & { return Manager_.counters(); };
+  registerCounters<Counters>(Metrics_, "cornellift_data_waits_total", "end", Read,
+                             {{"near", &Counters::DataWaitsNear},
+                              {"expired", &Counters::DataWaitsExpired},
+                              {"useless", &Counters::DataWaitsUseless},
+                              {"job_ended", &Counters::DataWaitsJobEnded}});
   Metrics_.gauge("cornellift_data_wait_milliseconds_total",
-                 [this] { return Manager_.counters().DataWaitMilliseconds; });
-  auto Gain = [this](const char *Kind, double kernel::PoolCounters::*Sum) {
-    Metrics_.gauge("cornellift_data_wait_gain_milliseconds",
-                   [this, Sum] { return Manager_.counters().*Sum; }, {{"kind", Kind}});
-  };
-  Gain("expected", &kernel::PoolCounters::DataWaitExpectedGain);
-  Gain("reached", &kernel::PoolCounters::DataWaitGain);
+                 [Read] { return Read().DataWaitMilliseconds; });
+  registerCounters<Counters, double>(
+      Metrics_, "cornellift_data_wait_gain_milliseconds", "kind", Read,
+      {{"expected", &Counters::DataWaitExpectedGain}, {"reached", &Counters::DataWaitGain}});
 }
 
 void PoolDaemon::registerStoreMetrics() {
-  auto Calls = [this](const char *Kind, std::uint64_t store::StoreCounters::*Count) {
-    Metrics_.gauge("cornellift_store_calls_total",
-                   [this, Count] { return static_cast<double>(Store_->counters().*Count); },
-                   {{"kind", Kind}});
-  };
-  Calls("range", &store::StoreCounters::Ranges);
-  Calls("watch", &store::StoreCounters::Watches);
-  Calls("write", &store::StoreCounters::Writes);
-  Calls("lease", &store::StoreCounters::Leases);
-  Calls("renewal", &store::StoreCounters::Renewals);
+  using Counters = store::StoreCounters;
+  registerCounters<Counters>(Metrics_, "cornellift_store_calls_total",
+                             "kind", [this]() -> const auto & { return Store_->counters(); },
+                             {{"range", &Counters::Ranges},
+                              {"watch", &Counters::Watches},
+                              {"write", &Counters::Writes},
+                              {"lease", &Counters::Leases},
+                              {"renewal", &Counters::Renewals}});
   Metrics_.gauge("cornellift_store_failures_total",
                  [this] { return static_cast<double>(Store_->counters().Failures); });
   Metrics_.gauge("cornellift_store_answer_age_milliseconds",
