Pool: Name the end of a worker's notice after what it means

LeavesBy reads as the latest time at which the worker leaves; it is the earliest one. It is now StaysUntil. Names on the wire are unchanged.

TestWorkerNotice, TestColdStart and TestWorkerMessages pass.

--- a/Kernel/Pool/PoolManagerNotices.cpp
+++ b/Kernel/Pool/PoolManagerNotices.cpp
@@ -27,7 +27,7 @@
   for (std::size_t Position = 0; Position < Fleet_.size(); ++Position) {
     auto Worker = static_cast<EndpointIndex>(Position);
     const auto &Known = Fleet_.at(Worker);
-    if (Known.Lease != LeaseState::Held || !Known.Entry.LeavesBy)
+    if (Known.Lease != LeaseState::Held || !Known.Entry.StaysUntil)
       continue;
     std::vector<Run> Noticed;
     std::copy_if(Known.Runs.begin(), Known.Runs.end(), std::back_inserter(Noticed),
@@ -49,7 +49,7 @@
     *Restart += MoveMilliseconds;
   const auto &Entry = Fleet_.at(Worker).Entry;
   NoticedRun Noticed{remainingMilliseconds(Running, Now),
-                     core::toMilliseconds(*Entry.LeavesBy - Now), Restart,
+                     core::toMilliseconds(*Entry.StaysUntil - Now), Restart,
                      Request.ObjectiveMilliseconds, Request.UsefulMilliseconds};
   if (!isMovedOnNotice(Noticed))
     return;
--- a/Kernel/Pool/WorkerMessages.cpp
+++ b/Kernel/Pool/WorkerMessages.cpp
@@ -21,7 +21,7 @@
          Capacity.MemoryMegabytes == Other.Capacity.MemoryMegabytes &&
          Capacity.Accelerators == Other.Capacity.Accelerators && Slots == Other.Slots &&
          Labels == Other.Labels && StartedMilliseconds == Other.StartedMilliseconds &&
-         ColdUntil == Other.ColdUntil && LeavesBy == Other.LeavesBy;
+         ColdUntil == Other.ColdUntil && StaysUntil == Other.StaysUntil;
 }
 
 void WorkerEntry::keepSteadyDeadlines(const WorkerEntry &Former) {
@@ -35,7 +35,7 @@
       Deadline = Earlier;
   };
   Keep(ColdUntil, Former.ColdUntil);
-  Keep(LeavesBy, Former.LeavesBy);
+  Keep(StaysUntil, Former.StaysUntil);
 }
 
 std::string_view verdictName(CommandVerdict Verdict) {
--- a/Kernel/Pool/WorkerMessages.h
+++ b/Kernel/Pool/WorkerMessages.h
@@ -26,8 +26,9 @@
   std::vector<std::string> Labels;          ///< Worker type and rack.
   std::int64_t StartedMilliseconds = 0;     ///< Start of this incarnation, since 1970 (Unix time).
   std::optional<core::TimePoint> ColdUntil; ///< It is slow until then, shortly after its start.
-  /// While it drains: it stays at least until then. What runs there later ends with it.
-  std::optional<core::TimePoint> LeavesBy;
+  /// While it drains, if it has stated a notice: it stays at least until then. Runs that last
+  /// longer may be lost with it.
+  std::optional<core::TimePoint> StaysUntil;
 
   /// Takes over the deadlines of a former report of the same incarnation that hardly differ: the
   /// reports arrive with different delays, which must not look like changes of the entry.
--- a/Libraries/LibMesh/MeshCoding.cpp
+++ b/Libraries/LibMesh/MeshCoding.cpp
@@ -104,7 +104,7 @@
     Out.add_labels(Label);
   Out.set_born_ms(Value.StartedMilliseconds);
   Out.set_cold_left_ms(millisecondsUntil(Value.ColdUntil, Now));
-  Out.set_leaves_in_ms(millisecondsUntil(Value.LeavesBy, Now));
+  Out.set_leaves_in_ms(millisecondsUntil(Value.StaysUntil, Now));
 }
 
 WorkerEntry decodeWorker(const Worker &Message, core::TimePoint Now) {
@@ -119,7 +119,7 @@
   Value.Labels.assign(Message.labels().begin(), Message.labels().end());
   Value.StartedMilliseconds = Message.born_ms();
   Value.ColdUntil = deadlineIn(Message.cold_left_ms(), Now);
-  Value.LeavesBy = deadlineIn(Message.leaves_in_ms(), Now);
+  Value.StaysUntil = deadlineIn(Message.leaves_in_ms(), Now);
   return Value;
 }
 
--- a/Tests/Platform/TestWorkerMessages.cpp
+++ b/Tests/Platform/TestWorkerMessages.cpp
@@ -110,7 +110,7 @@
   BOOST_TEST(Entry->Capacity.Processors == 2.5);
   BOOST_TEST(Entry->Labels.size() == 2U);
   BOOST_TEST((Entry->ColdUntil == core::TimePoint(1h + 1500ms)));
-  BOOST_TEST((Entry->LeavesBy == core::TimePoint(1h + 2500ms)));
+  BOOST_TEST((Entry->StaysUntil == core::TimePoint(1h + 2500ms)));
 }
 
 // Guards against accepting a malformed entry, which would give a worker capacity that it lacks.
--- a/Tests/Pool/PoolSimulation.cpp
+++ b/Tests/Pool/PoolSimulation.cpp
@@ -336,7 +336,7 @@
 
 void PoolSimulation::takeAway(std::size_t Worker, core::Duration Notice) {
   Published_[Worker].State = WorkerState::Draining;
-  Published_[Worker].LeavesBy = Now_ + Notice;
+  Published_[Worker].StaysUntil = Now_ + Notice;
   after(Notice, [this, Worker] {
     Left_.insert(Published_[Worker].Id);
     for (std::size_t Vm = 0; Vm < Vms_.size(); ++Vm)
--- a/Tests/Pool/TestColdStart.cpp
+++ b/Tests/Pool/TestColdStart.cpp
@@ -75,17 +75,17 @@
   constexpr core::TimePoint Begin{1h};
   auto First = entry("w");
   First.ColdUntil = Begin + 5s;
-  First.LeavesBy = Begin + 2s;
+  First.StaysUntil = Begin + 2s;
   auto Next = First;
   Next.ColdUntil = Begin + 5s + 400ms;
-  Next.LeavesBy = Begin + 2s - 300ms;
+  Next.StaysUntil = Begin + 2s - 300ms;
   Next.keepSteadyDeadlines(First);
   BOOST_TEST((Next == First));
   Next.ColdUntil = Begin + 9s; // It has become cold again.
   Next.keepSteadyDeadlines(First);
   BOOST_TEST((Next.ColdUntil == Begin + 9s));
   Next.StartedMilliseconds = 8;
-  Next.LeavesBy = Begin + 2s + 100ms;
+  Next.StaysUntil = Begin + 2s + 100ms;
   Next.keepSteadyDeadlines(First);
-  BOOST_TEST((Next.LeavesBy == Begin + 2s + 100ms));
+  BOOST_TEST((Next.StaysUntil == Begin + 2s + 100ms));
 }
--- a/Tests/Pool/TestWorkerNotice.cpp
+++ b/Tests/Pool/TestWorkerNotice.cpp
@@ -25,12 +25,12 @@
     pass(20ms);
   }
 
-  /// The worker drains; LeavesBy is empty if its notice was lost.
-  void drain(std::optional<core::TimePoint> LeavesBy) {
+  /// The worker drains; StaysUntil is empty if its notice was lost.
+  void drain(std::optional<core::TimePoint> StaysUntil) {
     std::vector<WorkerEntry> Entries = {entry("a"), entry("b")};
     auto &Leaving = Entries[Manager.fleet().at(Worker).Entry.Id == "a" ? 0 : 1];
     Leaving.State = WorkerState::Draining;
-    Leaving.LeavesBy = LeavesBy;
+    Leaving.StaysUntil = StaysUntil;
     Manager.setWorkers(Entries, Now);
     for (int Step = 0; Step < 10; ++Step)
       pass(10ms);
