Pool: Shorter functions, members in order, doc comments of the manager

endJob() and recordOutcome() did two things each; countEnded() and learnFromRun() are split off. exceedsWorkerBound() also excluded workers from which a run was moved, and updateSpeeds() also computed the typical worker: they are now isExcluded() and updateFleetFigures(). ChosenPlace stands with the other types, data before functions in StepProgress. Private functions and data without a comment, a unit or the meaning of an argument have got one.

--- a/Kernel/Pool/PoolCounters.h
+++ b/Kernel/Pool/PoolCounters.h
@@ -35,9 +35,10 @@
   std::uint64_t DataWaitsExpired = 0;  ///< The wait's deadline passed.
   std::uint64_t DataWaitsUseless = 0;  ///< The wait was no longer expected to pay.
   std::uint64_t DataWaitsJobEnded = 0; ///< The job was answered or cancelled.
-  double DataWaitMilliseconds = 0;
-  double DataWaitExpectedGain = 0; ///< Sum, in milliseconds, as expected when the waits began.
-  double DataWaitGain = 0;         ///< The same as it came out; negative for waits in vain.
+  double DataWaitMilliseconds = 0;     ///< Sum of the times that they waited.
+  double DataWaitExpectedGain = 0;     ///< Sum, in milliseconds, as expected when the waits began.
+  double DataWaitGain =
+      0; ///< The same, as measured at the end of the waits; negative for waits in vain.
 };
 
 } // namespace cornellift::kernel
--- a/Kernel/Pool/PoolJob.h
+++ b/Kernel/Pool/PoolJob.h
@@ -53,13 +53,12 @@
   /// were moved.
   std::vector<ObservedRun> Former;
   std::vector<EndpointIndex> MovedFrom; ///< Workers that get no further task of the step.
+  DataWait Wait{};
 
   /// The best estimate of a task's run time on a typical worker.
   double expectedMilliseconds() const {
     return ObservedMilliseconds > 0 ? ObservedMilliseconds : TypicalMilliseconds;
   }
-  DataWait Wait{};
-
   /// Number of waiting tasks for which there is no room anywhere.
   std::uint32_t withoutRoom() const { return Waiting > Wait.Tasks ? Waiting - Wait.Tasks : 0; }
 };
@@ -78,12 +77,13 @@
   core::TimePoint UsefulUntil; ///< Later answers are of no use to the caller.
   core::TimePoint LatestStart; ///< Starting later is likely to miss the objective.
   bool IsOverlong = false;     ///< One of its runs has taken several times the expected time.
-  bool IsExtended = false; ///< The same on a worker without fault, which shows the job's length.
-  bool HasRun = false;     ///< One of its runs has ended, or was lost after its start.
-  bool IsWide = false;     ///< Among the jobs of its kind with the most work.
-  Standing Place{};        ///< When room is short.
-  bool IsSettled = false;  ///< Counted as placed in time or not.
-  bool IsEnding = false;   ///< Answered; the remaining runs are being stopped.
+  /// The same on workers without a fault, so that the job's deadlines were moved.
+  bool IsExtended = false;
+  bool HasRun = false;    ///< One of its runs has ended, or was lost after its start.
+  bool IsWide = false;    ///< Among the tenth of its kind's jobs with the most work.
+  Standing Place{};       ///< Order in which it gives way when room is short, as of its arrival.
+  bool IsSettled = false; ///< KindShares has counted whether it was placed in time.
+  bool IsEnding = false;  ///< Answered; the remaining runs are being stopped.
   std::optional<core::TimePoint> OrphanedUntil;
   std::shared_ptr<const JobSubmission>
       Successor; ///< The same job, resubmitted while this one ends.
--- a/Kernel/Pool/PoolManager.cpp
+++ b/Kernel/Pool/PoolManager.cpp
@@ -238,6 +238,11 @@
     ++Counters_.StartsRefused;
     return;
   }
+  learnFromRun(Worker, Job, Ended, Now);
+}
+
+void PoolManager::learnFromRun(EndpointIndex Worker, PoolJob &Job, const Run &Ended,
+                               core::TimePoint Now) {
   auto StepIndex = Job.stepOf(Ended.TaskNumber);
   const auto &Step = Job.Submission->Steps[StepIndex];
   const auto &Entry = Fleet_.at(Worker).Entry;
@@ -255,9 +260,9 @@
   }
   Ratings_.recordSuccess(Worker, Job.Kind, Estimate.medianMilliseconds() / Taken,
                          Estimate.LogDeviation, Now);
-  double Typical = Taken * Ratings_.speed(Worker);
-  Kinds_.learn(Job.Kind, Step, Taken, Ratings_.speed(Worker), Now);
-  rememberRun(Worker, Job, StepIndex, Typical, Now);
+  double Speed = Ratings_.speed(Worker);
+  Kinds_.learn(Job.Kind, Step, Taken, Speed, Now);
+  rememberRun(Worker, Job, StepIndex, Taken * Speed, Now);
 }
 
 std::uint32_t PoolManager::waitingTasks() const {
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -41,7 +41,8 @@
   /// A task is delegated only if it is expected to end this much sooner at the other manager, in
   /// milliseconds and in addition to the round trip. Accounts for the risk of losing the link.
   double RemotePenaltyMilliseconds = 10;
-  /// Limit on what open jobs take, whichever process has accepted them; further ones are rejected.
+  /// Limit on what open jobs take, in bytes and whichever process has accepted them; further ones
+  /// are rejected.
   std::size_t JobBytes = std::numeric_limits<std::size_t>::max();
 };
 
@@ -68,7 +69,7 @@
   void setRemoteFactor(double Factor) { Settings_.RemoteFactor = Factor; }
   /// Sets whether tasks may wait for room near their data.
   void setDataWaits(bool AreOn) { DataWaitPolicy_ = AreOn ? &ExpectedGain_ : nullptr; }
-  /// Sets how they wait; null for never. The policy must outlive this.
+  /// Sets how they wait; null for never. The policy must outlive the manager.
   void setDataWaitPolicy(const DataWaitPolicy *Policy) { DataWaitPolicy_ = Policy; }
 
   /// Handles a message from a peer, or from this process as SelfPeer.
@@ -111,7 +112,7 @@
   const PoolCounters &counters() const { return Counters_; }
   /// Learned ratio of run times on cold workers to those on warm ones.
   double coldSlowdown() const { return Cold_.slowdown(); }
-  /// Whether more work has arrived for some time than there is room for.
+  /// Returns whether more work has arrived for some time than there is room for.
   bool isOverloaded() const { return Overload_.isOverloaded(); }
 
 private:
@@ -130,6 +131,14 @@
     std::vector<WorkerAvailability> LastReported;
   };
 
+  /// A worker of this manager, or one of another manager.
+  struct ChosenPlace {
+    std::optional<EndpointIndex> Own; ///< Not used if AtPeer is set.
+    /// The manager, and the worker's position in its report.
+    std::optional<std::pair<PeerIndex, std::size_t>> AtPeer;
+    double EndMilliseconds = 0; ///< Expected time until the task ends.
+  };
+
   // PoolManagerJobs.cpp and PoolManagerQueue.cpp: the life cycle of jobs, and the queue.
   void submit(PeerIndex From, const std::shared_ptr<const JobSubmission> &Submission,
               core::TimePoint Now);
@@ -140,13 +149,16 @@
   PoolJob &createJob(PeerIndex From, const std::shared_ptr<const JobSubmission> &Submission,
                      bool IsDelegation, core::TimePoint Now);
   void setDeadlines(PoolJob &Job);
+  /// Rejects a job that only workers of evacuated data centres could run.
   static JobAnswer evacuatedAnswer();
+  /// The rejection of a new job which nothing could serve while it is of use; empty if it may wait.
   std::optional<JobAnswer> rejectionFor(const PoolJob &Job, core::TimePoint Now);
   void unblockSteps(PoolJob &Job);
   void finishTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now);
   void failTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now);
   void requeueTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now);
   void endJob(PoolJob &Job, JobAnswer Answer, core::TimePoint Now);
+  void countEnded(JobVerdict Verdict);
   void stopTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now);
   void removeIfInactive(JobHandle Handle, core::TimePoint Now);
   void abandon(PeerIndex From, JobKey Key, core::TimePoint Now);
@@ -161,22 +173,23 @@
   void enqueue(const PoolJob &Job, core::TimePoint Now);
   static PoolQueue::Key placeInQueue(const PoolJob &Job, core::TimePoint Now);
   WaitingJob waitingJob(const PoolJob &Job) const;
+  /// Rejects a waiting job to which the plan leaves no time, unless a worker could take it now.
   void refuse(PoolJob &Job, const RoomForecast &Room, core::TimePoint Now);
   void observeOverload(const AdmissionPlan &Plan, const RoomForecast &Room, core::TimePoint Now);
   /// Counts the job among those of its kind that were, or were not, placed in time; once.
   void settle(PoolJob &Job, core::TimePoint Now);
-  /// Time until the work ahead of the job has been placed.
+  /// Time until the work ahead of the job has been placed, in milliseconds.
   double waitMilliseconds(const PoolJob &Job, const RoomForecast &Room, core::TimePoint Now) const;
   /// What the job's waiting tasks take of a typical worker, times the run time in milliseconds.
   double waitingWork(const PoolJob &Job) const;
   /// The same for all of its tasks.
   double totalWork(const PoolJob &Job) const;
-  /// Work that the workers held now do per unit of time.
+  /// Work that the workers held now do per millisecond.
   double heldCapacity(core::TimePoint Now) const;
   RoomForecast forecastRoom(core::TimePoint Now) const;
-  /// Time until all work that waits has been placed.
+  /// Time until all work that waits has been placed, in milliseconds; zero if no room is known.
   double backlogMilliseconds(const RoomForecast &Room) const;
-  /// When a refused caller may come back, in milliseconds.
+  /// When a refused caller may come back, in milliseconds from now.
   double retryMilliseconds(const PoolJob &Job, const RoomForecast &Room, core::TimePoint Now);
   /// Expected run time of the job's longest waiting task on the fastest worker, in milliseconds.
   double shortestRunTime(const PoolJob &Job) const;
@@ -189,12 +202,6 @@
   bool placeTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now);
   PoolPlacementRequest placementRequestFor(const PoolJob &Job, std::uint32_t Step,
                                            core::TimePoint Now) const;
-  /// A worker of this manager, or one of another manager.
-  struct ChosenPlace {
-    std::optional<EndpointIndex> Own; ///< Not used if AtPeer is set.
-    std::optional<std::pair<PeerIndex, std::size_t>> AtPeer;
-    double EndMilliseconds = 0; ///< Expected time until the task ends.
-  };
   std::optional<ChosenPlace> choosePlace(const PoolJob &Job, std::uint32_t Step,
                                          const PoolPlacementRequest &Request,
                                          core::TimePoint Now) const;
@@ -210,12 +217,15 @@
     return Settings_.RemotePenaltyMilliseconds + core::toMilliseconds(Pool.roundTrip());
   }
   WorkerAvailability availabilityOf(EndpointIndex Worker, core::TimePoint Now) const;
-  bool exceedsWorkerBound(const PoolJob &Job, std::uint32_t Step, EndpointIndex Worker) const;
+  /// Returns whether the worker may take no further task of the step: it has as many as the step
+  /// allows, or one was moved from it.
+  bool isExcluded(const PoolJob &Job, std::uint32_t Step, EndpointIndex Worker) const;
   void startOn(PoolJob &Job, std::uint32_t Task, EndpointIndex Worker, core::TimePoint Now);
   void flushDelegations(const PoolJob &Job, core::TimePoint Now);
   /// Ratio of run times on the worker now to those once it is warm.
   double slowdownOf(const WorkerEntry &Entry, core::TimePoint Now) const;
-  void updateSpeeds(core::TimePoint Now);
+  /// Updates the highest and mean speeds and TypicalWorker_ by the workers that accept tasks.
+  void updateFleetFigures(core::TimePoint Now);
   /// Largest number of free processors on any worker, here or at other managers; -1 if none accepts
   /// tasks.
   double mostFreeProcessors(core::TimePoint Now) const;
@@ -238,15 +248,19 @@
   /// Returns whether workers of the rack serve at other managers.
   bool isElsewhere(std::string_view Rack) const;
   const WorkerEntry &entryOf(const ChosenPlace &Chosen) const;
+  /// Plans how many of the step's waiting tasks wait. EndMilliseconds is the expected end of one
+  /// that starts elsewhere now.
   void planDataWait(PoolJob &Job, std::uint32_t Step, const PoolPlacementRequest &Request,
                     double EndMilliseconds, core::TimePoint Now);
   /// The timetable of the step's rack, as of this dispatch.
   RackTimetable &timetableFor(const PoolJob &Job, std::uint32_t Step, core::TimePoint Now);
   ExpectedRelease expectedRelease(const Run &Each, core::TimePoint Now) const;
   /// Records that some of the waiting tasks wait no longer, without a start near their data.
+  /// Outcome is the counter of that reason.
   void releaseFromWait(PoolJob &Job, std::uint32_t Step, std::uint32_t Tasks,
                        std::uint64_t PoolCounters::*Outcome, std::string_view Why,
                        core::TimePoint Now);
+  /// Records that one of the waiting tasks starts near its data.
   void startsNearData(const PoolJob &Job, StepProgress &Progress, double EndMilliseconds,
                       core::TimePoint Now);
   void logWaitEnd(const PoolJob &Job, const StepProgress &Progress, std::string_view Why,
@@ -258,10 +272,13 @@
   void keepRoom(const PoolJob &Job, core::TimePoint Now);
   /// Returns whether tasks wait because there is no room for them anywhere.
   bool hasWorkWithoutRoom() const;
+  /// Updates FleetLoad_ and FleetProcessors_.
   void observeFleetLoad(core::TimePoint Now);
-  /// What a run takes from other tasks by its place, as a share of its time.
+  /// DataWaitRequest::PlaceCost of a task with that need.
   double placeCost(const Resources &Need) const;
+  /// Updates IsRackWanted_.
   void markWantedRacks(core::TimePoint Now);
+  /// Returns whether other tasks want the worker's rack, but not this step.
   bool isRackWanted(EndpointIndex Worker, const JobStep &Step) const;
 
   // PoolManagerStragglers.cpp: runs that are expected to end too late, and jobs that are long.
@@ -284,6 +301,7 @@
   /// Stops the run, so that its task starts again elsewhere, if that serves the caller better.
   void moveRun(PoolJob &Job, std::uint32_t Task, const Run &Running, const RunPrognosis &Prognosis,
                double RemainingMilliseconds, core::TimePoint Now);
+  /// Records that a late run stays where it is, because its job is long.
   void stayOnWorker(PoolJob &Job, std::uint32_t Task, const Run &Running,
                     const RunPrognosis &Prognosis, double RemainingMilliseconds);
   void giveUpTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now);
@@ -316,6 +334,8 @@
   void availabilityIncreased(core::TimePoint Now) override;
   void recordOutcome(EndpointIndex Worker, PoolJob &Job, const Run &Ended, RunOutcome How,
                      core::TimePoint Now);
+  /// Updates the speed of the worker and the run times of the kind by a run that was done.
+  void learnFromRun(EndpointIndex Worker, PoolJob &Job, const Run &Ended, core::TimePoint Now);
   void afterEvent(core::TimePoint Now);
 
   PoolSettings Settings_;
@@ -327,7 +347,7 @@
   JobKindRunTimes Kinds_;
   PoolCounters Counters_;
   std::unordered_map<JobHandle, PoolJob> Jobs_;
-  std::size_t JobBytes_ = 0; ///< Sum over Jobs_.
+  std::size_t JobBytes_ = 0; ///< Sum of JobSubmission::memory() over Jobs_.
   std::unordered_map<JobKey, JobHandle> OwnJobs_;
   std::map<std::pair<PeerIndex, JobKey>, JobHandle> Delegations_;
   std::unordered_map<EndpointIndex, std::vector<RecentRun>> RecentRuns_; ///< By worker.
@@ -342,7 +362,8 @@
   std::uint64_t NextHandle_ = 1;
   /// Highest speed of the workers that accept tasks, as of the last dispatch.
   double FastestSpeed_ = 1;
-  double FastestSpeedNow_ = 1; ///< The same while some of them are cold.
+  /// The same for the speeds that cold workers have now.
+  double FastestSpeedNow_ = 1;
   /// Mean run time over all workers, relative to that on a typical worker. The objective of a job
   /// is defined for the average worker, not for those that are used most.
   double MeanSlowness_ = 1;
@@ -359,10 +380,10 @@
   /// When this manager got its first workers, or last began to get those of another one.
   core::TimePoint WorkersFoundAt_;
   std::vector<EndpointIndex> EndedOn_; ///< Workers with ended runs since the last dispatch.
-  double FleetLoad_ = 0;               ///< Mean share of the processors in use, of late.
-  core::TimePoint FleetLoadAt_;
-  double FleetProcessors_ = 0;
-  LastingRate Inflow_; ///< Of work.
+  double FleetLoad_ = 0;               ///< Recent mean share of the processors in use.
+  core::TimePoint FleetLoadAt_;        ///< Last update of FleetLoad_.
+  double FleetProcessors_ = 0;         ///< Of the workers that accept tasks.
+  LastingRate Inflow_;                 ///< Of the work of new jobs.
   KindShares Shares_;
   ReturnTimes ReturnTimes_;
   OverloadWatch Overload_;
@@ -383,7 +404,7 @@
   for (std::size_t Position = 0; Position < Fleet_.size(); ++Position) {
     auto Index = static_cast<EndpointIndex>(Position);
     PlacementCandidate Candidate{&Fleet_.at(Index).Entry, availabilityOf(Index, Now), 0};
-    if (isEligible(Request, Candidate) && !exceedsWorkerBound(Job, Step, Index))
+    if (isEligible(Request, Candidate) && !isExcluded(Job, Step, Index))
       Visit(Candidate, std::optional(Index));
   }
   if (Job.IsDelegation)
--- a/Kernel/Pool/PoolManagerJobs.cpp
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -111,9 +111,10 @@
     Progress.TypicalMilliseconds = Estimate.medianMilliseconds();
     Progress.Deviation = Estimate.LogDeviation;
     FirstTask += Step.Count;
+    // A delegation counts as one task: how many of the step arrive is not known here.
+    auto Tasks = IsDelegation ? 1 : Step.Count;
     if (!Step.DataRack.empty() && Settings_.RemoteFactor > 1)
-      RackDemand_.want(Step.DataRack,
-                       (IsDelegation ? 1 : Step.Count) * Estimate.medianMilliseconds(), Now);
+      RackDemand_.want(Step.DataRack, Tasks * Estimate.medianMilliseconds(), Now);
   }
   Job.Tasks.resize(FirstTask);
   setDeadlines(Job);
@@ -222,23 +223,7 @@
                     "the job ended", Now);
     Job.Steps[Step].Waiting = 0;
   }
-  switch (Answer.Verdict) {
-  case JobVerdict::Completed:
-    ++Counters_.JobsCompleted;
-    break;
-  case JobVerdict::Failed:
-    ++Counters_.JobsFailed;
-    break;
-  case JobVerdict::Rejected:
-    ++Counters_.JobsRejected;
-    break;
-  case JobVerdict::GivenUp:
-    ++Counters_.JobsGivenUp;
-    break;
-  case JobVerdict::Cancelled:
-    ++Counters_.JobsCancelled;
-    break;
-  }
+  countEnded(Answer.Verdict);
   Answer.IsLate = Answer.Verdict == JobVerdict::Completed && Now > Job.ObjectiveAt;
   if (Answer.IsLate)
     Answer.Why = "completed late";
@@ -261,6 +246,26 @@
   removeIfInactive(Job.Handle, Now);
 }
 
+void PoolManager::countEnded(JobVerdict Verdict) {
+  switch (Verdict) {
+  case JobVerdict::Completed:
+    ++Counters_.JobsCompleted;
+    return;
+  case JobVerdict::Failed:
+    ++Counters_.JobsFailed;
+    return;
+  case JobVerdict::Rejected:
+    ++Counters_.JobsRejected;
+    return;
+  case JobVerdict::GivenUp:
+    ++Counters_.JobsGivenUp;
+    return;
+  case JobVerdict::Cancelled:
+    ++Counters_.JobsCancelled;
+    return;
+  }
+}
+
 void PoolManager::stopTask(PoolJob &Job, std::uint32_t Task, core::TimePoint Now) {
   auto &Stopped = Job.Tasks[Task];
   switch (Stopped.State) {
--- a/Kernel/Pool/PoolManagerPlacement.cpp
+++ b/Kernel/Pool/PoolManagerPlacement.cpp
@@ -24,7 +24,7 @@
   return ColdStart::coldMilliseconds(Entry.ColdUntil, Now) > 0 ? Cold_.slowdown() : 1;
 }
 
-void PoolManager::updateSpeeds(core::TimePoint Now) {
+void PoolManager::updateFleetFigures(core::TimePoint Now) {
   double Fastest = 0;
   double FastestNow = 0;
   double Slowness = 0;
@@ -88,13 +88,13 @@
 }
 
 void PoolManager::dispatch(core::TimePoint Now) {
-  updateSpeeds(Now);
+  updateFleetFigures(Now);
   markWantedRacks(Now);
   observeFleetLoad(Now);
   Timetables_.clear();
   ++DispatchNumber_;
   std::vector<JobHandle> Selected;
-  std::size_t WaitForData = 0; // These leave their places in the dispatch to others.
+  std::size_t WaitForData = 0; // They do not count towards the limit of a dispatch.
   for (const auto &Key : Queue_) {
     if (Selected.size() >= JobsPerDispatch + std::min(WaitForData, JobsPerDispatch))
       break;
@@ -211,7 +211,7 @@
     auto Index = static_cast<EndpointIndex>(Position);
     PlacementCandidate Candidate{&Fleet_.at(Index).Entry, availabilityOf(Index, Now), 0,
                                  isRackWanted(Index, *Request.Step)};
-    if (!isEligible(Request, Candidate) || exceedsWorkerBound(Job, Step, Index))
+    if (!isEligible(Request, Candidate) || isExcluded(Job, Step, Index))
       continue;
     if (Chooser.consider(Candidate))
       Best = Index;
@@ -237,8 +237,7 @@
   return Best;
 }
 
-bool PoolManager::exceedsWorkerBound(const PoolJob &Job, std::uint32_t Step,
-                                     EndpointIndex Worker) const {
+bool PoolManager::isExcluded(const PoolJob &Job, std::uint32_t Step, EndpointIndex Worker) const {
   const auto &MovedFrom = Job.Steps[Step].MovedFrom;
   if (std::find(MovedFrom.begin(), MovedFrom.end(), Worker) != MovedFrom.end())
     return true; // The worker was found to be at fault.
--- a/Kernel/Pool/PoolPlacement.cpp
+++ b/Kernel/Pool/PoolPlacement.cpp
@@ -50,14 +50,14 @@
     return false;
   double Remaining = Candidate.Availability.Free.Processors - Request_.Step->Need.Processors;
   double Margin = EqualEndTolerance * Request_.TypicalRunTime;
-  bool IsTidier = Candidate.IsRackWanted == IsBestWanted_ ? Remaining < BestRemaining_
-                                                          : !Candidate.IsRackWanted;
-  bool IsBetter = !HasBest_ || End < BestEnd_ - Margin || (End < BestEnd_ + Margin && IsTidier);
+  bool WinsTie = Candidate.IsRackWanted == IsBestRackWanted_ ? Remaining < BestRemaining_
+                                                             : !Candidate.IsRackWanted;
+  bool IsBetter = !HasBest_ || End < BestEnd_ - Margin || (End < BestEnd_ + Margin && WinsTie);
   if (!IsBetter)
     return false;
   HasBest_ = true;
   BestEnd_ = End;
-  IsBestWanted_ = Candidate.IsRackWanted;
+  IsBestRackWanted_ = Candidate.IsRackWanted;
   BestRemaining_ = Remaining;
   return true;
 }
--- a/Kernel/Pool/PoolPlacement.h
+++ b/Kernel/Pool/PoolPlacement.h
@@ -18,7 +18,7 @@
   double ObjectiveMilliseconds = 0; ///< Time left to meet the objective.
   double UsefulMilliseconds = 0;    ///< Time after which the result is of no use.
   core::TimePoint Now;
-  const ColdStart *Cold = nullptr; ///< Expected run times of cold workers; may be null.
+  const ColdStart *Cold = nullptr; ///< Slowdown of cold workers; all count as warm if null.
   double RemoteFactor = 1;         ///< Ratio of the run time away from the data to that near it.
 };
 
@@ -42,8 +42,8 @@
 ///
 /// The earliest expected end wins. Among nearly equal ends, a worker whose rack is not wanted by
 /// other tasks wins, then the one with the least free capacity left over (best fit), which keeps
-/// large gaps for large tasks. Workers on which the task
-/// would miss its objective are considered only if not even the fastest worker could meet it.
+/// large gaps for large tasks. Workers on which the task would miss its objective are considered
+/// only if not even the fastest worker could meet it.
 class PlacementChooser {
 public:
   PlacementChooser(const PoolPlacementRequest &Request, double FastestSpeed);
@@ -51,7 +51,7 @@
   /// Returns whether this is the best candidate so far.
   bool consider(const PlacementCandidate &Candidate);
 
-  /// Expected time until the task ends on the best candidate, in milliseconds.
+  /// Expected time until the task ends on the best candidate, in milliseconds; zero without one.
   double bestEnd() const { return BestEnd_; }
 
 private:
@@ -59,7 +59,7 @@
   bool MayBeLate_;
   bool HasBest_ = false;
   double BestEnd_ = 0;
-  bool IsBestWanted_ = false;
+  bool IsBestRackWanted_ = false;
   double BestRemaining_ = 0;
 };
 
