Comments: Units, bounds and meaning of the new constants and settings

Rates were given per unit of time, several constants had no comment, and some comments described the value in place of its meaning. Constants whose names were misleading are renamed where they are local to a file.

No function is changed but for these names.

--- a/Kernel/Pool/AdmissionPlan.h
+++ b/Kernel/Pool/AdmissionPlan.h
@@ -25,10 +25,10 @@
   Late
 };
 
-/// A waiting job: what its caller is owed, and what it takes.
+/// A waiting job: its deadlines, and the work that it needs.
 struct WaitingJob {
   JobHandle Handle{};
-  Standing Place{};        ///< As of its arrival.
+  Standing Place{};        ///< Order in which it gives way, as of its arrival.
   bool MayHaveRun = false; ///< Some of its tasks run or have run.
   /// What its waiting tasks take of a typical worker: the dominant share of the worker's resources
   /// times the run time, in milliseconds.
@@ -42,7 +42,7 @@
 struct AdmissionPlan {
   std::vector<JobProspect> Prospects;    ///< By the position in the input.
   std::vector<std::size_t> Unattainable; ///< Positions of those that can't even be served late.
-  double Work = 0;                       ///< Of the jobs that remain.
+  double Work = 0;                       ///< Of the jobs that remain, as WaitingJob::Work.
   std::size_t LateCount = 0;             ///< Jobs that could be in time but for the work ahead.
 };
 
--- a/Kernel/Pool/ColdStart.cpp
+++ b/Kernel/Pool/ColdStart.cpp
@@ -9,8 +9,9 @@
 /// The platform does not state how slow cold workers are. A moderate value orders them behind warm
 /// ones until runs have shown it.
 constexpr double AssumedSlowdown = 1.5;
+/// Number of runs that the assumption is worth.
 constexpr double AssumedWeight = 2;
-/// Bounds on one observation; run times vary, and a run may have been slow for another reason.
+/// Upper bound on one observation; run times vary, and a run may have been slow for another reason.
 constexpr double MaximumSlowdown = 20;
 /// Weight of all observations together, so that the estimate follows changes.
 constexpr double MaximumWeight = 50;
--- a/Kernel/Pool/ColdStart.h
+++ b/Kernel/Pool/ColdStart.h
@@ -10,20 +10,22 @@
 /// cold ones, and expects run times by that.
 ///
 /// Answers a load whose workers, up to a whole data centre of them, have just started: their tasks
-/// are expected to take longer, and do not make the workers' learned speeds wrong for later.
+/// are expected to take longer, and do not make the workers' learned speeds wrong for later. Times
+/// are in milliseconds.
 class ColdStart {
 public:
   /// Ratio of the run time on a cold worker to that on the same worker once it is warm.
   double slowdown() const;
 
-  /// Time for which the worker is still cold, in milliseconds.
+  /// Time for which the worker is still cold; zero if it is warm.
   static double coldMilliseconds(std::optional<core::TimePoint> ColdUntil, core::TimePoint Now);
 
-  /// Expected run time of a task that takes the given time on the warm worker.
+  /// Expected run time on a worker that is cold for ColdMilliseconds more, of a task that takes
+  /// Warm on the warm worker.
   double expectedMilliseconds(double Warm, double ColdMilliseconds) const;
 
-  /// Learns from a run that took the given time, for the given part of it on a cold worker. Warm is
-  /// its expected time on the warm worker.
+  /// Learns from a run that took Taken, on a worker that was cold for ColdMilliseconds after its
+  /// start. Warm is its expected time on the warm worker. Runs that were mostly warm are ignored.
   void learn(double Warm, double Taken, double ColdMilliseconds);
 
 private:
--- a/Kernel/Pool/DataWait.cpp
+++ b/Kernel/Pool/DataWait.cpp
@@ -6,12 +6,13 @@
 namespace cornellift::kernel {
 namespace {
 
+/// Free capacities are sums of rounded numbers.
 constexpr double RoundingSlack = 1e-6;
 
 /// Gains of less than this are lost again in the delays of commands and reports.
 constexpr double MinimumGainMilliseconds = 5;
 
-/// Longer queues hardly change the mean.
+/// Upper bound of longestUsefulQueue(); longer queues hardly change the mean time.
 constexpr std::uint32_t LongestQueue = 64;
 
 /// Erlang's loss formula: the share of time in which all places are taken, if no task waits.
--- a/Kernel/Pool/DataWait.h
+++ b/Kernel/Pool/DataWait.h
@@ -99,11 +99,11 @@
   double Deviation = 0;           ///< Standard deviation of its natural logarithm.
   double AwayEnd = 0;             ///< Expected end of a task that starts away from the data now.
   double ObjectiveMilliseconds = 0;
-  double UsefulMilliseconds = 0;
-  double RackLoad = 0; ///< Places near the data that are wanted in the mean.
-  /// What a run takes from other tasks by its place, as a share of its time.
+  double UsefulMilliseconds = 0; ///< Later ends are of no use.
+  double RackLoad = 0;           ///< Places near the data that are wanted in the mean.
+  /// Mean time for which a run makes other tasks wait by taking a place, relative to its run time.
   double PlaceCost = 0;
-  bool HaveWaited = false; ///< In vain.
+  bool HaveWaited = false; ///< They have waited before, and found no room near their data.
 };
 
 /// How many of the tasks should wait for room near their data; the others should start now.
@@ -121,7 +121,7 @@
   core::TimePoint Deadline;
   core::TimePoint AwayEnd;       ///< Expected end of a task, had it started elsewhere at Since.
   double ExpectedGain = 0;       ///< Of each task, at Since, in milliseconds.
-  double Gain = 0;               ///< Sum over the tasks that started near their data.
+  double Gain = 0;               ///< Sum in milliseconds; tasks that waited in vain reduce it.
   std::uint32_t StartedNear = 0; ///< Tasks of this wait.
   std::uint32_t StartedAway = 0;
   bool IsOver = false;         ///< It has ended without room near the data.
--- a/Kernel/Pool/Evacuations.h
+++ b/Kernel/Pool/Evacuations.h
@@ -30,7 +30,8 @@
 /// that neither an evacuation nor its end is undone by a process that has read the keys earlier.
 class Evacuations {
 public:
-  /// Takes over the state if it is newer, and returns which data centres change by that.
+  /// Takes over the state if its revision is higher, and returns which data centres change by that.
+  /// States of the same revision are joined.
   std::vector<EvacuationChange> learn(const EvacuationState &Told, core::TimePoint Now);
 
   /// Returns whether the keys have been read, here or at a peer. Until then this process cannot
--- a/Kernel/Pool/JobKindRunTimes.cpp
+++ b/Kernel/Pool/JobKindRunTimes.cpp
@@ -8,7 +8,7 @@
 
 /// Shorter run times mostly consist of message delays, so they are counted as this.
 constexpr double MinimumMilliseconds = 1;
-/// After this many jobs, what is known of the former ones counts half.
+/// Whenever so many jobs have been counted, the counts are halved, so that recent jobs weigh more.
 constexpr double RecentJobs = 128;
 /// Share of overlong jobs that is assumed without evidence, and the number of jobs that it is
 /// worth.
--- a/Kernel/Pool/JobKindRunTimes.h
+++ b/Kernel/Pool/JobKindRunTimes.h
@@ -29,8 +29,10 @@
   void learn(KindIndex Kind, const JobStep &Step, double Milliseconds, double Speed,
              core::TimePoint Now);
 
-  /// Counts a job, and one whose tasks were found to take several times as long as expected.
+  /// Counts a new job.
   void jobCame(KindIndex Kind);
+  /// Counts one of these jobs whose tasks were found to take several times as long as expected
+  /// (OverlongFactor).
   void jobIsOverlong(KindIndex Kind);
   /// Share of the kind's recent jobs that were found to be overlong. Known as soon as their runs
   /// show it, while estimates follow only when these have ended.
--- a/Kernel/Pool/KindShares.cpp
+++ b/Kernel/Pool/KindShares.cpp
@@ -12,9 +12,12 @@
 /// Fewer jobs say nothing about their kind.
 constexpr double LeastJobs = 3;
 constexpr core::Duration RateWindow = std::chrono::milliseconds(400);
+/// Higher numbers count as this one, as standings are numbered by priority.
 constexpr std::uint32_t LowestPriority = 1000;
+/// Least share in time of a kind, relative to all work, and of its wide jobs, relative to the kind.
 constexpr double KindFloor = 2.0 / 3;
 constexpr double WideFloor = 0.9;
+/// Share of a kind's jobs that are not wide.
 constexpr double WideQuantile = 0.9;
 /// Largest change of the estimated quantile at one job, as a share of it.
 constexpr double QuantileStep = 0.1;
--- a/Kernel/Pool/KindShares.h
+++ b/Kernel/Pool/KindShares.h
@@ -9,7 +9,7 @@
 
 namespace cornellift::kernel {
 
-/// A share of jobs in the recent past.
+/// Weighted share of recent jobs of which something is true. Older jobs count exponentially less.
 class RecentShare {
 public:
   void add(bool IsHit, double Weight, core::TimePoint Now);
@@ -24,7 +24,8 @@
   core::TimePoint At_;
 };
 
-/// Work that arrives per unit of time, as far as it lasts: a short burst counts for nothing.
+/// Work that arrives per millisecond, as far as it lasts: the lower rate of the last two windows,
+/// so that a short burst does not count.
 class LastingRate {
 public:
   void add(double Work, core::TimePoint Now);
@@ -52,8 +53,8 @@
 }
 
 /// Which kinds and sizes of jobs were placed in time recently. Answers overload of several kinds:
-/// short jobs always have the earlier latest start, and wide ones the most to place, so that long
-/// and wide jobs would pay for all others.
+/// short jobs always have the earlier latest start, and wide ones the most to place, so that only
+/// long and wide jobs would be refused.
 ///
 /// Two floors keep priorities and sizes from starving anyone: a kind is to be in time at least two
 /// thirds as often as the work of all kinds, and the tenth of a kind's jobs with the most work nine
--- a/Kernel/Pool/OverloadWatch.cpp
+++ b/Kernel/Pool/OverloadWatch.cpp
@@ -3,7 +3,9 @@
 namespace cornellift::kernel {
 namespace {
 
+/// Overload begins when jobs have been late for so long, without a pause of EndsAfter.
 constexpr core::Duration BeginsAfter = std::chrono::milliseconds(200);
+/// Overload ends when no job has been late for so long.
 constexpr core::Duration EndsAfter = std::chrono::seconds(1);
 
 } // namespace
--- a/Kernel/Pool/OverloadWatch.h
+++ b/Kernel/Pool/OverloadWatch.h
@@ -8,7 +8,8 @@
 /// are refused for want of room or because of a fault.
 class OverloadWatch {
 public:
-  /// Records a review of the waiting jobs; returns whether overload has begun or ended with it.
+  /// Records whether a review of the waiting jobs found late ones. Returns whether overload has
+  /// begun or ended with it.
   bool observe(bool HasLate, core::TimePoint Now);
   bool isOverloaded() const { return IsOverloaded_; }
 
--- a/Kernel/Pool/PlacementRate.h
+++ b/Kernel/Pool/PlacementRate.h
@@ -8,13 +8,14 @@
 
 /// Measures the rate at which waiting work is placed, here or at other managers. Under overload the
 /// capacity that other managers leave to this one's jobs is unknown, and this rate is the only
-/// measure of it. Work and capacity are in the work of typical workers.
+/// measure of it. Work is in milliseconds of a typical worker; rates and capacities are work per
+/// millisecond.
 class PlacementRate {
 public:
   void placed(double Work) { Placed_ += Work; }
 
   /// Updates the rate; to be called often. HasWaiting is true if work is waiting now, Capacity is
-  /// what the workers held now can do per unit of time.
+  /// what the workers held now can do.
   void observe(bool HasWaiting, double Capacity, core::TimePoint Now);
 
   /// The rate with that capacity: workers that came after the rate was measured add theirs. Zero if
--- a/Kernel/Pool/PoolManagerDataWait.cpp
+++ b/Kernel/Pool/PoolManagerDataWait.cpp
@@ -11,15 +11,17 @@
 constexpr core::Duration PlanInterval = std::chrono::milliseconds(20);
 /// Time from a stop command until the worker's report of the run's end.
 constexpr core::Duration StopTime = std::chrono::milliseconds(40);
-/// Earlier percentages say little about the run's end.
+/// Progress in percent from which on the run's end is extrapolated.
 constexpr double MinimumPercent = 10;
-/// Reported progress is rounded, and some milliseconds old.
+/// Assumed error of reported progress in percentage points: it is rounded, and some milliseconds
+/// old.
 constexpr double PercentError = 1.5;
 /// A run that is overdue goes on for about this share of its time so far.
 constexpr double OverdueShare = 0.25;
 
+/// Lower bound on the processors that a task is assumed to need, as it may state none.
 constexpr double SmallestNeed = 0.1;
-/// A larger fleet makes hardly any task wait before it is full.
+/// Upper bound on the places of the fleet: in a larger one hardly any task waits before it is full.
 constexpr double MostPlaces = 200;
 
 } // namespace
--- a/Kernel/Pool/PoolManagerQueue.cpp
+++ b/Kernel/Pool/PoolManagerQueue.cpp
@@ -8,7 +8,8 @@
 
 /// Lower bound on the assumed speed, for workers whose speed is unknown.
 constexpr double MinimumSpeed = 0.1;
-/// Until when callers of an evacuated data centre may come back; its end is not known.
+/// Retry-After for jobs that only evacuated workers could run; the end of an evacuation is not
+/// known.
 constexpr double EvacuatedRetryMilliseconds = 5000;
 /// How long after a start managers may not know the workers of all others.
 constexpr core::Duration DirectoryExchangeTime = std::chrono::seconds(1);
--- a/Kernel/Pool/PoolManagerStragglers.cpp
+++ b/Kernel/Pool/PoolManagerStragglers.cpp
@@ -11,6 +11,7 @@
 constexpr double MoveMilliseconds = 70;
 /// Minimum elapsed time for extrapolating a run's progress; earlier percentages mean little.
 constexpr double MinimumObservedMilliseconds = 80;
+/// Upper bound on how often a task is moved.
 constexpr std::uint32_t MaximumMoves = 2;
 /// A fresh run has to be expected to end this much sooner than needed, as estimates are rough.
 constexpr double FreshRunMargin = 1.15;
--- a/Kernel/Pool/RackDemand.cpp
+++ b/Kernel/Pool/RackDemand.cpp
@@ -7,7 +7,8 @@
 namespace cornellift::kernel {
 namespace {
 
-/// A run that starts on a rack is in the way of the tasks that want it for about this long.
+/// Time after which a demand no longer counts, and over which the load is averaged: a run that
+/// starts on a rack keeps its place from other tasks for about this long.
 constexpr core::Duration DemandMemory = std::chrono::seconds(1);
 
 } // namespace
--- a/Kernel/Pool/RackDemand.h
+++ b/Kernel/Pool/RackDemand.h
@@ -14,12 +14,14 @@
 /// Answers loads in which tasks without data fill the rack that holds the data of many others.
 class RackDemand {
 public:
-  /// Records that new tasks want the rack's workers for so long, on typical workers.
+  /// Records new tasks that want the rack; TypicalMilliseconds is the sum of their run times there,
+  /// on typical workers. Zero renews an earlier demand.
   void want(const std::string &Rack, double TypicalMilliseconds, core::TimePoint Now);
 
   /// Mean number of tasks that would run there at the same time, if all that wanted it did.
   double load(const std::string &Rack, core::TimePoint Now) const;
 
+  /// Returns whether one of the worker's labels is a rack that is wanted.
   bool isWanted(const WorkerEntry &Entry, core::TimePoint Now) const;
 
   bool empty() const { return Demands_.empty(); }
--- a/Kernel/Pool/ReturnTimes.cpp
+++ b/Kernel/Pool/ReturnTimes.cpp
@@ -5,9 +5,10 @@
 namespace cornellift::kernel {
 namespace {
 
+/// Bounds on the times that callers are told.
 constexpr double MinimumMilliseconds = 200;
 constexpr double MaximumMilliseconds = 5000;
-/// Of the room, as new callers come meanwhile.
+/// Share of the rate that is left to returning callers, as new ones come meanwhile.
 constexpr double ShareForReturning = 0.5;
 
 } // namespace
--- a/Kernel/Pool/ReturnTimes.h
+++ b/Kernel/Pool/ReturnTimes.h
@@ -9,8 +9,9 @@
 /// which room becomes free.
 class ReturnTimes {
 public:
-  /// Returns the time for a caller that needs so much work, in milliseconds from now. Earliest is
-  /// when the work that waits now has been placed.
+  /// Returns the time for a caller whose job needs so much work, in milliseconds from now.
+  /// EarliestMilliseconds is when the work that waits now has been placed, Rate the work that is
+  /// placed per millisecond; zero if it is not known.
   double next(double EarliestMilliseconds, double Work, double Rate, core::TimePoint Now);
 
 private:
--- a/Kernel/Pool/RoomForecast.h
+++ b/Kernel/Pool/RoomForecast.h
@@ -15,14 +15,14 @@
   double shareOf(const Resources &Need) const;
 };
 
-/// The rate at which room for waiting work becomes free, in the work of typical workers per unit of
-/// time. Answers hand-overs and the loss of a manager: workers that are about to be held have room
-/// that no rate of the past contains.
+/// The rate at which room for waiting work becomes free, in milliseconds of a typical worker per
+/// millisecond. Answers hand-overs and the loss of a manager: workers that are about to be held
+/// have room that no rate of the past contains.
 struct RoomForecast {
   double Rate = 0;            ///< Now.
   double Coming = 0;          ///< Of workers that are about to be held, in addition.
   core::Duration ComingIn{0}; ///< When these are held, in the mean.
-  double Inflow = 0;          ///< Work that arrives per unit of time.
+  double Inflow = 0;          ///< Work that arrives per millisecond.
 
   bool isKnown() const { return Rate > 0 || Coming > 0; }
   /// Time until so much work has been placed, in milliseconds; the room must be known.
--- a/Kernel/Pool/WorkerRatings.h
+++ b/Kernel/Pool/WorkerRatings.h
@@ -31,7 +31,7 @@
   void recordSuccess(EndpointIndex Worker, KindIndex Kind, double Ratio, double Deviation,
                      core::TimePoint Now);
 
-  /// The same for a run whose time does not show the worker's speed.
+  /// The same for a run whose time does not show the worker's speed, as on a cold worker.
   void recordSuccess(EndpointIndex Worker, KindIndex Kind);
 
   /// Records a task that failed or made no progress.
--- a/Libraries/LibReactor/HttpServer.cpp
+++ b/Libraries/LibReactor/HttpServer.cpp
@@ -16,10 +16,11 @@
 constexpr core::Duration AcceptRetryDelay = std::chrono::milliseconds(20);
 /// Size of the parts in which requests are read.
 constexpr std::size_t ReadBufferBytes = 32768;
-/// Part of the memory that only sessions which hold at most SmallBytes may use.
+/// One part in SmallPart of the memory is kept for sessions that hold at most SmallBytes.
 constexpr std::size_t SmallPart = 8;
 constexpr std::size_t SmallBytes = 16384;
-/// Sessions are shed until this part of the limit is free, as each search looks at all of them.
+/// Sessions are shed until one part in ShedPart of the limit is free, as each search looks at all
+/// of them.
 constexpr std::size_t ShedPart = 64;
 /// Time without a met limit after which the next one is logged again.
 constexpr core::Duration LogPause = std::chrono::seconds(10);
--- a/Libraries/LibReactor/HttpSession.cpp
+++ b/Libraries/LibReactor/HttpSession.cpp
@@ -24,9 +24,10 @@
 constexpr core::Duration AnswerTakingTime = std::chrono::seconds(1);
 /// Counted for each connection: the session, its timer and its descriptor.
 constexpr std::size_t ConnectionBytes = 4096;
-/// Capacity that a session keeps for the next bytes of its client.
+/// Capacity of the buffer for replies that a session keeps from one reply to the next.
 constexpr std::size_t KeptCapacity = 1024;
-constexpr unsigned FirstErrorStatus = 300;
+/// Replies below this status show that the client's request was served.
+constexpr unsigned FirstStatusNotServed = 300;
 
 /// Tells the client of a connection that is closed to make room: its request has not run.
 constexpr std::string_view ShedReply = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
@@ -298,7 +299,7 @@
   Phase_ = Phase::Writing;
   --Server_->OpenRequests_;
   CloseAfterReply_ = CloseAfterReply_ || Server_->IsDraining_;
-  IsProven_ = IsProven_ || Reply.Status < FirstErrorStatus;
+  IsProven_ = IsProven_ || Reply.Status < FirstStatusNotServed;
   renderReply(Reply, CloseAfterReply_, Outgoing_);
   WaitingSince_ = core::MonotonicClock::now();
   holdMemory(Unparsed_.capacity() + Outgoing_.capacity());
--- a/Libraries/LibReactor/RequestParser.cpp
+++ b/Libraries/LibReactor/RequestParser.cpp
@@ -12,6 +12,7 @@
 
 /// Bodies up to this size are kept without asking whether their target takes one.
 constexpr std::uint64_t ShortBodyBytes = 4096;
+/// Memory reserved for the header of a request.
 constexpr std::size_t UsualHeaderBytes = 256;
 constexpr std::size_t UsualFields = 8;
 /// Bytes of a header line besides its name and value: the colon and the line's end.
--- a/Services/PoolDaemon/DaemonSettings.cpp
+++ b/Services/PoolDaemon/DaemonSettings.cpp
@@ -56,12 +56,14 @@
 };
 
 constexpr double BytesPerMegabyte = 1024 * 1024;
-/// The rest is left to the process itself: its workers, peers and configuration.
+/// Share of the process's memory for callers. The rest is left to the process itself: its workers,
+/// peers and configuration.
 constexpr double CallerMemoryShare = 0.5;
-/// Jobs that callers have handed in at other processes.
+/// Share of the process's memory for jobs that it manages, whichever process has accepted them.
 constexpr double ManagerMemoryShare = 0.25;
-/// The rest is left to connections to workers, peers and the store, and to files.
-constexpr std::int64_t CallerDescriptorShare = 3;
+/// One descriptor in so many is for a caller. The rest is left to connections to workers, peers and
+/// the store, and to files.
+constexpr std::int64_t DescriptorsPerCaller = 3;
 
 std::size_t callerMemory(const core::Settings &Parsed) {
   auto Stated = Parsed.real("caller-memory-megabytes");
@@ -77,7 +79,7 @@
 std::size_t callerConnections(const core::Settings &Parsed) {
   auto Stated = Parsed.integer("caller-connections");
   return static_cast<std::size_t>(
-      Stated > 0 ? Stated : Parsed.integer("maximum-descriptors") / CallerDescriptorShare);
+      Stated > 0 ? Stated : Parsed.integer("maximum-descriptors") / DescriptorsPerCaller);
 }
 
 bool readAddress(const core::Settings &Parsed, std::string_view Name,
--- a/Services/PoolDaemon/DaemonSettings.h
+++ b/Services/PoolDaemon/DaemonSettings.h
@@ -25,10 +25,10 @@
   std::string Platform;                   ///< Name of the platform's formats.
   std::uint32_t Weight = 1;               ///< Processing power in thousandths of a core.
   core::Duration StopTimeout{0};          ///< From the stop request until the process is killed.
-  double RemoteFactor = 1;
-  std::size_t CallerMemoryBytes = 0; ///< Most that callers make the process hold.
-  std::size_t CallerConnections = 0;
-  bool HasDataWaits = true;
+  double RemoteFactor = 1;            ///< Ratio of run times away from the data to those near it.
+  bool HasDataWaits = true;           ///< Tasks may wait for room near their data.
+  std::size_t CallerMemoryBytes = 0;  ///< Most that callers make the process hold.
+  std::size_t CallerConnections = 0;  ///< Most that callers have open at once.
   std::size_t ManagerMemoryBytes = 0; ///< Most that the jobs take which this process manages.
   std::string LogLevel;
   std::uint32_t LogLinesPerSecond = 0; ///< Rate limit of lines about served requests.
--- a/Services/PoolDaemon/PoolDaemon.cpp
+++ b/Services/PoolDaemon/PoolDaemon.cpp
@@ -25,9 +25,10 @@
 /// Interval between checks of the settings file's modification time.
 constexpr core::Duration FileCheckInterval = std::chrono::milliseconds(1000);
 
-/// For the load balancer, and for those who read metrics.
-constexpr std::size_t WatcherConnections = 96;
-constexpr std::size_t WatcherMemoryBytes = 4U << 20;
+/// Limits of the readiness and of the metrics address, for the load balancer and for those who read
+/// metrics.
+constexpr std::size_t MonitoringConnections = 96;
+constexpr std::size_t MonitoringMemoryBytes = 4U << 20;
 
 std::uint64_t randomIncarnation() {
   std::random_device Source;
@@ -153,8 +154,8 @@
   CallerServer_->setBodyFilter(
       [this](const reactor::ReceivedRequest &Request) { return Ingress_.takesBody(Request); });
   // Limits of their own, so that no crowd at one address shuts out the clients of another.
-  Limits.Connections = WatcherConnections;
-  Limits.MemoryBytes = WatcherMemoryBytes;
+  Limits.Connections = MonitoringConnections;
+  Limits.MemoryBytes = MonitoringMemoryBytes;
   for (const auto &Server : {ReadinessServer_, MetricsServer_}) {
     Server->setLimits(Limits);
     Server->setBodyFilter([](const reactor::ReceivedRequest &) { return false; });
--- a/Tests/Pool/PoolSimulationVm.h
+++ b/Tests/Pool/PoolSimulationVm.h
@@ -193,9 +193,10 @@
 
   /// Reads the operators' keys, at the interval of their watch.
   void readStore() {
+    constexpr core::Duration WatchInterval = std::chrono::milliseconds(600);
     if (Simulation_.Now_ < NextReadAt_ || Simulation_.Now_ < Simulation_.StoreCutUntil_[Index_])
       return;
-    NextReadAt_ = Simulation_.Now_ + std::chrono::milliseconds(600);
+    NextReadAt_ = Simulation_.Now_ + WatchInterval;
     learnEvacuations({Simulation_.Revision_, Simulation_.Evacuated_});
   }
 
--- a/Tests/Soak/SoakFaults.cpp
+++ b/Tests/Soak/SoakFaults.cpp
@@ -26,10 +26,12 @@
 /// an unknown service.
 constexpr std::array<std::string_view, 3> OddEntryServices = {"pr\xff\xfent", "\\udc00", "none"};
 
-/// How long an evacuation lasts, and from when on nothing may start: five seconds, and the longest
-/// time for which a fault may keep a VM from the store and its peers.
 constexpr auto EvacuationTime = 14s;
-constexpr std::int64_t EvacuationMicroseconds = 5'000'000 + 4'000'000;
+/// Time after the request from which on nothing may start: five seconds, and the longest time for
+/// which a fault may keep a VM from the store and its peers.
+constexpr std::int64_t EvacuationBoundMicroseconds = 5'000'000 + 4'000'000;
+/// One in so many changes of the configuration comes with an evacuation.
+constexpr std::uint64_t ChangesPerEvacuation = 3;
 
 std::int64_t monotonicMicroseconds() {
   return std::chrono::duration_cast<std::chrono::microseconds>(
@@ -232,7 +234,7 @@
 }
 
 void SoakFaults::evacuate() {
-  // Decided without a random number, as below. One at a time, so that some workers remain.
+  // One at a time, so that some workers remain.
   if (!Evacuations_.empty() && Evacuations_.back().ToMicroseconds == 0)
     return;
   auto &Begun = Evacuations_.emplace_back();
@@ -253,16 +255,16 @@
   for (const auto &Run : Deployment_.runs())
     for (const auto &Each : Evacuations_)
       if (Deployment_.dataCentreOf(Run.Worker) == Each.DataCentre &&
-          Run.FromMicroseconds > Each.FromMicroseconds + EvacuationMicroseconds &&
+          Run.FromMicroseconds > Each.FromMicroseconds + EvacuationBoundMicroseconds &&
           Run.FromMicroseconds < Each.ToMicroseconds)
         Found.push_back(Run.Job + " on " + Run.Worker + " in evacuated " + Each.DataCentre);
   return Found;
 }
 
 void SoakFaults::changeConfiguration() {
-  if (Version_ % 3 == 1)
+  // Decided without random numbers, so that earlier seeds inject the faults that they did.
+  if (Version_ % ChangesPerEvacuation == 1)
     evacuate();
-  // Decided without a random number, so that earlier seeds inject the faults that they did.
   bool IsLargeSeries = ++Version_ % 2 == 0;
   record((IsLargeSeries ? "large configurations from " : "configuration ") +
          std::to_string(Version_));
