Tests: Names and comments say which failure a test guards against

Some cases had no such comment, two had a name of the load only, and others told that they failed before, without saying against what. Figures of the former order of the queue are kept, with the rule that they belong to. The deployment of TestClientCrowds is named LimitedEntryVm, and its bound on descriptors is the sum of named ones. No check or bound is changed.

--- a/Tests/Integration/TestClientCrowds.cpp
+++ b/Tests/Integration/TestClientCrowds.cpp
@@ -1,7 +1,8 @@
-// Clients that keep to no limit of their own. Each case is one kind of client; where the path
-// matters, it is played at a path of a route, at one without a route and at the readiness address.
-// Checked is what does not depend on the machine's speed: the process lives, its memory and
-// descriptors stay under the bounds below, and ordinary requests are served.
+// Many clients at a time that send as much, or as slowly, as they like. Each case is one kind of
+// client; where the path matters, it is played at a path of a route, at one without a route and at
+// the readiness address. Each guards against a process that ends, exceeds its memory or
+// descriptors, is not ready or serves no ordinary request while these clients are connected or
+// afterwards, and its comment says by what. Nothing that is checked depends on the machine's speed.
 #include "Tests/Integration/ClientCrowd.h"
 #include "Tests/Integration/Eventually.h"
 #include "Tests/Integration/PoolDeployment.h"
@@ -26,14 +27,18 @@
 
 namespace {
 
-constexpr double BudgetMegabytes = 40;
+constexpr double CallerMemoryMegabytes = 40; ///< As the process's settings state it.
+/// Bound on the resident memory of the whole process.
 constexpr double PeakMegabytes = 60;
 constexpr std::size_t CallerConnections = 1024;
-/// Callers' connections, those of the other two ports, and room for workers, peers and the store.
-constexpr std::size_t DescriptorBound = CallerConnections + 276;
+constexpr std::size_t MonitoringConnections = 96; ///< At the readiness and at the metrics port.
+/// Descriptors of the process for workers, peers, the store and files.
+constexpr std::size_t OwnDescriptors = 84;
+constexpr std::size_t DescriptorBound =
+    CallerConnections + 2 * MonitoringConnections + OwnDescriptors;
 
 constexpr std::size_t BodyBytes = 262000; ///< Of the 262,144 that the configuration allows.
-constexpr std::size_t MissingBytes = 10;
+constexpr std::size_t MissingBytes = 10;  ///< At the end of an unfinished body.
 constexpr int BodyCrowd = 400;
 constexpr int SmallChunkCrowd = 300;
 constexpr int SilentCrowd = 1200;
@@ -94,13 +99,13 @@
          "]}";
 }
 
-/// One entry process with limits that a small crowd meets.
-struct Door {
-  explicit Door(const std::string &Name, int TimeoutMilliseconds = 3000)
+/// One entry VM whose limits a small crowd uses up.
+struct LimitedEntryVm {
+  explicit LimitedEntryVm(const std::string &Name, int TimeoutMilliseconds = 3000)
       : Deployment(Name, {{"ikeja"}, 1, 2, "1", 6, TimeoutMilliseconds, 5 * TimeoutMilliseconds}) {
     auto &Vm = Deployment.vms().front();
     Vm.Process->kill();
-    std::ofstream(Vm.SettingsFile) << "caller-memory-megabytes=" << BudgetMegabytes
+    std::ofstream(Vm.SettingsFile) << "caller-memory-megabytes=" << CallerMemoryMegabytes
                                    << "\ncaller-connections=" << CallerConnections << "\n";
     Deployment.startVm(Vm);
     BOOST_REQUIRE(Deployment.waitUntilReady());
@@ -122,6 +127,7 @@
     BOOST_TEST(eventually(IsServed, 20s), "no job is served " << When);
   }
 
+  /// Lets a crowd send its texts, at most PieceBytes at a time, and checks the process.
   void play(std::uint16_t Port, std::vector<std::string> Texts, std::size_t PieceBytes = 65536) {
     {
       ClientCrowd Crowd(Port, std::move(Texts));
@@ -152,7 +158,7 @@
 
 // Guards against memory that is reserved for bodies that never arrive whole.
 BOOST_DATA_TEST_CASE(BodiesThatStopShortOfTheirEnd, AllPaths, At) {
-  Door World("CrowdBodies");
+  LimitedEntryVm World("CrowdBodies");
   World.play(World.port(At), textsOf(BodyCrowd, [&] {
                return headOf(At, statedLength(BodyBytes)) +
                       std::string(BodyBytes - MissingBytes, 'x');
@@ -161,7 +167,7 @@
 
 // The same in small pieces, so that all connections hold a part of their body at the same time.
 BOOST_DATA_TEST_CASE(BodiesInSmallPieces, AllPaths, At) {
-  Door World("CrowdPieces");
+  LimitedEntryVm World("CrowdPieces");
   World.play(World.port(At),
              textsOf(BodyCrowd,
                      [&] {
@@ -173,7 +179,7 @@
 
 // Guards against bodies without a stated length, whose memory grows beyond what has arrived.
 BOOST_DATA_TEST_CASE(ChunksThatStopShortOfTheirEnd, AllPaths, At) {
-  Door World("CrowdChunks");
+  LimitedEntryVm World("CrowdChunks");
   World.play(World.port(At), textsOf(BodyCrowd, [&] {
                return headOf(At, "Transfer-Encoding: chunked\r\n") + "3fff0\r\n" +
                       std::string(0x3fff0 - MissingBytes, 'x');
@@ -182,7 +188,7 @@
 
 // Guards against memory that is held for each chunk, however short.
 BOOST_DATA_TEST_CASE(VeryManyShortChunks, AllPaths, At) {
-  Door World("CrowdShortChunks");
+  LimitedEntryVm World("CrowdShortChunks");
   World.play(World.port(At), textsOf(SmallChunkCrowd, [&] {
                return headOf(At, "Transfer-Encoding: chunked\r\n") + repeated("1\r\nx\r\n", 20000);
              }));
@@ -190,7 +196,7 @@
 
 // Guards against a chunk's head that is kept although it never ends.
 BOOST_DATA_TEST_CASE(ChunkHeadsWithoutEnd, AllPaths, At) {
-  Door World("CrowdChunkHeads");
+  LimitedEntryVm World("CrowdChunkHeads");
   World.play(World.port(At), textsOf(BodyCrowd, [&] {
                return headOf(At, "Transfer-Encoding: chunked\r\n") + "1;" +
                       std::string(BodyBytes, 'x');
@@ -199,7 +205,7 @@
 
 // Guards against bodies that are read although they are far over the limit.
 BOOST_DATA_TEST_CASE(BodiesFarOverTheLimit, AllPaths, At) {
-  Door World("CrowdOversized");
+  LimitedEntryVm World("CrowdOversized");
   World.play(World.port(At), textsOf(OversizedCrowd, [&] {
                return headOf(At, statedLength(15000000)) + std::string(1000000, 'x');
              }));
@@ -207,7 +213,7 @@
 
 // Guards against headers of legal size that cost many times their size.
 BOOST_DATA_TEST_CASE(HeadersOfVeryManyShortFields, AllPaths, At) {
-  Door World("CrowdFields");
+  LimitedEntryVm World("CrowdFields");
   World.play(World.port(At), textsOf(BodyCrowd, [&] {
                return headOf(At, repeated("a:\r\n", 3900) + statedLength(20)) + "0123456789";
              }));
@@ -215,7 +221,7 @@
 
 // Guards against requests sent ahead, and answers to them, that are held for clients who read none.
 BOOST_DATA_TEST_CASE(RequestsAheadWithoutReading, AllPaths, At) {
-  Door World("CrowdAhead");
+  LimitedEntryVm World("CrowdAhead");
   World.play(World.port(At), textsOf(AheadCrowd, [&] {
                return repeated("GET " + targetOf(At) + " HTTP/1.1\r\nHost: " + PoolHost +
                                    "\r\n\r\n",
@@ -225,7 +231,7 @@
 
 // The same for the longest answers that the process gives.
 BOOST_AUTO_TEST_CASE(MetricsThatNobodyReads) {
-  Door World("CrowdMetrics");
+  LimitedEntryVm World("CrowdMetrics");
   World.play(World.vm().MetricsPort, textsOf(AheadCrowd, [] {
                return repeated("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n", RequestsAhead);
              }));
@@ -233,13 +239,13 @@
 
 // Guards against connections that shut all other clients out while they send nothing.
 BOOST_DATA_TEST_CASE(SilentConnections, data::make({Path::OfRoute, Path::Readiness}), At) {
-  Door World("CrowdSilent", StayingTimeoutMilliseconds);
+  LimitedEntryVm World("CrowdSilent", StayingTimeoutMilliseconds);
   World.playStaying(World.port(At), std::vector<std::string>(SilentCrowd));
 }
 
 // The same when they stop in the middle of their header.
 BOOST_DATA_TEST_CASE(HeadersThatStopHalfWay, AllPaths, At) {
-  Door World("CrowdHeaders", StayingTimeoutMilliseconds);
+  LimitedEntryVm World("CrowdHeaders", StayingTimeoutMilliseconds);
   World.playStaying(World.port(At), textsOf(SilentCrowd, [&] {
                       return "POST " + targetOf(At) + " HTTP/1.1\r\nHost: slips";
                     }));
@@ -247,14 +253,14 @@
 
 // The same when each sends a byte at a time, and never as much as a request.
 BOOST_DATA_TEST_CASE(HeadersByteByByte, AllPaths, At) {
-  Door World("CrowdSlow", StayingTimeoutMilliseconds);
+  LimitedEntryVm World("CrowdSlow", StayingTimeoutMilliseconds);
   World.playStaying(World.port(At),
                     textsOf(SilentCrowd, [&] { return headOf(At, "").substr(0, 60); }));
 }
 
 // Guards against jobs of legal size whose fields cost many times their size.
 BOOST_AUTO_TEST_CASE(JobsOfVeryManyShortFields) {
-  Door World("CrowdFlatFields");
+  LimitedEntryVm World("CrowdFlatFields");
   World.play(World.vm().CallerPort, textsOf(BodyCrowd, [] {
                return jobRequest(jobWith(repeated(R"("":0,)", 52000), R"({"cpu":8000})"));
              }));
@@ -262,7 +268,7 @@
 
 // The same with fields that are nested very deeply.
 BOOST_AUTO_TEST_CASE(JobsOfVeryDeeplyNestedFields) {
-  Door World("CrowdNestedFields");
+  LimitedEntryVm World("CrowdNestedFields");
   World.play(World.vm().CallerPort, textsOf(BodyCrowd, [] {
                return jobRequest(
                    jobWith(R"("a":)" + std::string(130000, '[') + std::string(130000, ']') + ",",
@@ -272,7 +278,7 @@
 
 // Guards against steps whose memory is taken before their number is checked.
 BOOST_AUTO_TEST_CASE(JobsOfTooManySteps) {
-  Door World("CrowdTooManySteps");
+  LimitedEntryVm World("CrowdTooManySteps");
   World.play(World.vm().CallerPort, textsOf(JobCrowd, [] {
                return jobRequest(jobWith("", repeated("{},", 87000) + "{}"));
              }));
@@ -280,7 +286,7 @@
 
 // Guards against legal jobs that take many times the memory of their body while they wait.
 BOOST_AUTO_TEST_CASE(JobsOfVeryManySteps) {
-  Door World("CrowdSteps");
+  LimitedEntryVm World("CrowdSteps");
   World.play(World.vm().CallerPort, textsOf(JobCrowd, [] {
                return jobRequest(
                    jobWith("", repeated(R"({"cpu":8000},)", 9999) + R"({"cpu":8000})"));
@@ -289,16 +295,16 @@
 
 // Guards against a process that hangs because each step is compared with each field.
 BOOST_AUTO_TEST_CASE(JobsOfManyStepsAndManyFields) {
-  Door World("CrowdStepsAndFields");
+  LimitedEntryVm World("CrowdStepsAndFields");
   World.play(World.vm().CallerPort, textsOf(JobCrowd, [] {
                return jobRequest(jobWith(repeated(R"("":0,)", 24000),
                                          repeated(R"({"cpu":8000},)", 9999) + R"({"cpu":8000})"));
              }));
 }
 
-// Guards against limits that meet a single request inside the pages' limits, at any path.
+// Guards against limits that refuse a single request within the configured limits, at any path.
 BOOST_AUTO_TEST_CASE(ARequestInsideTheLimitsIsServed) {
-  Door World("CrowdOfOne");
+  LimitedEntryVm World("CrowdOfOne");
   auto Post = [&](Path At, const std::string &Body) {
     httplib::Client Client("127.0.0.1", World.port(At));
     Client.set_read_timeout(10s);
--- a/Tests/Pool/TestDataWait.cpp
+++ b/Tests/Pool/TestDataWait.cpp
@@ -66,6 +66,8 @@
   BOOST_TEST((Plan.Deadline == Now + 100ms)); // What the place saves.
 }
 
+// Guards against waits for room that comes too late, whose time is hardly known, or that does not
+// exist.
 BOOST_AUTO_TEST_CASE(NoTaskWaitsWithoutAGainAboveTheError) {
   auto Slow = busyRack(95ms, 120ms);
   BOOST_TEST(ExpectedGainPolicy().plan(request(1), Slow, Now).Tasks == 0);
--- a/Tests/Pool/TestPoolHandOver.cpp
+++ b/Tests/Pool/TestPoolHandOver.cpp
@@ -70,6 +70,7 @@
   BOOST_TEST(Simulation.completed() == Sent);
 }
 
+// Guards against a released worker whose claim waits for the release of the others.
 BOOST_AUTO_TEST_CASE(AReleasedWorkerIsClaimedBeforeTheOthers) {
   ClaimSchedule Claims;
   Claims.begin("ikeja", Never);
--- a/Tests/Pool/TestPoolManager.cpp
+++ b/Tests/Pool/TestPoolManager.cpp
@@ -400,7 +400,7 @@
 }
 
 // Replays a hand-over: one worker is held, and nine are about to be released by the former manager.
-// Guards against refusing jobs that these will serve. Fails before: only workers held counted.
+// Guards against refusing jobs that these will serve, because only workers that are held count.
 BOOST_AUTO_TEST_CASE(JobsWaitForWorkersThatAreAboutToBeReleased) {
   ManagerFixture Fixture;
   std::vector<std::string> Ids = {"w-0"};
--- a/Tests/Pool/TestPoolOrder.cpp
+++ b/Tests/Pool/TestPoolOrder.cpp
@@ -42,9 +42,9 @@
 
 } // namespace
 
-// Guards against long jobs that pay for short ones, and the widest tenth for all others. Fails
-// before: at twice the room a tenth of the long jobs was in time and three quarters of the others,
-// and of the widest tenth half as many as of its kind.
+// Guards against overload that only long jobs and the widest tenth of a kind are refused for. By
+// the latest start alone, at twice the room a tenth of the long jobs is in time and three quarters
+// of the others, and of the widest tenth half as many as of its kind.
 BOOST_AUTO_TEST_CASE(KindsOfEqualPriorityAreServedAlike) {
   for (double Load : {1.3, 2.0}) {
     auto Result = play({0, 0, 0}, Load, 20s);
@@ -57,7 +57,7 @@
   }
 }
 
-// Guards against priorities that order nothing, and against starving the lowest one. Fails before.
+// Guards against priorities that order nothing, and against starving the lowest one.
 BOOST_AUTO_TEST_CASE(PrioritiesOrderKindsUnderOverload) {
   for (double Load : {1.3, 2.0}) {
     auto Result = play({0, 2, 1}, Load, 20s);
@@ -69,8 +69,8 @@
   }
 }
 
-// Guards against a burst that nobody is served in, and against its effects afterwards.
-BOOST_AUTO_TEST_CASE(ABurstOfFiveTimesTheRoom) {
+// Guards against a burst in which no kind is served in time, and against its effects afterwards.
+BOOST_AUTO_TEST_CASE(EachKindIsServedInABurstAndAllWorkAfterIt) {
   test::PoolSimulation Simulation(settings(12));
   Simulation.run(2s);
   auto Kinds = threeKinds({0, 0, 0});
@@ -85,8 +85,8 @@
 }
 
 // Workers of 0.7 and 1.5 times the typical speed at 0.9 of their room. Guards against tasks with
-// much time that fill the fast workers, while others that only these serve in time wait. Fails
-// before: 0.817 of the work was in time.
+// much time that fill the fast workers, while others that only these serve in time wait. By the
+// latest start alone, 0.817 of the work is in time.
 BOOST_AUTO_TEST_CASE(UnevenWorkersServeMostWorkInTime) {
   test::PoolSimulation Simulation(settings(12));
   Simulation.run(2s);
--- a/Tests/Pool/TestPoolQueue.cpp
+++ b/Tests/Pool/TestPoolQueue.cpp
@@ -70,8 +70,8 @@
   BOOST_TEST(Plan.Unattainable[0] == 1U);
 }
 
-// Replays three queues at 1.5 times the room. Guards against a queue of higher priority that waits
-// for the others; fails before: priority ordered nothing.
+// Replays three routes at 1.5 times the room. Guards against a route of higher priority that waits
+// for the others.
 BOOST_AUTO_TEST_CASE(JobsOfTheLowestPriorityGiveWayFirst) {
   auto First = Standing::ByPriority;
   auto Last = worseThan(worseThan(First));
@@ -88,7 +88,7 @@
 }
 
 // Replays a hand-over: the workers are about to be held. Guards against refusing jobs that these
-// will serve; fails before: only workers held already counted.
+// will serve, because only workers that are held already count.
 BOOST_AUTO_TEST_CASE(WorkersAboutToBeHeldCount) {
   std::vector<WaitingJob> Jobs = {job(1, -100ms), job(2, -100ms), job(3, -100ms)};
   auto OnlyHeld = planAdmission(Jobs, {0.2, 0, 0ms, 0}, Now);
@@ -113,8 +113,8 @@
   BOOST_TEST(planAdmission(Jobs, {2, 0, 0ms, 2}, Now).Unattainable.size() == 1U);
 }
 
-// Replays a burst of refusals. Guards against callers that all come back at the same moment; fails
-// before: each was told when the work of that moment ends.
+// Replays a burst of refusals. Guards against callers that all come back at the same moment,
+// because each is told when the work of that moment ends.
 BOOST_AUTO_TEST_CASE(RefusedCallersComeBackOneAfterTheOther) {
   ReturnTimes Times;
   double Former = 0;
@@ -147,7 +147,8 @@
   BOOST_TEST((Shares.standingOf(High, false) == Standing::ByPriority));
 }
 
-// Guards against a tenth of the jobs that isn't the widest.
+// Guards against other jobs than the tenth with the most work counting as wide, which would give
+// these the floor of the wide ones.
 BOOST_AUTO_TEST_CASE(TheWidestTenthIsFound) {
   KindShares Shares;
   int Wide = 0;
