Comments and local names in the queue, the HTTP server and a test of polls

IsOnlyEvacuated was true with other workers, too, and HasUnprovenTooMany also when there were no proven clients. The test of polls exchanges the fixture's list of polls to answer a single one; a comment says so.

--- a/Kernel/Pool/PoolManagerQueue.cpp
+++ b/Kernel/Pool/PoolManagerQueue.cpp
@@ -128,21 +128,21 @@
     PoolPlacementRequest Request;
     Request.Step = &Job.Submission->Steps[Step];
     Request.Policy = &Job.Submission->Policy;
-    bool IsOnlyEvacuated = false;
-    bool IsServedElsewhere = false;
+    bool HasEvacuatedWorker = false;
+    bool HasOtherWorker = false;
     auto Consider = [&](const WorkerEntry &Entry) {
       PlacementCandidate Idle{&Entry, {Entry.Capacity, Entry.Slots, 1}, 0};
-      if (IsServedElsewhere || !isEligible(Request, Idle))
+      if (HasOtherWorker || !isEligible(Request, Idle))
         return;
       bool IsEvacuated = EvacuatedDataCentres_.contains(Entry.DataCentre);
-      (IsEvacuated ? IsOnlyEvacuated : IsServedElsewhere) = true;
+      (IsEvacuated ? HasEvacuatedWorker : HasOtherWorker) = true;
     };
     for (const auto &Entry : Listed_)
       Consider(Entry);
     for (const auto &[Peer, Known] : Remotes_)
       for (const auto &Worker : Known.Pool.workers())
         Consider(Worker.Entry);
-    if (IsOnlyEvacuated && !IsServedElsewhere)
+    if (HasEvacuatedWorker && !HasOtherWorker)
       return true;
   }
   return false;
--- a/Libraries/LibReactor/HttpServer.cpp
+++ b/Libraries/LibReactor/HttpServer.cpp
@@ -110,8 +110,8 @@
       (Session->isProven() ? Proven : Unproven)
           .emplace_back(core::toMilliseconds(Now - Session->waitingSince()), Session);
   // Clients whose requests were served keep half of the connections against all others.
-  bool HasUnprovenTooMany = Unproven.size() > Limits_.Connections / 2 || Proven.empty();
-  if (!HasUnprovenTooMany)
+  bool AreProvenSpared = Unproven.size() > Limits_.Connections / 2 || Proven.empty();
+  if (!AreProvenSpared)
     Unproven.insert(Unproven.end(), Proven.begin(), Proven.end());
   auto Count = std::min(std::max<std::size_t>(1, Limits_.Connections / ShedPart), Unproven.size());
   selectWorst(Unproven, Count);
--- a/Tests/Pool/TestPoolManager.cpp
+++ b/Tests/Pool/TestPoolManager.cpp
@@ -429,7 +429,7 @@
 // answered, which kept the worker's lease from being extended, and against many more of them than
 // of a worker whose runs are in time. A lost one still has to be repeated soon.
 BOOST_AUTO_TEST_CASE(PollsOfAnOverdueRunAreAnsweredAndRepeatedWhenLost) {
-  constexpr auto Wait = 150ms;
+  constexpr auto Wait = 150ms; // How long each poll waits on the worker.
   constexpr auto Span = 3s;
   constexpr double RunMilliseconds = 4000;
   ManagerFixture Fixture;
@@ -438,6 +438,7 @@
   auto [Worker, Command] = Fixture.Out.Starts.at(0);
   Fixture.Manager.startReplied(Worker, Command, {CommandVerdict::Accepted, {}}, Fixture.Now);
   auto Begin = Fixture.Now;
+  // Polls without a reply, with the times at which they were sent.
   std::vector<std::pair<core::TimePoint, std::pair<EndpointIndex, PollCommand>>> Open;
   std::size_t Polls = 0;
   while (Fixture.Now < Begin + Span) {
@@ -446,6 +447,7 @@
     Fixture.pass(10ms);
     if (Open.empty() || Fixture.Now < Open.front().first + Wait)
       continue;
+    // answerPolls() answers all that the fixture holds: here the oldest poll alone.
     auto Later = std::exchange(Fixture.Out.Polls, {Open.front().second});
     Open.erase(Open.begin());
     ++Polls;
