Tests: A wait for data when its manager is killed, handed over or cut off

Three cases on the virtual clock, eight seeds each: the manager is killed, its data centre is handed over, or it is cut off from all other VMs for 0.3, 1.2 and 3 s. The task must be done once, and not later than its wait's deadline allows.

--- a/Tests/Pool/TestPoolDataLoads.cpp
+++ b/Tests/Pool/TestPoolDataLoads.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <iostream>
 #include <numeric>
 
@@ -102,8 +103,79 @@
   return {Mean, static_cast<double>(Late) / 1200};
 }
 
+constexpr core::Duration FaultyWait = 1500ms;
+constexpr core::Duration FaultyRun = 100ms;
+/// Until a caller has lost its VM and comes again, and until a wait that has ended is noticed.
+constexpr core::Duration ResendTime = 2s;
+constexpr core::Duration Slack = 300ms;
+
+/// A task waits for a rack that long runs fill. After a fifth of a second the fault begins. Returns
+/// the time until the answer.
+template <typename Fault> core::Duration playFaultInWait(std::uint64_t Seed, Fault Begin) {
+  FixedWait Policy(FaultyWait);
+  test::SimulationSettings Settings;
+  Settings.Seed = Seed;
+  Settings.DataCentres = 1;
+  Settings.VmsPerDataCentre = 3; // One alone does not take over.
+  Settings.WorkersPerRack = 2;
+  Settings.WorkerSpeed = 1;
+  Settings.DataWaits = &Policy;
+  Settings.CallerTimeout = 8s;
+  test::PoolSimulation Simulation(Settings);
+  Simulation.run(2s);
+  for (int Filler = 0; Filler < 4; ++Filler)
+    Simulation.submit({.RunMilliseconds = 6000, .DataRack = "r0"});
+  Simulation.run(100ms);
+  auto Key = Simulation.submit(
+      {.RunMilliseconds = core::toMilliseconds(FaultyRun), .Stretch = 60, .DataRack = "r0"});
+  Simulation.run(200ms);
+  Begin(Simulation);
+  Simulation.run(7s);
+  std::size_t Done = 0;
+  for (std::size_t Worker = 0; Worker < Simulation.workerCount(); ++Worker)
+    for (const auto &Run : Simulation.worker(Worker).history())
+      Done += Run.Task.Job == Key && Run.EndedAt && Run.How == kernel::RunEnd::Done ? 1 : 0;
+  auto Answer = Simulation.answerOf(Key);
+  BOOST_TEST_CONTEXT("seed " << Seed) {
+    BOOST_TEST(Done == 1U);
+    BOOST_REQUIRE(Answer);
+    BOOST_TEST((Answer->Verdict == kernel::JobVerdict::Completed));
+    BOOST_TEST(Simulation.violations().empty());
+  }
+  return Simulation.latencyOf(Key);
+}
+
 } // namespace
 
+// Guards against a task that is lost, runs twice or waits for ever because the manager at which it
+// waits for room near its data ends. The successor plans a wait of its own.
+BOOST_AUTO_TEST_CASE(TaskThatWaitsIsServedOnceIfItsManagerIsKilled) {
+  for (std::uint64_t Seed = 1; Seed <= 8; ++Seed)
+    BOOST_TEST((playFaultInWait(Seed, [](auto &Simulation) { Simulation.kill(0, 3s); }) <=
+                ResendTime + FaultyWait + 2 * FaultyRun + Slack));
+}
+
+// The same for a planned hand-over of the data centre. The former manager keeps the task and the
+// deadline of its wait.
+BOOST_AUTO_TEST_CASE(TaskThatWaitsIsServedOnceIfItsDataCentreIsHandedOver) {
+  for (std::uint64_t Seed = 1; Seed <= 8; ++Seed)
+    BOOST_TEST((playFaultInWait(Seed, [](auto &Simulation) { Simulation.stopGracefully(0, 3s); }) <=
+                FaultyWait + 2 * FaultyRun + Slack));
+}
+
+// The same for a cut between the manager and all other VMs: short, until they have taken its
+// workers over, and until it has lost them.
+BOOST_AUTO_TEST_CASE(TaskThatWaitsIsServedOnceIfItsManagerIsCutOff) {
+  for (std::uint64_t Seed = 1; Seed <= 8; ++Seed)
+    for (core::Duration Span : {300ms, 1200ms, 3000ms}) {
+      auto Cut = [Span](auto &Simulation) {
+        for (std::size_t Other = 1; Other < Simulation.vmCount(); ++Other)
+          Simulation.cutVms(0, Other, Span);
+      };
+      BOOST_TEST((playFaultInWait(Seed, Cut) <= ResendTime + FaultyWait + 2 * FaultyRun + Slack));
+    }
+}
+
 // Guards against starts away from the data while room near it is about to become free, and against
 // tasks without data that fill the rack. Long tasks without data are four tenths of the load.
 BOOST_AUTO_TEST_CASE(HotRackIsServedSoonerThanWithoutOrWithFixedWaits) {
