Pool: Expect the end of runs near the data by what they have shown

A task that waits for room near its data waited for runs of a long job as if they ended as declared: progress below 10 percent did not count, so that a run at 4 percent after 100 of declared 100 ms was expected to end at any moment.

The expected end now follows from the run's own progress from 80 ms on, as in the check for slow runs. Before that it follows from what the other runs of the step have shown, without those on workers that RunPrognosis holds to be slow.

TestDataWait, RunsOfALongJobAreNotExpectedToEndAsDeclared: the task waited before (no start), and starts away from its data now.

--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -242,7 +242,7 @@
                     double EndMilliseconds, core::TimePoint Now);
   /// The timetable of the step's rack, as of this dispatch.
   RackTimetable &timetableFor(const PoolJob &Job, std::uint32_t Step, core::TimePoint Now);
-  ExpectedRelease expectedRelease(const Run &Each, core::TimePoint Now) const;
+  ExpectedRelease expectedRelease(const Run &Each, EndpointIndex Worker, core::TimePoint Now) const;
   /// Records that some of the waiting tasks wait no longer, without a start near their data.
   void releaseFromWait(PoolJob &Job, std::uint32_t Step, std::uint32_t Tasks,
                        std::uint64_t PoolCounters::*Outcome, std::string_view Why,
@@ -267,6 +267,18 @@
   // PoolManagerStragglers.cpp: runs that are expected to end too late, and jobs that are long.
   void moveStragglers(core::TimePoint Now);
   void observeProgress(PoolJob &Job, core::TimePoint Now);
+  /// Run time of the task, extrapolated from the progress of one of its runs.
+  ObservedRun observe(const Run &Running, EndpointIndex Worker) const;
+  /// Run time on that worker of a task that takes the given time on a typical one.
+  double millisecondsOn(EndpointIndex Worker, double TypicalMilliseconds) const;
+  /// Expected time from the start of a run to its end on its worker.
+  struct ExpectedLength {
+    double Milliseconds = 0;
+    double ErrorMilliseconds = 0; ///< Standard error.
+  };
+  /// From the run's progress. Before that says anything, from what the other runs of its step have
+  /// shown (see RunPrognosis), else as expected at its start.
+  ExpectedLength expectedLength(const PoolJob &Job, const Run &Running, EndpointIndex Worker) const;
   /// The step's runs whose length is known, or can be extrapolated.
   std::vector<ObservedRun> observedRuns(const PoolJob &Job, std::uint32_t Step) const;
   /// Runs of other jobs on the worker, with the last ones that have ended.
--- a/Kernel/Pool/PoolManagerDataWait.cpp
+++ b/Kernel/Pool/PoolManagerDataWait.cpp
@@ -11,10 +11,6 @@
 constexpr core::Duration PlanInterval = std::chrono::milliseconds(20);
 /// Time from a stop command until the worker's report of the run's end.
 constexpr core::Duration StopTime = std::chrono::milliseconds(40);
-/// Earlier percentages say little about the run's end.
-constexpr double MinimumPercent = 10;
-/// Reported progress is rounded, and some milliseconds old.
-constexpr double PercentError = 1.5;
 /// A run that is overdue goes on for about this share of its time so far.
 constexpr double OverdueShare = 0.25;
 
@@ -24,26 +20,21 @@
 
 } // namespace
 
-ExpectedRelease PoolManager::expectedRelease(const Run &Each, core::TimePoint Now) const {
+ExpectedRelease PoolManager::expectedRelease(const Run &Each, EndpointIndex Worker,
+                                             core::TimePoint Now) const {
   if (Each.State == RunState::Stopping)
     return {Now + StopTime, 0, Each.Need};
-  double Elapsed = core::toMilliseconds(Now - Each.StartSentAt);
-  double Rest = core::toMilliseconds(Each.ExpectedEnd - Now);
   auto Found = Jobs_.find(Each.Job);
-  double Deviation = Found == Jobs_.end()
-                         ? 0
-                         : Found->second.Steps[Found->second.stepOf(Each.TaskNumber)].Deviation;
-  double Error = Deviation * core::toMilliseconds(Each.ExpectedEnd - Each.StartSentAt);
-  if (Each.State == RunState::Running && Each.PercentDone >= MinimumPercent) {
-    double Total = core::toMilliseconds(Each.PercentAt - Each.StartSentAt) * 100 / Each.PercentDone;
-    Rest = Total - Elapsed;
-    Error = std::min(Error, Total * PercentError / Each.PercentDone);
-  }
+  auto Length = Found == Jobs_.end()
+                    ? ExpectedLength{core::toMilliseconds(Each.ExpectedEnd - Each.StartSentAt), 0}
+                    : expectedLength(Found->second, Each, Worker);
+  double Elapsed = core::toMilliseconds(Now - Each.StartSentAt);
+  double Rest = Length.Milliseconds - Elapsed;
   if (Rest <= 0) {
     Rest = OverdueShare * Elapsed;
-    Error = Rest;
+    Length.ErrorMilliseconds = Rest;
   }
-  return {Now + core::fromMilliseconds(Rest), Error, Each.Need};
+  return {Now + core::fromMilliseconds(Rest), Length.ErrorMilliseconds, Each.Need};
 }
 
 RackTimetable &PoolManager::timetableFor(const PoolJob &Job, std::uint32_t Step,
@@ -67,7 +58,7 @@
       continue;
     Releases.clear();
     for (const auto &Running : Known.Runs)
-      Releases.push_back(expectedRelease(Running, Now));
+      Releases.push_back(expectedRelease(Running, Index, Now));
     Rack.addWorker(Availability.Free, Availability.FreeSlots, Availability.Speed, Releases);
   }
   return Rack;
--- a/Kernel/Pool/PoolManagerStragglers.cpp
+++ b/Kernel/Pool/PoolManagerStragglers.cpp
@@ -33,15 +33,8 @@
 constexpr double MiddleOfPercent = 0.5;
 constexpr double EndOfPercent = 1;
 
-/// Run time on the run's worker, extrapolated from its progress. PartOfPercent is added to that.
-double extrapolatedMilliseconds(const Run &Running, double PartOfPercent) {
-  double Elapsed = core::toMilliseconds(Running.PercentAt - Running.StartSentAt);
-  return Elapsed / (std::min(100.0, Running.PercentDone + PartOfPercent) / 100);
-}
-
-ObservedRun observe(const Run &Running, EndpointIndex Worker, double Speed) {
-  return {Worker, extrapolatedMilliseconds(Running, MiddleOfPercent) * Speed,
-          extrapolatedMilliseconds(Running, EndOfPercent) * Speed};
+double shareDone(const Run &Running, double PartOfPercent) {
+  return std::min(100.0, Running.PercentDone + PartOfPercent) / 100;
 }
 
 bool hasMeaningfulProgress(const Run &Running) {
@@ -52,6 +45,31 @@
 
 } // namespace
 
+ObservedRun PoolManager::observe(const Run &Running, EndpointIndex Worker) const {
+  double Typical =
+      core::toMilliseconds(Running.PercentAt - Running.StartSentAt) * Ratings_.speed(Worker);
+  return {Worker, Typical / shareDone(Running, MiddleOfPercent),
+          Typical / shareDone(Running, EndOfPercent)};
+}
+
+double PoolManager::millisecondsOn(EndpointIndex Worker, double TypicalMilliseconds) const {
+  return TypicalMilliseconds / Ratings_.speed(Worker);
+}
+
+PoolManager::ExpectedLength PoolManager::expectedLength(const PoolJob &Job, const Run &Running,
+                                                        EndpointIndex Worker) const {
+  const auto &Progress = Job.Steps[Running.Task.Step];
+  if (hasMeaningfulProgress(Running)) {
+    double Length = millisecondsOn(Worker, observe(Running, Worker).Milliseconds);
+    double PercentShare = PercentError / std::max(Running.PercentDone, MinimumPercent);
+    return {Length, Length * std::min(Progress.Deviation, PercentShare)};
+  }
+  double Length = Progress.ObservedMilliseconds > 0
+                      ? millisecondsOn(Worker, Progress.ObservedMilliseconds)
+                      : core::toMilliseconds(Running.ExpectedEnd - Running.StartSentAt);
+  return {Length, Length * Progress.Deviation};
+}
+
 std::vector<ObservedRun> PoolManager::observedRuns(const PoolJob &Job, std::uint32_t Step) const {
   const auto &Progress = Job.Steps[Step];
   auto Observed = Progress.Former;
@@ -62,7 +80,7 @@
     const auto *Running =
         Fleet_.findRun(Task.Worker, Job.refOf(Progress.FirstTask + Index), Task.LastRun);
     if (Running && hasMeaningfulProgress(*Running))
-      Observed.push_back(observe(*Running, Task.Worker, Ratings_.speed(Task.Worker)));
+      Observed.push_back(observe(*Running, Task.Worker));
   }
   return Observed;
 }
@@ -77,8 +95,8 @@
         std::find(Seen.begin(), Seen.end(), Each.Job) != Seen.end())
       continue;
     Seen.push_back(Each.Job);
-    double Milliseconds = extrapolatedMilliseconds(Each, MiddleOfPercent) * Ratings_.speed(Worker);
-    Neighbours.push_back(neighbourOf(Found->second, Each.Task.Step, Milliseconds));
+    Neighbours.push_back(
+        neighbourOf(Found->second, Each.Task.Step, observe(Each, Worker).Milliseconds));
   }
   auto Recent = RecentRuns_.find(Worker);
   if (Recent == RecentRuns_.end())
@@ -201,9 +219,9 @@
   const auto *Running = Fleet_.findRun(Placed.Worker, Job.refOf(Task), Placed.LastRun);
   if (!Running || !hasMeaningfulProgress(*Running))
     return;
-  double Speed = Ratings_.speed(Placed.Worker);
-  auto Own = observe(*Running, Placed.Worker, Speed);
-  double Remaining = Own.Milliseconds / Speed - core::toMilliseconds(Now - Running->StartSentAt);
+  auto Own = observe(*Running, Placed.Worker);
+  double Remaining = millisecondsOn(Placed.Worker, Own.Milliseconds) -
+                     core::toMilliseconds(Now - Running->StartSentAt);
   if (Remaining <= core::toMilliseconds(Job.ObjectiveAt - Now))
     return;
   auto Step = Job.stepOf(Task);
@@ -278,7 +296,7 @@
     Ratings_.recordFailure(Placed.Worker, Job.Kind, Job.key(), Now);
   // Should the next run be as long on another worker, then it is the job.
   auto &Progress = Job.Steps[Running.Task.Step];
-  Progress.Former.push_back(observe(Running, Placed.Worker, Ratings_.speed(Placed.Worker)));
+  Progress.Former.push_back(observe(Running, Placed.Worker));
   Progress.MovedFrom.push_back(Placed.Worker);
   Fleet_.stopRun(Placed.Worker, Job.refOf(Task), Placed.LastRun, Now);
 }
--- a/Tests/Pool/ManagerFixture.h
+++ b/Tests/Pool/ManagerFixture.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -66,17 +67,22 @@
   explicit ManagerFixture(const PoolSettings &Settings = {})
       : Manager(Settings, Out, Tokens, Log) {}
 
-  /// Answers all open polls with the given running and ended tasks.
+  /// Answers all open polls with the given running and ended tasks; those of other workers than
+  /// RunsOn, if that is given, with none.
   void answerPolls(const std::vector<RunningTask> &Running = {},
-                   const std::vector<EndedTask> &Ended = {}) {
+                   const std::vector<EndedTask> &Ended = {},
+                   std::optional<EndpointIndex> RunsOn = std::nullopt) {
     for (const auto &[Worker, Command] : std::exchange(Out.Polls, {})) {
+      bool HasRuns = !RunsOn || *RunsOn == Worker;
       PollReply Reply;
       Reply.Verdict = CommandVerdict::Accepted;
       Reply.Report.emplace();
       Reply.Report->ClockMilliseconds = workerClock(Now);
       Reply.Report->StartedMilliseconds = Incarnation;
-      Reply.Report->Running = Running;
-      Reply.Report->Ended = Ended;
+      if (HasRuns) {
+        Reply.Report->Running = Running;
+        Reply.Report->Ended = Ended;
+      }
       Manager.pollReplied(Worker, Command, Reply, Now);
     }
   }
--- a/Tests/Pool/TestDataWait.cpp
+++ b/Tests/Pool/TestDataWait.cpp
@@ -51,6 +51,16 @@
         std::count_if(Out.Starts.begin(), Out.Starts.end(),
                       [Worker](const auto &Start) { return Start.first == Worker; }));
   }
+  /// Confirms all starts on the worker near the data; its runs have done so much after 100 ms.
+  void reportProgress(double Percent) {
+    std::vector<RunningTask> Running;
+    for (const auto &[Worker, Command] : Out.Starts)
+      if (Worker == EndpointIndex{0})
+        Running.push_back({Command.Task, Command.Run, Percent});
+    for (int Step = 0; Step < 10; ++Step)
+      pass(10ms);
+    answerPolls(Running, {}, EndpointIndex{0});
+  }
   WorkerEntry Near = test::entry("near");
 };
 
@@ -113,6 +123,18 @@
   BOOST_TEST(Manager.counters().DataWaitsUseless == 1);
 }
 
+// Guards against a wait for runs that are far longer than declared: they were expected to end when
+// they should have, as long as they had done less than a tenth.
+BOOST_FIXTURE_TEST_CASE(RunsOfALongJobAreNotExpectedToEndAsDeclared, DataFixture) {
+  DataRack = "r1";
+  submit(2, 100);
+  BOOST_TEST(startsOn(EndpointIndex{0}) == 2);
+  reportProgress(4);
+  submit(1, 100);
+  BOOST_TEST(startsOn(EndpointIndex{1}) == 1);
+  BOOST_TEST(Manager.counters().DataWaitsUseless == 0);
+}
+
 // Guards against tasks without data that fill a rack which others want, and against a rack that is
 // left idle although there is no other room.
 BOOST_FIXTURE_TEST_CASE(OtherTasksAvoidAWantedRack, DataFixture) {
