Pool: Take the slowness of a cold worker out of its runs' progress

The check for slow runs compared progress on a cold worker with that on a warm one: a run at its expected pace, four times slower, made its job count as overlong, which moved the job's deadlines and the share of overlong jobs of its kind. Also, a run that began on a cold worker and ended after the entry had dropped coldLeftMs counted as one on a warm worker, and made the worker look slow for later.

Progress now counts as the time that the warm worker needs for it (ColdStart::warmMilliseconds), and the rest is expected as on placement. A run keeps the time at which its worker becomes warm.

TestColdStart, ProgressOnAColdWorkerIsAsExpected, before: JobsExtended 1 instead of 0, ColdRunsDone 20 instead of 21. Now it passes.

--- a/Kernel/Pool/ColdStart.cpp
+++ b/Kernel/Pool/ColdStart.cpp
@@ -32,6 +32,11 @@
   return DoneCold >= Warm ? Warm * slowdown() : ColdMilliseconds + Warm - DoneCold;
 }
 
+double ColdStart::warmMilliseconds(double Taken, double ColdMilliseconds) const {
+  double Cold = std::min(Taken, ColdMilliseconds);
+  return Cold / slowdown() + Taken - Cold;
+}
+
 void ColdStart::learn(double Warm, double Taken, double ColdMilliseconds) {
   double Cold = std::min(Taken, ColdMilliseconds);
   double DoneCold = Warm - (Taken - Cold);
--- a/Kernel/Pool/ColdStart.h
+++ b/Kernel/Pool/ColdStart.h
@@ -22,6 +22,10 @@
   /// Expected run time of a task that takes the given time on the warm worker.
   double expectedMilliseconds(double Warm, double ColdMilliseconds) const;
 
+  /// Time in which the warm worker does what was done in the given time, for the given part of it
+  /// on the cold worker.
+  double warmMilliseconds(double Taken, double ColdMilliseconds) const;
+
   /// Learns from a run that took the given time, for the given part of it on a cold worker. Warm is
   /// its expected time on the warm worker.
   void learn(double Warm, double Taken, double ColdMilliseconds);
--- a/Kernel/Pool/PoolManager.cpp
+++ b/Kernel/Pool/PoolManager.cpp
@@ -247,7 +247,7 @@
     Taken /= Settings_.RemoteFactor;
   auto Estimate = Kinds_.estimate(Job.Kind, Step);
   // What a cold worker needed says little about its speed later, and about the kind of job.
-  if (double ColdTime = ColdStart::coldMilliseconds(Entry.ColdUntil, Ended.StartSentAt);
+  if (double ColdTime = ColdStart::coldMilliseconds(Ended.ColdUntil, Ended.StartSentAt);
       ColdTime > 0) {
     ++Counters_.ColdRunsDone;
     Cold_.learn(Estimate.medianMilliseconds() / Ratings_.speed(Worker), Taken, ColdTime);
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -269,8 +269,8 @@
   void observeProgress(PoolJob &Job, core::TimePoint Now);
   /// Run time of the task, extrapolated from the progress of one of its runs.
   ObservedRun observe(const Run &Running, EndpointIndex Worker) const;
-  /// Run time on that worker of a task that takes the given time on a typical one.
-  double millisecondsOn(EndpointIndex Worker, double TypicalMilliseconds) const;
+  /// Run time of a run on its worker, if its task takes the given time on a typical one.
+  double millisecondsOn(EndpointIndex Worker, const Run &Running, double TypicalMilliseconds) const;
   /// Expected time from the start of a run to its end on its worker.
   struct ExpectedLength {
     double Milliseconds = 0;
--- a/Kernel/Pool/PoolManagerStragglers.cpp
+++ b/Kernel/Pool/PoolManagerStragglers.cpp
@@ -37,6 +37,11 @@
   return std::min(100.0, Running.PercentDone + PartOfPercent) / 100;
 }
 
+/// For how long of the run its worker is cold.
+double coldMilliseconds(const Run &Running) {
+  return ColdStart::coldMilliseconds(Running.ColdUntil, Running.StartSentAt);
+}
+
 bool hasMeaningfulProgress(const Run &Running) {
   return Running.State == RunState::Running &&
          core::toMilliseconds(Running.PercentAt - Running.StartSentAt) >=
@@ -46,26 +51,29 @@
 } // namespace
 
 ObservedRun PoolManager::observe(const Run &Running, EndpointIndex Worker) const {
-  double Typical =
-      core::toMilliseconds(Running.PercentAt - Running.StartSentAt) * Ratings_.speed(Worker);
+  double Warm = Cold_.warmMilliseconds(
+      core::toMilliseconds(Running.PercentAt - Running.StartSentAt), coldMilliseconds(Running));
+  double Typical = Warm * Ratings_.speed(Worker);
   return {Worker, Typical / shareDone(Running, MiddleOfPercent),
           Typical / shareDone(Running, EndOfPercent)};
 }
 
-double PoolManager::millisecondsOn(EndpointIndex Worker, double TypicalMilliseconds) const {
-  return TypicalMilliseconds / Ratings_.speed(Worker);
+double PoolManager::millisecondsOn(EndpointIndex Worker, const Run &Running,
+                                   double TypicalMilliseconds) const {
+  return Cold_.expectedMilliseconds(TypicalMilliseconds / Ratings_.speed(Worker),
+                                    coldMilliseconds(Running));
 }
 
 PoolManager::ExpectedLength PoolManager::expectedLength(const PoolJob &Job, const Run &Running,
                                                         EndpointIndex Worker) const {
   const auto &Progress = Job.Steps[Running.Task.Step];
   if (hasMeaningfulProgress(Running)) {
-    double Length = millisecondsOn(Worker, observe(Running, Worker).Milliseconds);
+    double Length = millisecondsOn(Worker, Running, observe(Running, Worker).Milliseconds);
     double PercentShare = PercentError / std::max(Running.PercentDone, MinimumPercent);
     return {Length, Length * std::min(Progress.Deviation, PercentShare)};
   }
   double Length = Progress.ObservedMilliseconds > 0
-                      ? millisecondsOn(Worker, Progress.ObservedMilliseconds)
+                      ? millisecondsOn(Worker, Running, Progress.ObservedMilliseconds)
                       : core::toMilliseconds(Running.ExpectedEnd - Running.StartSentAt);
   return {Length, Length * Progress.Deviation};
 }
@@ -220,7 +228,7 @@
   if (!Running || !hasMeaningfulProgress(*Running))
     return;
   auto Own = observe(*Running, Placed.Worker);
-  double Remaining = millisecondsOn(Placed.Worker, Own.Milliseconds) -
+  double Remaining = millisecondsOn(Placed.Worker, *Running, Own.Milliseconds) -
                      core::toMilliseconds(Now - Running->StartSentAt);
   if (Remaining <= core::toMilliseconds(Job.ObjectiveAt - Now))
     return;
--- a/Kernel/Pool/Worker.h
+++ b/Kernel/Pool/Worker.h
@@ -52,6 +52,8 @@
   Resources Need;
   std::int64_t StartBy = 0; ///< Latest start on the worker's clock, in milliseconds.
   core::TimePoint StartSentAt;
+  /// When its worker becomes warm, as of the start. The worker's entry no longer states it then.
+  std::optional<core::TimePoint> ColdUntil;
   /// How often the start command was sent. From the second time on, a refusal is inconclusive.
   std::uint32_t SendCount = 1;
   /// Sends of the command since StartSentAt.
--- a/Kernel/Pool/WorkerFleet.cpp
+++ b/Kernel/Pool/WorkerFleet.cpp
@@ -194,6 +194,7 @@
   auto &Known = mutableAt(Index);
   Started.StartBy = Known.Clock.at(Now + StartValidity);
   Started.StartSentAt = Now;
+  Started.ColdUntil = Known.Entry.ColdUntil;
   Started.State = RunState::Starting;
   Known.LeaseEnd = std::max(Known.LeaseEnd, Now + StartValidity + LeaseSlack);
   Known.deadlineSent(Now + CommandTimeout);
--- a/Tests/Pool/TestColdStart.cpp
+++ b/Tests/Pool/TestColdStart.cpp
@@ -70,6 +70,39 @@
   BOOST_TEST(Case.Out.answers().empty());
 }
 
+// Guards against a job that counts as longer than declared, and a worker that counts as slow for
+// later, because a run began on it while it was cold.
+BOOST_AUTO_TEST_CASE(ProgressOnAColdWorkerIsAsExpected) {
+  constexpr double Slowdown = 4;
+  constexpr double Milliseconds = 50;
+  constexpr std::uint64_t Former = 20;
+  ManagerFixture Case;
+  std::vector<WorkerEntry> Entries = {entry("cold")};
+  Entries.front().ColdUntil = Case.Now + 10s;
+  Case.Manager.setWorkers(Entries, Case.Now);
+  Case.answerPolls();
+  Case.answerPolls();
+  auto Start = [&](double Declared, core::Duration Span) {
+    Case.submit(1, Declared);
+    for (auto End = Case.Now + Span; Case.Now < End;)
+      Case.pass(10ms);
+    return Case.Out.Starts.back().second;
+  };
+  for (std::uint64_t Run = 1; Run <= Former; ++Run) {
+    auto Command = Start(Milliseconds, core::fromMilliseconds(Slowdown * Milliseconds));
+    Case.answerPolls({}, {{Run, Command.Task, Command.Run, RunEnd::Done}});
+  }
+  BOOST_REQUIRE(Case.Manager.counters().ColdRunsDone == Former);
+  auto Command = Start(8 * Milliseconds, 200ms);
+  Case.answerPolls({{Command.Task, Command.Run, 12}});
+  Case.pass(20ms);
+  BOOST_TEST(Case.Manager.counters().JobsExtended == 0U);
+  Entries.front().ColdUntil.reset(); // It is warm now.
+  Case.Manager.setWorkers(Entries, Case.Now);
+  Case.answerPolls({}, {{Former + 1, Command.Task, Command.Run, RunEnd::Done}});
+  BOOST_TEST(Case.Manager.counters().ColdRunsDone == Former + 1);
+}
+
 // Guards against entries that change with each report, which would be sent to all managers again.
 BOOST_AUTO_TEST_CASE(DeadlinesOfReportsAreSteady) {
   constexpr core::TimePoint Begin{1h};
