Pool: Take the slowness away from the data out of a run's progress

A run away from its data takes remote-factor times as long, but the check for slow runs compared its progress with the run time near the data. With factor 3, each such run made its job count as overlong and moved its deadlines.

TestDataWait, ProgressAwayFromTheDataIsAsExpected: JobsExtended was 1 instead of 0 before, and is 0 now. Runs that were done were corrected already; both use awayFactor() now.

--- a/Kernel/Pool/PoolManager.cpp
+++ b/Kernel/Pool/PoolManager.cpp
@@ -240,11 +240,8 @@
   }
   auto StepIndex = Job.stepOf(Ended.TaskNumber);
   const auto &Step = Job.Submission->Steps[StepIndex];
-  const auto &Entry = Fleet_.at(Worker).Entry;
-  bool IsNear = Step.DataRack.empty() || Entry.hasLabel(Step.DataRack);
-  double Taken = std::max(1.0, core::toMilliseconds(Ended.EndedAt - Ended.StartSentAt));
-  if (!IsNear)
-    Taken /= Settings_.RemoteFactor;
+  double Taken = std::max(1.0, core::toMilliseconds(Ended.EndedAt - Ended.StartSentAt)) /
+                 awayFactor(Job, StepIndex, Worker);
   auto Estimate = Kinds_.estimate(Job.Kind, Step);
   // What a cold worker needed says little about its speed later, and about the kind of job.
   if (double ColdTime = ColdStart::coldMilliseconds(Ended.ColdUntil, Ended.StartSentAt);
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -268,9 +268,13 @@
   void moveStragglers(core::TimePoint Now);
   void observeProgress(PoolJob &Job, core::TimePoint Now);
   /// Run time of the task, extrapolated from the progress of one of its runs.
-  ObservedRun observe(const Run &Running, EndpointIndex Worker) const;
-  /// Run time of a run on its worker, if its task takes the given time on a typical one.
-  double millisecondsOn(EndpointIndex Worker, const Run &Running, double TypicalMilliseconds) const;
+  ObservedRun observe(const PoolJob &Job, const Run &Running, EndpointIndex Worker) const;
+  /// Run time of a run on its worker, if its task takes the given time on a typical one near its
+  /// data.
+  double millisecondsOn(EndpointIndex Worker, const PoolJob &Job, const Run &Running,
+                        double TypicalMilliseconds) const;
+  /// Ratio of the run time of the step's tasks there to that near their data.
+  double awayFactor(const PoolJob &Job, std::uint32_t Step, EndpointIndex Worker) const;
   /// Expected time from the start of a run to its end on its worker.
   struct ExpectedLength {
     double Milliseconds = 0;
--- a/Kernel/Pool/PoolManagerStragglers.cpp
+++ b/Kernel/Pool/PoolManagerStragglers.cpp
@@ -50,30 +50,39 @@
 
 } // namespace
 
-ObservedRun PoolManager::observe(const Run &Running, EndpointIndex Worker) const {
+double PoolManager::awayFactor(const PoolJob &Job, std::uint32_t Step, EndpointIndex Worker) const {
+  const auto &Rack = Job.Submission->Steps[Step].DataRack;
+  bool IsNear = Rack.empty() || Fleet_.at(Worker).Entry.hasLabel(Rack);
+  return IsNear ? 1 : Settings_.RemoteFactor;
+}
+
+ObservedRun PoolManager::observe(const PoolJob &Job, const Run &Running,
+                                 EndpointIndex Worker) const {
   double Warm = Cold_.warmMilliseconds(
       core::toMilliseconds(Running.PercentAt - Running.StartSentAt), coldMilliseconds(Running));
-  double Typical = Warm * Ratings_.speed(Worker);
+  double Typical = Warm * Ratings_.speed(Worker) / awayFactor(Job, Running.Task.Step, Worker);
   return {Worker, Typical / shareDone(Running, MiddleOfPercent),
           Typical / shareDone(Running, EndOfPercent)};
 }
 
-double PoolManager::millisecondsOn(EndpointIndex Worker, const Run &Running,
+double PoolManager::millisecondsOn(EndpointIndex Worker, const PoolJob &Job, const Run &Running,
                                    double TypicalMilliseconds) const {
-  return Cold_.expectedMilliseconds(TypicalMilliseconds / Ratings_.speed(Worker),
-                                    coldMilliseconds(Running));
+  double Warm =
+      TypicalMilliseconds * awayFactor(Job, Running.Task.Step, Worker) / Ratings_.speed(Worker);
+  return Cold_.expectedMilliseconds(Warm, coldMilliseconds(Running));
 }
 
 PoolManager::ExpectedLength PoolManager::expectedLength(const PoolJob &Job, const Run &Running,
                                                         EndpointIndex Worker) const {
   const auto &Progress = Job.Steps[Running.Task.Step];
   if (hasMeaningfulProgress(Running)) {
-    double Length = millisecondsOn(Worker, Running, observe(Running, Worker).Milliseconds);
+    double Length =
+        millisecondsOn(Worker, Job, Running, observe(Job, Running, Worker).Milliseconds);
     double PercentShare = PercentError / std::max(Running.PercentDone, MinimumPercent);
     return {Length, Length * std::min(Progress.Deviation, PercentShare)};
   }
   double Length = Progress.ObservedMilliseconds > 0
-                      ? millisecondsOn(Worker, Running, Progress.ObservedMilliseconds)
+                      ? millisecondsOn(Worker, Job, Running, Progress.ObservedMilliseconds)
                       : core::toMilliseconds(Running.ExpectedEnd - Running.StartSentAt);
   return {Length, Length * Progress.Deviation};
 }
@@ -88,7 +97,7 @@
     const auto *Running =
         Fleet_.findRun(Task.Worker, Job.refOf(Progress.FirstTask + Index), Task.LastRun);
     if (Running && hasMeaningfulProgress(*Running))
-      Observed.push_back(observe(*Running, Task.Worker));
+      Observed.push_back(observe(Job, *Running, Task.Worker));
   }
   return Observed;
 }
@@ -103,8 +112,8 @@
         std::find(Seen.begin(), Seen.end(), Each.Job) != Seen.end())
       continue;
     Seen.push_back(Each.Job);
-    Neighbours.push_back(
-        neighbourOf(Found->second, Each.Task.Step, observe(Each, Worker).Milliseconds));
+    Neighbours.push_back(neighbourOf(Found->second, Each.Task.Step,
+                                     observe(Found->second, Each, Worker).Milliseconds));
   }
   auto Recent = RecentRuns_.find(Worker);
   if (Recent == RecentRuns_.end())
@@ -227,8 +236,8 @@
   const auto *Running = Fleet_.findRun(Placed.Worker, Job.refOf(Task), Placed.LastRun);
   if (!Running || !hasMeaningfulProgress(*Running))
     return;
-  auto Own = observe(*Running, Placed.Worker);
-  double Remaining = millisecondsOn(Placed.Worker, *Running, Own.Milliseconds) -
+  auto Own = observe(Job, *Running, Placed.Worker);
+  double Remaining = millisecondsOn(Placed.Worker, Job, *Running, Own.Milliseconds) -
                      core::toMilliseconds(Now - Running->StartSentAt);
   if (Remaining <= core::toMilliseconds(Job.ObjectiveAt - Now))
     return;
@@ -304,7 +313,7 @@
     Ratings_.recordFailure(Placed.Worker, Job.Kind, Job.key(), Now);
   // Should the next run be as long on another worker, then it is the job.
   auto &Progress = Job.Steps[Running.Task.Step];
-  Progress.Former.push_back(observe(Running, Placed.Worker));
+  Progress.Former.push_back(observe(Job, Running, Placed.Worker));
   Progress.MovedFrom.push_back(Placed.Worker);
   Fleet_.stopRun(Placed.Worker, Job.refOf(Task), Placed.LastRun, Now);
 }
--- a/Tests/Pool/TestDataWait.cpp
+++ b/Tests/Pool/TestDataWait.cpp
@@ -51,15 +51,15 @@
         std::count_if(Out.Starts.begin(), Out.Starts.end(),
                       [Worker](const auto &Start) { return Start.first == Worker; }));
   }
-  /// Confirms all starts on the worker near the data; its runs have done so much after 100 ms.
-  void reportProgress(double Percent) {
+  /// After 100 ms, the worker reports all that has started on it with this progress.
+  void reportProgress(EndpointIndex On, double Percent) {
     std::vector<RunningTask> Running;
     for (const auto &[Worker, Command] : Out.Starts)
-      if (Worker == EndpointIndex{0})
+      if (Worker == On)
         Running.push_back({Command.Task, Command.Run, Percent});
     for (int Step = 0; Step < 10; ++Step)
       pass(10ms);
-    answerPolls(Running, {}, EndpointIndex{0});
+    answerPolls(Running, {}, On);
   }
   WorkerEntry Near = test::entry("near");
 };
@@ -129,12 +129,25 @@
   DataRack = "r1";
   submit(2, 100);
   BOOST_TEST(startsOn(EndpointIndex{0}) == 2);
-  reportProgress(4);
+  reportProgress(EndpointIndex{0}, 4);
   submit(1, 100);
   BOOST_TEST(startsOn(EndpointIndex{1}) == 1);
   BOOST_TEST(Manager.counters().DataWaitsUseless == 0);
 }
 
+// Guards against a job that counts as longer than declared because a run of it is away from its
+// data, where it takes three times as long.
+BOOST_FIXTURE_TEST_CASE(ProgressAwayFromTheDataIsAsExpected, DataFixture) {
+  Near.State = WorkerState::Draining;
+  setWorkers();
+  DataRack = "r1";
+  submit(1, 100);
+  BOOST_REQUIRE(startsOn(EndpointIndex{1}) == 1);
+  reportProgress(EndpointIndex{1}, 30);
+  pass(20ms);
+  BOOST_TEST(Manager.counters().JobsExtended == 0);
+}
+
 // Guards against tasks without data that fill a rack which others want, and against a rack that is
 // left idle although there is no other room.
 BOOST_FIXTURE_TEST_CASE(OtherTasksAvoidAWantedRack, DataFixture) {
