--- a/Kernel/Pool/PoolJob.h
+++ b/Kernel/Pool/PoolJob.h
@@ -36,17 +36,23 @@
   core::TimePoint EndedBy;   ///< If PossiblyRunning: the task no longer runs for certain.
 };
 
+/// Progress of one step of a job. Run times are those on a typical worker near the data. All tasks
+/// of a step are assumed to be of similar length.
 struct StepProgress {
-  std::uint32_t FirstTask = 0; ///< Number of its first task within the job.
-  std::uint32_t Unfinished = 0;
-  std::uint32_t Waiting = 0;
-  double TypicalMilliseconds = 0; ///< Expected run time on a typical worker.
+  std::uint32_t FirstTask = 0;  ///< Number of its first task within the job.
+  std::uint32_t Unfinished = 0; ///< Tasks that are not done.
+  std::uint32_t Waiting = 0;    ///< Tasks in TaskState::Waiting.
+  DataWait Wait{};
+
+  // Estimate when the job came.
+  double TypicalMilliseconds = 0; ///< Expected run time.
   double Deviation = 0;           ///< Standard deviation of the run time's natural logarithm.
-  /// Run time on a typical worker, extrapolated from the progress of the step's runs and taken from
-  /// those that have ended; zero while unknown. All tasks of a step are assumed to be of similar
-  /// length.
+
+  // What the runs have shown since, without those on workers that were found to be slow.
+  /// Median run time, extrapolated from progress and taken from runs that were done; zero while
+  /// unknown.
   double ObservedMilliseconds = 0;
-  /// The least run time that this progress shows; zero unless it is longer than expected.
+  /// The least that this progress allows; zero unless it is longer than expected.
   double ShownMilliseconds = 0;
   bool IsObservedOnSeveral = false; ///< ObservedMilliseconds follows from several workers.
   /// Runs on workers of this manager that no longer run: the first that were done, and those that
@@ -58,7 +64,6 @@
   double expectedMilliseconds() const {
     return ObservedMilliseconds > 0 ? ObservedMilliseconds : TypicalMilliseconds;
   }
-  DataWait Wait{};
 
   /// Number of waiting tasks for which there is no room anywhere.
   std::uint32_t withoutRoom() const { return Waiting > Wait.Tasks ? Waiting - Wait.Tasks : 0; }
