--- a/Kernel/Pool/ColdStart.h
+++ b/Kernel/Pool/ColdStart.h
@@ -24,6 +24,10 @@
   /// Warm on the warm worker.
   double expectedMilliseconds(double Warm, double ColdMilliseconds) const;
 
+  /// Time in which the warm worker does what was done in the given time, for the given part of it
+  /// on the cold worker.
+  double warmMilliseconds(double Taken, double ColdMilliseconds) const;
+
   /// Learns from a run that took Taken, on a worker that was cold for ColdMilliseconds after its
   /// start. Warm is its expected time on the warm worker. Runs that were mostly warm are ignored.
   void learn(double Warm, double Taken, double ColdMilliseconds);
--- a/Tests/Pool/TestDataWait.cpp
+++ b/Tests/Pool/TestDataWait.cpp
@@ -51,6 +51,16 @@
         std::count_if(Out.Starts.begin(), Out.Starts.end(),
                       [Worker](const auto &Start) { return Start.first == Worker; }));
   }
+  /// After 100 ms, the worker reports all that has started on it with this progress.
+  void reportProgress(EndpointIndex On, double Percent) {
+    std::vector<RunningTask> Running;
+    for (const auto &[Worker, Command] : Out.Starts)
+      if (Worker == On)
+        Running.push_back({Command.Task, Command.Run, Percent});
+    for (int Step = 0; Step < 10; ++Step)
+      pass(10ms);
+    answerPolls(Running, {}, On);
+  }
   WorkerEntry Near = test::entry("near");
 };
 
@@ -115,6 +125,31 @@
   BOOST_TEST(Manager.counters().DataWaitsUseless == 1);
 }
 
+// Guards against a wait for runs that are far longer than declared: they were expected to end when
+// they should have, as long as they had done less than a tenth.
+BOOST_FIXTURE_TEST_CASE(RunsOfALongJobAreNotExpectedToEndAsDeclared, DataFixture) {
+  DataRack = "r1";
+  submit(2, 100);
+  BOOST_TEST(startsOn(EndpointIndex{0}) == 2);
+  reportProgress(EndpointIndex{0}, 4);
+  submit(1, 100);
+  BOOST_TEST(startsOn(EndpointIndex{1}) == 1);
+  BOOST_TEST(Manager.counters().DataWaitsUseless == 0);
+}
+
+// Guards against a job that counts as longer than declared because a run of it is away from its
+// data, where it takes three times as long.
+BOOST_FIXTURE_TEST_CASE(ProgressAwayFromTheDataIsAsExpected, DataFixture) {
+  Near.State = WorkerState::Draining;
+  setWorkers();
+  DataRack = "r1";
+  submit(1, 100);
+  BOOST_REQUIRE(startsOn(EndpointIndex{1}) == 1);
+  reportProgress(EndpointIndex{1}, 30);
+  pass(20ms);
+  BOOST_TEST(Manager.counters().JobsExtended == 0);
+}
+
 // Guards against tasks without data that fill a rack which others want, and against a rack that is
 // left idle although there is no other room.
 BOOST_FIXTURE_TEST_CASE(OtherTasksAvoidAWantedRack, DataFixture) {
