Pool: Expect workers that are not released later and later

Cause: a worker whose claim awaits the former manager's release counted as held in 500 ms for as long as that manager kept it. A manager with busy workers keeps them for seconds, so that the forecast promised room that did not come.

Change: the fleet records since when a claim is deferred, and Worker::heldIn expects as long again as the worker has been kept so far, at least 500 ms.

Result: AWorkerThatIsNotReleasedIsExpectedLater fails on the former code (deferClaim without its new argument) and passes.

--- a/Kernel/Pool/Worker.cpp
+++ b/Kernel/Pool/Worker.cpp
@@ -55,7 +55,7 @@
   if (Lease != LeaseState::Absent)
     return std::nullopt;
   if (ClaimAt > Now + LongestKnownClaim)
-    return TypicalReleaseTime;
+    return std::max<core::Duration>(TypicalReleaseTime, Now - ClaimDeferredAt);
   return std::max(core::Duration(0), ClaimAt - Now);
 }
 
--- a/Kernel/Pool/Worker.h
+++ b/Kernel/Pool/Worker.h
@@ -31,7 +31,7 @@
 /// incarnation of the worker is up by then. The platform speaks of seconds.
 constexpr std::chrono::seconds CommandLifetime{15};
 
-/// How long the former manager needs to release a worker, in the mean.
+/// How soon a former manager that has just begun releases a worker, in the mean.
 constexpr std::chrono::milliseconds TypicalReleaseTime{500};
 /// Claims that are further off await the former manager's release.
 constexpr std::chrono::seconds LongestKnownClaim{60};
@@ -110,9 +110,10 @@
   core::TimePoint PollSentAt;
   std::uint32_t PollWaitMilliseconds = 0; ///< How long the last poll waits on the worker.
   core::TimePoint NextPollAt;
-  core::TimePoint ClaimAt;       ///< Earliest next claim.
-  std::uint32_t FailedPolls = 0; ///< Consecutive failed polls.
-  core::TimePoint AnsweredAt;    ///< When the last poll was answered.
+  core::TimePoint ClaimAt;         ///< Earliest next claim.
+  core::TimePoint ClaimDeferredAt; ///< Since when the claim is deferred, if it is.
+  std::uint32_t FailedPolls = 0;   ///< Consecutive failed polls.
+  core::TimePoint AnsweredAt;      ///< When the last poll was answered.
   /// The worker counts as silent from then on, unless it answers a poll before. Failed polls do not
   /// show that: polls that are replaced by further ones before their timeout are not counted.
   core::TimePoint SilentAt;
@@ -127,7 +128,8 @@
   /// Returns whether its last polls were answered.
   bool isAnswering(core::TimePoint Now) const;
   /// How soon this manager is expected to hold the worker; empty if it holds it already, or isn't
-  /// about to.
+  /// about to. A worker whose former manager keeps it for its runs is expected to take as long
+  /// again as it has taken so far.
   std::optional<core::Duration> heldIn(core::TimePoint Now) const;
   /// Returns whether the worker accepts tasks, regardless of its free capacity.
   bool acceptsTasks(core::TimePoint Now) const;
--- a/Kernel/Pool/WorkerFleet.cpp
+++ b/Kernel/Pool/WorkerFleet.cpp
@@ -57,8 +57,10 @@
   if (!IsNew)
     return Position->second;
   auto &Known = Workers_.emplace_back();
-  if (auto Deferred = DeferredClaims_.extract(Id))
-    Known.ClaimAt = Deferred.mapped();
+  if (auto Deferred = DeferredClaims_.extract(Id)) {
+    Known.ClaimAt = Deferred.mapped().ClaimAt;
+    Known.ClaimDeferredAt = Deferred.mapped().Since;
+  }
   return Position->second;
 }
 
@@ -107,15 +109,20 @@
              {"runs", static_cast<std::int64_t>(Known.Runs.size())}});
 }
 
-void WorkerFleet::deferClaim(std::string_view Id, core::TimePoint Until) {
+void WorkerFleet::deferClaim(std::string_view Id, core::TimePoint Until, core::TimePoint Now) {
+  auto Defer = [&](core::TimePoint &ClaimAt, core::TimePoint &Since) {
+    if (ClaimAt <= Now) // Otherwise it has been deferred before.
+      Since = Now;
+    ClaimAt = Until;
+  };
   if (auto *Known = find(Id))
-    Known->ClaimAt = Until;
-  else
-    DeferredClaims_[std::string(Id)] = Until;
+    return Defer(Known->ClaimAt, Known->ClaimDeferredAt);
+  auto &Unlisted = DeferredClaims_[std::string(Id)];
+  Defer(Unlisted.ClaimAt, Unlisted.Since);
 }
 
 void WorkerFleet::claimNow(std::string_view Id, core::TimePoint Now) {
-  deferClaim(Id, Now);
+  deferClaim(Id, Now, Now);
   const auto *Known = find(Id);
   if (Known && Known->IsListed &&
       (Known->Lease == LeaseState::Absent || Known->Lease == LeaseState::Fenced))
--- a/Kernel/Pool/WorkerFleet.h
+++ b/Kernel/Pool/WorkerFleet.h
@@ -82,7 +82,7 @@
   void setEvacuated(const std::set<std::string> &DataCentres);
 
   /// Defers the claim of a worker, because another manager may still hold its lease until then.
-  void deferClaim(std::string_view Id, core::TimePoint Until);
+  void deferClaim(std::string_view Id, core::TimePoint Until, core::TimePoint Now);
   /// Claims the worker now, because the other manager has released it.
   void claimNow(std::string_view Id, core::TimePoint Now);
 
@@ -167,8 +167,12 @@
   DecisionLog &Log_;
   std::vector<Worker> Workers_;
   std::unordered_map<std::string, EndpointIndex> IndexById_;
-  /// Earliest claim times of workers that are not listed yet.
-  std::unordered_map<std::string, core::TimePoint> DeferredClaims_;
+  struct DeferredClaim {
+    core::TimePoint ClaimAt;
+    core::TimePoint Since;
+  };
+  /// Of workers that are not listed yet.
+  std::unordered_map<std::string, DeferredClaim> DeferredClaims_;
   std::set<std::string> EvacuatedDataCentres_;
   std::uint64_t Restarts_ = 0;
   std::uint64_t ForeignRunsStopped_ = 0;
--- a/Services/PoolDaemon/PoolDaemonWorkers.cpp
+++ b/Services/PoolDaemon/PoolDaemonWorkers.cpp
@@ -43,7 +43,7 @@
   for (const auto &Rest : Changes.Claims) {
     Claims_.claimRemaining(Rest.DataCentre, Rest.ClaimAt);
     for (const auto &Entry : Directory_.listing().workersIn({Rest.DataCentre}))
-      Manager_.fleet().deferClaim(Entry.Id, Rest.ClaimAt);
+      Manager_.fleet().deferClaim(Entry.Id, Rest.ClaimAt, Now);
   }
   AssignedManager_ = Election_.assignedManager();
   Ingress_.setAssignedManager(AssignedManager_, Now);
@@ -59,7 +59,7 @@
   for (const auto &Entry : Entries) {
     auto ClaimAt = Claims_.claimAt(Entry.DataCentre, Entry.Id);
     if (ClaimAt && *ClaimAt > Now)
-      Manager_.fleet().deferClaim(Entry.Id, *ClaimAt);
+      Manager_.fleet().deferClaim(Entry.Id, *ClaimAt, Now);
   }
   Manager_.setWorkers(Entries, Now);
 }
--- a/Tests/Pool/PoolSimulationVm.h
+++ b/Tests/Pool/PoolSimulationVm.h
@@ -256,7 +256,7 @@
       Claims_.claimRemaining(Claim.DataCentre, Claim.ClaimAt);
       for (const auto &Worker : Simulation_.Workers_)
         if (Worker->entry().DataCentre == Claim.DataCentre)
-          Manager_.fleet().deferClaim(Worker->entry().Id, Claim.ClaimAt);
+          Manager_.fleet().deferClaim(Worker->entry().Id, Claim.ClaimAt, Simulation_.Now_);
     }
     submitToManager();
     reportReleased();
@@ -270,7 +270,7 @@
         Entries.push_back(Entry);
         auto ClaimAt = Claims_.claimAt(Entry.DataCentre, Entry.Id);
         if (ClaimAt && *ClaimAt > Simulation_.Now_)
-          Manager_.fleet().deferClaim(Entry.Id, *ClaimAt);
+          Manager_.fleet().deferClaim(Entry.Id, *ClaimAt, Simulation_.Now_);
       }
     Manager_.setWorkers(Entries, Simulation_.Now_);
   }
--- a/Tests/Pool/TestPoolManager.cpp
+++ b/Tests/Pool/TestPoolManager.cpp
@@ -17,7 +17,7 @@
   ManagerFixture Fixture;
   Fixture.list({"w-0"});
   Fixture.Manager.fleet().claimNow("w-9", Fixture.Now);
-  Fixture.Manager.fleet().deferClaim("w-8", Fixture.Now + 1s);
+  Fixture.Manager.fleet().deferClaim("w-8", Fixture.Now + 1s, Fixture.Now);
   Fixture.submit(4, 100);
   Fixture.pass(20ms);
   BOOST_TEST(Fixture.Out.Starts.size() == 2U); // As many as fit on the listed worker.
@@ -27,8 +27,8 @@
 // the claim although it has.
 BOOST_AUTO_TEST_CASE(ClaimTimesApplyToWorkersListedLater) {
   ManagerFixture Fixture;
-  Fixture.Manager.fleet().deferClaim("w-0", Fixture.Now + 1s);
-  Fixture.Manager.fleet().deferClaim("w-1", Fixture.Now + 1s);
+  Fixture.Manager.fleet().deferClaim("w-0", Fixture.Now + 1s, Fixture.Now);
+  Fixture.Manager.fleet().deferClaim("w-1", Fixture.Now + 1s, Fixture.Now);
   Fixture.Manager.fleet().claimNow("w-1", Fixture.Now);
   Fixture.Manager.setWorkers(std::vector{entry("w-0"), entry("w-1")}, Fixture.Now);
   BOOST_REQUIRE(Fixture.Out.Polls.size() == 1U);
@@ -399,6 +399,24 @@
   BOOST_TEST((Fixture.Out.answers()[0].Verdict == JobVerdict::GivenUp));
 }
 
+// Replays a stop of a manager whose workers are busy for seconds. Guards against taking these for
+// room that is about to come. Fails before: each was expected within half a second all the time.
+BOOST_AUTO_TEST_CASE(AWorkerThatIsNotReleasedIsExpectedLater) {
+  ManagerFixture Fixture;
+  auto Defer = [&] {
+    Fixture.Manager.fleet().deferClaim("w-0", Fixture.Now + std::chrono::hours(24), Fixture.Now);
+  };
+  Defer();
+  Fixture.list({"w-0"});
+  const auto &Awaited = Fixture.Manager.fleet().at(EndpointIndex{0});
+  BOOST_TEST((Awaited.heldIn(Fixture.Now) == core::Duration(500ms)));
+  Fixture.pass(3s);
+  Defer(); // As each time that the workers are listed.
+  BOOST_TEST((Awaited.heldIn(Fixture.Now) >= core::Duration(3s)));
+  Fixture.Manager.fleet().claimNow("w-0", Fixture.Now);
+  BOOST_TEST((Awaited.heldIn(Fixture.Now) == core::Duration(0)));
+}
+
 // Replays a hand-over: one worker is held, and nine are about to be released by the former manager.
 // Guards against refusing jobs that these will serve. Fails before: only workers held counted.
 BOOST_AUTO_TEST_CASE(JobsWaitForWorkersThatAreAboutToBeReleased) {
@@ -406,7 +424,8 @@
   std::vector<std::string> Ids = {"w-0"};
   for (int Worker = 1; Worker < 10; ++Worker) {
     Ids.push_back("w-" + std::to_string(Worker));
-    Fixture.Manager.fleet().deferClaim(Ids.back(), Fixture.Now + std::chrono::hours(24));
+    Fixture.Manager.fleet().deferClaim(Ids.back(), Fixture.Now + std::chrono::hours(24),
+                                       Fixture.Now);
   }
   Fixture.list(Ids);
   for (int Job = 0; Job < 12; ++Job)
