Pool: Forget kinds that no longer come, and old refusals

Cause: the weight of a kind's share decayed only with its own jobs. A kind that no longer came kept its share in the mean of its priority, so that all other kinds could count as served more than the mean, and were no longer told apart. ReturnTimes kept the time to place a refused job's work without a bound: after a refusal at a rate near zero, a caller refused hours later was told the longest time.

Change: weights are taken as of the last recorded job. The promised time is bounded by the longest time that a caller is told.

Result: KindsThatNoLongerComeAreForgotten and RefusalsAreForgottenWhenTheirCallersHaveComeBack fail on the former code and pass.

--- a/Kernel/Pool/KindShares.cpp
+++ b/Kernel/Pool/KindShares.cpp
@@ -23,8 +23,14 @@
 
 } // namespace
 
+double RecentShare::keptAt(core::TimePoint Now) const {
+  return std::exp(-core::toMilliseconds(Now - At_) / core::toMilliseconds(Memory));
+}
+
+double RecentShare::weight(core::TimePoint Now) const { return Weight_ * keptAt(Now); }
+
 void RecentShare::add(bool IsHit, double Weight, core::TimePoint Now) {
-  double Kept = std::exp(-core::toMilliseconds(Now - At_) / core::toMilliseconds(Memory));
+  double Kept = keptAt(Now);
   At_ = Now;
   Weight_ = Weight_ * Kept + Weight;
   Hits_ = Hits_ * Kept + (IsHit ? Weight : 0);
@@ -73,6 +79,7 @@
   auto Position = static_cast<std::size_t>(Kind);
   if (Position >= Kinds_.size())
     return;
+  LastAt_ = Now;
   Work_.add(IsInTime, Work, Now);
   Kinds_[Position].All.add(IsInTime, 1, Now);
   if (IsWide)
@@ -97,7 +104,7 @@
   const auto *Known = find(Kind);
   if (!Known)
     return false;
-  if (Known->All.weight() >= LeastJobs && Known->All.value() < KindFloor * Work_.value())
+  if (Known->All.weight(LastAt_) >= LeastJobs && Known->All.value() < KindFloor * Work_.value())
     return true;
   return IsWide && Known->Wide.value() < WideFloor * Known->All.value();
 }
@@ -109,7 +116,7 @@
   double Sum = 0;
   double Count = 0;
   for (const auto &Other : Kinds_)
-    if (Other.Priority == Known->Priority && Other.All.weight() >= LeastJobs) {
+    if (Other.Priority == Known->Priority && Other.All.weight(LastAt_) >= LeastJobs) {
       Sum += Other.All.value();
       Count += 1;
     }
--- a/Kernel/Pool/KindShares.h
+++ b/Kernel/Pool/KindShares.h
@@ -15,13 +15,16 @@
   void add(bool IsHit, double Weight, core::TimePoint Now);
   /// One while nothing is known.
   double value() const { return Weight_ > 0 ? Hits_ / Weight_ : 1; }
-  double hits() const { return Hits_; }
-  double weight() const { return Weight_; }
+  /// Number of jobs, or their work, of which older ones count less.
+  double weight(core::TimePoint Now) const;
 
 private:
+  /// Share of the weight that remains from the last change.
+  double keptAt(core::TimePoint Now) const;
+
   double Hits_ = 0;
   double Weight_ = 0;
-  core::TimePoint At_;
+  core::TimePoint At_; ///< Of the last change.
 };
 
 /// Work that arrives per unit of time, as far as it lasts: a short burst counts for nothing.
@@ -89,6 +92,7 @@
 
   std::vector<KindState> Kinds_;
   RecentShare Work_;
+  core::TimePoint LastAt_; ///< When the last job was recorded.
 };
 
 } // namespace cornellift::kernel
--- a/Kernel/Pool/ReturnTimes.cpp
+++ b/Kernel/Pool/ReturnTimes.cpp
@@ -18,8 +18,10 @@
                                                           MaximumMilliseconds));
   auto Latest = Now + core::fromMilliseconds(MaximumMilliseconds);
   auto Told = std::clamp(PromisedUntil_, Earliest, Latest);
+  // All that were told so far have come back by the latest time, and count as new callers then.
   if (Rate > 0)
-    PromisedUntil_ = Told + core::fromMilliseconds(Work / (Rate * ShareForReturning));
+    PromisedUntil_ =
+        std::min(Latest, Told + core::fromMilliseconds(Work / (Rate * ShareForReturning)));
   return core::toMilliseconds(Told - Now);
 }
 
--- a/Tests/Pool/TestPoolQueue.cpp
+++ b/Tests/Pool/TestPoolQueue.cpp
@@ -126,6 +126,14 @@
   }
 }
 
+// Guards against a caller that is told the longest time, because another was refused long ago while
+// next to nothing was placed. Fails before: the time to place its work was kept without a bound.
+BOOST_AUTO_TEST_CASE(RefusalsAreForgottenWhenTheirCallersHaveComeBack) {
+  ReturnTimes Times;
+  Times.next(300, 100, 1e-6, Now);
+  BOOST_TEST(Times.next(300, 100, 2, Now + 10s) == 300);
+}
+
 // Guards against kinds and sizes that are starved by others.
 BOOST_AUTO_TEST_CASE(FloorsComeBeforePriorities) {
   constexpr KindIndex High{0};
@@ -147,6 +155,26 @@
   BOOST_TEST((Shares.standingOf(High, false) == Standing::ByPriority));
 }
 
+// Guards against a kind that no longer comes and still sets the mean share of its priority. Fails
+// before: its low share made all other kinds count as served more than the mean.
+BOOST_AUTO_TEST_CASE(KindsThatNoLongerComeAreForgotten) {
+  constexpr KindIndex Ended{0};
+  constexpr KindIndex More{1};
+  constexpr KindIndex Less{2};
+  KindShares Shares;
+  for (auto Kind : {Ended, More, Less})
+    Shares.offered(Kind, 0, 100);
+  for (int Job = 0; Job < 100; ++Job)
+    Shares.settled(Ended, false, 100, false, Now);
+  for (int Job = 0; Job < 100; ++Job) {
+    auto At = Now + 60s + Job * 50ms;
+    Shares.settled(More, false, 100, Job % 5 != 0, At);
+    Shares.settled(Less, false, 100, Job % 5 >= 2, At);
+  }
+  BOOST_TEST((Shares.standingOf(More, false) == worseThan(Standing::ByPriority)));
+  BOOST_TEST((Shares.standingOf(Less, false) == Standing::ByPriority));
+}
+
 // Guards against a tenth of the jobs that isn't the widest.
 BOOST_AUTO_TEST_CASE(TheWidestTenthIsFound) {
   KindShares Shares;
