Pool: End the search for jobs to give way when none is left

Cause: the plan compares the work that remains with a sum of the same values in another order. Where the two are rounded differently, all jobs gave way and the next one was looked for in an empty map.

Change: the search ends when no job is left.

Result: NoMoreJobsGiveWayThanThereAre ends the former code with a memory access violation, and passes.

--- a/Kernel/Pool/AdmissionPlan.cpp
+++ b/Kernel/Pool/AdmissionPlan.cpp
@@ -51,6 +51,8 @@
     if (!startsInTime(Job, Least))
       return false;
     while (!startsInTime(Job, Work_)) {
+      if (Taken_.empty()) // Sums in another order are rounded differently.
+        return false;
       auto Worst = std::prev(Taken_.end());
       if (Worst->first < From)
         return false;
--- a/Tests/Pool/TestPoolQueue.cpp
+++ b/Tests/Pool/TestPoolQueue.cpp
@@ -4,6 +4,7 @@
 #include "Kernel/Pool/PoolQueue.h"
 #include "Kernel/Pool/ReturnTimes.h"
 
+#include <random>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
@@ -61,6 +62,25 @@
   BOOST_TEST((Plan.Prospects[1] == JobProspect::InTime));
 }
 
+// Guards against letting further jobs give way when none is left: sums of work in another order are
+// rounded differently. Fails before: the end of an empty map was read.
+BOOST_AUTO_TEST_CASE(NoMoreJobsGiveWayThanThereAre) {
+  std::mt19937_64 Random(1);
+  for (int Round = 0; Round < 20000; ++Round) {
+    std::vector<WaitingJob> Jobs;
+    for (std::uint64_t Number = 1; Number <= 6; ++Number) {
+      Jobs.push_back(job(Number, 1ms));
+      Jobs.back().Work = std::uniform_real_distribution<double>(0, 0.3)(Random);
+    }
+    auto Started = job(7, 2ms - 1us);
+    Started.MayHaveRun = true;
+    Started.Work = 2;
+    Jobs.push_back(Started);
+    auto Plan = planAdmission(Jobs, {1, 0, 0ms, 0}, Now);
+    BOOST_REQUIRE((Plan.Prospects[6] == JobProspect::InTime));
+  }
+}
+
 // Guards against holding a job that can no longer be served.
 BOOST_AUTO_TEST_CASE(AJobWithoutTimeIsUnattainable) {
   std::vector<WaitingJob> Jobs = {job(1, 120ms), job(2, -900ms), job(3, -950ms)};
