Pool: Let jobs that no worker could run take no room

Cause: all waiting work counted as ahead of a job. Work for workers that have all gone, of one label or size, is never placed, so that jobs for the other workers were refused at arrival when these were busy for a moment.

Change: each waiting job is checked every 200 ms for a listed worker that could run it if it were idle, here or at another manager.

Result: JobsWithoutWorkersTakeNoRoom fails on the former code and passes. Work for a type of worker that is only short still counts.

--- a/Kernel/Pool/PoolJob.h
+++ b/Kernel/Pool/PoolJob.h
@@ -83,7 +83,10 @@
   bool IsWide = false;     ///< Among the jobs of its kind with the most work.
   Standing Place{};        ///< When room is short.
   bool IsSettled = false;  ///< Counted as placed in time or not.
-  bool IsEnding = false;   ///< Answered; the remaining runs are being stopped.
+  /// No worker could run one of its waiting steps, even if it were idle; as of WorkersSoughtAt.
+  bool LacksWorkers = false;
+  core::TimePoint WorkersSoughtAt;
+  bool IsEnding = false; ///< Answered; the remaining runs are being stopped.
   std::optional<core::TimePoint> OrphanedUntil;
   std::shared_ptr<const JobSubmission>
       Successor; ///< The same job, resubmitted while this one ends.
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -158,6 +158,10 @@
   void reviewWaitingJobs(core::TimePoint Now);
   /// Returns whether a step of the job needs workers of which all are in evacuated data centres.
   bool needsEvacuatedWorkers(const PoolJob &Job, core::TimePoint Now) const;
+  static bool couldRunOn(const WorkerEntry &Entry, const PoolJob &Job, std::uint32_t Step);
+  /// Updates PoolJob::LacksWorkers now and then.
+  void seekWorkers(PoolJob &Job, core::TimePoint Now) const;
+  bool lacksWorkers(const PoolJob &Job) const;
   void enqueue(const PoolJob &Job, core::TimePoint Now);
   static PoolQueue::Key placeInQueue(const PoolJob &Job, core::TimePoint Now);
   WaitingJob waitingJob(const PoolJob &Job) const;
--- a/Kernel/Pool/PoolManagerDataWait.cpp
+++ b/Kernel/Pool/PoolManagerDataWait.cpp
@@ -268,7 +268,8 @@
 
 bool PoolManager::hasWorkWithoutRoom() const {
   return std::any_of(Queue_.begin(), Queue_.end(), [this](const PoolQueue::Key &Key) {
-    return !Jobs_.at(Key.Handle).onlyWaitsForData();
+    const auto &Job = Jobs_.at(Key.Handle);
+    return !Job.LacksWorkers && !Job.onlyWaitsForData();
   });
 }
 
--- a/Kernel/Pool/PoolManagerJobs.cpp
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -44,6 +44,7 @@
   Job.IsWide = Shares_.offered(Job.Kind, Submission->Policy.Priority, Work);
   Job.Place = Shares_.standingOf(Job.Kind, Job.IsWide);
   Inflow_.add(Work, Now);
+  seekWorkers(Job, Now);
   if (JobBytes_ > Settings_.JobBytes)
     return endJob(Job, {JobVerdict::Rejected, "no memory for the job", MemoryRetryMilliseconds},
                   Now);
--- a/Kernel/Pool/PoolManagerQueue.cpp
+++ b/Kernel/Pool/PoolManagerQueue.cpp
@@ -12,6 +12,8 @@
 constexpr double EvacuatedRetryMilliseconds = 5000;
 /// How long after a start managers may not know the workers of all others.
 constexpr core::Duration DirectoryExchangeTime = std::chrono::seconds(1);
+/// Interval between searches for workers that could run a waiting job.
+constexpr core::Duration WorkerSearchInterval = std::chrono::milliseconds(200);
 /// Share of its resources that tasks of different sizes fill on a busy worker.
 constexpr double PackedShare = 0.75;
 
@@ -124,14 +126,10 @@
   if (EvacuatedDataCentres_.empty() || Now < WorkersFoundAt_ + DirectoryExchangeTime)
     return false;
   for (std::uint32_t Step = 0; Step < Job.Steps.size(); ++Step) {
-    PoolPlacementRequest Request;
-    Request.Step = &Job.Submission->Steps[Step];
-    Request.Policy = &Job.Submission->Policy;
     bool IsOnlyEvacuated = false;
     bool IsServedElsewhere = false;
     auto Consider = [&](const WorkerEntry &Entry) {
-      PlacementCandidate Idle{&Entry, {Entry.Capacity, Entry.Slots, 1}, 0};
-      if (IsServedElsewhere || !isEligible(Request, Idle))
+      if (IsServedElsewhere || !couldRunOn(Entry, Job, Step))
         return;
       bool IsEvacuated = EvacuatedDataCentres_.contains(Entry.DataCentre);
       (IsEvacuated ? IsOnlyEvacuated : IsServedElsewhere) = true;
@@ -147,17 +145,54 @@
   return false;
 }
 
+bool PoolManager::couldRunOn(const WorkerEntry &Entry, const PoolJob &Job, std::uint32_t Step) {
+  PoolPlacementRequest Request;
+  Request.Step = &Job.Submission->Steps[Step];
+  Request.Policy = &Job.Submission->Policy;
+  return isEligible(Request, {&Entry, {Entry.Capacity, Entry.Slots, 1}, 0});
+}
+
+bool PoolManager::lacksWorkers(const PoolJob &Job) const {
+  for (std::uint32_t Step = 0; Step < Job.Steps.size(); ++Step) {
+    if (Job.Steps[Step].Waiting == 0)
+      continue;
+    bool IsServedHere = std::any_of(Listed_.begin(), Listed_.end(), [&](const WorkerEntry &Entry) {
+      return Entry.State == WorkerState::Ready && couldRunOn(Entry, Job, Step);
+    });
+    bool IsServed =
+        IsServedHere || std::any_of(Remotes_.begin(), Remotes_.end(), [&](const auto &Remote) {
+          const auto &Workers = Remote.second.Pool.workers();
+          return std::any_of(Workers.begin(), Workers.end(), [&](const RemoteWorker &Worker) {
+            return couldRunOn(Worker.Entry, Job, Step);
+          });
+        });
+    if (!IsServed)
+      return true;
+  }
+  return false;
+}
+
+void PoolManager::seekWorkers(PoolJob &Job, core::TimePoint Now) const {
+  if (Now < Job.WorkersSoughtAt + WorkerSearchInterval)
+    return;
+  Job.WorkersSoughtAt = Now;
+  Job.LacksWorkers = lacksWorkers(Job);
+}
+
 void PoolManager::enqueue(const PoolJob &Job, core::TimePoint Now) {
   if (Job.waiting() == 0 || Queue_.contains(Job.Handle) || Job.OrphanedUntil)
     return;
   Queue_.set(placeInQueue(Job, Now));
-  WaitingWork_ += waitingWork(Job);
+  if (!Job.LacksWorkers)
+    WaitingWork_ += waitingWork(Job);
 }
 
 PoolQueue::Key PoolManager::placeInQueue(const PoolJob &Job, core::TimePoint Now) {
-  auto Prospect = Now <= Job.LatestStart ? JobProspect::InTime
-                  : Job.mayHaveRun()     ? JobProspect::StartedLate
-                                         : JobProspect::Late;
+  auto Prospect = JobProspect::InTime;
+  if (Job.LacksWorkers)
+    Prospect = JobProspect::Late;
+  else if (Now > Job.LatestStart)
+    Prospect = Job.mayHaveRun() ? JobProspect::StartedLate : JobProspect::Late;
   return {Prospect, Job.LatestStart, Job.Handle};
 }
 
@@ -179,12 +214,18 @@
     return observeOverload({}, Room, Now);
   }
   std::vector<WaitingJob> Waiting;
+  std::vector<JobHandle> WithoutWorkers;
   Waiting.reserve(Queue_.size());
   for (const auto &Key : Queue_) {
-    const auto &Job = Jobs_.at(Key.Handle);
-    if (!Job.onlyWaitsForData()) // Nothing ahead of such a job delays it.
+    auto &Job = Jobs_.at(Key.Handle);
+    seekWorkers(Job, Now);
+    if (Job.LacksWorkers)
+      WithoutWorkers.push_back(Key.Handle);
+    else if (!Job.onlyWaitsForData()) // Nothing ahead of such a job delays it.
       Waiting.push_back(waitingJob(Job));
   }
+  for (auto Handle : WithoutWorkers) // They neither take room nor keep others from being placed.
+    Queue_.set(placeInQueue(Jobs_.at(Handle), Now));
   auto Plan = planAdmission(Waiting, Room, Now);
   WaitingWork_ = Plan.Work;
   for (std::size_t Position = 0; Position < Waiting.size(); ++Position)
--- a/Tests/Pool/TestPoolManager.cpp
+++ b/Tests/Pool/TestPoolManager.cpp
@@ -417,6 +417,25 @@
   BOOST_TEST((Awaited.heldIn(Fixture.Now) == core::Duration(0)));
 }
 
+// Replays the loss of all workers of one type, while the others are busy for a moment. Guards
+// against refusing a job for work that is not ahead of it. Fails before: all waiting work counted.
+BOOST_AUTO_TEST_CASE(JobsWithoutWorkersTakeNoRoom) {
+  ManagerFixture Fixture;
+  Fixture.list({"w-0", "w-1"});
+  Fixture.submit(4, 100); // Fills both workers.
+  Fixture.RequiredLabel = "accelerator";
+  for (int Job = 0; Job < 10; ++Job)
+    Fixture.submit(10, 200);
+  Fixture.RequiredLabel.clear();
+  auto Served = Fixture.submit(2, 400);
+  for (int Tick = 0; Tick < 10; ++Tick)
+    Fixture.pass(5ms);
+  BOOST_TEST(std::none_of(Fixture.Out.Sent.begin(), Fixture.Out.Sent.end(), [&](const auto &Sent) {
+    const auto *Answer = std::get_if<PoolAnswer>(&Sent.second);
+    return Answer && Answer->Job == Served;
+  }));
+}
+
 // Replays a hand-over: one worker is held, and nine are about to be released by the former manager.
 // Guards against refusing jobs that these will serve. Fails before: only workers held counted.
 BOOST_AUTO_TEST_CASE(JobsWaitForWorkersThatAreAboutToBeReleased) {
