--- a/Tests/Pool/TestPoolManager.cpp
+++ b/Tests/Pool/TestPoolManager.cpp
@@ -400,7 +400,7 @@
 }
 
 // Replays a stop of a manager whose workers are busy for seconds. Guards against taking these for
-// room that is about to come. Fails before: each was expected within half a second all the time.
+// room that is about to come, because each is expected within half a second all the time.
 BOOST_AUTO_TEST_CASE(AWorkerThatIsNotReleasedIsExpectedLater) {
   ManagerFixture Fixture;
   auto Defer = [&] {
@@ -418,7 +418,7 @@
 }
 
 // Replays the loss of all workers of one type, while the others are busy for a moment. Guards
-// against refusing a job for work that is not ahead of it. Fails before: all waiting work counted.
+// against refusing a job for work that is not ahead of it, because all waiting work counts.
 BOOST_AUTO_TEST_CASE(JobsWithoutWorkersTakeNoRoom) {
   ManagerFixture Fixture;
   Fixture.list({"w-0", "w-1"});
--- a/Tests/Pool/TestPoolQueue.cpp
+++ b/Tests/Pool/TestPoolQueue.cpp
@@ -63,7 +63,7 @@
 }
 
 // Guards against a wide job whose first tasks have run in vain: its last ones are placed when only
-// fast workers are still in time. Fails before: its rest was put behind all jobs in time.
+// fast workers are still in time, and its rest is put behind all other jobs.
 BOOST_AUTO_TEST_CASE(AStartedJobIsInTimeAsLongAsAFastWorkerIs) {
   std::vector<WaitingJob> Jobs = {job(1, -10ms), job(2, 120ms)};
   Jobs[0].MayHaveRun = true;
@@ -78,7 +78,7 @@
 }
 
 // Guards against letting further jobs give way when none is left: sums of work in another order are
-// rounded differently. Fails before: the end of an empty map was read.
+// rounded differently, and the end of an empty map would be read.
 BOOST_AUTO_TEST_CASE(NoMoreJobsGiveWayThanThereAre) {
   std::mt19937_64 Random(1);
   for (int Round = 0; Round < 20000; ++Round) {
@@ -162,7 +162,7 @@
 }
 
 // Guards against a caller that is told the longest time, because another was refused long ago while
-// next to nothing was placed. Fails before: the time to place its work was kept without a bound.
+// next to nothing was placed, and the time to place its work is kept without a bound.
 BOOST_AUTO_TEST_CASE(RefusalsAreForgottenWhenTheirCallersHaveComeBack) {
   ReturnTimes Times;
   Times.next(300, 100, 1e-6, Now);
@@ -190,8 +190,8 @@
   BOOST_TEST((Shares.standingOf(High, false) == Standing::ByPriority));
 }
 
-// Guards against a kind that no longer comes and still sets the mean share of its priority. Fails
-// before: its low share made all other kinds count as served more than the mean.
+// Guards against a kind that no longer comes and still sets the mean share of its priority:
+// its low share would make all other kinds count as served more than the mean.
 BOOST_AUTO_TEST_CASE(KindsThatNoLongerComeAreForgotten) {
   constexpr KindIndex Ended{0};
   constexpr KindIndex More{1};
