--- a/Kernel/Pool/KindShares.h
+++ b/Kernel/Pool/KindShares.h
@@ -15,13 +15,16 @@
   void add(bool IsHit, double Weight, core::TimePoint Now);
   /// One while nothing is known.
   double value() const { return Weight_ > 0 ? Hits_ / Weight_ : 1; }
-  double hits() const { return Hits_; }
-  double weight() const { return Weight_; }
+  /// Number of jobs, or their work, of which older ones count less.
+  double weight(core::TimePoint Now) const;
 
 private:
+  /// Share of the weight that remains from the last change.
+  double keptAt(core::TimePoint Now) const;
+
   double Hits_ = 0;
   double Weight_ = 0;
-  core::TimePoint At_;
+  core::TimePoint At_; ///< Of the last change.
 };
 
 /// Work that arrives per millisecond, as far as it lasts: the lower rate of the last two windows,
@@ -57,8 +60,8 @@
 /// long and wide jobs would be refused.
 ///
 /// Two floors keep priorities and sizes from starving anyone: a kind is to be in time at least two
-/// thirds as often as the work of all kinds, and the tenth of a kind's jobs with the most work nine
-/// tenths as often as the kind.
+/// thirds as often as the work of all kinds, and the tenth of a kind's jobs with the most work as
+/// often as the kind.
 class KindShares {
 public:
   /// Records a new job and returns whether it is among the tenth of its kind with the most work.
@@ -90,6 +93,7 @@
 
   std::vector<KindState> Kinds_;
   RecentShare Work_;
+  core::TimePoint LastAt_; ///< When the last job was recorded.
 };
 
 } // namespace cornellift::kernel
--- a/Kernel/Pool/PoolJob.h
+++ b/Kernel/Pool/PoolJob.h
@@ -85,11 +85,15 @@
   bool IsOverlong = false;     ///< One of its runs has taken several times the expected time.
   /// The same on workers without a fault, so that the job's deadlines were moved.
   bool IsExtended = false;
-  bool HasRun = false;    ///< One of its runs has ended, or was lost after its start.
-  bool IsWide = false;    ///< Among the tenth of its kind's jobs with the most work.
-  Standing Place{};       ///< Order in which it gives way when room is short, as of its arrival.
+  bool HasRun = false; ///< One of its runs has ended, or was lost after its start.
+  bool IsWide = false; ///< Among the tenth of its kind's jobs with the most work.
+  /// Order in which it gives way when room is short, as of its arrival.
+  Standing ArrivalStanding{};
   bool IsSettled = false; ///< KindShares has counted whether it was placed in time.
-  bool IsEnding = false;  ///< Answered; the remaining runs are being stopped.
+  /// No worker could run one of its waiting steps, even if it were idle; as of WorkersSoughtAt.
+  bool LacksWorkers = false;
+  core::TimePoint WorkersSoughtAt;
+  bool IsEnding = false; ///< Answered; the remaining runs are being stopped.
   std::optional<core::TimePoint> OrphanedUntil;
   std::shared_ptr<const JobSubmission>
       Successor; ///< The same job, resubmitted while this one ends.
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -184,16 +184,26 @@
   void reviewWaitingJobs(core::TimePoint Now);
   /// Returns whether a step of the job needs workers of which all are in evacuated data centres.
   bool needsEvacuatedWorkers(const PoolJob &Job, core::TimePoint Now) const;
+  static bool couldRunOn(const WorkerEntry &Entry, const PoolJob &Job, std::uint32_t Step);
+  /// Updates PoolJob::LacksWorkers now and then.
+  void seekWorkers(PoolJob &Job, core::TimePoint Now) const;
+  bool lacksWorkers(const PoolJob &Job) const;
   void enqueue(const PoolJob &Job, core::TimePoint Now);
-  static PoolQueue::Key placeInQueue(const PoolJob &Job, core::TimePoint Now);
+  PoolQueue::Key placeInQueue(const PoolJob &Job, core::TimePoint Now) const;
+  /// Latest start of the waiting tasks that meets the objective, on the fastest worker for jobs
+  /// that have started or are below their floor.
+  core::TimePoint inTimeUntil(const PoolJob &Job) const;
   WaitingJob waitingJob(const PoolJob &Job) const;
+  /// Puts jobs that no worker could run behind all others, so that they keep none from being
+  /// placed.
+  void moveJobsWithoutWorkers(core::TimePoint Now);
   /// The jobs of the queue that wait for room anywhere.
   std::vector<WaitingJob> waitingJobs() const;
   /// Rejects a waiting job to which the plan leaves no time, unless a worker could take it now.
   void refuse(PoolJob &Job, const RoomForecast &Room, core::TimePoint Now);
   void observeOverload(const AdmissionPlan &Plan, const RoomForecast &Room, core::TimePoint Now);
   /// Counts the job among those of its kind that were, or were not, placed in time; once.
-  void settle(PoolJob &Job, core::TimePoint Now);
+  void settle(PoolJob &Job, bool IsInTime, core::TimePoint Now);
   /// Time until the work ahead of the job has been placed, in milliseconds.
   double waitMilliseconds(const PoolJob &Job, const RoomForecast &Room, core::TimePoint Now) const;
   /// What the job's waiting tasks take of a typical worker, times the run time in milliseconds.
--- a/Kernel/Pool/PoolManagerQueue.cpp
+++ b/Kernel/Pool/PoolManagerQueue.cpp
@@ -13,6 +13,8 @@
 constexpr double EvacuatedRetryMilliseconds = 5000;
 /// How long after a start managers may not know the workers of all others.
 constexpr core::Duration DirectoryExchangeTime = std::chrono::seconds(1);
+/// Interval between searches for workers that could run a waiting job.
+constexpr core::Duration WorkerSearchInterval = std::chrono::milliseconds(200);
 /// Share of its resources that tasks of different sizes fill on a busy worker.
 constexpr double PackedShare = 0.75;
 
@@ -130,14 +132,10 @@
   if (EvacuatedDataCentres_.empty() || Now < WorkersFoundAt_ + DirectoryExchangeTime)
     return false;
   for (std::uint32_t Step = 0; Step < Job.Steps.size(); ++Step) {
-    PoolPlacementRequest Request;
-    Request.Step = &Job.Submission->Steps[Step];
-    Request.Policy = &Job.Submission->Policy;
     bool HasEvacuatedWorker = false;
     bool HasOtherWorker = false;
     auto Consider = [&](const WorkerEntry &Entry) {
-      PlacementCandidate Idle{&Entry, {Entry.Capacity, Entry.Slots, 1}, 0};
-      if (HasOtherWorker || !isEligible(Request, Idle))
+      if (HasOtherWorker || !couldRunOn(Entry, Job, Step))
         return;
       bool IsEvacuated = EvacuatedDataCentres_.contains(Entry.DataCentre);
       (IsEvacuated ? HasEvacuatedWorker : HasOtherWorker) = true;
@@ -153,36 +151,104 @@
   return false;
 }
 
+bool PoolManager::couldRunOn(const WorkerEntry &Entry, const PoolJob &Job, std::uint32_t Step) {
+  PoolPlacementRequest Request;
+  Request.Step = &Job.Submission->Steps[Step];
+  Request.Policy = &Job.Submission->Policy;
+  return isEligible(Request, {&Entry, {Entry.Capacity, Entry.Slots, 1}, 0});
+}
+
+bool PoolManager::lacksWorkers(const PoolJob &Job) const {
+  for (std::uint32_t Step = 0; Step < Job.Steps.size(); ++Step) {
+    if (Job.Steps[Step].Waiting == 0)
+      continue;
+    bool IsServedHere = std::any_of(Listed_.begin(), Listed_.end(), [&](const WorkerEntry &Entry) {
+      return Entry.State == WorkerState::Ready && couldRunOn(Entry, Job, Step);
+    });
+    bool IsServed =
+        IsServedHere || std::any_of(Remotes_.begin(), Remotes_.end(), [&](const auto &Remote) {
+          const auto &Workers = Remote.second.Pool.workers();
+          return std::any_of(Workers.begin(), Workers.end(), [&](const RemoteWorker &Worker) {
+            return couldRunOn(Worker.Entry, Job, Step);
+          });
+        });
+    if (!IsServed)
+      return true;
+  }
+  return false;
+}
+
+void PoolManager::seekWorkers(PoolJob &Job, core::TimePoint Now) const {
+  if (Now < Job.WorkersSoughtAt + WorkerSearchInterval)
+    return;
+  Job.WorkersSoughtAt = Now;
+  Job.LacksWorkers = lacksWorkers(Job);
+}
+
 void PoolManager::enqueue(const PoolJob &Job, core::TimePoint Now) {
   if (Job.waiting() == 0 || Queue_.contains(Job.Handle) || Job.OrphanedUntil)
     return;
   Queue_.set(placeInQueue(Job, Now));
-  WaitingWork_ += waitingWork(Job);
+  if (!Job.LacksWorkers)
+    WaitingWork_ += waitingWork(Job);
+}
+
+core::TimePoint PoolManager::inTimeUntil(const PoolJob &Job) const {
+  if (Job.ArrivalStanding != Standing::BelowFloor && !Job.mayHaveRun())
+    return Job.LatestStart;
+  std::vector<double> UntilEnd(Job.Steps.size()); // From the start of the step.
+  double Longest = 0;
+  for (auto Step = Job.Steps.size(); Step-- > 0;) {
+    UntilEnd[Step] += Job.Steps[Step].expectedMilliseconds();
+    for (auto Earlier : Job.Submission->Steps[Step].After)
+      if (Earlier < Step)
+        UntilEnd[Earlier] = std::max(UntilEnd[Earlier], UntilEnd[Step]);
+    if (Job.Steps[Step].Waiting > 0)
+      Longest = std::max(Longest, UntilEnd[Step]);
+  }
+  auto Run = core::fromMilliseconds(Longest / std::max(FastestSpeed_, MinimumSpeed));
+  return std::max(Job.LatestStart, Job.ObjectiveAt - Run);
 }
 
-PoolQueue::Key PoolManager::placeInQueue(const PoolJob &Job, core::TimePoint Now) {
-  auto Prospect = Now <= Job.LatestStart ? JobProspect::InTime
-                  : Job.mayHaveRun()     ? JobProspect::StartedLate
-                                         : JobProspect::Late;
+PoolQueue::Key PoolManager::placeInQueue(const PoolJob &Job, core::TimePoint Now) const {
+  auto Prospect = JobProspect::InTime;
+  if (Job.LacksWorkers)
+    Prospect = JobProspect::Late;
+  else if (Now > Job.LatestStart && Now > inTimeUntil(Job))
+    Prospect = Job.mayHaveRun() ? JobProspect::StartedLate : JobProspect::Late;
   return {Prospect, Job.LatestStart, Job.Handle};
 }
 
 WaitingJob PoolManager::waitingJob(const PoolJob &Job) const {
   return {Job.Handle,
-          Job.Place,
+          Job.ArrivalStanding,
           Job.mayHaveRun(),
           waitingWork(Job),
           core::fromMilliseconds(shortestRunTime(Job)),
           Job.LatestStart,
+          inTimeUntil(Job),
           Job.UsefulUntil};
 }
 
+void PoolManager::moveJobsWithoutWorkers(core::TimePoint Now) {
+  std::vector<JobHandle> WithoutWorkers;
+  for (const auto &Key : Queue_) {
+    auto &Job = Jobs_.at(Key.Handle);
+    seekWorkers(Job, Now);
+    if (Job.LacksWorkers)
+      WithoutWorkers.push_back(Key.Handle);
+  }
+  for (auto Handle : WithoutWorkers)
+    Queue_.set(placeInQueue(Jobs_.at(Handle), Now));
+}
+
 std::vector<WaitingJob> PoolManager::waitingJobs() const {
   std::vector<WaitingJob> Waiting;
   Waiting.reserve(Queue_.size());
   for (const auto &Key : Queue_) {
     const auto &Job = Jobs_.at(Key.Handle);
-    if (!Job.onlyWaitsForData()) // Nothing ahead of such a job delays it.
+    // Nothing ahead of a job that waits for its data delays it.
+    if (!Job.LacksWorkers && !Job.onlyWaitsForData())
       Waiting.push_back(waitingJob(Job));
   }
   return Waiting;
@@ -195,13 +261,17 @@
     WaitingWork_ = 0;
     return observeOverload({}, Room, Now);
   }
+  moveJobsWithoutWorkers(Now);
   auto Waiting = waitingJobs();
   auto Plan = planAdmission(Waiting, Room, Now);
   WaitingWork_ = Plan.Work;
-  for (std::size_t Position = 0; Position < Waiting.size(); ++Position)
-    if (Queue_.find(Waiting[Position].Handle)->Prospect != Plan.Prospects[Position])
-      Queue_.set(
-          {Plan.Prospects[Position], Waiting[Position].LatestStart, Waiting[Position].Handle});
+  for (std::size_t Position = 0; Position < Waiting.size(); ++Position) {
+    auto &Job = Jobs_.at(Waiting[Position].Handle);
+    if (Queue_.find(Job.Handle)->Prospect != Plan.Prospects[Position])
+      Queue_.set({Plan.Prospects[Position], Job.LatestStart, Job.Handle});
+    if (placeInQueue(Job, Now).Prospect != JobProspect::InTime)
+      settle(Job, false, Now);
+  }
   observeOverload(Plan, Room, Now);
   for (auto Position : Plan.Unattainable)
     if (auto *Job = find(Waiting[Position].Handle))
@@ -234,12 +304,11 @@
              {"workers_held", static_cast<std::int64_t>(Fleet_.heldCount())}});
 }
 
-void PoolManager::settle(PoolJob &Job, core::TimePoint Now) {
+void PoolManager::settle(PoolJob &Job, bool IsInTime, core::TimePoint Now) {
   if (Job.IsSettled || Job.IsDelegation)
     return;
   Job.IsSettled = true;
-  Shares_.settled(Job.Kind, Job.IsWide, totalWork(Job),
-                  Job.waiting() == 0 && Now <= Job.LatestStart, Now);
+  Shares_.settled(Job.Kind, Job.IsWide, totalWork(Job), IsInTime, Now);
 }
 
 void PoolManager::expireJobs(core::TimePoint Now) {
@@ -270,10 +339,11 @@
   for (const auto &Key : Queue_) {
     if (Key.Prospect != JobProspect::InTime || Key.LatestStart >= Now)
       break;
-    Missed.push_back(Key.Handle);
+    if (placeInQueue(Jobs_.at(Key.Handle), Now).Prospect != JobProspect::InTime)
+      Missed.push_back(Key.Handle);
   }
   for (auto Handle : Missed) {
-    settle(Jobs_.at(Handle), Now);
+    settle(Jobs_.at(Handle), false, Now);
     Queue_.remove(Handle);
     enqueue(Jobs_.at(Handle), Now);
   }
--- a/Kernel/Pool/PoolManagerWhere.cpp
+++ b/Kernel/Pool/PoolManagerWhere.cpp
@@ -120,7 +120,8 @@
   setDeadlines(Job);
   unblockSteps(Job);
   Job.IsWide = Shares.offered(Job.Kind, Submission->Policy.Priority, totalWork(Job));
-  Job.Place = Shares.standingOf(Job.Kind, Job.IsWide);
+  Job.ArrivalStanding = Shares.standingOf(Job.Kind, Job.IsWide);
+  seekWorkers(Job, Now);
 
   PlacementExplanation Result;
   Result.Admission = admissionOf(Job, Now);
--- a/Tests/Pool/TestPoolManager.cpp
+++ b/Tests/Pool/TestPoolManager.cpp
@@ -17,7 +17,7 @@
   ManagerFixture Fixture;
   Fixture.list({"w-0"});
   Fixture.Manager.fleet().claimNow("w-9", Fixture.Now);
-  Fixture.Manager.fleet().deferClaim("w-8", Fixture.Now + 1s);
+  Fixture.Manager.fleet().deferClaim("w-8", Fixture.Now + 1s, Fixture.Now);
   Fixture.submit(4, 100);
   Fixture.pass(20ms);
   BOOST_TEST(Fixture.Out.Starts.size() == 2U); // As many as fit on the listed worker.
@@ -27,8 +27,8 @@
 // the claim although it has.
 BOOST_AUTO_TEST_CASE(ClaimTimesApplyToWorkersListedLater) {
   ManagerFixture Fixture;
-  Fixture.Manager.fleet().deferClaim("w-0", Fixture.Now + 1s);
-  Fixture.Manager.fleet().deferClaim("w-1", Fixture.Now + 1s);
+  Fixture.Manager.fleet().deferClaim("w-0", Fixture.Now + 1s, Fixture.Now);
+  Fixture.Manager.fleet().deferClaim("w-1", Fixture.Now + 1s, Fixture.Now);
   Fixture.Manager.fleet().claimNow("w-1", Fixture.Now);
   Fixture.Manager.setWorkers(std::vector{entry("w-0"), entry("w-1")}, Fixture.Now);
   BOOST_REQUIRE(Fixture.Out.Polls.size() == 1U);
@@ -399,6 +399,43 @@
   BOOST_TEST((Fixture.Out.answers()[0].Verdict == JobVerdict::GivenUp));
 }
 
+// Replays a stop of a manager whose workers are busy for seconds. Guards against taking these for
+// room that is about to come, because each is expected within half a second all the time.
+BOOST_AUTO_TEST_CASE(AWorkerThatIsNotReleasedIsExpectedLater) {
+  ManagerFixture Fixture;
+  auto Defer = [&] {
+    Fixture.Manager.fleet().deferClaim("w-0", Fixture.Now + std::chrono::hours(24), Fixture.Now);
+  };
+  Defer();
+  Fixture.list({"w-0"});
+  const auto &Awaited = Fixture.Manager.fleet().at(EndpointIndex{0});
+  BOOST_TEST((Awaited.heldIn(Fixture.Now) == core::Duration(500ms)));
+  Fixture.pass(3s);
+  Defer(); // As each time that the workers are listed.
+  BOOST_TEST((Awaited.heldIn(Fixture.Now) >= core::Duration(3s)));
+  Fixture.Manager.fleet().claimNow("w-0", Fixture.Now);
+  BOOST_TEST((Awaited.heldIn(Fixture.Now) == core::Duration(0)));
+}
+
+// Replays the loss of all workers of one type, while the others are busy for a moment. Guards
+// against refusing a job for work that is not ahead of it, because all waiting work counts.
+BOOST_AUTO_TEST_CASE(JobsWithoutWorkersTakeNoRoom) {
+  ManagerFixture Fixture;
+  Fixture.list({"w-0", "w-1"});
+  Fixture.submit(4, 100); // Fills both workers.
+  Fixture.RequiredLabel = "accelerator";
+  for (int Job = 0; Job < 10; ++Job)
+    Fixture.submit(10, 200);
+  Fixture.RequiredLabel.clear();
+  auto Served = Fixture.submit(2, 400);
+  for (int Tick = 0; Tick < 10; ++Tick)
+    Fixture.pass(5ms);
+  BOOST_TEST(std::none_of(Fixture.Out.Sent.begin(), Fixture.Out.Sent.end(), [&](const auto &Sent) {
+    const auto *Answer = std::get_if<PoolAnswer>(&Sent.second);
+    return Answer && Answer->Job == Served;
+  }));
+}
+
 // Replays a hand-over: one worker is held, and nine are about to be released by the former manager.
 // Guards against refusing jobs that these will serve, because only workers that are held count.
 BOOST_AUTO_TEST_CASE(JobsWaitForWorkersThatAreAboutToBeReleased) {
@@ -406,7 +443,8 @@
   std::vector<std::string> Ids = {"w-0"};
   for (int Worker = 1; Worker < 10; ++Worker) {
     Ids.push_back("w-" + std::to_string(Worker));
-    Fixture.Manager.fleet().deferClaim(Ids.back(), Fixture.Now + std::chrono::hours(24));
+    Fixture.Manager.fleet().deferClaim(Ids.back(), Fixture.Now + std::chrono::hours(24),
+                                       Fixture.Now);
   }
   Fixture.list(Ids);
   for (int Job = 0; Job < 12; ++Job)
--- a/Tests/Pool/TestPoolQueue.cpp
+++ b/Tests/Pool/TestPoolQueue.cpp
@@ -4,6 +4,7 @@
 #include "Kernel/Pool/PoolQueue.h"
 #include "Kernel/Pool/ReturnTimes.h"
 
+#include <random>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
@@ -22,7 +23,7 @@
                Standing Place = Standing::ByPriority) {
   WaitingJob Job;
   Job.Handle = static_cast<JobHandle>(Number);
-  Job.Place = Place;
+  Job.ArrivalStanding = Place;
   Job.Work = 200;
   Job.ShortestRun = 100ms;
   Job.LatestStart = Now + LatestStart;
@@ -61,6 +62,40 @@
   BOOST_TEST((Plan.Prospects[1] == JobProspect::InTime));
 }
 
+// Guards against a wide job whose first tasks have run in vain: its last ones are placed when only
+// fast workers are still in time, and its rest is put behind all other jobs.
+BOOST_AUTO_TEST_CASE(AStartedJobIsInTimeAsLongAsAFastWorkerIs) {
+  std::vector<WaitingJob> Jobs = {job(1, -10ms), job(2, 120ms)};
+  Jobs[0].MayHaveRun = true;
+  Jobs[0].InTimeUntil = Now + 110ms;
+  auto Plan = planAdmission(Jobs, Room, Now);
+  BOOST_TEST((Plan.Prospects[0] == JobProspect::InTime));
+  BOOST_TEST((Plan.Prospects[1] == JobProspect::Late)); // Each job takes 100 ms.
+  Jobs[0].InTimeUntil = Now - 1ms;
+  Plan = planAdmission(Jobs, Room, Now);
+  BOOST_TEST((Plan.Prospects[0] == JobProspect::StartedLate));
+  BOOST_TEST((Plan.Prospects[1] == JobProspect::InTime));
+}
+
+// Guards against letting further jobs give way when none is left: sums of work in another order are
+// rounded differently, and the end of an empty map would be read.
+BOOST_AUTO_TEST_CASE(NoMoreJobsGiveWayThanThereAre) {
+  std::mt19937_64 Random(1);
+  for (int Round = 0; Round < 20000; ++Round) {
+    std::vector<WaitingJob> Jobs;
+    for (std::uint64_t Number = 1; Number <= 6; ++Number) {
+      Jobs.push_back(job(Number, 1ms));
+      Jobs.back().Work = std::uniform_real_distribution<double>(0, 0.3)(Random);
+    }
+    auto Started = job(7, 2ms - 1us);
+    Started.MayHaveRun = true;
+    Started.Work = 2;
+    Jobs.push_back(Started);
+    auto Plan = planAdmission(Jobs, {1, 0, 0ms, 0}, Now);
+    BOOST_REQUIRE((Plan.Prospects[6] == JobProspect::InTime));
+  }
+}
+
 // Guards against holding a job that can no longer be served.
 BOOST_AUTO_TEST_CASE(AJobWithoutTimeIsUnattainable) {
   std::vector<WaitingJob> Jobs = {job(1, 120ms), job(2, -900ms), job(3, -950ms)};
@@ -126,6 +161,14 @@
   }
 }
 
+// Guards against a caller that is told the longest time, because another was refused long ago while
+// next to nothing was placed, and the time to place its work is kept without a bound.
+BOOST_AUTO_TEST_CASE(RefusalsAreForgottenWhenTheirCallersHaveComeBack) {
+  ReturnTimes Times;
+  Times.next(300, 100, 1e-6, Now);
+  BOOST_TEST(Times.next(300, 100, 2, Now + 10s) == 300);
+}
+
 // Guards against kinds and sizes that are starved by others.
 BOOST_AUTO_TEST_CASE(FloorsComeBeforePriorities) {
   constexpr KindIndex High{0};
@@ -147,6 +190,26 @@
   BOOST_TEST((Shares.standingOf(High, false) == Standing::ByPriority));
 }
 
+// Guards against a kind that no longer comes and still sets the mean share of its priority:
+// its low share would make all other kinds count as served more than the mean.
+BOOST_AUTO_TEST_CASE(KindsThatNoLongerComeAreForgotten) {
+  constexpr KindIndex Ended{0};
+  constexpr KindIndex More{1};
+  constexpr KindIndex Less{2};
+  KindShares Shares;
+  for (auto Kind : {Ended, More, Less})
+    Shares.offered(Kind, 0, 100);
+  for (int Job = 0; Job < 100; ++Job)
+    Shares.settled(Ended, false, 100, false, Now);
+  for (int Job = 0; Job < 100; ++Job) {
+    auto At = Now + 60s + Job * 50ms;
+    Shares.settled(More, false, 100, Job % 5 != 0, At);
+    Shares.settled(Less, false, 100, Job % 5 >= 2, At);
+  }
+  BOOST_TEST((Shares.standingOf(More, false) == worseThan(Standing::ByPriority)));
+  BOOST_TEST((Shares.standingOf(Less, false) == Standing::ByPriority));
+}
+
 // Guards against other jobs than the tenth with the most work counting as wide, which would give
 // these the floor of the wide ones.
 BOOST_AUTO_TEST_CASE(TheWidestTenthIsFound) {
