Pool: Reject waiting jobs of evacuated data centres also later

Cause: Waiting jobs were looked at only when the set of evacuated data centres changed, and not within a second of a new manager's workers. Jobs that came in that second, as after a restart of all VMs, waited for evacuated workers until the end of their useful time; so did those whose last other worker left while they waited.

Change: While a data centre is evacuated, waiting jobs are looked at every 500 ms. The search stops at the first worker that remains.

--- a/Kernel/Pool/PoolManager.cpp
+++ b/Kernel/Pool/PoolManager.cpp
@@ -9,6 +9,8 @@
 /// Interval between checks for waiting jobs that can no longer be served.
 constexpr core::Duration ExpiryInterval = std::chrono::milliseconds(5);
 constexpr core::Duration StragglerCheckInterval = std::chrono::milliseconds(20);
+/// Interval between checks for waiting jobs that only evacuated workers could do.
+constexpr core::Duration EvacuationCheckInterval = std::chrono::milliseconds(500);
 /// How long an answer is kept for resubmissions of the job.
 constexpr core::Duration AnswerRetention = std::chrono::seconds(15);
 constexpr std::size_t MaximumAnswers = 1000000;
@@ -72,6 +74,14 @@
 void PoolManager::setEvacuated(const std::set<std::string> &DataCentres, core::TimePoint Now) {
   Fleet_.setEvacuated(DataCentres);
   EvacuatedDataCentres_ = DataCentres;
+  rejectEvacuated(Now);
+  ReportIsDue_ = true;
+  NeedsDispatch_ = true;
+  afterEvent(Now);
+}
+
+void PoolManager::rejectEvacuated(core::TimePoint Now) {
+  NextEvacuationCheck_ = Now + EvacuationCheckInterval;
   std::vector<JobHandle> Unplaceable;
   for (const auto &Key : Queue_) {
     const auto &Job = Jobs_.at(Key.Handle);
@@ -80,9 +90,6 @@
   }
   for (auto Handle : Unplaceable)
     endJob(Jobs_.at(Handle), evacuatedAnswer(), Now);
-  ReportIsDue_ = true;
-  NeedsDispatch_ = true;
-  afterEvent(Now);
 }
 
 void PoolManager::receive(PeerIndex From, const PoolMessage &Message, core::TimePoint Now) {
@@ -141,6 +148,9 @@
     moveStragglers(Now);
     moveNoticedRuns(Now);
   }
+  // The workers that remain may leave, or may not have been known when a job came.
+  if (!EvacuatedDataCentres_.empty() && Now >= NextEvacuationCheck_)
+    rejectEvacuated(Now);
   NeedsDispatch_ = NeedsDispatch_ || !Queue_.empty();
   afterEvent(Now);
 }
--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -158,6 +158,8 @@
   void reviewWaitingJobs(core::TimePoint Now);
   /// Returns whether a step of the job needs workers of which all are in evacuated data centres.
   bool needsEvacuatedWorkers(const PoolJob &Job, core::TimePoint Now) const;
+  /// Rejects the waiting jobs of which that is true and nothing has run.
+  void rejectEvacuated(core::TimePoint Now);
   void enqueue(const PoolJob &Job, core::TimePoint Now);
   static PoolQueue::Key placeInQueue(const PoolJob &Job, core::TimePoint Now);
   WaitingJob waitingJob(const PoolJob &Job) const;
@@ -370,6 +372,7 @@
   core::TimePoint ReportAt_; ///< Earliest time of the next report.
   bool NeedsDispatch_ = false;
   bool ReportIsDue_ = false;
+  core::TimePoint NextEvacuationCheck_;
   core::TimePoint NextExpiry_;
   core::TimePoint NextStragglerCheck_;
 };
--- a/Kernel/Pool/PoolManagerQueue.cpp
+++ b/Kernel/Pool/PoolManagerQueue.cpp
@@ -127,21 +127,22 @@
     PoolPlacementRequest Request;
     Request.Step = &Job.Submission->Steps[Step];
     Request.Policy = &Job.Submission->Policy;
-    bool IsOnlyEvacuated = false;
-    bool IsServedElsewhere = false;
-    auto Consider = [&](const WorkerEntry &Entry) {
+    bool HasEvacuated = false;
+    auto Serves = [&](const WorkerEntry &Entry) {
       PlacementCandidate Idle{&Entry, {Entry.Capacity, Entry.Slots, 1}, 0};
-      if (IsServedElsewhere || !isEligible(Request, Idle))
-        return;
+      if (!isEligible(Request, Idle))
+        return false;
       bool IsEvacuated = EvacuatedDataCentres_.contains(Entry.DataCentre);
-      (IsEvacuated ? IsOnlyEvacuated : IsServedElsewhere) = true;
+      HasEvacuated = HasEvacuated || IsEvacuated;
+      return !IsEvacuated;
     };
-    for (const auto &Entry : Listed_)
-      Consider(Entry);
-    for (const auto &[Peer, Known] : Remotes_)
-      for (const auto &Worker : Known.Pool.workers())
-        Consider(Worker.Entry);
-    if (IsOnlyEvacuated && !IsServedElsewhere)
+    bool IsServed = std::any_of(Listed_.begin(), Listed_.end(), Serves) ||
+                    std::any_of(Remotes_.begin(), Remotes_.end(), [&](const auto &Known) {
+                      const auto &Workers = Known.second.Pool.workers();
+                      return std::any_of(Workers.begin(), Workers.end(),
+                                         [&](const auto &Worker) { return Serves(Worker.Entry); });
+                    });
+    if (HasEvacuated && !IsServed)
       return true;
   }
   return false;
--- a/Tests/Pool/TestPoolEvacuation.cpp
+++ b/Tests/Pool/TestPoolEvacuation.cpp
@@ -139,3 +139,26 @@
   BOOST_TEST((Answer->Verdict == kernel::JobVerdict::Rejected));
   BOOST_TEST(Answer->RetryAfterMilliseconds > 0);
 }
+
+// Guards against callers that wait until their deadline because their jobs came before the manager
+// knew the workers of the others.
+BOOST_AUTO_TEST_CASE(WorkThatCameDuringARestartIsRefusedSoon) {
+  test::SimulationSettings Settings;
+  Settings.CallerTimeout = 30s;
+  PoolSimulation Simulation(Settings);
+  Simulation.run(2s);
+  Simulation.setEvacuated(0, true);
+  Simulation.setEvacuated(1, true);
+  Simulation.run(2s);
+  for (std::size_t Vm = 0; Vm < Simulation.vmCount(); ++Vm)
+    Simulation.kill(Vm, 500ms);
+  std::vector<kernel::JobKey> Keys;
+  for (auto End = Simulation.now() + 3s; Simulation.now() < End; Simulation.run(100ms))
+    Keys.push_back(Simulation.submit(1, 5000));
+  Simulation.run(2s);
+  for (auto Key : Keys) {
+    auto Answer = Simulation.answerOf(Key);
+    BOOST_REQUIRE(Answer.has_value());
+    BOOST_TEST((Answer->Verdict == kernel::JobVerdict::Rejected));
+  }
+}
