Pool: Hand released workers to the process that takes over in fact

Cause: A stopping manager announced its releases once, to the successor that it expected. If that one was lost halfway, the next one waited until the last run of the stopping manager had ended; idle workers that the lost one had claimed were held by nobody that long. Moreover, a process that got releases but did not take over kept them, and at a later takeover claimed workers at once that another manager still held, which stops their runs.

Change: The stopping manager tells a process that manages the data centre in place of the expected one which workers it has released so far. They are claimed when the leases of the lost one have ended. Releases count only for a takeover from the process that sent them, and until it releases nothing more or is lost.

--- a/Kernel/Pool/ClaimSchedule.cpp
+++ b/Kernel/Pool/ClaimSchedule.cpp
@@ -1,48 +1,44 @@
 #include "Kernel/Pool/ClaimSchedule.h"
 
 namespace cornellift::kernel {
-namespace {
 
-/// Key of the releases of workers that are not listed yet.
-const std::string UnknownDataCentre;
-
-} // namespace
-
-void ClaimSchedule::begin(const std::string &DataCentre, core::TimePoint ClaimAt) {
-  ClaimAt_[DataCentre] = ClaimAt;
-}
+void ClaimSchedule::begin(const BeginManaging &Begun) { Begun_[Begun.DataCentre] = Begun; }
 
 void ClaimSchedule::claimRemaining(const std::string &DataCentre, core::TimePoint ClaimAt) {
-  ClaimAt_[DataCentre] = ClaimAt;
+  Begun_[DataCentre] = {DataCentre, ClaimAt, std::nullopt, {}};
 }
 
-void ClaimSchedule::released(const std::string &DataCentre, std::string_view Worker) {
-  Released_[DataCentre].emplace(Worker);
+void ClaimSchedule::released(PeerIndex Former, std::string_view Worker) {
+  Released_[Former].emplace(Worker);
 }
 
+void ClaimSchedule::forgetReleases(PeerIndex Former) { Released_.erase(Former); }
+
 void ClaimSchedule::end(const std::string &DataCentre) {
-  ClaimAt_.erase(DataCentre);
-  Released_.erase(DataCentre);
-  // One of these may be a worker of the data centre. Its next claim then waits for the release of
-  // the others, which is safe.
-  Released_.erase(UnknownDataCentre);
+  auto Found = Begun_.find(DataCentre);
+  if (Found == Begun_.end())
+    return;
+  // The former manager may also have released workers of another data centre. Their claim then
+  // waits for the release of the others, which is safe.
+  if (Found->second.ReleasedBy)
+    Released_.erase(*Found->second.ReleasedBy);
+  Begun_.erase(Found);
 }
 
 std::optional<core::TimePoint> ClaimSchedule::claimAt(const std::string &DataCentre,
                                                       std::string_view Worker) const {
-  auto Found = ClaimAt_.find(DataCentre);
-  if (Found == ClaimAt_.end() || isReleased(DataCentre, Worker))
+  auto Found = Begun_.find(DataCentre);
+  if (Found == Begun_.end())
     return std::nullopt;
-  return Found->second;
+  const auto &Begun = Found->second;
+  return isReleased(Begun, Worker) ? Begun.ClaimReleasedAt : Begun.ClaimAt;
 }
 
-bool ClaimSchedule::isReleased(const std::string &DataCentre, std::string_view Worker) const {
-  for (const auto &Key : {DataCentre, UnknownDataCentre}) {
-    auto Found = Released_.find(Key);
-    if (Found != Released_.end() && Found->second.contains(Worker))
-      return true;
-  }
-  return false;
+bool ClaimSchedule::isReleased(const BeginManaging &Begun, std::string_view Worker) const {
+  if (!Begun.ReleasedBy)
+    return false;
+  auto Found = Released_.find(*Begun.ReleasedBy);
+  return Found != Released_.end() && Found->second.contains(Worker);
 }
 
 } // namespace cornellift::kernel
--- a/Kernel/Pool/ClaimSchedule.h
+++ b/Kernel/Pool/ClaimSchedule.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Kernel/Pool/PoolElection.h"
 #include "Libraries/LibCore/Time.h"
 
 #include <functional>
@@ -18,17 +19,20 @@
 /// as both are known, while the others are still held by the former manager.
 class ClaimSchedule {
 public:
-  /// Begins to manage the workers of a data centre, none of which is claimed before ClaimAt. A
-  /// worker whose release arrived earlier keeps it.
-  void begin(const std::string &DataCentre, core::TimePoint ClaimAt);
+  /// Begins to manage the workers of a data centre, none of which is claimed before the given time.
+  /// A worker keeps its release by that former manager, also if this arrived earlier.
+  void begin(const BeginManaging &Begun);
 
   /// Allows the claim of all workers of the data centre, whose former manager has released them or
   /// is lost.
   void claimRemaining(const std::string &DataCentre, core::TimePoint ClaimAt);
 
-  /// Records that the former manager has released a worker. DataCentre is empty if the worker is
-  /// not listed yet.
-  void released(const std::string &DataCentre, std::string_view Worker);
+  /// Records that a manager has released a worker.
+  void released(PeerIndex Former, std::string_view Worker);
+
+  /// Forgets the releases by a manager that releases no more workers, or is lost. They do not count
+  /// if it, or the process that has taken the workers over, releases them again later.
+  void forgetReleases(PeerIndex Former);
 
   /// Stops managing the data centre. Releases of its workers do not count for a later takeover.
   void end(const std::string &DataCentre);
@@ -40,10 +44,10 @@
 private:
   using WorkerIds = std::set<std::string, std::less<>>;
 
-  bool isReleased(const std::string &DataCentre, std::string_view Worker) const;
+  bool isReleased(const BeginManaging &Begun, std::string_view Worker) const;
 
-  std::map<std::string, core::TimePoint> ClaimAt_; ///< By managed data centre.
-  std::map<std::string, WorkerIds> Released_;      ///< By data centre; by none if it is unknown.
+  std::map<std::string, BeginManaging> Begun_; ///< By managed data centre.
+  std::map<PeerIndex, WorkerIds> Released_;    ///< By former manager.
 };
 
 } // namespace cornellift::kernel
--- a/Kernel/Pool/PoolElection.cpp
+++ b/Kernel/Pool/PoolElection.cpp
@@ -123,13 +123,14 @@
     return;
   auto Lost = LostManagers_.find(DataCentre);
   auto ClaimAt = Lost == LostManagers_.end() ? Now : std::max(Now, Lost->second.ClaimAt);
+  auto ClaimReleasedAt = ClaimAt;
   if (Releaser) {
     ClaimAt = Now + Never;
     PendingReleases_[DataCentre] = *Releaser;
   }
   LostManagers_.erase(DataCentre);
   Self_.Managed.insert(DataCentre);
-  Changes.Begun.push_back({DataCentre, ClaimAt, Releaser});
+  Changes.Begun.push_back({DataCentre, ClaimAt, Releaser, ClaimReleasedAt});
 }
 
 void PoolElection::checkReleases(ElectionChanges &Changes, core::TimePoint Now) {
@@ -173,6 +174,11 @@
   return Found != Peers_.end() && !Found->second.State.Managed.empty();
 }
 
+bool PoolElection::isManagerOf(PeerIndex Peer, const std::string &DataCentre) const {
+  auto Found = Peers_.find(Peer);
+  return Found != Peers_.end() && Found->second.State.Managed.contains(DataCentre);
+}
+
 std::set<std::string> PoolElection::seen() const {
   auto Result = Self_.Managed;
   for (const auto &[Index, Known] : Peers_)
--- a/Kernel/Pool/PoolElection.h
+++ b/Kernel/Pool/PoolElection.h
@@ -35,6 +35,9 @@
   core::TimePoint ClaimAt;
   /// The process that is releasing them. If it is lost, the remaining ones may be claimed.
   std::optional<PeerIndex> ReleasedBy;
+  /// Earliest time to claim those that it has released. Later than now if another process, which is
+  /// lost, may have claimed some of them.
+  core::TimePoint ClaimReleasedAt;
 };
 
 /// This process stops managing the workers of a data centre and releases each when it is idle.
@@ -89,6 +92,9 @@
   void released(const std::string &DataCentre) { Self_.Releasing.erase(DataCentre); }
 
   bool isManager(PeerIndex Peer) const;
+  bool isManagerOf(PeerIndex Peer, const std::string &DataCentre) const;
+  /// The peer that manages the workers of the data centre, if any.
+  std::optional<PeerIndex> managerAmongPeers(const std::string &DataCentre) const;
   const std::set<std::string> &managed() const { return Self_.Managed; }
   const std::set<std::string> &releasing() const { return Self_.Releasing; }
   /// Data centres whose manager sends heartbeats to this process, or is this process.
@@ -109,7 +115,6 @@
 
   bool ranksBefore(const CandidateState &Left, const CandidateState &Right,
                    const std::string &DataCentre) const;
-  std::optional<PeerIndex> managerAmongPeers(const std::string &DataCentre) const;
   std::optional<PeerIndex> bestPeer(const std::string &DataCentre, core::TimePoint Now) const;
   bool isSeenByOthers(const std::string &DataCentre) const;
   std::optional<PeerIndex> successorFor(const std::string &DataCentre, core::TimePoint Now) const;
--- a/Kernel/Pool/WorkerFleet.cpp
+++ b/Kernel/Pool/WorkerFleet.cpp
@@ -426,6 +426,15 @@
   return at(Worker).find(Task, Number);
 }
 
+std::vector<std::string> WorkerFleet::releasedIn(std::string_view DataCentre) const {
+  std::vector<std::string> Ids;
+  for (const auto &Known : Workers_)
+    if (Known.Entry.DataCentre == DataCentre && !Known.IsListed &&
+        Known.Lease == LeaseState::Absent)
+      Ids.push_back(Known.Entry.Id);
+  return Ids;
+}
+
 std::size_t WorkerFleet::runCount() const {
   std::size_t Count = 0;
   for (const auto &Known : Workers_)
--- a/Kernel/Pool/WorkerFleet.h
+++ b/Kernel/Pool/WorkerFleet.h
@@ -104,6 +104,10 @@
   std::size_t size() const { return Workers_.size(); }
   const Worker &at(EndpointIndex Index) const { return Workers_[static_cast<std::size_t>(Index)]; }
 
+  /// Workers of the data centre that this manager has held, or would have claimed, and no longer
+  /// manages; without those on which runs go on.
+  std::vector<std::string> releasedIn(std::string_view DataCentre) const;
+
   /// Number of runs on all workers.
   std::size_t runCount() const;
   /// Number of workers whose leases this manager holds.
--- a/Services/PoolDaemon/PoolDaemon.cpp
+++ b/Services/PoolDaemon/PoolDaemon.cpp
@@ -322,7 +322,7 @@
   if (const auto *Belated = std::get_if<kernel::CancelledJobs>(&Message))
     return cancelBelatedly(*Belated, Now);
   if (const auto *Released = std::get_if<kernel::ReleaseWorkers>(&Message))
-    return workersReleased(*Released, Now);
+    return workersReleased(From, *Released, Now);
   Manager_.receive(From, Message, Now);
 }
 
--- a/Services/PoolDaemon/PoolDaemon.h
+++ b/Services/PoolDaemon/PoolDaemon.h
@@ -81,7 +81,11 @@
   std::set<std::string> usableDataCentres(core::TimePoint Now);
   void workerDropped(kernel::EndpointIndex Worker);
   /// Claims workers that their former manager has released.
-  void workersReleased(const kernel::ReleaseWorkers &Released, core::TimePoint Now);
+  void workersReleased(kernel::PeerIndex From, const kernel::ReleaseWorkers &Released,
+                       core::TimePoint Now);
+  /// Tells the managers that have taken over in place of the expected ones, which may be lost,
+  /// which workers this process has released so far.
+  void tellSuccessors();
   void reportReleased(core::TimePoint Now);
   void operatorKeysChanged(const store::KeyMirror::Items &Items);
   void configurationChanged(const std::shared_ptr<const kernel::PoolConfiguration> &Configuration);
--- a/Services/PoolDaemon/PoolDaemonPeers.cpp
+++ b/Services/PoolDaemon/PoolDaemonPeers.cpp
@@ -131,6 +131,7 @@
                  {"silent_ms", std::to_string(core::toMilliseconds(Now - Peer.lastHeard()))}});
   ConfigurationFetch_.peerLost(Peer.Index);
   DocumentsBeingSent_.erase(Peer.Index);
+  Claims_.forgetReleases(Peer.Index);
   Election_.peerLost(Peer.Index, Reason == mesh::PeerLossReason::Ended, Now);
   Manager_.peerLost(Peer.Index, Peer.lastHeard(), Now);
   Ingress_.peerLost(Peer.Index, Now);
@@ -163,6 +164,8 @@
   ConfigurationFetch_.peerReported(Peer.Index, Message.configuration_version(), Now);
   if (HasChanged)
     applyElection(Now);
+  if (Message.released().empty())
+    Claims_.forgetReleases(Peer.Index);
 }
 
 void PoolDaemon::messageReceived(const mesh::MeshPeer &Peer, const mesh::Frame &Message) {
--- a/Services/PoolDaemon/PoolDaemonWorkers.cpp
+++ b/Services/PoolDaemon/PoolDaemonWorkers.cpp
@@ -23,7 +23,7 @@
                   {{"data_centre", Begun.DataCentre},
                    {"claim_in_ms", std::to_string(core::toMilliseconds(Begun.ClaimAt - Now))}});
     Successors_.erase(Begun.DataCentre);
-    Claims_.begin(Begun.DataCentre, Begun.ClaimAt);
+    Claims_.begin(Begun);
     if (Now - Directory_.refreshedAt() > MaximumListingAge)
       FreshListingDeadlines_[Begun.DataCentre] = Now + FreshListingTimeout;
   }
@@ -45,6 +45,7 @@
     for (const auto &Entry : Directory_.listing().workersIn({Rest.DataCentre}))
       Manager_.fleet().deferClaim(Entry.Id, Rest.ClaimAt);
   }
+  tellSuccessors();
   AssignedManager_ = Election_.assignedManager();
   Ingress_.setAssignedManager(AssignedManager_, Now);
   if (HasChanged) {
@@ -89,12 +90,31 @@
     send(Successor->second, kernel::ReleaseWorkers{{Entry.Id}});
 }
 
-void PoolDaemon::workersReleased(const kernel::ReleaseWorkers &Released, core::TimePoint Now) {
+void PoolDaemon::tellSuccessors() {
+  for (const auto &DataCentre : Election_.releasing()) {
+    auto Manager = Election_.managerAmongPeers(DataCentre);
+    auto Successor = Successors_.find(DataCentre);
+    bool IsKnown =
+        Successor != Successors_.end() && Election_.isManagerOf(Successor->second, DataCentre);
+    if (!Manager || IsKnown)
+      continue;
+    Successors_[DataCentre] = *Manager;
+    if (auto Ids = Manager_.fleet().releasedIn(DataCentre); !Ids.empty())
+      send(*Manager, kernel::ReleaseWorkers{std::move(Ids)});
+  }
+}
+
+void PoolDaemon::workersReleased(kernel::PeerIndex From, const kernel::ReleaseWorkers &Released,
+                                 core::TimePoint Now) {
   for (const auto &Id : Released.Ids) {
-    const auto *Entry = Directory_.listing().find(Id);
-    Claims_.released(Entry ? Entry->DataCentre : std::string(), Id);
+    Claims_.released(From, Id);
     Metrics_.counter("cornellift_workers_received_total").add();
-    Manager_.fleet().claimNow(Id, Now);
+    const auto *Entry = Directory_.listing().find(Id);
+    auto ClaimAt = Entry ? Claims_.claimAt(Entry->DataCentre, Id) : std::nullopt;
+    if (ClaimAt && *ClaimAt > Now)
+      Manager_.fleet().deferClaim(Id, *ClaimAt);
+    else
+      Manager_.fleet().claimNow(Id, Now);
   }
 }
 
--- a/Tests/Pool/PoolSimulationVm.h
+++ b/Tests/Pool/PoolSimulationVm.h
@@ -115,6 +115,7 @@
       return;
     auto Peer = Known->second;
     PeerOf_.erase(Known);
+    Claims_.forgetReleases(Peer);
     Election_.peerLost(Peer, HasEnded, Simulation_.Now_);
     Manager_.peerLost(Peer, Simulation_.lastHeard(Index_, Other), Simulation_.Now_);
     for (auto Entry = Open_.begin(); Entry != Open_.end();) {
@@ -211,6 +212,8 @@
     Tokens_.observe(Token);
     Manager_.setManager(From, TakesPart, Simulation_.Now_);
     applyElection();
+    if (State.Releasing.empty())
+      Claims_.forgetReleases(From);
   }
 
   /// Runs an action on another VM after a delay, if their session still exists by then.
@@ -244,7 +247,7 @@
     Election_.setOthersExist(Simulation_.Vms_.size() > 1);
     auto Changes = Election_.evaluate(Now);
     for (const auto &Begun : Changes.Begun) {
-      Claims_.begin(Begun.DataCentre, Begun.ClaimAt);
+      Claims_.begin(Begun);
       ListedFrom_[Begun.DataCentre] = Now + Simulation_.Settings_.FreshListingTime;
     }
     for (const auto &Stopped : Changes.Stopped) {
@@ -258,10 +261,22 @@
         if (Worker->entry().DataCentre == Claim.DataCentre)
           Manager_.fleet().deferClaim(Worker->entry().Id, Claim.ClaimAt);
     }
+    tellSuccessors();
     submitToManager();
     reportReleased();
   }
 
+  void tellSuccessors() {
+    for (const auto &DataCentre : Election_.releasing()) {
+      auto Manager = Election_.managerAmongPeers(DataCentre);
+      if (!Manager || Election_.isManagerOf(Successors_[DataCentre], DataCentre))
+        continue;
+      Successors_[DataCentre] = *Manager;
+      if (auto Ids = Manager_.fleet().releasedIn(DataCentre); !Ids.empty())
+        send(*Manager, ReleaseWorkers{std::move(Ids)});
+    }
+  }
+
   void listWorkers() {
     std::vector<WorkerEntry> Entries;
     for (const auto &Entry : Simulation_.Published_)
@@ -309,8 +324,12 @@
     }
     if (const auto *Release = std::get_if<ReleaseWorkers>(&Message)) {
       for (const auto &Id : Release->Ids) {
-        Claims_.released(Simulation_.dataCentreOf(Id), Id);
-        Manager_.fleet().claimNow(Id, Now);
+        Claims_.released(From, Id);
+        auto ClaimAt = Claims_.claimAt(Simulation_.dataCentreOf(Id), Id);
+        if (ClaimAt && *ClaimAt > Now)
+          Manager_.fleet().deferClaim(Id, *ClaimAt);
+        else
+          Manager_.fleet().claimNow(Id, Now);
       }
       return;
     }
