Pool: Forget deferred claims when a worker is no longer listed

Cause: A manager that takes over while another one releases the workers defers the claim of those not released yet, without end. If it handed the data centre on before that, the time stayed with the worker, and at its next takeover the manager never claimed it.

Change: The time is forgotten when the worker is unlisted, or dropped after its last run.

ADeferredClaimEndsWithTheTenure: 0 workers held before, 1 after.

--- a/Kernel/Pool/WorkerFleet.cpp
+++ b/Kernel/Pool/WorkerFleet.cpp
@@ -102,6 +102,8 @@
 void WorkerFleet::unlist(EndpointIndex Index) {
   auto &Known = mutableAt(Index);
   Known.IsListed = false;
+  if (Known.Lease == LeaseState::Absent)
+    Known.ClaimAt = {}; // A claim that was deferred at this takeover must not wait at the next one.
   Log_.line(DecisionPriority::StateChange, "worker removed from the list", std::nullopt,
             {{"worker", std::string_view(Known.Entry.Id)},
              {"runs", static_cast<std::int64_t>(Known.Runs.size())}});
@@ -395,6 +397,7 @@
   if (!mutableAt(Index).IsListed && mutableAt(Index).Runs.empty()) {
     mutableAt(Index).Lease = LeaseState::Absent;
     mutableAt(Index).IsPolling = false;
+    mutableAt(Index).ClaimAt = {};
     return Output_.workerDropped(Index);
   }
   if (mutableAt(Index).Lease == LeaseState::Fenced) {
--- a/Tests/Pool/TestPoolHandOver.cpp
+++ b/Tests/Pool/TestPoolHandOver.cpp
@@ -1,4 +1,5 @@
 #include "Kernel/Pool/ClaimSchedule.h"
+#include "Tests/Pool/ManagerFixture.h"
 #include "Tests/Pool/PoolSimulation.h"
 
 #include <boost/test/unit_test.hpp>
@@ -140,3 +141,15 @@
   Claims.begin(takeover(Former));
   BOOST_TEST((Claims.claimAt("ikeja", "w-1") == Never));
 }
+
+// Guards against a worker that is never claimed, because it had not been released when this process
+// stopped managing its data centre the last time.
+BOOST_AUTO_TEST_CASE(ADeferredClaimEndsWithTheTenure) {
+  test::ManagerFixture World;
+  World.Manager.fleet().deferClaim("w-1", World.Now + 24h);
+  World.list({"w-1"});
+  BOOST_TEST(World.Manager.fleet().heldCount() == 0U);
+  World.list({});
+  World.list({"w-1"});
+  BOOST_TEST(World.Manager.fleet().heldCount() == 1U);
+}
