LibReactor: Refuse nobody who needs no more memory than before

Cause: While answers and open jobs took more than the limit, a request that was being read was cut off with its next byte, although it held no more, and a job was refused although it is smaller than the body whose place it takes. Nobody else was closed instead, as that is done only for growth. Besides, a job that several clients await was counted for the first one only, until that one left, while the others' bodies were kept.

Change: Only growth beyond the limit is refused. The body of a client who joins an open job is freed, and the job is counted for another client when the one that handed it in leaves.

WhoNeedsNoMoreMemoryIsServed: 1 of 2 connections left and the smaller job refused before; both served after. The counting of joined jobs has no test of its own; Ingress is tested by processes only.

--- a/Libraries/LibReactor/HttpServer.cpp
+++ b/Libraries/LibReactor/HttpServer.cpp
@@ -127,7 +127,7 @@
     Limit -= Limit / SmallPart;
   if (Changed > Former && MemoryUsed_ > Limit)
     shedForMemory(Asking, Limit);
-  return MemoryUsed_ <= Limit;
+  return Changed <= Former || MemoryUsed_ <= Limit;
 }
 
 void HttpServer::shedForMemory(const HttpSession &Asking, std::size_t Limit) {
--- a/Libraries/LibReactor/HttpServer.h
+++ b/Libraries/LibReactor/HttpServer.h
@@ -89,7 +89,7 @@
   void accepted(Tcp::socket Socket);
 
   /// Changes what a session holds from Former to Changed bytes, and sheds other sessions if there
-  /// is no room. Returns false if the session's limit is exceeded even so.
+  /// is no room. Returns false if it needs more and the limit is exceeded even so.
   bool changeMemory(const HttpSession &Asking, std::size_t Former, std::size_t Changed);
   void releaseMemory(std::size_t Bytes) { MemoryUsed_ -= Bytes; }
   void shedForMemory(const HttpSession &Asking, std::size_t Limit);
--- a/Libraries/LibReactor/HttpSession.h
+++ b/Libraries/LibReactor/HttpSession.h
@@ -50,7 +50,8 @@
   void requestFailed(boost::system::error_code Error);
   void refuse(unsigned Status);
   /// Counts that many bytes as held for this client, besides the connection itself. Returns false
-  /// if the server's limit is exceeded now; the caller frees them then, or refuses the request.
+  /// if these are more and exceed the server's limit; the caller frees them then, or refuses the
+  /// request.
   bool holdMemory(std::size_t Bytes);
   /// The same for the job that takes the place of the request's body.
   bool holdJob(std::size_t Bytes);
--- a/Services/PoolDaemon/Ingress.cpp
+++ b/Services/PoolDaemon/Ingress.cpp
@@ -136,8 +136,10 @@
 
 void Ingress::submit(const Exchange &Request, const kernel::Route &Route, kernel::JobKey Key) {
   Metrics_.counter("cornellift_jobs_submitted_total").add();
-  if (auto Known = Jobs_.find(Key); Known != Jobs_.end())
+  if (auto Known = Jobs_.find(Key); Known != Jobs_.end()) {
+    Request->replaceBody(0); // The job is counted for the request that has handed it in.
     return attach(Known->second, Request);
+  }
   if (Request->isBodyDropped())
     return refuse(Request, rejection(StartupRetryMilliseconds), "the route was just added", Key);
   auto Submitted = Format_.parseJob(Request->body());
@@ -197,8 +199,12 @@
     return;
   auto &Job = Known->second;
   std::erase_if(Job.Exchanges, [&](const Exchange &Each) { return Each.get() == Request; });
-  if (!Job.Exchanges.empty())
+  if (!Job.Exchanges.empty()) {
+    // Counted for one of those who go on waiting. The manager has the job already, so that it is
+    // not refused if there is no room.
+    Job.Exchanges.front()->replaceBody(Job.Submission->memory());
     return;
+  }
   Metrics_.counter("cornellift_jobs_abandoned_total").add();
   Log_.line(kernel::DecisionPriority::Routine, "caller disconnected", Key, {});
   if (Job.Manager)
--- a/Tests/LibReactor/TestReactorHttp.cpp
+++ b/Tests/LibReactor/TestReactorHttp.cpp
@@ -531,6 +531,27 @@
   BOOST_TEST(World.received(Small).starts_with("HTTP/1.1 200"));
 }
 
+// Guards against requests that are refused or cut off although they need no more memory than
+// before, while the answers of others take up more than the limit.
+BOOST_AUTO_TEST_CASE(WhoNeedsNoMoreMemoryIsServed) {
+  std::vector<std::shared_ptr<HttpExchange>> Held;
+  Crowded World([&](const std::shared_ptr<HttpExchange> &Exchange) { Held.push_back(Exchange); });
+  World.connect(partOfBody(200000));
+  BOOST_REQUIRE(World.until([&] { return Held.size() == 1; }));
+  auto &Slow = World.connect(partOfBody(5000));
+  for (int Part = 0; Part < 2; ++Part) {
+    asio::write(Slow, asio::buffer(std::string(10, 'x')));
+    World.Reactor.run_for(20ms);
+    HttpServerLimits Limits;
+    Limits.MemoryBytes = 100000;
+    World.Server->setLimits(Limits);
+  }
+  BOOST_TEST(World.Server->connections() == 2U);
+  BOOST_TEST(World.Server->memoryUsed() > 100000U);
+  BOOST_TEST(Held[0]->replaceBody(150000));
+  BOOST_TEST(!Held[0]->replaceBody(160000));
+}
+
 // Guards against clients in use that are closed in favour of a crowd that never sends a request.
 BOOST_AUTO_TEST_CASE(SilentConnectionsDoNotReplaceServedOnes) {
   Crowded World(echo);
