LibReactor: Ask for bodies that clients hold back

Cause: A client that sends `Expect: 100-continue` got no answer to its header. Such clients send the body after a while of their own, or are closed after headerTimeoutMs.

Change: An interim reply 100 is sent once the header was read and the body has not arrived; not to clients of HTTP/1.0, which don't know it. A declaration without a definition is removed.

ABodyThatIsHeldBackIsAskedFor: no interim reply before, passes after. UnusualRequestsAreServed (chunk extensions, trailers, lengths beyond 64 bits, contradicting lengths; memory counted is zero afterwards) passes before and after.

--- a/Libraries/LibReactor/HttpSession.cpp
+++ b/Libraries/LibReactor/HttpSession.cpp
@@ -32,6 +32,9 @@
 constexpr std::string_view ShedReply = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
                                        "Connection: close\r\nContent-Length: 0\r\n\r\n";
 
+/// Asks a client for the body that it holds back until then.
+constexpr std::string_view ContinueReply = "HTTP/1.1 100 Continue\r\n\r\n";
+
 void renderReply(const HttpReply &Reply, bool Close, std::string &Out) {
   Out.clear();
   auto Reason =
@@ -155,6 +158,7 @@
 
 void HttpSession::beginRequest() {
   Phase_ = Phase::Reading;
+  IsContinueSent_ = false;
   WaitingSince_ = core::MonotonicClock::now();
   armTimer(Server_->Limits_.HeaderTime);
   Parser_.emplace(Server_->Limits_.HeaderBytes,
@@ -178,9 +182,22 @@
     ++Server_->Counters_.ShedForMemory;
     return shed();
   }
-  if (!Parser_->is_done())
-    return awaitReadable();
-  requestRead();
+  if (Parser_->is_done())
+    return requestRead();
+  if (!IsContinueSent_ && Parser_->awaitsContinue())
+    sendContinue();
+  if (Phase_ == Phase::Reading)
+    awaitReadable();
+}
+
+void HttpSession::sendContinue() {
+  IsContinueSent_ = true;
+  boost::system::error_code Error;
+  auto Length = Socket_.write_some(asio::buffer(ContinueReply), Error);
+  // A client that does not take it sends its body after a while; a part of it would garble the
+  // reply.
+  if (Length > 0 && Length < ContinueReply.size())
+    close();
 }
 
 void HttpSession::requestFailed(boost::system::error_code Error) {
--- a/Libraries/LibReactor/HttpSession.h
+++ b/Libraries/LibReactor/HttpSession.h
@@ -45,7 +45,8 @@
   void readable(boost::system::error_code Error);
   void beginRequest();
   void parse(std::string_view Received);
-  void keepUnparsed(std::string_view Rest);
+  /// Asks for the body if the client waits for that.
+  void sendContinue();
   void requestRead();
   void requestFailed(boost::system::error_code Error);
   void refuse(unsigned Status);
@@ -78,8 +79,9 @@
   std::optional<RequestParser> Parser_;
   std::weak_ptr<SessionExchange> Exchange_;
   std::string Outgoing_;
-  std::size_t Memory_ = 0; ///< Bytes counted by the server for this client.
-  std::size_t Unread_ = 0; ///< Of these, sent ahead and not read yet.
+  std::size_t Memory_ = 0;      ///< Bytes counted by the server for this client.
+  std::size_t Unread_ = 0;      ///< Of these, sent ahead and not read yet.
+  bool IsContinueSent_ = false; ///< For the request that is being read.
   bool CloseAfterReply_ = false;
   bool IsProven_ = false;
   std::uint64_t TimerGeneration_ = 0;
--- a/Libraries/LibReactor/RequestParser.cpp
+++ b/Libraries/LibReactor/RequestParser.cpp
@@ -12,6 +12,8 @@
 
 /// Bodies up to this size are kept without asking whether their target takes one.
 constexpr std::uint64_t ShortBodyBytes = 4096;
+/// HTTP/1.1, as the parser states versions.
+constexpr int FirstVersionWithContinue = 11;
 constexpr std::size_t UsualHeaderBytes = 256;
 constexpr std::size_t UsualFields = 8;
 /// Bytes of a header line besides its name and value: the colon and the line's end.
@@ -56,7 +58,8 @@
 }
 
 void RequestParser::on_request_impl(http::verb Method, Text /*MethodName*/, Text Target,
-                                    int /*Version*/, Error & /*Failure*/) {
+                                    int Version, Error & /*Failure*/) {
+  IsVersionWithContinue_ = Version >= FirstVersionWithContinue;
   Request_.Method_ = methodOf(Method);
   Request_.Text_.reserve(UsualHeaderBytes);
   Request_.Fields_.reserve(UsualFields);
@@ -86,7 +89,11 @@
   Request_.Fields_.push_back(Added);
 }
 
-void RequestParser::on_header_impl(Error & /*Failure*/) {}
+void RequestParser::on_header_impl(Error & /*Failure*/) {
+  auto Expected = Request_.header("Expect");
+  AwaitsContinue_ = IsVersionWithContinue_ &&
+                    boost::beast::iequals({Expected.data(), Expected.size()}, "100-continue");
+}
 
 void RequestParser::on_body_init_impl(const boost::optional<std::uint64_t> &Length,
                                       Error & /*Failure*/) {
--- a/Libraries/LibReactor/RequestParser.h
+++ b/Libraries/LibReactor/RequestParser.h
@@ -61,6 +61,8 @@
   RequestParser(std::uint32_t HeaderBytes, std::uint64_t BodyBytes, const BodyFilter &TakesBody);
 
   const ReceivedRequest &request() const { return Request_; }
+  /// Returns whether the header was read and the client holds back the body until it is asked.
+  bool awaitsContinue() const { return AwaitsContinue_; }
   /// The complete request.
   ReceivedRequest release();
 
@@ -91,6 +93,8 @@
   std::uint64_t BodyExpected_ = 0; ///< Most that may arrive.
   std::size_t HeaderReceived_ = 0; ///< Including fields behind the body.
   bool IsFilterAsked_ = false;
+  bool IsVersionWithContinue_ = false; ///< HTTP/1.1 or later.
+  bool AwaitsContinue_ = false;
 };
 
 } // namespace cornellift::reactor
--- a/Tests/LibReactor/TestReactorHttp.cpp
+++ b/Tests/LibReactor/TestReactorHttp.cpp
@@ -552,6 +552,53 @@
   BOOST_TEST(!Held[0]->replaceBody(160000));
 }
 
+// Guards against clients that hold back their bodies until they are asked for them, and against a
+// question that those of HTTP/1.0 do not understand.
+BOOST_AUTO_TEST_CASE(ABodyThatIsHeldBackIsAskedFor) {
+  constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+  Crowded World(echo);
+  std::string Rest = "\r\nHost: a\r\nExpect: 100-Continue\r\nContent-Length: 2\r\n\r\n";
+  auto &Socket = World.connect("POST / HTTP/1.1" + Rest);
+  BOOST_TEST(World.received(Socket) == Continue);
+  Socket.set_option(Tcp::no_delay(true));
+  for (const char *Part : {"x", "x"}) {
+    BOOST_TEST(World.received(Socket).empty());
+    asio::write(Socket, asio::buffer(std::string_view(Part)));
+    World.Reactor.run_for(20ms);
+  }
+  BOOST_TEST(World.received(Socket).starts_with("HTTP/1.1 200"));
+  asio::write(Socket, asio::buffer("POST / HTTP/1.1" + Rest));
+  World.Reactor.run_for(20ms);
+  BOOST_TEST(World.received(Socket) == Continue);
+  BOOST_TEST(
+      World.received(World.connect("POST / HTTP/1.1" + Rest + "xx")).starts_with("HTTP/1.1 200"));
+  BOOST_TEST(World.received(World.connect("POST / HTTP/1.0" + Rest)).empty());
+}
+
+// Guards against legal forms of a request that are refused, and against a body whose length is
+// ambiguous.
+BOOST_AUTO_TEST_CASE(UnusualRequestsAreServed) {
+  for (const auto &[Text, Status] : {
+           std::pair{"Transfer-Encoding: chunked\r\n\r\n2;a=b\r\nxx\r\n0\r\nt: 1\r\n\r\n", "200"},
+           std::pair{"Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\nx", "400"},
+           std::pair{"Transfer-Encoding: chunked\r\n\r\nfffffffffffffff0\r\nx", "413"},
+           std::pair{"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400"},
+           std::pair{"Content-Length: 1\r\nContent-Length: 2\r\n\r\nxx", "400"},
+           std::pair{"Content-Length: 18446744073709551616\r\n\r\n", "400"},
+       }) {
+    Crowded World([](const std::shared_ptr<HttpExchange> &Exchange) {
+      BOOST_TEST(Exchange->body() == "xx");
+      Exchange->reply({200, {}, {}});
+    });
+    auto &Socket = World.connect("POST / HTTP/1.1\r\nHost: a\r\n" + std::string(Text));
+    BOOST_TEST(World.received(Socket).substr(9, 3) == Status);
+    BOOST_TEST(World.until([&] { return World.Server->openRequests() == 0; }));
+    Socket.close();
+    BOOST_TEST(World.until([&] { return World.Server->connections() == 0; }));
+    BOOST_TEST(World.Server->memoryUsed() == 0U);
+  }
+}
+
 // Guards against clients in use that are closed in favour of a crowd that never sends a request.
 BOOST_AUTO_TEST_CASE(SilentConnectionsDoNotReplaceServedOnes) {
   Crowded World(echo);
