Pool: Stop no more noticed runs than there is room for

Cause: Each run on a leaving worker was looked at alone. All of them saw the same free room elsewhere, were stopped, and those that found it taken waited; their work was lost for nothing.

Change: Room that a run which is being moved is to take counts as taken for the others until that run has ended.

NoMoreRunsMoveThanThereIsRoomFor (two runs on the leaving worker, room for one): 2 runs moved before, 1 after. The other 4 cases of TestWorkerNotice pass before and after, ASeventhOfTheWorkersLeaves among them.

--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -122,6 +122,15 @@
     NeighbourRun Length;
   };
 
+  /// A run that is being stopped to start it again on another worker.
+  struct MovingRun {
+    EndpointIndex From{};
+    TaskRef Task;
+    std::uint32_t Number = 0;
+    Resources Need;
+    std::string To; ///< Where there was room for it.
+  };
+
   struct Remote {
     bool IsManager = false;
     RemotePool Pool;
@@ -297,6 +306,16 @@
   // PoolManagerNotices.cpp: runs on workers that are about to leave.
   void moveNoticedRuns(core::TimePoint Now);
   void moveNoticedRun(EndpointIndex Worker, const Run &Running, core::TimePoint Now);
+  /// A worker with room for another run of the step, besides the runs that are being moved.
+  struct RestartPlace {
+    std::string Worker;
+    double Milliseconds = 0; ///< Until the new run is expected to end.
+  };
+  std::optional<RestartPlace> restartPlace(const PoolJob &Job, const PoolPlacementRequest &Request,
+                                           const Run &Running, EndpointIndex Except,
+                                           core::TimePoint Now) const;
+  /// Subtracts the room that runs which are being moved are to take.
+  void subtractMoving(PlacementCandidate &Candidate) const;
 
   // PoolManagerPeers.cpp: work delegated to and by other managers.
   void acceptDelegated(PeerIndex From, const DelegateTasks &Message, core::TimePoint Now);
@@ -375,6 +394,7 @@
   core::TimePoint NextEvacuationCheck_;
   core::TimePoint NextExpiry_;
   core::TimePoint NextStragglerCheck_;
+  std::vector<MovingRun> Moving_; ///< From workers that are about to leave.
 };
 
 /// Calls Visit with each worker that could run a task of the step now. The second argument is the
--- a/Kernel/Pool/PoolManagerNotices.cpp
+++ b/Kernel/Pool/PoolManagerNotices.cpp
@@ -24,6 +24,9 @@
 } // namespace
 
 void PoolManager::moveNoticedRuns(core::TimePoint Now) {
+  std::erase_if(Moving_, [&](const MovingRun &Each) {
+    return !Fleet_.findRun(Each.From, Each.Task, Each.Number);
+  });
   for (std::size_t Position = 0; Position < Fleet_.size(); ++Position) {
     auto Worker = static_cast<EndpointIndex>(Position);
     const auto &Known = Fleet_.at(Worker);
@@ -44,9 +47,10 @@
     return;
   auto Step = Job->stepOf(Running.TaskNumber);
   auto Request = placementRequestFor(*Job, Step, Now);
-  auto Restart = fastestRestart(*Job, Step, Worker, Request.TypicalRunTime, Now);
-  if (Restart)
-    *Restart += MoveMilliseconds;
+  auto Place = restartPlace(*Job, Request, Running, Worker, Now);
+  std::optional<double> Restart;
+  if (Place)
+    Restart = Place->Milliseconds + MoveMilliseconds;
   const auto &Entry = Fleet_.at(Worker).Entry;
   NoticedRun Noticed{remainingMilliseconds(Running, Now),
                      core::toMilliseconds(*Entry.LeavesBy - Now), Restart,
@@ -62,7 +66,36 @@
              {"notice_ms", Noticed.NoticeLeft},
              {"fresh_ms", *Restart},
              {"objective_in_ms", Noticed.Objective}});
+  Moving_.push_back({Worker, Running.Task, Running.Number, Running.Need, std::move(Place->Worker)});
   Fleet_.stopRun(Worker, Running.Task, Running.Number, Now);
 }
 
+std::optional<PoolManager::RestartPlace>
+PoolManager::restartPlace(const PoolJob &Job, const PoolPlacementRequest &Request,
+                          const Run &Running, EndpointIndex Except, core::TimePoint Now) const {
+  std::optional<RestartPlace> Best;
+  visitCandidates(Job, Running.Task.Step, Request, Now,
+                  [&](PlacementCandidate Candidate, std::optional<EndpointIndex> Own) {
+                    subtractMoving(Candidate);
+                    if (Own == Except || !isEligible(Request, Candidate))
+                      return;
+                    double Time = expectedMilliseconds(Request, Candidate);
+                    if (!Best || Time < Best->Milliseconds)
+                      Best = {Candidate.Entry->Id, Time};
+                  });
+  return Best;
+}
+
+void PoolManager::subtractMoving(PlacementCandidate &Candidate) const {
+  auto &Available = Candidate.Availability;
+  for (const auto &Each : Moving_) {
+    if (Each.To != Candidate.Entry->Id)
+      continue;
+    Available.Free.Processors -= Each.Need.Processors;
+    Available.Free.MemoryMegabytes -= Each.Need.MemoryMegabytes;
+    Available.Free.Accelerators -= Each.Need.Accelerators;
+    Available.FreeSlots -= Available.FreeSlots > 0 ? 1 : 0;
+  }
+}
+
 } // namespace cornellift::kernel
--- a/Tests/Pool/TestWorkerNotice.cpp
+++ b/Tests/Pool/TestWorkerNotice.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <set>
 
 #include <boost/test/unit_test.hpp>
 
@@ -96,6 +97,34 @@
   BOOST_TEST(Out.Stops.empty());
 }
 
+// Guards against runs that are stopped for room which one of them takes: the others would wait,
+// and their work would be lost for nothing.
+BOOST_AUTO_TEST_CASE(NoMoreRunsMoveThanThereIsRoomFor) {
+  ManagerFixture World;
+  World.list({"a", "b"});
+  for (int Job = 0; Job < 3; ++Job)
+    World.submit(1, 800); // Two fit on each worker.
+  BOOST_REQUIRE(World.Out.Starts.size() == 3U);
+  for (const auto &[Worker, Command] : World.Out.Starts)
+    World.Manager.startReplied(Worker, Command,
+                               {CommandVerdict::Accepted, ManagerFixture::workerClock(World.Now)},
+                               World.Now);
+  World.pass(20ms);
+  std::vector<WorkerEntry> Entries = {entry("a"), entry("b")};
+  for (std::size_t Worker = 0; Worker < Entries.size(); ++Worker)
+    if (World.Manager.fleet().at(static_cast<EndpointIndex>(Worker)).Runs.size() == 2) {
+      Entries[Worker].State = WorkerState::Draining;
+      Entries[Worker].LeavesBy = World.Now + 300ms;
+    }
+  World.Manager.setWorkers(Entries, World.Now);
+  for (int Step = 0; Step < 10; ++Step)
+    World.pass(10ms);
+  std::set<JobKey> Moved;
+  for (const auto &[Worker, Command] : World.Out.Stops)
+    Moved.insert(Command.Task.Job);
+  BOOST_TEST(Moved.size() == 1U);
+}
+
 // A seventh of the workers leaves at short notice, under half of the load and with tasks that
 // outlast it. Guards against jobs that are late because their runs are lost with the workers.
 BOOST_AUTO_TEST_CASE(ASeventhOfTheWorkersLeaves) {
