Pool: Refuse delegated tasks for which there is no memory

Cause: Tasks that another manager delegates were counted against the memory for jobs, but taken in any case, each with the whole submission.

Change: A delegation that would exceed the memory is refused by the message that says that tasks were not started; the delegating manager keeps them. From 7/8 of the memory on, other managers are told that the workers accept no tasks. Without that they would send the same submissions every 20 ms.

DelegationsBeyondTheMemoryAreRefused: without the two conditions 5 checks fail (the workers are reported as free, 4 runs instead of 2, 2 jobs instead of 1, no refusal); passes with them.

--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -319,13 +319,18 @@
 
   // PoolManagerPeers.cpp: work delegated to and by other managers.
   void acceptDelegated(PeerIndex From, const DelegateTasks &Message, core::TimePoint Now);
+  /// Refuses all tasks of a delegation for which there is no memory; the other manager keeps them.
+  void refuseDelegated(PeerIndex From, const DelegateTasks &Message);
   void delegatedEnded(PeerIndex From, const DelegatedTaskEnded &Message, core::TimePoint Now);
   void stopDelegated(PeerIndex From, const StopDelegated &Message, core::TimePoint Now);
   void reportDelegatedEnd(PoolJob &Job, std::uint32_t Task, std::uint32_t Run, DelegatedEnd How,
                           std::string_view Worker);
   void requeueLostDelegations(core::TimePoint Now);
   void sendReports(core::TimePoint Now);
-  /// Availability of the listed workers, in the order of the directory.
+  /// Returns whether other managers may delegate tasks to this one as far as memory goes.
+  bool hasMemoryForDelegations() const;
+  void setJobBytes(std::size_t Bytes);
+  /// Availability of the listed workers for other managers, in the order of the directory.
   std::vector<WorkerAvailability> listedAvailability(core::TimePoint Now) const;
   void sendDirectory(PeerIndex Peer);
 
@@ -348,7 +353,7 @@
   JobKindRunTimes Kinds_;
   PoolCounters Counters_;
   std::unordered_map<JobHandle, PoolJob> Jobs_;
-  std::size_t JobBytes_ = 0; ///< Sum over Jobs_.
+  std::size_t JobBytes_ = 0; ///< Sum over Jobs_; see setJobBytes().
   std::unordered_map<JobKey, JobHandle> OwnJobs_;
   std::map<std::pair<PeerIndex, JobKey>, JobHandle> Delegations_;
   std::unordered_map<EndpointIndex, std::vector<RecentRun>> RecentRuns_; ///< By worker.
--- a/Kernel/Pool/PoolManagerJobs.cpp
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -95,7 +95,7 @@
   auto &Job = Jobs_[Handle];
   Job.Handle = Handle;
   Job.Submission = Submission;
-  JobBytes_ += Submission->memory();
+  setJobBytes(JobBytes_ + Submission->memory());
   Job.IsDelegation = IsDelegation;
   Job.Origins.push_back(From);
   Job.Kind =
@@ -289,7 +289,7 @@
   else
     OwnJobs_.erase(Job->key());
   Queue_.remove(Handle);
-  JobBytes_ -= Job->Submission->memory();
+  setJobBytes(JobBytes_ - Job->Submission->memory());
   Jobs_.erase(Handle);
   if (Successor)
     submit(Origin, Successor, Now);
--- a/Kernel/Pool/PoolManagerPeers.cpp
+++ b/Kernel/Pool/PoolManagerPeers.cpp
@@ -9,6 +9,10 @@
 /// Minimum interval between reports to other managers.
 constexpr core::Duration ReportInterval = std::chrono::milliseconds(20);
 
+/// While no more than this part of the memory for jobs is free, other managers are told that the
+/// workers accept no tasks. They would otherwise send refused tasks again and again.
+constexpr std::size_t KeptFromDelegations = 8;
+
 std::string_view delegatedEndName(DelegatedEnd How) {
   switch (How) {
   case DelegatedEnd::Done:
@@ -46,11 +50,25 @@
   Output_.send(Peer, PoolDirectory{DirectoryVersion_, Listed_});
 }
 
+bool PoolManager::hasMemoryForDelegations() const {
+  return JobBytes_ <= Settings_.JobBytes - Settings_.JobBytes / KeptFromDelegations;
+}
+
+void PoolManager::setJobBytes(std::size_t Bytes) {
+  bool HadMemory = hasMemoryForDelegations();
+  JobBytes_ = Bytes;
+  ReportIsDue_ = ReportIsDue_ || HadMemory != hasMemoryForDelegations();
+}
+
 std::vector<WorkerAvailability> PoolManager::listedAvailability(core::TimePoint Now) const {
   std::vector<WorkerAvailability> Availabilities;
   Availabilities.reserve(ListedIndexes_.size());
-  for (auto Index : ListedIndexes_)
-    Availabilities.push_back(availabilityOf(Index, Now));
+  bool HasMemory = hasMemoryForDelegations();
+  for (auto Index : ListedIndexes_) {
+    auto &Added = Availabilities.emplace_back(availabilityOf(Index, Now));
+    if (!HasMemory)
+      Added.Speed = 0;
+  }
   return Availabilities;
 }
 
@@ -82,6 +100,8 @@
   auto Key = std::pair(From, Message.Submission->Key);
   auto Known = Delegations_.find(Key);
   if (Known == Delegations_.end()) {
+    if (JobBytes_ + Message.Submission->memory() > Settings_.JobBytes)
+      return refuseDelegated(From, Message);
     auto &Created = createJob(From, Message.Submission, true, Now);
     Known = Delegations_.emplace(Key, Created.Handle).first;
   }
@@ -108,6 +128,17 @@
   removeIfInactive(Handle, Now);
 }
 
+void PoolManager::refuseDelegated(PeerIndex From, const DelegateTasks &Message) {
+  for (const auto &Each : Message.Tasks)
+    Output_.send(From,
+                 DelegatedTaskEnded{
+                     Message.Submission->Key, Each.Task, Each.Run, DelegatedEnd::Refused, {}});
+  Log_.line(DecisionPriority::Notable, "refused tasks of another manager", Message.Submission->Key,
+            {{"peer", static_cast<std::int64_t>(From)},
+             {"tasks", static_cast<std::int64_t>(Message.Tasks.size())},
+             {"why", "no memory for the job"}});
+}
+
 void PoolManager::reportDelegatedEnd(PoolJob &Job, std::uint32_t Task, std::uint32_t Run,
                                      DelegatedEnd How, std::string_view Worker) {
   Output_.send(Job.Origins.front(),
--- a/Tests/Pool/TestPoolManager.cpp
+++ b/Tests/Pool/TestPoolManager.cpp
@@ -483,3 +483,45 @@
   World.submit(1000, 1, 60s, Other);
   BOOST_TEST(World.Manager.jobCount() == 2U);
 }
+
+// Guards against a manager that runs out of memory by tasks which others delegate to it, and
+// against tasks that are lost when it refuses them.
+BOOST_AUTO_TEST_CASE(DelegationsBeyondTheMemoryAreRefused) {
+  PoolSettings Settings;
+  Settings.JobBytes = 300000;
+  ManagerFixture World(Settings);
+  constexpr PeerIndex Other{3};
+  World.list({"w-1", "w-2"}); // With room for four such tasks.
+  World.Manager.setManager(Other, true, World.Now);
+  auto Delegate = [&](std::uint64_t Key) {
+    auto Submission = std::make_shared<JobSubmission>();
+    Submission->Key = static_cast<JobKey>(Key);
+    Submission->Steps.resize(1);
+    Submission->Steps[0].Count = 1100;
+    Submission->Steps[0].Need = {2, 10, 0};
+    Submission->Policy.Service = "slips";
+    Submission->Steps[0].DeclaredMilliseconds = 100;
+    Submission->Policy.Stretch = 2;
+    Submission->ReceivedAt = World.Now;
+    Submission->AnswerBy = World.Now + 60s;
+    World.Manager.receive(Other, DelegateTasks{Submission, {{7, 2}, {8, 1}}}, World.Now);
+  };
+  Delegate(1);
+  BOOST_TEST(World.Manager.fleet().runCount() == 2U);
+  World.pass(50ms);
+  const auto *Report = std::get_if<PoolReport>(&World.Out.Sent.back().second);
+  BOOST_REQUIRE(Report);
+  BOOST_TEST(Report->Changes.size() == 2U);
+  for (const auto &Change : Report->Changes)
+    BOOST_TEST(Change.Availability.Speed == 0);
+  World.Out.Sent.clear();
+  Delegate(2);
+  BOOST_TEST(World.Manager.fleet().runCount() == 2U);
+  BOOST_TEST(World.Manager.jobCount() == 1U);
+  std::vector<std::pair<std::uint32_t, std::uint32_t>> Refused;
+  for (const auto &[Peer, Message] : World.Out.Sent)
+    if (const auto *Ended = std::get_if<DelegatedTaskEnded>(&Message);
+        Ended && Ended->How == DelegatedEnd::Refused)
+      Refused.emplace_back(Ended->Task, Ended->Run);
+  BOOST_TEST((Refused == std::vector<std::pair<std::uint32_t, std::uint32_t>>{{7, 2}, {8, 1}}));
+}
