--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -129,6 +129,15 @@
     NeighbourRun Length;
   };
 
+  /// A run that is being stopped to start it again on another worker.
+  struct MovingRun {
+    EndpointIndex From{};
+    TaskRef Task;
+    std::uint32_t Number = 0;
+    Resources Need;
+    std::string To; ///< Where there was room for it.
+  };
+
   struct Remote {
     bool IsManager = false;
     RemotePool Pool;
@@ -184,6 +193,8 @@
   void reviewWaitingJobs(core::TimePoint Now);
   /// Returns whether a step of the job needs workers of which all are in evacuated data centres.
   bool needsEvacuatedWorkers(const PoolJob &Job, core::TimePoint Now) const;
+  /// Rejects the waiting jobs of which that is true and nothing has run.
+  void rejectEvacuated(core::TimePoint Now);
   static bool couldRunOn(const WorkerEntry &Entry, const PoolJob &Job, std::uint32_t Step);
   /// Updates PoolJob::LacksWorkers now and then.
   void seekWorkers(PoolJob &Job, core::TimePoint Now) const;
@@ -366,6 +377,16 @@
   // PoolManagerNotices.cpp: runs on workers that are about to leave.
   void moveNoticedRuns(core::TimePoint Now);
   void moveNoticedRun(EndpointIndex Worker, const Run &Running, core::TimePoint Now);
+  /// A worker with room for another run of the step, besides the runs that are being moved.
+  struct RestartPlace {
+    std::string Worker;
+    double Milliseconds = 0; ///< Until the new run is expected to end.
+  };
+  std::optional<RestartPlace> restartPlace(const PoolJob &Job, const PoolPlacementRequest &Request,
+                                           const Run &Running, EndpointIndex Except,
+                                           core::TimePoint Now) const;
+  /// Subtracts the room that runs which are being moved are to take.
+  void subtractMoving(PlacementCandidate &Candidate) const;
 
   // PoolManagerWhere.cpp: where a job would go.
   AdmissionOutlook admissionOf(const PoolJob &Job, core::TimePoint Now) const;
@@ -383,13 +404,18 @@
 
   // PoolManagerPeers.cpp: work delegated to and by other managers.
   void acceptDelegated(PeerIndex From, const DelegateTasks &Message, core::TimePoint Now);
+  /// Refuses all tasks of a delegation for which there is no memory; the other manager keeps them.
+  void refuseDelegated(PeerIndex From, const DelegateTasks &Message);
   void delegatedEnded(PeerIndex From, const DelegatedTaskEnded &Message, core::TimePoint Now);
   void stopDelegated(PeerIndex From, const StopDelegated &Message, core::TimePoint Now);
   void reportDelegatedEnd(PoolJob &Job, std::uint32_t Task, std::uint32_t Run, DelegatedEnd How,
                           std::string_view Worker);
   void requeueLostDelegations(core::TimePoint Now);
   void sendReports(core::TimePoint Now);
-  /// Availability of the listed workers, in the order of the directory.
+  /// Returns whether other managers may delegate tasks to this one as far as memory goes.
+  bool hasMemoryForDelegations() const;
+  void setJobBytes(std::size_t Bytes);
+  /// Availability of the listed workers for other managers, in the order of the directory.
   std::vector<WorkerAvailability> listedAvailability(core::TimePoint Now) const;
   void sendDirectory(PeerIndex Peer);
 
@@ -414,7 +440,7 @@
   JobKindRunTimes Kinds_;
   PoolCounters Counters_;
   std::unordered_map<JobHandle, PoolJob> Jobs_;
-  std::size_t JobBytes_ = 0; ///< Sum of JobSubmission::memory() over Jobs_.
+  std::size_t JobBytes_ = 0; ///< Sum of JobSubmission::memory() over Jobs_; see setJobBytes().
   std::unordered_map<JobKey, JobHandle> OwnJobs_;
   std::map<std::pair<PeerIndex, JobKey>, JobHandle> Delegations_;
   std::unordered_map<EndpointIndex, std::vector<RecentRun>> RecentRuns_; ///< By worker.
@@ -458,8 +484,10 @@
   core::TimePoint ReportAt_; ///< Earliest time of the next report.
   bool NeedsDispatch_ = false;
   bool ReportIsDue_ = false;
+  core::TimePoint NextEvacuationCheck_;
   core::TimePoint NextExpiry_;
   core::TimePoint NextStragglerCheck_;
+  std::vector<MovingRun> Moving_; ///< From workers that are about to leave.
 };
 
 /// Calls Visit with each worker that could run a task of the step now. The second argument is the
--- a/Kernel/Pool/WorkerFleet.cpp
+++ b/Kernel/Pool/WorkerFleet.cpp
@@ -104,6 +104,8 @@
 void WorkerFleet::unlist(EndpointIndex Index) {
   auto &Known = mutableAt(Index);
   Known.IsListed = false;
+  if (Known.Lease == LeaseState::Absent)
+    Known.ClaimAt = {}; // A claim that was deferred at this takeover must not wait at the next one.
   Log_.line(DecisionPriority::StateChange, "worker removed from the list", std::nullopt,
             {{"worker", std::string_view(Known.Entry.Id)},
              {"runs", static_cast<std::int64_t>(Known.Runs.size())}});
@@ -403,6 +405,7 @@
   if (!mutableAt(Index).IsListed && mutableAt(Index).Runs.empty()) {
     mutableAt(Index).Lease = LeaseState::Absent;
     mutableAt(Index).IsPolling = false;
+    mutableAt(Index).ClaimAt = {};
     return Output_.workerDropped(Index);
   }
   if (mutableAt(Index).Lease == LeaseState::Fenced) {
@@ -434,6 +437,15 @@
   return at(Worker).find(Task, Number);
 }
 
+std::vector<std::string> WorkerFleet::releasedIn(std::string_view DataCentre) const {
+  std::vector<std::string> Ids;
+  for (const auto &Known : Workers_)
+    if (Known.Entry.DataCentre == DataCentre && !Known.IsListed &&
+        Known.Lease == LeaseState::Absent)
+      Ids.push_back(Known.Entry.Id);
+  return Ids;
+}
+
 std::size_t WorkerFleet::runCount() const {
   std::size_t Count = 0;
   for (const auto &Known : Workers_)
