PoolDaemon: Say that a change of the manager's memory needs a restart

Cause: needsRestart() compared the memory for callers, but not the limit on the manager's jobs. With caller-memory-megabytes set, a change of memory-megabytes was reported as in force although it is read at the start only. The case in TestPoolDaemon failed before and passes.

--- a/Services/PoolDaemon/PoolDaemon.cpp
+++ b/Services/PoolDaemon/PoolDaemon.cpp
@@ -49,6 +49,7 @@
          Former.MetricsAddress != Changed.MetricsAddress ||
          Former.StoreAddress != Changed.StoreAddress || Former.Platform != Changed.Platform ||
          Former.Weight != Changed.Weight || Former.CallerMemoryBytes != Changed.CallerMemoryBytes ||
+         Former.ManagerMemoryBytes != Changed.ManagerMemoryBytes ||
          Former.CallerConnections != Changed.CallerConnections;
 }
 
--- a/Tests/Integration/TestPoolDaemon.cpp
+++ b/Tests/Integration/TestPoolDaemon.cpp
@@ -360,6 +360,8 @@
   Reload("remote-factor=none\n", "the previous ones stay in force");
   Reload("no-such-setting=1\n", "settings read again"); // From a later release.
   Reload("remote-factor=0.5\n", "the previous ones stay in force");
+  // The memory for callers is as by default, so that only the manager's limit changes.
+  Reload("memory-megabytes=200\ncaller-memory-megabytes=128\n", "\"after_restart\": \"true\"");
 }
 
 // Guards against a number of waiting jobs that other VMs report after the jobs have ended.
