LibReactor, Pool: Name what is compared; two checks of the queue as strict as before

Cause: comments spoke of what something is worth; two cases of TestPoolQueue had lost a check when the admission plan replaced reviewQueue(). AStartedJobKeepsItsPlace had another latest start (230 ms for 130 ms), AJobWithoutTimeIsUnattainable no longer said that no other job is late. Change: the former input is checked again, and that only one job gives way; the other check is back. All 15 cases of TestPoolQueue and TestReactorHttp pass, without a change of the product's behaviour.

--- a/Kernel/Pool/ColdStart.cpp
+++ b/Kernel/Pool/ColdStart.cpp
@@ -9,7 +9,7 @@
 /// The platform does not state how slow cold workers are. A moderate value orders them behind warm
 /// ones until runs have shown it.
 constexpr double AssumedSlowdown = 1.5;
-/// Number of runs that the assumption is worth.
+/// Weight of the assumption, as a number of observed runs.
 constexpr double AssumedWeight = 2;
 /// Upper bound on one observation; run times vary, and a run may have been slow for another reason.
 constexpr double MaximumSlowdown = 20;
--- a/Kernel/Pool/JobKindRunTimes.cpp
+++ b/Kernel/Pool/JobKindRunTimes.cpp
@@ -10,8 +10,7 @@
 constexpr double MinimumMilliseconds = 1;
 /// Whenever so many jobs have been counted, the counts are halved, so that recent jobs weigh more.
 constexpr double RecentJobs = 128;
-/// Share of overlong jobs that is assumed without evidence, and the number of jobs that it is
-/// worth.
+/// Prior of the share of overlong jobs, and its weight as a number of observed jobs.
 constexpr double PriorOverlongShare = 0.01;
 constexpr double PriorJobs = 50;
 
--- a/Libraries/LibReactor/HttpServer.cpp
+++ b/Libraries/LibReactor/HttpServer.cpp
@@ -25,14 +25,21 @@
 /// Time without a met limit after which the next one is logged again.
 constexpr core::Duration LogPause = std::chrono::seconds(10);
 
-/// A session that may be closed, and how much it is worth to close it.
-using ShedCandidate = std::pair<double, HttpSession *>;
+/// A session that may be closed.
+struct ShedCandidate {
+  double Cost = 0; ///< What the session takes from others; the highest is closed first.
+  HttpSession *Session = nullptr;
+};
+
+bool costsMore(const ShedCandidate &Left, const ShedCandidate &Right) {
+  return Left.Cost > Right.Cost;
+}
 
-/// Orders the Count candidates that are worth most before the others.
-void selectWorst(std::vector<ShedCandidate> &Candidates, std::size_t Count) {
+/// Orders the Count candidates of the highest cost before the others.
+void selectCostliest(std::vector<ShedCandidate> &Candidates, std::size_t Count) {
   if (Count < Candidates.size())
     std::nth_element(Candidates.begin(), Candidates.begin() + static_cast<std::ptrdiff_t>(Count),
-                     Candidates.end(), std::greater<>());
+                     Candidates.end(), costsMore);
 }
 
 } // namespace
@@ -108,15 +115,15 @@
   for (auto *Session : Sessions_)
     if (Session->isSheddable(Now))
       (Session->isProven() ? Proven : Unproven)
-          .emplace_back(core::toMilliseconds(Now - Session->waitingSince()), Session);
+          .push_back({core::toMilliseconds(Now - Session->waitingSince()), Session});
   // Clients whose requests were served keep half of the connections against all others.
   bool AreProvenSpared = Unproven.size() > Limits_.Connections / 2 || Proven.empty();
   if (!AreProvenSpared)
     Unproven.insert(Unproven.end(), Proven.begin(), Proven.end());
   auto Count = std::min(std::max<std::size_t>(1, Limits_.Connections / ShedPart), Unproven.size());
-  selectWorst(Unproven, Count);
+  selectCostliest(Unproven, Count);
   for (std::size_t Each = 0; Each < Count; ++Each)
-    Unproven[Each].second->shed();
+    Unproven[Each].Session->shed();
   Counters_.ShedForConnections += Count;
 }
 
@@ -137,12 +144,12 @@
   std::vector<ShedCandidate> Candidates;
   for (auto *Session : Sessions_)
     if (Session != &Asking && Session->isSheddable(Now))
-      Candidates.emplace_back(static_cast<double>(Session->memory()) *
-                                  core::toMilliseconds(Now - Session->waitingSince()),
-                              Session);
-  std::sort(Candidates.begin(), Candidates.end(), std::greater<>());
+      Candidates.push_back({static_cast<double>(Session->memory()) *
+                                core::toMilliseconds(Now - Session->waitingSince()),
+                            Session});
+  std::sort(Candidates.begin(), Candidates.end(), costsMore);
   auto Wanted = Limit - Limit / ShedPart;
-  for (const auto &[Worth, Session] : Candidates) {
+  for (const auto &[Cost, Session] : Candidates) {
     if (MemoryUsed_ <= Wanted)
       return;
     Session->shed();
--- a/Tests/Pool/TestPoolQueue.cpp
+++ b/Tests/Pool/TestPoolQueue.cpp
@@ -51,6 +51,13 @@
   auto Plan = planAdmission(Jobs, Room, Now);
   BOOST_TEST((Plan.Prospects[1] == JobProspect::InTime));
   BOOST_TEST((Plan.Prospects[2] == JobProspect::Late));
+  // With less time a job that has not begun gives way, and only that one.
+  Jobs[1].LatestStart = Now + 130ms;
+  Plan = planAdmission(Jobs, Room, Now);
+  BOOST_TEST((Plan.Prospects[0] == JobProspect::Late));
+  BOOST_TEST((Plan.Prospects[1] == JobProspect::InTime));
+  BOOST_TEST((Plan.Prospects[2] == JobProspect::InTime));
+  BOOST_TEST(Plan.LateCount == 1U);
 }
 
 // Guards against a started job that misses its objective behind jobs that have not begun.
@@ -101,6 +108,7 @@
   std::vector<WaitingJob> Jobs = {job(1, 120ms), job(2, -900ms), job(3, -950ms)};
   Jobs[2].MayHaveRun = true;
   auto Plan = planAdmission(Jobs, Room, Now);
+  BOOST_TEST((Plan.Prospects[0] == JobProspect::InTime));
   BOOST_REQUIRE(Plan.Unattainable.size() == 1U);
   BOOST_TEST(Plan.Unattainable[0] == 1U);
 }
