--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,7 +6,7 @@
 cmake -S . -B target -DCMAKE_BUILD_TYPE=Release >/dev/null
 cmake --build target -j4 --target cornellift-fleet-stand-in cornellift-fault-proxy >/dev/null
 mkdir -p target/review-3
-for source in review/1[1-5]/*.cpp; do
+for source in review/1[1-5]/*.cc; do
   number=$(basename "$(dirname "$source")")
   "${CXX:-c++}" -std=c++20 -O2 -Wall -Wextra -pthread -o "target/review-3/case-$number" "$source"
 done
