--- a/review/11/case.cc
+++ b/review/11/case.cc
@@ -1,6 +1,6 @@
 // An entry VM is killed while the manager of its zone is frozen for half a second. The client sends
 // its job again, to a VM of another zone, 1.3 s after its connection broke.
-#include "../kit-3/Stage.hh"
+#include "Stage.hh"
 
 using namespace stage;
 
--- a/review/15/case.cc
+++ b/review/15/case.cc
@@ -1,6 +1,6 @@
 // All open connections to the platform's store go silent at the same moment, while new ones work. Then
 // the operator drops a route and adds another one.
-#include "../kit-3/Stage.hh"
+#include "../11/Stage.hh"
 
 #include <algorithm>
 #include <atomic>
