--- a/Tests/LibMesh/TestMeshNode.cpp
+++ b/Tests/LibMesh/TestMeshNode.cpp
@@ -1,8 +1,6 @@
 #include "Libraries/LibMesh/MeshNode.h"
+#include "Tests/LibReactor/TcpRelay.h"
 
-#include <boost/asio/write.hpp>
-
-#include <array>
 #include <functional>
 #include <memory>
 #include <string>
@@ -22,75 +20,6 @@
   return Acceptor.local_endpoint().port();
 }
 
-/// Copies the bytes of one direction of a forwarded connection.
-struct RelayDirection : std::enable_shared_from_this<RelayDirection> {
-  RelayDirection(std::shared_ptr<Tcp::socket> Source, std::shared_ptr<Tcp::socket> Sink,
-                 const bool &Silent)
-      : From(std::move(Source)), To(std::move(Sink)), IsSilent(Silent) {}
-
-  void run() {
-    From->async_read_some(asio::buffer(Bytes), [Self = shared_from_this()](auto Error, auto Count) {
-      boost::system::error_code Broken;
-      if (!Error && !Self->IsSilent)
-        asio::write(*Self->To, asio::buffer(Self->Bytes, Count), Broken);
-      if (Error || Broken)
-        return Self->To->close(Broken);
-      Self->run();
-    });
-  }
-
-  std::shared_ptr<Tcp::socket> From;
-  std::shared_ptr<Tcp::socket> To;
-  const bool &IsSilent;
-  std::array<char, 4096> Bytes{};
-};
-
-/// TCP proxy to another port that can reset all connections or discard their data.
-class TestProxy {
-public:
-  TestProxy(asio::io_context &Reactor, std::uint16_t Target)
-      : Reactor_(Reactor), Target_(asio::ip::address_v4::loopback(), Target),
-        Acceptor_(Reactor, {asio::ip::address_v4::loopback(), 0}) {
-    accept();
-  }
-
-  std::string address() const { return reactor::formatAddress(Acceptor_.local_endpoint()); }
-  void setSilent(bool IsSilent) { IsSilent_ = IsSilent; }
-  void reset() {
-    boost::system::error_code Ignored; // The sockets may be closed already.
-    for (const auto &Socket : Sockets_) {
-      Socket->set_option(asio::socket_base::linger(true, 0), Ignored);
-      Socket->close(Ignored);
-    }
-    Sockets_.clear();
-  }
-
-private:
-  void accept() {
-    Acceptor_.async_accept([this](boost::system::error_code Error, Tcp::socket Socket) {
-      if (Error)
-        return;
-      auto Near = std::make_shared<Tcp::socket>(std::move(Socket));
-      auto Far = std::make_shared<Tcp::socket>(Reactor_);
-      boost::system::error_code Refused;
-      Far->connect(Target_, Refused);
-      if (!Refused) {
-        Sockets_.push_back(Near);
-        Sockets_.push_back(Far);
-        std::make_shared<RelayDirection>(Near, Far, IsSilent_)->run();
-        std::make_shared<RelayDirection>(Far, Near, IsSilent_)->run();
-      }
-      accept();
-    });
-  }
-
-  asio::io_context &Reactor_;
-  Tcp::endpoint Target_;
-  Tcp::acceptor Acceptor_;
-  std::vector<std::shared_ptr<Tcp::socket>> Sockets_;
-  bool IsSilent_ = false;
-};
-
 /// A node that records the events and messages it receives.
 class Node final : public MeshListener {
 public:
@@ -192,14 +121,14 @@
   int Rejections_ = 0;
 };
 
-/// Two nodes. The connections that the first one opens to the second pass through a proxy.
+/// Two nodes. The connections that the first one opens to the second pass through a relay.
 struct Pair {
   Pair()
-      : SecondPort(freePort()), Proxy(Reactor, SecondPort),
+      : SecondPort(freePort()), Relay(Reactor, SecondPort),
         First(std::make_unique<Node>(Reactor, "ikeja-1", FirstPort, 1,
                                      "127.0.0.1:" + std::to_string(FirstPort))),
-        Second(std::make_unique<Node>(Reactor, "ikeja-2", SecondPort, 2, Proxy.address())) {
-    First->Mesh.addOrUpdatePeer({"ikeja-2", Proxy.address(), "ikeja", 1}, PeerSource::Listed,
+        Second(std::make_unique<Node>(Reactor, "ikeja-2", SecondPort, 2, Relay.address())) {
+    First->Mesh.addOrUpdatePeer({"ikeja-2", Relay.address(), "ikeja", 1}, PeerSource::Listed,
                                 core::MonotonicClock::now());
   }
 
@@ -224,7 +153,7 @@
   asio::io_context Reactor;
   std::uint16_t FirstPort = freePort();
   std::uint16_t SecondPort;
-  TestProxy Proxy;
+  reactor::TcpRelay Relay;
   std::unique_ptr<Node> First;
   std::unique_ptr<Node> Second;
 };
@@ -239,7 +168,7 @@
   for (std::uint64_t Job = 1; Job <= Count; ++Job) {
     World.First->send(Job);
     if (Job % 50 == 0) {
-      World.Proxy.reset();
+      World.Relay.reset();
       World.until([] { return false; }, 100ms);
     }
   }
@@ -303,12 +232,12 @@
 BOOST_AUTO_TEST_CASE(ASilentConnectionIsDetectedAndReplaced) {
   Pair World;
   BOOST_REQUIRE(World.until([&] { return World.areUp(); }));
-  World.Proxy.setSilent(true);
+  World.Relay.setSilent(true);
   World.First->send(1);
   BOOST_TEST(World.until([&] { return !World.First->Downs.empty(); }));
   BOOST_TEST((World.First->Downs.at(0) == PeerLossReason::Silent));
-  World.Proxy.setSilent(false);
-  World.Proxy.reset();
+  World.Relay.setSilent(false);
+  World.Relay.reset();
   BOOST_REQUIRE(World.until([&] { return World.areUp() && World.First->Ups >= 2; }));
   World.First->send(2);
   BOOST_TEST(World.until(
@@ -321,11 +250,11 @@
   BOOST_REQUIRE(World.until([&] { return World.areUp(); }));
   World.Second->Mesh.close();
   World.Second.reset();
-  World.Proxy.reset();
+  World.Relay.reset();
   World.First->send(1);
   BOOST_TEST(World.until([&] { return !World.First->Downs.empty(); }));
   World.Second =
-      std::make_unique<Node>(World.Reactor, "ikeja-2", World.SecondPort, 3, World.Proxy.address());
+      std::make_unique<Node>(World.Reactor, "ikeja-2", World.SecondPort, 3, World.Relay.address());
   BOOST_REQUIRE(World.until([&] { return World.areUp(); }));
   World.First->send(2);
   BOOST_REQUIRE(World.until([&] { return !World.Second->Received.empty(); }));
@@ -336,7 +265,7 @@
 BOOST_AUTO_TEST_CASE(ASeedAddressIsResolvedToItsVm) {
   Pair World;
   auto Third = std::make_unique<Node>(World.Reactor, "ikeja-3", freePort(), 4, "127.0.0.1:1");
-  Third->Mesh.addSeedAddress(World.Proxy.address());
+  Third->Mesh.addSeedAddress(World.Relay.address());
   BOOST_TEST(World.until([&] {
     Third->Mesh.tick(core::MonotonicClock::now());
     auto Known = Third->Mesh.knownPeers();
@@ -412,15 +341,15 @@
 // Guards against a peer that counts as failing after a single slow answer, or never does.
 BOOST_AUTO_TEST_CASE(APeerIsFailingAfterASecondOfAttempts) {
   Pair World;
-  World.Proxy.setSilent(true);
+  World.Relay.setSilent(true);
   auto IsFailing = [&] {
     return World.First->Mesh.knownPeers().front()->isFailing(core::MonotonicClock::now());
   };
   World.until([] { return false; }, 700ms);
   BOOST_TEST(!IsFailing());
   BOOST_TEST(World.until(IsFailing));
-  World.Proxy.setSilent(false);
-  World.Proxy.reset();
+  World.Relay.setSilent(false);
+  World.Relay.reset();
   BOOST_REQUIRE(World.until([&] { return World.areUp(); }));
   BOOST_TEST(!IsFailing());
 }
