LibMesh: Count a peer as heard when it sent a frame, not when it was read

What callers saw: a job ran on beside its second submission.

Cause: MeshPeer took a peer for alive since its frame was read. After a pause, or behind a full socket buffer, that frame may be of a process that has ended long before. PoolManager counts the end of the runs of a lost entry process and the limit of their leases from there.

Change: acknowledgements of heartbeats tell the peer's clock. PeerClock converts the time in a peer's heartbeat so that it is never later than the true one; it needs no assumption about delays, since the acknowledgement was written after the acknowledged heartbeat had been sent. lastHeard() is the latest time that is shown in this way. The silence of 0.6 s still counts from the last frame read; a peer that is not shown to have run for 1.0 s is lost, too, because tasks that were delegated for its jobs have no lease of their own. The manager also learns the time when a link comes up, so that leases are limited before the first heartbeat.

--- a/Kernel/Pool/PoolManager.h
+++ b/Kernel/Pool/PoolManager.h
@@ -90,8 +90,9 @@
   void setRoundTrip(PeerIndex Peer, core::Duration RoundTrip) {
     Remotes_[Peer].Pool.setRoundTrip(RoundTrip);
   }
-  /// Records that the peer is alive.
-  void peerHeard(PeerIndex Peer, core::TimePoint Now) { HeardAt_[Peer] = Now; }
+  /// Records when the peer was last known to be alive: when it sent what was received, not when
+  /// that was read.
+  void peerHeard(PeerIndex Peer, core::TimePoint LastHeard) { HeardAt_[Peer] = LastHeard; }
   /// Handles the loss of a peer. LastHeard is when the peer was last known to be alive.
   void peerLost(PeerIndex Peer, core::TimePoint LastHeard, core::TimePoint Now);
 
--- a/Libraries/LibMesh/MeshPeer.cpp
+++ b/Libraries/LibMesh/MeshPeer.cpp
@@ -14,6 +14,9 @@
 constexpr core::Duration MinimumPeerTimeout = std::chrono::milliseconds(600);
 /// Consecutive heartbeats that may be missed before a peer is considered lost.
 constexpr int MaximumMissedHeartbeats = 4;
+/// A peer whose frames arrive, but were all sent longer ago than this, is considered lost, too. The
+/// runs of its jobs end by then.
+constexpr core::Duration MinimumHeardAge = std::chrono::milliseconds(1000);
 /// A connection is replaced if sent frames stay unacknowledged for this time.
 constexpr core::Duration AcknowledgementTimeout = std::chrono::milliseconds(250);
 constexpr core::Duration DialTimeout = std::chrono::milliseconds(300);
@@ -71,7 +74,7 @@
 }
 
 bool MeshPeer::isConfirmed(core::TimePoint Now) const {
-  return Now - std::max(ListedAt_, LastHeard_) <= PeerExpiryTime;
+  return Now - std::max(ListedAt_, LastFrameAt_) <= PeerExpiryTime;
 }
 
 bool MeshPeer::isExpired(core::TimePoint Now) const {
@@ -163,6 +166,7 @@
   Greeting.set_weight(Identity.Weight);
   Greeting.set_session(isNamed() ? Session_ : 0);
   Greeting.set_resumes(IsSessionAccepted_);
+  HelloSentAt_ = core::MonotonicClock::now();
   Outgoing_->send(Message);
 }
 
@@ -173,9 +177,17 @@
   if (!Message.has_acknowledge() || !IsEstablished_)
     return;
   acknowledged(Message.acknowledge().received(), Now);
-  auto SentAt = Message.acknowledge().echoed_us();
-  if (SentAt != 0 && SentAt <= microseconds(Now))
-    observeRoundTrip(std::chrono::microseconds(microseconds(Now) - SentAt));
+  heartbeatAcknowledged(Message.acknowledge(), Now);
+}
+
+void MeshPeer::heartbeatAcknowledged(const Acknowledge &Message, core::TimePoint Now) {
+  if (Message.echoed_us() == 0 || Message.echoed_us() > microseconds(Now))
+    return;
+  core::TimePoint SentAt{core::Duration(Message.echoed_us())};
+  observeRoundTrip(Now - SentAt);
+  LastHeard_ = std::max(LastHeard_, SentAt);
+  if (Message.sent_us() != 0) // Absent from a peer of a former release.
+    Clock_.observe(SentAt, Message.sent_us(), Now);
 }
 
 void MeshPeer::observeRoundTrip(core::Duration Taken) {
@@ -199,6 +211,7 @@
   IsEstablished_ = true;
   IsSessionAccepted_ = true;
   EstablishedAt_ = Now;
+  LastHeard_ = std::max(LastHeard_, HelloSentAt_);
   DialBackoff_ = core::Duration(0);
   acknowledged(Message.received(), Now);
   if (!mayRepeatOldest()) {
@@ -280,7 +293,7 @@
   if (Incoming_ && Incoming_ != Connection)
     Incoming_->close();
   Incoming_ = Connection;
-  LastHeard_ = Now;
+  LastFrameAt_ = Now;
   auto Weak = weak_from_this();
   Connection->setHandlers({[Weak](const Frame &Received) {
                              if (auto Self = Weak.lock())
@@ -300,16 +313,20 @@
   auto Now = core::MonotonicClock::now();
   // If this process was paused, the peer may have declared it lost in the meantime. Frames that are
   // still in the socket's receive buffer then belong to a session that has ended.
-  if (IsUp_ && Now - LastHeard_ > peerTimeout(PeerHeartbeatInterval_))
+  if (IsUp_ && Now - LastFrameAt_ > peerTimeout(PeerHeartbeatInterval_))
     return markDown(PeerLossReason::Silent, Now);
-  LastHeard_ = Now;
+  LastFrameAt_ = Now;
   bool IsRepeated = Message.sequence() != 0 && Message.sequence() <= LastReceivedSequence_;
   if (Message.sequence() != 0 && !IsRepeated)
     LastReceivedSequence_ = Message.sequence();
   Frame Reply;
   Reply.mutable_acknowledge()->set_received(LastReceivedSequence_);
-  if (Message.has_heartbeat())
+  if (Message.has_heartbeat()) {
     Reply.mutable_acknowledge()->set_echoed_us(Message.heartbeat().sent_us());
+    Reply.mutable_acknowledge()->set_sent_us(microseconds(Now));
+    if (auto SentAt = Clock_.toLocal(Message.heartbeat().sent_us()))
+      LastHeard_ = std::max(LastHeard_, std::min(*SentAt, Now));
+  }
   auto Connection = Incoming_;
   Connection->send(Reply);
   if (Message.has_heartbeat()) {
@@ -337,6 +354,7 @@
   if (IsUp_)
     markDown(PeerLossReason::Ended, Now);
   IsPeerSessionOpen_ = false;
+  Clock_.reset();
   Incarnation_ = Incarnation;
 }
 
@@ -345,7 +363,7 @@
     return;
   IsUp_ = true;
   FailingSince_.reset();
-  LastHeard_ = Now;
+  LastFrameAt_ = Now;
   Owner_.peerUp(*this);
 }
 
@@ -355,7 +373,7 @@
   IsUnneededByPeer_ = false;
   IsUnneededReported_ = false;
   if (WasUp && Reason == PeerLossReason::Silent)
-    FailingSince_ = LastHeard_;
+    FailingSince_ = LastFrameAt_;
   if (WasUp && Reason == PeerLossReason::Ended)
     FailingSince_ = Now - FailingThreshold;
   if (Incoming_)
@@ -367,10 +385,21 @@
     Owner_.peerDown(*this, Reason);
 }
 
+core::Duration MeshPeer::maximumHeardAge() const {
+  // Without the peer's clock, only the acknowledged heartbeats of this process count.
+  auto Interval = Clock_.isKnown() ? PeerHeartbeatInterval_
+                                   : std::max(PeerHeartbeatInterval_, HeartbeatInterval_);
+  return std::max(MinimumHeardAge, Interval * MaximumMissedHeartbeats);
+}
+
+bool MeshPeer::isSilent(core::TimePoint Now) const {
+  return Now - LastFrameAt_ > peerTimeout(PeerHeartbeatInterval_) ||
+         Now - LastHeard_ > maximumHeardAge() ||
+         (UnacknowledgedSince_ && Now - *UnacknowledgedSince_ > MinimumPeerTimeout);
+}
+
 void MeshPeer::tick(core::TimePoint Now, DialPermission Permission) {
-  bool IsSilent = Now - LastHeard_ > peerTimeout(PeerHeartbeatInterval_) ||
-                  (UnacknowledgedSince_ && Now - *UnacknowledgedSince_ > MinimumPeerTimeout);
-  if (IsUp_ && IsSilent)
+  if (IsUp_ && isSilent(Now))
     return markDown(PeerLossReason::Silent, Now);
   if (IsUp_ && IsUnneededReported_ && IsUnneededByPeer_)
     return markDown(PeerLossReason::Unneeded, Now);
--- a/Libraries/LibMesh/MeshPeer.h
+++ b/Libraries/LibMesh/MeshPeer.h
@@ -3,6 +3,7 @@
 #include "Kernel/Pool/PoolMessages.h"
 #include "Libraries/LibCore/Time.h"
 #include "Libraries/LibMesh/MeshConnection.h"
+#include "Libraries/LibMesh/PeerClock.h"
 
 #include <cstdint>
 #include <deque>
@@ -72,8 +73,9 @@
 /// may span several TCP connections. Each side connects to the other and sends on the connection
 /// that it opened. A connection that is reset or stops responding is replaced, and unacknowledged
 /// messages are retransmitted. The peer is considered lost only if nothing is received from it on
-/// any connection, or if its process has ended. A message that the receiver cannot read ends the
-/// session on both sides, so that what was promised in it counts as lost.
+/// any connection, if all that is received was sent long ago, or if its process has ended. A
+/// message that the receiver cannot read ends the session on both sides, so that what was promised
+/// in it counts as lost.
 class MeshPeer : public std::enable_shared_from_this<MeshPeer> {
 public:
   MeshPeer(asio::io_context &Reactor, MeshPeerOwner &Owner, std::string Vm);
@@ -100,7 +102,8 @@
   /// Returns whether the VM has probably been removed: for a long time it wasn't listed, sent no
   /// frame and was not mentioned in gossip.
   bool isExpired(core::TimePoint Now) const;
-  /// When the last frame was received from the peer.
+  /// Latest time at which the peer is known to have been running. It depends on when a frame was
+  /// sent, not on when this process has read it.
   core::TimePoint lastHeard() const { return LastHeard_; }
   /// Moving average of the time from a heartbeat to its acknowledgement; empty before the first
   /// one.
@@ -137,6 +140,10 @@
   void incomingClosed(const std::shared_ptr<MeshConnection> &Connection);
   void helloReplyReceived(const HelloReply &Message, core::TimePoint Now);
   void acknowledged(std::uint64_t Received, core::TimePoint Now);
+  void heartbeatAcknowledged(const Acknowledge &Message, core::TimePoint Now);
+  bool isSilent(core::TimePoint Now) const;
+  /// How long ago the peer may have been heard last while the link is up.
+  core::Duration maximumHeardAge() const;
   /// Counts the connections on which the oldest message is sent. Returns whether it may be sent on
   /// another one.
   bool mayRepeatOldest();
@@ -180,6 +187,7 @@
   core::TimePoint DialDeadline_;
   core::Duration DialBackoff_{0};
   core::TimePoint NextHeartbeatAt_;
+  core::TimePoint HelloSentAt_;
   /// When the oldest frame was sent since which nothing was acknowledged on any connection.
   std::optional<core::TimePoint> UnacknowledgedSince_;
   core::TimePoint EstablishedAt_;
@@ -191,7 +199,9 @@
   std::uint64_t PeerSession_ = 0;
   bool IsPeerSessionOpen_ = false;
   std::uint64_t LastReceivedSequence_ = 0;
+  core::TimePoint LastFrameAt_; ///< When the last frame was read, however long ago it was sent.
   core::TimePoint LastHeard_;
+  PeerClock Clock_;
   core::Duration PeerHeartbeatInterval_{0};
 };
 
--- a/Services/PoolDaemon/PoolDaemonPeers.cpp
+++ b/Services/PoolDaemon/PoolDaemonPeers.cpp
@@ -102,6 +102,7 @@
                  {"address", Peer.address()},
                  {"index", std::to_string(static_cast<std::uint32_t>(Peer.Index))}});
   auto Now = core::MonotonicClock::now();
+  Manager_.peerHeard(Peer.Index, Peer.lastHeard());
   // First, so that the peer starts nothing for jobs that were cancelled while it was out of reach.
   auto Cancelled = Manager_.recentlyCancelled(Now);
   if (!Cancelled.Jobs.empty())
@@ -142,7 +143,7 @@
 
 void PoolDaemon::heartbeatReceived(const mesh::MeshPeer &Peer, const mesh::Heartbeat &Message) {
   auto Now = core::MonotonicClock::now();
-  Manager_.peerHeard(Peer.Index, Now);
+  Manager_.peerHeard(Peer.Index, Peer.lastHeard());
   kernel::CandidateState State;
   State.Vm = Peer.vm();
   State.DataCentre = Peer.dataCentre();
--- a/Tests/LibMesh/TestMeshNode.cpp
+++ b/Tests/LibMesh/TestMeshNode.cpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
@@ -36,8 +37,13 @@
     Index = Peer.Index;
     ++Ups;
   }
-  void peerDown(const MeshPeer &, PeerLossReason Reason) override { Downs.push_back(Reason); }
-  void heartbeatReceived(const MeshPeer &, const Heartbeat &) override {}
+  void peerDown(const MeshPeer &Peer, PeerLossReason Reason) override {
+    Downs.push_back(Reason);
+    LastHeard = Peer.lastHeard();
+  }
+  void heartbeatReceived(const MeshPeer &Peer, const Heartbeat &) override {
+    LastHeard = Peer.lastHeard();
+  }
   void messageReceived(const MeshPeer &, const Frame &Message) override {
     Received.push_back(Message.abandon().job());
   }
@@ -51,6 +57,7 @@
   kernel::PeerIndex Index{};
   bool NeedsLinks = true;
   int Ups = 0;
+  core::TimePoint LastHeard; ///< Of the peer, at its latest heartbeat or loss.
   std::vector<PeerLossReason> Downs;
   std::vector<std::uint64_t> Received;
   MeshNode Mesh;
@@ -125,7 +132,7 @@
 struct Pair {
   Pair()
       : SecondPort(freePort()), Relay(Reactor, SecondPort),
-        First(std::make_unique<Node>(Reactor, "ikeja-1", FirstPort, 1,
+        First(std::make_unique<Node>(FirstReactor, "ikeja-1", FirstPort, 1,
                                      "127.0.0.1:" + std::to_string(FirstPort))),
         Second(std::make_unique<Node>(Reactor, "ikeja-2", SecondPort, 2, Relay.address())) {
     First->Mesh.addOrUpdatePeer({"ikeja-2", Relay.address(), "ikeja", 1}, PeerSource::Listed,
@@ -135,22 +142,49 @@
   bool until(const std::function<bool()> &Holds, std::chrono::milliseconds Limit = 3000ms) {
     auto End = std::chrono::steady_clock::now() + Limit;
     while (!Holds() && std::chrono::steady_clock::now() < End) {
-      Reactor.run_for(5ms);
-      First->Mesh.updateNeededLinks();
-      if (Second)
-        Second->Mesh.updateNeededLinks();
-      First->Mesh.tick(core::MonotonicClock::now());
-      if (Second)
-        Second->Mesh.tick(core::MonotonicClock::now());
+      runSecond();
+      runFirst();
     }
     return Holds();
   }
 
+  void runFirst() {
+    FirstReactor.poll();
+    FirstReactor.restart();
+    First->Mesh.updateNeededLinks();
+    First->Mesh.tick(core::MonotonicClock::now());
+  }
+
+  void runSecond() {
+    Reactor.run_for(5ms);
+    if (!Second)
+      return;
+    Second->Mesh.updateNeededLinks();
+    Second->Mesh.tick(core::MonotonicClock::now());
+  }
+
+  /// Pauses the first node for a time in which the second one runs.
+  void pauseFirst(std::chrono::milliseconds Span) {
+    auto End = std::chrono::steady_clock::now() + Span;
+    while (std::chrono::steady_clock::now() < End)
+      runSecond();
+  }
+
+  /// Ends the second node's process. Returns when it has last been running.
+  core::TimePoint endSecond() {
+    auto EndedAt = core::MonotonicClock::now();
+    Second->Mesh.close();
+    Second.reset();
+    Relay.reset();
+    return EndedAt;
+  }
+
   bool areUp() {
     return First->Mesh.connectedPeers().size() == 1 && Second->Mesh.connectedPeers().size() == 1;
   }
 
-  asio::io_context Reactor;
+  asio::io_context FirstReactor;
+  asio::io_context Reactor; ///< Of the second node and the relay.
   std::uint16_t FirstPort = freePort();
   std::uint16_t SecondPort;
   reactor::TcpRelay Relay;
@@ -244,13 +278,47 @@
       [&] { return !World.Second->Received.empty() && World.Second->Received.back() == 2; }));
 }
 
+// Guards against a peer that counts as alive since its frames were read: after a pause of this
+// process they may have been sent long before, by a peer that has ended since.
+BOOST_AUTO_TEST_CASE(APeerIsHeardWhenItsFramesWereSent) {
+  constexpr auto HeartbeatTime = 200ms; // More than the heartbeats of a pair are apart.
+  Pair World;
+  BOOST_REQUIRE(World.until([&] { return World.areUp(); }));
+  World.until([] { return false; }, 500ms);
+  World.pauseFirst(200ms);
+  auto EndedAt = World.endSecond();
+  World.pauseFirst(200ms);
+  BOOST_REQUIRE(World.until([&] { return !World.First->Downs.empty(); }));
+  BOOST_TEST((World.First->LastHeard <= EndedAt));
+  BOOST_TEST((World.First->LastHeard >= EndedAt - HeartbeatTime));
+}
+
+// Guards against a loss that is noticed late because a frame was read after a pause: the time-out
+// began anew, and the runs of the peer's jobs went on beside those of the resubmitted ones. The
+// peer's connections stay open, as if its VM had lost power.
+BOOST_AUTO_TEST_CASE(AFrameReadAfterAPauseDoesNotPutOffTheLossOfItsSender) {
+  constexpr auto Pause = 550ms; // Shorter than the silence after which a peer is lost.
+  constexpr auto NoticedWithin = 1100ms;
+  Pair World;
+  BOOST_REQUIRE(World.until([&] { return World.areUp(); }));
+  World.until([] { return false; }, 500ms);
+  World.Second->send(1);
+  World.runSecond();
+  auto EndedAt = core::MonotonicClock::now();
+  std::this_thread::sleep_for(Pause);
+  while (World.First->Downs.empty() && core::MonotonicClock::now() < EndedAt + 2s) {
+    World.runFirst();
+    std::this_thread::sleep_for(5ms);
+  }
+  BOOST_TEST((core::MonotonicClock::now() - EndedAt < NoticedWithin));
+  BOOST_TEST(World.First->Received.size() == 1U);
+}
+
 // Guards against messages for a process that are delivered to the process that replaced it.
 BOOST_AUTO_TEST_CASE(ANewIncarnationIsANewPeer) {
   Pair World;
   BOOST_REQUIRE(World.until([&] { return World.areUp(); }));
-  World.Second->Mesh.close();
-  World.Second.reset();
-  World.Relay.reset();
+  World.endSecond();
   World.First->send(1);
   BOOST_TEST(World.until([&] { return !World.First->Downs.empty(); }));
   World.Second =
