LibReactor: Say how old a connection is on which a call got no reply

The reason now has the age of the connection, and an attempt to connect that takes too long is named as such.

--- a/Libraries/LibReactor/HttpConnection.cpp
+++ b/Libraries/LibReactor/HttpConnection.cpp
@@ -66,6 +66,7 @@
     boost::system::error_code Ignored; // The connection works without the option, too.
     Self->Socket_.set_option(Tcp::no_delay(true), Ignored);
     Self->WasOpened_ = true;
+    Self->OpenedAt_ = core::MonotonicClock::now();
     Self->readNext();
     Self->setState(State::Idle);
   });
@@ -187,10 +188,16 @@
 }
 
 void HttpConnection::timerExpired() {
+  auto Now = core::MonotonicClock::now();
   // Parts of the reply have moved the deadline on; setting the timer for each would cost more.
-  if (core::MonotonicClock::now() < Deadline_.next())
+  if (Now < Deadline_.next())
     return armTimer(Deadline_);
-  close("timeout while waiting for the reply");
+  if (!WasOpened_)
+    return close("timeout while connecting");
+  // The age tells a connection that has gone silent from a server that does not answer.
+  auto Age = std::chrono::duration_cast<std::chrono::milliseconds>(Now - OpenedAt_);
+  close("timeout while waiting for the reply on a connection that was opened " +
+        std::to_string(Age.count()) + " ms ago");
 }
 
 void HttpConnection::finishCall(HttpResult Result) {
--- a/Libraries/LibReactor/HttpConnection.h
+++ b/Libraries/LibReactor/HttpConnection.h
@@ -70,6 +70,7 @@
   StateHandler OnChange_;
   State State_ = State::Connecting;
   bool WasOpened_ = false;
+  core::TimePoint OpenedAt_; ///< When the connection was established.
   boost::beast::flat_buffer Buffer_;
   std::optional<Parser> Parser_;
   std::string Outgoing_;
