LibReactor: Close idle connections when a call on another one got no reply

Cause: HttpClient closed only the connection of the call that had timed out. The next watch went out on an idle connection that had gone silent at the same moment, and hung for as long again.

Evidence: with the age of the connection in the log, the second time-out was on a connection of 13.5 s, although the store had answered on a new one 1.9 s before.

Change: a call without a reply closes the idle connections of the client, too. When one of them was used last does not matter: the silence may have begun at any moment since the call was sent. The watch's own time-out of 2 s is then the only wait, and the platform's bound of 3 s holds.

--- a/Libraries/LibReactor/HttpClient.cpp
+++ b/Libraries/LibReactor/HttpClient.cpp
@@ -84,12 +84,21 @@
   Connection->open(Deadline);
 }
 
+void HttpClient::closeIdleConnections() {
+  auto All = Connections_; // A copy, since each close removes an entry.
+  for (const auto &Connection : All)
+    if (Connection->state() == HttpConnection::State::Idle)
+      Connection->close("a call on another connection got no reply");
+}
+
 void HttpClient::connectionChanged(const std::shared_ptr<HttpConnection> &Connection) {
   if (Closed_)
     return;
   if (Connection->state() != HttpConnection::State::Closed)
     return dispatchWaitingCalls();
   std::erase(Connections_, Connection);
+  if (Connection->hasTimedOut())
+    closeIdleConnections();
   failExpiredCalls();
   // Each failed connection attempt fails one call, so that an unreachable server isn't retried in a
   // loop; the caller decides whether to retry.
--- a/Libraries/LibReactor/HttpClient.h
+++ b/Libraries/LibReactor/HttpClient.h
@@ -10,7 +10,9 @@
 namespace cornellift::reactor {
 
 /// HTTP client for one server with a bounded pool of keep-alive connections. Calls for which no
-/// connection is free wait for one until their deadline.
+/// connection is free wait for one until their deadline. When a call gets no reply in time, the
+/// idle connections are closed, too: whatever made its connection silent may have affected all of
+/// them, and each would hold up another call until its deadline.
 class HttpClient : public std::enable_shared_from_this<HttpClient> {
 public:
   HttpClient(asio::io_context &Reactor, Tcp::endpoint Remote, std::size_t MaximumConnections);
@@ -37,6 +39,7 @@
   void dispatchWaitingCalls();
   void connectionChanged(const std::shared_ptr<HttpConnection> &Connection);
   void open(core::TimePoint Deadline);
+  void closeIdleConnections();
   void failExpiredCalls();
   std::shared_ptr<HttpConnection> idleConnection() const;
   std::size_t connectingCount() const;
--- a/Libraries/LibReactor/HttpConnection.cpp
+++ b/Libraries/LibReactor/HttpConnection.cpp
@@ -194,6 +194,7 @@
     return armTimer(Deadline_);
   if (!WasOpened_)
     return close("timeout while connecting");
+  HasTimedOut_ = true;
   // The age tells a connection that has gone silent from a server that does not answer.
   auto Age = std::chrono::duration_cast<std::chrono::milliseconds>(Now - OpenedAt_);
   close("timeout while waiting for the reply on a connection that was opened " +
--- a/Libraries/LibReactor/HttpConnection.h
+++ b/Libraries/LibReactor/HttpConnection.h
@@ -46,6 +46,9 @@
   /// Returns whether the connection was ever established.
   bool wasOpened() const { return WasOpened_; }
 
+  /// Returns whether the connection was closed because a call on it got no reply in time.
+  bool hasTimedOut() const { return HasTimedOut_; }
+
 private:
   /// Upper bound on the body of a reply. The largest replies are pages of the platform's store.
   static constexpr std::uint64_t MaximumReplyBytes = 16U << 20;
@@ -70,6 +73,7 @@
   StateHandler OnChange_;
   State State_ = State::Connecting;
   bool WasOpened_ = false;
+  bool HasTimedOut_ = false;
   core::TimePoint OpenedAt_; ///< When the connection was established.
   boost::beast::flat_buffer Buffer_;
   std::optional<Parser> Parser_;
--- a/Tests/LibReactor/TestReactorHttp.cpp
+++ b/Tests/LibReactor/TestReactorHttp.cpp
@@ -1,5 +1,6 @@
 #include "Libraries/LibReactor/HttpClient.h"
 #include "Libraries/LibReactor/HttpServer.h"
+#include "Tests/LibReactor/TcpRelay.h"
 
 #include <boost/asio/write.hpp>
 
@@ -80,6 +81,40 @@
   BOOST_TEST(Held.size() == 1U);
 }
 
+// Guards against calls that go on to use idle connections which have gone silent together with the
+// one of a call that got no reply: each held up another call until its deadline.
+BOOST_AUTO_TEST_CASE(ACallWithoutReplyClosesIdleConnections) {
+  constexpr std::size_t Connections = 4;
+  asio::io_context Reactor;
+  auto Server = HttpServer::listen(Reactor, AnyPort, echo);
+  TcpRelay Relay(Reactor, Server->address().port());
+  auto Client = std::make_shared<HttpClient>(Reactor, Relay.endpoint(), Connections);
+  std::vector<HttpResult> Results;
+  auto Call = [&](core::Duration Limit) {
+    Client->call({HttpMethod::Get, "/", {}, {}}, core::MonotonicClock::now() + Limit,
+                 [&](HttpResult Result) { Results.push_back(std::move(Result)); });
+  };
+  auto UntilResults = [&](std::size_t Count) {
+    auto End = std::chrono::steady_clock::now() + 2s;
+    while (Results.size() < Count && std::chrono::steady_clock::now() < End)
+      Reactor.run_one_for(10ms);
+    return Results.size() == Count;
+  };
+  for (std::size_t Each = 0; Each < Connections; ++Each)
+    Call(1s);
+  BOOST_REQUIRE(UntilResults(Connections));
+  BOOST_REQUIRE(Client->connectionsMade() == Connections);
+  Relay.silenceOpenConnections();
+  Call(100ms);
+  BOOST_REQUIRE(UntilResults(Connections + 1));
+  BOOST_TEST(!Results.back().Reply);
+  for (std::size_t Each = 0; Each < Connections; ++Each)
+    Call(1s);
+  BOOST_REQUIRE(UntilResults(2 * Connections + 1));
+  for (std::size_t Each = Connections + 1; Each < Results.size(); ++Each)
+    BOOST_TEST(Results[Each].Reply.has_value());
+}
+
 // Guards against a request that arrives after its deadline: a connection that is closed in the
 // usual way still delivers what a partition holds up.
 BOOST_AUTO_TEST_CASE(ACallThatTimesOutResetsItsConnection) {
--- a/Tests/LibStore/TestKeyMirror.cpp
+++ b/Tests/LibStore/TestKeyMirror.cpp
@@ -1,10 +1,12 @@
 #include "Libraries/LibReactor/HttpServer.h"
 #include "Libraries/LibStore/KeyMirror.h"
 #include "Services/PoolDaemon/ActiveConfiguration.h"
+#include "Tests/LibReactor/TcpRelay.h"
 #include "platform/StoreMessages.h"
 
 #include <algorithm>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -38,8 +40,14 @@
   void setSilent(bool IsSilent) { IsSilent_ = IsSilent; }
   std::size_t heldWatches() const { return Held_.size(); }
   std::uint64_t revision() const { return Revision_; }
+  std::uint16_t port() const { return Server_->address().port(); }
   std::shared_ptr<store::StoreClient> connect(store::asio::io_context &Reactor) {
-    return std::make_shared<store::StoreClient>(Reactor, Server_->address(), Format_);
+    return connectTo(Reactor, Server_->address());
+  }
+  /// Connects through an address that leads to this store.
+  std::shared_ptr<store::StoreClient> connectTo(store::asio::io_context &Reactor,
+                                                const reactor::Tcp::endpoint &Address) const {
+    return std::make_shared<store::StoreClient>(Reactor, Address, Format_);
   }
 
 private:
@@ -227,6 +235,37 @@
   BOOST_TEST(Busy.Mirror->revision() == Busy.Store.revision());
 }
 
+// Guards against a configuration that takes effect seconds after all connections to the store have
+// gone silent at once: the watch hung, and the next one hung as long on another such connection. A
+// process whose new connections work must know the latest version 3 s later.
+BOOST_AUTO_TEST_CASE(ChangesArriveAfterAllConnectionsHaveGoneSilent) {
+  constexpr auto InTouchAfter = 3s;
+  store::asio::io_context Reactor;
+  BusyStore Store(Reactor);
+  reactor::TcpRelay Relay(Reactor, Store.port());
+  auto Client = Store.connectTo(Reactor, Relay.endpoint());
+  auto Mirror = std::make_shared<store::KeyMirror>(Reactor, Client, "servers/",
+                                                   pool::ConfigurationMirrorOptions,
+                                                   [](const store::KeyMirror::Items &) {});
+  auto Until = [&](const std::function<bool()> &Holds, std::chrono::milliseconds Limit) {
+    auto End = std::chrono::steady_clock::now() + Limit;
+    while (!Holds() && std::chrono::steady_clock::now() < End)
+      Reactor.run_one_for(10ms);
+    return Holds();
+  };
+  Store.setSilent(true);
+  Mirror->start();
+  BOOST_REQUIRE(Until([&] { return Store.heldWatches() == 1; }, 1s));
+  bool IsOtherCallDone = false; // It leaves an idle connection beside that of the watch.
+  Client->range("servers/", 100, [&](const auto &) { IsOtherCallDone = true; });
+  BOOST_REQUIRE(Until([&] { return IsOtherCallDone; }, 1s));
+  Relay.silenceOpenConnections();
+  Store.setSilent(false);
+  Store.write(1);
+  BOOST_TEST(Until([&] { return Mirror->revision() == Store.revision(); }, InTouchAfter));
+  Mirror->stop();
+}
+
 namespace {
 
 /// A mirror of a DocumentStore that has read the document.
