PoolDaemon: Close idle connections for commands when a poll got no reply

When all connections to a worker go silent, its poll times out and the next one succeeds on a new connection, so that the worker gets tasks again. All copies of their starts could go out on idle connections that are silent, too; a task with an unanswered start stays on its worker for 15 s.

Cause: polls and commands have clients of their own, so that what one learns of the worker's connections does not reach the other.

Change: a poll whose reply does not arrive in time closes the idle connections for commands.

--- a/Libraries/LibReactor/HttpClient.cpp
+++ b/Libraries/LibReactor/HttpClient.cpp
@@ -30,6 +30,13 @@
     Connection->close("the client is closed");
 }
 
+void HttpClient::closeIdleConnections() {
+  auto All = Connections_; // A copy, since each close removes an entry.
+  for (const auto &Connection : All)
+    if (Connection->state() == HttpConnection::State::Idle)
+      Connection->close("a call on another connection to the server got no reply");
+}
+
 void HttpClient::failLater(HttpResultHandler Handler, std::string_view Cause) {
   asio::post(Reactor_, [Handler = std::move(Handler), Cause = std::string(Cause)] {
     Handler({std::nullopt, HttpFailure::NotSent, Cause});
@@ -84,13 +91,6 @@
   Connection->open(Deadline);
 }
 
-void HttpClient::closeIdleConnections() {
-  auto All = Connections_; // A copy, since each close removes an entry.
-  for (const auto &Connection : All)
-    if (Connection->state() == HttpConnection::State::Idle)
-      Connection->close("a call on another connection got no reply");
-}
-
 void HttpClient::connectionChanged(const std::shared_ptr<HttpConnection> &Connection) {
   if (Closed_)
     return;
--- a/Libraries/LibReactor/HttpClient.h
+++ b/Libraries/LibReactor/HttpClient.h
@@ -25,6 +25,9 @@
   /// Closes all connections; pending calls fail.
   void close();
 
+  /// Closes the connections without a call, so that the next call opens a new one.
+  void closeIdleConnections();
+
   /// Number of connections opened so far.
   std::uint64_t connectionsMade() const { return ConnectionsMade_; }
 
@@ -39,7 +42,6 @@
   void dispatchWaitingCalls();
   void connectionChanged(const std::shared_ptr<HttpConnection> &Connection);
   void open(core::TimePoint Deadline);
-  void closeIdleConnections();
   void failExpiredCalls();
   std::shared_ptr<HttpConnection> idleConnection() const;
   std::size_t connectingCount() const;
--- a/Services/PoolDaemon/WorkerClient.cpp
+++ b/Services/PoolDaemon/WorkerClient.cpp
@@ -47,17 +47,25 @@
 
 void WorkerClient::poll(kernel::EndpointIndex Worker, const kernel::PollCommand &Command) {
   auto &Known = at(Worker);
-  auto Done = [this, Worker, Command](const reactor::HttpResult &Result) {
-    Manager_->pollReplied(Worker, Command, Format_.parsePollReply(Result),
-                          core::MonotonicClock::now());
+  auto Deadline = core::MonotonicClock::now() +
+                  std::chrono::milliseconds(Command.WaitMilliseconds) + kernel::PollReplyMargin;
+  auto Done = [this, Worker, Command, Deadline](const reactor::HttpResult &Result) {
+    auto Now = core::MonotonicClock::now();
+    if (!Result.Reply && Now >= Deadline)
+      closeIdleCommandConnections(Worker);
+    Manager_->pollReplied(Worker, Command, Format_.parsePollReply(Result), Now);
   };
   if (!Known.PollClient)
     return reactor::asio::post(Reactor_, [Done] { Done({}); });
-  auto Deadline = core::MonotonicClock::now() +
-                  std::chrono::milliseconds(Command.WaitMilliseconds) + kernel::PollReplyMargin;
   Known.PollClient->call(Format_.pollRequest(Known.Id, Command), Deadline, Done);
 }
 
+void WorkerClient::closeIdleCommandConnections(kernel::EndpointIndex Worker) {
+  // They may have gone silent with the poll's; all copies of a start would be lost on them.
+  if (auto Client = at(Worker).CommandClient)
+    Client->closeIdleConnections();
+}
+
 void WorkerClient::start(kernel::EndpointIndex Worker, const kernel::StartCommand &Command) {
   auto &Known = at(Worker);
   auto Request = Format_.startRequest(Known.Id, Command);
--- a/Services/PoolDaemon/WorkerClient.h
+++ b/Services/PoolDaemon/WorkerClient.h
@@ -41,6 +41,8 @@
     std::shared_ptr<reactor::HttpClient> CommandClient;
   };
 
+  /// Handles a poll that got no reply in time.
+  void closeIdleCommandConnections(kernel::EndpointIndex Worker);
   Target &at(kernel::EndpointIndex Worker) { return Targets_[static_cast<std::size_t>(Worker)]; }
 
   reactor::asio::io_context &Reactor_;
