Pool: Forget a resubmitted job when the process that awaits it is lost

A job that is ending and was submitted again through another VM starts once the former runs have ended, also if that VM has been lost meanwhile. Nothing limits the leases of these runs, as nothing is heard of a lost peer, and the client has sent the job again elsewhere.

Cause: PoolManager::peerLost took the lost process out of the jobs that run, not out of those that wait for the end of their former runs.

Change: peerLost drops the waiting submission, as abandon does.

Result: AResubmittedJobOfALostEntryProcessStartsNothing (TestPoolManager) had 2 starts and one open job before, 1 and none after.

--- a/Kernel/Pool/PoolManagerJobs.cpp
+++ b/Kernel/Pool/PoolManagerJobs.cpp
@@ -396,6 +396,8 @@
         Delegations.push_back(Handle);
       continue;
     }
+    if (Job.SuccessorOrigin == Peer)
+      Job.Successor.reset(); // The client submits it again to another process.
     bool WasAwaited = std::erase(Job.Origins, Peer) > 0;
     bool IsOrphaned = WasAwaited && Job.Origins.empty() && !Job.IsEnding;
     if (IsOrphaned) {
--- a/Tests/Pool/TestPoolManager.cpp
+++ b/Tests/Pool/TestPoolManager.cpp
@@ -308,6 +308,27 @@
   BOOST_TEST(*LeaseUntil < Fixture.workerClock(HeardAt + CallerReturnsAfter));
 }
 
+// Guards against a resubmitted job that starts after the entry process that awaits it was lost:
+// its runs would have no limit and go on beside those of a third submission.
+BOOST_AUTO_TEST_CASE(AResubmittedJobOfALostEntryProcessStartsNothing) {
+  constexpr PeerIndex FirstEntry{1};
+  constexpr PeerIndex SecondEntry{2};
+  ManagerFixture Fixture;
+  Fixture.list({"w-0"});
+  auto Key = Fixture.submit(1, 500, 3s, FirstEntry);
+  BOOST_REQUIRE(Fixture.Out.Starts.size() == 1U);
+  auto [Worker, Command] = Fixture.Out.Starts[0];
+  Fixture.Manager.startReplied(Worker, Command, {CommandVerdict::Accepted, {}}, Fixture.Now);
+  Fixture.Manager.receive(FirstEntry, AbandonJob{Key}, Fixture.Now);
+  Fixture.submitAs(Key, 1, 500, 3s, SecondEntry);
+  Fixture.Manager.peerLost(SecondEntry, Fixture.Now, Fixture.Now);
+  Fixture.pass(20ms);
+  Fixture.answerPolls({}, {{1, Command.Task, Command.Run, RunEnd::Stopped}});
+  Fixture.pass(20ms);
+  BOOST_TEST(Fixture.Out.Starts.size() == 1U);
+  BOOST_TEST(Fixture.Manager.jobCount() == 0U);
+}
+
 // Guards against delegated tasks that outlast the return of the caller: should this manager be
 // paused after the loss of the entry process, the other manager notices it too late.
 BOOST_AUTO_TEST_CASE(DelegatedTasksOfALostEntryProcessAreStopped) {
