LibMesh: Deliver messages that arrive before the link is up

Two processes count the link between them as up at different moments. What one sent in between, such as the list of cancelled jobs that a process is told first of all, was acknowledged by the other and dropped, so that it was lost for good: a late copy of a cancelled job could run, and a caller's job could wait for a manager that had never got it.

Cause: MeshPeer acknowledged each message of an open session, but passed it on only once the link was up.

Change: such messages are kept, in their order, until the link is up, and dropped with the session. A peer that sends more than 256 of them has its connection closed; it connects again and repeats what was not acknowledged.

--- a/Libraries/LibMesh/MeshPeer.cpp
+++ b/Libraries/LibMesh/MeshPeer.cpp
@@ -34,6 +34,9 @@
 /// How long no session is opened after one that ended because of a message. The cause, such as a
 /// message that is sent whenever the link comes up, may persist.
 constexpr core::Duration RejectionBackoff = std::chrono::seconds(1);
+/// Messages that are kept until the link is up on this side. It takes the time of one frame, unless
+/// that is lost; then the peer connects again and repeats what was not acknowledged.
+constexpr std::size_t MaximumEarlyMessages = 256;
 
 /// Divisor of the moving average of the round-trip time; it covers about one second of heartbeats.
 constexpr int RoundTripSamples = 8;
@@ -280,6 +283,7 @@
     PeerSession_ = Message.session();
     IsPeerSessionOpen_ = true;
     LastReceivedSequence_ = 0;
+    EarlyMessages_.clear();
   }
   Frame Reply;
   auto &Answer = *Reply.mutable_hello_reply();
@@ -316,6 +320,8 @@
   if (IsUp_ && Now - LastFrameAt_ > peerTimeout(PeerHeartbeatInterval_))
     return markDown(PeerLossReason::Silent, Now);
   LastFrameAt_ = Now;
+  if (!IsUp_ && Message.sequence() != 0 && EarlyMessages_.size() >= MaximumEarlyMessages)
+    return Incoming_->close();
   bool IsRepeated = Message.sequence() != 0 && Message.sequence() <= LastReceivedSequence_;
   if (Message.sequence() != 0 && !IsRepeated)
     LastReceivedSequence_ = Message.sequence();
@@ -336,8 +342,21 @@
       Owner_.peerHeartbeat(*this, Message.heartbeat());
     return;
   }
-  if (IsUp_ && Message.sequence() != 0 && !IsRepeated)
-    Owner_.peerMessage(*this, Message);
+  if (Message.sequence() != 0 && !IsRepeated)
+    messageReceived(Message);
+}
+
+void MeshPeer::messageReceived(const Frame &Message) {
+  // The message is acknowledged, so that the peer doesn't send it again.
+  if (!IsUp_)
+    return EarlyMessages_.push_back(Message);
+  Owner_.peerMessage(*this, Message);
+}
+
+void MeshPeer::deliverEarlyMessages() {
+  for (const auto &Message : std::exchange(EarlyMessages_, {}))
+    if (IsUp_) // A message may end the session.
+      Owner_.peerMessage(*this, Message);
 }
 
 void MeshPeer::incomingClosed(const std::shared_ptr<MeshConnection> &Connection) {
@@ -354,6 +373,7 @@
   if (IsUp_)
     markDown(PeerLossReason::Ended, Now);
   IsPeerSessionOpen_ = false;
+  EarlyMessages_.clear();
   Clock_.reset();
   Incarnation_ = Incarnation;
 }
@@ -365,6 +385,7 @@
   FailingSince_.reset();
   LastFrameAt_ = Now;
   Owner_.peerUp(*this);
+  deliverEarlyMessages();
 }
 
 void MeshPeer::markDown(PeerLossReason Reason, core::TimePoint Now) {
@@ -372,6 +393,7 @@
   IsPeerSessionOpen_ = false;
   IsUnneededByPeer_ = false;
   IsUnneededReported_ = false;
+  EarlyMessages_.clear();
   if (WasUp && Reason == PeerLossReason::Silent)
     FailingSince_ = LastFrameAt_;
   if (WasUp && Reason == PeerLossReason::Ended)
--- a/Libraries/LibMesh/MeshPeer.h
+++ b/Libraries/LibMesh/MeshPeer.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace cornellift::mesh {
 
@@ -138,6 +139,8 @@
   void outgoingClosed(const boost::system::error_code &Error);
   void incomingFrame(const Frame &Message);
   void incomingClosed(const std::shared_ptr<MeshConnection> &Connection);
+  void messageReceived(const Frame &Message);
+  void deliverEarlyMessages();
   void helloReplyReceived(const HelloReply &Message, core::TimePoint Now);
   void acknowledged(std::uint64_t Received, core::TimePoint Now);
   void heartbeatAcknowledged(const Acknowledge &Message, core::TimePoint Now);
@@ -199,6 +202,8 @@
   std::uint64_t PeerSession_ = 0;
   bool IsPeerSessionOpen_ = false;
   std::uint64_t LastReceivedSequence_ = 0;
+  /// Messages of the session that arrived before the link was up on this side.
+  std::vector<Frame> EarlyMessages_;
   core::TimePoint LastFrameAt_; ///< When the last frame was read, however long ago it was sent.
   core::TimePoint LastHeard_;
   PeerClock Clock_;
--- a/Tests/LibMesh/TestMeshNode.cpp
+++ b/Tests/LibMesh/TestMeshNode.cpp
@@ -128,6 +128,66 @@
   int Rejections_ = 0;
 };
 
+/// Peer that sends a message as soon as its session is accepted, before it accepts the session of
+/// the other side.
+class PeerThatSendsEarly {
+public:
+  static constexpr std::uint64_t Job = 7;
+
+  PeerThatSendsEarly(asio::io_context &Reactor, std::uint16_t Target)
+      : Reactor_(Reactor), Acceptor_(Reactor, {asio::ip::address_v4::loopback(), 0}),
+        Outgoing_(std::make_shared<MeshConnection>(Reactor, Tcp::socket(Reactor))) {
+    Acceptor_.async_accept([this](boost::system::error_code Error, Tcp::socket Socket) {
+      if (Error)
+        return;
+      Incoming_ = std::make_shared<MeshConnection>(Reactor_, std::move(Socket));
+      Incoming_->start();
+    });
+    Outgoing_->setHandlers({[this](const Frame &Message) { received(Message); }, {}});
+    Outgoing_->connect({asio::ip::address_v4::loopback(), Target}, [this] {
+      Frame Message;
+      Message.mutable_hello()->set_vm("ikeja-2");
+      Message.mutable_hello()->set_address(reactor::formatAddress(Acceptor_.local_endpoint()));
+      Message.mutable_hello()->set_incarnation(Incarnation);
+      Message.mutable_hello()->set_session(1);
+      Outgoing_->send(Message);
+    });
+  }
+  ~PeerThatSendsEarly() {
+    Outgoing_->close();
+    if (Incoming_)
+      Incoming_->close();
+  }
+
+  bool isAcknowledged() const { return IsAcknowledged_; }
+  bool isConnected() const { return Incoming_ != nullptr; }
+  void acceptSession() {
+    Frame Reply;
+    Reply.mutable_hello_reply()->set_vm("ikeja-2");
+    Reply.mutable_hello_reply()->set_incarnation(Incarnation);
+    Reply.mutable_hello_reply()->set_accepted(true);
+    Incoming_->send(Reply);
+  }
+
+private:
+  void received(const Frame &Message) {
+    IsAcknowledged_ = IsAcknowledged_ || Message.acknowledge().received() == 1;
+    if (!Message.has_hello_reply())
+      return;
+    Frame Early;
+    Early.set_sequence(1);
+    Early.mutable_abandon()->set_job(Job);
+    Outgoing_->send(Early);
+  }
+
+  static constexpr std::uint64_t Incarnation = 9;
+  asio::io_context &Reactor_;
+  Tcp::acceptor Acceptor_;
+  std::shared_ptr<MeshConnection> Incoming_;
+  std::shared_ptr<MeshConnection> Outgoing_;
+  bool IsAcknowledged_ = false;
+};
+
 /// Two nodes. The connections that the first one opens to the second pass through a relay.
 struct Pair {
   Pair()
@@ -262,6 +322,30 @@
   BOOST_TEST(Receiver.rejections() < 6);
 }
 
+// Guards against a message that is acknowledged and dropped, such as one that tells cancelled jobs,
+// because it arrives before this side counts the link as up.
+BOOST_AUTO_TEST_CASE(AMessageThatArrivesBeforeTheLinkIsUpIsDelivered) {
+  asio::io_context Reactor;
+  auto Port = freePort();
+  Node Receiver(Reactor, "ikeja-1", Port, 1, "127.0.0.1:" + std::to_string(Port));
+  PeerThatSendsEarly Sender(Reactor, Port);
+  auto Until = [&](const std::function<bool()> &Holds) {
+    auto End = std::chrono::steady_clock::now() + 2s;
+    while (!Holds() && std::chrono::steady_clock::now() < End) {
+      Reactor.run_for(5ms);
+      Receiver.Mesh.tick(core::MonotonicClock::now());
+    }
+    return Holds();
+  };
+  BOOST_REQUIRE(Until([&] { return Sender.isAcknowledged() && Sender.isConnected(); }));
+  BOOST_TEST(Receiver.Ups == 0);
+  BOOST_TEST(Receiver.Received.empty());
+  Sender.acceptSession();
+  BOOST_REQUIRE(Until([&] { return Receiver.Ups == 1; }));
+  BOOST_TEST(Receiver.Received == std::vector<std::uint64_t>{PeerThatSendsEarly::Job},
+             boost::test_tools::per_element());
+}
+
 // Guards against a connection that stays in use although it no longer delivers data.
 BOOST_AUTO_TEST_CASE(ASilentConnectionIsDetectedAndReplaced) {
   Pair World;
