Tests: Check the first answer of TestPoolPauses on the test's own thread

Boost.Test's checks are not safe on other threads. The comments said that the tasks fill the workers, which they don't, and not why a second job is sent.

--- a/Tests/Integration/TestPoolPauses.cpp
+++ b/Tests/Integration/TestPoolPauses.cpp
@@ -15,7 +15,7 @@
 constexpr auto Pause = 450ms;
 constexpr auto KillAfter = 50ms;       ///< From the beginning of the pause.
 constexpr auto ResubmitAfter = 1300ms; ///< From the loss of a caller's connection.
-constexpr int Tasks = 12;              ///< Fill the workers of a data centre.
+constexpr int Tasks = 12;              ///< The workers of a data centre run as many at once.
 constexpr int RunMilliseconds = 3000;
 
 } // namespace
@@ -30,16 +30,17 @@
   auto &Manager = Deployment.vm(Name);
   auto &Entry = Deployment.vm(Name == "ikeja-1" ? "ikeja-2" : "ikeja-1");
   auto Key = newJobKey();
+  JobReply First;
   std::chrono::steady_clock::time_point LostAt;
   std::thread Caller([&] {
-    auto First = postJob(Entry.CallerPort, Key, Tasks, RunMilliseconds);
+    First = postJob(Entry.CallerPort, Key, Tasks, RunMilliseconds);
     LostAt = std::chrono::steady_clock::now();
-    BOOST_TEST(First.Status == 0);
   });
   std::this_thread::sleep_for(800ms);
   BOOST_TEST(Deployment.runs().size() == static_cast<std::size_t>(Tasks));
   auto PausedAt = std::chrono::steady_clock::now();
   Manager.Process->pause();
+  // The job's frame is the last one that the manager reads after its pause.
   std::thread LateCaller([&] { postJob(Entry.CallerPort, newJobKey(), 1, RunMilliseconds); });
   std::this_thread::sleep_until(PausedAt + KillAfter);
   BOOST_TEST(Deployment.controlLink("mesh-ikeja-*", "open", {{"action", "silence"}}));
@@ -48,6 +49,7 @@
   Manager.Process->resume();
   Caller.join();
   LateCaller.join();
+  BOOST_TEST(First.Status == 0);
   std::this_thread::sleep_until(LostAt + ResubmitAfter);
   BOOST_TEST(postJob(Deployment.vm("yaba-1").CallerPort, Key, Tasks, RunMilliseconds).State ==
              "completed");
